--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,124 @@
+import jsdoc from 'eslint-plugin-jsdoc';
+import simpleImportSort from 'eslint-plugin-simple-import-sort';
+import unicorn from 'eslint-plugin-unicorn';
+import tseslint from 'typescript-eslint';
+
+const CLOCK_AND_CHANCE = [
+  {object: 'Date', property: 'now', message: 'Take `now` as an argument.'},
+  {
+    object: 'Math',
+    property: 'random',
+    message: 'Take `random` as an argument.',
+  },
+  {
+    object: 'performance',
+    property: 'now',
+    message: 'Take `now` as an argument.',
+  },
+];
+
+export default tseslint.config(
+  {
+    ignores: [
+      '**/dist/**',
+      'node_modules/**',
+      'scripts/**',
+      'eslint.config.js',
+    ],
+  },
+  ...tseslint.configs.strictTypeChecked,
+  ...tseslint.configs.stylisticTypeChecked,
+  {
+    languageOptions: {
+      parserOptions: {
+        project: './tsconfig.json',
+        tsconfigRootDir: import.meta.dirname,
+      },
+    },
+    plugins: {jsdoc, unicorn, 'simple-import-sort': simpleImportSort},
+    rules: {
+      curly: ['error', 'all'],
+      eqeqeq: ['error', 'always'],
+      'max-lines': ['error', {max: 420, skipComments: true}],
+      'simple-import-sort/imports': 'error',
+      'simple-import-sort/exports': 'error',
+      'unicorn/filename-case': ['error', {case: 'snakeCase'}],
+      'jsdoc/require-jsdoc': [
+        'error',
+        {
+          publicOnly: true,
+          require: {
+            ClassDeclaration: true,
+            FunctionDeclaration: true,
+            MethodDefinition: false,
+          },
+          contexts: [
+            'ExportNamedDeclaration > TSInterfaceDeclaration',
+            'ExportNamedDeclaration > TSTypeAliasDeclaration',
+            'ExportNamedDeclaration > VariableDeclaration',
+          ],
+        },
+      ],
+      '@typescript-eslint/switch-exhaustiveness-check': [
+        'error',
+        {considerDefaultExhaustiveForUnions: false},
+      ],
+      '@typescript-eslint/prefer-readonly': 'error',
+      '@typescript-eslint/consistent-type-imports': 'error',
+      '@typescript-eslint/explicit-module-boundary-types': 'error',
+      '@typescript-eslint/restrict-template-expressions': [
+        'error',
+        {allowNumber: true, allowBoolean: true},
+      ],
+      '@typescript-eslint/no-confusing-void-expression': [
+        'error',
+        {ignoreArrowShorthand: true},
+      ],
+      '@typescript-eslint/consistent-type-definitions': 'off',
+      '@typescript-eslint/naming-convention': [
+        'error',
+        {
+          selector: 'variable',
+          modifiers: ['const', 'global'],
+          format: ['camelCase', 'UPPER_CASE'],
+        },
+        {selector: 'typeLike', format: ['PascalCase']},
+        {selector: 'function', format: ['camelCase']},
+      ],
+    },
+  },
+  {
+    files: ['packages/*/tests/**'],
+    rules: {
+      'max-lines': 'off',
+      '@typescript-eslint/no-non-null-assertion': 'off',
+    },
+  },
+  {
+    files: ['packages/decisions/src/**'],
+    rules: {
+      'no-restricted-properties': ['error', ...CLOCK_AND_CHANCE],
+      'no-restricted-globals': [
+        'error',
+        'setTimeout',
+        'setInterval',
+        'setImmediate',
+        'queueMicrotask',
+        'fetch',
+        'process',
+      ],
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            {
+              regex:
+                '^(node:)?(net|http|https|http2|dgram|fs|timers|os|process|worker_threads|child_process)(/.*)?$',
+              message: 'Decisions do no input or output.',
+            },
+          ],
+        },
+      ],
+    },
+  },
+);
--- /dev/null
+++ b/packages/callers/src/caller_messages.ts
@@ -0,0 +1,90 @@
+/**
+ * Messages between the HTTP front and the task that serves requests.
+ */
+import type {
+  CallKind,
+  DiscoveredHost,
+  ServingError,
+} from '@lacewingwinch/decisions';
+
+/** A call of a caller, read in full and checked for its form. */
+export interface CallerCall {
+  readonly service: string | undefined;
+  readonly callKind: CallKind;
+  readonly method: string;
+  /** Path and query at the entry host. */
+  readonly target: string;
+  /** Path at the upstream, with its query. */
+  readonly path: string;
+  readonly contentType: string;
+  readonly body: Buffer;
+  readonly workspaceKey: string | undefined;
+  /** Milliseconds since the epoch. */
+  readonly deadline: number | undefined;
+  /** 0 (least urgent) to 9 (most urgent). */
+  readonly priority: number;
+  readonly idempotencyKey: string | undefined;
+  /** When the key was made, in milliseconds since the epoch. */
+  readonly keyCreated: number | undefined;
+  readonly isStreamed: boolean;
+  readonly traceparent: string | undefined;
+}
+
+/** A caller's wish to fetch an answer again. */
+export interface FetchCall {
+  readonly requestId: string;
+  readonly workspaceKey: string | undefined;
+  readonly isStreamed: boolean;
+  /** Offset of the first event that the caller lacks. */
+  readonly fromOffset: number;
+}
+
+/** An item of a streamed answer. */
+export type StreamItem =
+  | {readonly kind: 'end'}
+  | {readonly kind: 'event'; readonly offset: number; readonly data: string}
+  | {readonly kind: 'failed'; readonly error: ServingError}
+  /** The stream goes on at another entry host. */
+  | {readonly kind: 'moved'; readonly location: string};
+
+/** The answer to a call. */
+export type CallerAnswer =
+  | {
+      readonly kind: 'moved';
+      readonly status: 303 | 307;
+      readonly location: string;
+      readonly requestId?: string;
+    }
+  | {
+      readonly kind: 'refused';
+      readonly error: ServingError;
+      readonly requestId?: string;
+      readonly headers?: Readonly<Record<string, string>>;
+    }
+  | {
+      readonly kind: 'stream';
+      readonly requestId: string;
+      readonly headers: Readonly<Record<string, string>>;
+      readonly items: AsyncIterable<StreamItem>;
+    }
+  | {
+      readonly kind: 'whole';
+      readonly requestId: string;
+      readonly status: number;
+      readonly contentType: string;
+      readonly headers: Readonly<Record<string, string>>;
+      readonly body: Buffer;
+    };
+
+/** The list of entry hosts for one caller. */
+export interface Discovery {
+  readonly hosts: readonly DiscoveredHost[];
+  readonly maximumAgeSeconds: number;
+}
+
+/** Serves what the HTTP front has read. */
+export interface CallHandler {
+  serve(call: CallerCall): Promise<CallerAnswer>;
+  fetch(call: FetchCall): Promise<CallerAnswer>;
+  discover(caller: string): Discovery;
+}
--- /dev/null
+++ b/packages/callers/src/caller_server.ts
@@ -0,0 +1,208 @@
+/**
+ * The HTTP server that callers meet.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+
+import {isServingError, ServingError} from '@lacewingwinch/decisions';
+
+import type {CallerAnswer, CallHandler} from './caller_messages.js';
+import {
+  readBody,
+  readCompletion,
+  readFetch,
+  readPlainCall,
+} from './read_call.js';
+import {writeAnswer, writeProblem} from './write_answer.js';
+
+/** Milliseconds in which the headers of a request must arrive. */
+const HEADERS_TIMEOUT_MILLISECONDS = 10_000;
+
+/** Milliseconds in which a whole request must arrive. */
+const REQUEST_TIMEOUT_MILLISECONDS = 60_000;
+
+/** Bytes that the headers of a request may have. */
+const MAXIMUM_HEADER_BYTES = 16 * 1024;
+
+/** Idle milliseconds after which a caller's connection is closed. */
+const KEEP_ALIVE_MILLISECONDS = 30_000;
+
+/** A listening caller server. */
+export interface CallerServer {
+  readonly port: number;
+  /** Answers what has arrived, closes idle connections and stops. */
+  close(): Promise<void>;
+  /** Closes every connection at once. */
+  abort(): void;
+}
+
+/** Where a request goes. */
+type Route =
+  | {readonly kind: 'completion'; readonly path: string}
+  | {readonly kind: 'chat-completion'; readonly path: string}
+  | {readonly kind: 'entry-hosts'}
+  | {
+      readonly kind: 'plain';
+      readonly service: string;
+      readonly path: string;
+    }
+  | {readonly kind: 'request'; readonly requestId: string};
+
+/** Listens for callers. */
+export async function listenForCallers(
+  host: string,
+  port: number,
+  handler: CallHandler,
+  onUnexpected: (error: unknown) => void,
+): Promise<CallerServer> {
+  const server = createServer(
+    {
+      headersTimeout: HEADERS_TIMEOUT_MILLISECONDS,
+      requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
+      keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
+      maxHeaderSize: MAXIMUM_HEADER_BYTES,
+      noDelay: true,
+    },
+    (message, response) => {
+      void answerMessage(message, response, handler, onUnexpected);
+    },
+  );
+  await listen(server, host, port);
+  const address = server.address();
+  return {
+    port: typeof address === 'object' && address !== null ? address.port : port,
+    close: () => closeServer(server),
+    abort: () => server.closeAllConnections(),
+  };
+}
+
+async function answerMessage(
+  message: IncomingMessage,
+  response: ServerResponse,
+  handler: CallHandler,
+  onUnexpected: (error: unknown) => void,
+): Promise<void> {
+  try {
+    const answer = await routeMessage(message, response, handler);
+    if (answer !== undefined) {
+      await writeAnswer(response, answer);
+    }
+  } catch (error) {
+    if (!isServingError(error)) {
+      onUnexpected(error);
+    }
+    if (response.headersSent) {
+      response.destroy();
+      return;
+    }
+    const known = isServingError(error) ? error : new ServingError('internal');
+    if (!message.complete) {
+      response.setHeader('connection', 'close');
+    }
+    writeProblem(response, known, undefined);
+  }
+}
+
+async function routeMessage(
+  message: IncomingMessage,
+  response: ServerResponse,
+  handler: CallHandler,
+): Promise<CallerAnswer | undefined> {
+  const route = routeOf(message.url ?? '/');
+  switch (route.kind) {
+    case 'completion':
+    case 'chat-completion': {
+      requireMethod(message, 'POST');
+      const body = await readBody(message);
+      return handler.serve(
+        readCompletion(message, route.kind, route.path, body),
+      );
+    }
+    case 'plain': {
+      const body = await readBody(message);
+      return handler.serve(
+        readPlainCall(message, route.service, route.path, body),
+      );
+    }
+    case 'request':
+      requireMethod(message, 'GET');
+      return handler.fetch(readFetch(message, route.requestId));
+    case 'entry-hosts':
+      requireMethod(message, 'GET');
+      writeDiscovery(message, response, handler);
+      return undefined;
+  }
+}
+
+function routeOf(url: string): Route {
+  const path = url.split('?', 1)[0] ?? '/';
+  switch (path) {
+    case '/v1/completions':
+      return {kind: 'completion', path};
+    case '/v1/chat/completions':
+      return {kind: 'chat-completion', path};
+    case '/v1/entry-hosts':
+      return {kind: 'entry-hosts'};
+    default:
+      return dynamicRouteOf(url);
+  }
+}
+
+function dynamicRouteOf(url: string): Route {
+  const plain = /^\/v1\/services\/([^/?]+)(\/[^#]*)?$/.exec(url);
+  if (plain?.[1] !== undefined) {
+    return {kind: 'plain', service: plain[1], path: plain[2] ?? '/'};
+  }
+  const request = /^\/v1\/requests\/([^/?]+)$/.exec(url);
+  if (request?.[1] !== undefined) {
+    return {kind: 'request', requestId: request[1]};
+  }
+  throw new ServingError('path-unknown');
+}
+
+function requireMethod(message: IncomingMessage, method: string): void {
+  if (message.method !== method) {
+    throw new ServingError('method-not-allowed', {
+      detail: `use ${method} here`,
+    });
+  }
+}
+
+function writeDiscovery(
+  message: IncomingMessage,
+  response: ServerResponse,
+  handler: CallHandler,
+): void {
+  const caller = message.socket.remoteAddress ?? '';
+  const {hosts, maximumAgeSeconds} = handler.discover(
+    String(message.headers['x-caller-id'] ?? caller),
+  );
+  const body = JSON.stringify({entryHosts: hosts});
+  response.writeHead(200, {
+    'content-type': 'application/json',
+    'cache-control': `max-age=${maximumAgeSeconds}`,
+    'content-length': Buffer.byteLength(body),
+  });
+  response.end(body);
+}
+
+function listen(server: Server, host: string, port: number): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
+}
+
+function closeServer(server: Server): Promise<void> {
+  return new Promise(resolve => {
+    server.close(() => resolve());
+    server.closeIdleConnections();
+  });
+}
--- /dev/null
+++ b/packages/callers/src/read_call.ts
@@ -0,0 +1,196 @@
+/**
+ * Reading and checking of HTTP requests.
+ */
+import type {IncomingMessage} from 'node:http';
+
+import {isRecord, ServingError} from '@lacewingwinch/decisions';
+
+import type {CallerCall, FetchCall} from './caller_messages.js';
+
+/** Bytes that any request body may have. */
+export const MAXIMUM_BODY_BYTES = 8 * 1024 * 1024;
+
+const DEFAULT_PRIORITY = 5;
+const MAXIMUM_KEY_LENGTH = 200;
+
+/** Reads the body of `message`, up to `MAXIMUM_BODY_BYTES`. */
+export async function readBody(message: IncomingMessage): Promise<Buffer> {
+  const stated = Number(message.headers['content-length'] ?? 0);
+  if (stated > MAXIMUM_BODY_BYTES) {
+    throw tooLarge();
+  }
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of message as AsyncIterable<Buffer>) {
+    bytes += chunk.length;
+    if (bytes > MAXIMUM_BODY_BYTES) {
+      throw tooLarge();
+    }
+    chunks.push(chunk);
+  }
+  return chunks.length === 1 && chunks[0] !== undefined
+    ? chunks[0]
+    : Buffer.concat(chunks);
+}
+
+/** Reads a completion; its `model` names the service. */
+export function readCompletion(
+  message: IncomingMessage,
+  callKind: 'chat-completion' | 'completion',
+  path: string,
+  body: Buffer,
+): CallerCall {
+  const document = parseDocument(body);
+  const model = document['model'];
+  if (typeof model !== 'string') {
+    throw malformed('`model` must be a string that names a service');
+  }
+  const prompt = document[callKind === 'completion' ? 'prompt' : 'messages'];
+  if (prompt === undefined) {
+    throw malformed('the prompt is missing');
+  }
+  return {
+    ...readCommon(message),
+    service: model,
+    callKind,
+    path,
+    body,
+    isStreamed: document['stream'] === true,
+  };
+}
+
+/** Reads a call to a plain service. */
+export function readPlainCall(
+  message: IncomingMessage,
+  service: string,
+  path: string,
+  body: Buffer,
+): CallerCall {
+  return {
+    ...readCommon(message),
+    service,
+    callKind: 'plain',
+    path,
+    body,
+    isStreamed: false,
+  };
+}
+
+/** Reads a wish to fetch an answer again. */
+export function readFetch(
+  message: IncomingMessage,
+  requestId: string,
+): FetchCall {
+  const lastEventId = headerOf(message, 'last-event-id');
+  const accept = headerOf(message, 'accept') ?? '';
+  const lastOffset =
+    lastEventId === undefined ? -1 : readInteger(lastEventId, 'Last-Event-ID');
+  return {
+    requestId,
+    workspaceKey: bearerOf(message),
+    isStreamed:
+      lastEventId !== undefined || accept.includes('text/event-stream'),
+    fromOffset: lastOffset + 1,
+  };
+}
+
+type CommonFields = Omit<
+  CallerCall,
+  'body' | 'callKind' | 'isStreamed' | 'path' | 'service'
+>;
+
+function readCommon(message: IncomingMessage): CommonFields {
+  const created = headerOf(message, 'idempotency-key-created');
+  return {
+    method: message.method ?? 'POST',
+    target: message.url ?? '/',
+    contentType: headerOf(message, 'content-type') ?? 'application/json',
+    workspaceKey: bearerOf(message),
+    deadline: readDeadline(headerOf(message, 'x-request-deadline')),
+    priority: readPriority(headerOf(message, 'x-request-priority')),
+    idempotencyKey: readKey(headerOf(message, 'idempotency-key')),
+    keyCreated:
+      created === undefined
+        ? undefined
+        : readInstant(created, 'Idempotency-Key-Created'),
+    traceparent: headerOf(message, 'traceparent'),
+  };
+}
+
+function parseDocument(body: Buffer): Readonly<Record<string, unknown>> {
+  try {
+    const document: unknown = JSON.parse(body.toString());
+    if (isRecord(document)) {
+      return document;
+    }
+  } catch {
+    throw malformed('the body is not valid JSON');
+  }
+  throw malformed('the body must be a JSON object');
+}
+
+function bearerOf(message: IncomingMessage): string | undefined {
+  const match = /^Bearer (\S+)$/i.exec(message.headers.authorization ?? '');
+  return match?.[1];
+}
+
+function headerOf(message: IncomingMessage, name: string): string | undefined {
+  const value = message.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+function readDeadline(value: string | undefined): number | undefined {
+  return value === undefined
+    ? undefined
+    : readInstant(value, 'X-Request-Deadline');
+}
+
+function readInstant(value: string, header: string): number {
+  const instant = /^\d+$/.test(value) ? Number(value) : Date.parse(value);
+  if (!Number.isFinite(instant)) {
+    throw malformed(
+      `${header} must be milliseconds since the epoch or an RFC 3339 date`,
+    );
+  }
+  return instant;
+}
+
+function readPriority(value: string | undefined): number {
+  if (value === undefined) {
+    return DEFAULT_PRIORITY;
+  }
+  if (!/^\d$/.test(value)) {
+    throw malformed('X-Request-Priority must be a digit from 0 to 9');
+  }
+  return Number(value);
+}
+
+function readKey(value: string | undefined): string | undefined {
+  if (value === undefined) {
+    return undefined;
+  }
+  const key = value.replace(/^"(.*)"$/, '$1');
+  if (!/^[\x21-\x7e]+$/.test(key) || key.length > MAXIMUM_KEY_LENGTH) {
+    throw malformed(
+      `Idempotency-Key must be 1 to ${MAXIMUM_KEY_LENGTH} visible characters`,
+    );
+  }
+  return key;
+}
+
+function readInteger(value: string, header: string): number {
+  if (!/^\d+$/.test(value)) {
+    throw malformed(`${header} must be a whole number`);
+  }
+  return Number(value);
+}
+
+function malformed(detail: string): ServingError {
+  return new ServingError('request-malformed', {detail});
+}
+
+function tooLarge(): ServingError {
+  return new ServingError('request-too-large', {
+    detail: `a body may have ${MAXIMUM_BODY_BYTES} bytes at most`,
+  });
+}
--- /dev/null
+++ b/packages/callers/src/write_answer.ts
@@ -0,0 +1,114 @@
+/**
+ * Writing of answers.
+ */
+import type {ServerResponse} from 'node:http';
+
+import type {ServingError} from '@lacewingwinch/decisions';
+
+import type {CallerAnswer, StreamItem} from './caller_messages.js';
+
+/** Writes `answer` to `response`. */
+export async function writeAnswer(
+  response: ServerResponse,
+  answer: CallerAnswer,
+): Promise<void> {
+  switch (answer.kind) {
+    case 'moved':
+      response.writeHead(answer.status, {
+        location: answer.location,
+        ...requestIdHeader(answer.requestId),
+      });
+      response.end();
+      return;
+    case 'refused':
+      writeProblem(response, answer.error, answer.requestId, answer.headers);
+      return;
+    case 'whole':
+      response.writeHead(answer.status, {
+        'content-type': answer.contentType,
+        'content-length': answer.body.length,
+        ...answer.headers,
+        ...requestIdHeader(answer.requestId),
+      });
+      response.end(answer.body);
+      return;
+    case 'stream':
+      response.writeHead(200, {
+        'content-type': 'text/event-stream',
+        'cache-control': 'no-store',
+        ...answer.headers,
+        ...requestIdHeader(answer.requestId),
+      });
+      await writeItems(response, answer.items, answer.requestId);
+      return;
+  }
+}
+
+/** Writes `error` as a problem document. */
+export function writeProblem(
+  response: ServerResponse,
+  error: ServingError,
+  requestId: string | undefined,
+  headers: Readonly<Record<string, string>> = {},
+): void {
+  const body = JSON.stringify(error.toProblem(requestId));
+  response.writeHead(error.status, {
+    'content-type': 'application/problem+json',
+    'content-length': Buffer.byteLength(body),
+    ...(error.retryAfterSeconds === undefined
+      ? {}
+      : {'retry-after': String(Math.ceil(error.retryAfterSeconds))}),
+    ...headers,
+    ...requestIdHeader(requestId),
+  });
+  response.end(body);
+}
+
+async function writeItems(
+  response: ServerResponse,
+  items: AsyncIterable<StreamItem>,
+  requestId: string,
+): Promise<void> {
+  response.flushHeaders();
+  for await (const item of items) {
+    if (response.destroyed) {
+      return;
+    }
+    const hasRoom = response.write(renderItem(item, requestId));
+    if (!hasRoom) {
+      await drained(response);
+    }
+  }
+  response.end();
+}
+
+function renderItem(item: StreamItem, requestId: string): string {
+  switch (item.kind) {
+    case 'event':
+      return `id: ${item.offset}\ndata: ${item.data}\n\n`;
+    case 'end':
+      return 'data: [DONE]\n\n';
+    case 'failed':
+      return `event: error\ndata: ${JSON.stringify(item.error.toProblem(requestId))}\n\n`;
+    case 'moved':
+      return `event: moved\ndata: ${JSON.stringify({location: item.location})}\n\n`;
+  }
+}
+
+function drained(response: ServerResponse): Promise<void> {
+  return new Promise(resolve => {
+    const done = (): void => {
+      response.off('drain', done);
+      response.off('close', done);
+      resolve();
+    };
+    response.once('drain', done);
+    response.once('close', done);
+  });
+}
+
+function requestIdHeader(
+  requestId: string | undefined,
+): Readonly<Record<string, string>> {
+  return requestId === undefined ? {} : {'x-request-id': requestId};
+}
--- /dev/null
+++ b/packages/control-command/src/command_settings.ts
@@ -0,0 +1,97 @@
+/**
+ * The settings of `lacewingctl`, from flags and environment variables.
+ */
+import {z} from 'zod';
+
+/** Flags that every command takes. */
+export const COMMON_FLAGS = {
+  logUrl: {
+    flag: '--log-url <url>',
+    variable: 'LACEWINGWINCH_LOG_URL',
+    help: 'Base URL of the log service',
+  },
+  operatorAddress: {
+    flag: '--operator-address <address>',
+    variable: 'LACEWINGWINCH_OPERATOR_ADDRESS',
+    help: 'Operator address of any entry host, as IP:port',
+  },
+  output: {
+    flag: '--output <format>',
+    variable: 'LACEWINGWINCH_OUTPUT',
+    help: 'text or json',
+  },
+  waitSeconds: {
+    flag: '--wait-seconds <seconds>',
+    variable: 'LACEWINGWINCH_WAIT_SECONDS',
+    help: 'Seconds to wait for a change to be in force everywhere',
+  },
+} as const;
+
+const SCHEMA = z
+  .object({
+    logUrl: z.url({protocol: /^https?$/}).optional(),
+    operatorAddress: z
+      .string()
+      .regex(/^\S+:\d+$/, 'an IP number and a port')
+      .optional(),
+    output: z.enum(['text', 'json']).default('text'),
+    waitSeconds: z.coerce.number().positive().default(10),
+  })
+  .readonly();
+
+/** The checked settings of a command. */
+export type CommandSettings = z.infer<typeof SCHEMA>;
+
+/** A command was called with faulty arguments. */
+export class UsageError extends Error {
+  override readonly name = 'UsageError';
+
+  constructor(readonly faults: readonly string[]) {
+    super(faults.join('\n'));
+  }
+}
+
+type FlagName = keyof typeof COMMON_FLAGS;
+
+/** Reads the common settings; a flag goes before its environment variable. */
+export function readCommandSettings(
+  flags: Readonly<Record<string, unknown>>,
+  environment: Readonly<Record<string, string | undefined>>,
+): CommandSettings {
+  const names = Object.keys(COMMON_FLAGS) as readonly FlagName[];
+  const given = Object.fromEntries(
+    names.flatMap(name => {
+      const value = flags[name] ?? environment[COMMON_FLAGS[name].variable];
+      return value === undefined ? [] : [[name, value]];
+    }),
+  );
+  const parsed = SCHEMA.safeParse(given);
+  if (parsed.success) {
+    return parsed.data;
+  }
+  throw new UsageError(
+    parsed.error.issues.map(issue => {
+      const name = String(issue.path[0]) as FlagName;
+      const flag = COMMON_FLAGS[name].flag.split(' ', 1)[0] ?? name;
+      return `${flag} (${COMMON_FLAGS[name].variable}): ${issue.message}`;
+    }),
+  );
+}
+
+/** The log URL, which a command needs. */
+export function requireLogUrl(settings: CommandSettings): string {
+  if (settings.logUrl === undefined) {
+    throw new UsageError(['--log-url (LACEWINGWINCH_LOG_URL): is missing']);
+  }
+  return settings.logUrl;
+}
+
+/** The operator address, which a command needs. */
+export function requireOperatorAddress(settings: CommandSettings): string {
+  if (settings.operatorAddress === undefined) {
+    throw new UsageError([
+      '--operator-address (LACEWINGWINCH_OPERATOR_ADDRESS): is missing',
+    ]);
+  }
+  return settings.operatorAddress;
+}
--- /dev/null
+++ b/packages/control-command/src/index.ts
@@ -0,0 +1,8 @@
+/**
+ * The parts of `lacewingctl`.
+ */
+export * from './command_settings.js';
+export * from './object_file.js';
+export * from './publish_command.js';
+export * from './read_commands.js';
+export * from './render_text.js';
--- /dev/null
+++ b/packages/decisions/src/errors/error_kinds.ts
@@ -0,0 +1,203 @@
+/**
+ * The closed list of error kinds and the table from kind to answer.
+ */
+
+/** Whether any byte of any attempt could have reached an upstream. */
+export type Ran = 'no' | 'unknown' | 'yes';
+
+/** What a caller can usefully do after a refusal. */
+export type RetryAdvice = 'another-entry-host' | 'later' | 'never';
+
+/** One row of the table from error kind to answer. */
+export interface ErrorRow {
+  /** HTTP status code. */
+  readonly status: number;
+  /** Short title of the problem document. */
+  readonly title: string;
+  /** Value of `ran`, unless the error that is thrown says otherwise. */
+  readonly ran: Ran;
+  readonly retry: RetryAdvice;
+  /** Seconds sent as `Retry-After`, unless the error says otherwise. */
+  readonly retryAfterSeconds?: number;
+}
+
+/** The table from error kind to answer. */
+export const ERROR_TABLE = {
+  'answer-gone': {
+    status: 410,
+    title: 'The answer is no longer kept',
+    ran: 'unknown',
+    retry: 'never',
+  },
+  'backup-unreachable': {
+    status: 503,
+    title: 'No entry host of another failure domain can hold the request',
+    ran: 'no',
+    retry: 'later',
+    retryAfterSeconds: 2,
+  },
+  'configuration-conflict': {
+    status: 409,
+    title: 'The object was changed since the version it was based on',
+    ran: 'no',
+    retry: 'never',
+  },
+  'configuration-invalid': {
+    status: 422,
+    title: 'The configuration is not valid',
+    ran: 'no',
+    retry: 'never',
+  },
+  'deadline-passed': {
+    status: 504,
+    title: 'The deadline passed',
+    ran: 'no',
+    retry: 'never',
+  },
+  internal: {
+    status: 500,
+    title: 'Internal error',
+    ran: 'unknown',
+    retry: 'later',
+    retryAfterSeconds: 5,
+  },
+  'key-expired': {
+    status: 409,
+    title: 'The idempotency key is older than the claim window',
+    ran: 'unknown',
+    retry: 'never',
+  },
+  'key-reused': {
+    status: 422,
+    title: 'The idempotency key was used with other content',
+    ran: 'no',
+    retry: 'never',
+  },
+  'key-without-age': {
+    status: 400,
+    title: 'The idempotency key does not show its age',
+    ran: 'unknown',
+    retry: 'never',
+  },
+  'limit-exceeded': {
+    status: 429,
+    title: 'A limit of the workspace is used up',
+    ran: 'no',
+    retry: 'later',
+    retryAfterSeconds: 1,
+  },
+  'log-unavailable': {
+    status: 503,
+    title: 'The claim of a non-idempotent request cannot be recorded',
+    ran: 'no',
+    retry: 'later',
+    retryAfterSeconds: 5,
+  },
+  'method-not-allowed': {
+    status: 405,
+    title: 'The method is not allowed here',
+    ran: 'no',
+    retry: 'never',
+  },
+  'no-rule-matched': {
+    status: 403,
+    title: 'No rule matches the request',
+    ran: 'no',
+    retry: 'never',
+  },
+  'no-upstream': {
+    status: 503,
+    title: 'No upstream that the rule allows can take the request',
+    ran: 'no',
+    retry: 'later',
+    retryAfterSeconds: 2,
+  },
+  'not-ready': {
+    status: 503,
+    title: 'This entry host is not serving',
+    ran: 'no',
+    retry: 'another-entry-host',
+    retryAfterSeconds: 1,
+  },
+  'outcome-unknown': {
+    status: 502,
+    title: 'The request may have run; its outcome is not known',
+    ran: 'unknown',
+    retry: 'never',
+  },
+  overloaded: {
+    status: 503,
+    title: 'The upstreams cannot start the request in time',
+    ran: 'no',
+    retry: 'later',
+    retryAfterSeconds: 2,
+  },
+  'path-unknown': {
+    status: 404,
+    title: 'Nothing is served at this path',
+    ran: 'no',
+    retry: 'never',
+  },
+  quarantined: {
+    status: 422,
+    title: 'The same content crashed several upstreams',
+    ran: 'no',
+    retry: 'later',
+  },
+  'refused-by-rule': {
+    status: 403,
+    title: 'A rule refuses the request',
+    ran: 'no',
+    retry: 'never',
+  },
+  'request-malformed': {
+    status: 400,
+    title: 'The request is malformed',
+    ran: 'no',
+    retry: 'never',
+  },
+  'request-too-large': {
+    status: 413,
+    title: 'The request body is too large',
+    ran: 'no',
+    retry: 'never',
+  },
+  'request-unknown': {
+    status: 404,
+    title: 'No request with this id is known',
+    ran: 'unknown',
+    retry: 'never',
+  },
+  'service-unknown': {
+    status: 404,
+    title: 'No such service',
+    ran: 'no',
+    retry: 'never',
+  },
+  'upstream-failed': {
+    status: 502,
+    title: 'Every allowed attempt failed',
+    ran: 'unknown',
+    retry: 'later',
+    retryAfterSeconds: 2,
+  },
+  'workspace-key-rejected': {
+    status: 401,
+    title: 'The workspace key is missing or wrong',
+    ran: 'no',
+    retry: 'never',
+  },
+} as const satisfies Readonly<Record<string, ErrorRow>>;
+
+/** Every kind of error that the system answers with. */
+export type ErrorKind = keyof typeof ERROR_TABLE;
+
+/** The row of `kind`. */
+export function errorRow(kind: ErrorKind): ErrorRow {
+  return ERROR_TABLE[kind];
+}
+
+/** Every error kind, sorted. */
+export const ERROR_KINDS: readonly ErrorKind[] = (
+  Object.keys(ERROR_TABLE) as ErrorKind[]
+).sort();
--- /dev/null
+++ b/packages/decisions/src/errors/serving_error.ts
@@ -0,0 +1,70 @@
+/**
+ * The error class that carries one error kind to the caller.
+ */
+import {type ErrorKind, errorRow, type Ran} from './error_kinds.js';
+
+/** Facts that replace the defaults of the error table. */
+export interface ServingErrorOptions {
+  /** One sentence for the caller; never holds a secret. */
+  readonly detail?: string;
+  readonly ran?: Ran;
+  readonly retryAfterSeconds?: number;
+  readonly cause?: unknown;
+}
+
+/** Body of an `application/problem+json` answer. */
+export interface ProblemDocument {
+  readonly type: string;
+  readonly title: string;
+  readonly status: number;
+  readonly kind: ErrorKind;
+  readonly detail?: string;
+  readonly ran: Ran;
+  readonly requestId?: string;
+  readonly retryAfterSeconds?: number;
+}
+
+/** A failure of one of the closed list of kinds. */
+export class ServingError extends Error {
+  override readonly name = 'ServingError';
+  readonly ran: Ran;
+  readonly retryAfterSeconds: number | undefined;
+  readonly detail: string | undefined;
+
+  constructor(
+    readonly kind: ErrorKind,
+    options: ServingErrorOptions = {},
+  ) {
+    const row = errorRow(kind);
+    super(options.detail ?? row.title, {cause: options.cause});
+    this.ran = options.ran ?? row.ran;
+    this.detail = options.detail;
+    this.retryAfterSeconds = options.retryAfterSeconds ?? row.retryAfterSeconds;
+  }
+
+  /** HTTP status code of the answer. */
+  get status(): number {
+    return errorRow(this.kind).status;
+  }
+
+  /** The problem document of the answer. */
+  toProblem(requestId?: string): ProblemDocument {
+    return {
+      type: `urn:lacewingwinch:error:${this.kind}`,
+      title: errorRow(this.kind).title,
+      status: this.status,
+      kind: this.kind,
+      ...(this.detail === undefined ? {} : {detail: this.detail}),
+      ran: this.ran,
+      ...(requestId === undefined ? {} : {requestId}),
+      ...(this.retryAfterSeconds === undefined
+        ? {}
+        : {retryAfterSeconds: this.retryAfterSeconds}),
+    };
+  }
+}
+
+/** Whether `value` is a `ServingError`. */
+export function isServingError(value: unknown): value is ServingError {
+  return value instanceof ServingError;
+}
--- /dev/null
+++ b/packages/entry-hosts/src/frame_codec.ts
@@ -0,0 +1,39 @@
+/**
+ * Frames between entry processes: one JSON document a line.
+ */
+import type {Socket} from 'node:net';
+
+import split from 'split2';
+
+/** Bytes that one frame may have. */
+export const MAXIMUM_FRAME_BYTES = 16 * 1024 * 1024;
+
+/** Calls `onFrame` with each document that `socket` delivers. */
+export function readFrames(
+  socket: Socket,
+  onFrame: (frame: unknown) => void,
+): void {
+  const lines = socket.pipe(split({maxLength: MAXIMUM_FRAME_BYTES}));
+  lines.on('data', (line: string) => {
+    const frame = parseFrame(line);
+    if (frame === undefined) {
+      socket.destroy();
+      return;
+    }
+    onFrame(frame);
+  });
+  lines.on('error', () => socket.destroy());
+}
+
+/** Writes `frame` to `socket`. */
+export function writeFrame(socket: Socket, frame: unknown): void {
+  socket.write(`${JSON.stringify(frame)}\n`);
+}
+
+function parseFrame(line: string): unknown {
+  try {
+    return JSON.parse(line);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/entry-hosts/src/peer_links.ts
@@ -0,0 +1,163 @@
+/**
+ * The calling side of the links between entry processes.
+ */
+import {connect, type Socket} from 'node:net';
+
+import {
+  isJSONRPCResponse,
+  JSONRPCClient,
+  JSONRPCErrorException,
+} from 'json-rpc-2.0';
+
+import {readFrames, writeFrame} from './frame_codec.js';
+import {PeerError} from './peer_error.js';
+import type {PeerMethod, PeerParams, PeerResult} from './peer_methods.js';
+
+/** Milliseconds to wait for a connection. */
+const CONNECT_TIMEOUT_MILLISECONDS = 1000;
+
+/** Calls to other entry processes. */
+export interface PeerCaller {
+  /** Calls `method` at `address` and waits for the result. */
+  call<M extends PeerMethod>(
+    address: string,
+    method: M,
+    params: PeerParams<M>,
+    timeoutMilliseconds: number,
+  ): Promise<PeerResult<M>>;
+  /** Sends `method` to `address` without waiting; it may be lost. */
+  notify<M extends PeerMethod>(
+    address: string,
+    method: M,
+    params: PeerParams<M>,
+  ): void;
+  /** Closes every link. */
+  close(): void;
+}
+
+interface Link {
+  readonly socket: Socket;
+  readonly rpc: JSONRPCClient;
+  readonly connected: Promise<void>;
+}
+
+/** A caller that keeps one connection to each address it uses. */
+export function createPeerCaller(): PeerCaller {
+  const links = new Map<string, Link>();
+  const linkTo = (address: string): Link => {
+    const known = links.get(address);
+    if (known !== undefined) {
+      return known;
+    }
+    const link = openLink(address, () => {
+      if (links.get(address) === link) {
+        links.delete(address);
+      }
+    });
+    links.set(address, link);
+    return link;
+  };
+  return {
+    call: async (address, method, params, timeoutMilliseconds) => {
+      const link = linkTo(address);
+      await link.connected;
+      return callLink(link, method, params, timeoutMilliseconds);
+    },
+    notify: (address, method, params) => {
+      const link = linkTo(address);
+      link.connected.then(
+        () => link.rpc.notify(method, params),
+        () => undefined,
+      );
+    },
+    close: () => {
+      for (const link of links.values()) {
+        link.socket.destroy();
+      }
+      links.clear();
+    },
+  };
+}
+
+async function callLink<M extends PeerMethod>(
+  link: Link,
+  method: M,
+  params: PeerParams<M>,
+  timeoutMilliseconds: number,
+): Promise<PeerResult<M>> {
+  try {
+    const result: unknown = await link.rpc
+      .timeout(timeoutMilliseconds, id => ({
+        jsonrpc: '2.0',
+        id,
+        error: {code: TIMEOUT_CODE, message: 'timeout'},
+      }))
+      .request(method, params);
+    return result as PeerResult<M>;
+  } catch (error) {
+    throw toPeerError(method, error);
+  }
+}
+
+/** JSON-RPC error code of a call that was not answered in time. */
+const TIMEOUT_CODE = -32_050;
+
+function toPeerError(method: string, error: unknown): PeerError {
+  if (error instanceof JSONRPCErrorException && error.code !== TIMEOUT_CODE) {
+    return new PeerError('refused', `${method}: ${error.message}`);
+  }
+  const reason = error instanceof Error ? error.message : 'connection lost';
+  return new PeerError('unanswered', `${method}: ${reason}`);
+}
+
+function openLink(address: string, onClose: () => void): Link {
+  const {host, port} = parseAddress(address);
+  const socket = connect({host, port, noDelay: true});
+  const rpc = new JSONRPCClient(frame => {
+    if (socket.destroyed) {
+      throw new Error('connection lost');
+    }
+    writeFrame(socket, frame);
+  });
+  readFrames(socket, frame => {
+    if (isJSONRPCResponse(frame)) {
+      rpc.receive(frame);
+    }
+  });
+  socket.on('error', () => socket.destroy());
+  socket.on('close', () => {
+    rpc.rejectAllPendingRequests('connection lost');
+    onClose();
+  });
+  return {socket, rpc, connected: whenConnected(socket, address)};
+}
+
+function whenConnected(socket: Socket, address: string): Promise<void> {
+  const connected = new Promise<void>((resolve, reject) => {
+    const timer = setTimeout(
+      () => socket.destroy(),
+      CONNECT_TIMEOUT_MILLISECONDS,
+    );
+    socket.once('connect', () => {
+      clearTimeout(timer);
+      resolve();
+    });
+    socket.once('close', () => {
+      clearTimeout(timer);
+      reject(new PeerError('unreachable', `${address} cannot be reached`));
+    });
+  });
+  connected.catch(() => undefined);
+  return connected;
+}
+
+function parseAddress(address: string): {
+  readonly host: string;
+  readonly port: number;
+} {
+  const colon = address.lastIndexOf(':');
+  return {
+    host: address.slice(0, colon),
+    port: Number(address.slice(colon + 1)),
+  };
+}
--- /dev/null
+++ b/packages/entry-hosts/src/peer_methods.ts
@@ -0,0 +1,183 @@
+/**
+ * The JSON-RPC methods between entry processes.
+ */
+import type {
+  Claim,
+  DispatchEffect,
+  HeldPermit,
+  Member,
+  PermitAsk,
+  SnapshotRecord,
+  Suspicion,
+} from '@lacewingwinch/decisions';
+
+/** What every gossip message carries. */
+export interface GossipDigest {
+  readonly members: readonly Member[];
+  /** Offset up to which the sender has read the configuration. */
+  readonly configurationReadTo: number;
+  /** Upstreams that are leaving. */
+  readonly leavingUpstreams: readonly string[];
+  readonly suspicions: readonly Suspicion[];
+  /** Load of each shard that the sender dispatches. */
+  readonly loads: readonly ShardLoad[];
+  /** Demand beyond the sender's own part of each limit. */
+  readonly demands: readonly WorkspaceDemand[];
+}
+
+/** Load of one shard: calls in progress over places for calls. */
+export interface ShardLoad {
+  readonly shardId: string;
+  readonly load: number;
+}
+
+/** Requests a second of a workspace that a host lacks tokens for. */
+export interface WorkspaceDemand {
+  readonly workspace: string;
+  readonly wanted: number;
+}
+
+/** The copy of an accepted request at its backup. */
+export interface BackupCopy {
+  readonly requestId: string;
+  readonly front: string;
+  readonly workspace: string;
+  readonly service: string;
+  readonly callKind: 'chat-completion' | 'completion' | 'plain';
+  readonly method: string;
+  readonly path: string;
+  readonly contentType: string;
+  /** Base64. */
+  readonly body: string;
+  readonly priority: number;
+  /** Milliseconds since the epoch. */
+  readonly deadline: number;
+  readonly isStreamed: boolean;
+  readonly isIdempotent: boolean;
+  readonly needsClaim: boolean;
+  readonly key: string;
+  readonly configurationVersion: number;
+  readonly rule: string;
+}
+
+/** What the front knew of a request when it handed it over. */
+export interface HandedOverRequest {
+  readonly copy: BackupCopy;
+  /** Hash of workspace and content; absent when only the copy was left. */
+  readonly fingerprint?: string;
+  /** The right to execute, destroyed at the sender; absent once consumed. */
+  readonly rightId?: string;
+  /** Whether any attempt wrote a byte. */
+  readonly wasSent: boolean;
+  readonly attempts: number;
+  /** Events of the answer so far. */
+  readonly events: readonly string[];
+  /** The whole answer, if there is one. */
+  readonly answer?: KeptAnswer;
+  /** Whether the events, or the answer, are complete. */
+  readonly isAnswered: boolean;
+  /** The key-value cache exported for the next attempt. */
+  readonly cache?: {readonly address: string; readonly handle: string};
+}
+
+/** A whole answer that is kept for fetching again. */
+export interface KeptAnswer {
+  readonly status: number;
+  readonly contentType: string;
+  /** Base64. */
+  readonly body: string;
+}
+
+/** The verdict of the log on a claim. */
+export type ClaimVerdict =
+  {readonly kind: 'lost'; readonly winner: Claim} | {readonly kind: 'won'};
+
+/** Parameters and result of each method. */
+export interface PeerMethods {
+  readonly gossip: {
+    readonly params: GossipDigest;
+    readonly result: GossipDigest;
+  };
+  /** Asks a third host to probe `hostId`. */
+  readonly probe: {
+    readonly params: {readonly hostId: string};
+    readonly result: {readonly answered: boolean};
+  };
+  readonly 'permit.ask': {
+    readonly params: {readonly shardId: string; readonly ask: PermitAsk};
+    readonly result: DispatchEffect;
+  };
+  readonly 'permit.release': {
+    readonly params: {
+      readonly shardId: string;
+      readonly permitIds: readonly string[];
+    };
+    readonly result: null;
+  };
+  readonly 'permit.renew': {
+    readonly params: {
+      readonly shardId: string;
+      readonly front: string;
+      readonly permits: readonly HeldPermit[];
+    };
+    readonly result: null;
+  };
+  readonly 'backup.store': {
+    readonly params: BackupCopy;
+    readonly result: {readonly stored: boolean};
+  };
+  readonly 'backup.drop': {
+    readonly params: {readonly requestIds: readonly string[]};
+    readonly result: null;
+  };
+  readonly 'backup.take-over': {
+    readonly params: HandedOverRequest;
+    readonly result: {readonly taken: boolean};
+  };
+  readonly 'claim.decide': {
+    readonly params: Claim;
+    readonly result: ClaimVerdict;
+  };
+  readonly 'claim.release': {
+    readonly params: {readonly key: string; readonly rightId: string};
+    readonly result: null;
+  };
+  readonly 'request.locate': {
+    readonly params: {readonly requestId: string};
+    readonly result: {readonly isHere: boolean};
+  };
+  readonly 'upstream.leaving': {
+    readonly params: {
+      readonly upstreamIds: readonly string[];
+      /** Milliseconds since the epoch. */
+      readonly reclaimTime?: number;
+    };
+    readonly result: null;
+  };
+  readonly 'configuration.fetch': {
+    readonly params: {readonly nonce: string};
+    readonly result: {
+      readonly nonce: string;
+      readonly isServing: boolean;
+      readonly snapshot: SnapshotRecord;
+    };
+  };
+  readonly 'limit.transfer': {
+    readonly params: {readonly workspace: string; readonly tokens: number};
+    readonly result: null;
+  };
+}
+
+/** The name of a method. */
+export type PeerMethod = keyof PeerMethods;
+/** The parameters of method `M`. */
+export type PeerParams<M extends PeerMethod> = PeerMethods[M]['params'];
+/** The result of method `M`. */
+export type PeerResult<M extends PeerMethod> = PeerMethods[M]['result'];
+
+/** A handler for each method. */
+export type PeerHandlers = {
+  readonly [M in PeerMethod]: (
+    params: PeerParams<M>,
+  ) => PeerResult<M> | Promise<PeerResult<M>>;
+};
--- /dev/null
+++ b/packages/entry-process/src/build_tasks.ts
@@ -0,0 +1,265 @@
+/**
+ * The tasks of an entry process, and how they are wired.
+ */
+import {
+  LimitShares,
+  type Member,
+  Quarantine,
+  RetryBudget,
+} from '@lacewingwinch/decisions';
+import {
+  createPeerCaller,
+  type GossipDigest,
+  type PeerCaller,
+} from '@lacewingwinch/entry-hosts';
+import {
+  createEventLog,
+  createMetrics,
+  createTracing,
+  type EventLog,
+  type Metrics,
+  NO_TRACING,
+  type Tracing,
+} from '@lacewingwinch/observability';
+import {
+  connectCloudApi,
+  connectHostList,
+  connectLogService,
+} from '@lacewingwinch/platform';
+import {UpstreamConnections} from '@lacewingwinch/upstreams';
+import {v7 as uuidV7} from 'uuid';
+
+import {AttemptLoop} from './front/attempt_loop.js';
+import {BackupStore} from './front/backup_store.js';
+import {ClaimClient} from './front/claim_client.js';
+import type {FrontContext} from './front/front_context.js';
+import {FrontTask} from './front/front_task.js';
+import {Handover} from './front/handover.js';
+import {LimitExchange} from './front/limit_exchange.js';
+import {RequestRegistry} from './front/request_registry.js';
+import {StreamMover} from './front/stream_mover.js';
+import type {Settings} from './settings.js';
+import {ClaimTask} from './tasks/claim_task.js';
+import {ConfigurationTask} from './tasks/configuration_task.js';
+import {DispatcherTask} from './tasks/dispatcher_task.js';
+import {MembershipTask} from './tasks/membership_task.js';
+import {PermitClient} from './tasks/permit_client.js';
+import {ShardLoads} from './tasks/shard_loads.js';
+import {UpstreamDirectory} from './tasks/upstream_directory.js';
+
+/** Suspicions in one gossip message, the latest ones. */
+const SUSPICIONS_IN_MESSAGE = 16;
+
+/** Leaving upstreams in one gossip message, the latest ones. */
+const LEAVING_IN_MESSAGE = 64;
+
+/** The tasks of an entry process. */
+export interface Tasks {
+  readonly events: EventLog;
+  readonly metrics: Metrics;
+  readonly tracing: Tracing;
+  readonly clock: () => number;
+  readonly peers: PeerCaller;
+  readonly connections: UpstreamConnections;
+  readonly quarantine: Quarantine;
+  readonly configuration: ConfigurationTask;
+  readonly membership: MembershipTask;
+  readonly directory: UpstreamDirectory;
+  readonly dispatcher: DispatcherTask;
+  readonly permits: PermitClient;
+  readonly claims: ClaimTask;
+  readonly registry: RequestRegistry;
+  readonly backups: BackupStore;
+  readonly front: FrontTask;
+  readonly handover: Handover;
+  readonly limitExchange: LimitExchange;
+}
+
+/** Is told that the platform will reclaim this host. */
+export type OwnReclaimListener = (reclaimTime: number) => void;
+
+/** Builds the tasks of a process with `settings`; none runs yet. */
+export function buildTasks(
+  settings: Settings,
+  onOwnReclaim: OwnReclaimListener,
+): Tasks {
+  const {hostId, keptAnswerSeconds} = settings;
+  const clock = Date.now;
+  const events = createEventLog(hostId, settings.logLevel);
+  const metrics = createMetrics();
+  const tracing =
+    settings.traceUrl === ''
+      ? NO_TRACING
+      : createTracing(hostId, settings.traceUrl);
+  const peers = createPeerCaller();
+  const connections = new UpstreamConnections();
+  const quarantine = new Quarantine();
+  const limits = new LimitShares();
+  const backups = new BackupStore();
+  const log = connectLogService(settings.logUrl);
+  const shardLoads = new ShardLoads(clock);
+  const retryBudgets = new Map<string, RetryBudget>();
+
+  const directory: UpstreamDirectory = new UpstreamDirectory({
+    hostList: connectHostList(settings.hostListUrl),
+    cloud: connectCloudApi(settings.cloudUrl),
+    events,
+    hostId,
+    hostListSeconds: settings.hostListSeconds,
+    clock,
+    servingHosts: () => membership.serving().map(member => member.hostId),
+    onLeaving: (upstreamIds, reclaimTime) => {
+      dispatcher.onLeaving(upstreamIds);
+      mover.onLeaving(registry.running(), upstreamIds, reclaimTime);
+      tellLeaving(peers, membership.live(), upstreamIds, reclaimTime);
+    },
+    onOwnReclaim,
+  });
+  const membership: MembershipTask = new MembershipTask(
+    ownMember(settings, clock()),
+    {
+      peers,
+      events,
+      metrics,
+      clock,
+      random: Math.random,
+      seeds: () => [...settings.peers, ...directory.seeds()],
+      content: () => ({
+        configurationReadTo: configuration.readTo,
+        leavingUpstreams: directory.leavingIds().slice(-LEAVING_IN_MESSAGE),
+        suspicions: quarantine.list().slice(-SUSPICIONS_IN_MESSAGE),
+        loads: dispatcher.loads(),
+        demands: limitExchange.ownDemands(),
+      }),
+      onDigest: (sender, digest) => takeDigest(sender, digest),
+    },
+  );
+  const configuration: ConfigurationTask = new ConfigurationTask({
+    log,
+    peers,
+    events,
+    metrics,
+    snapshotSeconds: settings.snapshotSeconds,
+    hostId,
+    livePeers: () => membership.live(),
+    servingHosts: () => membership.serving(),
+    clock,
+  });
+  const dispatcher = new DispatcherTask({
+    clock,
+    configuration: () => configuration.current,
+    connections,
+    findShard: shardId =>
+      directory
+        .shardsOf(shardId.split('/', 1)[0] ?? shardId)
+        .find(({id}) => id === shardId),
+  });
+  const servingHosts = (): readonly Member[] => membership.serving();
+  const permits = new PermitClient({hostId, peers, dispatcher, servingHosts});
+  const claims = new ClaimTask({log, events, metrics, clock});
+  const registry = new RequestRegistry({
+    hostId,
+    keptAnswerSeconds,
+    membership,
+    metrics,
+    peers,
+  });
+  const context: FrontContext = {
+    hostId,
+    clock,
+    newId: () => uuidV7(),
+    configuration: () => configuration.current,
+    membership,
+    directory,
+    permits,
+    claims: new ClaimClient({hostId, peers, claimTask: claims, servingHosts}),
+    peers,
+    connections,
+    quarantine,
+    limits,
+    events,
+    metrics,
+    tracing,
+    keptAnswerSeconds,
+    loadOf: service =>
+      shardLoads.loadOf(
+        directory.shardsOf(service).map(({id}) => id),
+        dispatcher.loads(),
+      ),
+    retryBudgetOf: service => {
+      const budget = retryBudgets.get(service) ?? new RetryBudget();
+      retryBudgets.set(service, budget);
+      return budget;
+    },
+  };
+  const mover = new StreamMover(context);
+  const loop = new AttemptLoop(context, mover);
+  const handover = new Handover(context, {registry, backups, loop, mover});
+  const front = new FrontTask(context, {
+    registry,
+    backups,
+    loop,
+    isReady: () => configuration.readySource !== 'none',
+    adoptCopy: copy => handover.adoptCopy(copy),
+  });
+  const limitExchange = new LimitExchange(context);
+
+  function takeDigest(sender: Member, digest: GossipDigest): void {
+    directory.markLeaving(digest.leavingUpstreams, undefined);
+    digest.suspicions.forEach(suspicion => quarantine.merge(suspicion));
+    shardLoads.take(digest.loads);
+    limitExchange.onDemands(sender, digest.demands);
+    configuration.onPeerAhead(sender, digest.configurationReadTo);
+  }
+
+  return {
+    events,
+    metrics,
+    tracing,
+    clock,
+    peers,
+    connections,
+    quarantine,
+    configuration,
+    membership,
+    directory,
+    dispatcher,
+    permits,
+    claims,
+    registry,
+    backups,
+    front,
+    handover,
+    limitExchange,
+  };
+}
+
+function ownMember(settings: Settings, now: number): Member {
+  const {hostId, failureDomain, listenAddress} = settings;
+  return {
+    hostId,
+    failureDomain,
+    addresses: {
+      callers: `${listenAddress}:${settings.callerPort}`,
+      peers: `${listenAddress}:${settings.peerPort}`,
+      operators: `${listenAddress}:${settings.operatorPort}`,
+    },
+    incarnation: now,
+    status: 'joining',
+  };
+}
+
+function tellLeaving(
+  peers: PeerCaller,
+  live: readonly Member[],
+  upstreamIds: readonly string[],
+  reclaimTime: number | undefined,
+): void {
+  const params = {
+    upstreamIds,
+    ...(reclaimTime === undefined ? {} : {reclaimTime}),
+  };
+  for (const member of live) {
+    peers.notify(member.addresses.peers, 'upstream.leaving', params);
+  }
+}
--- /dev/null
+++ b/packages/entry-process/src/front/answer_of.ts
@@ -0,0 +1,99 @@
+/**
+ * The answer that a caller gets for a request.
+ */
+import type {CallerAnswer} from '@lacewingwinch/callers';
+import type {ServingError} from '@lacewingwinch/decisions';
+
+import {assembleCompletion} from './prompt_text.js';
+import type {RequestState, ServedRequest} from './served_request.js';
+
+/** The refusal that `error` is answered with. */
+export function refusalOf(
+  error: ServingError,
+  requestId: string | undefined,
+  headers: Readonly<Record<string, string>> = {},
+): CallerAnswer {
+  return {
+    kind: 'refused',
+    error,
+    headers,
+    ...(requestId === undefined ? {} : {requestId}),
+  };
+}
+
+/**
+ * The answer of `request`: a stream as soon as it has an event, otherwise the
+ * whole of it once it has ended.
+ */
+export async function answerOf(
+  request: ServedRequest,
+  isStreamed: boolean,
+  fromOffset: number,
+  headers: Readonly<Record<string, string>>,
+): Promise<CallerAnswer> {
+  const held = {
+    ...headers,
+    'x-held-by': request.backup === undefined ? 'one-host' : 'two-hosts',
+  };
+  if (isStreamed && request.copy.callKind !== 'plain') {
+    await request.begun(fromOffset);
+    if (request.isRunning() || request.buffer.length > fromOffset) {
+      return {
+        kind: 'stream',
+        requestId: request.id,
+        headers: held,
+        items: request.items(fromOffset),
+      };
+    }
+  }
+  const state = await request.ended();
+  return answerOfState(request, state, isStreamed, fromOffset, held);
+}
+
+function answerOfState(
+  request: ServedRequest,
+  state: Exclude<RequestState, {readonly kind: 'running'}>,
+  isStreamed: boolean,
+  fromOffset: number,
+  headers: Readonly<Record<string, string>>,
+): CallerAnswer {
+  const requestId = request.id;
+  switch (state.kind) {
+    case 'failed':
+      return refusalOf(state.error, requestId, headers);
+    case 'moved':
+      return {kind: 'moved', status: 303, location: state.location, requestId};
+    case 'answered':
+      break;
+  }
+  if (state.answer !== undefined) {
+    const {status, contentType, body} = state.answer;
+    const bytes = Buffer.from(body, 'base64');
+    return {
+      kind: 'whole',
+      requestId,
+      status,
+      contentType,
+      headers,
+      body: bytes,
+    };
+  }
+  if (isStreamed) {
+    const items = request.items(fromOffset);
+    return {kind: 'stream', requestId, headers, items};
+  }
+  const isChat = request.copy.callKind === 'chat-completion';
+  const document = assembleCompletion(
+    requestId,
+    isChat,
+    request.buffer.from(0),
+  );
+  return {
+    kind: 'whole',
+    requestId,
+    status: 200,
+    contentType: 'application/json',
+    headers,
+    body: Buffer.from(document),
+  };
+}
--- /dev/null
+++ b/packages/entry-process/src/front/front_task.ts
@@ -0,0 +1,366 @@
+/**
+ * The task that serves the requests of callers.
+ */
+import {createHash} from 'node:crypto';
+
+import type {
+  CallerAnswer,
+  CallerCall,
+  CallHandler,
+  Discovery,
+  FetchCall,
+} from '@lacewingwinch/callers';
+import {
+  discoverHosts,
+  DISCOVERY_MAXIMUM_AGE_SECONDS,
+  findWorkspace,
+  type Service,
+  ServingError,
+  type Workspace,
+} from '@lacewingwinch/decisions';
+import type {BackupCopy} from '@lacewingwinch/entry-hosts';
+import type {Explanation} from '@lacewingwinch/operators';
+
+import {admitCall, type AdmittedCall} from './admission.js';
+import {answerOf, refusalOf} from './answer_of.js';
+import type {AttemptLoop} from './attempt_loop.js';
+import {BackupPlacement} from './backup_placement.js';
+import type {BackupStore} from './backup_store.js';
+import {ClaimStep, requireSameContent} from './claim_step.js';
+import {claimKeyOf} from './engine_request.js';
+import {callerUrlOf, type FrontContext, requestUrlAt} from './front_context.js';
+import type {RequestRegistry} from './request_registry.js';
+import {outcomeOf, ranOf, ServedRequest} from './served_request.js';
+import {WorkspaceKeys} from './workspace_keys.js';
+
+/** What the front shares with the rest of its process. */
+export interface FrontParts {
+  readonly registry: RequestRegistry;
+  readonly backups: BackupStore;
+  readonly loop: AttemptLoop;
+  /** Whether this process may take new calls. */
+  readonly isReady: () => boolean;
+  /** Serves a request of which this host holds only the backup copy. */
+  readonly adoptCopy: (copy: BackupCopy) => Promise<ServedRequest | undefined>;
+}
+
+/** Serves callers. */
+export class FrontTask implements CallHandler {
+  private readonly keys = new WorkspaceKeys();
+  private readonly backupPlacement: BackupPlacement;
+  private readonly claimStep: ClaimStep;
+
+  constructor(
+    private readonly context: FrontContext,
+    private readonly parts: FrontParts,
+  ) {
+    this.backupPlacement = new BackupPlacement(context);
+    this.claimStep = new ClaimStep(context, parts.registry);
+  }
+
+  async serve(call: CallerCall): Promise<CallerAnswer> {
+    const {membership} = this.context;
+    if (membership.own.status === 'leaving') {
+      return this.sendElsewhere(call);
+    }
+    const requestId = this.context.newId();
+    const span = this.context.tracing.startHop(
+      'request',
+      'server',
+      call.traceparent,
+      {'request.id': requestId, service: call.service ?? ''},
+    );
+    const started = this.context.clock();
+    const answer = await this.tryServe(call, requestId, span.traceparent);
+    const service = call.service ?? '';
+    this.context.metrics.firstByteSeconds.observe(
+      {service},
+      (this.context.clock() - started) / 1000,
+    );
+    span.end(answer.kind === 'refused' ? answer.error.kind : undefined);
+    return answer;
+  }
+
+  async fetch(call: FetchCall): Promise<CallerAnswer> {
+    const workspace = this.keys.find(
+      this.context.configuration(),
+      call.workspaceKey,
+    );
+    if (workspace === undefined) {
+      return refusalOf(new ServingError('workspace-key-rejected'), undefined);
+    }
+    const request =
+      this.parts.registry.find(call.requestId) ??
+      (await this.findCopy(call.requestId, workspace));
+    if (request instanceof ServedRequest) {
+      return request.copy.workspace === workspace.name
+        ? answerOf(request, call.isStreamed, call.fromOffset, {})
+        : refusalOf(new ServingError('request-unknown'), undefined);
+    }
+    return request ?? refusalOf(new ServingError('request-unknown'), undefined);
+  }
+
+  discover(caller: string): Discovery {
+    return {
+      hosts: discoverHosts(this.context.membership.serving(), caller),
+      maximumAgeSeconds: DISCOVERY_MAXIMUM_AGE_SECONDS,
+    };
+  }
+
+  /** What operators are told of a request. */
+  explain(requestId: string): Explanation | undefined {
+    return this.parts.registry.explain(requestId);
+  }
+
+  private async tryServe(
+    call: CallerCall,
+    requestId: string,
+    traceparent: string | undefined,
+  ): Promise<CallerAnswer> {
+    let workspace: Workspace | undefined;
+    try {
+      if (!this.parts.isReady()) {
+        throw new ServingError('not-ready');
+      }
+      const configuration = this.context.configuration();
+      workspace = this.keys.find(configuration, call.workspaceKey);
+      if (workspace === undefined) {
+        throw new ServingError('workspace-key-rejected');
+      }
+      return await this.serveFor(workspace, call, requestId, traceparent);
+    } catch (error) {
+      const known =
+        error instanceof ServingError
+          ? error
+          : new ServingError('internal', {cause: error});
+      this.noteRefusal(call, workspace?.name ?? '', requestId, known);
+      return refusalOf(known, requestId);
+    }
+  }
+
+  private async serveFor(
+    workspace: Workspace,
+    call: CallerCall,
+    requestId: string,
+    traceparent: string | undefined,
+  ): Promise<CallerAnswer> {
+    const now = this.context.clock();
+    const admitted = admitCall(
+      call,
+      workspace,
+      this.context.configuration(),
+      service => ({
+        load: this.context.loadOf(service.name),
+        isReclaimWave: this.context.directory.isReclaimWave(),
+      }),
+      now,
+    );
+    const {service} = admitted;
+    const key = claimKeyOf(
+      workspace.name,
+      service.name,
+      call.idempotencyKey ?? this.context.newId(),
+    );
+    const fingerprint = fingerprintOf(workspace, call);
+    const headers = answerHeaders(service, key);
+    const earlier = this.parts.registry.findByKey(key);
+    if (earlier !== undefined) {
+      requireSameContent(earlier.fingerprint, fingerprint);
+      return answerOf(earlier, call.isStreamed, 0, headers);
+    }
+    this.requireNotCondemned(fingerprint, service, now);
+    this.takeLimits(workspace, now);
+    const request = new ServedRequest(
+      this.copyOf(call, admitted, workspace, requestId, key),
+      fingerprint,
+      call.body,
+      traceparent,
+    );
+    this.parts.registry.add(request);
+    void this.process(request, admitted);
+    const answer = await answerOf(request, call.isStreamed, 0, headers);
+    this.context.metrics.requests.inc({
+      workspace: workspace.name,
+      service: service.name,
+      outcome: request.isRunning() ? 'answered' : outcomeOf(request.state),
+    });
+    return answer;
+  }
+
+  private async process(
+    request: ServedRequest,
+    admitted: AdmittedCall,
+  ): Promise<void> {
+    try {
+      await this.backupPlacement.hold(request, admitted.outcome);
+      request.note(
+        {
+          kind: 'accepted',
+          rule: admitted.rule.name,
+          configurationVersion: request.copy.configurationVersion,
+          ...(request.backup === undefined ? {} : {backup: request.backup}),
+        },
+        this.context.clock(),
+      );
+      if (request.copy.needsClaim) {
+        await this.claimStep.claim(request);
+      }
+    } catch (error) {
+      this.failBeforeAttempt(request, error);
+    }
+    if (request.isRunning()) {
+      await this.parts.loop.run(request, admitted.outcome);
+    }
+    this.parts.registry.end(request);
+  }
+
+  private failBeforeAttempt(request: ServedRequest, error: unknown): void {
+    const known =
+      error instanceof ServingError
+        ? error
+        : new ServingError('internal', {ran: ranOf(request), cause: error});
+    request.note(
+      {kind: 'gave-up', error: known.kind, ran: known.ran},
+      this.context.clock(),
+    );
+    request.finish({kind: 'failed', error: known});
+  }
+
+  private async findCopy(
+    requestId: string,
+    workspace: Workspace,
+  ): Promise<CallerAnswer | ServedRequest | undefined> {
+    const copy = this.parts.backups.find(requestId);
+    if (copy?.workspace !== workspace.name) {
+      return undefined;
+    }
+    const front = this.context.membership.find(copy.front);
+    if (front?.status === 'serving') {
+      const location = requestUrlAt(front, requestId);
+      return {kind: 'moved', status: 303, location, requestId};
+    }
+    return this.parts.adoptCopy(copy);
+  }
+
+  private requireNotCondemned(
+    fingerprint: string,
+    service: Service,
+    now: number,
+  ): void {
+    const verdict = this.context.quarantine.verdict(
+      fingerprint,
+      service.quarantineSeconds * 1000,
+      now,
+    );
+    if (verdict.kind === 'condemned') {
+      throw new ServingError('quarantined', {
+        retryAfterSeconds: Math.ceil((verdict.until - now) / 1000),
+      });
+    }
+  }
+
+  private takeLimits(workspace: Workspace, now: number): void {
+    const {name, requestsPerSecond, requestsInFlight} = workspace;
+    const hosts = this.context.membership.live().length + 1;
+    const inFlight = this.parts.registry.runningOf(name);
+    if (
+      requestsInFlight !== undefined &&
+      inFlight >= Math.ceil(requestsInFlight / hosts)
+    ) {
+      throw new ServingError('limit-exceeded', {
+        detail: 'too many requests of the workspace are in progress',
+      });
+    }
+    if (
+      requestsPerSecond !== undefined &&
+      !this.context.limits.take(name, requestsPerSecond, hosts, now)
+    ) {
+      throw new ServingError('limit-exceeded', {
+        detail: `the workspace has a limit of ${requestsPerSecond} requests a second`,
+      });
+    }
+  }
+
+  private copyOf(
+    call: CallerCall,
+    admitted: AdmittedCall,
+    workspace: Workspace,
+    requestId: string,
+    key: string,
+  ): BackupCopy {
+    const {service, rule, deadline} = admitted;
+    const isOnce = service.repetition === 'non-idempotent';
+    return {
+      requestId,
+      front: this.context.hostId,
+      workspace: workspace.name,
+      service: service.name,
+      callKind: call.callKind,
+      method: call.method,
+      path: call.path,
+      contentType: call.contentType,
+      body: call.body.toString('base64'),
+      priority: call.priority,
+      deadline,
+      isStreamed: call.isStreamed,
+      isIdempotent: !isOnce,
+      needsClaim: isOnce,
+      key,
+      configurationVersion: this.context.configuration().version,
+      rule: rule.name,
+    };
+  }
+
+  private noteRefusal(
+    call: CallerCall,
+    workspace: string,
+    requestId: string,
+    error: ServingError,
+  ): void {
+    const service = call.service ?? '';
+    this.context.metrics.requests.inc({
+      workspace: findWorkspace(this.context.configuration(), workspace)
+        ? workspace
+        : '',
+      service: error.kind === 'service-unknown' ? '' : service,
+      outcome: error.kind,
+    });
+    this.parts.registry.noteRefusal(
+      {requestId, workspace, service},
+      error,
+      this.context.clock(),
+    );
+  }
+
+  private sendElsewhere(call: CallerCall): CallerAnswer {
+    const [other] = this.context.membership
+      .serving()
+      .filter(({hostId}) => hostId !== this.context.hostId);
+    if (other === undefined) {
+      return refusalOf(new ServingError('not-ready'), this.context.newId());
+    }
+    const location = `${callerUrlOf(other)}${call.target}`;
+    return {kind: 'moved', status: 307, location};
+  }
+}
+
+function fingerprintOf(workspace: Workspace, call: CallerCall): string {
+  return createHash('sha256')
+    .update(`${workspace.name}\n${call.service ?? ''}\n${call.method}\n`)
+    .update(`${call.path}\n`)
+    .update(call.body)
+    .digest('base64url');
+}
+
+function answerHeaders(
+  service: Service,
+  key: string,
+): Readonly<Record<string, string>> {
+  if (service.repetition !== 'non-idempotent') {
+    return {};
+  }
+  return {
+    'idempotency-key': key.split('/').slice(2).join('/'),
+    'x-claim-window-seconds': String(service.claimWindowSeconds),
+  };
+}
--- /dev/null
+++ b/packages/entry-process/src/index.ts
@@ -0,0 +1,5 @@
+/**
+ * The entry process.
+ */
+export * from './entry_process.js';
+export * from './settings.js';
--- /dev/null
+++ b/packages/entry-process/src/peer_handlers.ts
@@ -0,0 +1,57 @@
+/**
+ * The answers of this process to other entry hosts.
+ */
+import type {PeerHandlers} from '@lacewingwinch/entry-hosts';
+
+import type {Tasks} from './build_tasks.js';
+
+/** The handlers of the JSON-RPC methods, over `tasks`. */
+export function createPeerHandlers(tasks: Tasks): PeerHandlers {
+  const {dispatcher, backups, membership, configuration, claims} = tasks;
+  return {
+    gossip: digest => membership.onGossip(digest),
+    probe: async ({hostId}) => ({answered: await membership.probeFor(hostId)}),
+    'permit.ask': ({shardId, ask}) => dispatcher.ask(shardId, ask),
+    'permit.release': ({shardId, permitIds}) => {
+      dispatcher.release(shardId, permitIds);
+      return null;
+    },
+    'permit.renew': ({shardId, front, permits}) => {
+      dispatcher.renew(shardId, front, permits);
+      return null;
+    },
+    'backup.store': copy => {
+      const stored = membership.own.status === 'serving';
+      if (stored) {
+        backups.store(copy);
+      }
+      return {stored};
+    },
+    'backup.drop': ({requestIds}) => {
+      backups.drop(requestIds);
+      return null;
+    },
+    'backup.take-over': handed => ({taken: tasks.handover.takeOver(handed)}),
+    'claim.decide': claim => claims.decide(claim),
+    'claim.release': ({key, rightId}) => {
+      claims.release(key, rightId);
+      return null;
+    },
+    'request.locate': ({requestId}) => ({
+      isHere: tasks.registry.find(requestId) !== undefined,
+    }),
+    'upstream.leaving': ({upstreamIds, reclaimTime}) => {
+      tasks.directory.markLeaving(upstreamIds, reclaimTime);
+      return null;
+    },
+    'configuration.fetch': ({nonce}) => ({
+      nonce,
+      isServing: configuration.readySource !== 'none',
+      snapshot: configuration.snapshot(),
+    }),
+    'limit.transfer': ({workspace, tokens}) => {
+      tasks.limitExchange.onTransfer(workspace, tokens);
+      return null;
+    },
+  };
+}
--- /dev/null
+++ b/packages/measurements/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Measuring and fuzzing scripts.
+ */
+export {};
--- /dev/null
+++ b/packages/observability/src/index.ts
@@ -0,0 +1,7 @@
+/**
+ * Numbered log events, metrics and traces.
+ */
+export * from './event_catalogue.js';
+export * from './event_log.js';
+export * from './metrics.js';
+export * from './tracing.js';
--- /dev/null
+++ b/packages/observability/src/metrics.ts
@@ -0,0 +1,98 @@
+/**
+ * The metrics of an entry process.
+ */
+import {
+  collectDefaultMetrics,
+  Counter,
+  Gauge,
+  Histogram,
+  Registry,
+} from 'prom-client';
+
+const SECONDS_BUCKETS = [
+  0.001, 0.003, 0.01, 0.03, 0.1, 0.32, 1, 3, 10, 30, 100,
+];
+
+/** The metrics of one entry process. */
+export interface Metrics {
+  readonly registry: Registry;
+  readonly requests: Counter<'outcome' | 'service' | 'workspace'>;
+  readonly attempts: Counter<'end' | 'service'>;
+  readonly firstByteSeconds: Histogram<'service'>;
+  readonly permitWaitSeconds: Histogram<'service'>;
+  readonly recomputedTokens: Counter<'cause'>;
+  readonly requestsInProgress: Gauge;
+  readonly backupsHeld: Gauge;
+  readonly configurationVersion: Gauge;
+  readonly claims: Counter<'verdict'>;
+  readonly members: Gauge<'status'>;
+}
+
+/** Registers the metrics of one entry process. */
+export function createMetrics(): Metrics {
+  const registry = new Registry();
+  const registers = [registry];
+  collectDefaultMetrics({register: registry});
+  return {
+    registry,
+    requests: new Counter({
+      name: 'lacewingwinch_requests_total',
+      help: 'Requests answered, by outcome: `answered` or an error kind.',
+      labelNames: ['outcome', 'service', 'workspace'],
+      registers,
+    }),
+    attempts: new Counter({
+      name: 'lacewingwinch_attempts_total',
+      help: 'Attempts at upstreams, by how they ended.',
+      labelNames: ['end', 'service'],
+      registers,
+    }),
+    firstByteSeconds: new Histogram({
+      name: 'lacewingwinch_first_byte_seconds',
+      help: 'Seconds from a request to the first byte of its answer.',
+      labelNames: ['service'],
+      buckets: SECONDS_BUCKETS,
+      registers,
+    }),
+    permitWaitSeconds: new Histogram({
+      name: 'lacewingwinch_permit_wait_seconds',
+      help: 'Seconds that a permit was waited for.',
+      labelNames: ['service'],
+      buckets: SECONDS_BUCKETS,
+      registers,
+    }),
+    recomputedTokens: new Counter({
+      name: 'lacewingwinch_recomputed_tokens_total',
+      help: 'Tokens computed again because earlier work was lost, by cause.',
+      labelNames: ['cause'],
+      registers,
+    }),
+    requestsInProgress: new Gauge({
+      name: 'lacewingwinch_requests_in_progress',
+      help: 'Requests accepted and not yet answered.',
+      registers,
+    }),
+    backupsHeld: new Gauge({
+      name: 'lacewingwinch_backups_held',
+      help: 'Backup copies held for other entry hosts.',
+      registers,
+    }),
+    configurationVersion: new Gauge({
+      name: 'lacewingwinch_configuration_version',
+      help: 'Offset of the last configuration change in force.',
+      registers,
+    }),
+    claims: new Counter({
+      name: 'lacewingwinch_claims_total',
+      help: 'Claims of non-idempotent requests, by verdict.',
+      labelNames: ['verdict'],
+      registers,
+    }),
+    members: new Gauge({
+      name: 'lacewingwinch_members',
+      help: 'Entry hosts known, by status.',
+      labelNames: ['status'],
+      registers,
+    }),
+  };
+}
--- /dev/null
+++ b/packages/operators/src/operator_server.ts
@@ -0,0 +1,109 @@
+/**
+ * The admin HTTP surface of an entry process.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http';
+
+import {ServingError} from '@lacewingwinch/decisions';
+
+import type {OperatorHandler} from './operator_messages.js';
+
+/** A listening operator server. */
+export interface OperatorServer {
+  readonly port: number;
+  close(): Promise<void>;
+}
+
+/** Listens for operators. */
+export async function listenForOperators(
+  host: string,
+  port: number,
+  handler: OperatorHandler,
+): Promise<OperatorServer> {
+  const server = createServer((message, response) => {
+    answer(message, response, handler).catch(() => response.destroy());
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, resolve);
+  });
+  const address = server.address();
+  return {
+    port: typeof address === 'object' && address !== null ? address.port : port,
+    close: () =>
+      new Promise(resolve => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+}
+
+async function answer(
+  message: IncomingMessage,
+  response: ServerResponse,
+  handler: OperatorHandler,
+): Promise<void> {
+  const path = (message.url ?? '/').split('?', 1)[0] ?? '/';
+  switch (`${message.method ?? 'GET'} ${path}`) {
+    case 'GET /metrics':
+      response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
+      response.end(await handler.metrics());
+      return;
+    case 'GET /health/live':
+      writeJson(response, 200, {live: true});
+      return;
+    case 'GET /health/ready': {
+      const isReady = handler.isReady();
+      writeJson(response, isReady ? 200 : 503, {ready: isReady});
+      return;
+    }
+    case 'GET /status':
+      writeJson(response, 200, handler.status());
+      return;
+    case 'GET /configuration':
+      writeJson(response, 200, handler.configuration());
+      return;
+    case 'POST /drain':
+      handler.drain();
+      writeJson(response, 202, {draining: true});
+      return;
+    default:
+      answerDynamic(path, response, handler);
+  }
+}
+
+function answerDynamic(
+  path: string,
+  response: ServerResponse,
+  handler: OperatorHandler,
+): void {
+  const match = /^\/(outcomes|explain)\/([^/]+)$/.exec(path);
+  const id = match?.[2];
+  if (id === undefined) {
+    writeJson(response, 404, new ServingError('path-unknown').toProblem());
+    return;
+  }
+  const found =
+    match?.[1] === 'outcomes' ? handler.outcome(id) : handler.explain(id);
+  if (found === undefined) {
+    writeJson(response, 404, new ServingError('request-unknown').toProblem());
+    return;
+  }
+  writeJson(response, 200, found);
+}
+
+function writeJson(
+  response: ServerResponse,
+  status: number,
+  value: unknown,
+): void {
+  const body = JSON.stringify(value);
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
+  });
+  response.end(body);
+}
--- /dev/null
+++ b/packages/stand-ins/src/demo.ts
@@ -0,0 +1,290 @@
+/**
+ * The demonstration: stand-ins of the platform and of the upstreams, three
+ * entry hosts in two failure domains, a published configuration, one streamed
+ * completion and one call that may not be repeated, both explained.
+ */
+import {execFile} from 'node:child_process';
+import {createHash} from 'node:crypto';
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {promisify} from 'node:util';
+
+import {v7 as uuidV7} from 'uuid';
+
+import {
+  findFreePorts,
+  firstLine,
+  type StartedProcess,
+  startProcess,
+  waitFor,
+} from './child_process_group.js';
+
+const ENTRY_MAIN = pathOf('../../entry-process/dist/main.js');
+const CONTROL_MAIN = pathOf('../../control-command/dist/main.js');
+const STAND_IN_MAIN = pathOf('./stand_in_main.js');
+
+/** The key of the workspace of the demonstration. */
+const DEMO_KEY = 'demo-key';
+
+const DOMAINS = ['harbour-east', 'harbour-west', 'harbour-east'] as const;
+
+const DEMO_OBJECTS = [
+  {
+    kind: 'service',
+    name: 'report-writer',
+    upstreamKind: 'model',
+    upstreamConcurrency: 8,
+  },
+  {
+    kind: 'service',
+    name: 'dive-log',
+    upstreamKind: 'plain',
+    repetition: 'non-idempotent',
+  },
+  {
+    kind: 'workspace',
+    name: 'surveys',
+    keyHashes: [createHash('sha256').update(DEMO_KEY).digest('hex')],
+  },
+  {
+    kind: 'rules',
+    name: 'rules',
+    rules: [
+      {
+        name: 'dive-logs',
+        when: {services: ['dive-log']},
+        then: {kind: 'send', maximumAttempts: 2},
+      },
+      {
+        name: 'reports-on-cheap-hosts',
+        when: {services: ['report-writer']},
+        then: {kind: 'send', hostClasses: ['reclaimable', 'on-demand']},
+      },
+    ],
+  },
+];
+
+interface EntryHost {
+  readonly caller: string;
+  readonly operator: string;
+}
+
+const started: StartedProcess[] = [];
+
+await run();
+
+async function run(): Promise<void> {
+  process.on('SIGINT', () => void stopEverything());
+  process.on('SIGTERM', () => void stopEverything());
+  const platformUrl = await startStandIn('platform');
+  await startUpstreams(platformUrl);
+  const hosts = await startEntryHosts(platformUrl);
+  say(`entry hosts serve at ${hosts.map(({caller}) => caller).join(', ')}`);
+  const control = controlOf(platformUrl, hosts[0]?.operator ?? '');
+  await publishDemo(control);
+  const caller = hosts[0]?.caller ?? '';
+  await waitForUpstreams(hosts);
+  await demonstrateCompletion(caller, control);
+  await demonstratePlainCall(caller, control);
+  if (process.argv.includes('--once')) {
+    await stopEverything();
+    return;
+  }
+  say('press Ctrl-C to stop everything gracefully');
+}
+
+async function startStandIn(kind: string): Promise<string> {
+  const process = startProcess(kind, STAND_IN_MAIN, [kind]);
+  started.push(process);
+  return firstLine(process);
+}
+
+async function startUpstreams(platformUrl: string): Promise<void> {
+  const engines = [0, 1, 2].map(async index => {
+    const address = await startStandIn('engine');
+    await addHost(platformUrl, {
+      id: `engine-${index}`,
+      service: 'report-writer',
+      address,
+      failureDomain: DOMAINS[index],
+      hostClass: index === 2 ? 'on-demand' : 'reclaimable',
+      pricePerHour: index === 2 ? 3 : 1,
+    });
+  });
+  const plain = async (): Promise<void> =>
+    addHost(platformUrl, {
+      id: 'dive-log-0',
+      service: 'dive-log',
+      address: await startStandIn('plain'),
+      failureDomain: DOMAINS[0],
+      hostClass: 'on-demand',
+      pricePerHour: 1,
+    });
+  await Promise.all([...engines, plain()]);
+}
+
+async function addHost(
+  platformUrl: string,
+  host: Readonly<Record<string, unknown>>,
+): Promise<void> {
+  await fetch(`${platformUrl}/control/hosts`, {
+    method: 'POST',
+    body: JSON.stringify({role: 'upstream', status: 'live', ...host}),
+  });
+}
+
+async function startEntryHosts(
+  platformUrl: string,
+): Promise<readonly EntryHost[]> {
+  const ports = await findFreePorts(DOMAINS.length * 3);
+  const hosts = DOMAINS.map((domain, index) => {
+    const [caller, peer, operator] = ports.slice(index * 3, index * 3 + 3);
+    started.push(
+      startProcess(`entry-${index}`, ENTRY_MAIN, [
+        'serve',
+        `--host-id=entry-${index}`,
+        `--failure-domain=${domain}`,
+        `--caller-port=${caller}`,
+        `--peer-port=${peer}`,
+        `--operator-port=${operator}`,
+        `--log-url=${platformUrl}`,
+        `--host-list-url=${platformUrl}`,
+        `--cloud-url=${platformUrl}`,
+        `--peers=127.0.0.1:${ports[1]}`,
+        '--linger-seconds=1',
+        '--log-level=warn',
+      ]),
+    );
+    return {caller: `127.0.0.1:${caller}`, operator: `127.0.0.1:${operator}`};
+  });
+  await waitFor('every entry host serves', async () => {
+    const discovered = await Promise.all(
+      hosts.map(async ({caller}) => {
+        const answer = await fetch(`http://${caller}/v1/entry-hosts`);
+        const {entryHosts} = (await answer.json()) as {
+          readonly entryHosts: readonly unknown[];
+        };
+        return entryHosts.length;
+      }),
+    );
+    return discovered.every(count => count === hosts.length);
+  });
+  return hosts;
+}
+
+/** Runs `lacewingctl` and resolves with what it prints. */
+type Control = (...commandArguments: readonly string[]) => Promise<string>;
+
+function controlOf(platformUrl: string, operator: string): Control {
+  return async (...commandArguments) => {
+    const {stdout} = await promisify(execFile)(process.execPath, [
+      CONTROL_MAIN,
+      ...commandArguments,
+      `--log-url=${platformUrl}`,
+      `--operator-address=${operator}`,
+    ]);
+    return stdout.trim();
+  };
+}
+
+async function publishDemo(control: Control): Promise<void> {
+  const folder = await mkdtemp(join(tmpdir(), 'lacewingwinch-'));
+  try {
+    const file = join(folder, 'demo.json');
+    await writeFile(file, JSON.stringify(DEMO_OBJECTS));
+    say(await control('publish', file));
+  } finally {
+    await rm(folder, {recursive: true});
+  }
+}
+
+async function waitForUpstreams(hosts: readonly EntryHost[]): Promise<void> {
+  await waitFor('the entry hosts know the upstreams', async () => {
+    const statuses = await Promise.all(
+      hosts.map(async ({caller}) => {
+        const answer = await callCompletion(caller, 'ready?', 1);
+        await answer.text();
+        return answer.status;
+      }),
+    );
+    return statuses.every(status => status === 200);
+  });
+}
+
+function callCompletion(
+  caller: string,
+  prompt: string,
+  tokens: number,
+): Promise<Response> {
+  return fetch(`http://${caller}/v1/completions`, {
+    method: 'POST',
+    headers: {
+      authorization: `Bearer ${DEMO_KEY}`,
+      'content-type': 'application/json',
+    },
+    body: JSON.stringify({
+      model: 'report-writer',
+      prompt,
+      max_tokens: tokens,
+      stream: true,
+    }),
+  });
+}
+
+async function demonstrateCompletion(
+  caller: string,
+  control: Control,
+): Promise<void> {
+  const prompt = 'Write the inspection report of hull 17.';
+  const answer = await callCompletion(caller, prompt, 12);
+  say('\na streamed completion:');
+  say((await answer.text()).trim());
+  say(await control('explain', answer.headers.get('x-request-id') ?? ''));
+}
+
+async function demonstratePlainCall(
+  caller: string,
+  control: Control,
+): Promise<void> {
+  const answer = await fetch(`http://${caller}/v1/services/dive-log/dives`, {
+    method: 'POST',
+    headers: {
+      authorization: `Bearer ${DEMO_KEY}`,
+      'content-type': 'application/json',
+      'idempotency-key': uuidV7(),
+    },
+    body: JSON.stringify({diver: 'Aino', minutes: 42}),
+  });
+  say('\na call that may not be repeated:');
+  say(await answer.text());
+  say(await control('explain', answer.headers.get('x-request-id') ?? ''));
+}
+
+async function stopEverything(): Promise<void> {
+  say('stopping');
+  for (const {child, name} of [...started].reverse()) {
+    if (name.startsWith('entry-')) {
+      child.kill('SIGTERM');
+    }
+  }
+  const entries = started.filter(({name}) => name.startsWith('entry-'));
+  const codes = await Promise.all(entries.map(({exited}) => exited));
+  for (const {child, name} of started) {
+    if (!name.startsWith('entry-')) {
+      child.kill('SIGTERM');
+    }
+  }
+  await Promise.all(started.map(({exited}) => exited));
+  say(`entry hosts ended with codes ${codes.join(', ')}`);
+  process.exit(codes.every(code => code === 0) ? 0 : 1);
+}
+
+function say(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+function pathOf(relative: string): string {
+  return fileURLToPath(new URL(relative, import.meta.url));
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine_stand_in.ts
@@ -0,0 +1,187 @@
+/**
+ * A stand-in for a model engine: it streams a text that is a function of the
+ * prompt, batches without limit and keeps a small prefix cache.
+ */
+import {createHash} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
+import {
+  delay,
+  readJson,
+  type StandInServer,
+  startServer,
+  urlOf,
+  writeJson,
+} from './http_stand_in.js';
+
+/** Speeds of an engine. */
+export interface EngineOptions {
+  /** Milliseconds until the first token of a prompt that is not cached. */
+  readonly prefillMilliseconds: number;
+  /** Milliseconds between two tokens. */
+  readonly tokenMilliseconds: number;
+}
+
+/** One execution that an engine began. */
+export interface EngineExecution {
+  readonly attemptId: string;
+  readonly prompt: string;
+  readonly resumedAt: number;
+  readonly importedCache: boolean;
+}
+
+interface ResumeFrom {
+  readonly offset: number;
+  readonly text: string;
+  readonly cache?: {readonly address: string; readonly handle: string};
+}
+
+const DEFAULT_OPTIONS: EngineOptions = {
+  prefillMilliseconds: 5,
+  tokenMilliseconds: 5,
+};
+
+const DEFAULT_TOKENS = 16;
+
+/** A prompt that holds this word crashes the engine. */
+export const CRASHING_WORD = 'crash-the-engine';
+
+/** The token at `offset` of the answer to `prompt`. */
+export function expectedToken(prompt: string, offset: number): string {
+  const digest = createHash('sha256').update(`${prompt}#${offset}`);
+  return ` ${digest.digest('hex').slice(0, 6)}`;
+}
+
+/** The whole answer to `prompt`. */
+export function expectedText(prompt: string, tokens: number): string {
+  return Array.from({length: tokens}, (_, offset) =>
+    expectedToken(prompt, offset),
+  ).join('');
+}
+
+/** The engine stand-in. */
+export class EngineStandIn {
+  readonly executions: EngineExecution[] = [];
+  /** Tokens computed again because of a resumption, without the cache. */
+  recomputedTokens = 0;
+  /** Calls in progress now. */
+  running = 0;
+  private readonly exported = new Set<string>();
+  private server: StandInServer | undefined;
+
+  constructor(readonly options: EngineOptions = DEFAULT_OPTIONS) {}
+
+  /** IP number and port. */
+  get address(): string {
+    return this.server?.address ?? '';
+  }
+
+  /** Starts to listen; port 0 takes a free one. */
+  async listen(port = 0): Promise<void> {
+    this.server = await startServer(port, (message, response) =>
+      this.handle(message, response),
+    );
+  }
+
+  close(): Promise<void> {
+    return this.server?.close() ?? Promise.resolve();
+  }
+
+  private async handle(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const {pathname} = urlOf(message);
+    if (pathname.startsWith('/v1/')) {
+      await this.complete(message, response);
+      return;
+    }
+    if (pathname === '/kv/export') {
+      const {attempt_id: attemptId} = await readJson(message);
+      this.exported.add(String(attemptId));
+      writeJson(response, 200, {handle: attemptId});
+      return;
+    }
+    if (pathname.startsWith('/kv/')) {
+      const known = this.exported.has(pathname.slice('/kv/'.length));
+      writeJson(response, known ? 200 : 404, {});
+      return;
+    }
+    if (pathname === '/events') {
+      writeJson(response, 200, {next: 0, evicted: [], running: this.running});
+      return;
+    }
+    writeJson(response, pathname === '/orders' ? 200 : 404, {});
+  }
+
+  private async complete(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = await readJson(message);
+    const prompt = JSON.stringify(body['prompt'] ?? body['messages']);
+    const resume = body['resume_from'] as ResumeFrom | undefined;
+    const importedCache = await importCache(resume);
+    this.executions.push({
+      attemptId: String(message.headers['x-attempt-id']),
+      prompt,
+      resumedAt: resume?.offset ?? 0,
+      importedCache,
+    });
+    if (prompt.includes(CRASHING_WORD)) {
+      this.server?.dropConnections();
+      return;
+    }
+    if (resume !== undefined && !importedCache) {
+      this.recomputedTokens += resume.offset + prompt.split(' ').length;
+    }
+    this.running += 1;
+    try {
+      await this.stream(response, prompt, body, resume?.offset ?? 0);
+    } finally {
+      this.running -= 1;
+    }
+  }
+
+  private async stream(
+    response: ServerResponse,
+    prompt: string,
+    body: Readonly<Record<string, unknown>>,
+    from: number,
+  ): Promise<void> {
+    const tokens = Number(body['max_tokens'] ?? DEFAULT_TOKENS);
+    await delay(this.options.prefillMilliseconds);
+    response.writeHead(200, {'content-type': 'text/event-stream'});
+    for (let offset = from; offset < tokens; offset += 1) {
+      if (response.destroyed) {
+        return;
+      }
+      const text = expectedToken(prompt, offset);
+      const finish = offset === tokens - 1 ? 'length' : null;
+      const choice =
+        body['messages'] === undefined
+          ? {index: 0, text, finish_reason: finish}
+          : {index: 0, delta: {content: text}, finish_reason: finish};
+      const data = JSON.stringify({model: body['model'], choices: [choice]});
+      response.write(`id: ${offset}\ndata: ${data}\n\n`);
+      if (this.options.tokenMilliseconds > 0) {
+        await delay(this.options.tokenMilliseconds);
+      }
+    }
+    response.end('data: [DONE]\n\n');
+  }
+}
+
+async function importCache(resume: ResumeFrom | undefined): Promise<boolean> {
+  if (resume?.cache === undefined) {
+    return false;
+  }
+  const {address, handle} = resume.cache;
+  try {
+    const answer = await fetch(`http://${address}/kv/${handle}`);
+    await answer.text();
+    return answer.ok;
+  } catch {
+    return false;
+  }
+}
--- /dev/null
+++ b/packages/upstreams/src/index.ts
@@ -0,0 +1,9 @@
+/**
+ * Calls to model engines and plain services.
+ */
+export * from './engine_events.js';
+export * from './model_engine.js';
+export * from './plain_service.js';
+export * from './upstream_connections.js';
+export * from './upstream_error.js';
+export * from './upstream_exchange.js';
--- /dev/null
+++ b/packages/upstreams/src/plain_service.ts
@@ -0,0 +1,95 @@
+/**
+ * Calls to plain services.
+ */
+import type {UpstreamConnections} from './upstream_connections.js';
+import {UpstreamError} from './upstream_error.js';
+import {
+  type AnswerReceiver,
+  exchange,
+  type UpstreamRequest,
+} from './upstream_exchange.js';
+
+/** The whole answer of a plain service. */
+export interface PlainAnswer {
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: Buffer;
+}
+
+/** A call to a plain service. */
+export interface PlainCall {
+  /** IP number and port of the upstream. */
+  readonly address: string;
+  readonly request: UpstreamRequest;
+  /** Whether the call may be repeated. */
+  readonly isRepeatable: boolean;
+}
+
+/** Bytes that the answer of a plain service may have. */
+const MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024;
+
+/** Status by which a service says that it did not take the call. */
+const SERVICE_UNAVAILABLE = 503;
+
+/** Calls a plain service and waits for its whole answer. */
+export async function callPlainService(
+  connections: UpstreamConnections,
+  call: PlainCall,
+): Promise<PlainAnswer> {
+  const origin = `http://${call.address}`;
+  if (call.isRepeatable) {
+    const answer = await collect(call, receiver =>
+      exchange(connections.kept, origin, call.request, receiver),
+    );
+    return refuseUnavailable(answer);
+  }
+  const client = connections.open(origin);
+  try {
+    return await collect(call, receiver =>
+      exchange(client, origin, call.request, receiver),
+    );
+  } finally {
+    void client.destroy();
+  }
+}
+
+async function collect(
+  call: PlainCall,
+  run: (receiver: AnswerReceiver) => Promise<void>,
+): Promise<PlainAnswer> {
+  let status = 0;
+  let contentType = 'application/octet-stream';
+  let bytes = 0;
+  const chunks: Buffer[] = [];
+  await run({
+    onHead: (answerStatus, headers) => {
+      status = answerStatus;
+      contentType = headers['content-type'] ?? contentType;
+    },
+    onData: chunk => {
+      bytes += chunk.length;
+      if (bytes <= MAXIMUM_ANSWER_BYTES) {
+        chunks.push(chunk);
+      }
+    },
+  });
+  if (bytes > MAXIMUM_ANSWER_BYTES) {
+    throw new UpstreamError(
+      {kind: 'connection-lost'},
+      `the answer of ${call.address} is too large`,
+      true,
+    );
+  }
+  return {status, contentType, body: Buffer.concat(chunks)};
+}
+
+function refuseUnavailable(answer: PlainAnswer): PlainAnswer {
+  if (answer.status === SERVICE_UNAVAILABLE) {
+    throw new UpstreamError(
+      {kind: 'refused-by-upstream'},
+      'the upstream is unavailable',
+      true,
+    );
+  }
+  return answer;
+}
--- /dev/null
+++ b/packages/upstreams/src/upstream_exchange.ts
@@ -0,0 +1,104 @@
+/**
+ * One HTTP exchange with an upstream, with the moment of the first byte known.
+ */
+import type {IncomingHttpHeaders} from 'node:http';
+
+import type {AttemptFailure} from '@lacewingwinch/decisions';
+import type {Dispatcher} from 'undici';
+
+import {UpstreamError} from './upstream_error.js';
+
+/** A request to an upstream. */
+export interface UpstreamRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer | undefined;
+  /** Cancels the exchange; its reason may be an `AttemptFailure`. */
+  readonly signal: AbortSignal;
+  /**
+   * Called on an open connection just before the first byte is written; the
+   * exchange ends with nothing sent if it returns false.
+   */
+  readonly mayBeSent: () => boolean;
+}
+
+/** Receives the parts of an answer. */
+export interface AnswerReceiver {
+  onHead(status: number, headers: IncomingHttpHeaders): void;
+  onData(chunk: Buffer): void;
+}
+
+/** Runs one exchange; rejects with an `UpstreamError`. */
+export function exchange(
+  dispatcher: Dispatcher,
+  origin: string,
+  request: UpstreamRequest,
+  receiver: AnswerReceiver,
+): Promise<void> {
+  return new Promise((resolve, reject) => {
+    let wasSent = false;
+    let abort: ((reason: Error) => void) | undefined;
+    const fail = (error: Error): void => {
+      request.signal.removeEventListener('abort', onAbort);
+      reject(toUpstreamError(error, wasSent, request.signal));
+    };
+    const onAbort = (): void => {
+      const reason = new Error('cancelled');
+      abort?.(reason);
+      fail(reason);
+    };
+    if (request.signal.aborted) {
+      fail(new Error('cancelled'));
+      return;
+    }
+    request.signal.addEventListener('abort', onAbort, {once: true});
+    dispatcher.dispatch(
+      {
+        origin,
+        method: request.method,
+        path: request.path,
+        headers: request.headers,
+        body: request.body ?? null,
+      },
+      {
+        onRequestStart: controller => {
+          abort = reason => controller.abort(reason);
+          if (request.signal.aborted || wasSent || !request.mayBeSent()) {
+            controller.abort(new Error('the attempt may not be sent'));
+            return;
+          }
+          wasSent = true;
+        },
+        onResponseStart: (_controller, status, headers) => {
+          receiver.onHead(status, headers);
+        },
+        onResponseData: (_controller, chunk) => {
+          receiver.onData(chunk);
+        },
+        onResponseEnd: () => {
+          request.signal.removeEventListener('abort', onAbort);
+          resolve();
+        },
+        onResponseError: (_controller, error) => fail(error),
+      },
+    );
+  });
+}
+
+function toUpstreamError(
+  error: Error,
+  wasSent: boolean,
+  signal: AbortSignal,
+): UpstreamError {
+  const reason: unknown = signal.aborted ? signal.reason : undefined;
+  if (isAttemptFailure(reason)) {
+    return new UpstreamError(reason, reason.kind, wasSent);
+  }
+  const kind = wasSent ? 'connection-lost' : 'not-sent';
+  return new UpstreamError({kind}, error.message, wasSent);
+}
+
+function isAttemptFailure(value: unknown): value is AttemptFailure {
+  return typeof value === 'object' && value !== null && 'kind' in value;
+}
--- /dev/null
+++ b/scripts/check_models.mjs
@@ -0,0 +1,2 @@
+// Checks the protocol models; there is none yet.
+console.log('no models');
--- /dev/null
+++ b/scripts/write_catalogues.mjs
@@ -0,0 +1,47 @@
+// Writes docs/EVENTS.md and docs/ERRORS.md from the built code.
+import {writeFileSync} from 'node:fs';
+
+import {ERROR_KINDS, errorRow} from '../packages/decisions/dist/index.js';
+import {EVENT_CATALOGUE} from '../packages/observability/dist/index.js';
+
+const events = Object.entries(EVENT_CATALOGUE).map(
+  ([number, {level, message, advice}]) =>
+    `| ${number} | ${level} | ${message} | ${advice} |`,
+);
+writeFileSync(
+  'docs/EVENTS.md',
+  `# Log events
+
+Each line that a process logs is a JSON object with the number of its event in \`event\`, its text in \`message\`, and the
+fields of the text beside it. Numbers are never used again for something else. \`npm run catalogues\` writes this page.
+
+| event | level | message | what to do |
+| --- | --- | --- | --- |
+${events.join('\n')}
+`,
+);
+
+const errors = ERROR_KINDS.map(kind => {
+  const {status, title, ran, retry, retryAfterSeconds} = errorRow(kind);
+  return `| \`${kind}\` | ${status} | ${title} | ${ran} | ${retry} | ${retryAfterSeconds ?? ''} |`;
+});
+writeFileSync(
+  'docs/ERRORS.md',
+  `# Errors
+
+Every refusal is an \`application/problem+json\` document with \`kind\`, \`title\`, \`detail\`, \`requestId\` and \`ran\`.
+\`npm run catalogues\` writes this page.
+
+\`ran\` says whether any byte of any attempt of this submission could have reached an upstream: \`no\` means that it was
+not run and never will be, \`yes\` that it ran, \`unknown\` that it may have run. It speaks of the submission that is
+answered. Where the same idempotency key was sent before and the answer was lost, ask again with the key: the first
+submission is found by it, wherever it was accepted.
+
+The column \`ran\` is the default; an answer whose attempts reached an upstream says \`unknown\` instead of \`no\`.
+\`Retry-After\` is sent where coming back can help; its default is in the last column.
+
+| kind | status | title | ran | retry | seconds |
+| --- | --- | --- | --- | --- | --- |
+${errors.join('\n')}
+`,
+);
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,22 @@
+import {readdirSync} from 'node:fs';
+
+import {defineConfig} from 'vitest/config';
+
+const packageNames = readdirSync(new URL('./packages', import.meta.url));
+
+export default defineConfig({
+  resolve: {
+    alias: Object.fromEntries(
+      packageNames.map(name => [
+        `@lacewingwinch/${name}`,
+        new URL(`./packages/${name}/src/index.ts`, import.meta.url).pathname,
+      ]),
+    ),
+  },
+  test: {
+    include: ['packages/*/tests/**/*_test.ts'],
+    testTimeout: 60_000,
+    hookTimeout: 60_000,
+    maxWorkers: 4,
+  },
+});
