--- /dev/null
+++ b/packages/measurements/src/measure.ts
@@ -0,0 +1,22 @@
+/**
+ * `npm run --silent measure -- <name>`: runs one measurement and prints its
+ * figures, the last line as JSON.
+ */
+import {measurePath} from './measure_path.js';
+
+type Measurement = () => Promise<unknown>;
+
+const MEASUREMENTS: Readonly<Record<string, Measurement>> = {
+  path: measurePath,
+};
+
+const name = process.argv[2] ?? '';
+const measurement = MEASUREMENTS[name];
+if (measurement === undefined) {
+  const names = Object.keys(MEASUREMENTS).join(', ');
+  process.stderr.write(`measure: name one of ${names}\n`);
+  process.exit(2);
+}
+const figures = await measurement();
+process.stdout.write(`${JSON.stringify({measure: name, figures})}\n`);
+process.exit(0);
--- /dev/null
+++ b/packages/stand-ins/src/fleet.ts
@@ -0,0 +1,362 @@
+/**
+ * A small fleet for tests and measurements: stand-ins in this process, entry
+ * hosts as processes of their own.
+ */
+import {createHash} from 'node:crypto';
+import {fileURLToPath} from 'node:url';
+
+import {
+  findFreePorts,
+  type StartedProcess,
+  startProcess,
+  waitFor,
+} from './child_process_group.js';
+import {type EngineOptions, EngineStandIn} from './engine_stand_in.js';
+import {PlainServiceStandIn} from './plain_service_stand_in.js';
+import {PlatformStandIn, type StandInHost} from './platform_stand_in.js';
+
+const ENTRY_MAIN = fileURLToPath(
+  new URL('../../entry-process/dist/main.js', import.meta.url),
+);
+
+/** The key of workspace `one`. */
+export const KEY_ONE = 'key-of-workspace-one';
+
+/** The key of workspace `two`. */
+export const KEY_TWO = 'key-of-workspace-two';
+
+/** What a fleet is made of. */
+export interface FleetOptions {
+  /** Failure domain of each entry host. */
+  readonly entryDomains: readonly string[];
+  readonly engines?: number;
+  readonly engineOptions?: EngineOptions;
+  readonly plainServices?: number;
+  /** Objects that replace the default ones of the same kind and name. */
+  readonly objects?: readonly FleetObject[];
+  /** Further flags of each entry host. */
+  readonly entryFlags?: readonly string[];
+}
+
+/** A configuration object, as it is published. */
+export interface FleetObject {
+  readonly kind: string;
+  readonly name: string;
+  readonly [field: string]: unknown;
+}
+
+/** An entry host of a fleet. */
+export interface FleetEntry {
+  readonly hostId: string;
+  readonly failureDomain: string;
+  /** IP number and port for callers. */
+  readonly callers: string;
+  readonly operators: string;
+  readonly peers: string;
+  readonly process: StartedProcess;
+}
+
+/** The part of an entry host's status that tests read. */
+export interface FleetStatus {
+  readonly status: string;
+  readonly configurationVersion: number;
+  readonly configurationReadTo: number;
+  readonly isLogReadable: boolean;
+  readonly requestsInProgress: number;
+  readonly members: readonly {
+    readonly hostId: string;
+    readonly status: string;
+  }[];
+  readonly leavingUpstreams: readonly string[];
+  readonly shards: readonly {
+    readonly shardId: string;
+    readonly queueLength: number;
+    readonly upstreams: readonly {
+      readonly upstreamId: string;
+      readonly inFlight: number;
+    }[];
+  }[];
+}
+
+/** Hash of a workspace key, as it is published. */
+export function keyHash(key: string): string {
+  return createHash('sha256').update(key).digest('hex');
+}
+
+const DEFAULT_OBJECTS: readonly FleetObject[] = [
+  {
+    kind: 'service',
+    name: 'writer',
+    upstreamKind: 'model',
+    upstreamConcurrency: 16,
+  },
+  {
+    kind: 'service',
+    name: 'lookup',
+    upstreamKind: 'plain',
+    upstreamConcurrency: 64,
+  },
+  {
+    kind: 'service',
+    name: 'booking',
+    upstreamKind: 'plain',
+    repetition: 'non-idempotent',
+    upstreamConcurrency: 64,
+  },
+  {kind: 'workspace', name: 'one', keyHashes: [keyHash(KEY_ONE)]},
+  {kind: 'workspace', name: 'two', keyHashes: [keyHash(KEY_TWO)]},
+  {
+    kind: 'rules',
+    name: 'rules',
+    rules: [{name: 'everything', then: {kind: 'send', holdAlone: true}}],
+  },
+];
+
+const UPSTREAM_DOMAINS = ['east', 'west', 'north', 'south'] as const;
+
+/** A running fleet. */
+export class Fleet {
+  readonly platform = new PlatformStandIn();
+  readonly engines: EngineStandIn[] = [];
+  readonly plainServices: PlainServiceStandIn[] = [];
+  readonly entries: FleetEntry[] = [];
+
+  private constructor(private readonly options: FleetOptions) {}
+
+  /** Starts a fleet and waits until every entry host serves everything. */
+  static async start(options: FleetOptions): Promise<Fleet> {
+    const fleet = new Fleet(options);
+    await fleet.platform.listen();
+    await fleet.startUpstreams();
+    fleet.publishObjects();
+    await fleet.startEntries(options.entryDomains);
+    await fleet.waitUntilServing();
+    return fleet;
+  }
+
+  /** Appends a publish record without looking at its outcome. */
+  publish(object: FleetObject, basedOn: number, publishId: string): number {
+    return this.platform.log.append('configuration', {
+      type: 'publish',
+      publishId,
+      operator: 'test',
+      key: `${object.kind}/${object.name}`,
+      object,
+      basedOn,
+    });
+  }
+
+  /** Starts further entry hosts; they join the others. */
+  async startEntries(domains: readonly string[]): Promise<void> {
+    const ports = await findFreePorts(domains.length * 3);
+    domains.forEach((failureDomain, index) => {
+      const [callers, peers, operators] = ports
+        .slice(index * 3, index * 3 + 3)
+        .map(port => `127.0.0.1:${port}`);
+      this.startEntry(
+        failureDomain,
+        callers ?? '',
+        peers ?? '',
+        operators ?? '',
+      );
+    });
+    await Promise.resolve();
+  }
+
+  /** Waits until every entry host knows all the others and the upstreams. */
+  async waitUntilServing(): Promise<void> {
+    const live = this.entries.filter(entry => isLive(entry));
+    await waitFor('every entry host serves and knows the others', async () => {
+      const statuses = await Promise.all(live.map(entry => this.status(entry)));
+      return statuses.every(
+        ({status, members}) =>
+          status === 'serving' &&
+          members.filter(member => member.status === 'serving').length ===
+            live.length,
+      );
+    });
+    await waitFor('every entry host knows the upstreams', async () => {
+      const answers = await Promise.all(
+        live.map(entry => this.servesEverything(entry)),
+      );
+      return answers.every(serves => serves);
+    });
+  }
+
+  /** The status that `entry` reports. */
+  async status(entry: FleetEntry): Promise<FleetStatus> {
+    const answer = await fetch(`http://${entry.operators}/status`, {
+      signal: AbortSignal.timeout(2000),
+    });
+    return (await answer.json()) as FleetStatus;
+  }
+
+  /** The entry host at `index`. */
+  entry(index: number): FleetEntry {
+    const entry = this.entries[index];
+    if (entry === undefined) {
+      throw new Error(`no entry host ${index}`);
+    }
+    return entry;
+  }
+
+  /** Ends everything. */
+  async close(): Promise<void> {
+    for (const {process} of this.entries) {
+      process.child.kill('SIGCONT');
+      process.child.kill('SIGKILL');
+    }
+    await Promise.all(this.entries.map(({process}) => process.exited));
+    await Promise.all([
+      ...this.engines.map(engine => engine.close()),
+      ...this.plainServices.map(service => service.close()),
+    ]);
+    await this.platform.close();
+  }
+
+  private async startUpstreams(): Promise<void> {
+    const {engines = 0, plainServices = 0, engineOptions} = this.options;
+    for (let index = 0; index < engines; index += 1) {
+      const engine = new EngineStandIn(engineOptions);
+      await engine.listen();
+      this.engines.push(engine);
+      this.addUpstream(`engine-${index}`, 'writer', engine.address, index);
+    }
+    for (let index = 0; index < plainServices; index += 1) {
+      const service = new PlainServiceStandIn();
+      await service.listen();
+      this.plainServices.push(service);
+      const {address} = service;
+      this.addUpstream(`lookup-${index}`, 'lookup', address, index);
+      this.addUpstream(`booking-${index}`, 'booking', address, index);
+    }
+  }
+
+  private addUpstream(
+    id: string,
+    service: string,
+    address: string,
+    index: number,
+  ): void {
+    const host: StandInHost = {
+      id,
+      role: 'upstream',
+      status: 'live',
+      failureDomain: UPSTREAM_DOMAINS[index % 4] ?? 'east',
+      hostClass: 'reclaimable',
+      pricePerHour: 1,
+      service,
+      address,
+    };
+    this.platform.addHost(host);
+  }
+
+  private publishObjects(): void {
+    const own = this.options.objects ?? [];
+    const isReplaced = ({kind, name}: FleetObject): boolean =>
+      own.some(object => object.kind === kind && object.name === name);
+    const defaults = DEFAULT_OBJECTS.filter(object => !isReplaced(object));
+    [...defaults, ...own].forEach((object, index) =>
+      this.publish(object, -1, `start-${index}`),
+    );
+  }
+
+  private startEntry(
+    failureDomain: string,
+    callers: string,
+    peers: string,
+    operators: string,
+  ): void {
+    const hostId = `entry-${this.entries.length}`;
+    const portOf = (address: string): string => address.split(':')[1] ?? '';
+    const process = startProcess(hostId, ENTRY_MAIN, [
+      'serve',
+      `--host-id=${hostId}`,
+      `--failure-domain=${failureDomain}`,
+      `--caller-port=${portOf(callers)}`,
+      `--peer-port=${portOf(peers)}`,
+      `--operator-port=${portOf(operators)}`,
+      `--log-url=${this.platform.url}`,
+      `--host-list-url=${this.platform.url}`,
+      `--cloud-url=${this.platform.url}`,
+      `--peers=${this.entries[0]?.peers ?? peers}`,
+      '--host-list-seconds=0.2',
+      '--linger-seconds=1',
+      ...(this.options.entryFlags ?? []),
+    ]);
+    this.entries.push({
+      hostId,
+      failureDomain,
+      callers,
+      operators,
+      peers,
+      process,
+    });
+  }
+
+  private async servesEverything(entry: FleetEntry): Promise<boolean> {
+    const {engines = 0, plainServices = 0} = this.options;
+    const checks: Promise<Response>[] = [];
+    if (engines > 0) {
+      checks.push(callCompletion(entry, KEY_ONE, 'ready?', 1));
+    }
+    if (plainServices > 0) {
+      checks.push(callPlain(entry, KEY_ONE, 'lookup', 'ready?'));
+    }
+    const answers = await Promise.all(checks);
+    await Promise.all(answers.map(answer => answer.text()));
+    return answers.every(({status}) => status === 200);
+  }
+}
+
+/** Calls a completion at `entry`. */
+export function callCompletion(
+  entry: Pick<FleetEntry, 'callers'>,
+  key: string,
+  prompt: string,
+  tokens: number,
+  options: {
+    readonly isStreamed?: boolean;
+    readonly headers?: Readonly<Record<string, string>>;
+  } = {},
+): Promise<Response> {
+  return fetch(`http://${entry.callers}/v1/completions`, {
+    method: 'POST',
+    redirect: 'manual',
+    headers: {
+      authorization: `Bearer ${key}`,
+      'content-type': 'application/json',
+      ...options.headers,
+    },
+    body: JSON.stringify({
+      model: 'writer',
+      prompt,
+      max_tokens: tokens,
+      stream: options.isStreamed ?? false,
+    }),
+  });
+}
+
+/** Calls a plain service at `entry`. */
+export function callPlain(
+  entry: Pick<FleetEntry, 'callers'>,
+  key: string,
+  service: string,
+  body: string,
+  headers: Readonly<Record<string, string>> = {},
+): Promise<Response> {
+  return fetch(`http://${entry.callers}/v1/services/${service}/call`, {
+    method: 'POST',
+    redirect: 'manual',
+    headers: {
+      authorization: `Bearer ${key}`,
+      'content-type': 'text/plain',
+      ...headers,
+    },
+    body,
+  });
+}
+
+function isLive({process}: FleetEntry): boolean {
+  return process.child.exitCode === null && process.child.signalCode === null;
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,8 +1,10 @@
 /**
  * Small fakes of the platform, the engines and the plain services.
  */
+
 export * from './child_process_group.js';
 export * from './engine_stand_in.js';
+export * from './fleet.js';
 export * from './http_stand_in.js';
 export * from './log_stand_in.js';
 export * from './plain_service_stand_in.js';
