Prove at-most-once and announced reclaims over real processes

The tests kill, freeze and reclaim built processes and compare with what the stand-ins executed. Found and mended, each with the test that showed it: - a body over every limit broke the caller's connection (EPIPE) instead of answering 413; the rest is now read and thrown away first. - a host list that went back in time emptied the list of upstreams, so calls were refused with no-upstream; an upstream that is no longer listed is used for 30 s more, and its own failures decide. - a port that was taken left a half-started process; it now ends with code 2. Ruled out: a dispatcher fault for the no-upstream refusals (the trail shows the refusal at the front's own dispatcher right after the list was read).

--- a/packages/callers/src/read_call.ts
+++ b/packages/callers/src/read_call.ts
@@ -10,27 +10,41 @@
 /** Bytes that any request body may have. */
 export const MAXIMUM_BODY_BYTES = 8 * 1024 * 1024;
 
+/** Bytes of a body that is too large which are still read. */
+const MAXIMUM_DISCARDED_BYTES = 4 * MAXIMUM_BODY_BYTES;
+
 const DEFAULT_PRIORITY = 5;
 const MAXIMUM_KEY_LENGTH = 200;
 
-/** Reads the body of `message`, up to `MAXIMUM_BODY_BYTES`. */
-export async function readBody(message: IncomingMessage): Promise<Buffer> {
-  const stated = Number(message.headers['content-length'] ?? 0);
-  if (stated > MAXIMUM_BODY_BYTES) {
-    throw tooLarge();
-  }
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of message as AsyncIterable<Buffer>) {
-    bytes += chunk.length;
-    if (bytes > MAXIMUM_BODY_BYTES) {
-      throw tooLarge();
-    }
-    chunks.push(chunk);
-  }
-  return chunks.length === 1 && chunks[0] !== undefined
-    ? chunks[0]
-    : Buffer.concat(chunks);
+/**
+ * Reads the body of `message`. What goes beyond `MAXIMUM_BODY_BYTES` is read
+ * and thrown away, so that the caller gets the refusal and not a broken
+ * connection.
+ */
+export function readBody(message: IncomingMessage): Promise<Buffer> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    message.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes <= MAXIMUM_BODY_BYTES) {
+        chunks.push(chunk);
+        return;
+      }
+      chunks.length = 0;
+      if (bytes > MAXIMUM_DISCARDED_BYTES) {
+        reject(tooLarge());
+      }
+    });
+    message.on('error', reject);
+    message.on('end', () => {
+      if (bytes > MAXIMUM_BODY_BYTES) {
+        reject(tooLarge());
+        return;
+      }
+      resolve(Buffer.concat(chunks));
+    });
+  });
 }
 
 /** Reads a completion; its `model` names the service. */
--- a/packages/entry-process/src/build_tasks.ts
+++ b/packages/entry-process/src/build_tasks.ts
@@ -108,6 +108,7 @@
     hostListSeconds: settings.hostListSeconds,
     clock,
     servingHosts: () => membership.serving().map(member => member.hostId),
+    isEntryHost: id => membership.find(id) !== undefined,
     onLeaving: (upstreamIds, reclaimTime) => {
       dispatcher.onLeaving(upstreamIds);
       mover.onLeaving(registry.running(), upstreamIds, reclaimTime);
--- a/packages/entry-process/src/entry_process.ts
+++ b/packages/entry-process/src/entry_process.ts
@@ -1,6 +1,8 @@
 /**
  * The life of an entry process: start, serve, leave, stop.
  */
+import {setMaxListeners} from 'node:events';
+
 import {type CallerServer, listenForCallers} from '@lacewingwinch/callers';
 import {listenForPeers, type PeerServer} from '@lacewingwinch/entry-hosts';
 import {
@@ -117,6 +119,7 @@
 
   private runTasks(): void {
     const {signal} = this.stopping;
+    setMaxListeners(0, signal);
     const {tasks} = this;
     this.watch('configuration', tasks.configuration.run(signal));
     this.watch('membership', tasks.membership.run(signal));
--- a/packages/entry-process/src/main.ts
+++ b/packages/entry-process/src/main.ts
@@ -67,4 +67,5 @@
   await cli.runMatchedCommand();
 } catch (error) {
   fail([error instanceof Error ? error.message : String(error)]);
+  process.exit();
 }
--- a/packages/entry-process/src/tasks/upstream_directory.ts
+++ b/packages/entry-process/src/tasks/upstream_directory.ts
@@ -32,6 +32,12 @@
 /** Milliseconds for which a notice counts towards a reclaim wave. */
 const WAVE_MILLISECONDS = 30_000;
 
+/**
+ * Milliseconds for which an upstream that the list no longer has is still
+ * used, because the list lags and may go back.
+ */
+const UNLISTED_MILLISECONDS = 30_000;
+
 /** Share of the reclaimable upstreams whose notices make a wave. */
 const WAVE_SHARE = 0.2;
 
@@ -45,6 +51,8 @@
   readonly clock: () => number;
   /** Ids of the entry hosts that serve. */
   readonly servingHosts: () => readonly string[];
+  /** Whether `hostId` is known as an entry host. */
+  readonly isEntryHost: (hostId: string) => boolean;
   /** Is told of upstreams that are newly known to leave. */
   readonly onLeaving: (
     upstreamIds: readonly string[],
@@ -57,6 +65,8 @@
 /** Owns the list of upstreams. */
 export class UpstreamDirectory {
   private hosts: readonly ListedHost[] = [];
+  /** When each host was last on the list, in milliseconds since the epoch. */
+  private readonly lastListed = new Map<string, number>();
   /** Upstreams known to leave, with the time of their reclaim if stated. */
   private readonly leaving = new Map<string, number | undefined>();
   private readonly noticeTimes: number[] = [];
@@ -149,7 +159,16 @@
   }
 
   private takeHosts(hosts: readonly ListedHost[]): void {
-    this.hosts = hosts;
+    const now = this.context.clock();
+    const listed = new Set(hosts.map(({id}) => id));
+    listed.forEach(id => this.lastListed.set(id, now));
+    const unlisted = this.hosts.filter(
+      ({id}) =>
+        !listed.has(id) &&
+        now - (this.lastListed.get(id) ?? 0) < UNLISTED_MILLISECONDS,
+    );
+    this.hosts = [...hosts, ...unlisted];
+    this.forgetUnlisted(now);
     this.refresh();
     const listedAsLeaving = hosts
       .filter(({role, status}) => role === 'upstream' && status === 'leaving')
@@ -157,6 +176,14 @@
     this.markLeaving(listedAsLeaving, undefined);
   }
 
+  private forgetUnlisted(now: number): void {
+    for (const [id, seen] of this.lastListed) {
+      if (now - seen >= UNLISTED_MILLISECONDS) {
+        this.lastListed.delete(id);
+      }
+    }
+  }
+
   private refresh(): void {
     this.upstreams = this.hosts
       .filter(({role}) => role === 'upstream')
@@ -204,6 +231,9 @@
         this.context.onOwnReclaim(reclaimTime);
         continue;
       }
+      if (this.context.isEntryHost(hostId)) {
+        continue;
+      }
       if (reclaimTime >= this.context.clock() - WAVE_MILLISECONDS) {
         this.markLeaving([hostId], reclaimTime);
       }
--- /dev/null
+++ b/packages/entry-process/tests/reclaim_test.ts
@@ -0,0 +1,282 @@
+/** Tests of announced reclaims, with real processes. */
+import {
+  callCompletion,
+  callPlain,
+  EngineStandIn,
+  expectedText,
+  Fleet,
+  type FleetEntry,
+  KEY_ONE,
+  waitFor,
+} from '@lacewingwinch/stand-ins';
+import {afterEach, describe, expect, it} from 'vitest';
+
+let fleet: Fleet;
+
+afterEach(() => fleet.close());
+
+const TOKENS = 60;
+
+interface Received {
+  readonly text: string;
+  readonly offsets: readonly number[];
+}
+
+/** Reads a stream to its end, also where it moves to another entry host. */
+async function readStream(
+  entry: FleetEntry,
+  prompt: string,
+): Promise<Received> {
+  let answer = await callCompletion(entry, KEY_ONE, prompt, TOKENS, {
+    isStreamed: true,
+  });
+  let received: Received = {text: '', offsets: []};
+  for (let hops = 0; hops < 5; hops += 1) {
+    if (answer.status === 303 || answer.status === 307) {
+      answer = await follow(answer.headers.get('location') ?? '', received);
+      continue;
+    }
+    expect(answer.status).toBe(200);
+    const body = await answer.text();
+    received = take(received, body);
+    const moved = /event: moved\ndata: (.*)\n/.exec(body);
+    if (moved?.[1] === undefined) {
+      expect(body).not.toContain('event: error');
+      return received;
+    }
+    const {location} = JSON.parse(moved[1]) as {readonly location: string};
+    answer = await follow(location, received);
+  }
+  throw new Error('the stream moved too often');
+}
+
+function follow(location: string, {offsets}: Received): Promise<Response> {
+  const last = offsets.at(-1);
+  return fetch(location, {
+    redirect: 'manual',
+    headers: {
+      authorization: `Bearer ${KEY_ONE}`,
+      accept: 'text/event-stream',
+      ...(last === undefined ? {} : {'last-event-id': String(last)}),
+    },
+  });
+}
+
+function take(received: Received, body: string): Received {
+  const events = [...body.matchAll(/^id: (\d+)\ndata: (.*)$/gm)];
+  const texts = events.map(([, , data]) => {
+    const {choices} = JSON.parse(data ?? '{}') as {
+      readonly choices: readonly {readonly text: string}[];
+    };
+    return choices[0]?.text ?? '';
+  });
+  return {
+    text: received.text + texts.join(''),
+    offsets: [...received.offsets, ...events.map(([, id]) => Number(id))],
+  };
+}
+
+function expectWhole({text, offsets}: Received, prompt: string): void {
+  expect(offsets).toEqual(Array.from({length: TOKENS}, (_, index) => index));
+  expect(text).toBe(expectedText(JSON.stringify(prompt), TOKENS));
+}
+
+/** The engine that runs something now. */
+function busyEngine(): number {
+  return fleet.engines.findIndex(engine => engine.running > 0);
+}
+
+const SLOW = {prefillMilliseconds: 5, tokenMilliseconds: 20};
+
+describe('an announced reclaim of an upstream', () => {
+  it.each([
+    {
+      name: 'with a long prompt',
+      prompt: 'report '.repeat(100),
+      isImported: true,
+    },
+    {name: 'with a short prompt', prompt: 'short', isImported: false},
+  ])('moves a stream $name', async ({prompt, isImported}) => {
+    fleet = await Fleet.start({
+      entryDomains: ['east', 'west'],
+      engines: 3,
+      engineOptions: SLOW,
+    });
+    const reading = readStream(fleet.entry(0), prompt);
+    await waitFor('the stream runs', () => busyEngine() >= 0);
+    const index = busyEngine();
+    await new Promise(resolve => {
+      setTimeout(resolve, 200);
+    });
+    fleet.platform.reclaim(`engine-${index}`, 1500);
+    expectWhole(await reading, prompt);
+    const resumed = fleet.engines
+      .flatMap(engine => engine.executions)
+      .filter(({resumedAt}) => resumedAt > 0);
+    expect(resumed.length).toBe(1);
+    expect(resumed[0]?.importedCache).toBe(isImported);
+  });
+
+  it('goes on when the engine dies before the cache has moved', async () => {
+    fleet = await Fleet.start({
+      entryDomains: ['east', 'west'],
+      engines: 3,
+      engineOptions: SLOW,
+    });
+    const reading = readStream(fleet.entry(0), 'dying partway');
+    await waitFor('the stream runs', () => busyEngine() >= 0);
+    const index = busyEngine();
+    fleet.platform.reclaim(`engine-${index}`, 2000);
+    await (fleet.engines[index] ?? new EngineStandIn()).close();
+    expectWhole(await reading, 'dying partway');
+  });
+
+  it('sends it no new work after 2 s, though the host list lags', async () => {
+    fleet = await Fleet.start({
+      entryDomains: ['east', 'west', 'north', 'south', 'east'],
+      engines: 2,
+      engineOptions: {prefillMilliseconds: 1, tokenMilliseconds: 1},
+    });
+    fleet.platform.hostListLag = 30_000;
+    fleet.platform.reclaim('engine-0', 20_000);
+    const told = Date.now();
+    await waitFor('every entry host knows', async () => {
+      const statuses = await Promise.all(
+        fleet.entries.map(entry => fleet.status(entry)),
+      );
+      return statuses.every(({leavingUpstreams}) =>
+        leavingUpstreams.includes('engine-0'),
+      );
+    });
+    expect(Date.now() - told).toBeLessThan(2000);
+    const before = fleet.engines[0]?.executions.length;
+    const answers = await Promise.all(
+      fleet.entries.flatMap(entry =>
+        Array.from({length: 6}, (_, index) =>
+          callCompletion(entry, KEY_ONE, `after ${index}`, 2),
+        ),
+      ),
+    );
+    expect(answers.every(({status}) => status === 200)).toBe(true);
+    expect(fleet.engines[0]?.executions.length).toBe(before);
+  });
+});
+
+describe('an announced reclaim of an entry host', () => {
+  it('moves its streams and its waiting callers', async () => {
+    fleet = await Fleet.start({
+      entryDomains: ['east', 'west', 'north'],
+      engines: 3,
+      engineOptions: SLOW,
+    });
+    const prompts = Array.from({length: 6}, (_, index) => `moving ${index}`);
+    const reading = prompts.map(prompt => readStream(fleet.entry(0), prompt));
+    const waiting = callCompletion(fleet.entry(0), KEY_ONE, 'waiting', TOKENS);
+    await waitFor('the streams run', async () => {
+      const status = await fleet.status(fleet.entry(0));
+      return status.requestsInProgress === 7;
+    });
+    fleet.platform.reclaim('entry-0', 2000);
+    const received = await Promise.all(reading);
+    received.forEach((one, index) => expectWhole(one, prompts[index] ?? ''));
+    const moved = await waiting;
+    expect(moved.status).toBe(303);
+    const whole = await fetch(moved.headers.get('location') ?? '', {
+      headers: {authorization: `Bearer ${KEY_ONE}`},
+    });
+    expect(whole.status).toBe(200);
+    expect(await whole.text()).toContain(
+      expectedText(JSON.stringify('waiting'), TOKENS),
+    );
+  });
+
+  it('moves a whole failure domain at once, with an entry host that dies', async () => {
+    fleet = await Fleet.start({
+      entryDomains: ['east', 'west', 'east', 'north'],
+      engines: 4,
+      engineOptions: SLOW,
+    });
+    const prompts = Array.from({length: 4}, (_, index) => `domain ${index}`);
+    const reading = prompts.map(prompt => readStream(fleet.entry(0), prompt));
+    await waitFor('the streams run', async () => {
+      const status = await fleet.status(fleet.entry(0));
+      return status.requestsInProgress === 4;
+    });
+    // Engine 0 and entry hosts 0 and 2 are in failure domain `east`.
+    fleet.platform.reclaim('engine-0', 2000);
+    fleet.platform.reclaim('entry-0', 2000);
+    fleet.platform.reclaim('entry-2', 2000);
+    fleet.entry(2).process.child.kill('SIGKILL');
+    const received = await Promise.all(reading);
+    received.forEach((one, index) => expectWhole(one, prompts[index] ?? ''));
+  });
+
+  it('keeps finished answers at the other host', async () => {
+    fleet = await Fleet.start({entryDomains: ['east', 'west'], engines: 1});
+    const answer = await callCompletion(fleet.entry(0), KEY_ONE, 'kept', 5);
+    const text = await answer.text();
+    const id = answer.headers.get('x-request-id') ?? '';
+    fleet.platform.reclaim('entry-0', 2000);
+    await fleet.entry(0).process.exited;
+    const again = await fetch(
+      `http://${fleet.entry(1).callers}/v1/requests/${id}`,
+      {headers: {authorization: `Bearer ${KEY_ONE}`}},
+    );
+    expect(await again.text()).toBe(text);
+  });
+});
+
+describe('a call that may not be repeated', () => {
+  it('moves its right when its entry host is reclaimed before the send', async () => {
+    fleet = await Fleet.start({
+      entryDomains: ['east', 'west', 'north'],
+      plainServices: 1,
+      objects: [
+        {
+          kind: 'service',
+          name: 'booking',
+          upstreamKind: 'plain',
+          repetition: 'non-idempotent',
+          upstreamConcurrency: 1,
+          maximumQueueMilliseconds: 5000,
+        },
+      ],
+    });
+    const [service] = fleet.plainServices;
+    if (service === undefined) {
+      throw new Error('the fleet has no plain service');
+    }
+    service.executionMilliseconds = 1200;
+    const first = callPlain(fleet.entry(1), KEY_ONE, 'booking', 'first', {
+      'idempotency-key': 'r1',
+    });
+    await waitFor('the first call runs', () =>
+      service.executions.some(({key}) => key === 'r1'),
+    );
+    const queued = callPlain(fleet.entry(0), KEY_ONE, 'booking', 'second', {
+      'idempotency-key': 'r2',
+    });
+    await waitFor('the second call waits', async () => {
+      const statuses = await Promise.all(
+        fleet.entries.map(entry => fleet.status(entry)),
+      );
+      return statuses.some(({shards}) =>
+        shards.some(
+          ({shardId, queueLength}) => shardId === 'booking' && queueLength > 0,
+        ),
+      );
+    });
+    fleet.platform.reclaim('entry-0', 2000);
+    const moved = await queued;
+    expect(moved.status).toBe(303);
+    const whole = await fetch(moved.headers.get('location') ?? '', {
+      headers: {authorization: `Bearer ${KEY_ONE}`},
+    });
+    expect(whole.status).toBe(200);
+    expect((await first).status).toBe(200);
+    const keys = service.executions
+      .map(({key}) => key)
+      .filter(key => /^r\d$/.test(key));
+    expect(keys).toEqual(['r1', 'r2']);
+  });
+});
--- a/packages/stand-ins/src/child_process_group.ts
+++ b/packages/stand-ins/src/child_process_group.ts
@@ -52,26 +52,39 @@
   });
 }
 
-/** Ports on loopback that are free now. */
+/** First port that is tried, and number of ports that may be tried. */
+const FIRST_PORT = 10_000;
+const PORT_COUNT = 20_000;
+
+/** A prime, so that neighbouring process ids begin far from each other. */
+const PORT_STRIDE = 7919;
+
+let nextPort = (process.pid * PORT_STRIDE) % PORT_COUNT;
+
+/**
+ * Ports on loopback that are free now, below those that the system gives to
+ * outgoing connections.
+ */
 export async function findFreePorts(count: number): Promise<readonly number[]> {
-  const servers = await Promise.all(
-    Array.from({length: count}, async () => {
-      const server = createServer();
-      await new Promise<void>(resolve => {
-        server.listen(0, '127.0.0.1', resolve);
-      });
-      return server;
-    }),
-  );
-  return Promise.all(
-    servers.map(async server => {
-      const address = server.address();
-      await new Promise(resolve => {
-        server.close(resolve);
-      });
-      return typeof address === 'object' && address !== null ? address.port : 0;
-    }),
-  );
+  const ports: number[] = [];
+  while (ports.length < count) {
+    const port = FIRST_PORT + nextPort;
+    nextPort = (nextPort + 1) % PORT_COUNT;
+    if (await isFree(port)) {
+      ports.push(port);
+    }
+  }
+  return ports;
+}
+
+function isFree(port: number): Promise<boolean> {
+  return new Promise(resolve => {
+    const server = createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => {
+      server.close(() => resolve(true));
+    });
+  });
 }
 
 /** Waits until `condition` holds; fails after `milliseconds`. */
@@ -81,9 +94,13 @@
   milliseconds = 20_000,
 ): Promise<void> {
   const until = Date.now() + milliseconds;
-  while (!(await isTrue(condition))) {
+  for (;;) {
+    const failure = await failureOf(condition);
+    if (failure === undefined) {
+      return;
+    }
     if (Date.now() >= until) {
-      throw new Error(`timeout: ${what}`);
+      throw new Error(`timeout: ${what}: ${failure}`);
     }
     await new Promise(resolve => {
       setTimeout(resolve, 20);
@@ -91,12 +108,12 @@
   }
 }
 
-async function isTrue(
+async function failureOf(
   condition: () => Promise<boolean> | boolean,
-): Promise<boolean> {
+): Promise<string | undefined> {
   try {
-    return await condition();
-  } catch {
-    return false;
+    return (await condition()) ? undefined : 'it does not hold';
+  } catch (error) {
+    return error instanceof Error ? error.message : 'it failed';
   }
 }
--- a/packages/stand-ins/src/fleet.ts
+++ b/packages/stand-ins/src/fleet.ts
@@ -114,6 +114,11 @@
 
 const UPSTREAM_DOMAINS = ['east', 'west', 'north', 'south'] as const;
 
+/** An entry host ended before it served. */
+export class StoppedEarlyError extends Error {
+  override readonly name = 'StoppedEarlyError';
+}
+
 /** A running fleet. */
 export class Fleet {
   readonly platform = new PlatformStandIn();
@@ -167,6 +172,7 @@
   async waitUntilServing(): Promise<void> {
     const live = this.entries.filter(entry => isLive(entry));
     await waitFor('every entry host serves and knows the others', async () => {
+      requireRunning(live);
       const statuses = await Promise.all(live.map(entry => this.status(entry)));
       return statuses.every(
         ({status, members}) =>
@@ -357,6 +363,13 @@
   });
 }
 
+function requireRunning(entries: readonly FleetEntry[]): void {
+  const ended = entries.find(entry => !isLive(entry));
+  if (ended !== undefined) {
+    throw new StoppedEarlyError(ended.process.errorOutput());
+  }
+}
+
 function isLive({process}: FleetEntry): boolean {
   return process.child.exitCode === null && process.child.signalCode === null;
 }
