Prove graceful stops, configuration and quarantine over real processes

Found and mended, each with the test that showed it: - a bystander of a crash was refused with 502: the retry budget of a quiet service allowed 3 further attempts, while one upstream loses up to its whole concurrency at once. The budget now never falls below the concurrency of one upstream; above that it stays a fraction of recent first attempts. - a flag given twice was read as a list (NaN); the last one counts. Ruled out: the quarantine itself (the trail shows upstream-failed with the budget used up, not quarantined).

--- a/packages/decisions/src/retries/retry_budget.ts
+++ b/packages/decisions/src/retries/retry_budget.ts
@@ -6,9 +6,6 @@
 /** Milliseconds over which first attempts count as recent. */
 const WINDOW_MILLISECONDS = 10_000;
 
-/** Further attempts allowed in a window even without recent traffic. */
-const MINIMUM_ATTEMPTS = 3;
-
 /** Counts that fade linearly with time, per service. */
 export class RetryBudget {
   private firstAttempts = 0;
@@ -21,10 +18,14 @@
     this.firstAttempts += 1;
   }
 
-  /** Takes one further attempt out of the budget; false if it is used up. */
-  takeFurtherAttempt(fraction: number, now: number): boolean {
+  /**
+   * Takes one further attempt out of the budget; false if it is used up. The
+   * budget is `fraction` of the recent first attempts, but never less than
+   * `minimum`: all calls of one lost upstream can be repeated.
+   */
+  takeFurtherAttempt(fraction: number, minimum: number, now: number): boolean {
     this.fade(now);
-    const allowed = Math.max(MINIMUM_ATTEMPTS, this.firstAttempts * fraction);
+    const allowed = Math.max(minimum, this.firstAttempts * fraction);
     if (this.furtherAttempts + 1 > allowed) {
       return false;
     }
--- a/packages/entry-process/src/front/attempt_loop.ts
+++ b/packages/entry-process/src/front/attempt_loop.ts
@@ -149,7 +149,11 @@
         const budget = this.context.retryBudgetOf(service.name);
         const isAffordable =
           !decision.needsBudget ||
-          budget.takeFurtherAttempt(service.retryBudgetFraction, now);
+          budget.takeFurtherAttempt(
+            service.retryBudgetFraction,
+            service.upstreamConcurrency,
+            now,
+          );
         if (!isAffordable) {
           throw new ServingError('upstream-failed', {
             ran: ranOf(request),
--- a/packages/entry-process/src/settings.ts
+++ b/packages/entry-process/src/settings.ts
@@ -192,6 +192,8 @@
   return {kind: 'faulty', faults: [...new Set(faults)]};
 }
 
+/** The text of a flag; of a flag given more than once the last one counts. */
 function toText(value: unknown): unknown {
-  return typeof value === 'number' ? String(value) : value;
+  const last: unknown = Array.isArray(value) ? value.at(-1) : value;
+  return typeof last === 'number' ? String(last) : last;
 }
--- /dev/null
+++ b/packages/entry-process/tests/graceful_stop_test.ts
@@ -0,0 +1,153 @@
+/** Tests of planned stops under load. */
+import {
+  callCompletion,
+  callPlain,
+  expectedText,
+  Fleet,
+  KEY_ONE,
+  waitFor,
+} from '@lacewingwinch/stand-ins';
+import {afterEach, describe, expect, it} from 'vitest';
+
+let fleet: Fleet;
+
+afterEach(() => fleet.close());
+
+const SLOW = {prefillMilliseconds: 5, tokenMilliseconds: 15};
+
+interface Discovered {
+  readonly address: string;
+}
+
+/** A caller that follows discovery and redirects, until it is told to end. */
+async function keepCalling(
+  isOver: () => boolean,
+): Promise<{readonly calls: number; readonly failures: readonly string[]}> {
+  const failures: string[] = [];
+  let calls = 0;
+  let known = fleet.entry(0).callers;
+  while (!isOver()) {
+    calls += 1;
+    try {
+      const answer = await callPlain({callers: known}, KEY_ONE, 'lookup', 'x');
+      await answer.text();
+      if (answer.status === 307) {
+        known = new URL(answer.headers.get('location') ?? '').host;
+        continue;
+      }
+      if (answer.status !== 200) {
+        failures.push(String(answer.status));
+      }
+    } catch (error) {
+      failures.push(String((error as Error).cause ?? error));
+    }
+    known = await discover(known);
+  }
+  return {calls, failures};
+}
+
+async function discover(address: string): Promise<string> {
+  const answer = await fetch(`http://${address}/v1/entry-hosts`);
+  const {entryHosts} = (await answer.json()) as {
+    readonly entryHosts: readonly Discovered[];
+  };
+  return entryHosts[0]?.address ?? address;
+}
+
+describe('a planned stop', () => {
+  it.each([
+    {name: 'by signal', stop: 'signal'},
+    {name: 'by lacewingctl drain', stop: 'drain'},
+  ] as const)('$name cuts off nothing under load', async ({stop}) => {
+    fleet = await Fleet.start({
+      entryDomains: ['east', 'west', 'north'],
+      engines: 2,
+      engineOptions: SLOW,
+      plainServices: 1,
+    });
+    let isOver = false;
+    const callers = Array.from({length: 4}, () => keepCalling(() => isOver));
+    const streams = Array.from({length: 5}, async (_, index) => {
+      const answer = await callCompletion(
+        fleet.entry(0),
+        KEY_ONE,
+        `stop ${index}`,
+        80,
+        {isStreamed: true},
+      );
+      return answer.text();
+    });
+    await waitFor('the streams run', async () => {
+      const status = await fleet.status(fleet.entry(0));
+      return status.requestsInProgress >= 5;
+    });
+    switch (stop) {
+      case 'signal':
+        fleet.entry(0).process.child.kill('SIGTERM');
+        break;
+      case 'drain':
+        await fetch(`http://${fleet.entry(0).operators}/drain`, {
+          method: 'POST',
+        });
+    }
+    const texts = await Promise.all(streams);
+    expect(texts.every(text => text.endsWith('data: [DONE]\n\n'))).toBe(true);
+    expect(texts.every(text => !text.includes('event:'))).toBe(true);
+    expect(await fleet.entry(0).process.exited).toBe(0);
+    isOver = true;
+    const results = await Promise.all(callers);
+    expect(results.flatMap(({failures}) => failures)).toEqual([]);
+    expect(results.every(({calls}) => calls > 3)).toBe(true);
+  });
+
+  it('ends in bounded time after a second signal, and hands over', async () => {
+    fleet = await Fleet.start({
+      entryDomains: ['east', 'west'],
+      engines: 2,
+      engineOptions: {prefillMilliseconds: 5, tokenMilliseconds: 100},
+    });
+    const answer = await callCompletion(fleet.entry(0), KEY_ONE, 'hurry', 100, {
+      isStreamed: true,
+    });
+    const reading = answer.text();
+    const {process} = fleet.entry(0);
+    process.child.kill('SIGTERM');
+    await waitFor('the host leaves', async () => {
+      const status = await fleet.status(fleet.entry(0));
+      return status.status === 'leaving';
+    });
+    const hurried = Date.now();
+    process.child.kill('SIGTERM');
+    expect(await process.exited).toBe(0);
+    expect(Date.now() - hurried).toBeLessThan(8000);
+    expect(await reading).toContain('event: moved');
+  });
+
+  it('sends callers with an old list to another host, with nothing run', async () => {
+    fleet = await Fleet.start({
+      entryDomains: ['east', 'west'],
+      engines: 1,
+      engineOptions: SLOW,
+      entryFlags: ['--linger-seconds=3'],
+    });
+    fleet.entry(0).process.child.kill('SIGTERM');
+    await waitFor('the host leaves', async () => {
+      const status = await fleet.status(fleet.entry(0));
+      return status.status === 'leaving';
+    });
+    const before = fleet.engines[0]?.executions.length;
+    const answer = await callCompletion(fleet.entry(0), KEY_ONE, 'late', 3);
+    expect(answer.status).toBe(307);
+    expect(fleet.engines[0]?.executions.length).toBe(before);
+    const location = answer.headers.get('location') ?? '';
+    expect(location).toContain(fleet.entry(1).callers);
+    const there = await fetch(location, {
+      method: 'POST',
+      headers: {authorization: `Bearer ${KEY_ONE}`},
+      body: JSON.stringify({model: 'writer', prompt: 'late', max_tokens: 3}),
+    });
+    expect(await there.text()).toContain(
+      expectedText(JSON.stringify('late'), 3),
+    );
+  });
+});
--- /dev/null
+++ b/packages/entry-process/tests/quarantine_test.ts
@@ -0,0 +1,67 @@
+/** Tests of content that crashes the upstreams that run it. */
+import {
+  callCompletion,
+  CRASHING_WORD,
+  Fleet,
+  KEY_ONE,
+} from '@lacewingwinch/stand-ins';
+import {afterEach, describe, expect, it} from 'vitest';
+
+let fleet: Fleet;
+
+afterEach(() => fleet.close());
+
+const POISON = `please ${CRASHING_WORD}`;
+
+function crashes(): number {
+  return fleet.engines
+    .flatMap(engine => engine.executions)
+    .filter(({prompt}) => prompt.includes(CRASHING_WORD)).length;
+}
+
+describe('content that crashes its upstreams', () => {
+  it('runs twice at most, wherever and under whatever id it is sent', async () => {
+    fleet = await Fleet.start({
+      entryDomains: ['east', 'west', 'north'],
+      engines: 4,
+    });
+    const first = await callCompletion(fleet.entry(0), KEY_ONE, POISON, 3);
+    expect(first.status).toBe(422);
+    expect(await first.json()).toMatchObject({
+      kind: 'quarantined',
+      ran: 'unknown',
+    });
+    expect(crashes()).toBe(2);
+    for (const entry of fleet.entries) {
+      const again = await callCompletion(entry, KEY_ONE, POISON, 3, {
+        headers: {'idempotency-key': `other-${entry.hostId}`},
+      });
+      expect(again.status).toBe(422);
+      expect(await again.json()).toMatchObject({ran: 'no'});
+      expect(Number(again.headers.get('retry-after'))).toBeGreaterThan(0);
+    }
+    expect(crashes()).toBe(2);
+  });
+
+  it('harms no bystander on the same upstreams', async () => {
+    fleet = await Fleet.start({
+      entryDomains: ['east', 'west'],
+      engines: 3,
+      engineOptions: {prefillMilliseconds: 50, tokenMilliseconds: 10},
+    });
+    const bystanders = Array.from({length: 6}, (_, index) =>
+      callCompletion(fleet.entry(index % 2), KEY_ONE, `innocent ${index}`, 20),
+    );
+    const poison = callCompletion(fleet.entry(0), KEY_ONE, POISON, 3);
+    const answers = await Promise.all(bystanders);
+    expect(answers.map(({status}) => status)).toEqual(answers.map(() => 200));
+    expect((await poison).status).toBe(422);
+    expect(crashes()).toBe(2);
+    const again = await Promise.all(
+      answers.map((_, index) =>
+        callCompletion(fleet.entry(index % 2), KEY_ONE, `innocent ${index}`, 2),
+      ),
+    );
+    expect(again.map(({status}) => status)).toEqual(again.map(() => 200));
+  });
+});
--- /dev/null
+++ b/packages/entry-process/tests/settings_test.ts
@@ -0,0 +1,75 @@
+/** Tests of the settings. */
+import {describe, expect, it} from 'vitest';
+
+import {flagOf, readSettings, SETTING_NAMES, variableOf} from '../src/index.js';
+
+const REQUIRED = {
+  hostId: 'entry-1',
+  failureDomain: 'east',
+  logUrl: 'http://127.0.0.1:1',
+  hostListUrl: 'http://127.0.0.1:1',
+  cloudUrl: 'http://127.0.0.1:1',
+};
+
+describe('valid settings', () => {
+  it.each([
+    {
+      name: 'defaults',
+      flags: {},
+      environment: {},
+      expected: {callerPort: 8080},
+    },
+    {
+      name: 'a variable',
+      flags: {},
+      environment: {LACEWINGWINCH_CALLER_PORT: '81'},
+      expected: {callerPort: 81},
+    },
+    {
+      name: 'a flag before its variable',
+      flags: {callerPort: 82},
+      environment: {LACEWINGWINCH_CALLER_PORT: '81'},
+      expected: {callerPort: 82},
+    },
+    {
+      name: 'the last of a flag given twice',
+      flags: {lingerSeconds: [1, 3]},
+      environment: {},
+      expected: {lingerSeconds: 3},
+    },
+    {
+      name: 'a list of peers',
+      flags: {peers: '127.0.0.1:1,[::1]:2'},
+      environment: {},
+      expected: {peers: ['127.0.0.1:1', '[::1]:2']},
+    },
+  ])('take $name', ({flags, environment, expected}) => {
+    const result = readSettings({...REQUIRED, ...flags}, environment);
+    expect(result).toMatchObject({kind: 'valid', settings: expected});
+  });
+});
+
+describe('invalid settings', () => {
+  it('name every fault at once, with flag and variable', () => {
+    const result = readSettings({callerPort: 'x', peers: 'nowhere'}, {});
+    expect(result.kind).toBe('faulty');
+    const faults = result.kind === 'faulty' ? result.faults : [];
+    const faulty = [
+      'hostId',
+      'failureDomain',
+      'callerPort',
+      'logUrl',
+      'hostListUrl',
+      'cloudUrl',
+      'peers',
+    ] as const;
+    for (const name of faulty) {
+      const prefix = `${flagOf(name)} (${variableOf(name)}): `;
+      expect(faults.some(fault => fault.startsWith(prefix))).toBe(true);
+    }
+  });
+
+  it.each(SETTING_NAMES)('have a variable for %s', name => {
+    expect(variableOf(name)).toMatch(/^LACEWINGWINCH_[A-Z_]+$/);
+  });
+});
