--- a/scripts/check_models.mjs
+++ b/scripts/check_models.mjs
@@ -1,11 +1,13 @@
 // Checks the protocol models exhaustively, and that each mutant of them fails.
 import {execFileSync} from 'node:child_process';
-import {mkdtempSync, readFileSync, rmSync} from 'node:fs';
+import {mkdtempSync, readdirSync, readFileSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 
-const MODELS = ['claims', 'configuration'];
+const MODELS = readdirSync(new URL('../models', import.meta.url))
+  .filter(name => name.endsWith('.pml'))
+  .map(name => name.slice(0, -'.pml'.length));
 const MAXIMUM_DEPTH = 200_000;
 const VECTOR_BYTES = 4096;
 
