Order upstream hosts under a lease whose offset is the fencing number

Weighed: releasing what is no longer wanted as well. Left out: an order of 0 for an offer that refuses starts would stop hosts that run there.

--- a/packages/entry-process/src/build_tasks.ts
+++ b/packages/entry-process/src/build_tasks.ts
@@ -43,6 +43,7 @@
 import {ConfigurationTask} from './tasks/configuration_task.js';
 import {DispatcherTask} from './tasks/dispatcher_task.js';
 import {MembershipTask} from './tasks/membership_task.js';
+import {OrdersTask} from './tasks/orders_task.js';
 import {PermitClient} from './tasks/permit_client.js';
 import {ShardLoads} from './tasks/shard_loads.js';
 import {UpstreamDirectory} from './tasks/upstream_directory.js';
@@ -73,6 +74,7 @@
   readonly front: FrontTask;
   readonly handover: Handover;
   readonly limitExchange: LimitExchange;
+  readonly orders: OrdersTask;
 }
 
 /** Is told that the platform will reclaim this host. */
@@ -97,12 +99,13 @@
   const limits = new LimitShares();
   const backups = new BackupStore();
   const log = connectLogService(settings.logUrl);
+  const cloud = connectCloudApi(settings.cloudUrl);
   const shardLoads = new ShardLoads(clock);
   const retryBudgets = new Map<string, RetryBudget>();
 
   const directory: UpstreamDirectory = new UpstreamDirectory({
     hostList: connectHostList(settings.hostListUrl),
-    cloud: connectCloudApi(settings.cloudUrl),
+    cloud,
     events,
     hostId,
     hostListSeconds: settings.hostListSeconds,
@@ -204,6 +207,21 @@
     adoptCopy: copy => handover.adoptCopy(copy),
   });
   const limitExchange = new LimitExchange(context);
+  const orders = new OrdersTask({
+    hostId,
+    processId: uuidV7(),
+    log,
+    cloud,
+    events,
+    clock,
+    configuration: () => configuration.current,
+    servingHosts: () => membership.serving().map(member => member.hostId),
+    goal: {
+      service: settings.ordersService,
+      hosts: settings.ordersHosts,
+      minimumOnDemand: settings.ordersOnDemand,
+    },
+  });
 
   function takeDigest(sender: Member, digest: GossipDigest): void {
     directory.markLeaving(digest.leavingUpstreams, undefined);
@@ -232,6 +250,7 @@
     front,
     handover,
     limitExchange,
+    orders,
   };
 }
 
--- a/packages/entry-process/src/entry_process.ts
+++ b/packages/entry-process/src/entry_process.ts
@@ -128,6 +128,7 @@
     this.watch('permits', tasks.permits.run(signal));
     this.watch('claims', tasks.claims.run(signal));
     this.watch('limits', tasks.limitExchange.run(signal));
+    this.watch('orders', tasks.orders.run(signal));
     this.watch('forgetting', this.forget(signal));
   }
 
--- a/packages/observability/src/event_catalogue.ts
+++ b/packages/observability/src/event_catalogue.ts
@@ -123,11 +123,6 @@
     message: 'lease {fencingNumber} for orders is held by {hostId}',
     advice: 'Nothing.',
   },
-  5002: {
-    level: 'info',
-    message: 'ordered {count} {hostClass} hosts in {failureDomain}',
-    advice: 'Nothing.',
-  },
   5003: {
     level: 'warn',
     message: 'starts of {hostClass} hosts in {failureDomain} are refused',
