Tell every host that a suspected content is cleared; tables for the rest

Cause: a cleared suspicion was deleted at one host and came back from the others, so an innocent content ran alone for ten minutes after one crash. Change: the time of the clearing is part of the suspicion and spreads with it. The new table test failed before ('elsewhere' still said run-alone).

--- a/packages/decisions/src/retries/quarantine.ts
+++ b/packages/decisions/src/retries/quarantine.ts
@@ -18,6 +18,8 @@
   readonly crashedAlone: readonly string[];
   /** Milliseconds since the epoch. */
   readonly lastCrash: number;
+  /** When the content last ran alone to its end; 0 for never. */
+  readonly lastCleared: number;
 }
 
 /** How a request is to be treated. */
@@ -41,7 +43,10 @@
     if (suspicion === undefined) {
       return {kind: 'clear'};
     }
-    if (now >= suspicion.lastCrash + SUSPICION_MILLISECONDS) {
+    const isOver =
+      now >= suspicion.lastCrash + SUSPICION_MILLISECONDS ||
+      suspicion.lastCleared > suspicion.lastCrash;
+    if (isOver) {
       return {kind: 'clear'};
     }
     const until = suspicion.lastCrash + quarantineMilliseconds;
@@ -63,6 +68,7 @@
       crashed: [upstreamId],
       crashedAlone: wasAlone ? [upstreamId] : [],
       lastCrash: now,
+      lastCleared: 0,
     });
   }
 
@@ -74,14 +80,18 @@
       crashed: union(known?.crashed, heard.crashed),
       crashedAlone: union(known?.crashedAlone, heard.crashedAlone),
       lastCrash: Math.max(known?.lastCrash ?? 0, heard.lastCrash),
+      lastCleared: Math.max(known?.lastCleared ?? 0, heard.lastCleared),
     };
     this.suspicions.set(heard.fingerprint, merged);
     return merged;
   }
 
-  /** Clears a content that ran alone to its end. */
-  clear(fingerprint: string): void {
-    this.suspicions.delete(fingerprint);
+  /** Clears a content that ran alone to its end, here and wherever it is told. */
+  clear(fingerprint: string, now: number): void {
+    const known = this.suspicions.get(fingerprint);
+    if (known !== undefined) {
+      this.suspicions.set(fingerprint, {...known, lastCleared: now});
+    }
   }
 
   /** Forgets suspicions that no longer matter at `now`. */
--- /dev/null
+++ b/packages/decisions/tests/membership_test.ts
@@ -0,0 +1,136 @@
+/** Tests of membership and discovery. */
+import {describe, expect, it} from 'vitest';
+
+import {
+  chooseBackup,
+  discoverHosts,
+  type Member,
+  Membership,
+  type MemberStatus,
+  supersedes,
+  SUSPICION_MILLISECONDS,
+} from '../src/index.js';
+
+function member(
+  hostId: string,
+  status: MemberStatus = 'serving',
+  incarnation = 1,
+  failureDomain = 'east',
+): Member {
+  const address = `${hostId}:1`;
+  return {
+    hostId,
+    failureDomain,
+    addresses: {callers: address, peers: address, operators: address},
+    incarnation,
+    status,
+  };
+}
+
+describe('an update', () => {
+  it.each([
+    {next: ['serving', 2], known: ['gone', 1], isTaken: true},
+    {next: ['gone', 1], known: ['serving', 2], isTaken: false},
+    {next: ['suspected', 1], known: ['serving', 1], isTaken: true},
+    {next: ['serving', 1], known: ['suspected', 1], isTaken: false},
+    {next: ['leaving', 1], known: ['suspected', 1], isTaken: true},
+    {next: ['serving', 1], known: ['leaving', 1], isTaken: false},
+    {next: ['serving', 1], known: ['serving', 1], isTaken: false},
+  ] as const)('$next after $known', ({next, known, isTaken}) => {
+    const [nextStatus, nextIncarnation] = next;
+    const [knownStatus, knownIncarnation] = known;
+    expect(
+      supersedes(
+        member('a', nextStatus, nextIncarnation),
+        member('a', knownStatus, knownIncarnation),
+      ),
+    ).toBe(isTaken);
+  });
+});
+
+describe('the membership', () => {
+  it('holds the same in any order of updates', () => {
+    const updates = [
+      member('b', 'serving', 1),
+      member('b', 'suspected', 1),
+      member('b', 'serving', 3),
+      member('b', 'leaving', 2),
+    ];
+    const forward = new Membership(member('a'), 0);
+    forward.merge(updates, 0);
+    const backward = new Membership(member('a'), 0);
+    backward.merge([...updates].reverse(), 0);
+    expect(forward.find('b')).toEqual(backward.find('b'));
+    expect(forward.find('b')?.status).toBe('serving');
+  });
+
+  it('refutes what is said wrongly of this host', () => {
+    const membership = new Membership(member('a'), 0);
+    membership.merge([member('a', 'gone', 5)], 10);
+    expect(membership.own.status).toBe('serving');
+    expect(membership.own.incarnation).toBeGreaterThan(5);
+  });
+
+  it('passes over what is said of an earlier process of this host', () => {
+    const membership = new Membership(member('a', 'serving', 7), 0);
+    membership.merge([member('a', 'gone', 5)], 10);
+    expect(membership.own.incarnation).toBe(7);
+  });
+
+  it('takes a suspected host as gone only after the time to refute', () => {
+    const membership = new Membership(member('a'), 0);
+    membership.merge([member('b')], 0);
+    membership.suspect('b', 100);
+    membership.expire(100 + SUSPICION_MILLISECONDS - 1);
+    expect(membership.find('b')?.status).toBe('suspected');
+    membership.expire(100 + SUSPICION_MILLISECONDS);
+    expect(membership.find('b')?.status).toBe('gone');
+  });
+
+  it('does not suspect a host that leaves', () => {
+    const membership = new Membership(member('a'), 0);
+    membership.merge([member('b', 'leaving')], 0);
+    membership.suspect('b', 100);
+    expect(membership.find('b')?.status).toBe('leaving');
+  });
+
+  it('probes each other host once a round', () => {
+    const membership = new Membership(member('a'), 0);
+    membership.merge([member('b'), member('c'), member('d', 'gone')], 0);
+    const probed = [1, 2].map(() => membership.nextProbe(() => 0.5)?.hostId);
+    expect(probed.sort()).toEqual(['b', 'c']);
+  });
+});
+
+describe('discovery', () => {
+  const serving = [
+    member('a', 'serving', 1, 'east'),
+    member('b', 'serving', 1, 'west'),
+    member('c', 'serving', 1, 'east'),
+    member('d', 'serving', 1, 'west'),
+  ];
+
+  it('spreads callers, and neighbours over failure domains', () => {
+    const firsts = new Set<string | undefined>();
+    for (let caller = 0; caller < 50; caller += 1) {
+      const found = discoverHosts(serving, `caller-${caller}`);
+      firsts.add(found[0]?.hostId);
+      expect(found[0]?.failureDomain).not.toBe(found[1]?.failureDomain);
+    }
+    expect([...firsts].sort()).toEqual(['a', 'b', 'c', 'd']);
+  });
+
+  it('chooses a backup in another failure domain', () => {
+    for (let request = 0; request < 20; request += 1) {
+      const front = member('a', 'serving', 1, 'east');
+      const backup = chooseBackup(`r${request}`, front, serving);
+      expect(backup?.failureDomain).toBe('west');
+    }
+  });
+
+  it('finds no backup where there is one failure domain', () => {
+    const front = member('a', 'serving', 1, 'east');
+    const east = serving.filter(({failureDomain}) => failureDomain === 'east');
+    expect(chooseBackup('r', front, east)).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/packages/decisions/tests/retries_test.ts
@@ -0,0 +1,224 @@
+/** Tests of retries, quarantine and shared limits. */
+import {describe, expect, it} from 'vitest';
+
+import {
+  chooseResumption,
+  decideRetry,
+  LimitShares,
+  Quarantine,
+  RetryBudget,
+  type RetryFacts,
+} from '../src/index.js';
+
+const FACTS: RetryFacts = {
+  failure: {kind: 'connection-lost'},
+  isIdempotent: true,
+  attempts: 1,
+  maximumAttempts: 3,
+  wasSent: true,
+  deadline: 1000,
+};
+
+describe('the decision after a failed attempt', () => {
+  it.each([
+    {name: 'an idempotent call', changes: {}, expected: 'try-again'},
+    {
+      name: 'a sent call that may not be repeated',
+      changes: {isIdempotent: false},
+      expected: 'outcome-unknown unknown',
+    },
+    {
+      name: 'a call that may not be repeated and was not sent',
+      changes: {
+        isIdempotent: false,
+        wasSent: false,
+        failure: {kind: 'not-sent'},
+      },
+      expected: 'try-again',
+    },
+    {
+      name: 'the last attempt, sent',
+      changes: {attempts: 3},
+      expected: 'upstream-failed unknown',
+    },
+    {
+      name: 'the last attempt, never sent',
+      changes: {attempts: 3, wasSent: false, failure: {kind: 'not-sent'}},
+      expected: 'no-upstream no',
+    },
+    {
+      name: 'a deadline that passed before the send',
+      changes: {deadline: 0, wasSent: false},
+      expected: 'deadline-passed no',
+    },
+    {
+      name: 'a deadline that passed after the send',
+      changes: {deadline: 0},
+      expected: 'deadline-passed unknown',
+    },
+    {
+      name: 'an upstream that leaves, whatever the attempts',
+      changes: {attempts: 9, failure: {kind: 'upstream-leaving'}},
+      expected: 'try-again',
+    },
+  ] as const)('of $name is $expected', ({changes, expected}) => {
+    const decision = decideRetry({...FACTS, ...changes}, 500);
+    const text =
+      decision.kind === 'try-again'
+        ? decision.kind
+        : `${decision.error} ${decision.ran}`;
+    expect(text).toBe(expected);
+  });
+});
+
+describe('the retry budget', () => {
+  it.each([
+    {first: 0, allowed: 5},
+    {first: 100, allowed: 10},
+    {first: 1000, allowed: 100},
+  ])('allows $allowed after $first first attempts', ({first, allowed}) => {
+    const budget = new RetryBudget();
+    for (let count = 0; count < first; count += 1) {
+      budget.addFirstAttempt(0);
+    }
+    let taken = 0;
+    while (budget.takeFurtherAttempt(0.1, 5, 0)) {
+      taken += 1;
+    }
+    expect(taken).toBe(allowed);
+  });
+});
+
+describe('the quarantine', () => {
+  const WINDOW = 60_000;
+  const cases: readonly {
+    readonly name: string;
+    readonly crashes: readonly (readonly [string, boolean])[];
+    readonly verdict: string;
+  }[] = [
+    {name: 'no crash', crashes: [], verdict: 'clear'},
+    {name: 'one crash', crashes: [['a', false]], verdict: 'run-alone'},
+    {
+      name: 'two crashes, the second alone',
+      crashes: [
+        ['a', false],
+        ['b', true],
+      ],
+      verdict: 'condemned',
+    },
+    {
+      name: 'two crashes in company',
+      crashes: [
+        ['a', false],
+        ['b', false],
+      ],
+      verdict: 'run-alone',
+    },
+    {
+      name: 'two crashes of one upstream',
+      crashes: [
+        ['a', true],
+        ['a', true],
+      ],
+      verdict: 'run-alone',
+    },
+  ];
+
+  it.each(cases)('of content with $name is $verdict', ({crashes, verdict}) => {
+    const quarantine = new Quarantine();
+    crashes.forEach(([upstreamId, wasAlone]) =>
+      quarantine.noteCrash(upstreamId, 'f', wasAlone, 1000),
+    );
+    expect(quarantine.verdict('f', WINDOW, 2000).kind).toBe(verdict);
+    const elsewhere = new Quarantine();
+    [...quarantine.list()].reverse().forEach(one => elsewhere.merge(one));
+    quarantine.list().forEach(one => elsewhere.merge(one));
+    expect(elsewhere.verdict('f', WINDOW, 2000).kind).toBe(verdict);
+  });
+
+  it('ends after its time', () => {
+    const quarantine = new Quarantine();
+    quarantine.noteCrash('a', 'f', false, 0);
+    quarantine.noteCrash('b', 'f', true, 0);
+    expect(quarantine.verdict('f', WINDOW, WINDOW - 1).kind).toBe('condemned');
+    expect(quarantine.verdict('f', WINDOW, WINDOW).kind).toBe('run-alone');
+  });
+
+  it('is lifted by a run alone to the end', () => {
+    const quarantine = new Quarantine();
+    quarantine.noteCrash('a', 'f', false, 0);
+    const elsewhere = new Quarantine();
+    quarantine.list().forEach(one => elsewhere.merge(one));
+    quarantine.clear('f', 1);
+    quarantine.list().forEach(one => elsewhere.merge(one));
+    expect(quarantine.verdict('f', WINDOW, 2).kind).toBe('clear');
+    expect(elsewhere.verdict('f', WINDOW, 2).kind).toBe('clear');
+    elsewhere.noteCrash('b', 'f', false, 3);
+    expect(elsewhere.verdict('f', WINDOW, 4).kind).toBe('run-alone');
+  });
+});
+
+describe('a shared limit', () => {
+  const LIMIT = 80;
+  const HOSTS = 8;
+
+  function takeAll(shares: LimitShares, now: number): number {
+    let taken = 0;
+    while (shares.take('w', LIMIT, HOSTS, now)) {
+      taken += 1;
+    }
+    return taken;
+  }
+
+  it('gives each host an equal part', () => {
+    const shares = new LimitShares();
+    expect(takeAll(shares, 0)).toBe(10);
+    expect(takeAll(shares, 500)).toBe(5);
+    expect(takeAll(shares, 60_000)).toBe(10);
+  });
+
+  it('destroys a token before it is sent', () => {
+    const giver = new LimitShares();
+    giver.take('w', LIMIT, HOSTS, 0);
+    const transfers = giver.give('w', new Map([['b', 5]]), LIMIT, HOSTS, 0);
+    const sent = transfers.reduce((sum, {tokens}) => sum + tokens, 0);
+    expect(sent + takeAll(giver, 0)).toBeLessThanOrEqual(9);
+    expect(sent).toBeGreaterThan(8);
+  });
+
+  it('never holds more than a burst', () => {
+    const shares = new LimitShares();
+    takeAll(shares, 0);
+    shares.receive('w', 1000, LIMIT);
+    expect(takeAll(shares, 0)).toBe(LIMIT);
+  });
+});
+
+describe('the way a stream goes on', () => {
+  const facts = {
+    promptTokens: 1000,
+    producedTokens: 200,
+    sourceAnswers: true,
+    canMoveCache: true,
+    noticeLeft: 1500,
+    cacheTokensPerMillisecond: 20,
+  };
+  it.each([
+    {name: 'time enough', changes: {}, way: 'import-cache'},
+    {name: 'no time', changes: {noticeLeft: 60}, way: 'prefill'},
+    {name: 'a dead source', changes: {sourceAnswers: false}, way: 'prefill'},
+    {name: 'no cache', changes: {canMoveCache: false}, way: 'prefill'},
+    {
+      name: 'nothing produced and no cache',
+      changes: {canMoveCache: false, producedTokens: 0},
+      way: 'restart',
+    },
+    {
+      name: 'too little to move',
+      changes: {promptTokens: 10, producedTokens: 5},
+      way: 'prefill',
+    },
+  ])('with $name is $way', ({changes, way}) => {
+    expect(chooseResumption({...facts, ...changes}).kind).toBe(way);
+  });
+});
--- a/packages/entry-process/src/front/attempt_loop.ts
+++ b/packages/entry-process/src/front/attempt_loop.ts
@@ -290,7 +290,7 @@
     answer: KeptAnswer | undefined,
   ): void {
     if (place.isAlone) {
-      this.context.quarantine.clear(request.fingerprint);
+      this.context.quarantine.clear(request.fingerprint, this.context.clock());
     }
     request.note({kind: 'answered', status}, this.context.clock());
     request.finish({kind: 'answered', ...keptAnswer(answer)});
