--- a/packages/entry-process/tests/settings_test.ts
+++ b/packages/entry-process/tests/settings_test.ts
@@ -1,7 +1,15 @@
 /** Tests of the settings. */
+import {readFileSync} from 'node:fs';
+
 import {describe, expect, it} from 'vitest';
 
-import {flagOf, readSettings, SETTING_NAMES, variableOf} from '../src/index.js';
+import {
+  flagOf,
+  readSettings,
+  SETTING_NAMES,
+  SETTINGS,
+  variableOf,
+} from '../src/index.js';
 
 const REQUIRED = {
   hostId: 'entry-1',
@@ -73,3 +81,18 @@
     expect(variableOf(name)).toMatch(/^LACEWINGWINCH_[A-Z_]+$/);
   });
 });
+
+describe('the settings page', () => {
+  it('lists the same as the code', () => {
+    const page = readFileSync(
+      new URL('../../../docs/SETTINGS.md', import.meta.url),
+      'utf8',
+    );
+    const rows = page.split('\n').filter(line => line.startsWith('| `'));
+    const expected = SETTING_NAMES.map(name => {
+      const {flag, help} = SETTINGS[name];
+      return `| \`${flag}\` | \`${variableOf(name)}\` | ${help} |`;
+    });
+    expect(rows).toEqual(expected);
+  });
+});
--- a/packages/measurements/src/measure.ts
+++ b/packages/measurements/src/measure.ts
@@ -7,6 +7,7 @@
 import {measureOverload} from './measure_overload.js';
 import {measurePath} from './measure_path.js';
 import {measureReclaim} from './measure_reclaim.js';
+import {measureRecovery} from './measure_recovery.js';
 import {measureSlopes} from './measure_slopes.js';
 
 type Measurement = () => Promise<unknown>;
@@ -17,6 +18,7 @@
   overload: measureOverload,
   path: measurePath,
   reclaim: measureReclaim,
+  recovery: measureRecovery,
   slopes: measureSlopes,
 };
 
--- a/scripts/write_catalogues.mjs
+++ b/scripts/write_catalogues.mjs
@@ -1,8 +1,16 @@
-// Writes docs/EVENTS.md and docs/ERRORS.md from the built code.
+// Writes the pages under docs that list what the built code lists.
 import {writeFileSync} from 'node:fs';
 
 import {ERROR_KINDS, errorRow} from '../packages/decisions/dist/index.js';
-import {EVENT_CATALOGUE} from '../packages/observability/dist/index.js';
+import {
+  SETTING_NAMES,
+  SETTINGS,
+  variableOf,
+} from '../packages/entry-process/dist/index.js';
+import {
+  createMetrics,
+  EVENT_CATALOGUE,
+} from '../packages/observability/dist/index.js';
 
 const events = Object.entries(EVENT_CATALOGUE).map(
   ([number, {level, message, advice}]) =>
@@ -45,3 +53,37 @@
 ${errors.join('\n')}
 `,
 );
+
+const settings = SETTING_NAMES.map(name => {
+  const {flag, help} = SETTINGS[name];
+  return `| \`${flag}\` | \`${variableOf(name)}\` | ${help} |`;
+});
+writeFileSync(
+  'docs/SETTINGS.md',
+  `# Settings of an entry host
+
+A flag goes before its environment variable. \`npm run catalogues\` writes this page.
+
+| flag | variable | what it sets |
+| --- | --- | --- |
+${settings.join('\n')}
+`,
+);
+
+const metrics = createMetrics()
+  .registry.getMetricsAsArray()
+  .filter(({name}) => name.startsWith('lacewingwinch_'))
+  .map(({name, help}) => `| \`${name}\` | ${help} |`);
+writeFileSync(
+  'docs/METRICS.md',
+  `# Metrics
+
+\`GET /metrics\` at the operator port, for Prometheus, besides those of the Node.js process. \`npm run catalogues\` writes
+this page.
+
+| metric | what it counts |
+| --- | --- |
+${metrics.join('\n')}
+`,
+);
+process.exit(0);
