--- a/packages/decisions/src/errors/error_kinds.ts
+++ b/packages/decisions/src/errors/error_kinds.ts
@@ -23,12 +23,6 @@
 
 /** The table from error kind to answer. */
 export const ERROR_TABLE = {
-  'answer-gone': {
-    status: 410,
-    title: 'The answer is no longer kept',
-    ran: 'unknown',
-    retry: 'never',
-  },
   'backup-unreachable': {
     status: 503,
     title: 'No entry host of another failure domain can hold the request',
@@ -36,18 +30,6 @@
     retry: 'later',
     retryAfterSeconds: 2,
   },
-  'configuration-conflict': {
-    status: 409,
-    title: 'The object was changed since the version it was based on',
-    ran: 'no',
-    retry: 'never',
-  },
-  'configuration-invalid': {
-    status: 422,
-    title: 'The configuration is not valid',
-    ran: 'no',
-    retry: 'never',
-  },
   'deadline-passed': {
     status: 504,
     title: 'The deadline passed',
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -32,4 +32,3 @@
 export * from './rules/match_rule.js';
 export * from './util/is_record.js';
 export * from './util/rendezvous_hash.js';
-export * from './util/require_value.js';
--- a/packages/entry-hosts/src/peer_methods.ts
+++ b/packages/entry-hosts/src/peer_methods.ts
@@ -138,10 +138,6 @@
     readonly params: Claim;
     readonly result: ClaimVerdict;
   };
-  readonly 'claim.release': {
-    readonly params: {readonly key: string; readonly rightId: string};
-    readonly result: null;
-  };
   readonly 'request.locate': {
     readonly params: {readonly requestId: string};
     readonly result: {readonly isHere: boolean};
--- a/packages/entry-process/src/peer_handlers.ts
+++ b/packages/entry-process/src/peer_handlers.ts
@@ -33,10 +33,6 @@
     },
     'backup.take-over': handed => ({taken: tasks.handover.takeOver(handed)}),
     'claim.decide': claim => claims.decide(claim),
-    'claim.release': ({key, rightId}) => {
-      claims.release(key, rightId);
-      return null;
-    },
     'request.locate': ({requestId}) => ({
       isHere: tasks.registry.find(requestId) !== undefined,
     }),
