--- /dev/null
+++ b/packages/observability/tests/tracing_test.ts
@@ -0,0 +1,41 @@
+/** Tests of traces. */
+import {
+  BasicTracerProvider,
+  InMemorySpanExporter,
+  SimpleSpanProcessor,
+} from '@opentelemetry/sdk-trace-base';
+import {describe, expect, it} from 'vitest';
+
+import {NO_TRACING, tracingOf} from '../src/index.js';
+
+const CALLER = '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01';
+
+describe('traces', () => {
+  it('have a span for each hop, below the context of the caller', () => {
+    const exporter = new InMemorySpanExporter();
+    const provider = new BasicTracerProvider({
+      spanProcessors: [new SimpleSpanProcessor(exporter)],
+    });
+    const tracing = tracingOf(provider);
+    const request = tracing.startHop('request', 'server', CALLER, {});
+    const upstream = tracing.startHop(
+      'upstream',
+      'client',
+      request.traceparent,
+      {'upstream.id': 'engine-1'},
+    );
+    upstream.end('connection-lost');
+    request.end();
+    const [inner, outer] = exporter.getFinishedSpans();
+    expect(outer?.spanContext().traceId).toBe(CALLER.split('-')[1]);
+    expect(outer?.parentSpanContext?.spanId).toBe(CALLER.split('-')[2]);
+    expect(inner?.parentSpanContext?.spanId).toBe(outer?.spanContext().spanId);
+    expect(inner?.status.message).toBe('connection-lost');
+    expect(upstream.traceparent).toContain(inner?.spanContext().spanId);
+  });
+
+  it('pass the context of the caller on where they are off', () => {
+    const hop = NO_TRACING.startHop('request', 'server', CALLER, {});
+    expect(hop.traceparent).toBe(CALLER);
+  });
+});
