Tell callers where a request went only once the other host has it

Ruled out: the handover of the right itself (the call ran once, at the backup). Change: the request ends at the front first, the takeover is sent, and only then waiting callers are told.

--- a/packages/entry-process/src/front/handover.ts
+++ b/packages/entry-process/src/front/handover.ts
@@ -207,7 +207,7 @@
       ? request.right.rightId
       : undefined;
     const location = requestUrlAt(target, request.id);
-    request.finish({kind: 'moved', location});
+    request.beginMove(location);
     request.cancelAttempt({kind: 'upstream-leaving'});
     const handed = this.describe(request, false);
     await this.send(request, target, {
@@ -215,6 +215,8 @@
       ...(rightId === undefined ? {} : {rightId}),
       ...(cache === undefined ? {} : {cache}),
     });
+    // Only now the other host knows the request, so that callers find it.
+    request.tellMoved();
   }
 
   private async handOverAnswer(request: ServedRequest): Promise<void> {
--- a/packages/entry-process/src/front/served_request.ts
+++ b/packages/entry-process/src/front/served_request.ts
@@ -105,6 +105,24 @@
     return true;
   }
 
+  /**
+   * Ends the request here because it goes on at `location`; false if it has
+   * ended before. Waiting callers are told by `tellMoved`.
+   */
+  beginMove(location: string): boolean {
+    if (!this.isRunning()) {
+      return false;
+    }
+    this.current = {kind: 'moved', location};
+    this.buffer.end();
+    return true;
+  }
+
+  /** Tells waiting callers where the request goes on. */
+  tellMoved(): void {
+    this.changed.notify();
+  }
+
   /** Notes that the answer, which is complete, is now kept at `location`. */
   move(location: string): void {
     if (this.current.kind === 'answered') {
