End a request in one place; hash a prompt once for each place

Found on reading the whole change: beginMove repeated finish but for the wake; the fold of a page checked each offset twice; a sharded service hashed the prompt once for the shard and once more for each ask. Behaviour is the same.

--- a/packages/decisions/src/configuration/fold_configuration.ts
+++ b/packages/decisions/src/configuration/fold_configuration.ts
@@ -75,8 +75,7 @@
   state: Configuration,
   records: readonly LogRecord[],
 ): Configuration {
-  const fresh = records.filter(({offset}) => offset > state.readTo);
-  if (fresh.length === 0) {
+  if (!records.some(({offset}) => offset > state.readTo)) {
     return state;
   }
   const draft: Draft = {
@@ -84,7 +83,7 @@
     objects: new Map(state.objects),
     outcomes: new Map(state.outcomes),
   };
-  for (const record of fresh) {
+  for (const record of records) {
     foldInto(draft, record);
   }
   return draft;
--- a/packages/entry-process/src/front/place_finder.ts
+++ b/packages/entry-process/src/front/place_finder.ts
@@ -49,10 +49,11 @@
   /** A place for the next attempt; fails with the `ServingError` of a refusal. */
   async find(run: RequestRun, excluded: readonly string[]): Promise<Place> {
     const {request, service} = run;
+    const prefixes = prefixesOf(request);
     let refusal: ServingError | undefined;
-    for (const shard of this.shardsFor(run)) {
+    for (const shard of this.shardsFor(run, prefixes)) {
       const now = this.context.clock();
-      const ask = this.askFor(run, excluded, now);
+      const ask = this.askFor(run, prefixes, excluded, now);
       const {dispatcher, effect} = await this.context.permits.ask(shard, ask);
       const candidates = shard.upstreams.map(({id}) => id);
       const base = {kind: 'permit', dispatcher, shard: shard.id} as const;
@@ -85,6 +86,7 @@
 
   private askFor(
     run: RequestRun,
+    prefixes: readonly string[],
     excluded: readonly string[],
     now: number,
   ): PermitAsk {
@@ -102,7 +104,7 @@
       maximumWait: isAlone
         ? timeLeft
         : Math.min(service.maximumQueueMilliseconds, timeLeft),
-      prefixes: prefixesOf(request),
+      prefixes,
       hostClasses: outcome.hostClasses,
       failureDomains: outcome.failureDomains,
       excluded,
@@ -111,7 +113,10 @@
   }
 
   /** The shards to ask; calls with the same prefix begin at the same one. */
-  private shardsFor({request, service, outcome}: RequestRun): readonly Shard[] {
+  private shardsFor(
+    {request, service, outcome}: RequestRun,
+    prefixes: readonly string[],
+  ): readonly Shard[] {
     const shards = this.context.directory.shardsOf(service.name);
     if (shards.length <= 1) {
       return shards;
@@ -120,7 +125,7 @@
       const index = outcome.failureDomains.indexOf(shard.failureDomain ?? '');
       return index === -1 ? outcome.failureDomains.length : index;
     };
-    const key = prefixesOf(request)[0] ?? request.id;
+    const key = prefixes[0] ?? request.id;
     const start = hashBucket(key, shards.length);
     const rotated = [...shards.slice(start), ...shards.slice(0, start)];
     return rotated
--- a/packages/entry-process/src/front/served_request.ts
+++ b/packages/entry-process/src/front/served_request.ts
@@ -96,13 +96,11 @@
 
   /** Ends the request; false if it has ended before. */
   finish(state: Exclude<RequestState, {readonly kind: 'running'}>): boolean {
-    if (!this.isRunning()) {
-      return false;
+    const hasEnded = this.end(state);
+    if (hasEnded) {
+      this.changed.notify();
     }
-    this.current = state;
-    this.buffer.end();
-    this.changed.notify();
-    return true;
+    return hasEnded;
   }
 
   /**
@@ -110,12 +108,7 @@
    * ended before. Waiting callers are told by `tellMoved`.
    */
   beginMove(location: string): boolean {
-    if (!this.isRunning()) {
-      return false;
-    }
-    this.current = {kind: 'moved', location};
-    this.buffer.end();
-    return true;
+    return this.end({kind: 'moved', location});
   }
 
   /** Tells waiting callers where the request goes on. */
@@ -204,6 +197,17 @@
     }
   }
 
+  private end(
+    state: Exclude<RequestState, {readonly kind: 'running'}>,
+  ): boolean {
+    if (!this.isRunning()) {
+      return false;
+    }
+    this.current = state;
+    this.buffer.end();
+    return true;
+  }
+
   /** What operators are told. */
   explain(entryHost: string): Explanation {
     return {
