Serve routed calls on the platform: the whole path in thin form

packages/platform moves to platform/ and gains the settings file, the store, the configuration document, the list of upstreams and the headers of calls. Admission, placement, quotas, retry budget, health and the list of upstreams are decisions; the connection pool, the routed server and the tasks are new.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -21,6 +21,8 @@
   {
     ignores: [
       '**/dist/**',
+      'target/**',
+      'journal/**',
       'node_modules/**',
       'scripts/**',
       'eslint.config.js',
@@ -88,7 +90,7 @@
     },
   },
   {
-    files: ['packages/*/tests/**'],
+    files: ['packages/*/tests/**', 'platform/tests/**'],
     rules: {
       'max-lines': 'off',
       '@typescript-eslint/no-non-null-assertion': 'off',
--- a/packages/decisions/src/errors/error_kinds.ts
+++ b/packages/decisions/src/errors/error_kinds.ts
@@ -36,6 +36,12 @@
     ran: 'no',
     retry: 'never',
   },
+  'headers-too-large': {
+    status: 431,
+    title: 'The request headers are too large',
+    ran: 'no',
+    retry: 'never',
+  },
   internal: {
     status: 500,
     title: 'Internal error',
--- a/packages/entry-hosts/src/peer_server.ts
+++ b/packages/entry-hosts/src/peer_server.ts
@@ -18,7 +18,7 @@
 export async function listenForPeers(
   host: string,
   port: number,
-  handlers: PeerHandlers,
+  handlers: Partial<PeerHandlers>,
 ): Promise<PeerServer> {
   const rpc = createRpcServer(handlers);
   const sockets = new Set<Socket>();
@@ -36,7 +36,7 @@
   };
 }
 
-function createRpcServer(handlers: PeerHandlers): JSONRPCServer {
+function createRpcServer(handlers: Partial<PeerHandlers>): JSONRPCServer {
   const rpc = new JSONRPCServer({errorListener: () => undefined});
   for (const method of Object.keys(handlers) as PeerMethod[]) {
     const handler = handlers[method] as (params: unknown) => unknown;
--- a/packages/entry-process/src/main.ts
+++ b/packages/entry-process/src/main.ts
@@ -2,10 +2,19 @@
 /**
  * The `lacewingwinch` binary.
  */
+import {readFileSync} from 'node:fs';
+
+import {
+  decodeSettingsFile,
+  type PlatformSettingsResult,
+  SETTINGS_FILE_VARIABLE,
+} from '@lacewingwinch/platform';
 import {cac} from 'cac';
 
 import {EntryProcess} from './entry_process.js';
+import {RoutedProcess} from './routed/routed_process.js';
 import {readSettings, SETTING_NAMES, SETTINGS, variableOf} from './settings.js';
+import {messageOf} from './util/message_of.js';
 
 /** Exit code for faulty arguments or settings. */
 const EXIT_USAGE = 2;
@@ -31,9 +40,42 @@
     }
   }
 });
+
+cli
+  .command(
+    'serve-routes',
+    `Serve routed calls on the platform, with the settings file named in ${SETTINGS_FILE_VARIABLE}`,
+  )
+  .action(async () => {
+    const result = readSettingsFile();
+    switch (result.kind) {
+      case 'faulty':
+        fail(result.faults);
+        return;
+      case 'valid': {
+        const routedProcess = new RoutedProcess(result.settings);
+        process.on('SIGTERM', () => {
+          void routedProcess.leave().then(() => process.exit());
+        });
+        await routedProcess.start();
+      }
+    }
+  });
 cli.help();
 cli.version('0.1.0');
 
+function readSettingsFile(): PlatformSettingsResult {
+  const path = process.env[SETTINGS_FILE_VARIABLE];
+  if (path === undefined) {
+    return {kind: 'faulty', faults: [`${SETTINGS_FILE_VARIABLE} is not set`]};
+  }
+  try {
+    return decodeSettingsFile(readFileSync(path, 'utf8'));
+  } catch (error) {
+    return {kind: 'faulty', faults: [`${path}: ${messageOf(error)}`]};
+  }
+}
+
 function stopOnSignals(entryProcess: EntryProcess): void {
   let signals = 0;
   const onSignal = (): void => {
--- /dev/null
+++ b/packages/entry-process/src/routed/configuration_follower.ts
@@ -0,0 +1,162 @@
+/**
+ * The task that follows the published configuration.
+ */
+import type {Belief, RoutingConfiguration} from '@lacewingwinch/decisions';
+import type {EventLog} from '@lacewingwinch/observability';
+import {
+  CONFIGURATION_KEY,
+  decodeConfiguration,
+  decodeKeyedRecord,
+  type KeyedRecord,
+  type StoreClient,
+} from '@lacewingwinch/platform';
+
+import {isAborted} from '../util/is_aborted.js';
+import {messageOf} from '../util/message_of.js';
+import {pause} from '../util/pause.js';
+import type {Clocks} from './suspension_clock.js';
+
+/**
+ * Milliseconds that a read waits at the store for a change. The age of the
+ * configuration grows to this at most while the store answers; it is a small
+ * part of the 5,000 ms within which a revoked key must be out of use.
+ */
+const READ_WAIT_MILLISECONDS = 800;
+
+/** Milliseconds for an answer of the store beyond the wait; it takes about 4. */
+const STORE_TIMEOUT_MILLISECONDS = 600;
+
+/** Milliseconds after a failed read until the next. */
+const RETRY_MILLISECONDS = 200;
+
+/** What the task needs from others. */
+export interface ConfigurationFollowerContext {
+  readonly store: StoreClient;
+  readonly events: EventLog;
+  readonly clocks: Clocks;
+  readonly onChange: (configuration: RoutingConfiguration) => void;
+}
+
+/** Follows the configuration; never goes back to an older version. */
+export class ConfigurationFollower {
+  private belief: Belief<RoutingConfiguration> | undefined;
+  private document: Buffer | undefined;
+  private next: number | undefined;
+  private isReachable = true;
+
+  constructor(private readonly context: ConfigurationFollowerContext) {}
+
+  /** The configuration and when it was last known to be the newest. */
+  get current(): Belief<RoutingConfiguration> | undefined {
+    return this.belief;
+  }
+
+  /** The configuration as published, for other hosts. */
+  get published(): Buffer | undefined {
+    return this.document;
+  }
+
+  /** Takes what another host knew to be the newest at `confirmedAt`. */
+  takeRelayed(document: Buffer, confirmedAt: number): void {
+    this.take(document);
+    this.confirm(confirmedAt, this.belief?.value.version);
+  }
+
+  /** Runs until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!isAborted(signal)) {
+      try {
+        await this.readOnce();
+        this.noteReachable(undefined);
+      } catch (error) {
+        this.noteReachable(messageOf(error));
+        await pause(RETRY_MILLISECONDS, signal);
+      }
+    }
+  }
+
+  private async readOnce(): Promise<void> {
+    const {store, clocks} = this.context;
+    const sentAt = clocks.sinceBoot();
+    if (this.next === undefined) {
+      const {records, end} = await store.newest('configuration', {
+        timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS,
+      });
+      records.forEach(record => this.takeRecord(record));
+      this.next = end;
+      this.confirm(sentAt, this.belief?.value.version);
+      return;
+    }
+    const page = await store.read('configuration', this.next, {
+      waitMilliseconds: READ_WAIT_MILLISECONDS,
+      timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS,
+    });
+    switch (page.kind) {
+      case 'expired':
+        this.next = undefined;
+        return;
+      case 'records':
+        for (const record of page.records) {
+          const keyed = decodeKeyedRecord(record);
+          if (keyed !== undefined) {
+            this.takeRecord(keyed);
+          }
+        }
+        this.next = page.next;
+        if (page.next >= page.end) {
+          this.confirm(sentAt, this.belief?.value.version);
+        }
+    }
+  }
+
+  private takeRecord({key, value}: KeyedRecord): void {
+    if (key === CONFIGURATION_KEY && value !== undefined) {
+      this.take(value);
+    }
+  }
+
+  private take(document: Buffer): void {
+    const configuration = decodeConfiguration(document);
+    if (configuration === undefined) {
+      this.context.events.write(2007, {bytes: document.length});
+      return;
+    }
+    const known = this.belief?.value.version ?? -Infinity;
+    if (configuration.version <= known) {
+      return;
+    }
+    this.belief = {
+      value: configuration,
+      confirmedAt: this.belief?.confirmedAt ?? -Infinity,
+    };
+    this.document = Buffer.from(document);
+    this.context.events.write(2001, {version: configuration.version});
+    this.context.onChange(configuration);
+  }
+
+  /** A confirmation counts only for the version that it was made of. */
+  private confirm(confirmedAt: number, version: number | undefined): void {
+    const {belief} = this;
+    if (belief === undefined || belief.value.version !== version) {
+      return;
+    }
+    this.belief = {
+      value: belief.value,
+      confirmedAt: Math.max(belief.confirmedAt, confirmedAt),
+    };
+  }
+
+  private noteReachable(error: string | undefined): void {
+    const isReachable = error === undefined;
+    if (isReachable === this.isReachable) {
+      return;
+    }
+    this.isReachable = isReachable;
+    const stream = 'configuration';
+    if (error === undefined) {
+      this.context.events.write(2003, {stream});
+      return;
+    }
+    this.context.events.write(2002, {stream, error});
+  }
+}
--- /dev/null
+++ b/packages/entry-process/src/routed/routed_front.ts
@@ -0,0 +1,240 @@
+/**
+ * Serves routed calls: admission, limits, placement, attempts, answer.
+ */
+import type {IncomingHttpHeaders} from 'node:http';
+
+import type {
+  RefusalAnswer,
+  RoutedCall,
+  RoutedCallHandler,
+  RoutedResponder,
+} from '@lacewingwinch/callers';
+import {
+  admitRoutedCall,
+  type Belief,
+  type QuotaShare,
+  type RoutedAdmission,
+  type RoutingConfiguration,
+  ServingError,
+  type SharedRetryBudget,
+  type UpstreamHealth,
+} from '@lacewingwinch/decisions';
+import type {EventLog, Metrics} from '@lacewingwinch/observability';
+import {
+  type CallHeaders,
+  decodeCallHeaders,
+  encodeOwnAnswerHeaders,
+} from '@lacewingwinch/platform';
+import type {ConnectionPool} from '@lacewingwinch/upstreams';
+
+import type {LoadTable} from './load_table.js';
+import type {RoutedPlacement} from './routed_placement.js';
+import {RoutedRequest} from './routed_request.js';
+import type {Clocks} from './suspension_clock.js';
+
+/** Bytes that a body may have before a configuration says so. */
+const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
+
+/** Bytes that headers may have before a configuration says so. */
+const DEFAULT_HEADER_BYTES = 16 * 1024;
+
+/** What the front needs from the rest of its process. */
+export interface RoutedFrontContext {
+  readonly clocks: Clocks;
+  readonly events: EventLog;
+  readonly metrics: Metrics;
+  readonly pool: ConnectionPool;
+  readonly placement: RoutedPlacement;
+  readonly loads: LoadTable;
+  readonly health: UpstreamHealth;
+  readonly quotas: QuotaShare;
+  readonly retryBudgetOf: (service: string) => SharedRetryBudget;
+  readonly configuration: () => Belief<RoutingConfiguration> | undefined;
+  /** Age of the keys above which no request with a key is served. */
+  readonly maximumKeyAgeMilliseconds: number;
+  /** Whether the list of upstreams is known. */
+  readonly isListKnown: () => boolean;
+  /** Entry hosts that share limits and budgets. */
+  readonly sharingHosts: () => number;
+  /** Is told when a request of `workspace` begins to run. */
+  readonly onBegun: (workspace: string) => void;
+}
+
+/** The front of one entry host. */
+export class RoutedFront implements RoutedCallHandler {
+  private readonly running = new Set<RoutedRequest>();
+
+  constructor(private readonly context: RoutedFrontContext) {}
+
+  /** Requests in progress. */
+  get runningCount(): number {
+    return this.running.size;
+  }
+
+  maximumBodyBytes(): number {
+    const limits = this.context.configuration()?.value.limits;
+    return limits?.bodyBytes ?? DEFAULT_BODY_BYTES;
+  }
+
+  maximumHeaderBytes(): number {
+    const limits = this.context.configuration()?.value.limits;
+    return limits?.headerBytes ?? DEFAULT_HEADER_BYTES;
+  }
+
+  refuse(headers: IncomingHttpHeaders, error: ServingError): RefusalAnswer {
+    return refusalOf(error, decodeCallHeaders(headers).attemptId);
+  }
+
+  async serve(call: RoutedCall, responder: RoutedResponder): Promise<void> {
+    const headers = decodeCallHeaders(call.headers);
+    try {
+      const admission = this.admit(call, headers);
+      await this.run(call, headers, admission, responder);
+    } catch (error) {
+      const known =
+        error instanceof ServingError
+          ? error
+          : new ServingError('internal', {cause: error});
+      this.answerRefusal(headers, known, responder);
+    }
+  }
+
+  private admit(call: RoutedCall, headers: CallHeaders): RoutedAdmission {
+    if (headers.attemptId === undefined) {
+      throw new ServingError('request-malformed', {
+        detail: 'the request carries no attempt id',
+      });
+    }
+    const now = this.context.clocks.sinceBoot();
+    const verdict = admitRoutedCall(
+      {
+        attemptId: headers.attemptId,
+        host: call.host,
+        path: call.path,
+        workspaceKey: headers.workspaceKey,
+        deadlineMilliseconds: headers.deadlineMilliseconds,
+        bodyBytes: call.body.length,
+      },
+      this.context.configuration(),
+      this.context.maximumKeyAgeMilliseconds,
+      now,
+    );
+    switch (verdict.kind) {
+      case 'refused':
+        throw new ServingError(verdict.error, {detail: verdict.detail});
+      case 'admitted':
+        if (!this.context.isListKnown()) {
+          throw new ServingError('not-ready', {
+            detail: 'the list of upstreams is not known yet',
+          });
+        }
+        return verdict.admission;
+    }
+  }
+
+  private async run(
+    call: RoutedCall,
+    headers: CallHeaders,
+    admission: RoutedAdmission,
+    responder: RoutedResponder,
+  ): Promise<void> {
+    const charge = this.takeQuota(headers, admission);
+    this.context
+      .retryBudgetOf(admission.service.name)
+      .addRequest(this.context.clocks.steady());
+    const request = new RoutedRequest(
+      this.context,
+      call,
+      headers,
+      admission,
+      responder,
+    );
+    this.running.add(request);
+    try {
+      const {mayHaveRun} = await request.run();
+      if (!mayHaveRun) {
+        charge.giveBack();
+      }
+    } finally {
+      this.running.delete(request);
+    }
+  }
+
+  private takeQuota(
+    headers: CallHeaders,
+    {workspace}: RoutedAdmission,
+  ): {readonly giveBack: () => void} {
+    const quota = workspace?.quota;
+    if (workspace === undefined || quota === undefined) {
+      return {giveBack: () => undefined};
+    }
+    const tokens = headers.hasTokenCounts
+      ? headers.promptTokens + headers.maximumAnswerTokens
+      : quota.defaultTokens;
+    const amount = quota.unit === 'tokens' ? tokens : 1;
+    const wait = this.context.quotas.take(
+      workspace.name,
+      quota,
+      amount,
+      this.context.sharingHosts(),
+      this.context.clocks.steady(),
+    );
+    if (wait > 0) {
+      throw new ServingError('limit-exceeded', {
+        detail: `the quota of ${workspace.name} is used up`,
+        retryAfterSeconds: wait / 1000,
+      });
+    }
+    return {
+      giveBack: () => this.context.quotas.giveBack(workspace.name, amount),
+    };
+  }
+
+  private answerRefusal(
+    headers: CallHeaders,
+    error: ServingError,
+    responder: RoutedResponder,
+  ): void {
+    const belief = this.context.configuration();
+    const now = this.context.clocks.sinceBoot();
+    this.context.events.write(4103, {
+      requestId: headers.attemptId ?? '',
+      kind: error.kind,
+      detail: error.message,
+      version: belief?.value.version ?? -1,
+      age: belief === undefined ? -1 : Math.round(now - belief.confirmedAt),
+    });
+    this.context.metrics.requests.inc({
+      workspace: '',
+      service: '',
+      outcome: error.kind,
+    });
+    if (responder.hasBegun) {
+      responder.breakOff();
+      return;
+    }
+    const answer = refusalOf(error, headers.attemptId);
+    responder.sendWhole(answer.status, answer.headers, answer.body);
+  }
+}
+
+/** The answer that tells a caller of `error`. */
+export function refusalOf(
+  error: ServingError,
+  attemptId: string | undefined,
+): RefusalAnswer {
+  const headers = ['content-type', 'application/problem+json'];
+  for (const [name, value] of Object.entries(
+    encodeOwnAnswerHeaders(attemptId),
+  )) {
+    headers.push(name, value);
+  }
+  if (error.retryAfterSeconds !== undefined) {
+    headers.push('retry-after', error.retryAfterSeconds.toFixed(2));
+  }
+  return {
+    status: error.status,
+    headers,
+    body: Buffer.from(JSON.stringify(error.toProblem(attemptId))),
+  };
+}
--- /dev/null
+++ b/packages/entry-process/src/routed/routed_process.ts
@@ -0,0 +1,318 @@
+/**
+ * The life of an entry process on the platform: start, serve, leave, stop.
+ */
+import {setMaxListeners} from 'node:events';
+import type {Server} from 'node:http';
+
+import {
+  type DirectoryAnswer,
+  listenForDirectory,
+  listenForRoutedCalls,
+  type RoutedServer,
+} from '@lacewingwinch/callers';
+import {
+  type Member,
+  QuotaShare,
+  type RoutingConfiguration,
+  SharedRetryBudget,
+  UpstreamHealth,
+} from '@lacewingwinch/decisions';
+import {
+  createPeerCaller,
+  listenForPeers,
+  type PeerCaller,
+  type PeerServer,
+} from '@lacewingwinch/entry-hosts';
+import {
+  createEventLog,
+  createMetrics,
+  type EventLog,
+  type Metrics,
+} from '@lacewingwinch/observability';
+import {
+  decodeDirectoryCall,
+  encodeDiscovery,
+  type PlatformSettings,
+  StoreClient,
+} from '@lacewingwinch/platform';
+import {ConnectionPool} from '@lacewingwinch/upstreams';
+
+import {MembershipTask} from '../tasks/membership_task.js';
+import {messageOf} from '../util/message_of.js';
+import {pause} from '../util/pause.js';
+import {ConfigurationFollower} from './configuration_follower.js';
+import {LoadTable} from './load_table.js';
+import {RoutedFront} from './routed_front.js';
+import {RoutedPlacement} from './routed_placement.js';
+import {type Clocks, PROCESS_CLOCKS} from './suspension_clock.js';
+import {UpstreamFollower} from './upstream_follower.js';
+
+/** Seconds for which callers keep the answer of discovery. */
+const DISCOVERY_SECONDS = 2;
+
+/** Addresses in one answer of discovery, by the platform's contract. */
+const DISCOVERY_MAXIMUM_ADDRESSES = 64;
+
+/** Share of the time for revocation that the keys may age. */
+const KEY_AGE_SHARE = 0.9;
+
+/**
+ * Milliseconds from the signal to stop for which requests still arrive: callers
+ * keep addresses for some seconds, and requests sent until 3,000 ms after the
+ * signal must be answered.
+ */
+const LINGER_MILLISECONDS = 3200;
+
+/** Milliseconds before the end of the grace period at which the process ends. */
+const STOP_MARGIN_MILLISECONDS = 400;
+
+/** Milliseconds between two looks at a condition. */
+const LOOK_PERIOD_MILLISECONDS = 50;
+
+/** One entry process on the platform. */
+export class RoutedProcess {
+  private readonly clocks: Clocks = PROCESS_CLOCKS;
+  private readonly events: EventLog;
+  private readonly metrics: Metrics;
+  private readonly store: StoreClient;
+  private readonly pool: ConnectionPool;
+  private readonly peers: PeerCaller = createPeerCaller();
+  private readonly health = new UpstreamHealth();
+  private readonly loads = new LoadTable();
+  private readonly retryBudgets = new Map<string, SharedRetryBudget>();
+  private readonly configuration: ConfigurationFollower;
+  private readonly upstreams: UpstreamFollower;
+  private readonly placement: RoutedPlacement;
+  private readonly membership: MembershipTask;
+  private readonly front: RoutedFront;
+  private readonly stopping = new AbortController();
+  private servers: readonly Server[] = [];
+  private callers: RoutedServer | undefined;
+  private peerServer: PeerServer | undefined;
+  private isLeaving = false;
+
+  constructor(private readonly settings: PlatformSettings) {
+    const {clocks} = this;
+    this.events = createEventLog(settings.hostId, 'info');
+    this.metrics = createMetrics();
+    this.store = new StoreClient(settings.storeAddress);
+    this.pool = new ConnectionPool(clocks.steady);
+    this.configuration = new ConfigurationFollower({
+      store: this.store,
+      events: this.events,
+      clocks,
+      onChange: configuration => this.onConfiguration(configuration),
+    });
+    this.upstreams = new UpstreamFollower({
+      store: this.store,
+      events: this.events,
+      clocks,
+      onUpdates: updates => this.placement.takeUpdates(updates),
+    });
+    this.placement = new RoutedPlacement({
+      failureDomain: settings.failureDomain,
+      upstreams: this.upstreams.list,
+      health: this.health,
+      loads: this.loads,
+      keptMilliseconds: settings.bounds.reuseWindowMilliseconds * 2,
+    });
+    this.membership = this.createMembership();
+    this.front = this.createFront();
+  }
+
+  /** Listens, runs the tasks, and serves once what it needs is known. */
+  async start(): Promise<void> {
+    const {hostId, failureDomain, addresses} = this.settings;
+    setMaxListeners(0, this.stopping.signal);
+    this.events.write(1001, {hostId, failureDomain});
+    await this.listen();
+    this.watch('configuration', this.configuration.run(this.stopping.signal));
+    this.watch('upstreams', this.upstreams.run(this.stopping.signal));
+    this.watch('membership', this.membership.run(this.stopping.signal));
+    while (!this.isKnown() && !this.stopping.signal.aborted) {
+      await pause(LOOK_PERIOD_MILLISECONDS, this.stopping.signal);
+    }
+    if (!this.isLeaving) {
+      this.membership.declare('serving');
+      this.events.write(1002, {hostId, address: addresses.callers});
+    }
+  }
+
+  /** Leaves without cutting off a request; resolves when it has stopped. */
+  async leave(): Promise<void> {
+    if (this.isLeaving) {
+      return;
+    }
+    this.isLeaving = true;
+    const {hostId, bounds} = this.settings;
+    const startedAt = this.clocks.steady();
+    this.events.write(1003, {hostId, reason: 'signal'});
+    this.membership.declare('leaving');
+    this.callers?.startLeaving();
+    const lingerUntil = startedAt + LINGER_MILLISECONDS;
+    const stopAt =
+      startedAt + bounds.gracePeriodMilliseconds - STOP_MARGIN_MILLISECONDS;
+    while (
+      this.clocks.steady() < lingerUntil ||
+      (this.front.runningCount > 0 && this.clocks.steady() < stopAt)
+    ) {
+      await pause(LOOK_PERIOD_MILLISECONDS, this.stopping.signal);
+    }
+    const cut = this.front.runningCount;
+    this.membership.declare('gone');
+    this.callers?.close();
+    this.servers.forEach(server => server.close());
+    await pause(LOOK_PERIOD_MILLISECONDS, this.stopping.signal);
+    this.stopping.abort();
+    await this.peerServer?.close();
+    this.peers.close();
+    this.pool.close();
+    this.events.write(1004, {hostId, cut});
+  }
+
+  private async listen(): Promise<void> {
+    const {addresses} = this.settings;
+    const onUnexpected = (error: unknown): void =>
+      this.events.write(1006, {task: 'callers', error: messageOf(error)});
+    const handler = (method: string, target: string): DirectoryAnswer =>
+      this.answerDirectory(method, target);
+    const {host, port} = splitAddress(addresses.peers);
+    this.callers = await listenForRoutedCalls(
+      addresses.callers,
+      this.front,
+      onUnexpected,
+    );
+    this.servers = [
+      await listenForDirectory(addresses.discovery, handler),
+      await listenForDirectory(addresses.readiness, handler),
+    ];
+    this.peerServer = await listenForPeers(host, port, {
+      gossip: digest => this.membership.onGossip(digest),
+      probe: async ({hostId}) => ({
+        answered: await this.membership.probeFor(hostId),
+      }),
+    });
+  }
+
+  private answerDirectory(method: string, target: string): DirectoryAnswer {
+    const call = decodeDirectoryCall(method, target);
+    switch (call.kind) {
+      case 'discover': {
+        const addresses = this.membership
+          .serving()
+          .map(member => member.addresses.callers)
+          .slice(0, DISCOVERY_MAXIMUM_ADDRESSES);
+        const seconds = Math.min(
+          DISCOVERY_SECONDS,
+          this.settings.bounds.discoverySeconds,
+        );
+        return {status: 200, body: encodeDiscovery(addresses, seconds)};
+      }
+      case 'is-ready':
+        return {status: this.isReady() ? 200 : 503, body: '{}'};
+      case 'unknown':
+        return {status: 404, body: '{}'};
+    }
+  }
+
+  private isReady(): boolean {
+    return this.isKnown() && !this.isLeaving;
+  }
+
+  private isKnown(): boolean {
+    return this.configuration.current !== undefined && this.upstreams.isKnown;
+  }
+
+  private onConfiguration({limits, version}: RoutingConfiguration): void {
+    this.callers?.setIdleTimeout(limits.idleTimeoutMilliseconds);
+    this.callers?.setHeaderTimeout(limits.headerTimeoutMilliseconds);
+    this.metrics.configurationVersion.set(version);
+  }
+
+  private createMembership(): MembershipTask {
+    const {settings, clocks} = this;
+    const own: Member = {
+      hostId: settings.hostId,
+      failureDomain: settings.failureDomain,
+      addresses: {
+        callers: settings.addresses.callers,
+        peers: settings.addresses.peers,
+        operators: '',
+      },
+      incarnation: clocks.timeOfDay(),
+      status: 'joining',
+    };
+    return new MembershipTask(own, {
+      peers: this.peers,
+      events: this.events,
+      metrics: this.metrics,
+      clock: clocks.steady,
+      random: Math.random,
+      seeds: () => settings.seeds,
+      content: () => ({
+        configurationReadTo: this.configuration.current?.value.version ?? -1,
+        leavingUpstreams: [],
+        suspicions: [],
+        loads: [],
+        demands: [],
+      }),
+      onDigest: () => undefined,
+    });
+  }
+
+  private createFront(): RoutedFront {
+    const {bounds} = this.settings;
+    return new RoutedFront({
+      clocks: this.clocks,
+      events: this.events,
+      metrics: this.metrics,
+      pool: this.pool,
+      placement: this.placement,
+      loads: this.loads,
+      health: this.health,
+      quotas: new QuotaShare(),
+      retryBudgetOf: service => this.retryBudgetOf(service),
+      configuration: () => this.configuration.current,
+      maximumKeyAgeMilliseconds: bounds.failsClosed
+        ? bounds.revocationMilliseconds * KEY_AGE_SHARE
+        : Infinity,
+      isListKnown: () => this.upstreams.isKnown,
+      sharingHosts: () => Math.max(1, this.membership.serving().length),
+      onBegun: () => undefined,
+    });
+  }
+
+  private retryBudgetOf(service: string): SharedRetryBudget {
+    const {bounds} = this.settings;
+    const known = this.retryBudgets.get(service);
+    if (known !== undefined) {
+      return known;
+    }
+    const fresh = new SharedRetryBudget({
+      ratio: bounds.retryRatio,
+      slack: bounds.retrySlack,
+      windowMilliseconds: bounds.retryWindowMilliseconds,
+    });
+    this.retryBudgets.set(service, fresh);
+    return fresh;
+  }
+
+  private watch(task: string, running: Promise<void>): void {
+    running.catch((error: unknown) => {
+      this.events.write(1006, {task, error: messageOf(error)});
+      process.exitCode = 1;
+      void this.leave();
+    });
+  }
+}
+
+function splitAddress(address: string): {
+  readonly host: string;
+  readonly port: number;
+} {
+  const colon = address.lastIndexOf(':');
+  return {
+    host: address.slice(0, colon),
+    port: Number(address.slice(colon + 1)),
+  };
+}
--- /dev/null
+++ b/packages/entry-process/src/routed/routed_request.ts
@@ -0,0 +1,402 @@
+/**
+ * The life of one admitted request: attempts at upstreams until an answer is
+ * whole or nothing more may be tried.
+ */
+import type {RoutedCall, RoutedResponder} from '@lacewingwinch/callers';
+import {
+  type AttemptHistory,
+  type Choice,
+  decideNextAttempt,
+  type PlacementDemand,
+  type RoutedAdmission,
+  type RoutedAttemptFailure,
+  ServingError,
+} from '@lacewingwinch/decisions';
+import {
+  type CallHeaders,
+  encodeAnswerHeaders,
+  encodeUpstreamHeaders,
+} from '@lacewingwinch/platform';
+import type {AnswerHead} from '@lacewingwinch/upstreams';
+
+import {type AttemptOutcome, RoutedAttempt} from './routed_attempt.js';
+import type {RoutedFrontContext} from './routed_front.js';
+import {StreamRelay} from './stream_relay.js';
+
+/** Priorities that an engine knows: 0 is the most urgent. */
+const LEAST_URGENT_PRIORITY = 9;
+
+/** Connections to one upstream that a host always may have. */
+const LEAST_CONNECTIONS = 2;
+
+/** Share of the connections of an upstream that all hosts together use. */
+const USED_CONNECTION_SHARE = 0.9;
+
+/**
+ * Idle milliseconds after which a kept connection is not used for a request
+ * that may run once: its upstream could close it while the request is on its
+ * way, and nobody would know whether the request ran.
+ */
+const AT_MOST_ONCE_IDLE_MILLISECONDS = 2500;
+
+/** Idle milliseconds after which a kept connection is not used at all. */
+const REPEATABLE_IDLE_MILLISECONDS = 60_000;
+
+/** Lowest status of an upstream's own failure. */
+const FIRST_FAILURE_STATUS = 500;
+
+/** What became of a request. */
+export interface RequestEnd {
+  /** Whether an upstream may have run it. */
+  readonly mayHaveRun: boolean;
+}
+
+type Interruption = 'caller-left' | 'timeout';
+
+/** One admitted request. */
+export class RoutedRequest {
+  private readonly relay: StreamRelay;
+  private readonly demand: PlacementDemand;
+  private readonly startedAt: number;
+  /** Steady milliseconds at which the final answer is due. */
+  private readonly deadline: number;
+  private readonly tried = new Set<string>();
+  private attempts = 0;
+  private upstreamsReached = 0;
+  private hasBegunToRun = false;
+  private attempt: RoutedAttempt | undefined;
+  private interruption: Interruption | undefined;
+  private lastUpstream = '';
+
+  constructor(
+    private readonly context: RoutedFrontContext,
+    private readonly call: RoutedCall,
+    headers: CallHeaders,
+    private readonly admission: RoutedAdmission,
+    private readonly responder: RoutedResponder,
+  ) {
+    this.relay = new StreamRelay(responder);
+    this.startedAt = context.clocks.steady();
+    this.deadline = this.startedAt + admission.budgetMilliseconds;
+    this.demand = {
+      attemptId: headers.attemptId ?? '',
+      parts: headers.promptParts,
+      promptTokens: headers.promptTokens,
+      answerTokens: headers.expectedAnswerTokens ?? headers.maximumAnswerTokens,
+    };
+  }
+
+  /** Runs until the caller has its answer. */
+  async run(): Promise<RequestEnd> {
+    const onLeft = (): void => this.interrupt('caller-left');
+    this.call.callerLeft.addEventListener('abort', onLeft, {once: true});
+    const timer = setTimeout(
+      () => this.interrupt('timeout'),
+      this.admission.budgetMilliseconds,
+    );
+    try {
+      await this.runAttempts();
+    } finally {
+      clearTimeout(timer);
+      this.call.callerLeft.removeEventListener('abort', onLeft);
+    }
+    return {mayHaveRun: this.upstreamsReached > 0};
+  }
+
+  private async runAttempts(): Promise<void> {
+    let drawsOnBudget = false;
+    for (;;) {
+      const choice = this.choose();
+      if (choice === undefined || (drawsOnBudget && !this.takeBudget())) {
+        this.giveUp(
+          this.upstreamsReached > 0 ? 'outcome-unknown' : 'no-upstream',
+        );
+        return;
+      }
+      const outcome = await this.attemptAt(choice);
+      const next = this.settle(choice, outcome);
+      if (next === 'done') {
+        return;
+      }
+      drawsOnBudget = next.drawsOnBudget;
+    }
+  }
+
+  private choose(): Choice | undefined {
+    const {placement, clocks} = this.context;
+    const service = this.admission.service.name;
+    const now = clocks.sinceBoot();
+    return placement.choose(service, this.demand, this.tried, now);
+  }
+
+  private takeBudget(): boolean {
+    const {retryBudgetOf, sharingHosts, clocks} = this.context;
+    return retryBudgetOf(this.admission.service.name).take(
+      sharingHosts(),
+      clocks.steady(),
+    );
+  }
+
+  private async attemptAt(choice: Choice): Promise<AttemptOutcome> {
+    const {loads, pool} = this.context;
+    const {upstreamId} = choice.upstream;
+    this.tried.add(upstreamId);
+    this.attempts += 1;
+    this.lastUpstream = upstreamId;
+    const tokens = Math.max(0, this.demand.promptTokens - choice.cachedTokens);
+    let waiting = tokens;
+    loads.add(upstreamId, 1, tokens);
+    const attempt = new RoutedAttempt(pool, {
+      attemptId: this.demand.attemptId,
+      isStreamed: this.admission.rule.isStreamed,
+      request: this.requestTo(choice),
+      stream: this.relay,
+      onSend: () => {
+        this.upstreamsReached += 1;
+      },
+      onFirstAnswerByte: () => {
+        loads.add(upstreamId, 0, -waiting);
+        waiting = 0;
+        this.noteBegun(upstreamId);
+      },
+    });
+    this.attempt = attempt;
+    this.context.events.write(4104, {
+      requestId: this.demand.attemptId,
+      upstreamId,
+      estimate: Math.round(choice.estimateMilliseconds),
+      cached: choice.cachedTokens,
+      prompt: this.demand.promptTokens,
+    });
+    attempt.start();
+    if (this.interruption !== undefined) {
+      attempt.cancel();
+    }
+    const outcome = await attempt.outcome;
+    loads.add(upstreamId, -1, -waiting);
+    return outcome;
+  }
+
+  private requestTo(
+    choice: Choice,
+  ): ConstructorParameters<typeof RoutedAttempt>[1]['request'] {
+    const {admission, call} = this;
+    const {upstreamId, address} = choice.upstream;
+    const {service, workspace, rule} = admission;
+    const isOnce = rule.execution === 'at-most-once';
+    const share =
+      (service.connectionLimit * USED_CONNECTION_SHARE) /
+      this.context.sharingHosts();
+    return {
+      address,
+      method: call.method,
+      path: call.target,
+      headers: encodeUpstreamHeaders(call.rawHeaders, {
+        upstreamId,
+        workspace: workspace?.name,
+        millisecondsLeft: this.millisecondsLeft(),
+        priority:
+          service.engine === undefined
+            ? undefined
+            : Math.min(LEAST_URGENT_PRIORITY, admission.priority),
+        resumeAfter: this.relay.lastEventId,
+      }),
+      body: call.body.length === 0 ? undefined : call.body,
+      maximumIdleMilliseconds: isOnce
+        ? AT_MOST_ONCE_IDLE_MILLISECONDS
+        : REPEATABLE_IDLE_MILLISECONDS,
+      maximumConnections: Math.max(LEAST_CONNECTIONS, Math.floor(share)),
+    };
+  }
+
+  private noteBegun(upstreamId: string): void {
+    const {placement, clocks, onBegun} = this.context;
+    placement.noteRead(upstreamId, this.demand, clocks.sinceBoot());
+    const workspace = this.admission.workspace?.name;
+    if (!this.hasBegunToRun && workspace !== undefined) {
+      onBegun(workspace);
+    }
+    this.hasBegunToRun = true;
+  }
+
+  private settle(
+    choice: Choice,
+    outcome: AttemptOutcome,
+  ): 'done' | {readonly drawsOnBudget: boolean} {
+    const {upstreamId} = choice.upstream;
+    const now = this.context.clocks.sinceBoot();
+    switch (outcome.kind) {
+      case 'streamed':
+        this.context.health.note(upstreamId, 'answered', now);
+        this.responder.end();
+        this.noteEnd('answered');
+        return 'done';
+      case 'whole':
+        return this.settleWhole(upstreamId, outcome.head, outcome.body);
+      case 'cancelled':
+        this.endInterrupted();
+        return 'done';
+      case 'failed':
+        this.noteFailure(upstreamId, outcome.failure);
+        return this.goOnAfter(upstreamId, outcome.failure);
+    }
+  }
+
+  private settleWhole(
+    upstreamId: string,
+    head: AnswerHead,
+    body: Buffer,
+  ): 'done' | {readonly drawsOnBudget: boolean} {
+    const {status} = head;
+    const isFailure = status >= FIRST_FAILURE_STATUS;
+    const now = this.context.clocks.sinceBoot();
+    this.context.health.note(
+      upstreamId,
+      isFailure ? 'failed' : 'answered',
+      now,
+    );
+    if (isFailure) {
+      const failure: RoutedAttemptFailure = {kind: 'failed-after-run', status};
+      const next = decideNextAttempt(failure, this.history());
+      if (next.kind === 'attempt' && this.hasAnotherUpstream()) {
+        this.noteAttemptFailure(upstreamId, failure, 'attempt');
+        return {drawsOnBudget: next.drawsOnBudget};
+      }
+    }
+    if (this.relay.hasBegun) {
+      this.responder.breakOff();
+    } else {
+      this.responder.sendWhole(
+        status,
+        encodeAnswerHeaders(head.rawHeaders),
+        body,
+      );
+    }
+    this.noteEnd(`status ${status}`);
+    return 'done';
+  }
+
+  private hasAnotherUpstream(): boolean {
+    return this.choose() !== undefined;
+  }
+
+  private goOnAfter(
+    upstreamId: string,
+    failure: RoutedAttemptFailure,
+  ): 'done' | {readonly drawsOnBudget: boolean} {
+    if (failure.kind === 'not-executed') {
+      this.upstreamsReached -= 1;
+    }
+    if (this.interruption !== undefined) {
+      this.endInterrupted();
+      return 'done';
+    }
+    const next = decideNextAttempt(failure, this.history());
+    this.noteAttemptFailure(upstreamId, failure, next.kind);
+    switch (next.kind) {
+      case 'attempt':
+        return {drawsOnBudget: next.drawsOnBudget};
+      case 'give-up':
+        this.giveUp(next.error);
+        return 'done';
+    }
+  }
+
+  private history(): AttemptHistory {
+    const {rule} = this.admission;
+    return {
+      execution: rule.execution,
+      isStreamed: rule.isStreamed,
+      upstreamsReached: this.upstreamsReached,
+      attempts: this.attempts,
+      maximumAttempts: rule.maximumAttempts,
+      hasAnswerBegun: this.relay.hasBegun,
+      millisecondsLeft: this.millisecondsLeft(),
+    };
+  }
+
+  private noteFailure(upstreamId: string, failure: RoutedAttemptFailure): void {
+    const now = this.context.clocks.sinceBoot();
+    switch (failure.kind) {
+      case 'not-sent':
+        this.context.health.note(upstreamId, 'unreachable', now);
+        return;
+      case 'failed-after-run':
+      case 'lost':
+      case 'silent':
+        this.context.health.note(upstreamId, 'failed', now);
+        return;
+      case 'not-executed':
+        return;
+    }
+  }
+
+  private noteAttemptFailure(
+    upstreamId: string,
+    failure: RoutedAttemptFailure,
+    next: string,
+  ): void {
+    const reason = 'status' in failure ? failure.status : failure.reason;
+    this.context.events.write(4102, {
+      requestId: this.demand.attemptId,
+      attempt: this.attempts,
+      upstreamId,
+      failure: failure.kind,
+      reason,
+      next,
+    });
+    this.context.metrics.attempts.inc({
+      end: failure.kind,
+      service: this.admission.service.name,
+    });
+  }
+
+  private interrupt(interruption: Interruption): void {
+    this.interruption ??= interruption;
+    this.attempt?.cancel();
+  }
+
+  private endInterrupted(): void {
+    if (this.interruption === 'caller-left') {
+      this.noteEnd('caller-left');
+      return;
+    }
+    this.giveUp('deadline-passed');
+  }
+
+  private giveUp(
+    kind: 'deadline-passed' | 'no-upstream' | ServingError['kind'],
+  ): void {
+    if (this.relay.hasBegun) {
+      this.responder.breakOff();
+      this.noteEnd(`broken off: ${kind}`);
+      return;
+    }
+    this.noteEnd(kind);
+    throw new ServingError(kind);
+  }
+
+  private millisecondsLeft(): number {
+    return this.deadline - this.context.clocks.steady();
+  }
+
+  private noteEnd(outcome: string): void {
+    const {rule, service, workspace, configurationVersion} = this.admission;
+    const duration = this.context.clocks.steady() - this.startedAt;
+    this.context.events.write(4101, {
+      requestId: this.demand.attemptId,
+      outcome,
+      duration: Math.round(duration),
+      rule: rule.name,
+      version: configurationVersion,
+      attempts: this.attempts,
+      upstreamId: this.lastUpstream,
+      eventCount: this.relay.events,
+    });
+    this.context.metrics.requests.inc({
+      workspace: workspace?.name ?? '',
+      service: service.name,
+      outcome: outcome.startsWith('broken') ? 'broken-off' : outcome,
+    });
+  }
+}
--- a/packages/observability/src/event_catalogue.ts
+++ b/packages/observability/src/event_catalogue.ts
@@ -78,6 +78,11 @@
     advice:
       'Retention passed the last snapshot. Publish the configuration again.',
   },
+  2007: {
+    level: 'error',
+    message: 'a published configuration of {bytes} bytes cannot be read',
+    advice: 'Publish it again; the version in force stays in force.',
+  },
   3001: {
     level: 'info',
     message: 'entry host {hostId} is {status}',
@@ -118,6 +123,30 @@
     message: 'request {requestId} could not be handed over: {error}',
     advice: 'Nothing; its caller was told whether it ran.',
   },
+  4101: {
+    level: 'info',
+    message:
+      'request {requestId} ended with {outcome} after {duration} ms and {eventCount} events: rule {rule}, configuration {version}, {attempts} attempts, last at upstream {upstreamId}',
+    advice: 'Look for events 4102 to 4104 of the same request.',
+  },
+  4102: {
+    level: 'warn',
+    message:
+      'attempt {attempt} of request {requestId} at upstream {upstreamId} ended with {failure}: {reason}; next: {next}',
+    advice: 'Nothing, unless there are many for one upstream.',
+  },
+  4103: {
+    level: 'warn',
+    message:
+      'request {requestId} is refused with {kind}: {detail}; configuration {version} is {age} ms old',
+    advice: 'See the page of error kinds.',
+  },
+  4104: {
+    level: 'info',
+    message:
+      'request {requestId} goes to upstream {upstreamId}: first token in {estimate} ms, {cached} of {prompt} prompt tokens cached',
+    advice: 'Nothing.',
+  },
   5001: {
     level: 'info',
     message: 'lease {fencingNumber} for orders is held by {hostId}',
--- a/packages/upstreams/src/index.ts
+++ b/packages/upstreams/src/index.ts
@@ -1,6 +1,7 @@
 /**
  * Calls to model engines and plain services.
  */
+export * from './connection_pool.js';
 export * from './engine_events.js';
 export * from './model_engine.js';
 export * from './plain_service.js';
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -6,15 +6,21 @@
 
 export default defineConfig({
   resolve: {
-    alias: Object.fromEntries(
-      packageNames.map(name => [
-        `@lacewingwinch/${name}`,
-        new URL(`./packages/${name}/src/index.ts`, import.meta.url).pathname,
-      ]),
-    ),
+    alias: {
+      ...Object.fromEntries(
+        packageNames.map(name => [
+          `@lacewingwinch/${name}`,
+          new URL(`./packages/${name}/src/index.ts`, import.meta.url).pathname,
+        ]),
+      ),
+      '@lacewingwinch/platform': new URL(
+        './platform/src/index.ts',
+        import.meta.url,
+      ).pathname,
+    },
   },
   test: {
-    include: ['packages/*/tests/**/*_test.ts'],
+    include: ['{packages/*,platform}/tests/**/*_test.ts'],
     testTimeout: 60_000,
     hookTimeout: 60_000,
     maxWorkers: 4,
