Detect a reset that comes with the last data of an answer without a length

Ruled out: undici's own handling of ECONNRESET, the order of listeners, a late reset. A write of nothing at the end meets the pending error.

--- a/packages/decisions/src/limits/quota_share.ts
+++ b/packages/decisions/src/limits/quota_share.ts
@@ -5,6 +5,12 @@
  */
 import type {WorkspaceQuota} from '../routing/routing_configuration.js';
 
+/** Share of what is left that one ask of another host may get. */
+const GIVEN_SHARE = 0.6;
+
+/** Share of the slack that is used; the rest covers requests under way. */
+const USED_SLACK_SHARE = 0.5;
+
 interface Bucket {
   /** What may still be taken; below 0 after one large request. */
   level: number;
@@ -15,6 +21,16 @@
 export class QuotaShare {
   private readonly buckets = new Map<string, Bucket>();
 
+  constructor(
+    /** What all hosts together may take beyond the quota in one window. */
+    private readonly slack: number,
+  ) {}
+
+  /** What `workspace` may still take here, at the last look. */
+  levelOf(workspace: string): number {
+    return this.buckets.get(workspace)?.level ?? 0;
+  }
+
   /**
    * Takes `amount` of the quota of `workspace`, of which this host has one
    * part in `hosts`. A request larger than the whole part passes while the
@@ -29,7 +45,7 @@
     now: number,
   ): number {
     const perMillisecond = quota.perSecond / hosts / 1000;
-    const capacity = quota.burst / hosts;
+    const capacity = (quota.burst + this.slack * USED_SLACK_SHARE) / hosts;
     const bucket = this.refill(workspace, perMillisecond, capacity, now);
     const needed = Math.min(amount, capacity);
     if (bucket.level >= needed) {
@@ -39,6 +55,30 @@
     return (needed - bucket.level) / Math.max(perMillisecond, Number.EPSILON);
   }
 
+  /**
+   * Destroys a part of what is left here, at most `amount`, and returns it for
+   * another host: whatever is given can be taken in one place only.
+   */
+  give(
+    workspace: string,
+    quota: WorkspaceQuota,
+    amount: number,
+    hosts: number,
+    now: number,
+  ): number {
+    const perMillisecond = quota.perSecond / hosts / 1000;
+    const capacity = (quota.burst + this.slack * USED_SLACK_SHARE) / hosts;
+    const bucket = this.refill(workspace, perMillisecond, capacity, now);
+    const given = Math.min(amount, Math.max(0, bucket.level) * GIVEN_SHARE);
+    bucket.level -= given;
+    return given;
+  }
+
+  /** Adds what another host gave. */
+  receive(workspace: string, amount: number): void {
+    this.giveBack(workspace, amount);
+  }
+
   /** Gives back what a request took that was not run. */
   giveBack(workspace: string, amount: number): void {
     const bucket = this.buckets.get(workspace);
@@ -60,7 +100,10 @@
       return fresh;
     }
     const earned = Math.max(0, now - bucket.updated) * perMillisecond;
-    bucket.level = Math.min(capacity, bucket.level + earned);
+    bucket.level = Math.max(
+      bucket.level,
+      Math.min(capacity, bucket.level + earned),
+    );
     bucket.updated = now;
     return bucket;
   }
--- a/packages/decisions/src/placement/choose_engine.ts
+++ b/packages/decisions/src/placement/choose_engine.ts
@@ -43,6 +43,8 @@
 /** A chosen upstream and why. */
 export interface Choice {
   readonly upstream: UsableUpstream;
+  /** Prompt tokens that the upstream reads before the first token. */
+  readonly tokensToRead: number;
   /** Milliseconds until its first token, as estimated. */
   readonly estimateMilliseconds: number;
   readonly cachedTokens: number;
@@ -123,7 +125,7 @@
     load.running * MILLISECONDS_OF_RUNNING +
     excess * EXCESS_MILLISECONDS +
     upstream.coldMilliseconds;
-  return {upstream, estimateMilliseconds, cachedTokens};
+  return {upstream, estimateMilliseconds, cachedTokens, tokensToRead: tokens};
 }
 
 /** Milliseconds that each request beyond the slots waits for a slot. */
--- a/packages/entry-hosts/src/peer_methods.ts
+++ b/packages/entry-hosts/src/peer_methods.ts
@@ -7,6 +7,9 @@
   HeldPermit,
   Member,
   PermitAsk,
+  PlacedRequest,
+  PlacementDemand,
+  ProcessCounts,
   SnapshotRecord,
   Suspicion,
 } from '@lacewingwinch/decisions';
@@ -23,6 +26,8 @@
   readonly loads: readonly ShardLoad[];
   /** Demand beyond the sender's own part of each limit. */
   readonly demands: readonly WorkspaceDemand[];
+  /** The sender's time of day, in milliseconds since the epoch. */
+  readonly timeOfDay?: number;
 }
 
 /** Load of one shard: calls in progress over places for calls. */
@@ -92,6 +97,44 @@
 export type ClaimVerdict =
   {readonly kind: 'lost'; readonly winner: Claim} | {readonly kind: 'won'};
 
+/** A request that is to be placed. */
+export interface PlacementAsk {
+  readonly service: string;
+  readonly front: string;
+  readonly failureDomain: string;
+  readonly demand: PlacementDemand;
+  /** Upstreams that have been tried or that fail at the front. */
+  readonly excluded: readonly string[];
+}
+
+/** Where a request is to run. */
+export type PlacementAnswer =
+  | {
+      readonly kind: 'chosen';
+      readonly upstreamId: string;
+      readonly estimateMilliseconds: number;
+      readonly cachedTokens: number;
+      readonly tokensToRead: number;
+    }
+  | {readonly kind: 'none'};
+
+/** What became of a placed request. */
+export type PlacementNote =
+  | {
+      readonly kind: 'began';
+      readonly service: string;
+      readonly front: string;
+      readonly attemptId: string;
+      readonly tokens: number;
+      readonly elapsed: number;
+    }
+  | {
+      readonly kind: 'ended';
+      readonly service: string;
+      readonly front: string;
+      readonly attemptId: string;
+    };
+
 /** Parameters and result of each method. */
 export interface PeerMethods {
   readonly gossip: {
@@ -158,6 +201,35 @@
       readonly snapshot: SnapshotRecord;
     };
   };
+  /** Asks the dispatcher of a service where a request is to run. */
+  readonly 'placement.ask': {
+    readonly params: PlacementAsk;
+    readonly result: PlacementAnswer;
+  };
+  /** Tells the dispatcher what became of requests. */
+  readonly 'placement.note': {
+    readonly params: PlacementNote;
+    readonly result: null;
+  };
+  /** Replaces what the dispatcher knows of a front's requests. */
+  readonly 'placement.renew': {
+    readonly params: {
+      readonly service: string;
+      readonly front: string;
+      readonly requests: readonly PlacedRequest[];
+    };
+    readonly result: null;
+  };
+  /** Cumulative counts of begun requests, for whoever reports them. */
+  readonly 'usage.push': {
+    readonly params: {readonly counts: readonly ProcessCounts[]};
+    readonly result: null;
+  };
+  /** Asks for a part of a workspace's quota; what is given is destroyed there. */
+  readonly 'quota.ask': {
+    readonly params: {readonly workspace: string; readonly amount: number};
+    readonly result: {readonly given: number};
+  };
   readonly 'limit.transfer': {
     readonly params: {readonly workspace: string; readonly tokens: number};
     readonly result: null;
--- a/packages/entry-process/src/peer_handlers.ts
+++ b/packages/entry-process/src/peer_handlers.ts
@@ -6,7 +6,7 @@
 import type {Tasks} from './build_tasks.js';
 
 /** The handlers of the JSON-RPC methods, over `tasks`. */
-export function createPeerHandlers(tasks: Tasks): PeerHandlers {
+export function createPeerHandlers(tasks: Tasks): Partial<PeerHandlers> {
   const {dispatcher, backups, membership, configuration, claims} = tasks;
   return {
     gossip: digest => membership.onGossip(digest),
--- a/packages/entry-process/src/routed/routed_front.ts
+++ b/packages/entry-process/src/routed/routed_front.ts
@@ -12,7 +12,6 @@
 import {
   admitRoutedCall,
   type Belief,
-  type QuotaShare,
   type RoutedAdmission,
   type RoutingConfiguration,
   ServingError,
@@ -27,7 +26,7 @@
 } from '@lacewingwinch/platform';
 import type {ConnectionPool} from '@lacewingwinch/upstreams';
 
-import type {LoadTable} from './load_table.js';
+import type {QuotaExchange} from './quota_exchange.js';
 import type {RoutedPlacement} from './routed_placement.js';
 import {RoutedRequest} from './routed_request.js';
 import type {Clocks} from './suspension_clock.js';
@@ -45,9 +44,8 @@
   readonly metrics: Metrics;
   readonly pool: ConnectionPool;
   readonly placement: RoutedPlacement;
-  readonly loads: LoadTable;
   readonly health: UpstreamHealth;
-  readonly quotas: QuotaShare;
+  readonly quotas: QuotaExchange;
   readonly retryBudgetOf: (service: string) => SharedRetryBudget;
   readonly configuration: () => Belief<RoutingConfiguration> | undefined;
   /** Age of the keys above which no request with a key is served. */
@@ -138,7 +136,7 @@
     admission: RoutedAdmission,
     responder: RoutedResponder,
   ): Promise<void> {
-    const charge = this.takeQuota(headers, admission);
+    const charge = await this.takeQuota(headers, admission);
     this.context
       .retryBudgetOf(admission.service.name)
       .addRequest(this.context.clocks.steady());
@@ -160,10 +158,10 @@
     }
   }
 
-  private takeQuota(
+  private async takeQuota(
     headers: CallHeaders,
     {workspace}: RoutedAdmission,
-  ): {readonly giveBack: () => void} {
+  ): Promise<{readonly giveBack: () => void}> {
     const quota = workspace?.quota;
     if (workspace === undefined || quota === undefined) {
       return {giveBack: () => undefined};
@@ -172,22 +170,15 @@
       ? headers.promptTokens + headers.maximumAnswerTokens
       : quota.defaultTokens;
     const amount = quota.unit === 'tokens' ? tokens : 1;
-    const wait = this.context.quotas.take(
-      workspace.name,
-      quota,
-      amount,
-      this.context.sharingHosts(),
-      this.context.clocks.steady(),
-    );
+    const {quotas} = this.context;
+    const wait = await quotas.take(workspace.name, quota, amount);
     if (wait > 0) {
       throw new ServingError('limit-exceeded', {
         detail: `the quota of ${workspace.name} is used up`,
         retryAfterSeconds: wait / 1000,
       });
     }
-    return {
-      giveBack: () => this.context.quotas.giveBack(workspace.name, amount),
-    };
+    return {giveBack: () => quotas.giveBack(workspace.name, amount)};
   }
 
   private answerRefusal(
--- a/packages/entry-process/src/routed/routed_placement.ts
+++ b/packages/entry-process/src/routed/routed_placement.ts
@@ -1,67 +1,156 @@
 /**
- * Chooses upstreams for routed calls with what this host knows.
+ * Places requests at upstreams: by asking the dispatcher of the service, or
+ * with what this host knows when the dispatcher does not answer.
  */
 import {
   type Choice,
-  chooseEngine,
+  type Member,
   type PlacementDemand,
-  PrefixMemory,
+  PlacementTable,
+  rendezvousWinner,
   type UpstreamHealth,
   type UpstreamList,
   type UpstreamUpdate,
+  type UsableUpstream,
 } from '@lacewingwinch/decisions';
+import type {
+  PeerCaller,
+  PlacementAnswer,
+  PlacementAsk,
+  PlacementNote,
+} from '@lacewingwinch/entry-hosts';
 
-import type {LoadTable} from './load_table.js';
+import {isAborted} from '../util/is_aborted.js';
+import {pause} from '../util/pause.js';
 
-/** Prompt tokens that an engine reads in a millisecond, until it is learned. */
-const DEFAULT_PREFILL_SPEED = 40;
+/**
+ * Milliseconds for the dispatcher's answer. Links take 3 to 6 ms both ways; a
+ * choice made alone costs more than a short wait, less than a long one.
+ */
+const ASK_TIMEOUT_MILLISECONDS = 60;
+
+/** Milliseconds for which a dispatcher that did not answer is not asked. */
+const ASK_PAUSE_MILLISECONDS = 500;
+
+/** Milliseconds between two renewals; they mend what notes were lost. */
+const RENEW_PERIOD_MILLISECONDS = 1000;
 
 /** What placement needs from others. */
 export interface RoutedPlacementContext {
+  readonly hostId: string;
   readonly failureDomain: string;
   readonly upstreams: UpstreamList;
   readonly health: UpstreamHealth;
-  readonly loads: LoadTable;
+  readonly peers: PeerCaller;
+  readonly servingHosts: () => readonly Member[];
+  /** Suspension-aware milliseconds. */
+  readonly clock: () => number;
   /** Milliseconds for which a prompt part stays in a cache after its use. */
   readonly keptMilliseconds: number;
 }
 
-/** Chooses upstreams and remembers what they have read. */
+/** A request at an upstream. */
+export interface Placement {
+  readonly choice: Choice;
+  /** Notes the first sign of an answer. */
+  noteBegun(): void;
+  /** Notes that the request is no longer at the upstream. */
+  noteEnded(): void;
+}
+
+/** Places requests, and answers other hosts as their dispatcher. */
 export class RoutedPlacement {
-  private readonly prefixes: PrefixMemory;
+  private readonly tables = new Map<string, PlacementTable>();
   private readonly births = new Map<string, number>();
+  private readonly askAgainAt = new Map<string, number>();
 
-  constructor(private readonly context: RoutedPlacementContext) {
-    this.prefixes = new PrefixMemory(context.keptMilliseconds);
-  }
+  constructor(private readonly context: RoutedPlacementContext) {}
 
-  /** The best upstream of `service` that is not in `excluded`. */
-  choose(
+  /** Places a request at an upstream of `service` that is not in `tried`. */
+  async place(
     service: string,
     demand: PlacementDemand,
-    excluded: ReadonlySet<string>,
-    now: number,
-  ): Choice | undefined {
-    const {upstreams, health, failureDomain} = this.context;
-    const open = upstreams
-      .usable(service, now)
-      .filter(({upstreamId}) => !excluded.has(upstreamId));
-    const healthy = open.filter(
-      ({upstreamId}) => !health.isEjected(upstreamId, now),
-    );
-    const candidates = healthy.length > 0 ? healthy : open;
-    return chooseEngine(demand, candidates, failureDomain, {
-      loadOf: upstreamId => this.context.loads.loadOf(upstreamId),
-      prefillSpeedOf: () => DEFAULT_PREFILL_SPEED,
-      cachedTokens: (upstreamId, parts) =>
-        this.prefixes.cachedTokens(upstreamId, parts, now),
-    });
+    tried: ReadonlySet<string>,
+  ): Promise<Placement | undefined> {
+    const {hostId, failureDomain, clock} = this.context;
+    const excluded = [...tried, ...this.ejectedHere(service)];
+    const ask = {service, front: hostId, failureDomain, demand, excluded};
+    const dispatcher = this.dispatcherOf(service);
+    const asked =
+      dispatcher === undefined || dispatcher.hostId === hostId
+        ? undefined
+        : await this.askDispatcher(dispatcher, ask);
+    const choice =
+      asked === undefined
+        ? this.placeHere(ask, tried)
+        : this.takeAnswer(service, asked);
+    if (choice === undefined) {
+      return undefined;
+    }
+    const table = this.tableOf(service);
+    table.add(hostId, demand, choice, clock());
+    return this.placementOf(service, demand, choice, dispatcher);
+  }
+
+  /** Whether any upstream of `service` is left besides those in `tried`. */
+  hasOther(service: string, tried: ReadonlySet<string>): boolean {
+    return this.context.upstreams
+      .usable(service, this.context.clock())
+      .some(({upstreamId}) => !tried.has(upstreamId));
   }
 
-  /** Notes that an upstream has read the prompt of `demand`. */
-  noteRead(upstreamId: string, demand: PlacementDemand, now: number): void {
-    if (demand.parts.length > 0) {
-      this.prefixes.note(upstreamId, demand.parts, now);
+  /** Answers a front as the dispatcher of its service. */
+  onAsk(ask: PlacementAsk): PlacementAnswer {
+    const choice = this.placeHere(ask, new Set(ask.excluded));
+    return choice === undefined
+      ? {kind: 'none'}
+      : {
+          kind: 'chosen',
+          upstreamId: choice.upstream.upstreamId,
+          estimateMilliseconds: choice.estimateMilliseconds,
+          cachedTokens: choice.cachedTokens,
+          tokensToRead: choice.tokensToRead,
+        };
+  }
+
+  /** Takes a note of a front. */
+  onNote(note: PlacementNote): void {
+    const table = this.tableOf(note.service);
+    switch (note.kind) {
+      case 'began':
+        table.began(note.front, note.attemptId, note.tokens, note.elapsed);
+        return;
+      case 'ended':
+        table.ended(note.front, note.attemptId);
+    }
+  }
+
+  /** Takes a renewal of a front. */
+  onRenew(
+    service: string,
+    front: string,
+    requests: Parameters<PlacementTable['renew']>[1],
+  ): void {
+    this.tableOf(service).renew(front, requests, this.context.clock());
+  }
+
+  /** Renews at the dispatchers until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const {hostId, peers, clock} = this.context;
+    while (!isAborted(signal)) {
+      await pause(RENEW_PERIOD_MILLISECONDS, signal);
+      for (const [service, table] of this.tables) {
+        table.forgetSilent(hostId, clock());
+        const dispatcher = this.dispatcherOf(service);
+        const requests = table.requestsOf(hostId);
+        if (dispatcher !== undefined && dispatcher.hostId !== hostId) {
+          peers.notify(dispatcher.addresses.peers, 'placement.renew', {
+            service,
+            front: hostId,
+            requests,
+          });
+        }
+      }
     }
   }
 
@@ -84,9 +173,146 @@
     }
   }
 
+  private placementOf(
+    service: string,
+    demand: PlacementDemand,
+    choice: Choice,
+    dispatcher: Member | undefined,
+  ): Placement {
+    const {hostId, peers, clock} = this.context;
+    const table = this.tableOf(service);
+    const {attemptId} = demand;
+    const placedAt = clock();
+    const tell = (note: PlacementNote): void => {
+      if (dispatcher !== undefined && dispatcher.hostId !== hostId) {
+        peers.notify(dispatcher.addresses.peers, 'placement.note', note);
+      }
+    };
+    return {
+      choice,
+      noteBegun: () => {
+        const tokens = choice.tokensToRead;
+        const elapsed = clock() - placedAt;
+        table.began(hostId, attemptId, tokens, elapsed);
+        tell({
+          kind: 'began',
+          service,
+          front: hostId,
+          attemptId,
+          tokens,
+          elapsed,
+        });
+      },
+      noteEnded: () => {
+        table.ended(hostId, attemptId);
+        tell({kind: 'ended', service, front: hostId, attemptId});
+      },
+    };
+  }
+
+  private dispatcherOf(service: string): Member | undefined {
+    const serving = this.context.servingHosts();
+    const winner = rendezvousWinner(
+      `dispatcher/${service}`,
+      serving.map(({hostId}) => hostId),
+    );
+    const isPaused =
+      winner !== undefined &&
+      this.context.clock() < (this.askAgainAt.get(winner) ?? 0);
+    return isPaused ? undefined : serving.find(({hostId}) => hostId === winner);
+  }
+
+  private async askDispatcher(
+    dispatcher: Member,
+    ask: PlacementAsk,
+  ): Promise<PlacementAnswer | undefined> {
+    const {peers, clock} = this.context;
+    try {
+      return await peers.call(
+        dispatcher.addresses.peers,
+        'placement.ask',
+        ask,
+        ASK_TIMEOUT_MILLISECONDS,
+      );
+    } catch {
+      // The dispatcher is a hint: this host chooses alone for a while.
+      this.askAgainAt.set(dispatcher.hostId, clock() + ASK_PAUSE_MILLISECONDS);
+      return undefined;
+    }
+  }
+
+  /** The dispatcher's answer, if this host knows the upstream as well. */
+  private takeAnswer(
+    service: string,
+    answer: PlacementAnswer,
+  ): Choice | undefined {
+    if (answer.kind === 'none') {
+      return undefined;
+    }
+    const upstream = this.context.upstreams
+      .usable(service, this.context.clock())
+      .find(({upstreamId}) => upstreamId === answer.upstreamId);
+    return upstream === undefined
+      ? undefined
+      : {
+          upstream,
+          estimateMilliseconds: answer.estimateMilliseconds,
+          cachedTokens: answer.cachedTokens,
+          tokensToRead: answer.tokensToRead,
+        };
+  }
+
+  private placeHere(
+    ask: PlacementAsk,
+    tried: ReadonlySet<string>,
+  ): Choice | undefined {
+    const {upstreams, clock} = this.context;
+    const now = clock();
+    const usable = upstreams.usable(ask.service, now);
+    const excluded = new Set(ask.excluded);
+    const candidates = firstNotEmpty([
+      usable.filter(({upstreamId}) => !excluded.has(upstreamId)),
+      usable.filter(({upstreamId}) => !tried.has(upstreamId)),
+    ]);
+    return this.tableOf(ask.service).place(
+      ask.front,
+      ask.demand,
+      candidates,
+      ask.failureDomain,
+      now,
+    );
+  }
+
+  private ejectedHere(service: string): readonly string[] {
+    const {upstreams, health, clock} = this.context;
+    const now = clock();
+    return upstreams
+      .usable(service, now)
+      .map(({upstreamId}) => upstreamId)
+      .filter(upstreamId => health.isEjected(upstreamId, now));
+  }
+
+  private tableOf(service: string): PlacementTable {
+    const known = this.tables.get(service);
+    if (known !== undefined) {
+      return known;
+    }
+    const fresh = new PlacementTable(this.context.keptMilliseconds);
+    this.tables.set(service, fresh);
+    return fresh;
+  }
+
   private forget(upstreamId: string): void {
-    this.prefixes.forget(upstreamId);
+    for (const table of this.tables.values()) {
+      table.forgetUpstream(upstreamId);
+    }
     this.context.health.forget(upstreamId);
     this.births.delete(upstreamId);
   }
 }
+
+function firstNotEmpty(
+  lists: readonly (readonly UsableUpstream[])[],
+): readonly UsableUpstream[] {
+  return lists.find(list => list.length > 0) ?? [];
+}
--- a/packages/entry-process/src/routed/routed_process.ts
+++ b/packages/entry-process/src/routed/routed_process.ts
@@ -12,10 +12,11 @@
 } from '@lacewingwinch/callers';
 import {
   type Member,
-  QuotaShare,
   type RoutingConfiguration,
   SharedRetryBudget,
+  TrueTime,
   UpstreamHealth,
+  UsageWindows,
 } from '@lacewingwinch/decisions';
 import {
   createPeerCaller,
@@ -31,21 +32,25 @@
 } from '@lacewingwinch/observability';
 import {
   decodeDirectoryCall,
+  DutyClient,
   encodeDiscovery,
   type PlatformSettings,
   StoreClient,
 } from '@lacewingwinch/platform';
 import {ConnectionPool} from '@lacewingwinch/upstreams';
+import {v7 as uuidV7} from 'uuid';
 
 import {MembershipTask} from '../tasks/membership_task.js';
 import {messageOf} from '../util/message_of.js';
 import {pause} from '../util/pause.js';
 import {ConfigurationFollower} from './configuration_follower.js';
-import {LoadTable} from './load_table.js';
+import {DutyTask} from './duty_task.js';
+import {QuotaExchange} from './quota_exchange.js';
 import {RoutedFront} from './routed_front.js';
 import {RoutedPlacement} from './routed_placement.js';
 import {type Clocks, PROCESS_CLOCKS} from './suspension_clock.js';
 import {UpstreamFollower} from './upstream_follower.js';
+import {UsagePush} from './usage_push.js';
 
 /** Seconds for which callers keep the answer of discovery. */
 const DISCOVERY_SECONDS = 2;
@@ -78,13 +83,19 @@
   private readonly pool: ConnectionPool;
   private readonly peers: PeerCaller = createPeerCaller();
   private readonly health = new UpstreamHealth();
-  private readonly loads = new LoadTable();
   private readonly retryBudgets = new Map<string, SharedRetryBudget>();
   private readonly configuration: ConfigurationFollower;
   private readonly upstreams: UpstreamFollower;
   private readonly placement: RoutedPlacement;
   private readonly membership: MembershipTask;
   private readonly front: RoutedFront;
+  private readonly trueTime = new TrueTime();
+  private readonly usage: UsageWindows;
+  private readonly usagePush: UsagePush;
+  private readonly duties: DutyTask | undefined;
+  private readonly quotas: QuotaExchange;
+  /** Identity of this process, new at each start. */
+  private readonly processId = uuidV7();
   private readonly stopping = new AbortController();
   private servers: readonly Server[] = [];
   private callers: RoutedServer | undefined;
@@ -110,13 +121,33 @@
       onUpdates: updates => this.placement.takeUpdates(updates),
     });
     this.placement = new RoutedPlacement({
+      hostId: settings.hostId,
+      peers: this.peers,
+      servingHosts: () => this.membership.serving(),
+      clock: clocks.sinceBoot,
       failureDomain: settings.failureDomain,
       upstreams: this.upstreams.list,
       health: this.health,
-      loads: this.loads,
       keptMilliseconds: settings.bounds.reuseWindowMilliseconds * 2,
     });
     this.membership = this.createMembership();
+    this.usage = new UsageWindows(settings.bounds.usageWindowMilliseconds);
+    this.quotas = new QuotaExchange({
+      peers: this.peers,
+      clock: clocks.steady,
+      random: Math.random,
+      otherHosts: () => this.otherServingHosts(),
+      sharingHosts: () => this.sharingHosts(),
+      slack: settings.bounds.quotaSlack,
+    });
+    this.duties = this.createDuties();
+    this.usagePush = new UsagePush({
+      processId: this.processId,
+      usage: this.usage,
+      peers: this.peers,
+      candidates: () => this.dutyCandidates(),
+      trueTime: () => this.readTrueTime(),
+    });
     this.front = this.createFront();
   }
 
@@ -129,6 +160,11 @@
     this.watch('configuration', this.configuration.run(this.stopping.signal));
     this.watch('upstreams', this.upstreams.run(this.stopping.signal));
     this.watch('membership', this.membership.run(this.stopping.signal));
+    this.watch('placement', this.placement.run(this.stopping.signal));
+    this.watch('usage', this.usagePush.run(this.stopping.signal));
+    if (this.duties !== undefined) {
+      this.watch('duties', this.duties.run(this.stopping.signal));
+    }
     while (!this.isKnown() && !this.stopping.signal.aborted) {
       await pause(LOOK_PERIOD_MILLISECONDS, this.stopping.signal);
     }
@@ -191,6 +227,28 @@
       probe: async ({hostId}) => ({
         answered: await this.membership.probeFor(hostId),
       }),
+      'placement.ask': ask => this.placement.onAsk(ask),
+      'placement.note': note => {
+        this.placement.onNote(note);
+        return null;
+      },
+      'placement.renew': ({service, front, requests}) => {
+        this.placement.onRenew(service, front, requests);
+        return null;
+      },
+      'usage.push': ({counts}) => {
+        counts.forEach(one => this.usage.merge(one));
+        return null;
+      },
+      'quota.ask': ({workspace, amount}) => ({
+        given: this.quotas.give(
+          workspace,
+          this.configuration.current?.value.workspaces.find(
+            ({name}) => name === workspace,
+          )?.quota,
+          amount,
+        ),
+      }),
     });
   }
 
@@ -255,8 +313,13 @@
         suspicions: [],
         loads: [],
         demands: [],
+        timeOfDay: clocks.timeOfDay(),
       }),
-      onDigest: () => undefined,
+      onDigest: (sender, {timeOfDay}) => {
+        if (timeOfDay !== undefined) {
+          this.trueTime.note(sender.hostId, timeOfDay, clocks.sinceBoot());
+        }
+      },
     });
   }
 
@@ -268,20 +331,73 @@
       metrics: this.metrics,
       pool: this.pool,
       placement: this.placement,
-      loads: this.loads,
       health: this.health,
-      quotas: new QuotaShare(),
+      quotas: this.quotas,
       retryBudgetOf: service => this.retryBudgetOf(service),
       configuration: () => this.configuration.current,
       maximumKeyAgeMilliseconds: bounds.failsClosed
         ? bounds.revocationMilliseconds * KEY_AGE_SHARE
         : Infinity,
       isListKnown: () => this.upstreams.isKnown,
-      sharingHosts: () => Math.max(1, this.membership.serving().length),
-      onBegun: () => undefined,
+      sharingHosts: () => this.sharingHosts(),
+      onBegun: workspace =>
+        this.usage.add(this.processId, workspace, this.readTrueTime()),
     });
   }
 
+  private createDuties(): DutyTask | undefined {
+    const {settings} = this;
+    if (settings.cloudAddress === undefined || settings.duties.length === 0) {
+      return undefined;
+    }
+    return new DutyTask({
+      hostId: settings.hostId,
+      processId: this.processId,
+      store: this.store,
+      cloud: new DutyClient(settings.cloudAddress),
+      duties: settings.duties,
+      events: this.events,
+      clocks: this.clocks,
+      leaseMilliseconds: settings.bounds.leaseMilliseconds,
+      failureDomains: settings.failureDomains,
+      usage: this.usage,
+      trueTime: () => this.readTrueTime(),
+      servingHosts: () => this.membership.serving().map(({hostId}) => hostId),
+      configuration: () => this.configuration.current?.value,
+      upstreams: () => this.upstreams.list.all(),
+    });
+  }
+
+  private readTrueTime(): number {
+    const {timeOfDay, sinceBoot} = this.clocks;
+    return this.trueTime.now(timeOfDay(), sinceBoot());
+  }
+
+  private dutyCandidates(): readonly Member[] {
+    return (this.duties?.candidates() ?? []).flatMap(hostId =>
+      hostId === this.settings.hostId
+        ? []
+        : (this.membership.find(hostId) ?? []),
+    );
+  }
+
+  private otherServingHosts(): readonly Member[] {
+    return this.membership
+      .serving()
+      .filter(({hostId}) => hostId !== this.settings.hostId);
+  }
+
+  /**
+   * Hosts that share limits: those that left by themselves give their part
+   * up, those that merely cannot be reached may still use it.
+   */
+  private sharingHosts(): number {
+    const sharing = this.membership
+      .all()
+      .filter(({status}) => status !== 'joining' && status !== 'leaving');
+    return Math.max(1, sharing.length);
+  }
+
   private retryBudgetOf(service: string): SharedRetryBudget {
     const {bounds} = this.settings;
     const known = this.retryBudgets.get(service);
--- a/packages/entry-process/src/routed/routed_request.ts
+++ b/packages/entry-process/src/routed/routed_request.ts
@@ -21,6 +21,7 @@
 
 import {type AttemptOutcome, RoutedAttempt} from './routed_attempt.js';
 import type {RoutedFrontContext} from './routed_front.js';
+import type {Placement} from './routed_placement.js';
 import {StreamRelay} from './stream_relay.js';
 
 /** Priorities that an engine knows: 0 is the most urgent. */
@@ -106,15 +107,21 @@
   private async runAttempts(): Promise<void> {
     let drawsOnBudget = false;
     for (;;) {
-      const choice = this.choose();
-      if (choice === undefined || (drawsOnBudget && !this.takeBudget())) {
+      const placement = await this.place();
+      if (this.interruption !== undefined) {
+        placement?.noteEnded();
+        this.endInterrupted();
+        return;
+      }
+      if (placement === undefined || (drawsOnBudget && !this.takeBudget())) {
+        placement?.noteEnded();
         this.giveUp(
           this.upstreamsReached > 0 ? 'outcome-unknown' : 'no-upstream',
         );
         return;
       }
-      const outcome = await this.attemptAt(choice);
-      const next = this.settle(choice, outcome);
+      const outcome = await this.attemptAt(placement);
+      const next = this.settle(placement.choice, outcome);
       if (next === 'done') {
         return;
       }
@@ -122,11 +129,9 @@
     }
   }
 
-  private choose(): Choice | undefined {
-    const {placement, clocks} = this.context;
-    const service = this.admission.service.name;
-    const now = clocks.sinceBoot();
-    return placement.choose(service, this.demand, this.tried, now);
+  private place(): Promise<Placement | undefined> {
+    const {name} = this.admission.service;
+    return this.context.placement.place(name, this.demand, this.tried);
   }
 
   private takeBudget(): boolean {
@@ -137,15 +142,13 @@
     );
   }
 
-  private async attemptAt(choice: Choice): Promise<AttemptOutcome> {
-    const {loads, pool} = this.context;
+  private async attemptAt(placement: Placement): Promise<AttemptOutcome> {
+    const {pool} = this.context;
+    const {choice} = placement;
     const {upstreamId} = choice.upstream;
     this.tried.add(upstreamId);
     this.attempts += 1;
     this.lastUpstream = upstreamId;
-    const tokens = Math.max(0, this.demand.promptTokens - choice.cachedTokens);
-    let waiting = tokens;
-    loads.add(upstreamId, 1, tokens);
     const attempt = new RoutedAttempt(pool, {
       attemptId: this.demand.attemptId,
       isStreamed: this.admission.rule.isStreamed,
@@ -155,9 +158,8 @@
         this.upstreamsReached += 1;
       },
       onFirstAnswerByte: () => {
-        loads.add(upstreamId, 0, -waiting);
-        waiting = 0;
-        this.noteBegun(upstreamId);
+        placement.noteBegun();
+        this.noteBegun();
       },
     });
     this.attempt = attempt;
@@ -173,7 +175,7 @@
       attempt.cancel();
     }
     const outcome = await attempt.outcome;
-    loads.add(upstreamId, -1, -waiting);
+    placement.noteEnded();
     return outcome;
   }
 
@@ -209,9 +211,8 @@
     };
   }
 
-  private noteBegun(upstreamId: string): void {
-    const {placement, clocks, onBegun} = this.context;
-    placement.noteRead(upstreamId, this.demand, clocks.sinceBoot());
+  private noteBegun(): void {
+    const {onBegun} = this.context;
     const workspace = this.admission.workspace?.name;
     if (!this.hasBegunToRun && workspace !== undefined) {
       onBegun(workspace);
@@ -277,7 +278,8 @@
   }
 
   private hasAnotherUpstream(): boolean {
-    return this.choose() !== undefined;
+    const {name} = this.admission.service;
+    return this.context.placement.hasOther(name, this.tried);
   }
 
   private goOnAfter(
--- a/packages/observability/src/event_catalogue.ts
+++ b/packages/observability/src/event_catalogue.ts
@@ -152,6 +152,27 @@
     message: 'lease {fencingNumber} for orders is held by {hostId}',
     advice: 'Nothing.',
   },
+  5004: {
+    level: 'warn',
+    message: 'entry host {hostId} no longer holds the duties',
+    advice: 'Nothing; another host takes them after the lease.',
+  },
+  5005: {
+    level: 'warn',
+    message: 'a round of the duties failed: {error}',
+    advice: 'See "When the platform is down" in OPERATIONS.md.',
+  },
+  5006: {
+    level: 'info',
+    message: 'usage of window {window} is reported: {total} requests',
+    advice: 'Nothing.',
+  },
+  5007: {
+    level: 'info',
+    message:
+      '{count} {hostClass} engines of {service} in {failureDomain} are ordered: {result}',
+    advice: 'Nothing; an order that is refused is tried again.',
+  },
   5003: {
     level: 'warn',
     message: 'starts of {hostClass} hosts in {failureDomain} are refused',
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -1,13 +1,7 @@
 /**
  * The metrics of an entry process.
  */
-import {
-  collectDefaultMetrics,
-  Counter,
-  Gauge,
-  Histogram,
-  Registry,
-} from 'prom-client';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 const SECONDS_BUCKETS = [
   0.001, 0.003, 0.01, 0.03, 0.1, 0.32, 1, 3, 10, 30, 100,
@@ -32,7 +26,7 @@
 export function createMetrics(): Metrics {
   const registry = new Registry();
   const registers = [registry];
-  collectDefaultMetrics({register: registry});
+  registerProcessMetrics(registry);
   return {
     registry,
     requests: new Counter({
@@ -96,3 +90,31 @@
     }),
   };
 }
+
+/**
+ * Processor time and memory of this process. The default set of the library
+ * samples the event loop a hundred times a second, which costs an idle process
+ * more than all its other work.
+ */
+function registerProcessMetrics(registry: Registry): void {
+  const registers = [registry];
+  new Gauge({
+    name: 'lacewingwinch_processor_seconds',
+    help: 'Processor time that the process has used, in seconds.',
+    registers,
+    collect() {
+      const {user, system} = process.cpuUsage();
+      this.set((user + system) / MICROSECONDS_IN_SECOND);
+    },
+  });
+  new Gauge({
+    name: 'lacewingwinch_resident_bytes',
+    help: 'Resident memory of the process, in bytes.',
+    registers,
+    collect() {
+      this.set(process.memoryUsage.rss());
+    },
+  });
+}
+
+const MICROSECONDS_IN_SECOND = 1_000_000;
--- a/packages/upstreams/src/connection_pool.ts
+++ b/packages/upstreams/src/connection_pool.ts
@@ -2,6 +2,8 @@
  * Connections to upstreams, one request at a time on each, with the exact
  * moment of the first byte known.
  */
+import type {Socket} from 'node:net';
+
 import {buildConnector, Client, type Dispatcher} from 'undici';
 
 /** Milliseconds to wait for a connection: links take some milliseconds. */
@@ -60,6 +62,8 @@
   idleSince: number;
   /** Whether the socket failed: a body that ends with it is not whole. */
   hasFailed: boolean;
+  /** Whether the body under way has no length and ends with the connection. */
+  isUnframed: boolean;
   isClosed: boolean;
 }
 
@@ -140,6 +144,9 @@
           socket?.prependListener('error', () => {
             connection.hasFailed = true;
           });
+          socket?.prependListener('end', () =>
+            probeForReset(connection, socket),
+          );
           callback(...result);
         });
       },
@@ -153,6 +160,7 @@
       client,
       idleSince: this.clock(),
       hasFailed: false,
+      isUnframed: false,
       isClosed: false,
     };
     upstream.open += 1;
@@ -184,6 +192,25 @@
   }
 }
 
+/**
+ * Where data and a reset arrive together, libuv reports an end and leaves the
+ * reset pending. A write of nothing meets it, and succeeds after a real end.
+ */
+function probeForReset(connection: Connection, socket: Socket): void {
+  if (!connection.isUnframed) {
+    return;
+  }
+  socket.write(Buffer.alloc(0));
+  connection.hasFailed ||= socket.errored !== null;
+}
+
+function hasFraming(headers: AnswerHead['headers']): boolean {
+  return (
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined
+  );
+}
+
 function startExchange(
   connection: Connection,
   request: PooledRequest,
@@ -224,6 +251,7 @@
         if (isOver || status < 200) {
           return;
         }
+        connection.isUnframed = !hasFraming(headers);
         receiver.onHead({status, headers, rawHeaders: rawOf(started)});
       },
       onResponseData: (_controller, chunk) => {
