--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -43,6 +43,7 @@
 export * from './routing/routing_configuration.js';
 export * from './rules/check_rules.js';
 export * from './rules/match_rule.js';
+export * from './time/suspension_clock.js';
 export * from './time/true_time.js';
 export * from './upstreams/upstream_health.js';
 export * from './upstreams/upstream_list.js';
--- a/packages/decisions/src/limits/quota_share.ts
+++ b/packages/decisions/src/limits/quota_share.ts
@@ -24,6 +24,8 @@
   constructor(
     /** What all hosts together may take beyond the quota in one window. */
     private readonly slack: number,
+    /** Share of a full bucket with which this process starts. */
+    private readonly firstShare: number,
   ) {}
 
   /** What `workspace` may still take here, at the last look. */
@@ -95,7 +97,7 @@
   ): Bucket {
     const bucket = this.buckets.get(workspace);
     if (bucket === undefined) {
-      const fresh = {level: capacity, updated: now};
+      const fresh = {level: capacity * this.firstShare, updated: now};
       this.buckets.set(workspace, fresh);
       return fresh;
     }
@@ -108,3 +110,20 @@
     return bucket;
   }
 }
+
+/** Hosts that are assumed while the membership is not known yet. */
+const ASSUMED_HOSTS = 12;
+
+/** Milliseconds after its start in which a process learns the membership. */
+const LEARNING_MILLISECONDS = 3000;
+
+/**
+ * Hosts that share a limit, of which `known` are known to a process that has
+ * run for `age`. A process that has just started knows nobody; it must not take
+ * the whole limit for its own part.
+ */
+export function sharingHosts(known: number, age: number): number {
+  return age < LEARNING_MILLISECONDS
+    ? Math.max(known, ASSUMED_HOSTS)
+    : Math.max(1, known);
+}
--- a/packages/decisions/src/membership/membership.ts
+++ b/packages/decisions/src/membership/membership.ts
@@ -17,6 +17,12 @@
 /** Milliseconds from suspicion to the verdict that a host is gone. */
 export const SUSPICION_MILLISECONDS = 3000;
 
+/**
+ * Milliseconds for which a host that is gone still has its part of limits;
+ * longer than hosts take to start again, and than most partitions last.
+ */
+const SHARING_MILLISECONDS = 60_000;
+
 /** Member updates in one message. */
 export const UPDATES_IN_MESSAGE = 12;
 
@@ -150,6 +156,17 @@
     );
   }
 
+  /**
+   * Hosts that share limits, this one included. A host that cannot be reached
+   * may still use its part, and one that died comes back.
+   */
+  sharingCount(now: number): number {
+    return [...this.entries.values()].filter(
+      ({member, since}) =>
+        member.status !== 'gone' || now - since < SHARING_MILLISECONDS,
+    ).length;
+  }
+
   private mergeOne(update: Member, now: number): void {
     if (update.hostId === this.self.hostId) {
       this.refute(update, now);
--- a/packages/decisions/src/time/true_time.ts
+++ b/packages/decisions/src/time/true_time.ts
@@ -8,7 +8,7 @@
 const STALE_MILLISECONDS = 15_000;
 
 interface Sample {
-  /** Time of day less time since boot of this host, by the other's clock. */
+  /** Time of day less the steady time of this host, by the other's clock. */
   readonly offset: number;
   readonly takenAt: number;
 }
@@ -17,22 +17,22 @@
 export class TrueTime {
   private readonly samples = new Map<string, Sample>();
 
-  /** Notes that `hostId` had the time of day `timeOfDay` at `sinceBoot`. */
-  note(hostId: string, timeOfDay: number, sinceBoot: number): void {
+  /** Notes that `hostId` had the time of day `timeOfDay` at `steady`. */
+  note(hostId: string, timeOfDay: number, steady: number): void {
     this.samples.set(hostId, {
-      offset: timeOfDay - sinceBoot,
-      takenAt: sinceBoot,
+      offset: timeOfDay - steady,
+      takenAt: steady,
     });
   }
 
   /** Milliseconds since the epoch, by the median of the hosts. */
-  now(ownTimeOfDay: number, sinceBoot: number): number {
+  now(ownTimeOfDay: number, steady: number): number {
     const offsets = [...this.samples.values()]
-      .filter(({takenAt}) => sinceBoot - takenAt < STALE_MILLISECONDS)
+      .filter(({takenAt}) => steady - takenAt < STALE_MILLISECONDS)
       .map(({offset}) => offset);
-    offsets.push(ownTimeOfDay - sinceBoot);
+    offsets.push(ownTimeOfDay - steady);
     offsets.sort((left, right) => left - right);
     const middle = offsets[Math.floor((offsets.length - 1) / 2)] ?? 0;
-    return sinceBoot + middle;
+    return steady + middle;
   }
 }
--- a/packages/entry-hosts/src/peer_methods.ts
+++ b/packages/entry-hosts/src/peer_methods.ts
@@ -5,6 +5,7 @@
   Claim,
   DispatchEffect,
   HeldPermit,
+  ListedUpstream,
   Member,
   PermitAsk,
   PlacedRequest,
@@ -97,6 +98,20 @@
 export type ClaimVerdict =
   {readonly kind: 'lost'; readonly winner: Claim} | {readonly kind: 'won'};
 
+/** What a host believes and how old that is, in milliseconds. */
+export interface RelayedBeliefs {
+  readonly configuration?: {
+    readonly version: number;
+    readonly age: number;
+    /** The published document in Base64; absent if its version is known. */
+    readonly document?: string;
+  };
+  readonly upstreams?: {
+    readonly age: number;
+    readonly list: readonly ListedUpstream[];
+  };
+}
+
 /** A request that is to be placed. */
 export interface PlacementAsk {
   readonly service: string;
@@ -220,6 +235,11 @@
     };
     readonly result: null;
   };
+  /** Asks what another host believes, for one that the store turns away. */
+  readonly 'beliefs.fetch': {
+    readonly params: {readonly knownVersion: number};
+    readonly result: RelayedBeliefs;
+  };
   /** Cumulative counts of begun requests, for whoever reports them. */
   readonly 'usage.push': {
     readonly params: {readonly counts: readonly ProcessCounts[]};
--- /dev/null
+++ b/packages/entry-process/src/routed/belief_relay.ts
@@ -0,0 +1,132 @@
+/**
+ * The task that asks other hosts what they believe while the store turns this
+ * one away. What they say keeps its age: the whole round trip is added to it.
+ */
+import type {Member} from '@lacewingwinch/decisions';
+import type {PeerCaller, RelayedBeliefs} from '@lacewingwinch/entry-hosts';
+
+import {isAborted} from '../util/is_aborted.js';
+import {pause} from '../util/pause.js';
+import type {Clocks} from './clocks.js';
+import type {ConfigurationFollower} from './configuration_follower.js';
+import type {UpstreamFollower} from './upstream_follower.js';
+
+/** Milliseconds between two looks at the age of what this host believes. */
+const LOOK_PERIOD_MILLISECONDS = 300;
+
+/**
+ * Age from which on other hosts are asked. While the store answers, beliefs get
+ * about 800 ms old.
+ */
+const ASK_AGE_MILLISECONDS = 1300;
+
+/** Milliseconds for the answer of another host; links take some milliseconds. */
+const ASK_TIMEOUT_MILLISECONDS = 250;
+
+/** Other hosts that are asked in one round. */
+const ASKED_HOSTS = 2;
+
+/** What the task needs from others. */
+export interface BeliefRelayContext {
+  readonly peers: PeerCaller;
+  readonly clocks: Clocks;
+  readonly random: () => number;
+  readonly otherHosts: () => readonly Member[];
+  readonly configuration: ConfigurationFollower;
+  readonly upstreams: UpstreamFollower;
+}
+
+/** Asks other hosts for beliefs, and answers them. */
+export class BeliefRelay {
+  constructor(private readonly context: BeliefRelayContext) {}
+
+  /** What this host believes, for another one. */
+  answer(knownVersion: number): RelayedBeliefs {
+    const {configuration, upstreams, clocks} = this.context;
+    const now = clocks.counting();
+    const belief = configuration.current;
+    const document = configuration.published;
+    const version = belief?.value.version;
+    const age = now - (belief?.confirmedAt ?? -Infinity);
+    return {
+      ...(version === undefined || !Number.isFinite(age)
+        ? {}
+        : {
+            configuration: {
+              version,
+              age,
+              ...(version <= knownVersion || document === undefined
+                ? {}
+                : {document: document.toString('base64')}),
+            },
+          }),
+      ...(upstreams.isKnown
+        ? {
+            upstreams: {
+              age: now - upstreams.confirmedAt,
+              list: upstreams.list.all(),
+            },
+          }
+        : {}),
+    };
+  }
+
+  /** Runs until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!isAborted(signal)) {
+      await pause(LOOK_PERIOD_MILLISECONDS, signal);
+      if (this.isStale()) {
+        await Promise.all(this.choose().map(member => this.askOne(member)));
+      }
+    }
+  }
+
+  private isStale(): boolean {
+    const {configuration, upstreams, clocks} = this.context;
+    const oldest = Math.min(
+      configuration.current?.confirmedAt ?? -Infinity,
+      upstreams.confirmedAt,
+    );
+    return clocks.counting() - oldest > ASK_AGE_MILLISECONDS;
+  }
+
+  private choose(): readonly Member[] {
+    const others = [...this.context.otherHosts()];
+    const chosen: Member[] = [];
+    while (chosen.length < ASKED_HOSTS && others.length > 0) {
+      const index = Math.floor(this.context.random() * others.length);
+      chosen.push(...others.splice(index, 1));
+    }
+    return chosen;
+  }
+
+  private async askOne(member: Member): Promise<void> {
+    const {peers, clocks, configuration, upstreams} = this.context;
+    const knownVersion = configuration.current?.value.version ?? -1;
+    const askedAt = clocks.counting();
+    let beliefs: RelayedBeliefs;
+    try {
+      beliefs = await peers.call(
+        member.addresses.peers,
+        'beliefs.fetch',
+        {knownVersion},
+        ASK_TIMEOUT_MILLISECONDS,
+      );
+    } catch {
+      // Another host is asked in the next round.
+      return;
+    }
+    if (beliefs.configuration !== undefined) {
+      const {version, age, document} = beliefs.configuration;
+      configuration.takeRelayed(
+        version,
+        document === undefined ? undefined : Buffer.from(document, 'base64'),
+        askedAt - age,
+      );
+    }
+    if (beliefs.upstreams !== undefined) {
+      const {list, age} = beliefs.upstreams;
+      upstreams.takeRelayed(list, askedAt - age);
+    }
+  }
+}
--- a/packages/entry-process/src/routed/configuration_follower.ts
+++ b/packages/entry-process/src/routed/configuration_follower.ts
@@ -14,7 +14,7 @@
 import {isAborted} from '../util/is_aborted.js';
 import {messageOf} from '../util/message_of.js';
 import {pause} from '../util/pause.js';
-import type {Clocks} from './suspension_clock.js';
+import type {Clocks} from './clocks.js';
 
 /**
  * Milliseconds that a read waits at the store for a change. The age of the
@@ -56,10 +56,19 @@
     return this.document;
   }
 
-  /** Takes what another host knew to be the newest at `confirmedAt`. */
-  takeRelayed(document: Buffer, confirmedAt: number): void {
-    this.take(document);
-    this.confirm(confirmedAt, this.belief?.value.version);
+  /**
+   * Takes what another host knew to be the newest at `confirmedAt`; without a
+   * document it is a version that was known here when the host was asked.
+   */
+  takeRelayed(
+    version: number,
+    document: Buffer | undefined,
+    confirmedAt: number,
+  ): void {
+    if (document !== undefined) {
+      this.take(document);
+    }
+    this.confirm(confirmedAt, version);
   }
 
   /** Runs until `signal` aborts. */
@@ -77,7 +86,7 @@
 
   private async readOnce(): Promise<void> {
     const {store, clocks} = this.context;
-    const sentAt = clocks.sinceBoot();
+    const sentAt = clocks.counting();
     if (this.next === undefined) {
       const {records, end} = await store.newest('configuration', {
         timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS,
--- a/packages/entry-process/src/routed/duty_task.ts
+++ b/packages/entry-process/src/routed/duty_task.ts
@@ -30,7 +30,7 @@
 import {isAborted} from '../util/is_aborted.js';
 import {messageOf} from '../util/message_of.js';
 import {pause} from '../util/pause.js';
-import type {Clocks} from './suspension_clock.js';
+import type {Clocks} from './clocks.js';
 
 /**
  * Milliseconds between two rounds: a lease of 3,000 ms is renewed in time even
@@ -95,7 +95,7 @@
   private readonly startedAt: number;
 
   constructor(private readonly context: DutyTaskContext) {
-    this.startedAt = context.clocks.sinceBoot();
+    this.startedAt = context.clocks.counting();
   }
 
   /** Hosts that may hold the duties, the first one first. */
@@ -141,7 +141,7 @@
     // The newest record is this process's own: nobody has held them since.
     return (
       view.record?.processId === this.context.processId ||
-      mayTakeDuties(view, rank, leaseMilliseconds, clocks.sinceBoot())
+      mayTakeDuties(view, rank, leaseMilliseconds, clocks.counting())
     );
   }
 
@@ -158,8 +158,8 @@
       offset: newest?.offset,
       end,
       seenAt: isKnown
-        ? (this.view?.seenAt ?? clocks.sinceBoot())
-        : clocks.sinceBoot(),
+        ? (this.view?.seenAt ?? clocks.counting())
+        : clocks.counting(),
     };
   }
 
@@ -171,7 +171,7 @@
       return false;
     }
     const record = this.nextRecord(view.record);
-    const sentAt = clocks.sinceBoot();
+    const sentAt = clocks.counting();
     try {
       const result = await store.appendKeyed(
         'duties',
@@ -252,8 +252,7 @@
       return;
     }
     const {duties, clocks} = this.context;
-    const hasSettled =
-      clocks.sinceBoot() - this.startedAt > SETTLE_MILLISECONDS;
+    const hasSettled = clocks.counting() - this.startedAt > SETTLE_MILLISECONDS;
     if (duties.includes('usage-reporting')) {
       await this.reportUsage(record);
     }
@@ -287,7 +286,7 @@
     for (const order of this.wantedOrders(record)) {
       const key = orderKey(order);
       const given = this.orders.get(key);
-      const now = clocks.sinceBoot();
+      const now = clocks.counting();
       const isNew = given?.count !== order.count;
       if (isOrderMet(order, listed) && !isNew) {
         continue;
@@ -315,7 +314,7 @@
         : REFUSED_ORDER_MILLISECONDS;
     this.orders.set(orderKey(order), {
       count: order.count,
-      nextAt: this.context.clocks.sinceBoot() + wait,
+      nextAt: this.context.clocks.counting() + wait,
     });
     this.context.events.write(5007, {
       service: order.service,
@@ -347,7 +346,7 @@
     const offset = this.view?.offset;
     const isValid =
       this.isHolder &&
-      mayActOnDuties(this.renewalSentAt, leaseMilliseconds, clocks.sinceBoot());
+      mayActOnDuties(this.renewalSentAt, leaseMilliseconds, clocks.counting());
     if (offset === undefined || !isValid) {
       return undefined;
     }
--- a/packages/entry-process/src/routed/quota_exchange.ts
+++ b/packages/entry-process/src/routed/quota_exchange.ts
@@ -20,6 +20,12 @@
 /** How much more than needed is asked, so that the next request needs no ask. */
 const ASK_FACTOR = 2;
 
+/**
+ * Share of its part with which a restarted process begins: the process before
+ * may have used up its own part in the same window.
+ */
+const RESTARTED_SHARE = 0.2;
+
 /** What the exchange needs from others. */
 export interface QuotaExchangeContext {
   readonly peers: PeerCaller;
@@ -29,6 +35,8 @@
   readonly sharingHosts: () => number;
   /** What all hosts together may take beyond a quota in one window. */
   readonly slack: number;
+  /** Whether no process of the system ran before. */
+  readonly isFirstStart: boolean;
 }
 
 /** Takes from the quotas of workspaces. */
@@ -37,7 +45,10 @@
   private readonly askAgainAt = new Map<string, number>();
 
   constructor(private readonly context: QuotaExchangeContext) {
-    this.share = new QuotaShare(context.slack);
+    this.share = new QuotaShare(
+      context.slack,
+      context.isFirstStart ? 1 : RESTARTED_SHARE,
+    );
   }
 
   /**
--- a/packages/entry-process/src/routed/routed_front.ts
+++ b/packages/entry-process/src/routed/routed_front.ts
@@ -26,10 +26,10 @@
 } from '@lacewingwinch/platform';
 import type {ConnectionPool} from '@lacewingwinch/upstreams';
 
+import type {Clocks} from './clocks.js';
 import type {QuotaExchange} from './quota_exchange.js';
 import type {RoutedPlacement} from './routed_placement.js';
 import {RoutedRequest} from './routed_request.js';
-import type {Clocks} from './suspension_clock.js';
 
 /** Bytes that a body may have before a configuration says so. */
 const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
@@ -37,6 +37,9 @@
 /** Bytes that headers may have before a configuration says so. */
 const DEFAULT_HEADER_BYTES = 16 * 1024;
 
+/** Seconds after which a caller may try another host. */
+const RETRY_ELSEWHERE_SECONDS = 0.05;
+
 /** What the front needs from the rest of its process. */
 export interface RoutedFrontContext {
   readonly clocks: Clocks;
@@ -52,6 +55,8 @@
   readonly maximumKeyAgeMilliseconds: number;
   /** Whether the list of upstreams is known. */
   readonly isListKnown: () => boolean;
+  /** Whether this host is about to stop and begins no new request. */
+  readonly isClosing: () => boolean;
   /** Entry hosts that share limits and budgets. */
   readonly sharingHosts: () => number;
   /** Is told when a request of `workspace` begins to run. */
@@ -103,7 +108,13 @@
         detail: 'the request carries no attempt id',
       });
     }
-    const now = this.context.clocks.sinceBoot();
+    if (this.context.isClosing()) {
+      throw new ServingError('not-ready', {
+        detail: 'this host is stopping',
+        retryAfterSeconds: RETRY_ELSEWHERE_SECONDS,
+      });
+    }
+    const now = this.context.clocks.counting();
     const verdict = admitRoutedCall(
       {
         attemptId: headers.attemptId,
@@ -187,7 +198,7 @@
     responder: RoutedResponder,
   ): void {
     const belief = this.context.configuration();
-    const now = this.context.clocks.sinceBoot();
+    const now = this.context.clocks.counting();
     this.context.events.write(4103, {
       requestId: headers.attemptId ?? '',
       kind: error.kind,
--- a/packages/entry-process/src/routed/routed_placement.ts
+++ b/packages/entry-process/src/routed/routed_placement.ts
@@ -81,9 +81,8 @@
         ? undefined
         : await this.askDispatcher(dispatcher, ask);
     const choice =
-      asked === undefined
-        ? this.placeHere(ask, tried)
-        : this.takeAnswer(service, asked);
+      (asked === undefined ? undefined : this.takeAnswer(service, asked)) ??
+      this.placeHere(ask, tried);
     if (choice === undefined) {
       return undefined;
     }
--- a/packages/entry-process/src/routed/routed_process.ts
+++ b/packages/entry-process/src/routed/routed_process.ts
@@ -14,6 +14,7 @@
   type Member,
   type RoutingConfiguration,
   SharedRetryBudget,
+  sharingHosts,
   TrueTime,
   UpstreamHealth,
   UsageWindows,
@@ -43,12 +44,14 @@
 import {MembershipTask} from '../tasks/membership_task.js';
 import {messageOf} from '../util/message_of.js';
 import {pause} from '../util/pause.js';
+import {BeliefRelay} from './belief_relay.js';
+import {type Clocks, createProcessClocks} from './clocks.js';
 import {ConfigurationFollower} from './configuration_follower.js';
 import {DutyTask} from './duty_task.js';
 import {QuotaExchange} from './quota_exchange.js';
 import {RoutedFront} from './routed_front.js';
+import {createRoutedPeerHandlers} from './routed_peer_handlers.js';
 import {RoutedPlacement} from './routed_placement.js';
-import {type Clocks, PROCESS_CLOCKS} from './suspension_clock.js';
 import {UpstreamFollower} from './upstream_follower.js';
 import {UsagePush} from './usage_push.js';
 
@@ -68,6 +71,12 @@
  */
 const LINGER_MILLISECONDS = 3200;
 
+/**
+ * Milliseconds from the signal to stop after which new requests are refused as
+ * not run: the grace period may end before their answers do.
+ */
+const LAST_REQUEST_MILLISECONDS = 2900;
+
 /** Milliseconds before the end of the grace period at which the process ends. */
 const STOP_MARGIN_MILLISECONDS = 400;
 
@@ -76,7 +85,7 @@
 
 /** One entry process on the platform. */
 export class RoutedProcess {
-  private readonly clocks: Clocks = PROCESS_CLOCKS;
+  private readonly clocks: Clocks = createProcessClocks();
   private readonly events: EventLog;
   private readonly metrics: Metrics;
   private readonly store: StoreClient;
@@ -94,6 +103,8 @@
   private readonly usagePush: UsagePush;
   private readonly duties: DutyTask | undefined;
   private readonly quotas: QuotaExchange;
+  private readonly relay: BeliefRelay;
+  private readonly startedAt: number;
   /** Identity of this process, new at each start. */
   private readonly processId = uuidV7();
   private readonly stopping = new AbortController();
@@ -101,9 +112,11 @@
   private callers: RoutedServer | undefined;
   private peerServer: PeerServer | undefined;
   private isLeaving = false;
+  private leavingSince = Infinity;
 
   constructor(private readonly settings: PlatformSettings) {
     const {clocks} = this;
+    this.startedAt = clocks.steady();
     this.events = createEventLog(settings.hostId, 'info');
     this.metrics = createMetrics();
     this.store = new StoreClient(settings.storeAddress);
@@ -124,7 +137,7 @@
       hostId: settings.hostId,
       peers: this.peers,
       servingHosts: () => this.membership.serving(),
-      clock: clocks.sinceBoot,
+      clock: clocks.counting,
       failureDomain: settings.failureDomain,
       upstreams: this.upstreams.list,
       health: this.health,
@@ -139,6 +152,15 @@
       otherHosts: () => this.otherServingHosts(),
       sharingHosts: () => this.sharingHosts(),
       slack: settings.bounds.quotaSlack,
+      isFirstStart: settings.isFirstStart,
+    });
+    this.relay = new BeliefRelay({
+      peers: this.peers,
+      clocks,
+      random: Math.random,
+      otherHosts: () => this.otherServingHosts(),
+      configuration: this.configuration,
+      upstreams: this.upstreams,
     });
     this.duties = this.createDuties();
     this.usagePush = new UsagePush({
@@ -160,6 +182,7 @@
     this.watch('configuration', this.configuration.run(this.stopping.signal));
     this.watch('upstreams', this.upstreams.run(this.stopping.signal));
     this.watch('membership', this.membership.run(this.stopping.signal));
+    this.watch('relay', this.relay.run(this.stopping.signal));
     this.watch('placement', this.placement.run(this.stopping.signal));
     this.watch('usage', this.usagePush.run(this.stopping.signal));
     if (this.duties !== undefined) {
@@ -180,6 +203,7 @@
       return;
     }
     this.isLeaving = true;
+    this.leavingSince = this.clocks.steady();
     const {hostId, bounds} = this.settings;
     const startedAt = this.clocks.steady();
     this.events.write(1003, {hostId, reason: 'signal'});
@@ -222,34 +246,21 @@
       await listenForDirectory(addresses.discovery, handler),
       await listenForDirectory(addresses.readiness, handler),
     ];
-    this.peerServer = await listenForPeers(host, port, {
-      gossip: digest => this.membership.onGossip(digest),
-      probe: async ({hostId}) => ({
-        answered: await this.membership.probeFor(hostId),
-      }),
-      'placement.ask': ask => this.placement.onAsk(ask),
-      'placement.note': note => {
-        this.placement.onNote(note);
-        return null;
-      },
-      'placement.renew': ({service, front, requests}) => {
-        this.placement.onRenew(service, front, requests);
-        return null;
-      },
-      'usage.push': ({counts}) => {
-        counts.forEach(one => this.usage.merge(one));
-        return null;
-      },
-      'quota.ask': ({workspace, amount}) => ({
-        given: this.quotas.give(
-          workspace,
+    this.peerServer = await listenForPeers(
+      host,
+      port,
+      createRoutedPeerHandlers({
+        membership: this.membership,
+        placement: this.placement,
+        relay: this.relay,
+        usage: this.usage,
+        quotas: this.quotas,
+        quotaOf: name =>
           this.configuration.current?.value.workspaces.find(
-            ({name}) => name === workspace,
+            workspace => workspace.name === name,
           )?.quota,
-          amount,
-        ),
       }),
-    });
+    );
   }
 
   private answerDirectory(method: string, target: string): DirectoryAnswer {
@@ -317,7 +328,7 @@
       }),
       onDigest: (sender, {timeOfDay}) => {
         if (timeOfDay !== undefined) {
-          this.trueTime.note(sender.hostId, timeOfDay, clocks.sinceBoot());
+          this.trueTime.note(sender.hostId, timeOfDay, clocks.steady());
         }
       },
     });
@@ -339,6 +350,8 @@
         ? bounds.revocationMilliseconds * KEY_AGE_SHARE
         : Infinity,
       isListKnown: () => this.upstreams.isKnown,
+      isClosing: () =>
+        this.clocks.steady() - this.leavingSince > LAST_REQUEST_MILLISECONDS,
       sharingHosts: () => this.sharingHosts(),
       onBegun: workspace =>
         this.usage.add(this.processId, workspace, this.readTrueTime()),
@@ -369,8 +382,8 @@
   }
 
   private readTrueTime(): number {
-    const {timeOfDay, sinceBoot} = this.clocks;
-    return this.trueTime.now(timeOfDay(), sinceBoot());
+    const {timeOfDay, steady} = this.clocks;
+    return this.trueTime.now(timeOfDay(), steady());
   }
 
   private dutyCandidates(): readonly Member[] {
@@ -387,15 +400,10 @@
       .filter(({hostId}) => hostId !== this.settings.hostId);
   }
 
-  /**
-   * Hosts that share limits: those that left by themselves give their part
-   * up, those that merely cannot be reached may still use it.
-   */
   private sharingHosts(): number {
-    const sharing = this.membership
-      .all()
-      .filter(({status}) => status !== 'joining' && status !== 'leaving');
-    return Math.max(1, sharing.length);
+    const now = this.clocks.steady();
+    const known = this.membership.sharingCount();
+    return sharingHosts(known, now - this.startedAt);
   }
 
   private retryBudgetOf(service: string): SharedRetryBudget {
--- a/packages/entry-process/src/routed/routed_request.ts
+++ b/packages/entry-process/src/routed/routed_request.ts
@@ -225,7 +225,7 @@
     outcome: AttemptOutcome,
   ): 'done' | {readonly drawsOnBudget: boolean} {
     const {upstreamId} = choice.upstream;
-    const now = this.context.clocks.sinceBoot();
+    const now = this.context.clocks.counting();
     switch (outcome.kind) {
       case 'streamed':
         this.context.health.note(upstreamId, 'answered', now);
@@ -250,7 +250,7 @@
   ): 'done' | {readonly drawsOnBudget: boolean} {
     const {status} = head;
     const isFailure = status >= FIRST_FAILURE_STATUS;
-    const now = this.context.clocks.sinceBoot();
+    const now = this.context.clocks.counting();
     this.context.health.note(
       upstreamId,
       isFailure ? 'failed' : 'answered',
@@ -318,7 +318,7 @@
   }
 
   private noteFailure(upstreamId: string, failure: RoutedAttemptFailure): void {
-    const now = this.context.clocks.sinceBoot();
+    const now = this.context.clocks.counting();
     switch (failure.kind) {
       case 'not-sent':
         this.context.health.note(upstreamId, 'unreachable', now);
--- a/packages/entry-process/src/routed/upstream_follower.ts
+++ b/packages/entry-process/src/routed/upstream_follower.ts
@@ -1,7 +1,11 @@
 /**
  * The task that follows the platform's list of upstreams.
  */
-import {UpstreamList, type UpstreamUpdate} from '@lacewingwinch/decisions';
+import {
+  type ListedUpstream,
+  UpstreamList,
+  type UpstreamUpdate,
+} from '@lacewingwinch/decisions';
 import type {EventLog} from '@lacewingwinch/observability';
 import {
   decodeKeyedRecord,
@@ -12,7 +16,7 @@
 import {isAborted} from '../util/is_aborted.js';
 import {messageOf} from '../util/message_of.js';
 import {pause} from '../util/pause.js';
-import type {Clocks} from './suspension_clock.js';
+import type {Clocks} from './clocks.js';
 
 /**
  * Milliseconds between two reads. Upstreams write about once a second each, so
@@ -43,6 +47,7 @@
   private hasRead = false;
   /** When the last read that was answered was sent. */
   private answeredAt = -Infinity;
+  private confirmed = -Infinity;
   private outageEndedAt = -Infinity;
   private isReachable = true;
 
@@ -55,7 +60,21 @@
 
   /** When the list was last known to be the newest. */
   get confirmedAt(): number {
-    return this.answeredAt;
+    return this.confirmed;
+  }
+
+  /** Takes the list that another host knew to be the newest at `confirmedAt`. */
+  takeRelayed(list: readonly ListedUpstream[], confirmedAt: number): void {
+    if (confirmedAt <= this.confirmed) {
+      return;
+    }
+    const now = this.context.clocks.counting();
+    this.list.replace(list, false, now);
+    this.confirmed = confirmedAt;
+    this.hasRead = true;
+    this.context.onUpdates(
+      list.map(upstream => ({kind: 'listed', upstream}) as const),
+    );
   }
 
   /** Runs until `signal` aborts. */
@@ -73,7 +92,7 @@
 
   private async readOnce(): Promise<void> {
     const {store, clocks} = this.context;
-    const sentAt = clocks.sinceBoot();
+    const sentAt = clocks.counting();
     const options = {timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS};
     if (this.next === undefined) {
       const {records, end} = await store.newest('upstreams', options);
@@ -81,7 +100,7 @@
       const updates = records.map(({key, value}) =>
         decodeUpstreamEntry(key, value),
       );
-      const now = clocks.sinceBoot();
+      const now = clocks.counting();
       this.list.replace(
         updates.flatMap(update =>
           update.kind === 'listed' ? [update.upstream] : [],
@@ -109,7 +128,7 @@
         ? []
         : [decodeUpstreamEntry(keyed.key, keyed.value)];
     });
-    const now = clocks.sinceBoot();
+    const now = clocks.counting();
     this.list.apply(updates, this.isAfterOutage(now), now);
     this.next = page.next;
     if (updates.length > 0) {
@@ -122,6 +141,7 @@
       this.outageEndedAt = sentAt;
     }
     this.answeredAt = sentAt;
+    this.confirmed = Math.max(this.confirmed, sentAt);
   }
 
   private isAfterOutage(now: number): boolean {
--- a/packages/entry-process/src/tasks/membership_task.ts
+++ b/packages/entry-process/src/tasks/membership_task.ts
@@ -66,6 +66,11 @@
     return this.membership.all();
   }
 
+  /** Hosts that share limits, this one included. */
+  sharingCount(): number {
+    return this.membership.sharingCount(this.context.clock());
+  }
+
   /** The host called `hostId`. */
   find(hostId: string): Member | undefined {
     return this.membership.find(hostId);
