--- /dev/null
+++ b/packages/decisions/tests/routing_test.ts
@@ -0,0 +1,226 @@
+/** Tests of the admission of routed calls. */
+import {describe, expect, it} from 'vitest';
+
+import {
+  admitRoutedCall,
+  type Belief,
+  buildRoutingConfiguration,
+  type RoutedCallFacts,
+  type RoutingConfiguration,
+  type RoutingRule,
+} from '../src/index.js';
+
+const MAXIMUM_AGE = 4500;
+const NOW = 100_000;
+
+function rule(name: string, overrides: Partial<RoutingRule>): RoutingRule {
+  return {
+    name,
+    host: 'host.example',
+    pathPrefix: '/a/',
+    execution: 'repeatable',
+    isStreamed: false,
+    targets: [{service: 'first', weight: 1}],
+    timeoutMilliseconds: 5000,
+    objectiveMilliseconds: 500,
+    maximumAttempts: 2,
+    priority: 3,
+    isPublic: false,
+    ...overrides,
+  };
+}
+
+function service(
+  name: string,
+): RoutingConfiguration['services'] extends ReadonlyMap<string, infer Service>
+  ? Service
+  : never {
+  return {name, connectionLimit: 10, engine: undefined, scaling: undefined};
+}
+
+const CONFIGURATION = buildRoutingConfiguration({
+  version: 7,
+  rules: [
+    rule('short', {}),
+    rule('long', {pathPrefix: '/a/b/'}),
+    rule('open', {pathPrefix: '/open/', isPublic: true}),
+    rule('nowhere', {pathPrefix: '/nowhere/', targets: []}),
+    rule('other-host', {host: 'other.example', pathPrefix: '/x/'}),
+  ],
+  services: [service('first'), service('second')],
+  workspaces: [
+    {name: 'large', keys: ['key-1', 'key-2'], priority: 1, quota: undefined},
+    {name: 'small', keys: ['key-3'], priority: undefined, quota: undefined},
+  ],
+  limits: {
+    headerBytes: 100,
+    bodyBytes: 1000,
+    headerTimeoutMilliseconds: 3000,
+    idleTimeoutMilliseconds: 15_000,
+  },
+});
+
+function belief(age: number): Belief<RoutingConfiguration> {
+  return {value: CONFIGURATION, confirmedAt: NOW - age};
+}
+
+function facts(overrides: Partial<RoutedCallFacts>): RoutedCallFacts {
+  return {
+    attemptId: 'attempt',
+    host: 'host.example',
+    path: '/a/b/c',
+    workspaceKey: 'key-1',
+    deadlineMilliseconds: 2000,
+    bodyBytes: 10,
+    ...overrides,
+  };
+}
+
+describe('a routed call', () => {
+  it.each<{
+    readonly name: string;
+    readonly call: Partial<RoutedCallFacts>;
+    readonly age: number;
+    readonly outcome: string;
+  }>([
+    {
+      name: 'goes to the rule with the longer prefix',
+      call: {},
+      age: 0,
+      outcome: 'long',
+    },
+    {
+      name: 'goes to the shorter prefix where the longer one does not begin it',
+      call: {path: '/a/c'},
+      age: 0,
+      outcome: 'short',
+    },
+    {
+      name: 'needs the host of the rule',
+      call: {path: '/x/1'},
+      age: 0,
+      outcome: 'path-unknown',
+    },
+    {
+      name: 'needs the slash of the prefix',
+      call: {path: '/ab'},
+      age: 0,
+      outcome: 'path-unknown',
+    },
+    {
+      name: 'is rejected without a key',
+      call: {workspaceKey: undefined},
+      age: 0,
+      outcome: 'workspace-key-rejected',
+    },
+    {
+      name: 'is rejected with an unknown key',
+      call: {workspaceKey: 'key-9'},
+      age: 0,
+      outcome: 'workspace-key-rejected',
+    },
+    {
+      name: 'needs no key on a public rule',
+      call: {path: '/open/1', workspaceKey: undefined},
+      age: 0,
+      outcome: 'open',
+    },
+    {
+      name: 'is served while the keys are young enough',
+      call: {},
+      age: MAXIMUM_AGE,
+      outcome: 'long',
+    },
+    {
+      name: 'is refused, not rejected, when the keys are too old',
+      call: {workspaceKey: 'key-9'},
+      age: MAXIMUM_AGE + 1,
+      outcome: 'not-ready',
+    },
+    {
+      name: 'is served by a public rule however old the keys are',
+      call: {path: '/open/1'},
+      age: 60_000,
+      outcome: 'open',
+    },
+    {
+      name: 'gets no 404 from a configuration that is too old',
+      call: {path: '/new/1'},
+      age: MAXIMUM_AGE + 1,
+      outcome: 'not-ready',
+    },
+    {
+      name: 'is refused above the largest body',
+      call: {bodyBytes: 1001},
+      age: 0,
+      outcome: 'request-too-large',
+    },
+    {
+      name: 'is refused where the rule names no known service',
+      call: {path: '/nowhere/1'},
+      age: 0,
+      outcome: 'no-upstream',
+    },
+  ])('$name', ({call, age, outcome}) => {
+    const verdict = admitRoutedCall(facts(call), belief(age), MAXIMUM_AGE, NOW);
+    expect(
+      verdict.kind === 'refused' ? verdict.error : verdict.admission.rule.name,
+    ).toBe(outcome);
+  });
+
+  it('is refused while no configuration is known', () => {
+    expect(
+      admitRoutedCall(facts({}), undefined, MAXIMUM_AGE, NOW),
+    ).toMatchObject({kind: 'refused', error: 'not-ready'});
+  });
+
+  it.each([
+    {key: 'key-2', deadline: 2000, priority: 1, budget: 2000},
+    {key: 'key-3', deadline: 9000, priority: 3, budget: 5000},
+    {key: 'key-3', deadline: undefined, priority: 3, budget: 5000},
+  ])(
+    'with $key and $deadline ms has priority $priority and $budget ms',
+    ({key, deadline, priority, budget}) => {
+      const verdict = admitRoutedCall(
+        facts({workspaceKey: key, deadlineMilliseconds: deadline}),
+        belief(0),
+        MAXIMUM_AGE,
+        NOW,
+      );
+      expect(verdict).toMatchObject({
+        kind: 'admitted',
+        admission: {priority, budgetMilliseconds: budget},
+      });
+    },
+  );
+
+  it('is split over the targets by their weights', () => {
+    const split = buildRoutingConfiguration({
+      ...CONFIGURATION,
+      rules: [
+        rule('split', {
+          targets: [
+            {service: 'first', weight: 90},
+            {service: 'second', weight: 10},
+            {service: 'unknown', weight: 50},
+          ],
+        }),
+      ],
+      services: [...CONFIGURATION.services.values()],
+    });
+    const counts = new Map<string, number>();
+    for (let index = 0; index < 5000; index += 1) {
+      const verdict = admitRoutedCall(
+        facts({attemptId: `attempt-${index}`}),
+        {value: split, confirmedAt: NOW},
+        MAXIMUM_AGE,
+        NOW,
+      );
+      const name =
+        verdict.kind === 'admitted' ? verdict.admission.service.name : '';
+      counts.set(name, (counts.get(name) ?? 0) + 1);
+    }
+    expect([...counts.keys()].sort()).toEqual(['first', 'second']);
+    expect((counts.get('second') ?? 0) / 5000).toBeCloseTo(0.1, 1);
+  });
+});
--- /dev/null
+++ b/packages/decisions/tests/upstream_list_test.ts
@@ -0,0 +1,178 @@
+/** Tests of the list of upstreams and of their health. */
+import {describe, expect, it} from 'vitest';
+
+import {
+  type ListedUpstream,
+  RELIST_MILLISECONDS,
+  UpstreamHealth,
+  UpstreamList,
+  type UpstreamResult,
+  type UpstreamUpdate,
+} from '../src/index.js';
+
+function upstream(
+  upstreamId: string,
+  overrides: Partial<ListedUpstream> = {},
+): ListedUpstream {
+  return {
+    upstreamId,
+    service: 'engines',
+    address: '10.0.0.1:80',
+    failureDomain: 'north',
+    slots: 8,
+    isLeaving: false,
+    leavesInMilliseconds: undefined,
+    bornAt: 0,
+    isReclaimable: false,
+    coldMilliseconds: 0,
+    ...overrides,
+  };
+}
+
+function listed(one: ListedUpstream): UpstreamUpdate {
+  return {kind: 'listed', upstream: one};
+}
+
+const NOW = 1000;
+
+describe('an upstream', () => {
+  it.each<{
+    readonly name: string;
+    readonly updates: readonly UpstreamUpdate[];
+    readonly isAfterOutage: boolean;
+    readonly later: number;
+    readonly usable: readonly string[];
+  }>([
+    {
+      name: 'is usable once it is listed',
+      updates: [],
+      isAfterOutage: false,
+      later: 0,
+      usable: ['a', 'b'],
+    },
+    {
+      name: 'gets no new work once it leaves',
+      updates: [listed(upstream('a', {isLeaving: true}))],
+      isAfterOutage: false,
+      later: 0,
+      usable: ['b'],
+    },
+    {
+      name: 'is gone once it is withdrawn',
+      updates: [{kind: 'withdrawn', upstreamId: 'a'}],
+      isAfterOutage: false,
+      later: 0,
+      usable: ['b'],
+    },
+    {
+      name: 'that lapsed in an outage stays until it had time to come back',
+      updates: [{kind: 'withdrawn', upstreamId: 'a'}],
+      isAfterOutage: true,
+      later: RELIST_MILLISECONDS - 1,
+      usable: ['a', 'b'],
+    },
+    {
+      name: 'that lapsed in an outage is gone when it did not come back',
+      updates: [{kind: 'withdrawn', upstreamId: 'a'}],
+      isAfterOutage: true,
+      later: RELIST_MILLISECONDS,
+      usable: ['b'],
+    },
+    {
+      name: 'that came back after an outage stays',
+      updates: [{kind: 'withdrawn', upstreamId: 'a'}, listed(upstream('a'))],
+      isAfterOutage: true,
+      later: RELIST_MILLISECONDS * 2,
+      usable: ['a', 'b'],
+    },
+    {
+      name: 'that was leaving before an outage is gone at once',
+      updates: [
+        listed(upstream('a', {isLeaving: true})),
+        {kind: 'withdrawn', upstreamId: 'a'},
+      ],
+      isAfterOutage: true,
+      later: 0,
+      usable: ['b'],
+    },
+    {
+      name: 'that moved to another service is not used for the first',
+      updates: [listed(upstream('a', {service: 'others'}))],
+      isAfterOutage: false,
+      later: 0,
+      usable: ['b'],
+    },
+  ])('$name', ({updates, isAfterOutage, later, usable}) => {
+    const list = new UpstreamList();
+    list.replace([upstream('a'), upstream('b')], false, NOW);
+    list.apply(updates, isAfterOutage, NOW);
+    expect(
+      list.usable('engines', NOW + later).map(({upstreamId}) => upstreamId),
+    ).toEqual(usable);
+  });
+
+  it('is known anew when it starts again under its id', () => {
+    const list = new UpstreamList();
+    list.apply([listed(upstream('a', {bornAt: 1}))], false, NOW);
+    list.apply([listed(upstream('a', {bornAt: 1}))], false, NOW + 10);
+    expect(list.usable('engines', NOW)[0]?.knownSince).toBe(NOW);
+    list.apply([listed(upstream('a', {bornAt: 2}))], false, NOW + 20);
+    expect(list.usable('engines', NOW)[0]?.knownSince).toBe(NOW + 20);
+  });
+
+  it('that a whole reading no longer holds is gone', () => {
+    const list = new UpstreamList();
+    list.replace([upstream('a'), upstream('b')], false, NOW);
+    list.replace([upstream('b')], false, NOW + 1);
+    expect(list.all().map(({upstreamId}) => upstreamId)).toEqual(['b']);
+  });
+});
+
+describe('the health of an upstream', () => {
+  it.each<{
+    readonly name: string;
+    readonly results: readonly UpstreamResult[];
+    readonly isEjected: boolean;
+  }>([
+    {name: 'is good at first', results: [], isEjected: false},
+    {
+      name: 'survives two failures',
+      results: ['failed', 'failed'],
+      isEjected: false,
+    },
+    {
+      name: 'does not survive three failures in a row',
+      results: ['failed', 'failed', 'failed'],
+      isEjected: true,
+    },
+    {
+      name: 'is mended by an answer in between',
+      results: ['failed', 'answered', 'failed', 'failed'],
+      isEjected: false,
+    },
+    {
+      name: 'does not survive a high share of failures',
+      results: ['failed', 'failed', 'answered', 'failed', 'failed'],
+      isEjected: true,
+    },
+    {
+      name: 'does not survive that it cannot be reached',
+      results: ['unreachable'],
+      isEjected: true,
+    },
+  ])('$name', ({results, isEjected}) => {
+    const health = new UpstreamHealth();
+    results.forEach(result => health.note('a', result, NOW));
+    expect(health.isEjected('a', NOW)).toBe(isEjected);
+  });
+
+  it('is tried again, after a longer time each time it fails again', () => {
+    const health = new UpstreamHealth();
+    health.note('a', 'unreachable', 0);
+    expect(health.isEjected('a', 999)).toBe(true);
+    expect(health.isEjected('a', 1000)).toBe(false);
+    health.note('a', 'unreachable', 1000);
+    expect(health.isEjected('a', 2999)).toBe(true);
+    expect(health.isEjected('a', 3000)).toBe(false);
+  });
+});
--- a/packages/entry-process/src/main.ts
+++ b/packages/entry-process/src/main.ts
@@ -19,6 +19,12 @@
 /** Exit code for faulty arguments or settings. */
 const EXIT_USAGE = 2;
 
+/**
+ * Milliseconds between two looks at the settings file, which may change without
+ * a signal; its seeds are a few seconds old in any case.
+ */
+const SETTINGS_LOOK_MILLISECONDS = 3000;
+
 const cli = cac('lacewingwinch');
 
 const serve = cli.command('serve', 'Serve callers as one entry host');
@@ -47,7 +53,12 @@
     `Serve routed calls on the platform, with the settings file named in ${SETTINGS_FILE_VARIABLE}`,
   )
   .action(async () => {
-    const result = readSettingsFile();
+    const path = process.env[SETTINGS_FILE_VARIABLE];
+    if (path === undefined) {
+      fail([`${SETTINGS_FILE_VARIABLE} is not set`]);
+      return;
+    }
+    const result = readSettingsFile(path);
     switch (result.kind) {
       case 'faulty':
         fail(result.faults);
@@ -57,6 +68,7 @@
         process.on('SIGTERM', () => {
           void routedProcess.leave().then(() => process.exit());
         });
+        reloadOnChange(path, routedProcess);
         await routedProcess.start();
       }
     }
@@ -64,11 +76,7 @@
 cli.help();
 cli.version('0.1.0');
 
-function readSettingsFile(): PlatformSettingsResult {
-  const path = process.env[SETTINGS_FILE_VARIABLE];
-  if (path === undefined) {
-    return {kind: 'faulty', faults: [`${SETTINGS_FILE_VARIABLE} is not set`]};
-  }
+function readSettingsFile(path: string): PlatformSettingsResult {
   try {
     return decodeSettingsFile(readFileSync(path, 'utf8'));
   } catch (error) {
@@ -76,6 +84,28 @@
   }
 }
 
+/** Reads the settings again on SIGHUP, and when the file has changed. */
+function reloadOnChange(path: string, routedProcess: RoutedProcess): void {
+  let known = JSON.stringify(readSettingsFile(path));
+  const reload = (): void => {
+    const result = readSettingsFile(path);
+    const text = JSON.stringify(result);
+    if (text === known) {
+      return;
+    }
+    known = text;
+    switch (result.kind) {
+      case 'faulty':
+        routedProcess.noteFaultySettings(result.faults);
+        return;
+      case 'valid':
+        routedProcess.reload(result.settings);
+    }
+  };
+  process.on('SIGHUP', reload);
+  setInterval(reload, SETTINGS_LOOK_MILLISECONDS).unref();
+}
+
 function stopOnSignals(entryProcess: EntryProcess): void {
   let signals = 0;
   const onSignal = (): void => {
--- a/packages/entry-process/src/routed/routed_front.ts
+++ b/packages/entry-process/src/routed/routed_front.ts
@@ -51,8 +51,8 @@
   readonly quotas: QuotaExchange;
   readonly retryBudgetOf: (service: string) => SharedRetryBudget;
   readonly configuration: () => Belief<RoutingConfiguration> | undefined;
-  /** Age of the keys above which no request with a key is served. */
-  readonly maximumKeyAgeMilliseconds: number;
+  /** Milliseconds of age of the keys above which no request with a key is served. */
+  readonly maximumKeyAge: () => number;
   /** Whether the list of upstreams is known. */
   readonly isListKnown: () => boolean;
   /** Whether this host is about to stop and begins no new request. */
@@ -125,7 +125,7 @@
         bodyBytes: call.body.length,
       },
       this.context.configuration(),
-      this.context.maximumKeyAgeMilliseconds,
+      this.context.maximumKeyAge(),
       now,
     );
     switch (verdict.kind) {
--- a/packages/entry-process/src/routed/routed_process.ts
+++ b/packages/entry-process/src/routed/routed_process.ts
@@ -34,7 +34,6 @@
 import {
   decodeDirectoryCall,
   DutyClient,
-  encodeDiscovery,
   type PlatformSettings,
   StoreClient,
 } from '@lacewingwinch/platform';
@@ -47,6 +46,7 @@
 import {BeliefRelay} from './belief_relay.js';
 import {type Clocks, createProcessClocks} from './clocks.js';
 import {ConfigurationFollower} from './configuration_follower.js';
+import {answerDirectoryCall} from './directory_answers.js';
 import {DutyTask} from './duty_task.js';
 import {QuotaExchange} from './quota_exchange.js';
 import {RoutedFront} from './routed_front.js';
@@ -55,12 +55,6 @@
 import {UpstreamFollower} from './upstream_follower.js';
 import {UsagePush} from './usage_push.js';
 
-/** Seconds for which callers keep the answer of discovery. */
-const DISCOVERY_SECONDS = 2;
-
-/** Addresses in one answer of discovery, by the platform's contract. */
-const DISCOVERY_MAXIMUM_ADDRESSES = 64;
-
 /** Share of the time for revocation that the keys may age. */
 const KEY_AGE_SHARE = 0.9;
 
@@ -114,7 +108,7 @@
   private isLeaving = false;
   private leavingSince = Infinity;
 
-  constructor(private readonly settings: PlatformSettings) {
+  constructor(private settings: PlatformSettings) {
     const {clocks} = this;
     this.startedAt = clocks.steady();
     this.events = createEventLog(settings.hostId, 'info');
@@ -197,6 +191,20 @@
     }
   }
 
+  /**
+   * Takes changed settings: seeds and bounds come into force at once, addresses
+   * only with the next start.
+   */
+  reload(settings: PlatformSettings): void {
+    this.settings = settings;
+    this.events.write(1007, {hostId: settings.hostId});
+  }
+
+  /** Notes that changed settings cannot be used; those in force stay. */
+  noteFaultySettings(faults: readonly string[]): void {
+    this.events.write(1008, {faults: faults.join('; ')});
+  }
+
   /** Leaves without cutting off a request; resolves when it has stopped. */
   async leave(): Promise<void> {
     if (this.isLeaving) {
@@ -219,6 +227,12 @@
       await pause(LOOK_PERIOD_MILLISECONDS, this.stopping.signal);
     }
     const cut = this.front.runningCount;
+    await this.stopNow();
+    this.events.write(1004, {hostId, cut});
+  }
+
+  /** Stops at once, whatever is under way. */
+  async stopNow(): Promise<void> {
     this.membership.declare('gone');
     this.callers?.close();
     this.servers.forEach(server => server.close());
@@ -227,7 +241,7 @@
     await this.peerServer?.close();
     this.peers.close();
     this.pool.close();
-    this.events.write(1004, {hostId, cut});
+    await this.store.close();
   }
 
   private async listen(): Promise<void> {
@@ -264,24 +278,11 @@
   }
 
   private answerDirectory(method: string, target: string): DirectoryAnswer {
-    const call = decodeDirectoryCall(method, target);
-    switch (call.kind) {
-      case 'discover': {
-        const addresses = this.membership
-          .serving()
-          .map(member => member.addresses.callers)
-          .slice(0, DISCOVERY_MAXIMUM_ADDRESSES);
-        const seconds = Math.min(
-          DISCOVERY_SECONDS,
-          this.settings.bounds.discoverySeconds,
-        );
-        return {status: 200, body: encodeDiscovery(addresses, seconds)};
-      }
-      case 'is-ready':
-        return {status: this.isReady() ? 200 : 503, body: '{}'};
-      case 'unknown':
-        return {status: 404, body: '{}'};
-    }
+    return answerDirectoryCall(decodeDirectoryCall(method, target), {
+      isReady: this.isReady(),
+      serving: this.membership.serving(),
+      longestSeconds: this.settings.bounds.discoverySeconds,
+    });
   }
 
   private isReady(): boolean {
@@ -317,7 +318,7 @@
       metrics: this.metrics,
       clock: clocks.steady,
       random: Math.random,
-      seeds: () => settings.seeds,
+      seeds: () => this.settings.seeds,
       content: () => ({
         configurationReadTo: this.configuration.current?.value.version ?? -1,
         leavingUpstreams: [],
@@ -335,7 +336,6 @@
   }
 
   private createFront(): RoutedFront {
-    const {bounds} = this.settings;
     return new RoutedFront({
       clocks: this.clocks,
       events: this.events,
@@ -346,9 +346,10 @@
       quotas: this.quotas,
       retryBudgetOf: service => this.retryBudgetOf(service),
       configuration: () => this.configuration.current,
-      maximumKeyAgeMilliseconds: bounds.failsClosed
-        ? bounds.revocationMilliseconds * KEY_AGE_SHARE
-        : Infinity,
+      maximumKeyAge: () => {
+        const {failsClosed, revocationMilliseconds} = this.settings.bounds;
+        return failsClosed ? revocationMilliseconds * KEY_AGE_SHARE : Infinity;
+      },
       isListKnown: () => this.upstreams.isKnown,
       isClosing: () =>
         this.clocks.steady() - this.leavingSince > LAST_REQUEST_MILLISECONDS,
--- /dev/null
+++ b/packages/entry-process/tests/routed_process_test.ts
@@ -0,0 +1,534 @@
+/** Tests of whole processes on stand-ins of the platform. */
+import {type ClientRequest, request as sendHttp} from 'node:http';
+import {createServer} from 'node:net';
+
+import type {PlatformSettings} from '@lacewingwinch/platform';
+import {
+  type EngineBehavior,
+  RoutedEngineStandIn,
+  StoreStandIn,
+} from '@lacewingwinch/stand-ins';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import {RoutedProcess} from '../src/index.js';
+
+const WAIT_MILLISECONDS = 15_000;
+const LOOK_MILLISECONDS = 20;
+
+interface Answer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, unknown>>;
+  readonly body: string;
+  /** Whether the answer was broken off. */
+  readonly isBroken: boolean;
+}
+
+interface Call {
+  readonly path: string;
+  readonly key?: string;
+  readonly deadline?: number;
+  readonly attemptId?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+}
+
+const CONFIGURATION = {
+  version: 3,
+  routes: [
+    route('again', 'idempotent', '/again/', 'plain'),
+    route('once', 'non_idempotent', '/once/', 'plain'),
+    {...route('stream', 'streaming', '/stream/', 'engines'), maxAttempts: 1},
+    {
+      ...route('resumed', 'streaming', '/resumed/', 'engines'),
+      streamResumption: true,
+    },
+  ],
+  services: [
+    {name: 'plain', connectionLimit: 500},
+    {name: 'engines', connectionLimit: 500},
+  ],
+  limits: {
+    maxHeaderBytes: 4096,
+    maxBodyBytes: 1000,
+    headerTimeoutMs: 3000,
+    idleTimeoutMs: 15_000,
+  },
+  tenants: [{name: 'tenant', apiKeys: ['key-1', 'key-2']}],
+};
+
+function route(
+  name: string,
+  kind: string,
+  pathPrefix: string,
+  service: string,
+): object {
+  return {
+    name,
+    host: 'host.example',
+    pathPrefix,
+    kind,
+    service,
+    timeoutMs: 2000,
+    targetLatencyMs: 200,
+    priority: 1,
+    maxAttempts: 2,
+  };
+}
+
+let store: StoreStandIn;
+let engines: RoutedEngineStandIn[];
+let processes: RoutedProcess[];
+let callers: string[];
+let attempts = 0;
+
+beforeEach(async () => {
+  store = new StoreStandIn();
+  await store.listen();
+  engines = [];
+  processes = [];
+  callers = [];
+  for (const service of ['plain', 'plain', 'engines', 'engines']) {
+    const engine = new RoutedEngineStandIn(`i-${engines.length}`);
+    engine.isStreamed = service === 'engines';
+    await engine.listen();
+    engines.push(engine);
+    store.put('keyed.servers', engine.upstreamId, engine.entry(service));
+  }
+  store.put('keyed.op', 'config', CONFIGURATION);
+});
+
+afterEach(async () => {
+  await Promise.all(processes.map(one => one.stopNow()));
+  await Promise.all(engines.map(engine => engine.close()));
+  await store.close();
+});
+
+async function freeAddress(): Promise<string> {
+  const server = createServer();
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const address = server.address();
+  const port = typeof address === 'object' ? (address?.port ?? 0) : 0;
+  await new Promise(resolve => server.close(resolve));
+  return `127.0.0.1:${port}`;
+}
+
+async function startProcess(
+  overrides: Partial<PlatformSettings> = {},
+): Promise<RoutedProcess> {
+  const addresses = {
+    callers: await freeAddress(),
+    peers: await freeAddress(),
+    discovery: await freeAddress(),
+    readiness: await freeAddress(),
+  };
+  const one = new RoutedProcess({
+    hostId: `host-${processes.length}`,
+    failureDomain: 'north',
+    region: '',
+    listenAddress: '127.0.0.1',
+    failureDomains: ['north'],
+    addresses,
+    freePorts: {first: 0, last: 0},
+    seeds: [],
+    isFirstStart: true,
+    storeAddress: store.address,
+    cloudAddress: store.address,
+    duties: ['usage-reporting'],
+    upstreamHeartbeatMilliseconds: 1200,
+    memoryBytes: 0,
+    fileDescriptors: 1000,
+    bounds: {
+      contactMilliseconds: 3000,
+      drainMilliseconds: 2000,
+      gracePeriodMilliseconds: 8000,
+      revocationMilliseconds: 2500,
+      failsClosed: true,
+      retryRatio: 0.2,
+      retrySlack: 500,
+      retryWindowMilliseconds: 10_000,
+      quotaSlack: 0,
+      leaseMilliseconds: 1500,
+      usageWindowMilliseconds: 1000,
+      usageDelayMilliseconds: 10_000,
+      reuseWindowMilliseconds: 10_000,
+      discoverySeconds: 5,
+    },
+    ...overrides,
+  });
+  processes.push(one);
+  callers.push(addresses.callers);
+  await one.start();
+  return one;
+}
+
+function call(
+  {path, key = 'key-1', deadline = 1500, ...rest}: Call,
+  address = callers[0] ?? '',
+  onRequest: (request: ClientRequest) => void = () => undefined,
+): Promise<Answer> {
+  attempts += 1;
+  const [host, port] = address.split(':');
+  const {attemptId = `attempt-${attempts}`, headers = {}, body = ''} = rest;
+  return new Promise((resolve, reject) => {
+    let hasAnswer = false;
+    const request = sendHttp(
+      {
+        host,
+        port,
+        path,
+        method: 'POST',
+        agent: false,
+        headers: {
+          host: 'host.example',
+          'x-attempt-id': attemptId,
+          'x-deadline-ms': String(deadline),
+          authorization: `Token ${key}`,
+          'content-length': Buffer.byteLength(body),
+          ...headers,
+        },
+      },
+      response => {
+        hasAnswer = true;
+        let text = '';
+        const finish = (isBroken: boolean): void =>
+          resolve({
+            status: response.statusCode ?? 0,
+            headers: response.headers,
+            body: text,
+            isBroken,
+          });
+        response.on('data', (chunk: Buffer) => {
+          text += chunk.toString();
+        });
+        response.on('end', () => finish(!response.complete));
+        response.on('error', () => finish(true));
+      },
+    );
+    // After the head of an answer its own listener says how it ended.
+    request.on('error', error => {
+      if (!hasAnswer) {
+        reject(error);
+      }
+    });
+    onRequest(request);
+    request.end(body);
+  });
+}
+
+async function waitUntil(
+  condition: () => Promise<boolean> | boolean,
+): Promise<void> {
+  const until = Date.now() + WAIT_MILLISECONDS;
+  while (!(await condition())) {
+    expect(Date.now()).toBeLessThan(until);
+    await new Promise(resolve => setTimeout(resolve, LOOK_MILLISECONDS));
+  }
+}
+
+function setBehavior(...behaviors: readonly EngineBehavior[]): void {
+  engines.forEach((engine, index) => {
+    engine.behavior = behaviors[index % behaviors.length] ?? 'answer';
+  });
+}
+
+function ranOf(path: string): number {
+  return engines.flatMap(({ran}) => ran).filter(one => one.path === path)
+    .length;
+}
+
+describe('an answer', () => {
+  it.each<{
+    readonly name: string;
+    readonly call: Call;
+    readonly behaviors: readonly EngineBehavior[];
+    readonly status: number;
+    readonly mostRuns: number;
+  }>([
+    {
+      name: 'of an upstream passes with its signature',
+      call: {path: '/again/1'},
+      behaviors: ['answer'],
+      status: 200,
+      mostRuns: 1,
+    },
+    {
+      name: 'that fails is replaced by another upstream where that is allowed',
+      call: {path: '/again/1'},
+      behaviors: ['fail', 'answer'],
+      status: 200,
+      mostRuns: 2,
+    },
+    {
+      name: 'that fails passes where the request may run once',
+      call: {path: '/once/1'},
+      behaviors: ['fail'],
+      status: 500,
+      mostRuns: 1,
+    },
+    {
+      name: 'that is lost means 502 where the request may run once',
+      call: {path: '/once/1'},
+      behaviors: ['lose'],
+      status: 502,
+      mostRuns: 1,
+    },
+    {
+      name: 'of "not executed" sends what may run once elsewhere',
+      call: {path: '/once/1'},
+      behaviors: ['shed', 'answer'],
+      status: 200,
+      mostRuns: 1,
+    },
+    {
+      name: 'of "not executed" everywhere means 503',
+      call: {path: '/once/1'},
+      behaviors: ['shed'],
+      status: 503,
+      mostRuns: 0,
+    },
+    {
+      name: 'to another attempt never passes',
+      call: {path: '/once/1'},
+      behaviors: ['answer-another'],
+      status: 502,
+      mostRuns: 1,
+    },
+    {
+      name: 'of success without a signature never passes',
+      call: {path: '/once/1'},
+      behaviors: ['answer-unsigned'],
+      status: 502,
+      mostRuns: 1,
+    },
+    {
+      name: 'of 503 that may have run never passes as a promise',
+      call: {path: '/once/1'},
+      behaviors: ['busy'],
+      status: 502,
+      mostRuns: 1,
+    },
+    {
+      name: 'that does not come ends with the deadline',
+      call: {path: '/once/1', deadline: 300},
+      behaviors: ['hang'],
+      status: 504,
+      mostRuns: 1,
+    },
+    {
+      name: 'is 404 without a rule',
+      call: {path: '/none/1'},
+      behaviors: ['answer'],
+      status: 404,
+      mostRuns: 0,
+    },
+    {
+      name: 'is 401 without a known key',
+      call: {path: '/again/1', key: 'key-9'},
+      behaviors: ['answer'],
+      status: 401,
+      mostRuns: 0,
+    },
+    {
+      name: 'is 413 for a body that is too large',
+      call: {path: '/again/1', body: 'x'.repeat(1001)},
+      behaviors: ['answer'],
+      status: 413,
+      mostRuns: 0,
+    },
+    {
+      name: 'is 431 for headers that are too large',
+      call: {path: '/again/1', headers: {'x-long': 'x'.repeat(5000)}},
+      behaviors: ['answer'],
+      status: 431,
+      mostRuns: 0,
+    },
+  ])('$name', async ({call: sent, behaviors, status, mostRuns}) => {
+    await startProcess();
+    setBehavior(...behaviors);
+    const answer = await call(sent);
+    expect(answer.status).toBe(status);
+    expect(answer.headers['x-response-signature'] !== undefined).toBe(
+      status === 200 || status === 500,
+    );
+    expect(ranOf(sent.path)).toBeLessThanOrEqual(mostRuns);
+  });
+});
+
+describe('a request', () => {
+  it('reaches its upstream with the key replaced by the workspace', async () => {
+    await startProcess();
+    await call({
+      path: '/once/1?q=1',
+      body: 'question',
+      headers: {'x-tenant-name': 'forged', 'x-cache-retention': 'forged'},
+    });
+    const [seen] = engines.flatMap(({ran}) => ran);
+    expect(seen).toMatchObject({path: '/once/1?q=1', body: 'question'});
+    expect(seen?.headers['x-tenant-name']).toBe('tenant');
+    expect(seen?.headers.authorization).toBeUndefined();
+    expect(seen?.headers['x-cache-retention']).toBeUndefined();
+    expect(Number(seen?.headers['x-deadline-ms'])).toBeLessThanOrEqual(1500);
+  });
+
+  it('is cancelled at its upstream when its caller leaves', async () => {
+    await startProcess();
+    setBehavior('hang');
+    const answer = call({path: '/again/1'}, callers[0], request => {
+      setTimeout(() => request.destroy(), 100);
+    });
+    await expect(answer).rejects.toThrow();
+    await waitUntil(() => engines.some(({abandoned}) => abandoned === 1));
+  });
+});
+
+describe('a stream', () => {
+  const whole = [1, 2, 3, 4, 5, 6]
+    .map(id => `id: ${id}\ndata: event-${id}\n\n`)
+    .join('');
+
+  it('passes whole', async () => {
+    await startProcess();
+    const answer = await call({path: '/stream/1'});
+    expect(answer).toMatchObject({body: whole, isBroken: false, status: 200});
+  });
+
+  it('that breaks off ends broken, with whole events only', async () => {
+    await startProcess();
+    setBehavior('break-off');
+    const answer = await call({path: '/stream/1'});
+    expect(answer.isBroken).toBe(true);
+    expect(whole.startsWith(answer.body)).toBe(true);
+    expect(answer.body.endsWith('\n\n')).toBe(true);
+    expect(ranOf('/stream/1')).toBe(1);
+  });
+
+  it('that may be resumed goes on elsewhere, each event once', async () => {
+    await startProcess();
+    const first = engines[2];
+    const second = engines[3];
+    setBehavior('answer');
+    if (first !== undefined) {
+      first.behavior = 'break-off';
+    }
+    const answers = await Promise.all(
+      Array.from({length: 6}, (_, index) => call({path: `/resumed/${index}`})),
+    );
+    expect(answers.map(({body}) => body)).toEqual(answers.map(() => whole));
+    expect(
+      second?.ran.some(({headers}) => headers['last-event-id'] === '3'),
+    ).toBe(true);
+  });
+});
+
+describe('a belief', () => {
+  it('in a key ends when the store is away for longer than allowed', async () => {
+    await startProcess();
+    expect((await call({path: '/again/1'})).status).toBe(200);
+    store.faults.isSilent = true;
+    store.dropConnections();
+    await waitUntil(
+      async () => (await call({path: '/again/2'})).status === 503,
+    );
+    store.faults.isSilent = false;
+    store.dropConnections();
+    await waitUntil(
+      async () => (await call({path: '/again/3'})).status === 200,
+    );
+  });
+
+  it('is renewed through another host that the store still serves', async () => {
+    const gate = new StoreStandIn();
+    await gate.listen();
+    gate.put('keyed.op', 'config', CONFIGURATION);
+    for (const engine of engines) {
+      gate.put('keyed.servers', engine.upstreamId, engine.entry('plain'));
+    }
+    const addresses = {
+      callers: await freeAddress(),
+      peers: await freeAddress(),
+      discovery: await freeAddress(),
+      readiness: await freeAddress(),
+    };
+    await startProcess({addresses});
+    await startProcess({
+      seeds: [addresses.peers],
+      storeAddress: gate.address,
+      duties: [],
+    });
+    gate.faults.isDown = true;
+    store.put('keyed.op', 'config', {
+      ...CONFIGURATION,
+      version: 9,
+      tenants: [{name: 'tenant', apiKeys: ['key-2']}],
+    });
+    await waitUntil(
+      async () =>
+        (await call({path: '/again/1', key: 'key-1'}, callers[1])).status ===
+        401,
+    );
+    await new Promise(resolve => setTimeout(resolve, 3000));
+    expect(
+      (await call({path: '/again/1', key: 'key-2'}, callers[1])).status,
+    ).toBe(200);
+    await processes.pop()?.stopNow();
+    await gate.close();
+  });
+
+  it('in a configuration is never replaced by an older one', async () => {
+    await startProcess();
+    store.put('keyed.op', 'config', {...CONFIGURATION, version: 9, routes: []});
+    await waitUntil(
+      async () => (await call({path: '/again/1'})).status === 404,
+    );
+    store.put('keyed.op', 'config', CONFIGURATION);
+    store.expire('keyed.op');
+    await new Promise(resolve => setTimeout(resolve, 1500));
+    expect((await call({path: '/again/1'})).status).toBe(404);
+  });
+});
+
+describe('the duties', () => {
+  it('report each window with one content, under rising fences', async () => {
+    await startProcess();
+    store.faults.lostAnswers = 2;
+    for (let index = 0; index < 12; index += 1) {
+      await call({path: `/again/${index}`});
+      await new Promise(resolve => setTimeout(resolve, 150));
+    }
+    await waitUntil(
+      () => store.duties.reduce((sum, {body}) => sum + countOf(body), 0) === 12,
+    );
+    const contents = new Map<unknown, string>();
+    for (const {body} of store.duties) {
+      const known = contents.get(body['windowNumber']);
+      expect(known ?? JSON.stringify(body['counts'])).toBe(
+        JSON.stringify(body['counts']),
+      );
+      contents.set(body['windowNumber'], JSON.stringify(body['counts']));
+    }
+    const fences = store.duties.map(({fence}) => fence);
+    expect([...fences].sort((left, right) => left - right)).toEqual(fences);
+  });
+});
+
+function countOf(body: Readonly<Record<string, unknown>>): number {
+  return (body['counts'] as Record<string, number>)['tenant'] ?? 0;
+}
+
+describe('a stop', () => {
+  it('answers what has arrived and refuses what comes late', async () => {
+    const one = await startProcess();
+    engines.forEach(engine => {
+      engine.workMilliseconds = 1000;
+    });
+    const early = call({path: '/once/early'});
+    await waitUntil(() => ranOf('/once/early') === 1);
+    const stopped = one.leave();
+    expect((await early).status).toBe(200);
+    await new Promise(resolve => setTimeout(resolve, 2000));
+    const late = await call({path: '/once/late'});
+    expect(late.status).toBe(503);
+    expect(ranOf('/once/late')).toBe(0);
+    await stopped;
+  });
+});
--- a/packages/observability/src/event_catalogue.ts
+++ b/packages/observability/src/event_catalogue.ts
@@ -46,6 +46,16 @@
     message: 'unexpected failure in {task}: {error}',
     advice: 'Report it with the log lines around it.',
   },
+  1007: {
+    level: 'info',
+    message: 'entry host {hostId} has read its settings again',
+    advice: 'Nothing; addresses change only with a new start.',
+  },
+  1008: {
+    level: 'error',
+    message: 'the changed settings cannot be used: {faults}',
+    advice: 'Mend the settings file; the settings in force stay in force.',
+  },
   2001: {
     level: 'info',
     message: 'configuration {version} is in force',
--- /dev/null
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -0,0 +1,166 @@
+/**
+ * A stand-in for an upstream on the platform: a plain service or an engine that
+ * streams events, with faults on demand.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
+import {
+  delay,
+  readWhole,
+  type StandInServer,
+  startServer,
+} from './http_stand_in.js';
+
+/** How the next requests are answered. */
+export type EngineBehavior =
+  /** The whole answer. */
+  | 'answer'
+  /** A status 500 after the request ran. */
+  | 'fail'
+  /** "Not executed", with status 503. */
+  | 'shed'
+  /** The request runs and its connection is reset. */
+  | 'lose'
+  /** The answer to another attempt. */
+  | 'answer-another'
+  /** A success without a signature. */
+  | 'answer-unsigned'
+  /** A status 503 that does not say that nothing was executed. */
+  | 'busy'
+  /** A stream that is reset after half of its events. */
+  | 'break-off'
+  /** No answer. */
+  | 'hang';
+
+/** A request as the upstream saw it. */
+export interface SeenRequest {
+  readonly path: string;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+}
+
+/** Events of a streamed answer. */
+const EVENTS = 6;
+
+/** Milliseconds between two events. */
+const EVENT_MILLISECONDS = 10;
+
+/** An upstream. */
+export class RoutedEngineStandIn {
+  behavior: EngineBehavior = 'answer';
+  /** Whether answers are streams of events. */
+  isStreamed = false;
+  /** Milliseconds for which a request that is not streamed runs. */
+  workMilliseconds = 0;
+  /** Requests that ran. */
+  readonly ran: SeenRequest[] = [];
+  /** Requests whose caller closed the connection before the answer. */
+  abandoned = 0;
+  private server: StandInServer | undefined;
+
+  constructor(readonly upstreamId: string) {}
+
+  /** Starts to listen on a free port. */
+  async listen(): Promise<void> {
+    this.server = await startServer(0, (message, response) =>
+      this.handle(message, response),
+    );
+  }
+
+  /** IP number and port. */
+  get address(): string {
+    return this.server?.address ?? '';
+  }
+
+  close(): Promise<void> {
+    return this.server?.close() ?? Promise.resolve();
+  }
+
+  /** The entry by which it lists itself. */
+  entry(service: string, overrides: object = {}): object {
+    return {
+      service,
+      address: this.address,
+      zone: 'north',
+      version: 'v1',
+      slots: 8,
+      state: 'ready',
+      coldRemainingMs: 0,
+      sequence: 1,
+      born: 1,
+      ...overrides,
+    };
+  }
+
+  private async handle(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = await readWhole(message);
+    const {headers} = message;
+    response.once('close', () => {
+      this.abandoned += response.writableFinished ? 0 : 1;
+    });
+    const attemptId = String(headers['x-attempt-id']);
+    const signed = {
+      'x-attempt-id': attemptId,
+      'x-response-signature': `signed-by-${this.upstreamId}`,
+    };
+    if (headers['x-expected-instance'] !== this.upstreamId) {
+      response.writeHead(421, {'x-instance-id': this.upstreamId}).end();
+      return;
+    }
+    if (this.behavior === 'shed') {
+      response.writeHead(503, {'x-not-executed': '1'}).end();
+      return;
+    }
+    this.ran.push({path: message.url ?? '', headers, body});
+    await delay(this.workMilliseconds);
+    switch (this.behavior) {
+      case 'answer':
+      case 'break-off':
+        await this.answer(message, response, signed);
+        return;
+      case 'fail':
+        response.writeHead(500, signed).end('failed');
+        return;
+      case 'lose':
+        message.socket.resetAndDestroy();
+        return;
+      case 'answer-another':
+        response.writeHead(200, {...signed, 'x-attempt-id': 'other'}).end('x');
+        return;
+      case 'answer-unsigned':
+        response.writeHead(200, {'x-attempt-id': attemptId}).end('x');
+        return;
+      case 'busy':
+        response.writeHead(503, signed).end();
+        return;
+      case 'hang':
+    }
+  }
+
+  private async answer(
+    message: IncomingMessage,
+    response: ServerResponse,
+    signed: Readonly<Record<string, string>>,
+  ): Promise<void> {
+    if (!this.isStreamed) {
+      response.writeHead(200, signed).end(`answer-of-${this.upstreamId}`);
+      return;
+    }
+    response.writeHead(200, {...signed, 'content-type': 'text/event-stream'});
+    const after = Number(message.headers['last-event-id'] ?? 0);
+    for (let id = after + 1; id <= EVENTS; id += 1) {
+      if (this.behavior === 'break-off' && id > EVENTS / 2) {
+        response.write(`id: ${id}\ndata: cut in the mid`);
+        await delay(EVENT_MILLISECONDS);
+        message.socket.resetAndDestroy();
+        return;
+      }
+      response.write(`id: ${id}\ndata: event-${id}\n\n`);
+      await delay(EVENT_MILLISECONDS);
+    }
+    response.end();
+  }
+}
