Refuse what cannot be answered in time, count priorities ahead, keep more reclaimable engines

Now twice the engines, on-demand ones only until reclaimable ones carry the load; a request whose first event would take longer than its caller waits is refused at once, with a time to come back.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -34,6 +34,7 @@
 export * from './placement/placement_table.js';
 export * from './placement/prefill_speeds.js';
 export * from './placement/prefix_memory.js';
+export * from './placement/refuse_hopeless.js';
 export * from './retries/decide_next_attempt.js';
 export * from './retries/decide_retry.js';
 export * from './retries/quarantine.js';
--- a/packages/decisions/src/orders/wanted_engines.ts
+++ b/packages/decisions/src/orders/wanted_engines.ts
@@ -27,10 +27,10 @@
 }
 
 /**
- * Reclaimable engines for each engine that the load needs: with a quarter of
- * the domains gone the rest carries it.
+ * Reclaimable engines for each engine that the load needs: with half of the
+ * domains gone the rest carries all of it.
  */
-const SPARE_FACTOR = 1.35;
+const SPARE_FACTOR = 2;
 
 /** The orders that lead to what `demand` needs, by domain and kind. */
 export function wantedEngines(
@@ -43,6 +43,7 @@
   if (scaling.reclaimablePrice === undefined || domains.length === 0) {
     return [];
   }
+  const needed = Math.ceil(demand.engines / domains.length);
   const perDomain = clamp(
     Math.ceil((demand.engines * SPARE_FACTOR) / domains.length),
     scaling.minimumInDomain,
@@ -57,8 +58,7 @@
     );
     const reclaimable = here.filter(({isReclaimable}) => isReclaimable).length;
     const lasting = here.length - reclaimable;
-    const missing = Math.max(0, perDomain - reclaimable);
-    const kept = Math.min(lasting, missing);
+    const kept = Math.min(lasting, Math.max(0, needed - reclaimable));
     return [
       {
         service: service.name,
--- a/packages/decisions/src/placement/choose_engine.ts
+++ b/packages/decisions/src/placement/choose_engine.ts
@@ -21,14 +21,19 @@
   readonly promptTokens: number;
   /** Tokens of the answer that are expected. */
   readonly answerTokens: number;
+  /** 0 is the most urgent; engines read the prompts of urgent requests first. */
+  readonly priority: number;
 }
 
 /** Work under way at an upstream, as far as it is known here. */
 export interface PlacementLoad {
   /** Requests in progress. */
   readonly running: number;
-  /** Prompt tokens of requests that have not produced anything yet. */
-  readonly waitingTokens: number;
+  /**
+   * Prompt tokens not yet read of requests that have not produced anything, by
+   * the priority of the requests.
+   */
+  readonly waitingTokens: ReadonlyMap<number, number>;
 }
 
 /** What this host knows for a choice. */
@@ -45,6 +50,8 @@
   readonly upstream: UsableUpstream;
   /** Prompt tokens that the upstream reads before the first token. */
   readonly tokensToRead: number;
+  /** Whether the upstream is busy with other requests before this one. */
+  readonly mustWait: boolean;
   /** Milliseconds until its first token, as estimated. */
   readonly estimateMilliseconds: number;
   readonly cachedTokens: number;
@@ -117,15 +124,35 @@
     ? Math.max(seen, sharedTokens(demand.parts))
     : seen;
   const speed = view.prefillSpeedOf(upstreamId);
-  const tokens =
-    load.waitingTokens + Math.max(0, demand.promptTokens - cachedTokens);
+  const tokensBefore = tokensAhead(load, demand.priority);
+  const tokens = tokensBefore + Math.max(0, demand.promptTokens - cachedTokens);
   const excess = Math.max(0, load.running + 1 - slots);
   const estimateMilliseconds =
     tokens / speed +
     load.running * MILLISECONDS_OF_RUNNING +
     excess * EXCESS_MILLISECONDS +
     upstream.coldMilliseconds;
-  return {upstream, estimateMilliseconds, cachedTokens, tokensToRead: tokens};
+  return {
+    upstream,
+    estimateMilliseconds,
+    cachedTokens,
+    tokensToRead: tokens,
+    mustWait: tokensBefore > 0 || excess > 0,
+  };
+}
+
+/**
+ * Share of the prompts of less urgent requests that is read before an urgent
+ * one: an engine finishes the chunk it reads, and its batch goes on.
+ */
+const LESS_URGENT_SHARE = 0.3;
+
+function tokensAhead(load: PlacementLoad, priority: number): number {
+  let tokens = 0;
+  for (const [other, waiting] of load.waitingTokens) {
+    tokens += other <= priority ? waiting : waiting * LESS_URGENT_SHARE;
+  }
+  return tokens;
 }
 
 /** Milliseconds that each request beyond the slots waits for a slot. */
--- a/packages/decisions/src/placement/placement_table.ts
+++ b/packages/decisions/src/placement/placement_table.ts
@@ -21,6 +21,8 @@
   readonly upstreamId: string;
   /** Prompt tokens that the upstream has still to read for it. */
   readonly waitingTokens: number;
+  /** 0 is the most urgent. */
+  readonly priority: number;
 }
 
 /** Milliseconds after which the requests of a silent front count no longer. */
@@ -83,6 +85,7 @@
       attemptId: demand.attemptId,
       upstreamId,
       waitingTokens,
+      priority: demand.priority,
     });
     this.prefixes.note(upstreamId, demand.parts, now);
   }
@@ -123,18 +126,14 @@
 
   /** Work under way by upstream. */
   loads(now: number): ReadonlyMap<string, PlacementLoad> {
-    const loads = new Map<string, PlacementLoad>();
+    const loads = new Map<string, MutableLoad>();
     for (const [front, {requests, heardAt}] of this.fronts) {
       if (now - heardAt > FRONT_SILENCE_MILLISECONDS && requests.size === 0) {
         this.fronts.delete(front);
         continue;
       }
-      for (const {upstreamId, waitingTokens} of requests.values()) {
-        const known = loads.get(upstreamId) ?? NO_LOAD;
-        loads.set(upstreamId, {
-          running: known.running + 1,
-          waitingTokens: known.waitingTokens + waitingTokens,
-        });
+      for (const request of requests.values()) {
+        addToLoad(loads, request);
       }
     }
     return loads;
@@ -167,4 +166,25 @@
   }
 }
 
-const NO_LOAD: PlacementLoad = {running: 0, waitingTokens: 0};
+const NO_LOAD: PlacementLoad = {running: 0, waitingTokens: new Map()};
+
+interface MutableLoad {
+  running: number;
+  readonly waitingTokens: Map<number, number>;
+}
+
+function addToLoad(
+  loads: Map<string, MutableLoad>,
+  {upstreamId, priority, waitingTokens}: PlacedRequest,
+): void {
+  const load: MutableLoad = loads.get(upstreamId) ?? {
+    running: 0,
+    waitingTokens: new Map<number, number>(),
+  };
+  loads.set(upstreamId, load);
+  load.running += 1;
+  if (waitingTokens > 0) {
+    const known = load.waitingTokens.get(priority) ?? 0;
+    load.waitingTokens.set(priority, known + waitingTokens);
+  }
+}
--- a/packages/entry-hosts/src/peer_methods.ts
+++ b/packages/entry-hosts/src/peer_methods.ts
@@ -130,6 +130,7 @@
       readonly estimateMilliseconds: number;
       readonly cachedTokens: number;
       readonly tokensToRead: number;
+      readonly mustWait: boolean;
     }
   | {readonly kind: 'none'};
 
--- a/packages/entry-process/src/routed/routed_placement.ts
+++ b/packages/entry-process/src/routed/routed_placement.ts
@@ -109,6 +109,7 @@
           estimateMilliseconds: choice.estimateMilliseconds,
           cachedTokens: choice.cachedTokens,
           tokensToRead: choice.tokensToRead,
+          mustWait: choice.mustWait,
         };
   }
 
@@ -258,6 +259,7 @@
           estimateMilliseconds: answer.estimateMilliseconds,
           cachedTokens: answer.cachedTokens,
           tokensToRead: answer.tokensToRead,
+          mustWait: answer.mustWait,
         };
   }
 
--- a/packages/entry-process/src/routed/routed_request.ts
+++ b/packages/entry-process/src/routed/routed_request.ts
@@ -8,6 +8,7 @@
   type Choice,
   decideNextAttempt,
   type PlacementDemand,
+  refuseHopeless,
   type RoutedAdmission,
   type RoutedAttemptFailure,
   ServingError,
@@ -84,6 +85,7 @@
       parts: headers.promptParts,
       promptTokens: headers.promptTokens,
       answerTokens: headers.expectedAnswerTokens ?? headers.maximumAnswerTokens,
+      priority: admission.priority,
     };
   }
 
@@ -120,6 +122,9 @@
         );
         return;
       }
+      if (this.refuseIfHopeless(placement)) {
+        return;
+      }
       const outcome = await this.attemptAt(placement);
       const next = this.settle(placement.choice, outcome);
       if (next === 'done') {
@@ -129,6 +134,34 @@
     }
   }
 
+  /** Only a request that nobody has got yet is refused. */
+  private refuseIfHopeless(placement: Placement): boolean {
+    if (this.upstreamsReached > 0 || this.relay.hasBegun) {
+      return false;
+    }
+    const verdict = refuseHopeless(
+      placement.choice,
+      {
+        objectiveMilliseconds: this.admission.rule.objectiveMilliseconds,
+        millisecondsLeft: this.millisecondsLeft(),
+      },
+      Math.random(),
+    );
+    switch (verdict.kind) {
+      case 'send':
+        return false;
+      case 'refuse': {
+        placement.noteEnded();
+        const wait = Math.round(placement.choice.estimateMilliseconds);
+        this.noteEnd('overloaded');
+        throw new ServingError('overloaded', {
+          detail: `the first event would take ${wait} ms`,
+          retryAfterSeconds: verdict.retryAfterMilliseconds / 1000,
+        });
+      }
+    }
+  }
+
   private place(): Promise<Placement | undefined> {
     const {name} = this.admission.service;
     return this.context.placement.place(name, this.demand, this.tried);
