Write the log to standard output without blocking, bounded, with a count of what was left out

Node writes to a pipe synchronously through process.stdout; a socket over the same descriptor does not. A test stalls the reader. Failed calls to other hosts are logged with their reason.

--- a/packages/entry-hosts/src/index.ts
+++ b/packages/entry-hosts/src/index.ts
@@ -1,6 +1,7 @@
 /**
  * JSON-RPC links between entry processes.
  */
+export * from './parse_address.js';
 export * from './peer_error.js';
 export * from './peer_links.js';
 export * from './peer_methods.js';
--- a/packages/entry-hosts/src/peer_links.ts
+++ b/packages/entry-hosts/src/peer_links.ts
@@ -10,6 +10,7 @@
 } from 'json-rpc-2.0';
 
 import {readFrames, writeFrame} from './frame_codec.js';
+import {parseAddress} from './parse_address.js';
 import {PeerError} from './peer_error.js';
 import type {PeerMethod, PeerParams, PeerResult} from './peer_methods.js';
 
@@ -150,14 +151,3 @@
   connected.catch(() => undefined);
   return connected;
 }
-
-function parseAddress(address: string): {
-  readonly host: string;
-  readonly port: number;
-} {
-  const colon = address.lastIndexOf(':');
-  return {
-    host: address.slice(0, colon),
-    port: Number(address.slice(colon + 1)),
-  };
-}
--- a/packages/entry-process/src/main.ts
+++ b/packages/entry-process/src/main.ts
@@ -25,6 +25,9 @@
  */
 const SETTINGS_LOOK_MILLISECONDS = 3000;
 
+/** Milliseconds in which the last lines of the log are written. */
+const LAST_LINES_MILLISECONDS = 30;
+
 const cli = cac('lacewingwinch');
 
 const serve = cli.command('serve', 'Serve callers as one entry host');
@@ -66,7 +69,11 @@
       case 'valid': {
         const routedProcess = new RoutedProcess(result.settings);
         process.on('SIGTERM', () => {
-          void routedProcess.leave().then(() => process.exit());
+          void routedProcess
+            .leave()
+            .then(() =>
+              setTimeout(() => process.exit(), LAST_LINES_MILLISECONDS),
+            );
         });
         reloadOnChange(path, routedProcess);
         await routedProcess.start();
--- a/packages/entry-process/src/routed/belief_relay.ts
+++ b/packages/entry-process/src/routed/belief_relay.ts
@@ -4,8 +4,10 @@
  */
 import type {Member} from '@lacewingwinch/decisions';
 import type {PeerCaller, RelayedBeliefs} from '@lacewingwinch/entry-hosts';
+import type {EventLog} from '@lacewingwinch/observability';
 
 import {isAborted} from '../util/is_aborted.js';
+import {messageOf} from '../util/message_of.js';
 import {pause} from '../util/pause.js';
 import type {Clocks} from './clocks.js';
 import type {ConfigurationFollower} from './configuration_follower.js';
@@ -29,6 +31,7 @@
 /** What the task needs from others. */
 export interface BeliefRelayContext {
   readonly peers: PeerCaller;
+  readonly events: EventLog;
   readonly clocks: Clocks;
   readonly random: () => number;
   readonly otherHosts: () => readonly Member[];
@@ -112,7 +115,12 @@
         {knownVersion},
         ASK_TIMEOUT_MILLISECONDS,
       );
-    } catch {
+    } catch (error) {
+      this.context.events.write(3004, {
+        hostId: member.hostId,
+        method: 'beliefs.fetch',
+        error: messageOf(error),
+      });
       // Another host is asked in the next round.
       return;
     }
--- a/packages/entry-process/src/routed/quota_exchange.ts
+++ b/packages/entry-process/src/routed/quota_exchange.ts
@@ -7,6 +7,9 @@
   type WorkspaceQuota,
 } from '@lacewingwinch/decisions';
 import type {PeerCaller} from '@lacewingwinch/entry-hosts';
+import type {EventLog} from '@lacewingwinch/observability';
+
+import {messageOf} from '../util/message_of.js';
 
 /** Other hosts that are asked for a part of a quota, at most. */
 const ASKED_HOSTS = 2;
@@ -29,6 +32,7 @@
 /** What the exchange needs from others. */
 export interface QuotaExchangeContext {
   readonly peers: PeerCaller;
+  readonly events: EventLog;
   readonly clock: () => number;
   readonly random: () => number;
   readonly otherHosts: () => readonly Member[];
@@ -141,7 +145,12 @@
         ASK_TIMEOUT_MILLISECONDS,
       );
       return given;
-    } catch {
+    } catch (error) {
+      this.context.events.write(3004, {
+        hostId: member.hostId,
+        method: 'quota.ask',
+        error: messageOf(error),
+      });
       return 0;
     }
   }
--- a/packages/entry-process/src/routed/routed_placement.ts
+++ b/packages/entry-process/src/routed/routed_placement.ts
@@ -19,8 +19,10 @@
   PlacementAsk,
   PlacementNote,
 } from '@lacewingwinch/entry-hosts';
+import type {EventLog} from '@lacewingwinch/observability';
 
 import {isAborted} from '../util/is_aborted.js';
+import {messageOf} from '../util/message_of.js';
 import {pause} from '../util/pause.js';
 
 /**
@@ -42,6 +44,7 @@
   readonly upstreams: UpstreamList;
   readonly health: UpstreamHealth;
   readonly peers: PeerCaller;
+  readonly events: EventLog;
   readonly servingHosts: () => readonly Member[];
   /** Suspension-aware milliseconds. */
   readonly clock: () => number;
@@ -234,8 +237,13 @@
         ask,
         ASK_TIMEOUT_MILLISECONDS,
       );
-    } catch {
+    } catch (error) {
       // The dispatcher is a hint: this host chooses alone for a while.
+      this.context.events.write(3004, {
+        hostId: dispatcher.hostId,
+        method: 'placement.ask',
+        error: messageOf(error),
+      });
       this.askAgainAt.set(dispatcher.hostId, clock() + ASK_PAUSE_MILLISECONDS);
       return undefined;
     }
--- a/packages/entry-process/src/routed/routed_process.ts
+++ b/packages/entry-process/src/routed/routed_process.ts
@@ -22,6 +22,7 @@
 import {
   createPeerCaller,
   listenForPeers,
+  parseAddress,
   type PeerCaller,
   type PeerServer,
 } from '@lacewingwinch/entry-hosts';
@@ -130,6 +131,7 @@
     this.placement = new RoutedPlacement({
       hostId: settings.hostId,
       peers: this.peers,
+      events: this.events,
       servingHosts: () => this.membership.serving(),
       clock: clocks.counting,
       failureDomain: settings.failureDomain,
@@ -141,6 +143,7 @@
     this.usage = new UsageWindows(settings.bounds.usageWindowMilliseconds);
     this.quotas = new QuotaExchange({
       peers: this.peers,
+      events: this.events,
       clock: clocks.steady,
       random: Math.random,
       otherHosts: () => this.otherServingHosts(),
@@ -150,6 +153,7 @@
     });
     this.relay = new BeliefRelay({
       peers: this.peers,
+      events: this.events,
       clocks,
       random: Math.random,
       otherHosts: () => this.otherServingHosts(),
@@ -250,7 +254,7 @@
       this.events.write(1006, {task: 'callers', error: messageOf(error)});
     const handler = (method: string, target: string): DirectoryAnswer =>
       this.answerDirectory(method, target);
-    const {host, port} = splitAddress(addresses.peers);
+    const {host, port} = parseAddress(addresses.peers);
     this.callers = await listenForRoutedCalls(
       addresses.callers,
       this.front,
@@ -430,14 +434,3 @@
     });
   }
 }
-
-function splitAddress(address: string): {
-  readonly host: string;
-  readonly port: number;
-} {
-  const colon = address.lastIndexOf(':');
-  return {
-    host: address.slice(0, colon),
-    port: Number(address.slice(colon + 1)),
-  };
-}
--- a/packages/observability/src/event_catalogue.ts
+++ b/packages/observability/src/event_catalogue.ts
@@ -108,6 +108,11 @@
     message: 'the platform list {list} cannot be read: {error}',
     advice: 'See "When the platform is down" in OPERATING.md.',
   },
+  3004: {
+    level: 'warn',
+    message: 'entry host {hostId} did not answer {method}: {error}',
+    advice: 'Nothing, unless it lasts; this host goes on with what it knows.',
+  },
   4001: {
     level: 'warn',
     message: 'request {requestId} ended with {kind}',
--- a/packages/observability/src/event_log.ts
+++ b/packages/observability/src/event_log.ts
@@ -3,6 +3,7 @@
  */
 import winston from 'winston';
 
+import {openStandardOutput} from './bounded_output.js';
 import {
   type EventFields,
   type EventNumber,
@@ -22,8 +23,9 @@
 /** Least severity that is written. */
 export type LogLevel = (typeof LOG_LEVELS)[number];
 
-/** A log that writes JSON lines to standard error. */
+/** A log that writes JSON lines to standard output and never blocks. */
 export function createEventLog(hostId: string, level: LogLevel): EventLog {
+  const output = openStandardOutput();
   const logger = winston.createLogger({
     level,
     defaultMeta: {hostId},
@@ -31,9 +33,9 @@
       winston.format.timestamp(),
       winston.format.json(),
     ),
-    // The typings of winston declare the console transport as a plain interface.
+    // The typings of winston declare the transport as a plain interface.
     // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment
-    transports: new winston.transports.Console({stderrLevels: [...LOG_LEVELS]}),
+    transports: new winston.transports.Stream({stream: output, eol: '\n'}),
   });
   return {
     write: (number, fields) => {
--- a/packages/observability/src/index.ts
+++ b/packages/observability/src/index.ts
@@ -1,6 +1,7 @@
 /**
  * Numbered log events, metrics and traces.
  */
+export * from './bounded_output.js';
 export * from './event_catalogue.js';
 export * from './event_log.js';
 export * from './metrics.js';
--- /dev/null
+++ b/packages/observability/tests/bounded_output_test.ts
@@ -0,0 +1,45 @@
+/** Tests of the output that never blocks. */
+import {Writable} from 'node:stream';
+
+import {expect, it} from 'vitest';
+
+import {BoundedOutput} from '../src/index.js';
+
+class SlowReader extends Writable {
+  readonly lines: string[] = [];
+  private release: (() => void) | undefined;
+
+  override _write(
+    chunk: Buffer,
+    _encoding: BufferEncoding,
+    callback: () => void,
+  ): void {
+    this.lines.push(chunk.toString());
+    this.release = callback;
+  }
+
+  /** Reads all that waits. */
+  async read(): Promise<void> {
+    while (this.writableLength > 0) {
+      this.release?.();
+      await new Promise(resolve => setImmediate(resolve));
+    }
+  }
+}
+
+it('a stalled reader costs lines, which are counted, and no waiting', async () => {
+  const reader = new SlowReader();
+  const output = new BoundedOutput(reader, 100);
+  for (let line = 0; line < 50; line += 1) {
+    expect(output.write(`line ${line}\n`)).toBe(true);
+  }
+  const {leftOutCount} = output;
+  expect(leftOutCount).toBeGreaterThan(30);
+  expect(reader.writableLength).toBeLessThanOrEqual(100);
+  await reader.read();
+  output.write('after\n');
+  await reader.read();
+  const text = reader.lines.join('');
+  expect(text).toContain(`{"linesLeftOut":${leftOutCount}}\nafter\n`);
+  expect(output.leftOutCount).toBe(0);
+});
