--- a/packages/observability/src/event_catalogue.ts
+++ b/packages/observability/src/event_catalogue.ts
@@ -65,7 +65,7 @@
     level: 'warn',
     message: 'log stream {stream} cannot be read: {error}',
     advice:
-      'See "When the platform is down" in OPERATING.md; serving goes on with the configuration in force.',
+      'See "When the platform is down" in OPERATIONS.md; serving goes on with the configuration in force.',
   },
   2003: {
     level: 'info',
@@ -106,7 +106,7 @@
   3003: {
     level: 'warn',
     message: 'the platform list {list} cannot be read: {error}',
-    advice: 'See "When the platform is down" in OPERATING.md.',
+    advice: 'See "When the platform is down" in OPERATIONS.md.',
   },
   3004: {
     level: 'warn',
