--- a/packages/entry-process/tests/routed_process_test.ts
+++ b/packages/entry-process/tests/routed_process_test.ts
@@ -1,10 +1,10 @@
 /** Tests of whole processes on stand-ins of the platform. */
 import {type ClientRequest, request as sendHttp} from 'node:http';
-import {createServer} from 'node:net';
 
 import type {PlatformSettings} from '@lacewingwinch/platform';
 import {
   type EngineBehavior,
+  freeLoopbackAddresses,
   RoutedEngineStandIn,
   StoreStandIn,
 } from '@lacewingwinch/stand-ins';
@@ -103,24 +103,10 @@
   await store.close();
 });
 
-async function freeAddress(): Promise<string> {
-  const server = createServer();
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
-  const address = server.address();
-  const port = typeof address === 'object' ? (address?.port ?? 0) : 0;
-  await new Promise(resolve => server.close(resolve));
-  return `127.0.0.1:${port}`;
-}
-
 async function startProcess(
   overrides: Partial<PlatformSettings> = {},
 ): Promise<RoutedProcess> {
-  const addresses = {
-    callers: await freeAddress(),
-    peers: await freeAddress(),
-    discovery: await freeAddress(),
-    readiness: await freeAddress(),
-  };
+  const addresses = await freeLoopbackAddresses();
   const one = new RoutedProcess({
     hostId: `host-${processes.length}`,
     failureDomain: 'north',
@@ -443,12 +429,7 @@
     for (const engine of engines) {
       gate.put('keyed.servers', engine.upstreamId, engine.entry('plain'));
     }
-    const addresses = {
-      callers: await freeAddress(),
-      peers: await freeAddress(),
-      discovery: await freeAddress(),
-      readiness: await freeAddress(),
-    };
+    const addresses = await freeLoopbackAddresses();
     await startProcess({addresses});
     await startProcess({
       seeds: [addresses.peers],
--- a/packages/measurements/src/measure.ts
+++ b/packages/measurements/src/measure.ts
@@ -9,6 +9,7 @@
 import {measureReclaim} from './measure_reclaim.js';
 import {measureRecovery} from './measure_recovery.js';
 import {measureSlopes} from './measure_slopes.js';
+import {measureStart} from './measure_start.js';
 
 type Measurement = () => Promise<unknown>;
 
@@ -20,6 +21,7 @@
   reclaim: measureReclaim,
   recovery: measureRecovery,
   slopes: measureSlopes,
+  start: measureStart,
 };
 
 const name = process.argv[2] ?? '';
--- a/packages/stand-ins/src/store_stand_in.ts
+++ b/packages/stand-ins/src/store_stand_in.ts
@@ -76,6 +76,11 @@
     this.server?.dropConnections();
   }
 
+  /** Publishes a configuration, as operators do. */
+  publish(configuration: unknown): void {
+    this.put('keyed.op', 'config', configuration);
+  }
+
   /** Writes the newest record of a key; without a value the key is dropped. */
   put(topic: string, key: string, value: unknown): void {
     const keyBytes = Buffer.from(key);
