Hold the tests of whole processes on a machine that is busy

One start failed within 62 ms, before it served: ports are now chosen below those of outgoing connections.

--- a/packages/stand-ins/src/settings_file_stand_in.ts
+++ b/packages/stand-ins/src/settings_file_stand_in.ts
@@ -64,11 +64,34 @@
 `;
 }
 
+/**
+ * Ports below those that the kernel gives to outgoing connections, which could
+ * take a port between its choice and its use.
+ */
+const FIRST_PORT = 12_000;
+const PORTS = 18_000;
+
+/** Ports between the first ones of two processes. */
+const PORTS_OF_PROCESS = 97;
+
+let lastPort = (process.pid * PORTS_OF_PROCESS) % PORTS;
+
 async function freeAddress(): Promise<string> {
+  for (;;) {
+    lastPort = (lastPort + 1) % PORTS;
+    const port = FIRST_PORT + lastPort;
+    if (await isFree(port)) {
+      return `127.0.0.1:${port}`;
+    }
+  }
+}
+
+function isFree(port: number): Promise<boolean> {
   const server = createServer();
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
-  const address = server.address();
-  const port = typeof address === 'object' ? (address?.port ?? 0) : 0;
-  await new Promise(resolve => server.close(resolve));
-  return `127.0.0.1:${port}`;
+  return new Promise(resolve => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => {
+      server.close(() => resolve(true));
+    });
+  });
 }
