--- /dev/null
+++ b/packages/entry-process/tests/routed_settings_test.ts
@@ -0,0 +1,99 @@
+/** Tests of the built program and its settings file. */
+import {type ChildProcess, spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+
+import {
+  freeLoopbackAddresses,
+  type LoopbackAddresses,
+  READINESS_PATH,
+  settingsEnvironment,
+  settingsFileText,
+  StoreStandIn,
+} from '@lacewingwinch/stand-ins';
+import {afterEach, beforeEach, expect, it} from 'vitest';
+
+const MAIN = new URL('../dist/main.js', import.meta.url).pathname;
+const LOOK_MILLISECONDS = 50;
+
+let folder: string;
+let store: StoreStandIn;
+let addresses: LoopbackAddresses;
+let child: ChildProcess | undefined;
+
+beforeEach(async () => {
+  folder = mkdtempSync(join(tmpdir(), 'lacewingwinch-'));
+  store = new StoreStandIn();
+  await store.listen();
+  store.publish({version: 1, routes: [], services: [], limits: {}});
+  addresses = await freeLoopbackAddresses();
+});
+
+afterEach(async () => {
+  child?.kill('SIGKILL');
+  await store.close();
+  rmSync(folder, {recursive: true});
+});
+
+function start(settings: string): ChildProcess {
+  const path = join(folder, 'settings.toml');
+  writeFileSync(path, settings);
+  child = spawn(process.execPath, [MAIN, 'serve-routes'], {
+    stdio: 'pipe',
+    env: settingsEnvironment(path),
+  });
+  return child;
+}
+
+async function isReady(): Promise<boolean> {
+  try {
+    const answer = await fetch(
+      `http://${addresses.readiness}${READINESS_PATH}`,
+    );
+    return answer.status === 200;
+  } catch {
+    return false;
+  }
+}
+
+async function untilReady(): Promise<void> {
+  while (!(await isReady())) {
+    await new Promise(resolve => setTimeout(resolve, LOOK_MILLISECONDS));
+  }
+}
+
+it('serves on when it is told that its settings changed', async () => {
+  const settings = settingsFileText('host', addresses, store.address);
+  const one = start(settings);
+  let log = '';
+  one.stdout?.on('data', (chunk: Buffer) => {
+    log += chunk.toString();
+  });
+  await untilReady();
+  writeFileSync(
+    join(folder, 'settings.toml'),
+    settings.replace('leaseMs = 3000', 'leaseMs = 4000'),
+  );
+  one.kill('SIGHUP');
+  while (!log.includes('"event":1007')) {
+    expect(one.exitCode).toBeNull();
+    expect(one.signalCode).toBeNull();
+    await new Promise(resolve => setTimeout(resolve, LOOK_MILLISECONDS));
+  }
+  expect(await isReady()).toBe(true);
+});
+
+it('names every fault of its settings and ends with code 2', async () => {
+  const one = start('nodeName = ""\nip = "here"\n');
+  let text = '';
+  one.stderr?.on('data', (chunk: Buffer) => {
+    text += chunk.toString();
+  });
+  const [code] = (await once(one, 'close')) as [number | null];
+  expect(code).toBe(2);
+  expect(text).toContain('nodeName');
+  expect(text).toContain('ip:');
+  expect(text).toContain('platform');
+});
