--- a/packages/decisions/src/limits/quota_share.ts
+++ b/packages/decisions/src/limits/quota_share.ts
@@ -17,6 +17,12 @@
   updated: number;
 }
 
+/** What one host may take of a quota. */
+interface QuotaPart {
+  readonly perMillisecond: number;
+  readonly capacity: number;
+}
+
 /** Buckets of one host, by workspace. */
 export class QuotaShare {
   private readonly buckets = new Map<string, Bucket>();
@@ -46,9 +52,9 @@
     hosts: number,
     now: number,
   ): number {
-    const perMillisecond = quota.perSecond / hosts / 1000;
-    const capacity = (quota.burst + this.slack * USED_SLACK_SHARE) / hosts;
-    const bucket = this.refill(workspace, perMillisecond, capacity, now);
+    const part = this.partOf(quota, hosts);
+    const {perMillisecond, capacity} = part;
+    const bucket = this.refill(workspace, part, now);
     const needed = Math.min(amount, capacity);
     if (bucket.level >= needed) {
       bucket.level -= amount;
@@ -68,9 +74,7 @@
     hosts: number,
     now: number,
   ): number {
-    const perMillisecond = quota.perSecond / hosts / 1000;
-    const capacity = (quota.burst + this.slack * USED_SLACK_SHARE) / hosts;
-    const bucket = this.refill(workspace, perMillisecond, capacity, now);
+    const bucket = this.refill(workspace, this.partOf(quota, hosts), now);
     const given = Math.min(amount, Math.max(0, bucket.level) * GIVEN_SHARE);
     bucket.level -= given;
     return given;
@@ -89,10 +93,16 @@
     }
   }
 
+  private partOf(quota: WorkspaceQuota, hosts: number): QuotaPart {
+    return {
+      perMillisecond: quota.perSecond / hosts / 1000,
+      capacity: (quota.burst + this.slack * USED_SLACK_SHARE) / hosts,
+    };
+  }
+
   private refill(
     workspace: string,
-    perMillisecond: number,
-    capacity: number,
+    {perMillisecond, capacity}: QuotaPart,
     now: number,
   ): Bucket {
     const bucket = this.buckets.get(workspace);
--- a/packages/entry-process/src/routed/configuration_follower.ts
+++ b/packages/entry-process/src/routed/configuration_follower.ts
@@ -15,6 +15,7 @@
 import {messageOf} from '../util/message_of.js';
 import {pause} from '../util/pause.js';
 import type {Clocks} from './clocks.js';
+import {StoreReachability} from './store_reachability.js';
 
 /**
  * Milliseconds that a read waits at the store for a change. The age of the
@@ -42,9 +43,11 @@
   private belief: Belief<RoutingConfiguration> | undefined;
   private document: Buffer | undefined;
   private next: number | undefined;
-  private isReachable = true;
+  private readonly reachability: StoreReachability;
 
-  constructor(private readonly context: ConfigurationFollowerContext) {}
+  constructor(private readonly context: ConfigurationFollowerContext) {
+    this.reachability = new StoreReachability('configuration', context.events);
+  }
 
   /** The configuration and when it was last known to be the newest. */
   get current(): Belief<RoutingConfiguration> | undefined {
@@ -76,9 +79,9 @@
     while (!isAborted(signal)) {
       try {
         await this.readOnce();
-        this.noteReachable(undefined);
+        this.reachability.note(undefined);
       } catch (error) {
-        this.noteReachable(messageOf(error));
+        this.reachability.note(messageOf(error));
         await pause(RETRY_MILLISECONDS, signal);
       }
     }
@@ -154,18 +157,4 @@
       confirmedAt: Math.max(belief.confirmedAt, confirmedAt),
     };
   }
-
-  private noteReachable(error: string | undefined): void {
-    const isReachable = error === undefined;
-    if (isReachable === this.isReachable) {
-      return;
-    }
-    this.isReachable = isReachable;
-    const stream = 'configuration';
-    if (error === undefined) {
-      this.context.events.write(2003, {stream});
-      return;
-    }
-    this.context.events.write(2002, {stream, error});
-  }
 }
--- a/packages/entry-process/src/routed/upstream_follower.ts
+++ b/packages/entry-process/src/routed/upstream_follower.ts
@@ -17,6 +17,7 @@
 import {messageOf} from '../util/message_of.js';
 import {pause} from '../util/pause.js';
 import type {Clocks} from './clocks.js';
+import {StoreReachability} from './store_reachability.js';
 
 /**
  * Milliseconds between two reads. Upstreams write about once a second each, so
@@ -49,9 +50,11 @@
   private answeredAt = -Infinity;
   private confirmed = -Infinity;
   private outageEndedAt = -Infinity;
-  private isReachable = true;
+  private readonly reachability: StoreReachability;
 
-  constructor(private readonly context: UpstreamFollowerContext) {}
+  constructor(private readonly context: UpstreamFollowerContext) {
+    this.reachability = new StoreReachability('upstreams', context.events);
+  }
 
   /** Whether the list has been read once. */
   get isKnown(): boolean {
@@ -82,9 +85,9 @@
     while (!isAborted(signal)) {
       try {
         await this.readOnce();
-        this.noteReachable(undefined);
+        this.reachability.note(undefined);
       } catch (error) {
-        this.noteReachable(messageOf(error));
+        this.reachability.note(messageOf(error));
       }
       await pause(READ_PERIOD_MILLISECONDS, signal);
     }
@@ -147,18 +150,4 @@
   private isAfterOutage(now: number): boolean {
     return now - this.outageEndedAt < OUTAGE_MILLISECONDS;
   }
-
-  private noteReachable(error: string | undefined): void {
-    const isReachable = error === undefined;
-    if (isReachable === this.isReachable) {
-      return;
-    }
-    this.isReachable = isReachable;
-    const stream = 'upstreams';
-    if (error === undefined) {
-      this.context.events.write(2003, {stream});
-      return;
-    }
-    this.context.events.write(2002, {stream, error});
-  }
 }
