Order engines the moment others leave, and lasting ones where domains are dry

An order that had been accepted was not repeated for 7 s, whatever left meanwhile. An order for more reclaimable engines was given before the one for fewer lasting engines and was cut at the bound of the domain, without a word: 8 engines ran instead of 16 until second 8. And nobody could see from the log which engines there were (event 3005 now tells each change).

Now a book of orders (decisions/orders/engine_order_book) knows what was given, what was refused and which domains are dry; lasting engines stand in for what is missing over all domains, up to 1.5 engines for each needed one; an engine that leaves begins a round of the duties at once; orders for fewer come first.

Tests: a table that replays one to four dry domains, one for the book of orders.

--- a/packages/decisions/tests/duties_test.ts
+++ b/packages/decisions/tests/duties_test.ts
@@ -3,9 +3,11 @@
 
 import {
   CANDIDATE_DELAY_MILLISECONDS,
+  countFor,
   type DutyRecord,
   type DutyView,
-  isOrderMet,
+  type EngineOrder,
+  EngineOrderBook,
   type ListedUpstream,
   mayActOnDuties,
   mayTakeDuties,
@@ -198,9 +200,14 @@
       kept: 0,
     },
   ])('$name', ({listed, spare, kept}) => {
-    const orders = wantedEngines(SERVICE, SCALING, ['north', 'south'], listed, {
-      engines: 4,
-    }).filter(({failureDomain}) => failureDomain === 'north');
+    const orders = wantedEngines(
+      SERVICE,
+      SCALING,
+      ['north', 'south'],
+      listed,
+      {engines: 4},
+      new Set(),
+    ).filter(({failureDomain}) => failureDomain === 'north');
     expect(orders.map(({count}) => count)).toEqual([spare, kept]);
   });
 
@@ -211,6 +218,7 @@
       ['north'],
       engines('north', 6, 0),
       {engines: 20},
+      new Set(),
     );
     expect(orders.reduce((sum, {count}) => sum + count, 0)).toBe(7);
   });
@@ -218,7 +226,7 @@
   it('are not ordered where none can be reclaimed', () => {
     const lasting = {...SCALING, reclaimablePrice: undefined};
     expect(
-      wantedEngines(SERVICE, lasting, ['north'], [], {engines: 4}),
+      wantedEngines(SERVICE, lasting, ['north'], [], {engines: 4}, new Set()),
     ).toEqual([]);
   });
 
@@ -229,7 +237,162 @@
       isReclaimable: true,
       count: 2,
     };
-    expect(isOrderMet(order, engines('north', 1, 2, 3))).toBe(true);
-    expect(isOrderMet(order, engines('north', 1, 1, 3))).toBe(false);
+    expect(countFor(order, engines('north', 1, 2, 3))).toBe(2);
+    expect(countFor(order, engines('north', 1, 1, 3))).toBe(1);
+  });
+});
+
+describe('failure domains that are reclaimed one after the other', () => {
+  const domains = ['north', 'east', 'south', 'west'];
+  const PRICED = {
+    ...SCALING,
+    maximumInDomain: 4,
+    domainPrices: new Map([
+      ['north', 1],
+      ['east', 0.8],
+      ['south', 1.25],
+      ['west', 0.9],
+    ]),
+  };
+
+  it.each([
+    {name: 'none', full: domains, standIns: [0, 0, 0, 0]},
+    {name: 'one', full: ['north', 'east', 'south'], standIns: [0, 0, 0, 0]},
+    {name: 'two', full: ['north', 'east'], standIns: [0, 0, 2, 2]},
+    {name: 'three', full: ['north'], standIns: [0, 3, 2, 3]},
+    {name: 'all', full: [], standIns: [3, 3, 3, 3]},
+  ])(
+    '$name: lasting engines stand in for what is missing',
+    ({full, standIns}) => {
+      const orders = wantedEngines(
+        SERVICE,
+        PRICED,
+        domains,
+        full.flatMap(domain => engines(domain, 0, 4)),
+        {engines: 8},
+        new Set(domains.filter(domain => !full.includes(domain))),
+      );
+      const lasting = orders.filter(({isReclaimable}) => !isReclaimable);
+      expect(lasting.map(({count}) => count)).toEqual(standIns);
+      for (const domain of domains) {
+        const here = orders.filter(
+          ({failureDomain}) => failureDomain === domain,
+        );
+        const total = here.reduce((sum, {count}) => sum + count, 0);
+        expect(total).toBeLessThanOrEqual(PRICED.maximumInDomain);
+        expect(
+          here.find(({isReclaimable}) => isReclaimable)?.count,
+        ).toBeGreaterThan(0);
+      }
+    },
+  );
+});
+
+describe('the orders that were given', () => {
+  const ORDER: EngineOrder = {
+    service: 'engines',
+    failureDomain: 'north',
+    isReclaimable: true,
+    count: 4,
+  };
+
+  it.each([
+    {
+      name: 'not while engines start',
+      result: 'accepted',
+      seen: 0,
+      now: 1,
+      count: 1,
+      isDue: false,
+    },
+    {
+      name: 'again when they do not come',
+      result: 'accepted',
+      seen: 0,
+      now: 7,
+      count: 0,
+      isDue: true,
+    },
+    {
+      name: 'not while met',
+      result: 'accepted',
+      seen: 0,
+      now: 7,
+      count: 4,
+      isDue: false,
+    },
+    {
+      name: 'at once when engines leave',
+      result: 'accepted',
+      seen: 4,
+      now: 1,
+      count: 0,
+      isDue: true,
+    },
+    {
+      name: 'not right after a refusal',
+      result: 'refused',
+      seen: 0,
+      now: 1,
+      count: 0,
+      isDue: false,
+    },
+    {
+      name: 'soon after a refusal',
+      result: 'refused',
+      seen: 0,
+      now: 2,
+      count: 0,
+      isDue: true,
+    },
+  ] as const)('are given $name', ({result, seen, now, count, isDue}) => {
+    const book = new EngineOrderBook();
+    book.note(ORDER, result, engines('north', 0, seen), 0);
+    const due = book.due([ORDER], engines('north', 0, count), now * 1000);
+    expect(due.length > 0).toBe(isDue);
+  });
+
+  it.each([
+    {
+      name: 'for a while after a refusal',
+      results: ['refused'],
+      now: 4,
+      isDry: true,
+    },
+    {name: 'not for ever', results: ['refused'], now: 5, isDry: false},
+    {
+      name: 'not once an order is taken',
+      results: ['refused', 'accepted'],
+      now: 1,
+      isDry: false,
+    },
+    {
+      name: 'not when a call is turned away',
+      results: ['unavailable'],
+      now: 1,
+      isDry: false,
+    },
+  ] as const)(
+    'name a domain that has nothing to give $name',
+    ({results, now, isDry}) => {
+      const book = new EngineOrderBook();
+      for (const result of results) {
+        book.note(ORDER, result, [], 0);
+      }
+      const dry = book.dryDomains('engines', ['north', 'south'], now * 1000);
+      expect([...dry]).toEqual(isDry ? ['north'] : []);
+    },
+  );
+
+  it('are for fewer engines first: both kinds share the bounds of a domain', () => {
+    const fewer = {...ORDER, isReclaimable: false, count: 0};
+    const book = new EngineOrderBook();
+    const due = book.due([ORDER, fewer], engines('north', 2, 2), 0);
+    expect(due).toEqual([fewer, ORDER]);
+  });
+
+  it('are not given for what is there already', () => {
+    const book = new EngineOrderBook();
+    expect(book.due([ORDER], engines('north', 0, 4), 0)).toEqual([]);
   });
 });
--- a/packages/entry-process/src/routed/duty_task.ts
+++ b/packages/entry-process/src/routed/duty_task.ts
@@ -6,7 +6,7 @@
   type DutyRecord,
   type DutyView,
   type EngineOrder,
-  isOrderMet,
+  EngineOrderBook,
   type ListedUpstream,
   mayActOnDuties,
   mayTakeDuties,
@@ -30,6 +30,7 @@
 import {isAborted} from '../util/is_aborted.js';
 import {messageOf} from '../util/message_of.js';
 import {pause} from '../util/pause.js';
+import {Signal} from '../util/signal.js';
 import type {Clocks} from './clocks.js';
 
 /**
@@ -53,12 +54,6 @@
 /** Key of the record of the duties in its log. */
 const DUTY_KEY = 'duties';
 
-/** Milliseconds after which an order that is not met is given again. */
-const REPEAT_ORDER_MILLISECONDS = 7000;
-
-/** Milliseconds after a refusal until an order is tried again. */
-const REFUSED_ORDER_MILLISECONDS = 2000;
-
 /** What the task needs from others. */
 export interface DutyTaskContext {
   readonly hostId: string;
@@ -78,11 +73,6 @@
   readonly upstreams: () => readonly ListedUpstream[];
 }
 
-interface GivenOrder {
-  readonly count: number;
-  readonly nextAt: number;
-}
-
 /** Holds the duties. */
 export class DutyTask {
   private view: DutyView | undefined;
@@ -90,7 +80,8 @@
   private renewalSentAt = -Infinity;
   private isHolder = false;
   private reportedTo = -1;
-  private readonly orders = new Map<string, GivenOrder>();
+  private readonly orders = new EngineOrderBook();
+  private readonly engineLeaves = new Signal();
 
   private readonly startedAt: number;
 
@@ -103,6 +94,11 @@
     return rendezvousOrder('duties', this.context.servingHosts(), CANDIDATES);
   }
 
+  /** Begins the next round at once: an engine that leaves may need another. */
+  noteEngineLeaves(): void {
+    this.engineLeaves.notify();
+  }
+
   /** Runs until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!isAborted(signal)) {
@@ -111,7 +107,10 @@
       } catch (error) {
         this.context.events.write(5005, {error: messageOf(error)});
       }
-      await pause(ROUND_MILLISECONDS, signal);
+      await Promise.race([
+        pause(ROUND_MILLISECONDS, signal),
+        this.engineLeaves.next(),
+      ]);
     }
   }
 
@@ -280,42 +279,39 @@
     }
   }
 
+  /** A refusal changes what is wanted: those orders are given in the same round. */
   private async orderEngines(record: DutyRecord): Promise<void> {
-    const {clocks} = this.context;
-    const listed = this.context.upstreams();
-    for (const order of this.wantedOrders(record)) {
-      const key = orderKey(order);
-      const given = this.orders.get(key);
-      const now = clocks.counting();
-      const isNew = given?.count !== order.count;
-      if (isOrderMet(order, listed) && !isNew) {
-        continue;
-      }
-      if (given === undefined && isOrderMet(order, listed)) {
-        continue;
-      }
-      if (!isNew && now < given.nextAt) {
-        continue;
-      }
+    const wasRefused = await this.giveOrders(record);
+    if (wasRefused) {
+      await this.giveOrders(record);
+    }
+  }
+
+  /** Gives what is due; tells whether one of the orders was refused. */
+  private async giveOrders(record: DutyRecord): Promise<boolean> {
+    const {clocks, upstreams} = this.context;
+    const listed = upstreams();
+    let wasRefused = false;
+    const now = clocks.counting();
+    for (const order of this.orders.due(
+      this.wantedOrders(record),
+      listed,
+      now,
+    )) {
       const result = await this.callAsHolder(fence =>
         this.context.cloud.orderEngines(order, fence),
       );
       if (result === undefined) {
-        return;
+        return false;
       }
+      wasRefused ||= result.kind === 'refused';
+      this.orders.note(order, result.kind, listed, clocks.counting());
       this.noteOrder(order, result);
     }
+    return wasRefused;
   }
 
   private noteOrder(order: EngineOrder, result: DutyResult): void {
-    const wait =
-      result.kind === 'accepted'
-        ? REPEAT_ORDER_MILLISECONDS
-        : REFUSED_ORDER_MILLISECONDS;
-    this.orders.set(orderKey(order), {
-      count: order.count,
-      nextAt: this.context.clocks.counting() + wait,
-    });
     this.context.events.write(5007, {
       service: order.service,
       failureDomain: order.failureDomain,
@@ -326,15 +322,21 @@
   }
 
   private wantedOrders(record: DutyRecord): readonly EngineOrder[] {
-    const {configuration, failureDomains, upstreams} = this.context;
+    const {configuration, failureDomains, upstreams, clocks} = this.context;
+    const now = clocks.counting();
     const services = [...(configuration()?.services.values() ?? [])];
     return services.flatMap(service => {
       const engines = record.mostLastingEngines[service.name];
       return service.scaling === undefined || engines === undefined
         ? []
-        : wantedEngines(service, service.scaling, failureDomains, upstreams(), {
-            engines,
-          });
+        : wantedEngines(
+            service,
+            service.scaling,
+            failureDomains,
+            upstreams(),
+            {engines},
+            this.orders.dryDomains(service.name, failureDomains, now),
+          );
     });
   }
 
@@ -359,11 +361,6 @@
   }
 }
 
-function orderKey(order: EngineOrder): string {
-  const kind = order.isReclaimable ? 'reclaimable' : 'on-demand';
-  return `${order.service}/${order.failureDomain}/${kind}`;
-}
-
 function parse(value: Buffer): DutyRecord | undefined {
   try {
     return parseDutyRecord(JSON.parse(value.toString()));
--- a/packages/entry-process/src/routed/routed_front.ts
+++ b/packages/entry-process/src/routed/routed_front.ts
@@ -14,8 +14,8 @@
   type Belief,
   type RoutedAdmission,
   type RoutingConfiguration,
+  type ServiceRetryBudgets,
   ServingError,
-  type SharedRetryBudget,
   type UpstreamHealth,
 } from '@lacewingwinch/decisions';
 import type {EventLog, Metrics} from '@lacewingwinch/observability';
@@ -49,7 +49,7 @@
   readonly placement: RoutedPlacement;
   readonly health: UpstreamHealth;
   readonly quotas: QuotaExchange;
-  readonly retryBudgetOf: (service: string) => SharedRetryBudget;
+  readonly retryBudgets: ServiceRetryBudgets;
   readonly configuration: () => Belief<RoutingConfiguration> | undefined;
   /** Milliseconds of age of the keys above which no request with a key is served. */
   readonly maximumKeyAge: () => number;
@@ -148,8 +148,8 @@
     responder: RoutedResponder,
   ): Promise<void> {
     const charge = await this.takeQuota(headers, admission);
-    this.context
-      .retryBudgetOf(admission.service.name)
+    this.context.retryBudgets
+      .of(admission.service.name)
       .addRequest(this.context.clocks.steady());
     const request = new RoutedRequest(
       this.context,
--- a/packages/entry-process/src/routed/routed_process.ts
+++ b/packages/entry-process/src/routed/routed_process.ts
@@ -13,10 +13,12 @@
 import {
   type Member,
   type RoutingConfiguration,
-  SharedRetryBudget,
+  ServiceRetryBudgets,
   sharingHosts,
   TrueTime,
+  UpstreamChanges,
   UpstreamHealth,
+  type UpstreamUpdate,
   UsageWindows,
 } from '@lacewingwinch/decisions';
 import {
@@ -87,7 +89,7 @@
   private readonly pool: ConnectionPool;
   private readonly peers: PeerCaller = createPeerCaller();
   private readonly health = new UpstreamHealth();
-  private readonly retryBudgets = new Map<string, SharedRetryBudget>();
+  private readonly retryBudgets: ServiceRetryBudgets;
   private readonly configuration: ConfigurationFollower;
   private readonly upstreams: UpstreamFollower;
   private readonly placement: RoutedPlacement;
@@ -99,6 +101,7 @@
   private readonly duties: DutyTask | undefined;
   private readonly quotas: QuotaExchange;
   private readonly relay: BeliefRelay;
+  private readonly upstreamChanges = new UpstreamChanges();
   private readonly startedAt: number;
   /** Identity of this process, new at each start. */
   private readonly processId = uuidV7();
@@ -126,7 +129,7 @@
       store: this.store,
       events: this.events,
       clocks,
-      onUpdates: updates => this.placement.takeUpdates(updates),
+      onUpdates: updates => this.onUpstreams(updates),
     });
     this.placement = new RoutedPlacement({
       hostId: settings.hostId,
@@ -140,6 +143,11 @@
       keptMilliseconds: settings.bounds.reuseWindowMilliseconds * 2,
     });
     this.membership = this.createMembership();
+    this.retryBudgets = new ServiceRetryBudgets({
+      ratio: settings.bounds.retryRatio,
+      slack: settings.bounds.retrySlack,
+      windowMilliseconds: settings.bounds.retryWindowMilliseconds,
+    });
     this.usage = new UsageWindows(settings.bounds.usageWindowMilliseconds);
     this.quotas = new QuotaExchange({
       peers: this.peers,
@@ -348,7 +356,7 @@
       placement: this.placement,
       health: this.health,
       quotas: this.quotas,
-      retryBudgetOf: service => this.retryBudgetOf(service),
+      retryBudgets: this.retryBudgets,
       configuration: () => this.configuration.current,
       maximumKeyAge: () => {
         const {failsClosed, revocationMilliseconds} = this.settings.bounds;
@@ -363,6 +371,16 @@
     });
   }
 
+  private onUpstreams(updates: readonly UpstreamUpdate[]): void {
+    this.placement.takeUpdates(updates);
+    for (const change of this.upstreamChanges.take(updates)) {
+      this.events.write(3005, {...change});
+      if (change.state !== 'listed') {
+        this.duties?.noteEngineLeaves();
+      }
+    }
+  }
+
   private createDuties(): DutyTask | undefined {
     const {settings} = this;
     if (settings.cloudAddress === undefined || settings.duties.length === 0) {
@@ -411,21 +429,6 @@
     return sharingHosts(known, now - this.startedAt);
   }
 
-  private retryBudgetOf(service: string): SharedRetryBudget {
-    const {bounds} = this.settings;
-    const known = this.retryBudgets.get(service);
-    if (known !== undefined) {
-      return known;
-    }
-    const fresh = new SharedRetryBudget({
-      ratio: bounds.retryRatio,
-      slack: bounds.retrySlack,
-      windowMilliseconds: bounds.retryWindowMilliseconds,
-    });
-    this.retryBudgets.set(service, fresh);
-    return fresh;
-  }
-
   private watch(task: string, running: Promise<void>): void {
     running.catch((error: unknown) => {
       this.events.write(1006, {task, error: messageOf(error)});
--- a/packages/entry-process/src/routed/routed_request.ts
+++ b/packages/entry-process/src/routed/routed_request.ts
@@ -168,11 +168,10 @@
   }
 
   private takeBudget(): boolean {
-    const {retryBudgetOf, sharingHosts, clocks} = this.context;
-    return retryBudgetOf(this.admission.service.name).take(
-      sharingHosts(),
-      clocks.steady(),
-    );
+    const {retryBudgets, sharingHosts, clocks} = this.context;
+    return retryBudgets
+      .of(this.admission.service.name)
+      .take(sharingHosts(), clocks.steady());
   }
 
   private async attemptAt(placement: Placement): Promise<AttemptOutcome> {
--- a/packages/observability/src/event_catalogue.ts
+++ b/packages/observability/src/event_catalogue.ts
@@ -113,6 +113,11 @@
     message: 'entry host {hostId} did not answer {method}: {error}',
     advice: 'Nothing, unless it lasts; this host goes on with what it knows.',
   },
+  3005: {
+    level: 'info',
+    message: 'upstream {upstreamId} of {service} in {failureDomain} is {state}',
+    advice: 'Nothing, unless many are withdrawn together.',
+  },
   4001: {
     level: 'warn',
     message: 'request {requestId} ended with {kind}',
