Order relayed lists of upstreams by log offset and keep their lapses

Two more faults of the same place: relayed lists were ordered by the time of their reads, and two reads that cross can be in the other order at the store; and hosts asked each other all the time, because a configuration read of 800 ms is up to 1.6 s old in calm times and the bound was 1.3 s.

Now a relayed list carries the offset up to which it was read, and the time left of entries that lapse; entries that lapsed while the store was away have 2 s from its return, not from their withdrawal; a list that is not read to its end confirms nothing. Tests: the list (three cases), the follower ("does not bring back what this host read as withdrawn", seen failing with the order by time).

--- a/packages/decisions/src/upstreams/upstream_list.ts
+++ b/packages/decisions/src/upstreams/upstream_list.ts
@@ -27,6 +27,16 @@
   /** The entry is gone, or its content names no upstream to use. */
   | {readonly kind: 'withdrawn'; readonly upstreamId: string};
 
+/** An upstream as one host tells another. */
+export interface RelayedUpstream {
+  readonly upstream: ListedUpstream;
+  /**
+   * Milliseconds until it is taken as gone unless it comes back, if its entry
+   * lapsed in an outage.
+   */
+  readonly lapsesInMilliseconds?: number;
+}
+
 /** An upstream that takes work. */
 export interface UsableUpstream extends ListedUpstream {
   /** Suspension-aware milliseconds at which this process first saw it ready. */
@@ -58,12 +68,12 @@
   }
 
   /**
-   * Takes updates read from the store. `isAfterOutage` says that the store was
-   * away until just now: entries that lapsed meanwhile have time to return.
+   * Takes updates read from the store. Entries that lapsed while it was away
+   * have until `relistedBy` to come back; later withdrawals hold at once.
    */
   apply(
     updates: readonly UpstreamUpdate[],
-    isAfterOutage: boolean,
+    relistedBy: number,
     now: number,
   ): void {
     for (const update of updates) {
@@ -72,16 +82,16 @@
           this.list(update.upstream, now);
           break;
         case 'withdrawn':
-          this.withdraw(update.upstreamId, isAfterOutage, now);
+          this.withdraw(update.upstreamId, relistedBy, now);
           break;
       }
     }
   }
 
-  /** Replaces the whole list by what the store holds now. */
+  /** Replaces the whole list by what the store holds now; see `apply`. */
   replace(
     upstreams: readonly ListedUpstream[],
-    isAfterOutage: boolean,
+    relistedBy: number,
     now: number,
   ): void {
     const listed = new Set(upstreams.map(({upstreamId}) => upstreamId));
@@ -90,7 +100,31 @@
     }
     for (const upstreamId of [...this.entries.keys()]) {
       if (!listed.has(upstreamId)) {
-        this.withdraw(upstreamId, isAfterOutage, now);
+        this.withdraw(upstreamId, relistedBy, now);
+      }
+    }
+  }
+
+  /** The list for another host. */
+  relay(now: number): readonly RelayedUpstream[] {
+    this.dropLapsed(now);
+    return [...this.entries.values()].map(({upstream, lapsesAt}) =>
+      Number.isFinite(lapsesAt)
+        ? {upstream, lapsesInMilliseconds: lapsesAt - now}
+        : {upstream},
+    );
+  }
+
+  /** Replaces the whole list by what another host believes. */
+  takeRelayed(relayed: readonly RelayedUpstream[], now: number): void {
+    this.replace(
+      relayed.map(({upstream}) => upstream),
+      -Infinity,
+      now,
+    );
+    for (const {upstream, lapsesInMilliseconds} of relayed) {
+      if (lapsesInMilliseconds !== undefined) {
+        this.withdraw(upstream.upstreamId, now + lapsesInMilliseconds, now);
       }
     }
   }
@@ -133,17 +167,13 @@
     this.noteChange();
   }
 
-  private withdraw(
-    upstreamId: string,
-    isAfterOutage: boolean,
-    now: number,
-  ): void {
+  private withdraw(upstreamId: string, relistedBy: number, now: number): void {
     const known = this.entries.get(upstreamId);
     if (known === undefined) {
       return;
     }
-    if (isAfterOutage && !known.upstream.isLeaving) {
-      const lapsesAt = Math.min(known.lapsesAt, now + RELIST_MILLISECONDS);
+    if (now < relistedBy && !known.upstream.isLeaving) {
+      const lapsesAt = Math.min(known.lapsesAt, relistedBy);
       this.entries.set(upstreamId, {...known, lapsesAt});
       return;
     }
--- a/packages/decisions/tests/upstream_list_test.ts
+++ b/packages/decisions/tests/upstream_list_test.ts
@@ -39,49 +39,57 @@
   it.each<{
     readonly name: string;
     readonly updates: readonly UpstreamUpdate[];
-    readonly isAfterOutage: boolean;
+    /** Until when entries that lapsed in an outage may come back. */
+    readonly relistedBy: number;
     readonly later: number;
     readonly usable: readonly string[];
   }>([
     {
       name: 'is usable once it is listed',
       updates: [],
-      isAfterOutage: false,
+      relistedBy: -Infinity,
       later: 0,
       usable: ['a', 'b'],
     },
     {
       name: 'gets no new work once it leaves',
       updates: [listed(upstream('a', {isLeaving: true}))],
-      isAfterOutage: false,
+      relistedBy: -Infinity,
       later: 0,
       usable: ['b'],
     },
     {
       name: 'is gone once it is withdrawn',
       updates: [{kind: 'withdrawn', upstreamId: 'a'}],
-      isAfterOutage: false,
+      relistedBy: -Infinity,
       later: 0,
       usable: ['b'],
     },
     {
       name: 'that lapsed in an outage stays until it had time to come back',
       updates: [{kind: 'withdrawn', upstreamId: 'a'}],
-      isAfterOutage: true,
+      relistedBy: NOW + RELIST_MILLISECONDS,
       later: RELIST_MILLISECONDS - 1,
       usable: ['a', 'b'],
     },
     {
       name: 'that lapsed in an outage is gone when it did not come back',
       updates: [{kind: 'withdrawn', upstreamId: 'a'}],
-      isAfterOutage: true,
+      relistedBy: NOW + RELIST_MILLISECONDS,
       later: RELIST_MILLISECONDS,
       usable: ['b'],
     },
+    {
+      name: 'that was withdrawn some time after an outage stays no longer for it',
+      updates: [{kind: 'withdrawn', upstreamId: 'a'}],
+      relistedBy: NOW + 500,
+      later: 500,
+      usable: ['b'],
+    },
     {
       name: 'that came back after an outage stays',
       updates: [{kind: 'withdrawn', upstreamId: 'a'}, listed(upstream('a'))],
-      isAfterOutage: true,
+      relistedBy: NOW + RELIST_MILLISECONDS,
       later: RELIST_MILLISECONDS * 2,
       usable: ['a', 'b'],
     },
@@ -91,21 +99,21 @@
         listed(upstream('a', {isLeaving: true})),
         {kind: 'withdrawn', upstreamId: 'a'},
       ],
-      isAfterOutage: true,
+      relistedBy: NOW + RELIST_MILLISECONDS,
       later: 0,
       usable: ['b'],
     },
     {
       name: 'that moved to another service is not used for the first',
       updates: [listed(upstream('a', {service: 'others'}))],
-      isAfterOutage: false,
+      relistedBy: -Infinity,
       later: 0,
       usable: ['b'],
     },
-  ])('$name', ({updates, isAfterOutage, later, usable}) => {
+  ])('$name', ({updates, relistedBy, later, usable}) => {
     const list = new UpstreamList();
-    list.replace([upstream('a'), upstream('b')], false, NOW);
-    list.apply(updates, isAfterOutage, NOW);
+    list.replace([upstream('a'), upstream('b')], -Infinity, NOW);
+    list.apply(updates, relistedBy, NOW);
     expect(
       list.usable('engines', NOW + later).map(({upstreamId}) => upstreamId),
     ).toEqual(usable);
@@ -113,21 +121,45 @@
 
   it('is known anew when it starts again under its id', () => {
     const list = new UpstreamList();
-    list.apply([listed(upstream('a', {bornAt: 1}))], false, NOW);
-    list.apply([listed(upstream('a', {bornAt: 1}))], false, NOW + 10);
+    list.apply([listed(upstream('a', {bornAt: 1}))], -Infinity, NOW);
+    list.apply([listed(upstream('a', {bornAt: 1}))], -Infinity, NOW + 10);
     expect(list.usable('engines', NOW)[0]?.knownSince).toBe(NOW);
-    list.apply([listed(upstream('a', {bornAt: 2}))], false, NOW + 20);
+    list.apply([listed(upstream('a', {bornAt: 2}))], -Infinity, NOW + 20);
     expect(list.usable('engines', NOW)[0]?.knownSince).toBe(NOW + 20);
   });
 
   it('that a whole reading no longer holds is gone', () => {
     const list = new UpstreamList();
-    list.replace([upstream('a'), upstream('b')], false, NOW);
-    list.replace([upstream('b')], false, NOW + 1);
+    list.replace([upstream('a'), upstream('b')], -Infinity, NOW);
+    list.replace([upstream('b')], -Infinity, NOW + 1);
     expect(list.all().map(({upstreamId}) => upstreamId)).toEqual(['b']);
   });
 });
 
+describe('a list that another host relays', () => {
+  it('keeps the time at which an entry lapses', () => {
+    const one = new UpstreamList();
+    one.replace([upstream('a'), upstream('b')], -Infinity, NOW);
+    one.apply([{kind: 'withdrawn', upstreamId: 'a'}], NOW + 500, NOW);
+    const other = new UpstreamList();
+    // The clocks of two hosts have nothing in common.
+    other.takeRelayed(one.relay(NOW + 100), 9000);
+    expect(idsOf(other, 9399)).toEqual(['a', 'b']);
+    expect(idsOf(other, 9400)).toEqual(['b']);
+  });
+
+  it('replaces what was known', () => {
+    const list = new UpstreamList();
+    list.replace([upstream('a'), upstream('b')], -Infinity, NOW);
+    list.takeRelayed([{upstream: upstream('b', {isLeaving: true})}], NOW);
+    expect(list.all()).toEqual([upstream('b', {isLeaving: true})]);
+  });
+});
+
+function idsOf(list: UpstreamList, now: number): readonly string[] {
+  return list.usable('engines', now).map(({upstreamId}) => upstreamId);
+}
+
 describe('the health of an upstream', () => {
   it.each<{
     readonly name: string;
--- a/packages/entry-hosts/src/peer_methods.ts
+++ b/packages/entry-hosts/src/peer_methods.ts
@@ -5,12 +5,12 @@
   Claim,
   DispatchEffect,
   HeldPermit,
-  ListedUpstream,
   Member,
   PermitAsk,
   PlacedRequest,
   PlacementDemand,
   ProcessCounts,
+  RelayedUpstream,
   SnapshotRecord,
   Suspicion,
 } from '@lacewingwinch/decisions';
@@ -108,7 +108,9 @@
   };
   readonly upstreams?: {
     readonly age: number;
-    readonly list: readonly ListedUpstream[];
+    /** Offset in the log of the store up to which the list was read. */
+    readonly readTo: number;
+    readonly list: readonly RelayedUpstream[];
   };
 }
 
--- a/packages/entry-process/src/routed/belief_relay.ts
+++ b/packages/entry-process/src/routed/belief_relay.ts
@@ -2,7 +2,11 @@
  * The task that asks other hosts what they believe while the store turns this
  * one away. What they say keeps its age: the whole round trip is added to it.
  */
-import type {Member} from '@lacewingwinch/decisions';
+import {
+  type Member,
+  type RandomSource,
+  shuffle,
+} from '@lacewingwinch/decisions';
 import type {PeerCaller, RelayedBeliefs} from '@lacewingwinch/entry-hosts';
 import type {EventLog} from '@lacewingwinch/observability';
 
@@ -17,10 +21,16 @@
 const LOOK_PERIOD_MILLISECONDS = 300;
 
 /**
- * Age from which on other hosts are asked. While the store answers, beliefs get
- * about 800 ms old.
+ * Age of the configuration from which on other hosts are asked. While the store
+ * answers, a read of 800 ms has begun at most 1,600 ms ago.
  */
-const ASK_AGE_MILLISECONDS = 1300;
+const CONFIGURATION_ASK_AGE_MILLISECONDS = 1900;
+
+/**
+ * Age of the list of upstreams from which on other hosts are asked. While the
+ * store answers, a read has begun at most 310 ms ago; a slow one takes 600 ms.
+ */
+const UPSTREAMS_ASK_AGE_MILLISECONDS = 1000;
 
 /** Milliseconds for the answer of another host; links take some milliseconds. */
 const ASK_TIMEOUT_MILLISECONDS = 250;
@@ -33,7 +43,7 @@
   readonly peers: PeerCaller;
   readonly events: EventLog;
   readonly clocks: Clocks;
-  readonly random: () => number;
+  readonly random: RandomSource;
   readonly otherHosts: () => readonly Member[];
   readonly configuration: ConfigurationFollower;
   readonly upstreams: UpstreamFollower;
@@ -63,14 +73,15 @@
                 : {document: document.toString('base64')}),
             },
           }),
-      ...(upstreams.isKnown
-        ? {
+      ...(upstreams.readTo === undefined
+        ? {}
+        : {
             upstreams: {
               age: now - upstreams.confirmedAt,
-              list: upstreams.list.all(),
+              readTo: upstreams.readTo,
+              list: upstreams.list.relay(now),
             },
-          }
-        : {}),
+          }),
     };
   }
 
@@ -86,21 +97,17 @@
 
   private isStale(): boolean {
     const {configuration, upstreams, clocks} = this.context;
-    const oldest = Math.min(
-      configuration.current?.confirmedAt ?? -Infinity,
-      upstreams.confirmedAt,
+    const now = clocks.counting();
+    const confirmedAt = configuration.current?.confirmedAt ?? -Infinity;
+    return (
+      now - confirmedAt > CONFIGURATION_ASK_AGE_MILLISECONDS ||
+      now - upstreams.confirmedAt > UPSTREAMS_ASK_AGE_MILLISECONDS
     );
-    return clocks.counting() - oldest > ASK_AGE_MILLISECONDS;
   }
 
   private choose(): readonly Member[] {
-    const others = [...this.context.otherHosts()];
-    const chosen: Member[] = [];
-    while (chosen.length < ASKED_HOSTS && others.length > 0) {
-      const index = Math.floor(this.context.random() * others.length);
-      chosen.push(...others.splice(index, 1));
-    }
-    return chosen;
+    const {otherHosts, random} = this.context;
+    return shuffle(otherHosts(), random).slice(0, ASKED_HOSTS);
   }
 
   private async askOne(member: Member): Promise<void> {
@@ -133,8 +140,8 @@
       );
     }
     if (beliefs.upstreams !== undefined) {
-      const {list, age} = beliefs.upstreams;
-      upstreams.takeRelayed(list, askedAt - age);
+      const {list, age, readTo} = beliefs.upstreams;
+      upstreams.takeRelayed(list, readTo, askedAt - age);
     }
   }
 }
--- a/packages/entry-process/src/routed/upstream_follower.ts
+++ b/packages/entry-process/src/routed/upstream_follower.ts
@@ -2,7 +2,8 @@
  * The task that follows the platform's list of upstreams.
  */
 import {
-  type ListedUpstream,
+  type RelayedUpstream,
+  RELIST_MILLISECONDS,
   UpstreamList,
   type UpstreamUpdate,
 } from '@lacewingwinch/decisions';
@@ -61,45 +62,65 @@
     return this.hasRead;
   }
 
+  /** Offset in the log up to which the list was read; undefined before that. */
+  get readTo(): number | undefined {
+    return this.hasRead ? this.next : undefined;
+  }
+
   /** When the list was last known to be the newest. */
   get confirmedAt(): number {
     return this.confirmed;
   }
 
-  /** Takes the list that another host knew to be the newest at `confirmedAt`. */
-  takeRelayed(list: readonly ListedUpstream[], confirmedAt: number): void {
-    if (confirmedAt <= this.confirmed) {
-      return;
+  /**
+   * Takes the list that another host read up to the offset `readTo` and knew to
+   * be the newest at `confirmedAt`. The offsets say which list is newer; times
+   * do not, as two reads cross. What this host read further than the other one
+   * holds at that time as well.
+   */
+  takeRelayed(
+    list: readonly RelayedUpstream[],
+    readTo: number,
+    confirmedAt: number,
+  ): void {
+    if (this.next === undefined || readTo > this.next) {
+      this.list.takeRelayed(list, this.context.clocks.counting());
+      this.next = readTo;
+      this.hasRead = true;
+      this.context.onUpdates(
+        list.map(({upstream}) => ({kind: 'listed', upstream}) as const),
+      );
     }
-    const now = this.context.clocks.counting();
-    this.list.replace(list, false, now);
-    this.confirmed = confirmedAt;
-    this.hasRead = true;
-    this.context.onUpdates(
-      list.map(upstream => ({kind: 'listed', upstream}) as const),
-    );
+    this.confirmed = Math.max(this.confirmed, confirmedAt);
   }
 
   /** Runs until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!isAborted(signal)) {
+      let isNewest = true;
       try {
-        await this.readOnce();
+        isNewest = await this.readOnce();
         this.reachability.note(undefined);
       } catch (error) {
         this.reachability.note(messageOf(error));
       }
-      await pause(READ_PERIOD_MILLISECONDS, signal);
+      if (isNewest) {
+        await pause(READ_PERIOD_MILLISECONDS, signal);
+      }
     }
   }
 
-  private async readOnce(): Promise<void> {
+  /** Reads what is new; tells whether that was all there is. */
+  async readOnce(): Promise<boolean> {
     const {store, clocks} = this.context;
     const sentAt = clocks.counting();
     const options = {timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS};
     if (this.next === undefined) {
       const {records, end} = await store.newest('upstreams', options);
-      this.noteAnswer(sentAt);
+      this.noteAnswer(sentAt, true);
+      if (this.isReadBeyond(end)) {
+        return true;
+      }
       const updates = records.map(({key, value}) =>
         decodeUpstreamEntry(key, value),
       );
@@ -108,46 +129,59 @@
         updates.flatMap(update =>
           update.kind === 'listed' ? [update.upstream] : [],
         ),
-        this.isAfterOutage(now),
+        this.relistedBy,
         now,
       );
       this.next = end;
       this.hasRead = true;
       this.context.onUpdates(updates);
-      return;
+      return true;
     }
     const page = await store.read('upstreams', this.next, {
       ...options,
       waitMilliseconds: 0,
     });
-    this.noteAnswer(sentAt);
     if (page.kind === 'expired') {
       this.next = undefined;
-      return;
+      return false;
+    }
+    const isNewest = page.next >= page.end;
+    this.noteAnswer(sentAt, isNewest);
+    if (this.isReadBeyond(page.next)) {
+      return true;
     }
+    const readTo = this.next;
     const updates = page.records.flatMap(record => {
       const keyed = decodeKeyedRecord(record);
-      return keyed === undefined
+      return keyed === undefined || keyed.offset < readTo
         ? []
         : [decodeUpstreamEntry(keyed.key, keyed.value)];
     });
     const now = clocks.counting();
-    this.list.apply(updates, this.isAfterOutage(now), now);
+    this.list.apply(updates, this.relistedBy, now);
     this.next = page.next;
     if (updates.length > 0) {
       this.context.onUpdates(updates);
     }
+    return isNewest;
   }
 
-  private noteAnswer(sentAt: number): void {
+  private noteAnswer(sentAt: number, isNewest: boolean): void {
     if (this.hasRead && sentAt - this.answeredAt > OUTAGE_MILLISECONDS) {
       this.outageEndedAt = sentAt;
     }
     this.answeredAt = sentAt;
-    this.confirmed = Math.max(this.confirmed, sentAt);
+    if (isNewest) {
+      this.confirmed = Math.max(this.confirmed, sentAt);
+    }
+  }
+
+  /** Whether another host told, during a read, what comes after it. */
+  private isReadBeyond(offset: number): boolean {
+    return this.next !== undefined && offset < this.next;
   }
 
-  private isAfterOutage(now: number): boolean {
-    return now - this.outageEndedAt < OUTAGE_MILLISECONDS;
+  private get relistedBy(): number {
+    return this.outageEndedAt + RELIST_MILLISECONDS;
   }
 }
--- /dev/null
+++ b/packages/entry-process/tests/upstream_follower_test.ts
@@ -0,0 +1,56 @@
+/** Tests of the list of upstreams that is read and told by other hosts. */
+import {createEventLog} from '@lacewingwinch/observability';
+import {StoreClient} from '@lacewingwinch/platform';
+import {RoutedEngineStandIn, StoreStandIn} from '@lacewingwinch/stand-ins';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import {createProcessClocks} from '../src/routed/clocks.js';
+import {UpstreamFollower} from '../src/routed/upstream_follower.js';
+
+let store: StoreStandIn;
+let client: StoreClient;
+let follower: UpstreamFollower;
+
+beforeEach(async () => {
+  store = new StoreStandIn();
+  await store.listen();
+  client = new StoreClient(store.address);
+  follower = new UpstreamFollower({
+    store: client,
+    events: createEventLog('test', 'error'),
+    clocks: createProcessClocks(),
+    onUpdates: () => undefined,
+  });
+});
+
+afterEach(async () => {
+  await client.close();
+  await store.close();
+});
+
+const ENTRY = new RoutedEngineStandIn('engine').entry('engines', {
+  address: '127.0.0.1:1',
+});
+
+describe('a list that another host tells', () => {
+  it.each([
+    {
+      name: 'does not bring back what this host read as withdrawn',
+      readTo: 1,
+      listed: [],
+    },
+    {name: 'counts when it was read further', readTo: 3, listed: ['engine']},
+  ])('$name', async ({readTo, listed}) => {
+    store.put('keyed.servers', 'engine', ENTRY);
+    await follower.readOnce();
+    const relayed = follower.list.relay(0);
+    store.put('keyed.servers', 'engine', undefined);
+    await follower.readOnce();
+    const later = follower.confirmedAt + 1000;
+    follower.takeRelayed(relayed, readTo, later);
+    expect(follower.list.all().map(({upstreamId}) => upstreamId)).toEqual(
+      listed,
+    );
+    expect(follower.confirmedAt).toBe(later);
+  });
+});
