--- a/packages/decisions/src/membership/membership.ts
+++ b/packages/decisions/src/membership/membership.ts
@@ -158,11 +158,13 @@
    * Hosts that share limits, this one included. A host that cannot be reached
    * may still use its part, and one that died comes back.
    */
-  sharingCount(now: number): number {
-    return [...this.entries.values()].filter(
-      ({member, since}) =>
-        member.status !== 'gone' || now - since < SHARING_MILLISECONDS,
-    ).length;
+  sharing(now: number): readonly string[] {
+    return [...this.entries.values()]
+      .filter(
+        ({member, since}) =>
+          member.status !== 'gone' || now - since < SHARING_MILLISECONDS,
+      )
+      .map(({member}) => member.hostId);
   }
 
   private mergeOne(update: Member, now: number): void {
--- a/packages/decisions/src/placement/choose_engine.ts
+++ b/packages/decisions/src/placement/choose_engine.ts
@@ -104,7 +104,7 @@
 }
 
 /** The deepest part that other requests share: the last one is the request's own. */
-function affinityKey(demand: PlacementDemand): string {
+export function affinityKey(demand: PlacementDemand): string {
   const shared = demand.parts.at(-2) ?? demand.parts[0];
   return shared === undefined ? demand.attemptId : shared.partId;
 }
--- a/packages/decisions/src/upstreams/upstream_list.ts
+++ b/packages/decisions/src/upstreams/upstream_list.ts
@@ -1,6 +1,7 @@
 /**
  * The upstreams that the platform lists, as one entry host believes them.
  */
+import {isDeepStrictEqual} from 'node:util';
 
 /** An upstream, as it describes itself. */
 export interface ListedUpstream {
@@ -37,6 +38,27 @@
   readonly lapsesInMilliseconds?: number;
 }
 
+/** A list of upstreams as one host tells another. */
+export type RelayedList =
+  | {readonly kind: 'whole'; readonly listed: readonly RelayedUpstream[]}
+  /** What changed since the offset up to which the other host has read. */
+  | {
+      readonly kind: 'changes';
+      readonly listed: readonly RelayedUpstream[];
+      readonly withdrawn: readonly string[];
+    };
+
+/** Where updates come from. */
+export interface UpdateSource {
+  /** Offset in the log of the store up to which was read. */
+  readonly readTo: number;
+  /** Until when entries that lapsed in an outage may come back. */
+  readonly relistedBy: number;
+}
+
+/** Withdrawn upstreams that are remembered for other hosts. */
+const MAXIMUM_WITHDRAWN = 1024;
+
 /** An upstream that takes work. */
 export interface UsableUpstream extends ListedUpstream {
   /** Suspension-aware milliseconds at which this process first saw it ready. */
@@ -48,6 +70,8 @@
   readonly knownSince: number;
   /** When an entry that lapsed during an outage is taken as gone. */
   readonly lapsesAt: number;
+  /** Offset up to which was read when the entry changed. */
+  readonly changedTo: number;
 }
 
 /**
@@ -60,6 +84,10 @@
 export class UpstreamList {
   private readonly entries = new Map<string, Entry>();
   private revision = 0;
+  /** Withdrawn upstreams, by the offset up to which was read then. */
+  private readonly withdrawn = new Map<string, number>();
+  /** Offset from which on every withdrawal is remembered. */
+  private withdrawnSince = -Infinity;
   private readonly byService = new Map<string, readonly UsableUpstream[]>();
 
   /** Grows with each change. */
@@ -73,16 +101,16 @@
    */
   apply(
     updates: readonly UpstreamUpdate[],
-    relistedBy: number,
+    source: UpdateSource,
     now: number,
   ): void {
     for (const update of updates) {
       switch (update.kind) {
         case 'listed':
-          this.list(update.upstream, now);
+          this.list(update.upstream, source, now);
           break;
         case 'withdrawn':
-          this.withdraw(update.upstreamId, relistedBy, now);
+          this.withdraw(update.upstreamId, source, now);
           break;
       }
     }
@@ -91,40 +119,55 @@
   /** Replaces the whole list by what the store holds now; see `apply`. */
   replace(
     upstreams: readonly ListedUpstream[],
-    relistedBy: number,
+    source: UpdateSource,
     now: number,
   ): void {
     const listed = new Set(upstreams.map(({upstreamId}) => upstreamId));
     for (const upstream of upstreams) {
-      this.list(upstream, now);
+      this.list(upstream, source, now);
     }
     for (const upstreamId of [...this.entries.keys()]) {
       if (!listed.has(upstreamId)) {
-        this.withdraw(upstreamId, relistedBy, now);
+        this.withdraw(upstreamId, source, now);
       }
     }
+    // What was withdrawn before this reading is not known.
+    this.withdrawnSince = Math.max(this.withdrawnSince, source.readTo);
   }
 
-  /** The list for another host. */
-  relay(now: number): readonly RelayedUpstream[] {
+  /** The list for another host, which has read up to the offset `since`. */
+  relay(since: number | undefined, now: number): RelayedList {
     this.dropLapsed(now);
-    return [...this.entries.values()].map(({upstream, lapsesAt}) =>
-      Number.isFinite(lapsesAt)
-        ? {upstream, lapsesInMilliseconds: lapsesAt - now}
-        : {upstream},
-    );
+    const entries = [...this.entries.values()];
+    if (since === undefined || since < this.withdrawnSince) {
+      return {kind: 'whole', listed: entries.map(one => relayed(one, now))};
+    }
+    const listed = entries
+      .filter(({changedTo}) => changedTo > since)
+      .map(one => relayed(one, now));
+    const withdrawn = [...this.withdrawn]
+      .filter(([, changedTo]) => changedTo > since)
+      .map(([upstreamId]) => upstreamId);
+    return {kind: 'changes', listed, withdrawn};
   }
 
-  /** Replaces the whole list by what another host believes. */
-  takeRelayed(relayed: readonly RelayedUpstream[], now: number): void {
-    this.replace(
-      relayed.map(({upstream}) => upstream),
-      -Infinity,
-      now,
-    );
-    for (const {upstream, lapsesInMilliseconds} of relayed) {
+  /** Takes what another host believes, which has read up to `readTo`. */
+  takeRelayed(relayed: RelayedList, readTo: number, now: number): void {
+    const source = {readTo, relistedBy: -Infinity};
+    const upstreams = relayed.listed.map(({upstream}) => upstream);
+    switch (relayed.kind) {
+      case 'whole':
+        this.replace(upstreams, source, now);
+        break;
+      case 'changes':
+        upstreams.forEach(upstream => this.list(upstream, source, now));
+        relayed.withdrawn.forEach(id => this.withdraw(id, source, now));
+        break;
+    }
+    for (const {upstream, lapsesInMilliseconds} of relayed.listed) {
       if (lapsesInMilliseconds !== undefined) {
-        this.withdraw(upstream.upstreamId, now + lapsesInMilliseconds, now);
+        const relistedBy = now + lapsesInMilliseconds;
+        this.withdraw(upstream.upstreamId, {readTo, relistedBy}, now);
       }
     }
   }
@@ -156,35 +199,63 @@
     return [...this.entries.values()].map(({upstream}) => upstream);
   }
 
-  private list(upstream: ListedUpstream, now: number): void {
-    const known = this.entries.get(upstream.upstreamId);
+  /** Upstreams list themselves again every second, mostly with no change. */
+  private list(
+    upstream: ListedUpstream,
+    {readTo}: UpdateSource,
+    now: number,
+  ): void {
+    const {upstreamId} = upstream;
+    const known = this.entries.get(upstreamId);
+    const isLapsing = known?.lapsesAt !== Infinity;
+    if (!isLapsing && isDeepStrictEqual(known.upstream, upstream)) {
+      return;
+    }
     const isSameProcess = known?.upstream.bornAt === upstream.bornAt;
-    this.entries.set(upstream.upstreamId, {
+    this.withdrawn.delete(upstreamId);
+    this.entries.set(upstreamId, {
       upstream,
       knownSince: isSameProcess ? known.knownSince : now,
       lapsesAt: Infinity,
+      changedTo: readTo,
     });
     this.noteChange();
   }
 
-  private withdraw(upstreamId: string, relistedBy: number, now: number): void {
+  private withdraw(
+    upstreamId: string,
+    {readTo, relistedBy}: UpdateSource,
+    now: number,
+  ): void {
     const known = this.entries.get(upstreamId);
     if (known === undefined) {
       return;
     }
     if (now < relistedBy && !known.upstream.isLeaving) {
       const lapsesAt = Math.min(known.lapsesAt, relistedBy);
-      this.entries.set(upstreamId, {...known, lapsesAt});
+      this.entries.set(upstreamId, {...known, lapsesAt, changedTo: readTo});
       return;
     }
     this.entries.delete(upstreamId);
+    this.rememberWithdrawn(upstreamId, readTo);
     this.noteChange();
   }
 
+  private rememberWithdrawn(upstreamId: string, readTo: number): void {
+    this.withdrawn.delete(upstreamId);
+    this.withdrawn.set(upstreamId, readTo);
+    const [oldest] = this.withdrawn;
+    if (this.withdrawn.size > MAXIMUM_WITHDRAWN && oldest !== undefined) {
+      this.withdrawn.delete(oldest[0]);
+      this.withdrawnSince = Math.max(this.withdrawnSince, oldest[1]);
+    }
+  }
+
   private dropLapsed(now: number): void {
-    for (const [upstreamId, {lapsesAt}] of this.entries) {
+    for (const [upstreamId, {lapsesAt, changedTo}] of this.entries) {
       if (now >= lapsesAt) {
         this.entries.delete(upstreamId);
+        this.rememberWithdrawn(upstreamId, changedTo);
         this.noteChange();
       }
     }
@@ -195,3 +266,9 @@
     this.byService.clear();
   }
 }
+
+function relayed({upstream, lapsesAt}: Entry, now: number): RelayedUpstream {
+  return Number.isFinite(lapsesAt)
+    ? {upstream, lapsesInMilliseconds: lapsesAt - now}
+    : {upstream};
+}
--- a/packages/decisions/src/util/rendezvous_hash.ts
+++ b/packages/decisions/src/util/rendezvous_hash.ts
@@ -3,6 +3,9 @@
  */
 import murmurhash from 'murmurhash';
 
+/** Values that a hash can have. */
+const HASH_VALUES = 2 ** 32;
+
 /** Hashes of member names that are remembered. */
 const MAXIMUM_REMEMBERED = 4096;
 
@@ -39,6 +42,29 @@
   return rendezvousOrder(key, members, 1)[0];
 }
 
+/**
+ * `members` in an order for `key` in which each comes first with a probability
+ * in proportion to its weight. A change of a weight moves as few keys as the
+ * change asks for.
+ */
+export function weightedRendezvousOrder<T>(
+  key: string,
+  members: readonly T[],
+  nameOf: (member: T) => string,
+  weightOf: (member: T) => number,
+): readonly T[] {
+  const keyHash = murmurhash.v3(key);
+  return members
+    .map(member => {
+      const hash = mix(keyHash ^ hashOfMember(nameOf(member)));
+      // From 0 to 1, both excluded.
+      const part = (hash + 0.5) / HASH_VALUES;
+      return {member, score: -weightOf(member) / Math.log(part)};
+    })
+    .sort((left, right) => right.score - left.score)
+    .map(({member}) => member);
+}
+
 /** A bucket for `key`, from 0 to `count` - 1. */
 export function hashBucket(key: string, count: number): number {
   return murmurhash.v3(key) % count;
--- a/packages/decisions/tests/placement_test.ts
+++ b/packages/decisions/tests/placement_test.ts
@@ -4,7 +4,9 @@
 import {
   type Choice,
   chooseEngine,
+  dispatchGroups,
   EventSplitter,
+  groupsInOrder,
   type PlacementDemand,
   PlacementTable,
   PrefixMemory,
@@ -300,3 +302,54 @@
     );
   });
 });
+
+describe('the groups of engines', () => {
+  const many = Array.from({length: 196}, (_, index) => engine(index));
+
+  it.each([
+    {engines: 28, groups: 1},
+    {engines: 33, groups: 2},
+    {engines: 98, groups: 4},
+    {engines: 196, groups: 8},
+  ])('are $groups for $engines engines', ({engines, groups}) => {
+    const parts = dispatchGroups('engines', many.slice(0, engines));
+    expect(parts.length).toBe(groups);
+    expect(parts.flatMap(({upstreams}) => upstreams).length).toBe(engines);
+  });
+
+  it('get requests by their size, however uneven they are', () => {
+    const groups = dispatchGroups('engines', many);
+    const counts = new Map<string, number>();
+    for (let index = 0; index < 20_000; index += 1) {
+      const first = groupsInOrder(demand(`${index}`, `p${index}`), groups)[0];
+      counts.set(first?.name ?? '', (counts.get(first?.name ?? '') ?? 0) + 1);
+    }
+    for (const {name, upstreams} of groups) {
+      const expected = (20_000 * upstreams.length) / many.length;
+      expect((counts.get(name) ?? 0) / expected).toBeGreaterThan(0.85);
+      expect((counts.get(name) ?? 0) / expected).toBeLessThan(1.15);
+    }
+  });
+
+  it('keep requests of one prompt part together', () => {
+    const groups = dispatchGroups('engines', many);
+    const names = Array.from(
+      {length: 20},
+      (_, index) => groupsInOrder(demand(`${index}`, 'hot'), groups)[0]?.name,
+    );
+    expect(new Set(names).size).toBe(1);
+  });
+
+  it('keep most prompt parts in place when engines leave', () => {
+    const before = dispatchGroups('engines', many);
+    const after = dispatchGroups('engines', many.slice(0, 160));
+    const moved = Array.from({length: 2000}, (_, index) => {
+      const one = demand(`${index}`, `p${index}`);
+      return (
+        groupsInOrder(one, before)[0]?.name !==
+        groupsInOrder(one, after)[0]?.name
+      );
+    });
+    expect(moved.filter(Boolean).length / moved.length).toBeLessThan(0.2);
+  });
+});
--- a/packages/decisions/tests/shared_limits_test.ts
+++ b/packages/decisions/tests/shared_limits_test.ts
@@ -4,10 +4,12 @@
 import {
   type AttemptHistory,
   decideNextAttempt,
+  quotaHolders,
   QuotaShare,
   type RoutedAttemptFailure,
   SharedRetryBudget,
   sharingHosts,
+  shuffle,
   type WorkspaceQuota,
 } from '../src/index.js';
 
@@ -75,6 +77,101 @@
   });
 });
 
+describe('the holders of a quota', () => {
+  const FLEET = Array.from({length: 87}, (_, index) => `host-${index}`);
+
+  it.each([
+    {hosts: 9, holders: 9},
+    {hosts: 16, holders: 16},
+    {hosts: 30, holders: 8},
+    {hosts: 87, holders: 8},
+  ])('are $holders of $hosts hosts', ({hosts, holders}) => {
+    const chosen = quotaHolders('large', FLEET.slice(0, hosts));
+    expect(new Set(chosen).size).toBe(holders);
+  });
+
+  it('are others for another workspace, and the same at every host', () => {
+    const holders = quotaHolders('large', FLEET);
+    expect(quotaHolders('large', [...FLEET].reverse())).toEqual(holders);
+    expect(quotaHolders('small', FLEET)).not.toEqual(holders);
+  });
+
+  it('stay but for those that left', () => {
+    const before = quotaHolders('large', FLEET);
+    const after = quotaHolders(
+      'large',
+      FLEET.filter(host => host !== before[0]),
+    );
+    expect(after.slice(0, 7)).toEqual(before.slice(1));
+  });
+
+  /**
+   * One workspace sends prompts of 1,000 to 40,000 tokens at random hosts of a
+   * fleet of 87, `load` times its quota for 8 s. A part lets one prompt pass
+   * that is larger than itself: the more parts, the further that exceeds the
+   * quota.
+   */
+  it.each([
+    {parts: 87, load: 0.5, isExceeded: false, mostRefused: 0.1},
+    {parts: 87, load: 8, isExceeded: true, mostRefused: 1},
+    {parts: 8, load: 0.5, isExceeded: false, mostRefused: 0.1},
+    {parts: 8, load: 8, isExceeded: false, mostRefused: 1},
+  ])('with $parts parts bound a load of $load quotas', row => {
+    const {passed, refused} = sendToParts(row.parts, row.load);
+    expect(passed > ALLOWED_IN_WINDOW).toBe(row.isExceeded);
+    expect(refused).toBeLessThanOrEqual(row.mostRefused);
+  });
+});
+
+const LARGE_QUOTA: WorkspaceQuota = {
+  unit: 'tokens',
+  perSecond: 50_000,
+  burst: 100_000,
+  defaultTokens: 200,
+};
+const WINDOW_SECONDS = 8;
+const MOST_TOKENS = 40_000;
+
+/** What may pass in a window, a slack of 190,000 and 10% more included. */
+const ALLOWED_IN_WINDOW =
+  (LARGE_QUOTA.perSecond * WINDOW_SECONDS + LARGE_QUOTA.burst) * 1.1 + 190_000;
+
+/** Sends for one window; `refused` is the share of the requests. */
+function sendToParts(
+  parts: number,
+  load: number,
+): {readonly passed: number; readonly refused: number} {
+  const shares = Array.from({length: parts}, () => new QuotaShare(190_000, 1));
+  const random = randomNumbers(1);
+  const meanTokens = (1000 + MOST_TOKENS) / 2;
+  const requests = Math.round(
+    (load * LARGE_QUOTA.perSecond * WINDOW_SECONDS) / meanTokens,
+  );
+  let refused = 0;
+  let passed = 0;
+  for (let index = 0; index < requests; index += 1) {
+    const now = (index / requests) * WINDOW_SECONDS * 1000;
+    const amount = 1000 + random() * (MOST_TOKENS - 1000);
+    const taker = shuffle(shares, random)
+      .slice(0, 3)
+      .find(
+        share => share.take('large', LARGE_QUOTA, amount, parts, now) === 0,
+      );
+    passed += taker === undefined ? 0 : amount;
+    refused += taker === undefined ? 1 / requests : 0;
+  }
+  return {passed, refused};
+}
+
+/** Numbers from 0 to 1 that are the same in every run. */
+function randomNumbers(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
+    return state / 2 ** 32;
+  };
+}
+
 describe('a part of a retry budget', () => {
   it('stays below its share of the requests and of the slack', () => {
     const budget = new SharedRetryBudget({
--- a/packages/decisions/tests/upstream_list_test.ts
+++ b/packages/decisions/tests/upstream_list_test.ts
@@ -4,6 +4,7 @@
 import {
   type ListedUpstream,
   RELIST_MILLISECONDS,
+  type UpdateSource,
   UpstreamHealth,
   UpstreamList,
   type UpstreamResult,
@@ -35,6 +36,10 @@
 
 const NOW = 1000;
 
+function source(readTo = 0, relistedBy = -Infinity): UpdateSource {
+  return {readTo, relistedBy};
+}
+
 describe('an upstream', () => {
   it.each<{
     readonly name: string;
@@ -112,8 +117,8 @@
     },
   ])('$name', ({updates, relistedBy, later, usable}) => {
     const list = new UpstreamList();
-    list.replace([upstream('a'), upstream('b')], -Infinity, NOW);
-    list.apply(updates, relistedBy, NOW);
+    list.replace([upstream('a'), upstream('b')], source(), NOW);
+    list.apply(updates, source(1, relistedBy), NOW);
     expect(
       list.usable('engines', NOW + later).map(({upstreamId}) => upstreamId),
     ).toEqual(usable);
@@ -121,17 +126,17 @@
 
   it('is known anew when it starts again under its id', () => {
     const list = new UpstreamList();
-    list.apply([listed(upstream('a', {bornAt: 1}))], -Infinity, NOW);
-    list.apply([listed(upstream('a', {bornAt: 1}))], -Infinity, NOW + 10);
+    list.apply([listed(upstream('a', {bornAt: 1}))], source(), NOW);
+    list.apply([listed(upstream('a', {bornAt: 1}))], source(), NOW + 10);
     expect(list.usable('engines', NOW)[0]?.knownSince).toBe(NOW);
-    list.apply([listed(upstream('a', {bornAt: 2}))], -Infinity, NOW + 20);
+    list.apply([listed(upstream('a', {bornAt: 2}))], source(), NOW + 20);
     expect(list.usable('engines', NOW)[0]?.knownSince).toBe(NOW + 20);
   });
 
   it('that a whole reading no longer holds is gone', () => {
     const list = new UpstreamList();
-    list.replace([upstream('a'), upstream('b')], -Infinity, NOW);
-    list.replace([upstream('b')], -Infinity, NOW + 1);
+    list.replace([upstream('a'), upstream('b')], source(), NOW);
+    list.replace([upstream('b')], source(), NOW + 1);
     expect(list.all().map(({upstreamId}) => upstreamId)).toEqual(['b']);
   });
 });
@@ -139,19 +144,67 @@
 describe('a list that another host relays', () => {
   it('keeps the time at which an entry lapses', () => {
     const one = new UpstreamList();
-    one.replace([upstream('a'), upstream('b')], -Infinity, NOW);
-    one.apply([{kind: 'withdrawn', upstreamId: 'a'}], NOW + 500, NOW);
+    one.replace([upstream('a'), upstream('b')], source(), NOW);
+    one.apply(
+      [{kind: 'withdrawn', upstreamId: 'a'}],
+      source(1, NOW + 500),
+      NOW,
+    );
     const other = new UpstreamList();
     // The clocks of two hosts have nothing in common.
-    other.takeRelayed(one.relay(NOW + 100), 9000);
+    other.takeRelayed(one.relay(undefined, NOW + 100), 1, 9000);
     expect(idsOf(other, 9399)).toEqual(['a', 'b']);
     expect(idsOf(other, 9400)).toEqual(['b']);
   });
 
+  it('tells a host that has read before only what changed', () => {
+    const one = new UpstreamList();
+    one.replace([upstream('a'), upstream('b'), upstream('c')], source(10), NOW);
+    const other = new UpstreamList();
+    other.takeRelayed(one.relay(undefined, NOW), 10, NOW);
+    one.apply(
+      [
+        listed(upstream('a')),
+        listed(upstream('b', {isLeaving: true})),
+        {kind: 'withdrawn', upstreamId: 'c'},
+        listed(upstream('d')),
+      ],
+      source(14),
+      NOW,
+    );
+    const changes = one.relay(10, NOW);
+    expect(changes).toEqual({
+      kind: 'changes',
+      listed: [
+        {upstream: upstream('b', {isLeaving: true})},
+        {upstream: upstream('d')},
+      ],
+      withdrawn: ['c'],
+    });
+    other.takeRelayed(changes, 14, NOW);
+    expect(other.all()).toEqual(one.all());
+    expect(one.relay(14, NOW)).toEqual({
+      kind: 'changes',
+      listed: [],
+      withdrawn: [],
+    });
+  });
+
+  it('is told whole to a host that read before this one did', () => {
+    const list = new UpstreamList();
+    list.replace([upstream('a')], source(10), NOW);
+    expect(list.relay(9, NOW).kind).toBe('whole');
+    expect(list.relay(10, NOW).kind).toBe('changes');
+  });
+
   it('replaces what was known', () => {
     const list = new UpstreamList();
-    list.replace([upstream('a'), upstream('b')], -Infinity, NOW);
-    list.takeRelayed([{upstream: upstream('b', {isLeaving: true})}], NOW);
+    list.replace([upstream('a'), upstream('b')], source(), NOW);
+    list.takeRelayed(
+      {kind: 'whole', listed: [{upstream: upstream('b', {isLeaving: true})}]},
+      1,
+      NOW,
+    );
     expect(list.all()).toEqual([upstream('b', {isLeaving: true})]);
   });
 });
--- a/packages/entry-hosts/src/peer_methods.ts
+++ b/packages/entry-hosts/src/peer_methods.ts
@@ -10,7 +10,7 @@
   PlacedRequest,
   PlacementDemand,
   ProcessCounts,
-  RelayedUpstream,
+  RelayedList,
   SnapshotRecord,
   Suspicion,
 } from '@lacewingwinch/decisions';
@@ -110,13 +110,33 @@
     readonly age: number;
     /** Offset in the log of the store up to which the list was read. */
     readonly readTo: number;
-    readonly list: readonly RelayedUpstream[];
+    readonly list: RelayedList;
   };
 }
 
+/** What the host that asks for beliefs has. */
+export interface BeliefsAsk {
+  /** Version of its configuration; -1 if it has none. */
+  readonly knownVersion: number;
+  /** Whether it wants a newer document; else it reads that from the store. */
+  readonly wantsDocument: boolean;
+  /** Offset up to which it has read the list of upstreams. */
+  readonly upstreamsReadTo?: number;
+}
+
+/** The answer of a host that may hold a part of a quota. */
+export type QuotaAnswer =
+  | {readonly kind: 'taken'}
+  /** The part is used up; it is worth coming back after this time. */
+  | {readonly kind: 'used-up'; readonly waitMilliseconds: number}
+  /** The host holds no part of this quota. */
+  | {readonly kind: 'not-held'};
+
 /** A request that is to be placed. */
 export interface PlacementAsk {
   readonly service: string;
+  /** The group of engines that is asked for. */
+  readonly group: string;
   readonly front: string;
   readonly failureDomain: string;
   readonly demand: PlacementDemand;
@@ -238,9 +258,9 @@
     };
     readonly result: null;
   };
-  /** Asks what another host believes, for one that the store turns away. */
+  /** Asks what another host believes, instead of the store. */
   readonly 'beliefs.fetch': {
-    readonly params: {readonly knownVersion: number};
+    readonly params: BeliefsAsk;
     readonly result: RelayedBeliefs;
   };
   /** Cumulative counts of begun requests, for whoever reports them. */
@@ -253,6 +273,16 @@
     readonly params: {readonly workspace: string; readonly amount: number};
     readonly result: {readonly given: number};
   };
+  /** Takes from the part of a workspace's quota that another host holds. */
+  readonly 'quota.take': {
+    readonly params: {readonly workspace: string; readonly amount: number};
+    readonly result: QuotaAnswer;
+  };
+  /** Gives back what a request took there that did not run. */
+  readonly 'quota.return': {
+    readonly params: {readonly workspace: string; readonly amount: number};
+    readonly result: null;
+  };
   readonly 'limit.transfer': {
     readonly params: {readonly workspace: string; readonly tokens: number};
     readonly result: null;
--- a/packages/entry-process/src/routed/belief_relay.ts
+++ b/packages/entry-process/src/routed/belief_relay.ts
@@ -1,13 +1,19 @@
 /**
- * The task that asks other hosts what they believe while the store turns this
- * one away. What they say keeps its age: the whole round trip is added to it.
+ * The task that asks other hosts what they believe: always one that reads the
+ * store, where this host does not, and any two while the store turns this host
+ * away. What they say keeps its age: the whole round trip is added to it.
  */
 import {
   type Member,
   type RandomSource,
+  readersFor,
   shuffle,
 } from '@lacewingwinch/decisions';
-import type {PeerCaller, RelayedBeliefs} from '@lacewingwinch/entry-hosts';
+import type {
+  BeliefsAsk,
+  PeerCaller,
+  RelayedBeliefs,
+} from '@lacewingwinch/entry-hosts';
 import type {EventLog} from '@lacewingwinch/observability';
 
 import {isAborted} from '../util/is_aborted.js';
@@ -21,10 +27,11 @@
 const LOOK_PERIOD_MILLISECONDS = 300;
 
 /**
- * Age of the configuration from which on other hosts are asked. While the store
- * answers, a read of 800 ms has begun at most 1,600 ms ago.
+ * Age of the configuration from which on any other hosts are asked. While the
+ * store answers, a read of 800 ms has begun at most 1,600 ms ago, and a host
+ * that is told by others reads for itself from 2,100 ms.
  */
-const CONFIGURATION_ASK_AGE_MILLISECONDS = 1900;
+const CONFIGURATION_ASK_AGE_MILLISECONDS = 2400;
 
 /**
  * Age of the list of upstreams from which on other hosts are asked. While the
@@ -35,6 +42,9 @@
 /** Milliseconds for the answer of another host; links take some milliseconds. */
 const ASK_TIMEOUT_MILLISECONDS = 250;
 
+/** Milliseconds for which a host that did not help is not asked. */
+const ASK_PAUSE_MILLISECONDS = 2000;
+
 /** Other hosts that are asked in one round. */
 const ASKED_HOSTS = 2;
 
@@ -44,17 +54,24 @@
   readonly events: EventLog;
   readonly clocks: Clocks;
   readonly random: RandomSource;
+  readonly hostId: string;
+  /** Ids of the hosts that serve, this one included. */
+  readonly servingHosts: () => readonly string[];
   readonly otherHosts: () => readonly Member[];
+  /** Whether this host reads the store itself. */
+  readonly readsStore: () => boolean;
   readonly configuration: ConfigurationFollower;
   readonly upstreams: UpstreamFollower;
 }
 
 /** Asks other hosts for beliefs, and answers them. */
 export class BeliefRelay {
+  private readonly askAgainAt = new Map<string, number>();
+
   constructor(private readonly context: BeliefRelayContext) {}
 
   /** What this host believes, for another one. */
-  answer(knownVersion: number): RelayedBeliefs {
+  answer(ask: BeliefsAsk): RelayedBeliefs {
     const {configuration, upstreams, clocks} = this.context;
     const now = clocks.counting();
     const belief = configuration.current;
@@ -68,9 +85,11 @@
             configuration: {
               version,
               age,
-              ...(version <= knownVersion || document === undefined
-                ? {}
-                : {document: document.toString('base64')}),
+              ...(ask.wantsDocument &&
+              version > ask.knownVersion &&
+              document !== undefined
+                ? {document: document.toString('base64')}
+                : {}),
             },
           }),
       ...(upstreams.readTo === undefined
@@ -79,7 +98,7 @@
             upstreams: {
               age: now - upstreams.confirmedAt,
               readTo: upstreams.readTo,
-              list: upstreams.list.relay(now),
+              list: upstreams.list.relay(ask.upstreamsReadTo, now),
             },
           }),
     };
@@ -90,11 +109,36 @@
     while (!isAborted(signal)) {
       await pause(LOOK_PERIOD_MILLISECONDS, signal);
       if (this.isStale()) {
-        await Promise.all(this.choose().map(member => this.askOne(member)));
+        const others = this.choose();
+        await Promise.all(others.map(member => this.askOne(member, true)));
+        continue;
+      }
+      const reader = this.chooseReader();
+      if (reader !== undefined) {
+        await this.askOne(reader, false);
       }
     }
   }
 
+  /** The reader that this host asks; none if it reads the store itself. */
+  private chooseReader(): Member | undefined {
+    const {hostId, servingHosts, otherHosts, readsStore, clocks} = this.context;
+    if (readsStore()) {
+      return undefined;
+    }
+    const now = clocks.counting();
+    const chosen = readersFor(hostId, servingHosts()).find(
+      reader => now >= (this.askAgainAt.get(reader) ?? -Infinity),
+    );
+    return otherHosts().find(member => member.hostId === chosen);
+  }
+
+  /** Another host is asked in the next rounds. */
+  private pauseAsking({hostId}: Member): void {
+    const now = this.context.clocks.counting();
+    this.askAgainAt.set(hostId, now + ASK_PAUSE_MILLISECONDS);
+  }
+
   private isStale(): boolean {
     const {configuration, upstreams, clocks} = this.context;
     const now = clocks.counting();
@@ -110,7 +154,7 @@
     return shuffle(otherHosts(), random).slice(0, ASKED_HOSTS);
   }
 
-  private async askOne(member: Member): Promise<void> {
+  private async askOne(member: Member, wantsDocument: boolean): Promise<void> {
     const {peers, clocks, configuration, upstreams} = this.context;
     const knownVersion = configuration.current?.value.version ?? -1;
     const askedAt = clocks.counting();
@@ -119,7 +163,13 @@
       beliefs = await peers.call(
         member.addresses.peers,
         'beliefs.fetch',
-        {knownVersion},
+        {
+          knownVersion,
+          wantsDocument,
+          ...(upstreams.readTo === undefined
+            ? {}
+            : {upstreamsReadTo: upstreams.readTo}),
+        },
         ASK_TIMEOUT_MILLISECONDS,
       );
     } catch (error) {
@@ -128,9 +178,12 @@
         method: 'beliefs.fetch',
         error: messageOf(error),
       });
-      // Another host is asked in the next round.
+      this.pauseAsking(member);
       return;
     }
+    if (isOld(beliefs)) {
+      this.pauseAsking(member);
+    }
     if (beliefs.configuration !== undefined) {
       const {version, age, document} = beliefs.configuration;
       configuration.takeRelayed(
@@ -145,3 +198,11 @@
     }
   }
 }
+
+/** Whether the host that answered is itself cut off from the store. */
+function isOld({configuration, upstreams}: RelayedBeliefs): boolean {
+  return (
+    (configuration?.age ?? Infinity) > CONFIGURATION_ASK_AGE_MILLISECONDS ||
+    (upstreams?.age ?? Infinity) > UPSTREAMS_ASK_AGE_MILLISECONDS
+  );
+}
--- a/packages/entry-process/src/routed/configuration_follower.ts
+++ b/packages/entry-process/src/routed/configuration_follower.ts
@@ -30,11 +30,22 @@
 /** Milliseconds after a failed read until the next. */
 const RETRY_MILLISECONDS = 200;
 
+/** Milliseconds between two looks at whether to read. */
+const LOOK_MILLISECONDS = 50;
+
+/**
+ * Age of the configuration from which on a host reads that is told by others:
+ * what they tell is up to 1,600 ms old, and it asks every 300 ms.
+ */
+const UNTOLD_MILLISECONDS = 2100;
+
 /** What the task needs from others. */
 export interface ConfigurationFollowerContext {
   readonly store: StoreClient;
   readonly events: EventLog;
   readonly clocks: Clocks;
+  /** Whether this host reads the store, or others read it for this one. */
+  readonly readsStore: () => boolean;
   readonly onChange: (configuration: RoutingConfiguration) => void;
 }
 
@@ -43,6 +54,8 @@
   private belief: Belief<RoutingConfiguration> | undefined;
   private document: Buffer | undefined;
   private next: number | undefined;
+  /** Newest version that another host told of. */
+  private newestVersion = -Infinity;
   private readonly reachability: StoreReachability;
 
   constructor(private readonly context: ConfigurationFollowerContext) {
@@ -60,8 +73,8 @@
   }
 
   /**
-   * Takes what another host knew to be the newest at `confirmedAt`; without a
-   * document it is a version that was known here when the host was asked.
+   * Takes what another host knew to be the newest at `confirmedAt`. A newer
+   * version without its document is read from the store.
    */
   takeRelayed(
     version: number,
@@ -71,12 +84,17 @@
     if (document !== undefined) {
       this.take(document);
     }
+    this.newestVersion = Math.max(this.newestVersion, version);
     this.confirm(confirmedAt, version);
   }
 
   /** Runs until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!isAborted(signal)) {
+      if (!this.mustRead()) {
+        await pause(LOOK_MILLISECONDS, signal);
+        continue;
+      }
       try {
         await this.readOnce();
         this.reachability.note(undefined);
@@ -121,6 +139,18 @@
     }
   }
 
+  /** A host that does not read the store does so for what it is not told. */
+  private mustRead(): boolean {
+    const {readsStore, clocks} = this.context;
+    const {value, confirmedAt} = this.belief ?? {};
+    return (
+      readsStore() ||
+      confirmedAt === undefined ||
+      this.newestVersion > (value?.version ?? -Infinity) ||
+      clocks.counting() - confirmedAt > UNTOLD_MILLISECONDS
+    );
+  }
+
   private takeRecord({key, value}: KeyedRecord): void {
     if (key === CONFIGURATION_KEY && value !== undefined) {
       this.take(value);
--- a/packages/entry-process/src/routed/quota_exchange.ts
+++ b/packages/entry-process/src/routed/quota_exchange.ts
@@ -3,12 +3,14 @@
  */
 import {
   type Member,
+  quotaHolders,
   QuotaShare,
   type RandomSource,
+  sharingHosts,
   shuffle,
   type WorkspaceQuota,
 } from '@lacewingwinch/decisions';
-import type {PeerCaller} from '@lacewingwinch/entry-hosts';
+import type {PeerCaller, QuotaAnswer} from '@lacewingwinch/entry-hosts';
 import type {EventLog} from '@lacewingwinch/observability';
 
 import {messageOf} from '../util/message_of.js';
@@ -31,6 +33,17 @@
  */
 const RESTARTED_SHARE = 0.2;
 
+/** Holders of a quota that are asked for one request, at most. */
+const ASKED_HOLDERS = 3;
+
+/** Milliseconds after which to come back while no holder answers. */
+const HOLDERS_AWAY_MILLISECONDS = 1000;
+
+/** Whether a request may use its workspace's quota. */
+export type QuotaVerdict =
+  | {readonly kind: 'taken'; readonly giveBack: () => void}
+  | {readonly kind: 'used-up'; readonly waitMilliseconds: number};
+
 /** What the exchange needs from others. */
 export interface QuotaExchangeContext {
   readonly peers: PeerCaller;
@@ -38,7 +51,11 @@
   readonly clock: () => number;
   readonly random: RandomSource;
   readonly otherHosts: () => readonly Member[];
-  readonly sharingHosts: () => number;
+  readonly hostId: string;
+  /** Steady milliseconds at which this process started. */
+  readonly startedAt: number;
+  /** Ids of the hosts that share limits, this one included. */
+  readonly sharing: () => readonly string[];
   /** What all hosts together may take beyond a quota in one window. */
   readonly slack: number;
   /** Whether no process of the system ran before. */
@@ -58,23 +75,63 @@
   }
 
   /**
-   * Takes `amount`; asks other hosts if this one's part is used up. Returns
-   * the milliseconds after which to come back, 0 if the request may pass.
+   * Takes `amount` from the part of this host, or of hosts that hold one. A
+   * holder whose part is used up asks the other holders.
    */
   async take(
     workspace: string,
     quota: WorkspaceQuota,
     amount: number,
+  ): Promise<QuotaVerdict> {
+    const holders = this.holdersOf(workspace);
+    if (!holders.includes(this.context.hostId)) {
+      return this.takeFromHolders(workspace, amount, holders);
+    }
+    const wait = await this.takeAsHolder(workspace, quota, amount, holders);
+    return wait > 0
+      ? {kind: 'used-up', waitMilliseconds: wait}
+      : {kind: 'taken', giveBack: () => this.giveBack(workspace, amount)};
+  }
+
+  /** Takes `amount` for another host, if this one holds a part. */
+  takeForOther(
+    workspace: string,
+    quota: WorkspaceQuota | undefined,
+    amount: number,
+  ): QuotaAnswer {
+    const holders = this.holdersOf(workspace);
+    if (quota === undefined || !holders.includes(this.context.hostId)) {
+      return {kind: 'not-held'};
+    }
+    const wait = this.takeHere(workspace, quota, amount, holders);
+    return wait > 0
+      ? {kind: 'used-up', waitMilliseconds: wait}
+      : {kind: 'taken'};
+  }
+
+  private holdersOf(workspace: string): readonly string[] {
+    return quotaHolders(workspace, this.context.sharing());
+  }
+
+  private async takeAsHolder(
+    workspace: string,
+    quota: WorkspaceQuota,
+    amount: number,
+    holders: readonly string[],
   ): Promise<number> {
-    const wait = this.takeHere(workspace, quota, amount);
+    const wait = this.takeHere(workspace, quota, amount, holders);
     const now = this.context.clock();
     if (wait === 0 || now < (this.askAgainAt.get(workspace) ?? 0)) {
       return wait;
     }
     const missing = amount - Math.max(0, this.share.levelOf(workspace));
-    const given = await this.askOthers(workspace, missing * ASK_FACTOR);
+    const given = await this.askOthers(
+      workspace,
+      missing * ASK_FACTOR,
+      holders,
+    );
     this.share.receive(workspace, given);
-    const waitAfter = this.takeHere(workspace, quota, amount);
+    const waitAfter = this.takeHere(workspace, quota, amount, holders);
     if (waitAfter > 0) {
       this.askAgainAt.set(
         workspace,
@@ -84,6 +141,65 @@
     return waitAfter;
   }
 
+  /** Asks holders one after the other until one of them has enough. */
+  private async takeFromHolders(
+    workspace: string,
+    amount: number,
+    holders: readonly string[],
+  ): Promise<QuotaVerdict> {
+    const {peers, random} = this.context;
+    let shortest = HOLDERS_AWAY_MILLISECONDS;
+    for (const member of shuffle(this.reachable(holders), random).slice(
+      0,
+      ASKED_HOLDERS,
+    )) {
+      const address = member.addresses.peers;
+      const answer = await this.askHolder(member, workspace, amount);
+      switch (answer.kind) {
+        case 'taken':
+          return {
+            kind: 'taken',
+            giveBack: () =>
+              peers.notify(address, 'quota.return', {workspace, amount}),
+          };
+        case 'used-up':
+          shortest = Math.min(shortest, answer.waitMilliseconds);
+          break;
+        case 'not-held':
+          break;
+      }
+    }
+    return {kind: 'used-up', waitMilliseconds: shortest};
+  }
+
+  private async askHolder(
+    member: Member,
+    workspace: string,
+    amount: number,
+  ): Promise<QuotaAnswer> {
+    try {
+      return await this.context.peers.call(
+        member.addresses.peers,
+        'quota.take',
+        {workspace, amount},
+        ASK_TIMEOUT_MILLISECONDS,
+      );
+    } catch (error) {
+      // What it may have taken is lost there; another holder is asked.
+      this.context.events.write(3004, {
+        hostId: member.hostId,
+        method: 'quota.take',
+        error: messageOf(error),
+      });
+      return {kind: 'not-held'};
+    }
+  }
+
+  private reachable(holders: readonly string[]): readonly Member[] {
+    const ids = new Set(holders);
+    return this.context.otherHosts().filter(({hostId}) => ids.has(hostId));
+  }
+
   /** Gives back what a request took that did not run. */
   giveBack(workspace: string, amount: number): void {
     this.share.giveBack(workspace, amount);
@@ -101,7 +217,7 @@
           workspace,
           quota,
           amount,
-          this.context.sharingHosts(),
+          this.partsOf(this.holdersOf(workspace)),
           this.context.clock(),
         );
   }
@@ -110,19 +226,32 @@
     workspace: string,
     quota: WorkspaceQuota,
     amount: number,
+    holders: readonly string[],
   ): number {
     return this.share.take(
       workspace,
       quota,
       amount,
-      this.context.sharingHosts(),
+      this.partsOf(holders),
       this.context.clock(),
     );
   }
 
-  private async askOthers(workspace: string, amount: number): Promise<number> {
-    const {otherHosts, random} = this.context;
-    const asked = shuffle(otherHosts(), random).slice(0, ASKED_HOSTS);
+  /** Parts of a quota: a process that just started does not know them all. */
+  private partsOf(holders: readonly string[]): number {
+    const {startedAt, clock} = this.context;
+    return sharingHosts(holders.length, clock() - startedAt);
+  }
+
+  private async askOthers(
+    workspace: string,
+    amount: number,
+    holders: readonly string[],
+  ): Promise<number> {
+    const asked = shuffle(this.reachable(holders), this.context.random).slice(
+      0,
+      ASKED_HOSTS,
+    );
     const gifts = await Promise.all(
       asked.map(member => this.askOne(member, workspace, amount / ASKED_HOSTS)),
     );
--- a/packages/entry-process/src/routed/routed_front.ts
+++ b/packages/entry-process/src/routed/routed_front.ts
@@ -182,14 +182,16 @@
       : quota.defaultTokens;
     const amount = quota.unit === 'tokens' ? tokens : 1;
     const {quotas} = this.context;
-    const wait = await quotas.take(workspace.name, quota, amount);
-    if (wait > 0) {
-      throw new ServingError('limit-exceeded', {
-        detail: `the quota of ${workspace.name} is used up`,
-        retryAfterSeconds: wait / 1000,
-      });
+    const verdict = await quotas.take(workspace.name, quota, amount);
+    switch (verdict.kind) {
+      case 'taken':
+        return verdict;
+      case 'used-up':
+        throw new ServingError('limit-exceeded', {
+          detail: `the quota of ${workspace.name} is used up`,
+          retryAfterSeconds: verdict.waitMilliseconds / 1000,
+        });
     }
-    return {giveBack: () => quotas.giveBack(workspace.name, amount)};
   }
 
   private answerRefusal(
--- /dev/null
+++ b/packages/entry-process/src/routed/routed_membership.ts
@@ -0,0 +1,63 @@
+/**
+ * The membership of the entry hosts on the platform.
+ */
+import type {Member, TrueTime} from '@lacewingwinch/decisions';
+import type {PeerCaller} from '@lacewingwinch/entry-hosts';
+import type {EventLog, Metrics} from '@lacewingwinch/observability';
+import type {PlatformSettings} from '@lacewingwinch/platform';
+
+import {MembershipTask} from '../tasks/membership_task.js';
+import type {Clocks} from './clocks.js';
+
+/** What the membership needs from others. */
+export interface RoutedMembershipContext {
+  readonly settings: () => PlatformSettings;
+  readonly clocks: Clocks;
+  readonly peers: PeerCaller;
+  readonly events: EventLog;
+  readonly metrics: Metrics;
+  /** Learns the times of day that other hosts tell. */
+  readonly trueTime: TrueTime;
+  /** Version of the configuration in force; -1 before the first. */
+  readonly version: () => number;
+}
+
+/** The membership task of this process. */
+export function createRoutedMembership(
+  context: RoutedMembershipContext,
+): MembershipTask {
+  const {settings, clocks, peers, events, metrics, trueTime, version} = context;
+  const {hostId, failureDomain, addresses} = settings();
+  const own: Member = {
+    hostId,
+    failureDomain,
+    addresses: {
+      callers: addresses.callers,
+      peers: addresses.peers,
+      operators: '',
+    },
+    incarnation: clocks.timeOfDay(),
+    status: 'joining',
+  };
+  return new MembershipTask(own, {
+    peers,
+    events,
+    metrics,
+    clock: clocks.steady,
+    random: Math.random,
+    seeds: () => settings().seeds,
+    content: () => ({
+      configurationReadTo: version(),
+      leavingUpstreams: [],
+      suspicions: [],
+      loads: [],
+      demands: [],
+      timeOfDay: clocks.timeOfDay(),
+    }),
+    onDigest: (sender, {timeOfDay}) => {
+      if (timeOfDay !== undefined) {
+        trueTime.note(sender.hostId, timeOfDay, clocks.steady());
+      }
+    },
+  });
+}
--- a/packages/entry-process/src/routed/routed_peer_handlers.ts
+++ b/packages/entry-process/src/routed/routed_peer_handlers.ts
@@ -36,7 +36,7 @@
       placement.onRenew(service, front, requests);
       return null;
     },
-    'beliefs.fetch': ({knownVersion}) => relay.answer(knownVersion),
+    'beliefs.fetch': ask => relay.answer(ask),
     'usage.push': ({counts}) => {
       counts.forEach(one => usage.merge(one));
       return null;
@@ -44,5 +44,11 @@
     'quota.ask': ({workspace, amount}) => ({
       given: quotas.give(workspace, quotaOf(workspace), amount),
     }),
+    'quota.take': ({workspace, amount}) =>
+      quotas.takeForOther(workspace, quotaOf(workspace), amount),
+    'quota.return': ({workspace, amount}) => {
+      quotas.giveBack(workspace, amount);
+      return null;
+    },
   };
 }
--- a/packages/entry-process/src/routed/routed_placement.ts
+++ b/packages/entry-process/src/routed/routed_placement.ts
@@ -4,7 +4,11 @@
  */
 import {
   type Choice,
+  type DispatchGroup,
+  dispatchGroups,
+  groupsInOrder,
   type Member,
+  type PlacedRequest,
   type PlacementDemand,
   PlacementTable,
   rendezvousWinner,
@@ -37,6 +41,15 @@
 /** Milliseconds between two renewals; they mend what notes were lost. */
 const RENEW_PERIOD_MILLISECONDS = 1000;
 
+/** Groups of engines that are asked for one request. */
+const ASKED_GROUPS = 2;
+
+/**
+ * Milliseconds of an estimate from which on a second group is asked: an ask
+ * takes some 10 ms, reading a shared prompt part again some 250 ms.
+ */
+const CROWDED_MILLISECONDS = 250;
+
 /** What placement needs from others. */
 export interface RoutedPlacementContext {
   readonly hostId: string;
@@ -66,19 +79,56 @@
   private readonly tables = new Map<string, PlacementTable>();
   private readonly births = new Map<string, number>();
   private readonly askAgainAt = new Map<string, number>();
+  /** Groups by the list of upstreams that they divide. */
+  private readonly groups = new WeakMap<
+    readonly UsableUpstream[],
+    readonly DispatchGroup[]
+  >();
 
   constructor(private readonly context: RoutedPlacementContext) {}
 
-  /** Places a request at an upstream of `service` that is not in `tried`. */
+  /**
+   * Places a request at an upstream of `service` that is not in `tried`. Where
+   * the request would wait, another group of engines is asked as well.
+   */
   async place(
     service: string,
     demand: PlacementDemand,
     tried: ReadonlySet<string>,
   ): Promise<Placement | undefined> {
-    const {hostId, failureDomain, clock} = this.context;
+    const groups = groupsInOrder(demand, this.groupsOf(service));
+    let best: Placement | undefined;
+    for (const {name} of groups.slice(0, ASKED_GROUPS)) {
+      const placement = await this.placeIn(service, name, demand, tried);
+      best = betterOf(best, placement);
+      if (best !== undefined && !isCrowded(best.choice)) {
+        break;
+      }
+    }
+    if (best !== undefined) {
+      const {hostId, clock} = this.context;
+      this.tableOf(service).add(hostId, demand, best.choice, clock());
+    }
+    return best;
+  }
+
+  private async placeIn(
+    service: string,
+    group: string,
+    demand: PlacementDemand,
+    tried: ReadonlySet<string>,
+  ): Promise<Placement | undefined> {
+    const {hostId, failureDomain} = this.context;
     const excluded = [...tried, ...this.ejectedHere(service)];
-    const ask = {service, front: hostId, failureDomain, demand, excluded};
-    const dispatcher = this.dispatcherOf(service);
+    const ask = {
+      service,
+      group,
+      front: hostId,
+      failureDomain,
+      demand,
+      excluded,
+    };
+    const dispatcher = this.dispatcherOf(group);
     const asked =
       dispatcher === undefined || dispatcher.hostId === hostId
         ? undefined
@@ -86,12 +136,9 @@
     const choice =
       (asked === undefined ? undefined : this.takeAnswer(service, asked)) ??
       this.placeHere(ask, tried);
-    if (choice === undefined) {
-      return undefined;
-    }
-    const table = this.tableOf(service);
-    table.add(hostId, demand, choice, clock());
-    return this.placementOf(service, demand, choice, dispatcher);
+    return choice === undefined
+      ? undefined
+      : this.placementOf(service, demand, choice, dispatcher);
   }
 
   /** Whether any upstream of `service` is left besides those in `tried`. */
@@ -144,10 +191,8 @@
       await pause(RENEW_PERIOD_MILLISECONDS, signal);
       for (const [service, table] of this.tables) {
         table.forgetSilent(hostId, clock());
-        const dispatcher = this.dispatcherOf(service);
-        const requests = table.requestsOf(hostId);
-        if (dispatcher !== undefined && dispatcher.hostId !== hostId) {
-          peers.notify(dispatcher.addresses.peers, 'placement.renew', {
+        for (const [address, requests] of this.requestsByDispatcher(service)) {
+          peers.notify(address, 'placement.renew', {
             service,
             front: hostId,
             requests,
@@ -213,10 +258,44 @@
     };
   }
 
-  private dispatcherOf(service: string): Member | undefined {
+  /** This host's requests at each other dispatcher of `service`, by address. */
+  private requestsByDispatcher(
+    service: string,
+  ): ReadonlyMap<string, readonly PlacedRequest[]> {
+    const requests = this.tableOf(service).requestsOf(this.context.hostId);
+    const byAddress = new Map<string, PlacedRequest[]>();
+    for (const {name, upstreams} of this.groupsOf(service)) {
+      const dispatcher = this.dispatcherOf(name);
+      if (
+        dispatcher === undefined ||
+        dispatcher.hostId === this.context.hostId
+      ) {
+        continue;
+      }
+      const address = dispatcher.addresses.peers;
+      const members = new Set(upstreams.map(({upstreamId}) => upstreamId));
+      const here = requests.filter(({upstreamId}) => members.has(upstreamId));
+      byAddress.set(address, [...(byAddress.get(address) ?? []), ...here]);
+    }
+    return byAddress;
+  }
+
+  private groupsOf(service: string): readonly DispatchGroup[] {
+    const {upstreams, clock} = this.context;
+    const usable = upstreams.usable(service, clock());
+    const known = this.groups.get(usable);
+    if (known !== undefined) {
+      return known;
+    }
+    const fresh = dispatchGroups(service, usable);
+    this.groups.set(usable, fresh);
+    return fresh;
+  }
+
+  private dispatcherOf(group: string): Member | undefined {
     const serving = this.context.servingHosts();
     const winner = rendezvousWinner(
-      `dispatcher/${service}`,
+      `dispatcher/${group}`,
       serving.map(({hostId}) => hostId),
     );
     const isPaused =
@@ -278,8 +357,14 @@
     const {upstreams, clock} = this.context;
     const now = clock();
     const usable = upstreams.usable(ask.service, now);
+    const group = this.groupsOf(ask.service).find(
+      ({name}) => name === ask.group,
+    );
     const excluded = new Set(ask.excluded);
     const candidates = firstNotEmpty([
+      (group?.upstreams ?? usable).filter(
+        ({upstreamId}) => !excluded.has(upstreamId),
+      ),
       usable.filter(({upstreamId}) => !excluded.has(upstreamId)),
       usable.filter(({upstreamId}) => !tried.has(upstreamId)),
     ]);
@@ -320,6 +405,24 @@
   }
 }
 
+function isCrowded({mustWait, estimateMilliseconds}: Choice): boolean {
+  return mustWait && estimateMilliseconds > CROWDED_MILLISECONDS;
+}
+
+/** The placement with the lower estimate; the other one ends. */
+function betterOf(
+  one: Placement | undefined,
+  other: Placement | undefined,
+): Placement | undefined {
+  if (one === undefined || other === undefined) {
+    return one ?? other;
+  }
+  const isOneBetter =
+    one.choice.estimateMilliseconds <= other.choice.estimateMilliseconds;
+  (isOneBetter ? other : one).noteEnded();
+  return isOneBetter ? one : other;
+}
+
 function firstNotEmpty(
   lists: readonly (readonly UsableUpstream[])[],
 ): readonly UsableUpstream[] {
--- a/packages/entry-process/src/routed/routed_process.ts
+++ b/packages/entry-process/src/routed/routed_process.ts
@@ -15,6 +15,7 @@
   type RoutingConfiguration,
   ServiceRetryBudgets,
   sharingHosts,
+  storeReaders,
   TrueTime,
   UpstreamChanges,
   UpstreamHealth,
@@ -43,7 +44,7 @@
 import {ConnectionPool} from '@lacewingwinch/upstreams';
 import {v7 as uuidV7} from 'uuid';
 
-import {MembershipTask} from '../tasks/membership_task.js';
+import type {MembershipTask} from '../tasks/membership_task.js';
 import {messageOf} from '../util/message_of.js';
 import {pause} from '../util/pause.js';
 import {BeliefRelay} from './belief_relay.js';
@@ -53,6 +54,7 @@
 import {DutyTask} from './duty_task.js';
 import {QuotaExchange} from './quota_exchange.js';
 import {RoutedFront} from './routed_front.js';
+import {createRoutedMembership} from './routed_membership.js';
 import {createRoutedPeerHandlers} from './routed_peer_handlers.js';
 import {RoutedPlacement} from './routed_placement.js';
 import {UpstreamFollower} from './upstream_follower.js';
@@ -123,12 +125,14 @@
       store: this.store,
       events: this.events,
       clocks,
+      readsStore: () => this.readsStore(),
       onChange: configuration => this.onConfiguration(configuration),
     });
     this.upstreams = new UpstreamFollower({
       store: this.store,
       events: this.events,
       clocks,
+      readsStore: () => this.readsStore(),
       onUpdates: updates => this.onUpstreams(updates),
     });
     this.placement = new RoutedPlacement({
@@ -142,7 +146,15 @@
       health: this.health,
       keptMilliseconds: settings.bounds.reuseWindowMilliseconds * 2,
     });
-    this.membership = this.createMembership();
+    this.membership = createRoutedMembership({
+      settings: () => this.settings,
+      clocks,
+      peers: this.peers,
+      events: this.events,
+      metrics: this.metrics,
+      trueTime: this.trueTime,
+      version: () => this.configuration.current?.value.version ?? -1,
+    });
     this.retryBudgets = new ServiceRetryBudgets({
       ratio: settings.bounds.retryRatio,
       slack: settings.bounds.retrySlack,
@@ -155,7 +167,9 @@
       clock: clocks.steady,
       random: Math.random,
       otherHosts: () => this.otherServingHosts(),
-      sharingHosts: () => this.sharingHosts(),
+      hostId: settings.hostId,
+      startedAt: this.startedAt,
+      sharing: () => this.membership.sharing(),
       slack: settings.bounds.quotaSlack,
       isFirstStart: settings.isFirstStart,
     });
@@ -164,7 +178,10 @@
       events: this.events,
       clocks,
       random: Math.random,
+      hostId: settings.hostId,
+      servingHosts: () => this.servingIds(),
       otherHosts: () => this.otherServingHosts(),
+      readsStore: () => this.readsStore(),
       configuration: this.configuration,
       upstreams: this.upstreams,
     });
@@ -311,42 +328,6 @@
     this.metrics.configurationVersion.set(version);
   }
 
-  private createMembership(): MembershipTask {
-    const {settings, clocks} = this;
-    const own: Member = {
-      hostId: settings.hostId,
-      failureDomain: settings.failureDomain,
-      addresses: {
-        callers: settings.addresses.callers,
-        peers: settings.addresses.peers,
-        operators: '',
-      },
-      incarnation: clocks.timeOfDay(),
-      status: 'joining',
-    };
-    return new MembershipTask(own, {
-      peers: this.peers,
-      events: this.events,
-      metrics: this.metrics,
-      clock: clocks.steady,
-      random: Math.random,
-      seeds: () => this.settings.seeds,
-      content: () => ({
-        configurationReadTo: this.configuration.current?.value.version ?? -1,
-        leavingUpstreams: [],
-        suspicions: [],
-        loads: [],
-        demands: [],
-        timeOfDay: clocks.timeOfDay(),
-      }),
-      onDigest: (sender, {timeOfDay}) => {
-        if (timeOfDay !== undefined) {
-          this.trueTime.note(sender.hostId, timeOfDay, clocks.steady());
-        }
-      },
-    });
-  }
-
   private createFront(): RoutedFront {
     return new RoutedFront({
       clocks: this.clocks,
@@ -398,12 +379,20 @@
       failureDomains: settings.failureDomains,
       usage: this.usage,
       trueTime: () => this.readTrueTime(),
-      servingHosts: () => this.membership.serving().map(({hostId}) => hostId),
+      servingHosts: () => this.servingIds(),
       configuration: () => this.configuration.current?.value,
       upstreams: () => this.upstreams.list.all(),
     });
   }
 
+  private servingIds(): readonly string[] {
+    return this.membership.serving().map(({hostId}) => hostId);
+  }
+
+  private readsStore(): boolean {
+    return storeReaders(this.servingIds()).includes(this.settings.hostId);
+  }
+
   private readTrueTime(): number {
     const {timeOfDay, steady} = this.clocks;
     return this.trueTime.now(timeOfDay(), steady());
@@ -425,7 +414,7 @@
 
   private sharingHosts(): number {
     const now = this.clocks.steady();
-    const known = this.membership.sharingCount();
+    const known = this.membership.sharing().length;
     return sharingHosts(known, now - this.startedAt);
   }
 
--- a/packages/entry-process/src/routed/upstream_follower.ts
+++ b/packages/entry-process/src/routed/upstream_follower.ts
@@ -2,7 +2,7 @@
  * The task that follows the platform's list of upstreams.
  */
 import {
-  type RelayedUpstream,
+  type RelayedList,
   RELIST_MILLISECONDS,
   UpstreamList,
   type UpstreamUpdate,
@@ -33,11 +33,19 @@
 /** Milliseconds without an answer from which on the store counts as away. */
 const OUTAGE_MILLISECONDS = 1500;
 
+/**
+ * Age of the list from which on a host reads that is told by others: what they
+ * tell is up to 310 ms old, and it asks every 300 ms.
+ */
+const UNTOLD_MILLISECONDS = 900;
+
 /** What the task needs from others. */
 export interface UpstreamFollowerContext {
   readonly store: StoreClient;
   readonly events: EventLog;
   readonly clocks: Clocks;
+  /** Whether this host reads the store, or others read it for this one. */
+  readonly readsStore: () => boolean;
   /** Is told after each change, with the updates that were read. */
   readonly onUpdates: (updates: readonly UpstreamUpdate[]) => void;
 }
@@ -78,18 +86,15 @@
    * do not, as two reads cross. What this host read further than the other one
    * holds at that time as well.
    */
-  takeRelayed(
-    list: readonly RelayedUpstream[],
-    readTo: number,
-    confirmedAt: number,
-  ): void {
+  takeRelayed(list: RelayedList, readTo: number, confirmedAt: number): void {
+    if (this.next === undefined && list.kind === 'changes') {
+      return;
+    }
     if (this.next === undefined || readTo > this.next) {
-      this.list.takeRelayed(list, this.context.clocks.counting());
+      this.list.takeRelayed(list, readTo, this.context.clocks.counting());
       this.next = readTo;
       this.hasRead = true;
-      this.context.onUpdates(
-        list.map(({upstream}) => ({kind: 'listed', upstream}) as const),
-      );
+      this.context.onUpdates(updatesOf(list));
     }
     this.confirmed = Math.max(this.confirmed, confirmedAt);
   }
@@ -97,6 +102,10 @@
   /** Runs until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!isAborted(signal)) {
+      if (!this.mustRead()) {
+        await pause(READ_PERIOD_MILLISECONDS, signal);
+        continue;
+      }
       let isNewest = true;
       try {
         isNewest = await this.readOnce();
@@ -129,7 +138,7 @@
         updates.flatMap(update =>
           update.kind === 'listed' ? [update.upstream] : [],
         ),
-        this.relistedBy,
+        {readTo: end, relistedBy: this.relistedBy},
         now,
       );
       this.next = end;
@@ -158,7 +167,8 @@
         : [decodeUpstreamEntry(keyed.key, keyed.value)];
     });
     const now = clocks.counting();
-    this.list.apply(updates, this.relistedBy, now);
+    const {relistedBy} = this;
+    this.list.apply(updates, {readTo: page.next, relistedBy}, now);
     this.next = page.next;
     if (updates.length > 0) {
       this.context.onUpdates(updates);
@@ -166,6 +176,14 @@
     return isNewest;
   }
 
+  /** A host that does not read the store does so when nobody tells it. */
+  private mustRead(): boolean {
+    const {readsStore, clocks} = this.context;
+    return (
+      readsStore() || clocks.counting() - this.confirmed > UNTOLD_MILLISECONDS
+    );
+  }
+
   private noteAnswer(sentAt: number, isNewest: boolean): void {
     if (this.hasRead && sentAt - this.answeredAt > OUTAGE_MILLISECONDS) {
       this.outageEndedAt = sentAt;
@@ -185,3 +203,20 @@
     return this.outageEndedAt + RELIST_MILLISECONDS;
   }
 }
+
+function updatesOf(list: RelayedList): readonly UpstreamUpdate[] {
+  const listed = list.listed.map(
+    ({upstream}) => ({kind: 'listed', upstream}) as const,
+  );
+  switch (list.kind) {
+    case 'whole':
+      return listed;
+    case 'changes':
+      return [
+        ...listed,
+        ...list.withdrawn.map(
+          upstreamId => ({kind: 'withdrawn', upstreamId}) as const,
+        ),
+      ];
+  }
+}
--- a/packages/entry-process/src/tasks/membership_task.ts
+++ b/packages/entry-process/src/tasks/membership_task.ts
@@ -66,9 +66,9 @@
     return this.membership.all();
   }
 
-  /** Hosts that share limits, this one included. */
-  sharingCount(): number {
-    return this.membership.sharingCount(this.context.clock());
+  /** Ids of the hosts that share limits, this one included. */
+  sharing(): readonly string[] {
+    return this.membership.sharing(this.context.clock());
   }
 
   /** The host called `hostId`. */
@@ -91,9 +91,15 @@
     }
   }
 
-  /** Answers a digest of another host. */
+  /**
+   * Answers a digest of another host. A host that joins is told of every
+   * member: what the others know for long is no longer gossiped.
+   */
   onGossip(digest: GossipDigest): GossipDigest {
     const sender = this.take(digest);
+    if (sender?.status === 'joining') {
+      return {...this.digest(), members: [this.own, ...this.others()]};
+    }
     const known = sender === undefined ? undefined : this.find(sender.hostId);
     return this.digest(known === undefined ? [] : [known]);
   }
@@ -178,6 +184,10 @@
     }
   }
 
+  private others(): readonly Member[] {
+    return this.all().filter(({hostId}) => hostId !== this.own.hostId);
+  }
+
   private digest(extra: readonly Member[] = []): GossipDigest {
     const own = this.membership.own;
     const others = this.membership
--- a/packages/entry-process/tests/upstream_follower_test.ts
+++ b/packages/entry-process/tests/upstream_follower_test.ts
@@ -19,6 +19,7 @@
     store: client,
     events: createEventLog('test', 'error'),
     clocks: createProcessClocks(),
+    readsStore: () => true,
     onUpdates: () => undefined,
   });
 });
@@ -43,7 +44,7 @@
   ])('$name', async ({readTo, listed}) => {
     store.put('keyed.servers', 'engine', ENTRY);
     await follower.readOnce();
-    const relayed = follower.list.relay(0);
+    const relayed = follower.list.relay(undefined, 0);
     store.put('keyed.servers', 'engine', undefined);
     await follower.readOnce();
     const later = follower.confirmedAt + 1000;
