Count a request at both shards that were asked; one word for what has a dispatcher

A request that asks two shards whose dispatcher is one and the same host was counted there once, and lost when the other shard's choice ended: the dispatcher took an engine for free that was not (36 of 600 requests of one hot prompt at one engine, bound 30, in the test "spread one prompt part that is too hot for its engines"). Attempts are now kept by attempt and upstream. The groups of engines are called shards, as in the own interface, and share its division by hash.

--- a/packages/decisions/src/dispatch/shards.ts
+++ b/packages/decisions/src/dispatch/shards.ts
@@ -8,6 +8,9 @@
 /** Upstreams of one shard, at most about. */
 export const MAXIMUM_SHARD_SIZE = 32;
 
+/** Share of the size up to which shards are filled on average. */
+const FILLED_SHARE = 0.75;
+
 /** A group of upstreams with one dispatcher. */
 export interface Shard {
   readonly id: string;
@@ -50,12 +53,8 @@
   failureDomain: string,
   upstreams: readonly Upstream[],
 ): readonly Shard[] {
-  const count = bucketCount(upstreams.length);
-  const buckets: Upstream[][] = Array.from({length: count}, () => []);
-  for (const upstream of upstreams) {
-    buckets[hashBucket(upstream.id, count)]?.push(upstream);
-  }
-  return buckets.map((members, index) => ({
+  const count = shardCount(upstreams.length, MAXIMUM_SHARD_SIZE * FILLED_SHARE);
+  return divideByHash(upstreams, ({id}) => id, count).map((members, index) => ({
     id: `${service}/${failureDomain}/${index}of${count}`,
     service,
     failureDomain,
@@ -63,8 +62,23 @@
   }));
 }
 
-/** A power of two, so that the division changes seldom as the fleet grows. */
-function bucketCount(upstreams: number): number {
-  const fewest = Math.max(1, upstreams / (MAXIMUM_SHARD_SIZE * 0.75));
-  return 2 ** Math.ceil(Math.log2(fewest));
+/**
+ * Shards of `upstreams` with `size` in each at most, on average: a power of two,
+ * so that the division changes seldom as the fleet grows.
+ */
+export function shardCount(upstreams: number, size: number): number {
+  return 2 ** Math.ceil(Math.log2(Math.max(1, upstreams / size)));
+}
+
+/** `items` in `count` parts, the same for everyone who knows them. */
+export function divideByHash<T>(
+  items: readonly T[],
+  idOf: (item: T) => string,
+  count: number,
+): readonly (readonly T[])[] {
+  const parts: T[][] = Array.from({length: count}, () => []);
+  for (const item of items) {
+    parts[hashBucket(idOf(item), count)]?.push(item);
+  }
+  return parts;
 }
--- a/packages/decisions/src/placement/placement_table.ts
+++ b/packages/decisions/src/placement/placement_table.ts
@@ -15,10 +15,14 @@
 import {PrefillSpeeds} from './prefill_speeds.js';
 import {PrefixMemory} from './prefix_memory.js';
 
-/** A request that is at an upstream. */
-export interface PlacedRequest {
+/** One attempt at one upstream. */
+export interface PlacedAttempt {
   readonly attemptId: string;
   readonly upstreamId: string;
+}
+
+/** A request that is at an upstream. */
+export interface PlacedRequest extends PlacedAttempt {
   /** Prompt tokens that the upstream has still to read for it. */
   readonly waitingTokens: number;
   /** 0 is the most urgent. */
@@ -81,7 +85,8 @@
       0,
       demand.promptTokens - choice.cachedTokens,
     );
-    this.frontOf(front, now).requests.set(demand.attemptId, {
+    const key = keyOf(demand.attemptId, upstreamId);
+    this.frontOf(front, now).requests.set(key, {
       attemptId: demand.attemptId,
       upstreamId,
       waitingTokens,
@@ -93,28 +98,31 @@
   /** Notes that the upstream produces: it took `elapsed` to read `tokens`. */
   began(
     front: string,
-    attemptId: string,
+    {attemptId, upstreamId}: PlacedAttempt,
     tokens: number,
     elapsed: number,
   ): void {
     const requests = this.fronts.get(front)?.requests;
-    const request = requests?.get(attemptId);
+    const key = keyOf(attemptId, upstreamId);
+    const request = requests?.get(key);
     if (requests === undefined || request === undefined) {
       return;
     }
-    this.speeds.learn(request.upstreamId, tokens, elapsed);
-    requests.set(attemptId, {...request, waitingTokens: 0});
+    this.speeds.learn(upstreamId, tokens, elapsed);
+    requests.set(key, {...request, waitingTokens: 0});
   }
 
   /** Notes that a request is no longer at its upstream. */
-  ended(front: string, attemptId: string): void {
-    this.fronts.get(front)?.requests.delete(attemptId);
+  ended(front: string, {attemptId, upstreamId}: PlacedAttempt): void {
+    this.fronts.get(front)?.requests.delete(keyOf(attemptId, upstreamId));
   }
 
   /** Replaces what is known of a front by what it says itself. */
   renew(front: string, requests: readonly PlacedRequest[], now: number): void {
     this.fronts.set(front, {
-      requests: new Map(requests.map(one => [one.attemptId, one])),
+      requests: new Map(
+        requests.map(one => [keyOf(one.attemptId, one.upstreamId), one]),
+      ),
       heardAt: now,
     });
   }
@@ -168,6 +176,11 @@
 
 const NO_LOAD: PlacementLoad = {running: 0, waitingTokens: new Map()};
 
+/** A request may be placed twice for a moment, where two shards are asked. */
+function keyOf(attemptId: string, upstreamId: string): string {
+  return `${attemptId}@${upstreamId}`;
+}
+
 interface MutableLoad {
   running: number;
   readonly waitingTokens: Map<number, number>;
--- a/packages/decisions/tests/placement_test.ts
+++ b/packages/decisions/tests/placement_test.ts
@@ -4,13 +4,13 @@
 import {
   type Choice,
   chooseEngine,
-  dispatchGroups,
   EventSplitter,
-  groupsInOrder,
   type PlacementDemand,
   PlacementTable,
   PrefixMemory,
   refuseHopeless,
+  routedShards,
+  shardsInOrder,
   type UsableUpstream,
 } from '../src/index.js';
 
@@ -67,9 +67,11 @@
     const chosen = new Set<string>();
     for (let index = 0; index < 20; index += 1) {
       const one = demand(`a-${index}`, 'part');
-      chosen.add(place(table, one, index)?.upstream.upstreamId ?? '');
-      table.began('front', one.attemptId, 0, 0);
-      table.ended('front', one.attemptId);
+      const upstreamId = place(table, one, index)?.upstream.upstreamId ?? '';
+      chosen.add(upstreamId);
+      const placed = {attemptId: one.attemptId, upstreamId};
+      table.began('front', placed, 0, 0);
+      table.ended('front', placed);
     }
     expect(chosen.size).toBe(1);
   });
@@ -135,7 +137,8 @@
 ): number {
   const one = demand(`p-${priority}`, 'fresh', priority);
   const choice = table.place('other', one, engines, 'north', 0);
-  table.ended('other', one.attemptId);
+  const upstreamId = choice?.upstream.upstreamId ?? '';
+  table.ended('other', {attemptId: one.attemptId, upstreamId});
   return choice?.estimateMilliseconds ?? 0;
 }
 
@@ -149,8 +152,9 @@
       {cachedTokens: 0, upstream: {upstreamId: 'i-0'}},
       0,
     );
-    table.began('front', one.attemptId, 15_000, 4000);
-    table.ended('front', one.attemptId);
+    const placed = {attemptId: one.attemptId, upstreamId: 'i-0'};
+    table.began('front', placed, 15_000, 4000);
+    table.ended('front', placed);
   }
   let slow = 0;
   for (let index = 0; index < 80; index += 1) {
@@ -303,51 +307,50 @@
   });
 });
 
-describe('the groups of engines', () => {
+describe('the shards of a service', () => {
   const many = Array.from({length: 196}, (_, index) => engine(index));
 
   it.each([
-    {engines: 28, groups: 1},
-    {engines: 33, groups: 2},
-    {engines: 98, groups: 4},
-    {engines: 196, groups: 8},
-  ])('are $groups for $engines engines', ({engines, groups}) => {
-    const parts = dispatchGroups('engines', many.slice(0, engines));
-    expect(parts.length).toBe(groups);
+    {engines: 28, shards: 1},
+    {engines: 33, shards: 2},
+    {engines: 98, shards: 4},
+    {engines: 196, shards: 8},
+  ])('are $shards for $engines engines', ({engines, shards}) => {
+    const parts = routedShards('engines', many.slice(0, engines));
+    expect(parts.length).toBe(shards);
     expect(parts.flatMap(({upstreams}) => upstreams).length).toBe(engines);
   });
 
   it('get requests by their size, however uneven they are', () => {
-    const groups = dispatchGroups('engines', many);
+    const shards = routedShards('engines', many);
     const counts = new Map<string, number>();
     for (let index = 0; index < 20_000; index += 1) {
-      const first = groupsInOrder(demand(`${index}`, `p${index}`), groups)[0];
-      counts.set(first?.name ?? '', (counts.get(first?.name ?? '') ?? 0) + 1);
+      const first = shardsInOrder(demand(`${index}`, `p${index}`), shards)[0];
+      counts.set(first?.id ?? '', (counts.get(first?.id ?? '') ?? 0) + 1);
     }
-    for (const {name, upstreams} of groups) {
+    for (const {id, upstreams} of shards) {
       const expected = (20_000 * upstreams.length) / many.length;
-      expect((counts.get(name) ?? 0) / expected).toBeGreaterThan(0.85);
-      expect((counts.get(name) ?? 0) / expected).toBeLessThan(1.15);
+      expect((counts.get(id) ?? 0) / expected).toBeGreaterThan(0.85);
+      expect((counts.get(id) ?? 0) / expected).toBeLessThan(1.15);
     }
   });
 
   it('keep requests of one prompt part together', () => {
-    const groups = dispatchGroups('engines', many);
+    const shards = routedShards('engines', many);
     const names = Array.from(
       {length: 20},
-      (_, index) => groupsInOrder(demand(`${index}`, 'hot'), groups)[0]?.name,
+      (_, index) => shardsInOrder(demand(`${index}`, 'hot'), shards)[0]?.id,
     );
     expect(new Set(names).size).toBe(1);
   });
 
   it('keep most prompt parts in place when engines leave', () => {
-    const before = dispatchGroups('engines', many);
-    const after = dispatchGroups('engines', many.slice(0, 160));
+    const before = routedShards('engines', many);
+    const after = routedShards('engines', many.slice(0, 160));
     const moved = Array.from({length: 2000}, (_, index) => {
       const one = demand(`${index}`, `p${index}`);
       return (
-        groupsInOrder(one, before)[0]?.name !==
-        groupsInOrder(one, after)[0]?.name
+        shardsInOrder(one, before)[0]?.id !== shardsInOrder(one, after)[0]?.id
       );
     });
     expect(moved.filter(Boolean).length / moved.length).toBeLessThan(0.2);
--- a/packages/entry-hosts/src/peer_methods.ts
+++ b/packages/entry-hosts/src/peer_methods.ts
@@ -136,8 +136,8 @@
 /** A request that is to be placed. */
 export interface PlacementAsk {
   readonly service: string;
-  /** The group of engines that is asked for. */
-  readonly group: string;
+  /** The shard that is asked. */
+  readonly shardId: string;
   readonly front: string;
   readonly failureDomain: string;
   readonly demand: PlacementDemand;
@@ -164,6 +164,7 @@
       readonly service: string;
       readonly front: string;
       readonly attemptId: string;
+      readonly upstreamId: string;
       readonly tokens: number;
       readonly elapsed: number;
     }
--- a/packages/entry-process/src/routed/routed_placement.ts
+++ b/packages/entry-process/src/routed/routed_placement.ts
@@ -4,14 +4,14 @@
  */
 import {
   type Choice,
-  type DispatchGroup,
-  dispatchGroups,
-  groupsInOrder,
   type Member,
   type PlacedRequest,
   type PlacementDemand,
   PlacementTable,
   rendezvousWinner,
+  type RoutedShard,
+  routedShards,
+  shardsInOrder,
   type UpstreamHealth,
   type UpstreamList,
   type UpstreamResult,
@@ -42,11 +42,11 @@
 /** Milliseconds between two renewals; they mend what notes were lost. */
 const RENEW_PERIOD_MILLISECONDS = 1000;
 
-/** Groups of engines that are asked for one request. */
-const ASKED_GROUPS = 2;
+/** Shards that are asked for one request. */
+const ASKED_SHARDS = 2;
 
 /**
- * Milliseconds of an estimate from which on a second group is asked: an ask
+ * Milliseconds of an estimate from which on a second shard is asked: an ask
  * takes some 10 ms, reading a shared prompt part again some 250 ms.
  */
 const CROWDED_MILLISECONDS = 250;
@@ -83,27 +83,27 @@
   private readonly tables = new Map<string, PlacementTable>();
   private readonly births = new Map<string, number>();
   private readonly askAgainAt = new Map<string, number>();
-  /** Groups by the list of upstreams that they divide. */
-  private readonly groups = new WeakMap<
+  /** Shards by the list of upstreams that they divide. */
+  private readonly shards = new WeakMap<
     readonly UsableUpstream[],
-    readonly DispatchGroup[]
+    readonly RoutedShard[]
   >();
 
   constructor(private readonly context: RoutedPlacementContext) {}
 
   /**
    * Places a request at an upstream of `service` that is not in `tried`. Where
-   * the request would wait, another group of engines is asked as well.
+   * the request would wait, another shard is asked as well.
    */
   async place(
     service: string,
     demand: PlacementDemand,
     tried: ReadonlySet<string>,
   ): Promise<Placement | undefined> {
-    const groups = groupsInOrder(demand, this.groupsOf(service));
+    const shards = shardsInOrder(demand, this.shardsOf(service));
     let best: Placement | undefined;
-    for (const {name} of groups.slice(0, ASKED_GROUPS)) {
-      const placement = await this.placeIn(service, name, demand, tried);
+    for (const {id} of shards.slice(0, ASKED_SHARDS)) {
+      const placement = await this.placeIn(service, id, demand, tried);
       best = betterOf(best, placement);
       if (best !== undefined && !isCrowded(best.choice)) {
         break;
@@ -118,7 +118,7 @@
 
   private async placeIn(
     service: string,
-    group: string,
+    shardId: string,
     demand: PlacementDemand,
     tried: ReadonlySet<string>,
   ): Promise<Placement | undefined> {
@@ -126,13 +126,13 @@
     const excluded = [...tried, ...this.ejectedHere(service)];
     const ask = {
       service,
-      group,
+      shardId,
       front: hostId,
       failureDomain,
       demand,
       excluded,
     };
-    const dispatcher = this.dispatcherOf(group);
+    const dispatcher = this.dispatcherOf(shardId);
     const asked =
       dispatcher === undefined || dispatcher.hostId === hostId
         ? undefined
@@ -176,10 +176,10 @@
     const table = this.tableOf(note.service);
     switch (note.kind) {
       case 'began':
-        table.began(note.front, note.attemptId, note.tokens, note.elapsed);
+        table.began(note.front, note, note.tokens, note.elapsed);
         return;
       case 'ended':
-        table.ended(note.front, note.attemptId);
+        table.ended(note.front, note);
         this.noteResult(note.upstreamId, note.result);
     }
   }
@@ -238,7 +238,10 @@
   ): Placement {
     const {hostId, peers, clock} = this.context;
     const table = this.tableOf(service);
-    const {attemptId} = demand;
+    const placed = {
+      attemptId: demand.attemptId,
+      upstreamId: choice.upstream.upstreamId,
+    };
     const placedAt = clock();
     const tell = (note: PlacementNote): void => {
       if (dispatcher !== undefined && dispatcher.hostId !== hostId) {
@@ -250,26 +253,24 @@
       noteBegun: () => {
         const tokens = choice.tokensToRead;
         const elapsed = clock() - placedAt;
-        table.began(hostId, attemptId, tokens, elapsed);
+        table.began(hostId, placed, tokens, elapsed);
         tell({
           kind: 'began',
           service,
           front: hostId,
-          attemptId,
+          ...placed,
           tokens,
           elapsed,
         });
       },
       noteEnded: result => {
-        const {upstreamId} = choice.upstream;
-        table.ended(hostId, attemptId);
-        this.noteResult(upstreamId, result);
+        table.ended(hostId, placed);
+        this.noteResult(placed.upstreamId, result);
         tell({
           kind: 'ended',
           service,
           front: hostId,
-          attemptId,
-          upstreamId,
+          ...placed,
           ...(result === undefined ? {} : {result}),
         });
       },
@@ -291,8 +292,8 @@
   ): ReadonlyMap<string, readonly PlacedRequest[]> {
     const requests = this.tableOf(service).requestsOf(this.context.hostId);
     const byAddress = new Map<string, PlacedRequest[]>();
-    for (const {name, upstreams} of this.groupsOf(service)) {
-      const dispatcher = this.dispatcherOf(name);
+    for (const {id, upstreams} of this.shardsOf(service)) {
+      const dispatcher = this.dispatcherOf(id);
       if (
         dispatcher === undefined ||
         dispatcher.hostId === this.context.hostId
@@ -307,22 +308,22 @@
     return byAddress;
   }
 
-  private groupsOf(service: string): readonly DispatchGroup[] {
+  private shardsOf(service: string): readonly RoutedShard[] {
     const {upstreams, clock} = this.context;
     const usable = upstreams.usable(service, clock());
-    const known = this.groups.get(usable);
+    const known = this.shards.get(usable);
     if (known !== undefined) {
       return known;
     }
-    const fresh = dispatchGroups(service, usable);
-    this.groups.set(usable, fresh);
+    const fresh = routedShards(service, usable);
+    this.shards.set(usable, fresh);
     return fresh;
   }
 
-  private dispatcherOf(group: string): Member | undefined {
+  private dispatcherOf(shardId: string): Member | undefined {
     const serving = this.context.servingHosts();
     const winner = rendezvousWinner(
-      `dispatcher/${group}`,
+      `dispatcher/${shardId}`,
       serving.map(({hostId}) => hostId),
     );
     const isPaused =
@@ -384,12 +385,10 @@
     const {upstreams, clock} = this.context;
     const now = clock();
     const usable = upstreams.usable(ask.service, now);
-    const group = this.groupsOf(ask.service).find(
-      ({name}) => name === ask.group,
-    );
+    const shard = this.shardsOf(ask.service).find(({id}) => id === ask.shardId);
     const excluded = new Set(ask.excluded);
     const candidates = firstNotEmpty([
-      (group?.upstreams ?? usable).filter(
+      (shard?.upstreams ?? usable).filter(
         ({upstreamId}) => !excluded.has(upstreamId),
       ),
       usable.filter(({upstreamId}) => !excluded.has(upstreamId)),
--- a/packages/entry-process/tests/routed_placement_test.ts
+++ b/packages/entry-process/tests/routed_placement_test.ts
@@ -144,7 +144,7 @@
       const chosen = await placeAt(hostId, `a-${index}`, 'hot');
       counts.set(chosen, (counts.get(chosen) ?? 0) + 1);
     }
-    // Two groups of about 32 engines each take what one engine cannot.
+    // Two shards of about 32 engines each take what one engine cannot.
     expect(counts.size).toBeGreaterThan(40);
     expect(Math.max(...counts.values())).toBeLessThan(30);
   });
