lacewingctl explain reads the logs of all hosts; a test follows the page

The test makes a request that is refused, one broken off midway, one that is late and one that is answered, at the built program, and runs the command of docs/OPERATIONS.md over its log.

--- a/packages/control-command/src/main.ts
+++ b/packages/control-command/src/main.ts
@@ -16,6 +16,7 @@
   requireOperatorAddress,
   UsageError,
 } from './command_settings.js';
+import {explainFromLogs, renderLoggedExplanation} from './explain_logs.js';
 import {readObjectFile} from './object_file.js';
 import {publish} from './publish_command.js';
 import {explain, show, status} from './read_commands.js';
@@ -74,8 +75,19 @@
 
 cli
   .command('explain <request-id>', 'Show why a request went where it did')
+  .option('--logs', 'Read the logs of entry hosts from standard input instead')
   .action(async (requestId: string, flags: Flags) => {
     const settings = settingsOf(flags);
+    if (flags['logs'] === true) {
+      const logged = await explainFromLogs(requestId, process.stdin);
+      const rendered =
+        logged === undefined
+          ? 'no line names it'
+          : renderLoggedExplanation(logged);
+      print(settings, logged ?? null, rendered);
+      process.exitCode = logged === undefined ? EXIT_FAILED : 0;
+      return;
+    }
     const found = await explain(requestId, settings);
     const text = found.map(describeExplanation).join('\n');
     print(settings, found, text === '' ? 'no entry host knows it' : text);
--- /dev/null
+++ b/packages/control-command/tests/explain_logs_test.ts
@@ -0,0 +1,195 @@
+/**
+ * Makes the failures that docs/OPERATIONS.md explains, and runs the command of
+ * that page over the log of the process that they happened at.
+ */
+import {type ChildProcess, execFile, spawn} from 'node:child_process';
+import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+
+import {
+  type EngineBehavior,
+  freeLoopbackAddresses,
+  type LoopbackAddresses,
+  READINESS_PATH,
+  RoutedEngineStandIn,
+  settingsEnvironment,
+  settingsFileText,
+  StoreStandIn,
+} from '@lacewingwinch/stand-ins';
+import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+
+const pathOf = (path: string): string =>
+  new URL(path, import.meta.url).pathname;
+const PROGRAM = pathOf('../../entry-process/dist/main.js');
+const CONTROL = pathOf('../dist/main.js');
+const PAGE = readFileSync(pathOf('../../../docs/OPERATIONS.md'), 'utf8');
+const LOOK_MILLISECONDS = 50;
+
+let folder: string;
+let store: StoreStandIn;
+let engine: RoutedEngineStandIn;
+let addresses: LoopbackAddresses;
+let child: ChildProcess;
+let log = '';
+
+const route = (name: string, kind: string): object => ({
+  name,
+  host: '127.0.0.1',
+  pathPrefix: `/${name}/`,
+  kind,
+  service: 'engines',
+  timeoutMs: 5000,
+  targetLatencyMs: 200,
+  priority: 1,
+  maxAttempts: 1,
+});
+
+beforeAll(async () => {
+  folder = mkdtempSync(join(tmpdir(), 'lacewingwinch-'));
+  store = new StoreStandIn();
+  engine = new RoutedEngineStandIn('i-1');
+  await Promise.all([store.listen(), engine.listen()]);
+  engine.isStreamed = true;
+  store.publish({
+    version: 7,
+    routes: [route('stream', 'streaming')],
+    services: [{name: 'engines', connectionLimit: 100}],
+    limits: {maxHeaderBytes: 4096, maxBodyBytes: 1000},
+    tenants: [{name: 'tenant', apiKeys: ['key-1']}],
+  });
+  store.put('keyed.servers', 'i-1', engine.entry('engines'));
+  addresses = await freeLoopbackAddresses();
+  const path = join(folder, 'settings.toml');
+  writeFileSync(path, settingsFileText('host-1', addresses, store.address));
+  child = spawn(process.execPath, [PROGRAM, 'serve-routes'], {
+    stdio: 'pipe',
+    env: settingsEnvironment(path),
+  });
+  child.stdout?.on('data', (chunk: Buffer) => {
+    log += chunk.toString();
+  });
+  while (!(await isReady())) {
+    await pause();
+  }
+});
+
+afterAll(async () => {
+  child.kill('SIGKILL');
+  await Promise.all([store.close(), engine.close()]);
+  rmSync(folder, {recursive: true});
+});
+
+async function isReady(): Promise<boolean> {
+  try {
+    const url = `http://${addresses.readiness}${READINESS_PATH}`;
+    return (await fetch(url)).status === 200;
+  } catch {
+    // It does not listen yet.
+    return false;
+  }
+}
+
+function pause(): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, LOOK_MILLISECONDS));
+}
+
+/** Sends a request and waits until its host has logged its end. */
+async function send(
+  requestId: string,
+  key: string,
+  deadline: number,
+): Promise<void> {
+  try {
+    const answer = await fetch(`http://${addresses.callers}/stream/1`, {
+      method: 'POST',
+      headers: {
+        'x-attempt-id': requestId,
+        'x-deadline-ms': String(deadline),
+        authorization: `Token ${key}`,
+      },
+    });
+    await answer.text();
+  } catch {
+    // Broken off, as some cases want it.
+  }
+  const isLogged = (): boolean =>
+    log
+      .split('\n')
+      .some(
+        line => line.includes(requestId) && /"event":(4101|4103)/.test(line),
+      );
+  while (!isLogged()) {
+    await pause();
+  }
+}
+
+/** The command of the page, for one request. */
+function explain(
+  requestId: string,
+  input: string,
+): Promise<{readonly code: number; readonly output: string}> {
+  const command = /^cat .*\| lacewingctl (explain .*)$/m.exec(PAGE)?.[1] ?? '';
+  const flags = command.replace('$ID', requestId).split(' ');
+  return new Promise(resolve => {
+    const one = execFile(
+      process.execPath,
+      [CONTROL, ...flags],
+      (error, output) => {
+        const code = typeof error?.code === 'number' ? error.code : 0;
+        resolve({code, output});
+      },
+    );
+    one.stdin?.end(input);
+  });
+}
+
+describe('the command of the page', () => {
+  it.each<{
+    readonly name: string;
+    readonly key?: string;
+    readonly deadline?: number;
+    readonly behavior: EngineBehavior;
+    readonly cause: string;
+  }>([
+    {
+      name: 'refused',
+      key: 'key-2',
+      behavior: 'answer',
+      cause: 'refused, not run: ',
+    },
+    {
+      name: 'broken off midway',
+      behavior: 'break-off',
+      cause: '1 failed attempts, the last at upstream i-1 (lost: ',
+    },
+    {
+      name: 'late',
+      deadline: 400,
+      behavior: 'hang',
+      cause: 'upstream i-1 said nothing for 4',
+    },
+    {
+      name: 'answered',
+      behavior: 'answer',
+      cause: 'answered after ',
+    },
+  ])(
+    'leads from the id of a request that was $name to its cause',
+    async row => {
+      const requestId = `attempt-${row.name.replaceAll(' ', '-')}`;
+      engine.behavior = row.behavior;
+      await send(requestId, row.key ?? 'key-1', row.deadline ?? 3000);
+      const {code, output} = await explain(requestId, log);
+      expect(code).toBe(0);
+      expect(output).toContain(`${requestId}: ${row.cause}`);
+      expect(PAGE).toContain(row.cause.slice(0, 12));
+    },
+  );
+
+  it('says so when no line names the request', async () => {
+    const {code, output} = await explain('unknown', `no object\n${log}{"cut`);
+    expect(code).toBe(1);
+    expect(output).toContain('no line names it');
+  });
+});
