--- a/packages/entry-process/src/routed/quota_exchange.ts
+++ b/packages/entry-process/src/routed/quota_exchange.ts
@@ -148,7 +148,7 @@
     holders: readonly string[],
   ): Promise<QuotaVerdict> {
     const {peers, random} = this.context;
-    let shortest = HOLDERS_AWAY_MILLISECONDS;
+    const waits: number[] = [];
     for (const member of shuffle(this.reachable(holders), random).slice(
       0,
       ASKED_HOLDERS,
@@ -163,13 +163,15 @@
               peers.notify(address, 'quota.return', {workspace, amount}),
           };
         case 'used-up':
-          shortest = Math.min(shortest, answer.waitMilliseconds);
+          waits.push(answer.waitMilliseconds);
           break;
         case 'not-held':
           break;
       }
     }
-    return {kind: 'used-up', waitMilliseconds: shortest};
+    const waitMilliseconds =
+      waits.length === 0 ? HOLDERS_AWAY_MILLISECONDS : Math.min(...waits);
+    return {kind: 'used-up', waitMilliseconds};
   }
 
   private async askHolder(
@@ -211,15 +213,13 @@
     quota: WorkspaceQuota | undefined,
     amount: number,
   ): number {
-    return quota === undefined
-      ? 0
-      : this.share.give(
-          workspace,
-          quota,
-          amount,
-          this.partsOf(this.holdersOf(workspace)),
-          this.context.clock(),
-        );
+    const holders = this.holdersOf(workspace);
+    if (quota === undefined || !holders.includes(this.context.hostId)) {
+      return 0;
+    }
+    const parts = this.partsOf(holders);
+    const now = this.context.clock();
+    return this.share.give(workspace, quota, amount, parts, now);
   }
 
   private takeHere(
--- /dev/null
+++ b/packages/entry-process/tests/quota_exchange_test.ts
@@ -0,0 +1,160 @@
+/** Tests of quotas over the hosts of a large fleet. */
+import {
+  type Member,
+  quotaHolders,
+  type WorkspaceQuota,
+} from '@lacewingwinch/decisions';
+import type {PeerCaller, QuotaAnswer} from '@lacewingwinch/entry-hosts';
+import {createEventLog} from '@lacewingwinch/observability';
+import {beforeEach, describe, expect, it} from 'vitest';
+
+import {QuotaExchange} from '../src/routed/quota_exchange.js';
+
+const HOSTS = Array.from({length: 40}, (_, index) => `host-${index}`);
+const HOLDERS = quotaHolders('large', HOSTS);
+const OTHERS = HOSTS.filter(hostId => !HOLDERS.includes(hostId));
+const QUOTA: WorkspaceQuota = {
+  unit: 'tokens',
+  perSecond: 5000,
+  burst: 5000,
+  defaultTokens: 200,
+};
+/** One holder's part of the burst. */
+const PART = QUOTA.burst / HOLDERS.length;
+
+const events = createEventLog('test', 'error');
+let hosts: Map<string, QuotaExchange>;
+let away: Set<string>;
+
+/** Numbers from 0 to 1 that are the same in every run. */
+let state = 1;
+function random(): number {
+  state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
+  return state / 2 ** 32;
+}
+
+function member(hostId: string): Member {
+  return {
+    hostId,
+    failureDomain: 'north',
+    addresses: {callers: '', peers: hostId, operators: ''},
+    incarnation: 1,
+    status: 'serving',
+  };
+}
+
+const peers = {
+  call: (
+    address: string,
+    method: string,
+    {workspace, amount}: {readonly workspace: string; readonly amount: number},
+  ): Promise<QuotaAnswer | {readonly given: number}> => {
+    const host = hosts.get(address);
+    if (host === undefined || away.has(address)) {
+      return Promise.reject(new Error('cannot be reached'));
+    }
+    return Promise.resolve(
+      method === 'quota.take'
+        ? host.takeForOther(workspace, QUOTA, amount)
+        : {given: host.give(workspace, QUOTA, amount)},
+    );
+  },
+  notify: (address: string, _method: string, params: unknown) => {
+    const {workspace, amount} = params as {workspace: string; amount: number};
+    hosts.get(address)?.giveBack(workspace, amount);
+  },
+  close: () => undefined,
+} as unknown as PeerCaller;
+
+beforeEach(() => {
+  state = 1;
+  away = new Set();
+  hosts = new Map(
+    HOSTS.map(hostId => [
+      hostId,
+      new QuotaExchange({
+        peers,
+        events,
+        hostId,
+        startedAt: -10_000,
+        clock: () => 0,
+        random,
+        otherHosts: () => HOSTS.filter(one => one !== hostId).map(member),
+        sharing: () => HOSTS,
+        slack: 0,
+        isFirstStart: true,
+      }),
+    ]),
+  );
+});
+
+async function take(
+  hostId: string,
+  amount: number,
+): Promise<'taken' | 'used-up'> {
+  return (await takeFrom(hostId, amount)).kind;
+}
+
+async function takeFrom(
+  hostId: string,
+  amount: number,
+): ReturnType<QuotaExchange['take']> {
+  const host = hosts.get(hostId);
+  if (host === undefined) {
+    throw new Error(`no host is called ${hostId}`);
+  }
+  return host.take('large', QUOTA, amount);
+}
+
+describe('the quota of a workspace in a large fleet', () => {
+  it('passes no more than its burst at once, whichever hosts are asked', async () => {
+    let taken = 0;
+    for (const hostId of [...OTHERS, ...HOLDERS, ...OTHERS]) {
+      taken += (await take(hostId, 100)) === 'taken' ? 100 : 0;
+    }
+    expect(taken).toBeLessThanOrEqual(QUOTA.burst);
+    expect(taken).toBeGreaterThan(QUOTA.burst * 0.9);
+  });
+
+  it.each([
+    {name: 'one holder', lost: 1, verdict: 'taken'},
+    {name: 'four holders', lost: 4, verdict: 'taken'},
+    {name: 'every holder', lost: 5, verdict: 'used-up'},
+  ])('without $name a request is $verdict', async ({lost, verdict}) => {
+    HOLDERS.slice(0, lost).forEach(hostId => away.add(hostId));
+    const results = await Promise.all(OTHERS.map(id => take(id, 10)));
+    expect(results).toContain(verdict);
+  });
+
+  it('tells when the first holder that was asked has enough again', async () => {
+    const [front = ''] = OTHERS;
+    for (const holder of HOLDERS) {
+      hosts.get(holder)?.takeForOther('large', QUOTA, PART * 3);
+    }
+    const verdict = await takeFrom(front, PART);
+    // Three parts were taken of one: two seconds to pay, one to fill.
+    expect(verdict).toEqual({kind: 'used-up', waitMilliseconds: 3000});
+  });
+
+  it('gets back what did not run', async () => {
+    const [front = ''] = OTHERS;
+    const verdicts = [];
+    for (let index = 0; index < 20; index += 1) {
+      verdicts.push(await takeFrom(front, PART));
+    }
+    expect(await take(front, PART)).toBe('used-up');
+    for (const verdict of verdicts) {
+      if (verdict.kind === 'taken') {
+        verdict.giveBack();
+      }
+    }
+    expect(await take(front, PART)).toBe('taken');
+  });
+
+  it('is given by holders only', () => {
+    const [other = ''] = OTHERS;
+    const [holder = ''] = HOLDERS;
+    expect(hosts.get(other)?.give('large', QUOTA, 100)).toBe(0);
+    expect(hosts.get(holder)?.give('large', QUOTA, 100)).toBe(100);
+  });
+});
