--- a/packages/decisions/src/upstreams/upstream_list.ts
+++ b/packages/decisions/src/upstreams/upstream_list.ts
@@ -83,18 +83,12 @@
 /** The listed upstreams. */
 export class UpstreamList {
   private readonly entries = new Map<string, Entry>();
-  private revision = 0;
   /** Withdrawn upstreams, by the offset up to which was read then. */
   private readonly withdrawn = new Map<string, number>();
   /** Offset from which on every withdrawal is remembered. */
   private withdrawnSince = -Infinity;
   private readonly byService = new Map<string, readonly UsableUpstream[]>();
 
-  /** Grows with each change. */
-  get version(): number {
-    return this.revision;
-  }
-
   /**
    * Takes updates read from the store. Entries that lapsed while it was away
    * have until `relistedBy` to come back; later withdrawals hold at once.
@@ -262,7 +256,6 @@
   }
 
   private noteChange(): void {
-    this.revision += 1;
     this.byService.clear();
   }
 }
