Load at a start only what the command runs

The binary loaded both interfaces whatever its command: `serve-routes` read 0.7 MB of tracing libraries that only `serve` uses, at every start of every host. Behaviour is the same.

--- a/packages/entry-process/src/main.ts
+++ b/packages/entry-process/src/main.ts
@@ -11,8 +11,8 @@
 } from '@lacewingwinch/platform';
 import {cac} from 'cac';
 
-import {EntryProcess} from './entry_process.js';
-import {RoutedProcess} from './routed/routed_process.js';
+import type {EntryProcess} from './entry_process.js';
+import type {RoutedProcess} from './routed/routed_process.js';
 import {readSettings, SETTING_NAMES, SETTINGS, variableOf} from './settings.js';
 import {messageOf} from './util/message_of.js';
 
@@ -44,6 +44,8 @@
       fail(result.faults);
       return;
     case 'valid': {
+      // Each command loads only what it runs: a start is mostly loading.
+      const {EntryProcess} = await import('./entry_process.js');
       const entryProcess = new EntryProcess(result.settings);
       stopOnSignals(entryProcess);
       void entryProcess.whenStopped().then(() => process.exit(0));
@@ -78,6 +80,7 @@
         fail(result.faults);
         return;
       case 'valid': {
+        const {RoutedProcess} = await import('./routed/routed_process.js');
         const routedProcess = new RoutedProcess(result.settings, metricsPort);
         process.on('SIGTERM', () => {
           void routedProcess
