One way to ask another host, and one set of fields for an estimate

Four places called a peer, logged event 3004 and went on without an answer: askPeer does that now. Placement chose its dispatcher with a copy of dispatcherOrder, and the four fields of an estimate stood in the choice, in the answer between hosts and twice in the code between them. Behaviour is the same.

--- a/packages/decisions/src/placement/choose_engine.ts
+++ b/packages/decisions/src/placement/choose_engine.ts
@@ -43,9 +43,8 @@
   cachedTokens(upstreamId: string, parts: readonly PromptPart[]): number;
 }
 
-/** A chosen upstream and why. */
-export interface Choice {
-  readonly upstream: UsableUpstream;
+/** What is expected of a request at an upstream. */
+export interface PlacementEstimate {
   /** Prompt tokens that the upstream reads before the first token. */
   readonly tokensToRead: number;
   /** Whether the upstream is busy with other requests before this one. */
@@ -55,6 +54,11 @@
   readonly cachedTokens: number;
 }
 
+/** A chosen upstream and why. */
+export interface Choice extends PlacementEstimate {
+  readonly upstream: UsableUpstream;
+}
+
 /**
  * Milliseconds that a running request adds to the first token of the next one:
  * a decoding step gets slower with each request in its batch.
--- a/packages/entry-hosts/src/peer_methods.ts
+++ b/packages/entry-hosts/src/peer_methods.ts
@@ -9,6 +9,7 @@
   PermitAsk,
   PlacedRequest,
   PlacementDemand,
+  PlacementEstimate,
   ProcessCounts,
   RelayedList,
   SnapshotRecord,
@@ -150,10 +151,7 @@
   | {
       readonly kind: 'chosen';
       readonly upstreamId: string;
-      readonly estimateMilliseconds: number;
-      readonly cachedTokens: number;
-      readonly tokensToRead: number;
-      readonly mustWait: boolean;
+      readonly estimate: PlacementEstimate;
     }
   | {readonly kind: 'none'};
 
--- a/packages/entry-process/src/routed/belief_relay.ts
+++ b/packages/entry-process/src/routed/belief_relay.ts
@@ -17,8 +17,8 @@
 import type {EventLog} from '@lacewingwinch/observability';
 
 import {isAborted} from '../util/is_aborted.js';
-import {messageOf} from '../util/message_of.js';
 import {pause} from '../util/pause.js';
+import {askPeer} from './ask_peer.js';
 import type {Clocks} from './clocks.js';
 import type {ConfigurationFollower} from './configuration_follower.js';
 import type {UpstreamFollower} from './upstream_follower.js';
@@ -155,29 +155,22 @@
   }
 
   private async askOne(member: Member, wantsDocument: boolean): Promise<void> {
-    const {peers, clocks, configuration, upstreams} = this.context;
-    const knownVersion = configuration.current?.value.version ?? -1;
+    const {clocks, configuration, upstreams} = this.context;
     const askedAt = clocks.counting();
-    let beliefs: RelayedBeliefs;
-    try {
-      beliefs = await peers.call(
-        member.addresses.peers,
-        'beliefs.fetch',
-        {
-          knownVersion,
-          wantsDocument,
-          ...(upstreams.readTo === undefined
-            ? {}
-            : {upstreamsReadTo: upstreams.readTo}),
-        },
-        ASK_TIMEOUT_MILLISECONDS,
-      );
-    } catch (error) {
-      this.context.events.write(3004, {
-        hostId: member.hostId,
-        method: 'beliefs.fetch',
-        error: messageOf(error),
-      });
+    const beliefs = await askPeer(
+      this.context,
+      member,
+      'beliefs.fetch',
+      {
+        knownVersion: configuration.current?.value.version ?? -1,
+        wantsDocument,
+        ...(upstreams.readTo === undefined
+          ? {}
+          : {upstreamsReadTo: upstreams.readTo}),
+      },
+      ASK_TIMEOUT_MILLISECONDS,
+    );
+    if (beliefs === undefined) {
       this.pauseAsking(member);
       return;
     }
--- a/packages/entry-process/src/routed/quota_exchange.ts
+++ b/packages/entry-process/src/routed/quota_exchange.ts
@@ -13,7 +13,7 @@
 import type {PeerCaller, QuotaAnswer} from '@lacewingwinch/entry-hosts';
 import type {EventLog} from '@lacewingwinch/observability';
 
-import {messageOf} from '../util/message_of.js';
+import {askPeer} from './ask_peer.js';
 
 /** Other hosts that are asked for a part of a quota, at most. */
 const ASKED_HOSTS = 2;
@@ -154,8 +154,14 @@
       ASKED_HOLDERS,
     )) {
       const address = member.addresses.peers;
-      const answer = await this.askHolder(member, workspace, amount);
-      switch (answer.kind) {
+      const answer = await askPeer(
+        this.context,
+        member,
+        'quota.take',
+        {workspace, amount},
+        ASK_TIMEOUT_MILLISECONDS,
+      );
+      switch (answer?.kind) {
         case 'taken':
           return {
             kind: 'taken',
@@ -166,6 +172,8 @@
           waits.push(answer.waitMilliseconds);
           break;
         case 'not-held':
+        case undefined:
+          // What a silent holder took is lost there; the next one is asked.
           break;
       }
     }
@@ -174,29 +182,6 @@
     return {kind: 'used-up', waitMilliseconds};
   }
 
-  private async askHolder(
-    member: Member,
-    workspace: string,
-    amount: number,
-  ): Promise<QuotaAnswer> {
-    try {
-      return await this.context.peers.call(
-        member.addresses.peers,
-        'quota.take',
-        {workspace, amount},
-        ASK_TIMEOUT_MILLISECONDS,
-      );
-    } catch (error) {
-      // What it may have taken is lost there; another holder is asked.
-      this.context.events.write(3004, {
-        hostId: member.hostId,
-        method: 'quota.take',
-        error: messageOf(error),
-      });
-      return {kind: 'not-held'};
-    }
-  }
-
   private reachable(holders: readonly string[]): readonly Member[] {
     const ids = new Set(holders);
     return this.context.otherHosts().filter(({hostId}) => ids.has(hostId));
@@ -252,33 +237,18 @@
       0,
       ASKED_HOSTS,
     );
+    // A host that does not answer gives nothing; what it destroyed is lost.
     const gifts = await Promise.all(
-      asked.map(member => this.askOne(member, workspace, amount / ASKED_HOSTS)),
+      asked.map(member =>
+        askPeer(
+          this.context,
+          member,
+          'quota.ask',
+          {workspace, amount: amount / ASKED_HOSTS},
+          ASK_TIMEOUT_MILLISECONDS,
+        ),
+      ),
     );
-    return gifts.reduce((sum, given) => sum + given, 0);
-  }
-
-  /** A host that does not answer gives nothing; what it destroyed is lost. */
-  private async askOne(
-    member: Member,
-    workspace: string,
-    amount: number,
-  ): Promise<number> {
-    try {
-      const {given} = await this.context.peers.call(
-        member.addresses.peers,
-        'quota.ask',
-        {workspace, amount},
-        ASK_TIMEOUT_MILLISECONDS,
-      );
-      return given;
-    } catch (error) {
-      this.context.events.write(3004, {
-        hostId: member.hostId,
-        method: 'quota.ask',
-        error: messageOf(error),
-      });
-      return 0;
-    }
+    return gifts.reduce((sum, gift) => sum + (gift?.given ?? 0), 0);
   }
 }
--- a/packages/entry-process/src/routed/routed_placement.ts
+++ b/packages/entry-process/src/routed/routed_placement.ts
@@ -4,11 +4,11 @@
  */
 import {
   type Choice,
+  dispatcherOrder,
   type Member,
   type PlacedRequest,
   type PlacementDemand,
   PlacementTable,
-  rendezvousWinner,
   type RoutedShard,
   routedShards,
   shardsInOrder,
@@ -27,8 +27,8 @@
 import type {EventLog} from '@lacewingwinch/observability';
 
 import {isAborted} from '../util/is_aborted.js';
-import {messageOf} from '../util/message_of.js';
 import {pause} from '../util/pause.js';
+import {askPeer} from './ask_peer.js';
 
 /**
  * Milliseconds for the dispatcher's answer. Links take 3 to 6 ms both ways; a
@@ -159,16 +159,11 @@
   onAsk(ask: PlacementAsk): PlacementAnswer {
     const excluded = [...ask.excluded, ...this.ejectedHere(ask.service)];
     const choice = this.placeHere({...ask, excluded}, new Set(ask.excluded));
-    return choice === undefined
-      ? {kind: 'none'}
-      : {
-          kind: 'chosen',
-          upstreamId: choice.upstream.upstreamId,
-          estimateMilliseconds: choice.estimateMilliseconds,
-          cachedTokens: choice.cachedTokens,
-          tokensToRead: choice.tokensToRead,
-          mustWait: choice.mustWait,
-        };
+    if (choice === undefined) {
+      return {kind: 'none'};
+    }
+    const {upstream, ...estimate} = choice;
+    return {kind: 'chosen', upstreamId: upstream.upstreamId, estimate};
   }
 
   /** Takes a note of a front. */
@@ -322,9 +317,10 @@
 
   private dispatcherOf(shardId: string): Member | undefined {
     const serving = this.context.servingHosts();
-    const winner = rendezvousWinner(
-      `dispatcher/${shardId}`,
+    const [winner] = dispatcherOrder(
+      {id: shardId},
       serving.map(({hostId}) => hostId),
+      1,
     );
     const isPaused =
       winner !== undefined &&
@@ -336,24 +332,18 @@
     dispatcher: Member,
     ask: PlacementAsk,
   ): Promise<PlacementAnswer | undefined> {
-    const {peers, clock} = this.context;
-    try {
-      return await peers.call(
-        dispatcher.addresses.peers,
-        'placement.ask',
-        ask,
-        ASK_TIMEOUT_MILLISECONDS,
-      );
-    } catch (error) {
-      // The dispatcher is a hint: this host chooses alone for a while.
-      this.context.events.write(3004, {
-        hostId: dispatcher.hostId,
-        method: 'placement.ask',
-        error: messageOf(error),
-      });
-      this.askAgainAt.set(dispatcher.hostId, clock() + ASK_PAUSE_MILLISECONDS);
-      return undefined;
+    const answer = await askPeer(
+      this.context,
+      dispatcher,
+      'placement.ask',
+      ask,
+      ASK_TIMEOUT_MILLISECONDS,
+    );
+    if (answer === undefined) {
+      const until = this.context.clock() + ASK_PAUSE_MILLISECONDS;
+      this.askAgainAt.set(dispatcher.hostId, until);
     }
+    return answer;
   }
 
   /** The dispatcher's answer, if this host knows the upstream as well. */
@@ -367,15 +357,7 @@
     const upstream = this.context.upstreams
       .usable(service, this.context.clock())
       .find(({upstreamId}) => upstreamId === answer.upstreamId);
-    return upstream === undefined
-      ? undefined
-      : {
-          upstream,
-          estimateMilliseconds: answer.estimateMilliseconds,
-          cachedTokens: answer.cachedTokens,
-          tokensToRead: answer.tokensToRead,
-          mustWait: answer.mustWait,
-        };
+    return upstream === undefined ? undefined : {upstream, ...answer.estimate};
   }
 
   private placeHere(
