Let the list of upstreams tell its changes

Three places kept what was listed before: the list itself, a class that told changes from repetitions for the log and the duties, and a map of start times in placement. They did not agree: what a whole reading no longer held was neither logged nor forgotten, and an upstream that lapsed in an outage lost its remembered prompts and its health at once though it stayed in use. Now the list tells what it changed, lapses and restarts included, and the other two are gone. What differs: event 3005, the wake of the duties and forgetting now follow the list in those two cases. Tests: a table of changes (seven cases) and a whole reading.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -52,7 +52,6 @@
 export * from './rules/match_rule.js';
 export * from './time/suspension_clock.js';
 export * from './time/true_time.js';
-export * from './upstreams/upstream_changes.js';
 export * from './upstreams/upstream_health.js';
 export * from './upstreams/upstream_list.js';
 export * from './util/is_record.js';
--- a/packages/decisions/src/upstreams/upstream_list.ts
+++ b/packages/decisions/src/upstreams/upstream_list.ts
@@ -28,6 +28,16 @@
   /** The entry is gone, or its content names no upstream to use. */
   | {readonly kind: 'withdrawn'; readonly upstreamId: string};
 
+/** A change that the list has made. */
+export interface UpstreamChange {
+  readonly upstreamId: string;
+  readonly service: string;
+  readonly failureDomain: string;
+  readonly state: 'leaving' | 'listed' | 'withdrawn';
+  /** Whether it started again under its id, and knows nothing of before. */
+  readonly isRestarted: boolean;
+}
+
 /** An upstream as one host tells another. */
 export interface RelayedUpstream {
   readonly upstream: ListedUpstream;
@@ -83,12 +93,21 @@
 /** The listed upstreams. */
 export class UpstreamList {
   private readonly entries = new Map<string, Entry>();
+  private changes: readonly UpstreamChange[] = [];
   /** Withdrawn upstreams, by the offset up to which was read then. */
   private readonly withdrawn = new Map<string, number>();
   /** Offset from which on every withdrawal is remembered. */
   private withdrawnSince = -Infinity;
   private readonly byService = new Map<string, readonly UsableUpstream[]>();
 
+  /** The changes since the last call, those by lapse included. */
+  takeChanges(now: number): readonly UpstreamChange[] {
+    this.dropLapsed(now);
+    const {changes} = this;
+    this.changes = [];
+    return changes;
+  }
+
   /**
    * Takes updates read from the store. Entries that lapsed while it was away
    * have until `relistedBy` to come back; later withdrawals hold at once.
@@ -206,6 +225,11 @@
       return;
     }
     const isSameProcess = known?.upstream.bornAt === upstream.bornAt;
+    const isRestarted = known !== undefined && !isSameProcess;
+    if (isRestarted || known?.upstream.isLeaving !== upstream.isLeaving) {
+      const state = upstream.isLeaving ? 'leaving' : 'listed';
+      this.noteChange(upstream, state, isRestarted);
+    }
     this.withdrawn.delete(upstreamId);
     this.entries.set(upstreamId, {
       upstream,
@@ -213,7 +237,7 @@
       lapsesAt: Infinity,
       changedTo: readTo,
     });
-    this.noteChange();
+    this.byService.clear();
   }
 
   private withdraw(
@@ -230,9 +254,14 @@
       this.entries.set(upstreamId, {...known, lapsesAt, changedTo: readTo});
       return;
     }
-    this.entries.delete(upstreamId);
-    this.rememberWithdrawn(upstreamId, readTo);
-    this.noteChange();
+    this.remove(known, readTo);
+  }
+
+  private remove({upstream}: Entry, readTo: number): void {
+    this.entries.delete(upstream.upstreamId);
+    this.rememberWithdrawn(upstream.upstreamId, readTo);
+    this.noteChange(upstream, 'withdrawn', false);
+    this.byService.clear();
   }
 
   private rememberWithdrawn(upstreamId: string, readTo: number): void {
@@ -246,17 +275,20 @@
   }
 
   private dropLapsed(now: number): void {
-    for (const [upstreamId, {lapsesAt, changedTo}] of this.entries) {
-      if (now >= lapsesAt) {
-        this.entries.delete(upstreamId);
-        this.rememberWithdrawn(upstreamId, changedTo);
-        this.noteChange();
+    for (const entry of this.entries.values()) {
+      if (now >= entry.lapsesAt) {
+        this.remove(entry, entry.changedTo);
       }
     }
   }
 
-  private noteChange(): void {
-    this.byService.clear();
+  private noteChange(
+    {upstreamId, service, failureDomain}: ListedUpstream,
+    state: UpstreamChange['state'],
+    isRestarted: boolean,
+  ): void {
+    const change = {upstreamId, service, failureDomain, state, isRestarted};
+    this.changes = [...this.changes, change];
   }
 }
 
--- a/packages/decisions/tests/upstream_list_test.ts
+++ b/packages/decisions/tests/upstream_list_test.ts
@@ -141,6 +141,85 @@
   });
 });
 
+describe('the changes of a list', () => {
+  it.each<{
+    readonly name: string;
+    readonly updates: readonly UpstreamUpdate[];
+    readonly relistedBy: number;
+    readonly changes: readonly string[];
+  }>([
+    {
+      name: 'are none when an upstream lists itself again',
+      updates: [listed(upstream('a'))],
+      relistedBy: -Infinity,
+      changes: [],
+    },
+    {
+      name: 'are none when only its speed changed',
+      updates: [listed(upstream('a', {coldMilliseconds: 50}))],
+      relistedBy: -Infinity,
+      changes: [],
+    },
+    {
+      name: 'tell what leaves, once',
+      updates: [
+        listed(upstream('a', {isLeaving: true, leavesInMilliseconds: 900})),
+        listed(upstream('a', {isLeaving: true, leavesInMilliseconds: 300})),
+      ],
+      relistedBy: -Infinity,
+      changes: ['a leaving'],
+    },
+    {
+      name: 'tell what started again under its id',
+      updates: [listed(upstream('a', {bornAt: 5}))],
+      relistedBy: -Infinity,
+      changes: ['a listed again'],
+    },
+    {
+      name: 'tell what is withdrawn',
+      updates: [{kind: 'withdrawn', upstreamId: 'a'}],
+      relistedBy: -Infinity,
+      changes: ['a withdrawn'],
+    },
+    {
+      name: 'are none when an upstream lapses in an outage and comes back',
+      updates: [{kind: 'withdrawn', upstreamId: 'a'}, listed(upstream('a'))],
+      relistedBy: NOW + RELIST_MILLISECONDS,
+      changes: [],
+    },
+    {
+      name: 'tell what lapsed in an outage once it is gone',
+      updates: [{kind: 'withdrawn', upstreamId: 'a'}],
+      relistedBy: NOW + 10,
+      changes: ['a withdrawn'],
+    },
+  ])('$name', ({updates, relistedBy, changes}) => {
+    const list = new UpstreamList();
+    list.replace([upstream('a'), upstream('b')], source(), NOW);
+    expect(list.takeChanges(NOW).length).toBe(2);
+    list.apply(updates, source(1, relistedBy), NOW);
+    expect(
+      list
+        .takeChanges(NOW + 10)
+        .map(
+          ({upstreamId, state, isRestarted}) =>
+            `${upstreamId} ${state}${isRestarted ? ' again' : ''}`,
+        ),
+    ).toEqual(changes);
+    expect(list.takeChanges(NOW + 10)).toEqual([]);
+  });
+
+  it('tell what a whole reading no longer holds', () => {
+    const list = new UpstreamList();
+    list.replace([upstream('a'), upstream('b')], source(), NOW);
+    list.takeChanges(NOW);
+    list.replace([upstream('b')], source(1), NOW);
+    expect(list.takeChanges(NOW).map(({state}) => state)).toEqual([
+      'withdrawn',
+    ]);
+  });
+});
+
 describe('a list that another host relays', () => {
   it('keeps the time at which an entry lapses', () => {
     const one = new UpstreamList();
--- a/packages/entry-process/src/routed/routed_placement.ts
+++ b/packages/entry-process/src/routed/routed_placement.ts
@@ -12,10 +12,10 @@
   type RoutedShard,
   routedShards,
   shardsInOrder,
+  type UpstreamChange,
   type UpstreamHealth,
   type UpstreamList,
   type UpstreamResult,
-  type UpstreamUpdate,
   type UsableUpstream,
 } from '@lacewingwinch/decisions';
 import type {
@@ -81,7 +81,6 @@
 /** Places requests, and answers other hosts as their dispatcher. */
 export class RoutedPlacement {
   private readonly tables = new Map<string, PlacementTable>();
-  private readonly births = new Map<string, number>();
   private readonly askAgainAt = new Map<string, number>();
   /** Shards by the list of upstreams that they divide. */
   private readonly shards = new WeakMap<
@@ -207,20 +206,10 @@
   }
 
   /** Forgets what is known of upstreams that left or started again. */
-  takeUpdates(updates: readonly UpstreamUpdate[]): void {
-    for (const update of updates) {
-      switch (update.kind) {
-        case 'withdrawn':
-          this.forget(update.upstreamId);
-          break;
-        case 'listed': {
-          const {upstreamId, bornAt} = update.upstream;
-          const known = this.births.get(upstreamId);
-          if (known !== undefined && known !== bornAt) {
-            this.forget(upstreamId);
-          }
-          this.births.set(upstreamId, bornAt);
-        }
+  takeChanges(changes: readonly UpstreamChange[]): void {
+    for (const {upstreamId, state, isRestarted} of changes) {
+      if (state === 'withdrawn' || isRestarted) {
+        this.forget(upstreamId);
       }
     }
   }
@@ -409,7 +398,6 @@
       table.forgetUpstream(upstreamId);
     }
     this.context.health.forget(upstreamId);
-    this.births.delete(upstreamId);
   }
 }
 
--- a/packages/entry-process/src/routed/routed_process.ts
+++ b/packages/entry-process/src/routed/routed_process.ts
@@ -17,9 +17,8 @@
   sharingHosts,
   storeReaders,
   TrueTime,
-  UpstreamChanges,
+  type UpstreamChange,
   UpstreamHealth,
-  type UpstreamUpdate,
   UsageWindows,
 } from '@lacewingwinch/decisions';
 import {
@@ -104,7 +103,6 @@
   private readonly duties: DutyTask | undefined;
   private readonly quotas: QuotaExchange;
   private readonly relay: BeliefRelay;
-  private readonly upstreamChanges = new UpstreamChanges();
   private readonly startedAt: number;
   /** Identity of this process, new at each start. */
   private readonly processId = uuidV7();
@@ -140,7 +138,7 @@
       events: this.events,
       clocks,
       readsStore: () => this.readsStore(),
-      onUpdates: updates => this.onUpstreams(updates),
+      onChanges: changes => this.onUpstreams(changes),
     });
     this.placement = new RoutedPlacement({
       hostId: settings.hostId,
@@ -368,9 +366,9 @@
     });
   }
 
-  private onUpstreams(updates: readonly UpstreamUpdate[]): void {
-    this.placement.takeUpdates(updates);
-    for (const change of this.upstreamChanges.take(updates)) {
+  private onUpstreams(changes: readonly UpstreamChange[]): void {
+    this.placement.takeChanges(changes);
+    for (const change of changes) {
       this.events.write(3005, {...change});
       if (change.state !== 'listed') {
         this.duties?.noteEngineLeaves();
--- a/packages/entry-process/src/routed/upstream_follower.ts
+++ b/packages/entry-process/src/routed/upstream_follower.ts
@@ -4,8 +4,8 @@
 import {
   type RelayedList,
   RELIST_MILLISECONDS,
+  type UpstreamChange,
   UpstreamList,
-  type UpstreamUpdate,
 } from '@lacewingwinch/decisions';
 import type {EventLog} from '@lacewingwinch/observability';
 import {
@@ -46,8 +46,7 @@
   readonly clocks: Clocks;
   /** Whether this host reads the store, or others read it for this one. */
   readonly readsStore: () => boolean;
-  /** Is told after each change, with the updates that were read. */
-  readonly onUpdates: (updates: readonly UpstreamUpdate[]) => void;
+  readonly onChanges: (changes: readonly UpstreamChange[]) => void;
 }
 
 /** Follows the list of upstreams. */
@@ -94,7 +93,7 @@
       this.list.takeRelayed(list, readTo, this.context.clocks.counting());
       this.next = readTo;
       this.hasRead = true;
-      this.context.onUpdates(updatesOf(list));
+      this.tellChanges();
     }
     this.confirmed = Math.max(this.confirmed, confirmedAt);
   }
@@ -103,6 +102,7 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!isAborted(signal)) {
       if (!this.mustRead()) {
+        this.tellChanges();
         await pause(READ_PERIOD_MILLISECONDS, signal);
         continue;
       }
@@ -143,7 +143,7 @@
       );
       this.next = end;
       this.hasRead = true;
-      this.context.onUpdates(updates);
+      this.tellChanges();
       return true;
     }
     const page = await store.read('upstreams', this.next, {
@@ -170,12 +170,17 @@
     const {relistedBy} = this;
     this.list.apply(updates, {readTo: page.next, relistedBy}, now);
     this.next = page.next;
-    if (updates.length > 0) {
-      this.context.onUpdates(updates);
-    }
+    this.tellChanges();
     return isNewest;
   }
 
+  private tellChanges(): void {
+    const changes = this.list.takeChanges(this.context.clocks.counting());
+    if (changes.length > 0) {
+      this.context.onChanges(changes);
+    }
+  }
+
   /** A host that does not read the store does so when nobody tells it. */
   private mustRead(): boolean {
     const {readsStore, clocks} = this.context;
@@ -203,20 +208,3 @@
     return this.outageEndedAt + RELIST_MILLISECONDS;
   }
 }
-
-function updatesOf(list: RelayedList): readonly UpstreamUpdate[] {
-  const listed = list.listed.map(
-    ({upstream}) => ({kind: 'listed', upstream}) as const,
-  );
-  switch (list.kind) {
-    case 'whole':
-      return listed;
-    case 'changes':
-      return [
-        ...listed,
-        ...list.withdrawn.map(
-          upstreamId => ({kind: 'withdrawn', upstreamId}) as const,
-        ),
-      ];
-  }
-}
--- a/packages/entry-process/tests/upstream_follower_test.ts
+++ b/packages/entry-process/tests/upstream_follower_test.ts
@@ -20,7 +20,7 @@
     events: createEventLog('test', 'error'),
     clocks: createProcessClocks(),
     readsStore: () => true,
-    onUpdates: () => undefined,
+    onChanges: () => undefined,
   });
 });
 
