Wait for a notice with a bound without a race that keeps every round

The follower of the configuration, which looked twenty times a second whether others had told of a newer version, uses it: it is woken by what it is told, and looks three times a second for the rest. Each look ranked all hosts to know whether it reads the store itself.

--- a/packages/entry-process/src/routed/configuration_follower.ts
+++ b/packages/entry-process/src/routed/configuration_follower.ts
@@ -14,6 +14,7 @@
 import {isAborted} from '../util/is_aborted.js';
 import {messageOf} from '../util/message_of.js';
 import {pause} from '../util/pause.js';
+import {Signal} from '../util/signal.js';
 import type {Clocks} from './clocks.js';
 import {StoreReachability} from './store_reachability.js';
 
@@ -30,8 +31,11 @@
 /** Milliseconds after a failed read until the next. */
 const RETRY_MILLISECONDS = 200;
 
-/** Milliseconds between two looks at whether to read. */
-const LOOK_MILLISECONDS = 50;
+/**
+ * Milliseconds between two looks at whether to read, as long as nobody tells of
+ * a newer version; the relay asks as often.
+ */
+const LOOK_MILLISECONDS = 300;
 
 /**
  * Age of the configuration from which on a host reads that is told by others:
@@ -56,6 +60,7 @@
   private next: number | undefined;
   /** Newest version that another host told of. */
   private newestVersion = -Infinity;
+  private readonly toldNewer = new Signal();
   private readonly reachability: StoreReachability;
 
   constructor(private readonly context: ConfigurationFollowerContext) {
@@ -84,7 +89,10 @@
     if (document !== undefined) {
       this.take(document);
     }
-    this.newestVersion = Math.max(this.newestVersion, version);
+    if (version > this.newestVersion) {
+      this.newestVersion = version;
+      this.toldNewer.notify();
+    }
     this.confirm(confirmedAt, version);
   }
 
@@ -92,7 +100,7 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!isAborted(signal)) {
       if (!this.mustRead()) {
-        await pause(LOOK_MILLISECONDS, signal);
+        await this.toldNewer.nextWithin(LOOK_MILLISECONDS, signal);
         continue;
       }
       try {
--- a/packages/entry-process/src/routed/duty_task.ts
+++ b/packages/entry-process/src/routed/duty_task.ts
@@ -29,7 +29,6 @@
 
 import {isAborted} from '../util/is_aborted.js';
 import {messageOf} from '../util/message_of.js';
-import {pause} from '../util/pause.js';
 import {Signal} from '../util/signal.js';
 import type {Clocks} from './clocks.js';
 
@@ -112,10 +111,7 @@
       } catch (error) {
         this.context.events.write(5005, {error: messageOf(error)});
       }
-      await Promise.race([
-        pause(ROUND_MILLISECONDS, signal),
-        this.engineLeaves.next(),
-      ]);
+      await this.engineLeaves.nextWithin(ROUND_MILLISECONDS, signal);
     }
   }
 
