--- a/packages/entry-process/src/routed/duty_task.ts
+++ b/packages/entry-process/src/routed/duty_task.ts
@@ -113,6 +113,7 @@
       }
       await this.engineLeaves.nextWithin(ROUND_MILLISECONDS, signal);
     }
+    await this.context.cloud.close();
   }
 
   private async runRound(): Promise<void> {
