One listening stand-in, one search for ports, one start of the program in tests

Five stand-ins each had listen, address and close of their own; the settings stand-in searched free ports with a copy of findFreePorts; two tests and a measurement each spawned the built program and asked whether it was ready in loops of their own. They share a base class, findFreePorts, startProcess (which takes an environment now) and isReadyAt. The bounds of the waits only end what would never end.

--- a/packages/control-command/tests/explain_logs_test.ts
+++ b/packages/control-command/tests/explain_logs_test.ts
@@ -2,7 +2,7 @@
  * Makes the failures that docs/OPERATIONS.md explains, and runs the command of
  * that page over the log of the process that they happened at.
  */
-import {type ChildProcess, execFile, spawn} from 'node:child_process';
+import {type ChildProcess, execFile} from 'node:child_process';
 import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -11,11 +11,13 @@
   type EngineBehavior,
   freeLoopbackAddresses,
   type LoopbackAddresses,
-  READINESS_PATH,
   RoutedEngineStandIn,
   settingsEnvironment,
   settingsFileText,
+  startProcess,
   StoreStandIn,
+  untilReadyAt,
+  waitFor,
 } from '@lacewingwinch/stand-ins';
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
 
@@ -23,8 +25,9 @@
   new URL(path, import.meta.url).pathname;
 const PROGRAM = pathOf('../../entry-process/dist/main.js');
 const CONTROL = pathOf('../dist/main.js');
+/** Only ends a test that would never end. */
+const WAIT_MILLISECONDS = 55_000;
 const PAGE = readFileSync(pathOf('../../../docs/OPERATIONS.md'), 'utf8');
-const LOOK_MILLISECONDS = 50;
 
 let folder: string;
 let store: StoreStandIn;
@@ -62,16 +65,16 @@
   addresses = await freeLoopbackAddresses();
   const path = join(folder, 'settings.toml');
   writeFileSync(path, settingsFileText('host-1', addresses, store.address));
-  child = spawn(process.execPath, [PROGRAM, 'serve-routes'], {
-    stdio: 'pipe',
-    env: settingsEnvironment(path),
-  });
+  ({child} = startProcess(
+    'host-1',
+    PROGRAM,
+    ['serve-routes'],
+    settingsEnvironment(path),
+  ));
   child.stdout?.on('data', (chunk: Buffer) => {
     log += chunk.toString();
   });
-  while (!(await isReady())) {
-    await pause();
-  }
+  await untilReadyAt(addresses);
 });
 
 afterAll(async () => {
@@ -80,20 +83,6 @@
   rmSync(folder, {recursive: true});
 });
 
-async function isReady(): Promise<boolean> {
-  try {
-    const url = `http://${addresses.readiness}${READINESS_PATH}`;
-    return (await fetch(url)).status === 200;
-  } catch {
-    // It does not listen yet.
-    return false;
-  }
-}
-
-function pause(): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, LOOK_MILLISECONDS));
-}
-
 /** Sends a request and waits until its host has logged its end. */
 async function send(
   requestId: string,
@@ -113,15 +102,16 @@
   } catch {
     // Broken off, as some cases want it.
   }
-  const isLogged = (): boolean =>
-    log
-      .split('\n')
-      .some(
-        line => line.includes(requestId) && /"event":(4101|4103)/.test(line),
-      );
-  while (!isLogged()) {
-    await pause();
-  }
+  await waitFor(
+    'its host logs the end',
+    () =>
+      log
+        .split('\n')
+        .some(
+          line => line.includes(requestId) && /"event":(4101|4103)/.test(line),
+        ),
+    WAIT_MILLISECONDS,
+  );
 }
 
 /** The command of the page, for one request. */
--- a/packages/entry-process/tests/routed_settings_test.ts
+++ b/packages/entry-process/tests/routed_settings_test.ts
@@ -1,5 +1,5 @@
 /** Tests of the built program and its settings file. */
-import {type ChildProcess, spawn} from 'node:child_process';
+import type {ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
@@ -7,11 +7,13 @@
 
 import {
   freeLoopbackAddresses,
+  isReadyAt,
   type LoopbackAddresses,
-  READINESS_PATH,
   settingsEnvironment,
   settingsFileText,
+  startProcess,
   StoreStandIn,
+  untilReadyAt,
 } from '@lacewingwinch/stand-ins';
 import {afterEach, beforeEach, expect, it} from 'vitest';
 
@@ -40,30 +42,16 @@
 function start(settings: string, flags: readonly string[] = []): ChildProcess {
   const path = join(folder, 'settings.toml');
   writeFileSync(path, settings);
-  child = spawn(process.execPath, [MAIN, 'serve-routes', ...flags], {
-    stdio: 'pipe',
-    env: settingsEnvironment(path),
-  });
+  const started = startProcess(
+    'host',
+    MAIN,
+    ['serve-routes', ...flags],
+    settingsEnvironment(path),
+  );
+  child = started.child;
   return child;
 }
 
-async function isReady(): Promise<boolean> {
-  try {
-    const answer = await fetch(
-      `http://${addresses.readiness}${READINESS_PATH}`,
-    );
-    return answer.status === 200;
-  } catch {
-    return false;
-  }
-}
-
-async function untilReady(): Promise<void> {
-  while (!(await isReady())) {
-    await new Promise(resolve => setTimeout(resolve, LOOK_MILLISECONDS));
-  }
-}
-
 it('serves on when it is told that its settings changed', async () => {
   const settings = settingsFileText('host', addresses, store.address);
   const one = start(settings);
@@ -71,7 +59,7 @@
   one.stdout?.on('data', (chunk: Buffer) => {
     log += chunk.toString();
   });
-  await untilReady();
+  await untilReadyAt(addresses);
   writeFileSync(
     join(folder, 'settings.toml'),
     settings.replace('leaseMs = 3000', 'leaseMs = 4000'),
@@ -82,7 +70,7 @@
     expect(one.signalCode).toBeNull();
     await new Promise(resolve => setTimeout(resolve, LOOK_MILLISECONDS));
   }
-  expect(await isReady()).toBe(true);
+  expect(await isReadyAt(addresses)).toBe(true);
 });
 
 it('names every fault of its settings and ends with code 2', async () => {
@@ -105,7 +93,7 @@
   start(settingsFileText('host', addresses, store.address), [
     `--metrics-port=${port}`,
   ]);
-  await untilReady();
+  await untilReadyAt(addresses);
   const answer = await fetch(`http://${ip}:${port}/metrics`);
   const text = await answer.text();
   expect(answer.headers.get('content-type')).toContain('text/plain');
--- a/packages/measurements/src/measure_start.ts
+++ b/packages/measurements/src/measure_start.ts
@@ -9,7 +9,8 @@
 
 import {
   freeLoopbackAddresses,
-  READINESS_PATH,
+  isReadyAt,
+  type LoopbackAddresses,
   settingsEnvironment,
   settingsFileText,
   StoreStandIn,
@@ -83,7 +84,7 @@
     {stdio: 'ignore', env: settingsEnvironment(path)},
   );
   try {
-    await untilReady(addresses.readiness);
+    await untilReady(addresses);
     const seconds = (performance.now() - startedAt) / 1000;
     return {seconds, ...usageOf(child.pid ?? 0)};
   } finally {
@@ -93,16 +94,11 @@
   }
 }
 
-async function untilReady(address: string): Promise<void> {
+async function untilReady(addresses: LoopbackAddresses): Promise<void> {
   const until = performance.now() + TIMEOUT_MILLISECONDS;
   while (performance.now() < until) {
-    try {
-      const answer = await fetch(`http://${address}${READINESS_PATH}`);
-      if (answer.status === 200) {
-        return;
-      }
-    } catch {
-      // Nobody listens yet.
+    if (await isReadyAt(addresses)) {
+      return;
     }
     await new Promise(resolve => setTimeout(resolve, LOOK_MILLISECONDS));
   }
--- a/packages/stand-ins/src/child_process_group.ts
+++ b/packages/stand-ins/src/child_process_group.ts
@@ -14,16 +14,21 @@
   readonly errorOutput: () => string;
 }
 
-/** Starts `script` with this Node.js. */
+/**
+ * Starts `script` with this Node.js, in this process's environment if `env` is
+ * not given.
+ */
 export function startProcess(
   name: string,
   script: string,
   commandArguments: readonly string[],
+  env?: Readonly<Record<string, string>>,
 ): StartedProcess {
   const child = spawn(process.execPath, [script, ...commandArguments], {
     stdio: ['ignore', 'pipe', 'pipe'],
     // The terminal's interrupt reaches only the script that started this.
     detached: true,
+    ...(env === undefined ? {} : {env}),
   });
   let errors = '';
   child.stderr.on('data', (chunk: Buffer) => {
@@ -32,7 +37,12 @@
   const exited = new Promise<number | null>(resolve => {
     child.on('exit', code => resolve(code));
   });
-  return {name, child, exited, errorOutput: () => errors};
+  return {
+    name,
+    child,
+    exited,
+    errorOutput: () => errors,
+  };
 }
 
 /** Resolves with the first line that `started` prints. */
--- a/packages/stand-ins/src/engine_stand_in.ts
+++ b/packages/stand-ins/src/engine_stand_in.ts
@@ -7,9 +7,8 @@
 
 import {
   delay,
+  ListeningStandIn,
   readJson,
-  type StandInServer,
-  startServer,
   urlOf,
   writeJson,
 } from './http_stand_in.js';
@@ -60,34 +59,19 @@
 }
 
 /** The engine stand-in. */
-export class EngineStandIn {
+export class EngineStandIn extends ListeningStandIn {
   readonly executions: EngineExecution[] = [];
   /** Tokens computed again because of a resumption, without the cache. */
   recomputedTokens = 0;
   /** Calls in progress now. */
   running = 0;
   private readonly exported = new Set<string>();
-  private server: StandInServer | undefined;
 
-  constructor(readonly options: EngineOptions = DEFAULT_OPTIONS) {}
-
-  /** IP number and port. */
-  get address(): string {
-    return this.server?.address ?? '';
-  }
-
-  /** Starts to listen; port 0 takes a free one. */
-  async listen(port = 0): Promise<void> {
-    this.server = await startServer(port, (message, response) =>
-      this.handle(message, response),
-    );
-  }
-
-  close(): Promise<void> {
-    return this.server?.close() ?? Promise.resolve();
+  constructor(readonly options: EngineOptions = DEFAULT_OPTIONS) {
+    super();
   }
 
-  private async handle(
+  protected async handle(
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
@@ -129,7 +113,7 @@
       importedCache,
     });
     if (prompt.includes(CRASHING_WORD)) {
-      this.server?.dropConnections();
+      this.dropConnections();
       return;
     }
     if (resume !== undefined && !importedCache) {
--- a/packages/stand-ins/src/http_stand_in.ts
+++ b/packages/stand-ins/src/http_stand_in.ts
@@ -67,6 +67,37 @@
   };
 }
 
+/** A stand-in that listens on loopback. */
+export abstract class ListeningStandIn {
+  private server: StandInServer | undefined;
+
+  /** IP number and port. */
+  get address(): string {
+    return this.server?.address ?? '';
+  }
+
+  /** Starts to listen; port 0 takes a free one. */
+  async listen(port = 0): Promise<void> {
+    this.server = await startServer(port, (message, response) =>
+      this.handle(message, response),
+    );
+  }
+
+  close(): Promise<void> {
+    return this.server?.close() ?? Promise.resolve();
+  }
+
+  /** Destroys every connection, as a crash or an outage does. */
+  dropConnections(): void {
+    this.server?.dropConnections();
+  }
+
+  protected abstract handle(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> | void;
+}
+
 /** Reads a whole body. */
 export async function readWhole(message: IncomingMessage): Promise<string> {
   const chunks: Buffer[] = [];
--- a/packages/stand-ins/src/plain_service_stand_in.ts
+++ b/packages/stand-ins/src/plain_service_stand_in.ts
@@ -6,9 +6,8 @@
 
 import {
   delay,
+  ListeningStandIn,
   readWhole,
-  type StandInServer,
-  startServer,
   writeJson,
 } from './http_stand_in.js';
 
@@ -28,30 +27,13 @@
 }
 
 /** The plain service stand-in. */
-export class PlainServiceStandIn {
+export class PlainServiceStandIn extends ListeningStandIn {
   readonly executions: PlainExecution[] = [];
   fault: PlainServiceFault = 'none';
   /** Milliseconds that an execution takes. */
   executionMilliseconds = 0;
-  private server: StandInServer | undefined;
 
-  /** IP number and port. */
-  get address(): string {
-    return this.server?.address ?? '';
-  }
-
-  /** Starts to listen; port 0 takes a free one. */
-  async listen(port = 0): Promise<void> {
-    this.server = await startServer(port, (message, response) =>
-      this.handle(message, response),
-    );
-  }
-
-  close(): Promise<void> {
-    return this.server?.close() ?? Promise.resolve();
-  }
-
-  private async handle(
+  protected async handle(
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
--- a/packages/stand-ins/src/platform_stand_in.ts
+++ b/packages/stand-ins/src/platform_stand_in.ts
@@ -6,9 +6,8 @@
 
 import {
   delay,
+  ListeningStandIn,
   readJson,
-  type StandInServer,
-  startServer,
   urlOf,
   writeJson,
 } from './http_stand_in.js';
@@ -41,7 +40,7 @@
 }
 
 /** The platform stand-in. */
-export class PlatformStandIn {
+export class PlatformStandIn extends ListeningStandIn {
   readonly log = new LogStandIn();
   /** Milliseconds by which the host list lags. */
   hostListLag = 0;
@@ -57,22 +56,10 @@
   private readonly history: DatedHosts[] = [{time: 0, hosts: []}];
   private readonly notices: {hostId: string; reclaimTime: number}[] = [];
   private highestFencingNumber = -1;
-  private server: StandInServer | undefined;
-
-  /** Starts to listen; port 0 takes a free one. */
-  async listen(port = 0): Promise<void> {
-    this.server = await startServer(port, (message, response) =>
-      this.handle(message, response),
-    );
-  }
 
   /** Base URL. */
   get url(): string {
-    return `http://${this.server?.address ?? ''}`;
-  }
-
-  close(): Promise<void> {
-    return this.server?.close() ?? Promise.resolve();
+    return `http://${this.address}`;
   }
 
   /** The hosts as they are now. */
@@ -104,7 +91,7 @@
     });
   }
 
-  private async handle(
+  protected async handle(
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
--- a/packages/stand-ins/src/routed_engine_stand_in.ts
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -4,12 +4,7 @@
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
-import {
-  delay,
-  readWhole,
-  type StandInServer,
-  startServer,
-} from './http_stand_in.js';
+import {delay, ListeningStandIn, readWhole} from './http_stand_in.js';
 
 /** How the next requests are answered. */
 export type EngineBehavior =
@@ -46,7 +41,7 @@
 const EVENT_MILLISECONDS = 10;
 
 /** An upstream. */
-export class RoutedEngineStandIn {
+export class RoutedEngineStandIn extends ListeningStandIn {
   behavior: EngineBehavior = 'answer';
   /** Whether answers are streams of events. */
   isStreamed = false;
@@ -56,24 +51,9 @@
   readonly ran: SeenRequest[] = [];
   /** Requests whose caller closed the connection before the answer. */
   abandoned = 0;
-  private server: StandInServer | undefined;
 
-  constructor(readonly upstreamId: string) {}
-
-  /** Starts to listen on a free port. */
-  async listen(): Promise<void> {
-    this.server = await startServer(0, (message, response) =>
-      this.handle(message, response),
-    );
-  }
-
-  /** IP number and port. */
-  get address(): string {
-    return this.server?.address ?? '';
-  }
-
-  close(): Promise<void> {
-    return this.server?.close() ?? Promise.resolve();
+  constructor(readonly upstreamId: string) {
+    super();
   }
 
   /** The entry by which it lists itself. */
@@ -92,7 +72,7 @@
     };
   }
 
-  private async handle(
+  protected async handle(
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
--- a/packages/stand-ins/src/settings_file_stand_in.ts
+++ b/packages/stand-ins/src/settings_file_stand_in.ts
@@ -1,7 +1,7 @@
 /**
  * Settings files as the platform writes them, for processes on loopback.
  */
-import {createServer} from 'node:net';
+import {findFreePorts, waitFor} from './child_process_group.js';
 
 /** Path at which the platform asks whether a process is ready. */
 export const READINESS_PATH = '/api/readiness';
@@ -23,12 +23,36 @@
 
 /** Addresses with free ports. */
 export async function freeLoopbackAddresses(): Promise<LoopbackAddresses> {
-  return {
-    callers: await freeAddress(),
-    peers: await freeAddress(),
-    discovery: await freeAddress(),
-    readiness: await freeAddress(),
-  };
+  const ports = await findFreePorts(4);
+  const [callers = '', peers = '', discovery = '', readiness = ''] = ports.map(
+    port => `127.0.0.1:${port}`,
+  );
+  return {callers, peers, discovery, readiness};
+}
+
+/** Whether the process with `addresses` says that it is ready. */
+export async function isReadyAt({
+  readiness,
+}: Pick<LoopbackAddresses, 'readiness'>): Promise<boolean> {
+  try {
+    const answer = await fetch(`http://${readiness}${READINESS_PATH}`);
+    return answer.status === 200;
+  } catch {
+    // Nobody listens yet.
+    return false;
+  }
+}
+
+/** Only ends a test that would never end; a start takes less than a second. */
+const WAIT_MILLISECONDS = 55_000;
+
+/** Waits until the process with `addresses` is ready. */
+export function untilReadyAt(addresses: LoopbackAddresses): Promise<void> {
+  return waitFor(
+    'the process is ready',
+    () => isReadyAt(addresses),
+    WAIT_MILLISECONDS,
+  );
 }
 
 /** The text of a settings file. */
@@ -63,35 +87,3 @@
 duties = ["usage_reporting"]
 `;
 }
-
-/**
- * Ports below those that the kernel gives to outgoing connections, which could
- * take a port between its choice and its use.
- */
-const FIRST_PORT = 12_000;
-const PORTS = 18_000;
-
-/** Ports between the first ones of two processes. */
-const PORTS_OF_PROCESS = 97;
-
-let lastPort = (process.pid * PORTS_OF_PROCESS) % PORTS;
-
-async function freeAddress(): Promise<string> {
-  for (;;) {
-    lastPort = (lastPort + 1) % PORTS;
-    const port = FIRST_PORT + lastPort;
-    if (await isFree(port)) {
-      return `127.0.0.1:${port}`;
-    }
-  }
-}
-
-function isFree(port: number): Promise<boolean> {
-  const server = createServer();
-  return new Promise(resolve => {
-    server.once('error', () => resolve(false));
-    server.listen(port, '127.0.0.1', () => {
-      server.close(() => resolve(true));
-    });
-  });
-}
--- a/packages/stand-ins/src/store_stand_in.ts
+++ b/packages/stand-ins/src/store_stand_in.ts
@@ -4,13 +4,7 @@
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
-import {
-  delay,
-  type StandInServer,
-  startServer,
-  urlOf,
-  writeJson,
-} from './http_stand_in.js';
+import {delay, ListeningStandIn, urlOf, writeJson} from './http_stand_in.js';
 
 interface Partition {
   readonly records: Buffer[];
@@ -42,7 +36,7 @@
 const LOOK_MILLISECONDS = 10;
 
 /** The store stand-in. */
-export class StoreStandIn {
+export class StoreStandIn extends ListeningStandIn {
   readonly faults: StoreFaults = {
     isDown: false,
     isSilent: false,
@@ -53,28 +47,6 @@
   readonly duties: AcceptedDuty[] = [];
   private readonly partitions = new Map<string, Partition>();
   private highestFence = -1;
-  private server: StandInServer | undefined;
-
-  /** Starts to listen on a free port. */
-  async listen(): Promise<void> {
-    this.server = await startServer(0, (message, response) =>
-      this.handle(message, response),
-    );
-  }
-
-  /** IP number and port. */
-  get address(): string {
-    return this.server?.address ?? '';
-  }
-
-  close(): Promise<void> {
-    return this.server?.close() ?? Promise.resolve();
-  }
-
-  /** Closes every connection, as an outage does. */
-  dropConnections(): void {
-    this.server?.dropConnections();
-  }
 
   /** Publishes a configuration, as operators do. */
   publish(configuration: unknown): void {
@@ -99,7 +71,7 @@
     partition.first = partition.records.length;
   }
 
-  private async handle(
+  protected async handle(
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
