Stop content that crashes its engines, and resume streams with their weights only

Cause: on the platform only the attempts of one call bounded content that crashes its engines. The same content comes again under other ids and at other hosts, each time up to maxAttempts crashes. A stream resumed within one answer went on at an engine with other weights.

Crashes of one content are counted at two hosts by rendezvous hash; three upstreams condemn it everywhere for a minute. A crash is told from a lost answer by the other connections to the upstream: they end as well. Suspicions now hold each crash with its time and the last run to the end, so that merging them in any order gives the same (own interface included).

Ruled out: gossiping every lost answer (a domain with 10 engines and 24 requests each gives 240 messages to each host); counting at each host for itself (a test showed that a run to the end elsewhere did not clear what the reporting host had counted). A hot prompt whose engines are reclaimed is not refused: a host at which it ran to its end lifts the suspicion.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -40,6 +40,7 @@
 export * from './placement/prefix_memory.js';
 export * from './placement/refuse_hopeless.js';
 export * from './placement/routed_shards.js';
+export * from './retries/answered_contents.js';
 export * from './retries/decide_next_attempt.js';
 export * from './retries/decide_retry.js';
 export * from './retries/quarantine.js';
--- a/packages/decisions/src/retries/decide_next_attempt.ts
+++ b/packages/decisions/src/retries/decide_next_attempt.ts
@@ -14,8 +14,13 @@
   | {readonly kind: 'not-executed'; readonly status: number}
   /** The upstream answered with a failure of its own after it ran. */
   | {readonly kind: 'failed-after-run'; readonly status: number}
-  /** The connection was lost, or the answer was not one; it may have run. */
-  | {readonly kind: 'lost'; readonly reason: string}
+  /** No usable answer came; it may have run. */
+  | {
+      readonly kind: 'lost';
+      /** The connection ended, or what came is no answer to the request. */
+      readonly cause: 'answer' | 'connection';
+      readonly reason: string;
+    }
   /** Nothing was heard in time; it may still run. */
   | {readonly kind: 'silent'; readonly reason: string};
 
--- a/packages/decisions/src/retries/quarantine.ts
+++ b/packages/decisions/src/retries/quarantine.ts
@@ -2,26 +2,34 @@
  * Quarantine of content that crashes the upstreams that run it.
  */
 
-/** Crashes on distinct upstreams that condemn a content. */
-const CRASHES_TO_CONDEMN = 2;
-
-/** Milliseconds for which a suspicion lasts after the last crash. */
+/** Milliseconds for which a crash counts. */
 const SUSPICION_MILLISECONDS = 600_000;
 
-/** One suspicion, as hosts tell it to one another. */
+/** Crashes of one content that are kept, the latest ones. */
+const MAXIMUM_CRASHES = 8;
+
+/** One crash of an upstream that ran a content. */
+export interface Crash {
+  readonly upstreamId: string;
+  /** Whether the upstream ran nothing else. */
+  readonly wasAlone: boolean;
+  /** Milliseconds since the epoch. */
+  readonly time: number;
+}
+
+/** What is known of one content, as hosts tell it to one another. */
 export interface Suspicion {
   /** Hash of workspace and content. */
   readonly fingerprint: string;
-  /** Upstreams that crashed while they ran the content. */
-  readonly crashed: readonly string[];
-  /** Upstreams that crashed while they ran nothing else. */
-  readonly crashedAlone: readonly string[];
-  /** Milliseconds since the epoch. */
-  readonly lastCrash: number;
-  /** When the content last ran alone to its end; 0 for never. */
+  /** The last crash of each upstream, oldest first. */
+  readonly crashes: readonly Crash[];
+  /** When the content last ran to its end; `NEVER_CLEARED` for never. */
   readonly lastCleared: number;
 }
 
+/** Time of a content that has not run to its end since its first crash. */
+export const NEVER_CLEARED = -1;
+
 /** How a request is to be treated. */
 export type QuarantineVerdict =
   | {readonly kind: 'clear'}
@@ -29,10 +37,35 @@
   /** The request must share its upstream with no other. */
   | {readonly kind: 'run-alone'};
 
+/** What condemns a content. */
+export interface QuarantinePolicy {
+  /** Crashes on distinct upstreams. */
+  readonly crashes: number;
+  /** Whether one of them must have been of an upstream that ran nothing else. */
+  readonly needsCrashAlone: boolean;
+}
+
+/** For requests that can be made to run alone. */
+export const ALONE_POLICY: QuarantinePolicy = {
+  crashes: 2,
+  needsCrashAlone: true,
+};
+
+/**
+ * For requests that share their upstreams with others: the third crash is the
+ * last that a host may take for chance.
+ */
+export const SHARED_POLICY: QuarantinePolicy = {
+  crashes: 3,
+  needsCrashAlone: false,
+};
+
 /** The suspicions that a host knows. */
 export class Quarantine {
   private readonly suspicions = new Map<string, Suspicion>();
 
+  constructor(private readonly policy: QuarantinePolicy = ALONE_POLICY) {}
+
   /** How to treat a content now. */
   verdict(
     fingerprint: string,
@@ -40,17 +73,13 @@
     now: number,
   ): QuarantineVerdict {
     const suspicion = this.suspicions.get(fingerprint);
-    if (suspicion === undefined) {
-      return {kind: 'clear'};
-    }
-    const isOver =
-      now >= suspicion.lastCrash + SUSPICION_MILLISECONDS ||
-      suspicion.lastCleared > suspicion.lastCrash;
-    if (isOver) {
+    const counted = suspicion === undefined ? [] : countedCrashes(suspicion);
+    const last = counted.at(-1)?.time;
+    if (last === undefined || now >= last + SUSPICION_MILLISECONDS) {
       return {kind: 'clear'};
     }
-    const until = suspicion.lastCrash + quarantineMilliseconds;
-    if (isCondemned(suspicion) && now < until) {
+    const until = last + quarantineMilliseconds;
+    if (this.condemns(counted) && now < until) {
       return {kind: 'condemned', until};
     }
     return {kind: 'run-alone'};
@@ -65,60 +94,90 @@
   ): Suspicion {
     return this.merge({
       fingerprint,
-      crashed: [upstreamId],
-      crashedAlone: wasAlone ? [upstreamId] : [],
-      lastCrash: now,
-      lastCleared: 0,
+      crashes: [{upstreamId, wasAlone, time: now}],
+      lastCleared: NEVER_CLEARED,
     });
   }
 
   /** Joins a suspicion with what is known; the order does not matter. */
   merge(heard: Suspicion): Suspicion {
-    const known = this.suspicions.get(heard.fingerprint);
+    const {fingerprint} = heard;
+    const known = this.suspicions.get(fingerprint);
     const merged: Suspicion = {
-      fingerprint: heard.fingerprint,
-      crashed: union(known?.crashed, heard.crashed),
-      crashedAlone: union(known?.crashedAlone, heard.crashedAlone),
-      lastCrash: Math.max(known?.lastCrash ?? 0, heard.lastCrash),
-      lastCleared: Math.max(known?.lastCleared ?? 0, heard.lastCleared),
+      fingerprint,
+      crashes: joinCrashes([...(known?.crashes ?? []), ...heard.crashes]),
+      lastCleared: Math.max(
+        known?.lastCleared ?? NEVER_CLEARED,
+        heard.lastCleared,
+      ),
     };
-    this.suspicions.set(heard.fingerprint, merged);
+    this.suspicions.set(fingerprint, merged);
     return merged;
   }
 
-  /** Clears a content that ran alone to its end, here and wherever it is told. */
-  clear(fingerprint: string, now: number): void {
-    const known = this.suspicions.get(fingerprint);
-    if (known !== undefined) {
-      this.suspicions.set(fingerprint, {...known, lastCleared: now});
-    }
+  /**
+   * Clears a content that ran to its end, here and wherever the suspicion that
+   * is returned is told; undefined if the content is under none.
+   */
+  clear(fingerprint: string, now: number): Suspicion | undefined {
+    return this.suspicions.has(fingerprint)
+      ? this.merge({fingerprint, crashes: [], lastCleared: now})
+      : undefined;
   }
 
   /** Forgets suspicions that no longer matter at `now`. */
   forget(now: number): void {
-    for (const [fingerprint, {lastCrash}] of this.suspicions) {
-      if (now >= lastCrash + SUSPICION_MILLISECONDS) {
+    for (const [fingerprint, {crashes}] of this.suspicions) {
+      const last = crashes.at(-1)?.time ?? 0;
+      if (now >= last + SUSPICION_MILLISECONDS) {
         this.suspicions.delete(fingerprint);
       }
     }
   }
 
+  /** What is known of a content. */
+  find(fingerprint: string): Suspicion | undefined {
+    return this.suspicions.get(fingerprint);
+  }
+
   /** Every suspicion known. */
   list(): readonly Suspicion[] {
     return [...this.suspicions.values()];
   }
+
+  private condemns(counted: readonly Crash[]): boolean {
+    return (
+      counted.length >= this.policy.crashes &&
+      (!this.policy.needsCrashAlone || counted.some(({wasAlone}) => wasAlone))
+    );
+  }
 }
 
-function isCondemned(suspicion: Suspicion): boolean {
-  return (
-    suspicion.crashed.length >= CRASHES_TO_CONDEMN &&
-    suspicion.crashedAlone.length > 0
-  );
+/** The crashes since the content last ran to its end. */
+function countedCrashes({crashes, lastCleared}: Suspicion): readonly Crash[] {
+  return crashes.filter(({time}) => time > lastCleared);
 }
 
-function union(
-  left: readonly string[] | undefined,
-  right: readonly string[],
-): readonly string[] {
-  return [...new Set([...(left ?? []), ...right])].sort();
+/** One crash for each upstream, oldest first. */
+function joinCrashes(crashes: readonly Crash[]): readonly Crash[] {
+  const byUpstream = new Map<string, Crash>();
+  for (const crash of crashes) {
+    const known = byUpstream.get(crash.upstreamId);
+    byUpstream.set(
+      crash.upstreamId,
+      known === undefined
+        ? crash
+        : {
+            upstreamId: crash.upstreamId,
+            wasAlone: known.wasAlone || crash.wasAlone,
+            time: Math.max(known.time, crash.time),
+          },
+    );
+  }
+  return [...byUpstream.values()]
+    .sort(
+      (left, right) =>
+        left.time - right.time || (left.upstreamId < right.upstreamId ? -1 : 1),
+    )
+    .slice(-MAXIMUM_CRASHES);
 }
--- a/packages/decisions/tests/retries_test.ts
+++ b/packages/decisions/tests/retries_test.ts
@@ -8,6 +8,8 @@
   Quarantine,
   RetryBudget,
   type RetryFacts,
+  SHARED_POLICY,
+  type Suspicion,
 } from '../src/index.js';
 
 const FACTS: RetryFacts = {
@@ -136,6 +138,38 @@
     expect(elsewhere.verdict('f', WINDOW, 2000).kind).toBe(verdict);
   });
 
+  it.each([
+    {upstreams: ['a', 'b'], verdict: 'run-alone'},
+    {upstreams: ['a', 'b', 'b'], verdict: 'run-alone'},
+    {upstreams: ['a', 'b', 'c'], verdict: 'condemned'},
+  ])(
+    'of content that shares upstreams and crashed $upstreams is $verdict',
+    ({upstreams, verdict}) => {
+      const quarantine = new Quarantine(SHARED_POLICY);
+      upstreams.forEach((upstreamId, index) =>
+        quarantine.noteCrash(upstreamId, 'f', false, 1000 + index),
+      );
+      expect(quarantine.verdict('f', WINDOW, 2000).kind).toBe(verdict);
+    },
+  );
+
+  it('counts no crash from before the last run to the end', () => {
+    const quarantine = new Quarantine(SHARED_POLICY);
+    const told: Suspicion[] = [];
+    ['a', 'b'].forEach(id =>
+      told.push(quarantine.noteCrash(id, 'f', false, 1)),
+    );
+    const cleared = quarantine.clear('f', 2);
+    told.push(quarantine.noteCrash('c', 'f', false, 3));
+    expect(quarantine.verdict('f', WINDOW, 4).kind).toBe('run-alone');
+    const elsewhere = new Quarantine(SHARED_POLICY);
+    told.forEach(one => elsewhere.merge(one));
+    if (cleared !== undefined) {
+      elsewhere.merge(cleared);
+    }
+    expect(elsewhere.find('f')).toEqual(quarantine.find('f'));
+  });
+
   it('ends after its time', () => {
     const quarantine = new Quarantine();
     quarantine.noteCrash('a', 'f', false, 0);
--- a/packages/decisions/tests/shared_limits_test.ts
+++ b/packages/decisions/tests/shared_limits_test.ts
@@ -198,7 +198,11 @@
   hasAnswerBegun: false,
   millisecondsLeft: 1000,
 };
-const LOST: RoutedAttemptFailure = {kind: 'lost', reason: 'reset'};
+const LOST: RoutedAttemptFailure = {
+  kind: 'lost',
+  cause: 'connection',
+  reason: 'reset',
+};
 const NOT_EXECUTED: RoutedAttemptFailure = {kind: 'not-executed', status: 503};
 const NOT_SENT: RoutedAttemptFailure = {kind: 'not-sent', reason: 'refused'};
 
--- a/packages/entry-hosts/src/peer_methods.ts
+++ b/packages/entry-hosts/src/peer_methods.ts
@@ -286,6 +286,11 @@
     readonly params: {readonly workspace: string; readonly amount: number};
     readonly result: null;
   };
+  /** Tells of content that crashes its upstreams, or that did not. */
+  readonly 'suspicion.tell': {
+    readonly params: Suspicion;
+    readonly result: null;
+  };
   readonly 'limit.transfer': {
     readonly params: {readonly workspace: string; readonly tokens: number};
     readonly result: null;
--- a/packages/entry-process/src/routed/routed_attempt.ts
+++ b/packages/entry-process/src/routed/routed_attempt.ts
@@ -90,7 +90,9 @@
       onError: (error, wasSent) => {
         const reason = error.message;
         this.fail(
-          wasSent ? {kind: 'lost', reason} : {kind: 'not-sent', reason},
+          wasSent
+            ? {kind: 'lost', cause: 'connection', reason}
+            : {kind: 'not-sent', reason},
         );
       },
     });
@@ -148,8 +150,8 @@
     }
     this.bytes += chunk.length;
     if (this.bytes > MAXIMUM_WHOLE_BYTES) {
-      const reason = 'the answer is too large';
-      this.cancel({kind: 'failed', failure: {kind: 'lost', reason}});
+      const failure = lostAnswer('the answer is too large');
+      this.cancel({kind: 'failed', failure});
       return;
     }
     this.chunks.push(chunk);
@@ -162,7 +164,7 @@
       return;
     }
     if (this.head === undefined) {
-      this.fail({kind: 'lost', reason: 'the answer has no head'});
+      this.fail(lostAnswer('the answer has no head'));
       return;
     }
     const body = Buffer.concat(this.chunks);
@@ -182,20 +184,24 @@
   const isForeign =
     facts.attemptId !== undefined && facts.attemptId !== attemptId;
   if (isForeign) {
-    return {kind: 'lost', reason: 'the answer belongs to another attempt'};
+    return lostAnswer('the answer belongs to another attempt');
   }
   if (facts.isNotExecuted || status === OTHER_UPSTREAM_STATUS) {
     return {kind: 'not-executed', status};
   }
   if (PROMISING_STATUSES.has(status)) {
-    return {kind: 'lost', reason: `status ${status} without "not executed"`};
+    return lostAnswer(`status ${status} without "not executed"`);
   }
   const isSuccess = status >= 200 && status < 300;
   if (isSuccess && (!facts.isSigned || facts.attemptId === undefined)) {
-    return {kind: 'lost', reason: 'a success without signature or attempt id'};
+    return lostAnswer('a success without signature or attempt id');
   }
   if (facts.isEncoded) {
-    return {kind: 'lost', reason: 'the body is encoded'};
+    return lostAnswer('the body is encoded');
   }
   return undefined;
 }
+
+function lostAnswer(reason: string): RoutedAttemptFailure {
+  return {kind: 'lost', cause: 'answer', reason};
+}
--- a/packages/entry-process/src/routed/routed_front.ts
+++ b/packages/entry-process/src/routed/routed_front.ts
@@ -26,6 +26,7 @@
 import type {ConnectionPool} from '@lacewingwinch/upstreams';
 
 import type {Clocks} from './clocks.js';
+import type {CrashWatch} from './crash_watch.js';
 import type {QuotaExchange} from './quota_exchange.js';
 import type {RoutedPlacement} from './routed_placement.js';
 import {RoutedRequest} from './routed_request.js';
@@ -47,6 +48,7 @@
   readonly pool: ConnectionPool;
   readonly placement: RoutedPlacement;
   readonly quotas: QuotaExchange;
+  readonly crashes: CrashWatch;
   readonly retryBudgets: ServiceRetryBudgets;
   readonly configuration: () => Belief<RoutingConfiguration> | undefined;
   /** Milliseconds of age of the keys above which no request with a key is served. */
--- a/packages/entry-process/src/routed/routed_peer_handlers.ts
+++ b/packages/entry-process/src/routed/routed_peer_handlers.ts
@@ -6,6 +6,7 @@
 
 import type {MembershipTask} from '../tasks/membership_task.js';
 import type {BeliefRelay} from './belief_relay.js';
+import type {CrashWatch} from './crash_watch.js';
 import type {QuotaExchange} from './quota_exchange.js';
 import type {RoutedPlacement} from './routed_placement.js';
 
@@ -16,6 +17,7 @@
   readonly relay: BeliefRelay;
   readonly usage: UsageWindows;
   readonly quotas: QuotaExchange;
+  readonly crashes: CrashWatch;
   readonly quotaOf: (workspace: string) => WorkspaceQuota | undefined;
 }
 
@@ -23,7 +25,7 @@
 export function createRoutedPeerHandlers(
   parts: RoutedPeerParts,
 ): Partial<PeerHandlers> {
-  const {membership, placement, relay, usage, quotas, quotaOf} = parts;
+  const {membership, placement, relay, usage, quotas, crashes, quotaOf} = parts;
   return {
     gossip: digest => membership.onGossip(digest),
     probe: async ({hostId}) => ({answered: await membership.probeFor(hostId)}),
@@ -41,6 +43,10 @@
       counts.forEach(one => usage.merge(one));
       return null;
     },
+    'suspicion.tell': suspicion => {
+      crashes.onTold(suspicion);
+      return null;
+    },
     'quota.ask': ({workspace, amount}) => ({
       given: quotas.give(workspace, quotaOf(workspace), amount),
     }),
--- a/packages/entry-process/src/routed/routed_process.ts
+++ b/packages/entry-process/src/routed/routed_process.ts
@@ -2,14 +2,8 @@
  * The life of an entry process on the platform: start, serve, leave, stop.
  */
 import {setMaxListeners} from 'node:events';
-import type {Server} from 'node:http';
 
-import {
-  type DirectoryAnswer,
-  listenForDirectory,
-  listenForRoutedCalls,
-  type RoutedServer,
-} from '@lacewingwinch/callers';
+import type {DirectoryAnswer} from '@lacewingwinch/callers';
 import {
   type Member,
   type RoutingConfiguration,
@@ -21,13 +15,7 @@
   UpstreamHealth,
   UsageWindows,
 } from '@lacewingwinch/decisions';
-import {
-  createPeerCaller,
-  listenForPeers,
-  parseAddress,
-  type PeerCaller,
-  type PeerServer,
-} from '@lacewingwinch/entry-hosts';
+import {createPeerCaller, type PeerCaller} from '@lacewingwinch/entry-hosts';
 import {
   createEventLog,
   createMetrics,
@@ -49,13 +37,13 @@
 import {BeliefRelay} from './belief_relay.js';
 import {type Clocks, createProcessClocks} from './clocks.js';
 import {ConfigurationFollower} from './configuration_follower.js';
+import {CrashWatch} from './crash_watch.js';
 import {answerDirectoryCall} from './directory_answers.js';
 import {DutyTask} from './duty_task.js';
-import {listenForMetrics} from './metrics_server.js';
 import {QuotaExchange} from './quota_exchange.js';
 import {RoutedFront} from './routed_front.js';
+import {openListeners, type RoutedListeners} from './routed_listeners.js';
 import {createRoutedMembership} from './routed_membership.js';
-import {createRoutedPeerHandlers} from './routed_peer_handlers.js';
 import {RoutedPlacement} from './routed_placement.js';
 import {UpstreamFollower} from './upstream_follower.js';
 import {UsagePush} from './usage_push.js';
@@ -103,13 +91,12 @@
   private readonly duties: DutyTask | undefined;
   private readonly quotas: QuotaExchange;
   private readonly relay: BeliefRelay;
+  private readonly crashes: CrashWatch;
   private readonly startedAt: number;
   /** Identity of this process, new at each start. */
   private readonly processId = uuidV7();
   private readonly stopping = new AbortController();
-  private servers: readonly Server[] = [];
-  private callers: RoutedServer | undefined;
-  private peerServer: PeerServer | undefined;
+  private listeners: RoutedListeners | undefined;
   private isLeaving = false;
   private leavingSince = Infinity;
 
@@ -190,6 +177,14 @@
       configuration: this.configuration,
       upstreams: this.upstreams,
     });
+    this.crashes = new CrashWatch({
+      hostId: settings.hostId,
+      peers: this.peers,
+      events: this.events,
+      pool: this.pool,
+      trueTime: () => this.readTrueTime(),
+      servingHosts: () => this.membership.serving(),
+    });
     this.duties = this.createDuties();
     this.usagePush = new UsagePush({
       processId: this.processId,
@@ -206,7 +201,7 @@
     const {hostId, failureDomain, addresses} = this.settings;
     setMaxListeners(0, this.stopping.signal);
     this.events.write(1001, {hostId, failureDomain});
-    await this.listen();
+    this.listeners = await this.listen();
     this.watch('configuration', this.configuration.run(this.stopping.signal));
     this.watch('upstreams', this.upstreams.run(this.stopping.signal));
     this.watch('membership', this.membership.run(this.stopping.signal));
@@ -250,7 +245,7 @@
     const startedAt = this.clocks.steady();
     this.events.write(1003, {hostId, reason: 'signal'});
     this.membership.declare('leaving');
-    this.callers?.startLeaving();
+    this.listeners?.callers.startLeaving();
     const lingerUntil = startedAt + LINGER_MILLISECONDS;
     const stopAt =
       startedAt + bounds.gracePeriodMilliseconds - STOP_MARGIN_MILLISECONDS;
@@ -268,57 +263,45 @@
   /** Stops at once, whatever is under way. */
   async stopNow(): Promise<void> {
     this.membership.declare('gone');
-    this.callers?.close();
-    this.servers.forEach(server => server.close());
+    this.listeners?.callers.close();
+    this.listeners?.tellers.forEach(server => server.close());
     await pause(LOOK_PERIOD_MILLISECONDS, this.stopping.signal);
     this.stopping.abort();
-    await this.peerServer?.close();
+    await this.listeners?.peers.close();
     this.peers.close();
     this.pool.close();
     await this.store.close();
   }
 
-  private async listen(): Promise<void> {
-    const {addresses} = this.settings;
-    const onUnexpected = (error: unknown): void =>
-      this.events.write(1006, {task: 'callers', error: messageOf(error)});
-    const handler = (method: string, target: string): DirectoryAnswer =>
-      this.answerDirectory(method, target);
-    const {host, port} = parseAddress(addresses.peers);
-    this.callers = await listenForRoutedCalls(
-      addresses.callers,
-      this.front,
-      onUnexpected,
-    );
-    this.servers = [
-      await listenForDirectory(addresses.discovery, handler, onUnexpected),
-      await listenForDirectory(addresses.readiness, handler, onUnexpected),
-    ];
-    if (this.metricsPort !== undefined) {
-      const {metrics, clocks, configuration, upstreams} = this;
-      const isHoldingDuties = (): boolean => this.duties?.isHolding === true;
-      const metricsServer = await listenForMetrics(
-        `${parseAddress(addresses.callers).host}:${this.metricsPort}`,
-        {metrics, clocks, configuration, upstreams, isHoldingDuties},
-        onUnexpected,
-      );
-      this.servers = [...this.servers, metricsServer];
-    }
-    this.peerServer = await listenForPeers(
-      host,
-      port,
-      createRoutedPeerHandlers({
+  private listen(): Promise<RoutedListeners> {
+    const {configuration, upstreams, clocks, metrics, front} = this;
+    return openListeners({
+      addresses: this.settings.addresses,
+      metricsPort: this.metricsPort,
+      front,
+      directory: (method, target) => this.answerDirectory(method, target),
+      metrics: {
+        metrics,
+        clocks,
+        configuration,
+        upstreams,
+        isHoldingDuties: () => this.duties?.isHolding === true,
+      },
+      peers: {
         membership: this.membership,
         placement: this.placement,
         relay: this.relay,
         usage: this.usage,
         quotas: this.quotas,
+        crashes: this.crashes,
         quotaOf: name =>
-          this.configuration.current?.value.workspaces.find(
+          configuration.current?.value.workspaces.find(
             workspace => workspace.name === name,
           )?.quota,
-      }),
-    );
+      },
+      onUnexpected: error =>
+        this.events.write(1006, {task: 'callers', error: messageOf(error)}),
+    });
   }
 
   private answerDirectory(method: string, target: string): DirectoryAnswer {
@@ -338,8 +321,8 @@
   }
 
   private onConfiguration({limits, version}: RoutingConfiguration): void {
-    this.callers?.setIdleTimeout(limits.idleTimeoutMilliseconds);
-    this.callers?.setHeaderTimeout(limits.headerTimeoutMilliseconds);
+    this.listeners?.callers.setIdleTimeout(limits.idleTimeoutMilliseconds);
+    this.listeners?.callers.setHeaderTimeout(limits.headerTimeoutMilliseconds);
     this.metrics.configurationVersion.set(version);
   }
 
@@ -351,6 +334,7 @@
       pool: this.pool,
       placement: this.placement,
       quotas: this.quotas,
+      crashes: this.crashes,
       retryBudgets: this.retryBudgets,
       configuration: () => this.configuration.current,
       maximumKeyAge: () => {
--- a/packages/entry-process/src/routed/routed_request.ts
+++ b/packages/entry-process/src/routed/routed_request.ts
@@ -13,38 +13,17 @@
   type RoutedAttemptFailure,
   ServingError,
 } from '@lacewingwinch/decisions';
-import {
-  type CallHeaders,
-  encodeAnswerHeaders,
-  encodeUpstreamHeaders,
-} from '@lacewingwinch/platform';
+import {type CallHeaders, encodeAnswerHeaders} from '@lacewingwinch/platform';
 import type {AnswerHead} from '@lacewingwinch/upstreams';
 
+import {fingerprintOf} from './crash_watch.js';
 import {type AttemptOutcome, RoutedAttempt} from './routed_attempt.js';
 import type {RoutedFrontContext} from './routed_front.js';
 import type {Placement} from './routed_placement.js';
 import {StreamRelay} from './stream_relay.js';
+import {upstreamRequest} from './upstream_request.js';
 import {FIRST_FAILURE_STATUS, upstreamResultOf} from './upstream_result.js';
 
-/** Priorities that an engine knows: 0 is the most urgent. */
-const LEAST_URGENT_PRIORITY = 9;
-
-/** Connections to one upstream that a host always may have. */
-const LEAST_CONNECTIONS = 2;
-
-/** Share of the connections of an upstream that all hosts together use. */
-const USED_CONNECTION_SHARE = 0.9;
-
-/**
- * Idle milliseconds after which a kept connection is not used for a request
- * that may run once: its upstream could close it while the request is on its
- * way, and nobody would know whether the request ran.
- */
-const AT_MOST_ONCE_IDLE_MILLISECONDS = 2500;
-
-/** Idle milliseconds after which a kept connection is not used at all. */
-const REPEATABLE_IDLE_MILLISECONDS = 60_000;
-
 /** What became of a request. */
 export interface RequestEnd {
   /** Whether an upstream may have run it. */
@@ -67,6 +46,7 @@
   private attempt: RoutedAttempt | undefined;
   private interruption: Interruption | undefined;
   private lastUpstream = '';
+  private readonly fingerprint: string;
 
   constructor(
     private readonly context: RoutedFrontContext,
@@ -78,6 +58,11 @@
     this.relay = new StreamRelay(responder);
     this.startedAt = context.clocks.steady();
     this.deadline = this.startedAt + admission.budgetMilliseconds;
+    this.fingerprint = fingerprintOf({
+      workspace: admission.workspace?.name ?? '',
+      target: call.target,
+      body: call.body,
+    });
     this.demand = {
       attemptId: headers.attemptId ?? '',
       parts: headers.promptParts,
@@ -106,6 +91,9 @@
   private async runAttempts(): Promise<void> {
     let drawsOnBudget = false;
     for (;;) {
+      if (this.refuseIfQuarantined()) {
+        return;
+      }
       const placement = await this.place();
       if (this.interruption !== undefined) {
         placement?.noteEnded();
@@ -131,6 +119,23 @@
     }
   }
 
+  /** Whether the content has crashed too many upstreams. */
+  private refuseIfQuarantined(): boolean {
+    const milliseconds = this.context.crashes.refusedFor(this.fingerprint);
+    if (milliseconds <= 0) {
+      return false;
+    }
+    if (this.upstreamsReached > 0) {
+      this.giveUp('outcome-unknown');
+      return true;
+    }
+    this.noteEnd('quarantined');
+    throw new ServingError('quarantined', {
+      detail: `content ${this.fingerprint}`,
+      retryAfterSeconds: milliseconds / 1000,
+    });
+  }
+
   /** Only a request that nobody has got yet is refused. */
   private refuseIfHopeless(placement: Placement): boolean {
     if (this.upstreamsReached > 0 || this.relay.hasBegun) {
@@ -181,7 +186,14 @@
     const attempt = new RoutedAttempt(pool, {
       attemptId: this.demand.attemptId,
       isStreamed: this.admission.rule.isStreamed,
-      request: this.requestTo(choice),
+      request: upstreamRequest({
+        call: this.call,
+        admission: this.admission,
+        choice,
+        relay: this.relay,
+        millisecondsLeft: this.millisecondsLeft(),
+        sharingHosts: this.context.sharingHosts(),
+      }),
       stream: this.relay,
       onSend: () => {
         this.upstreamsReached += 1;
@@ -208,38 +220,6 @@
     return outcome;
   }
 
-  private requestTo(
-    choice: Choice,
-  ): ConstructorParameters<typeof RoutedAttempt>[1]['request'] {
-    const {admission, call} = this;
-    const {upstreamId, address} = choice.upstream;
-    const {service, workspace, rule} = admission;
-    const isOnce = rule.execution === 'at-most-once';
-    const share =
-      (service.connectionLimit * USED_CONNECTION_SHARE) /
-      this.context.sharingHosts();
-    return {
-      address,
-      method: call.method,
-      path: call.target,
-      headers: encodeUpstreamHeaders(call.rawHeaders, {
-        upstreamId,
-        workspace: workspace?.name,
-        millisecondsLeft: this.millisecondsLeft(),
-        priority:
-          service.engine === undefined
-            ? undefined
-            : Math.min(LEAST_URGENT_PRIORITY, admission.priority),
-        resumeAfter: this.relay.lastEventId,
-      }),
-      body: call.body.length === 0 ? undefined : call.body,
-      maximumIdleMilliseconds: isOnce
-        ? AT_MOST_ONCE_IDLE_MILLISECONDS
-        : REPEATABLE_IDLE_MILLISECONDS,
-      maximumConnections: Math.max(LEAST_CONNECTIONS, Math.floor(share)),
-    };
-  }
-
   private noteBegun(): void {
     const {onBegun, clocks, metrics} = this.context;
     if (!this.hasBegunToRun) {
@@ -263,6 +243,7 @@
     const {upstreamId} = choice.upstream;
     switch (outcome.kind) {
       case 'streamed':
+        this.context.crashes.noteAnswered(this.fingerprint);
         this.responder.end();
         this.noteEnd('answered');
         return 'done';
@@ -272,16 +253,24 @@
         this.endInterrupted();
         return 'done';
       case 'failed':
+        this.noteLost(choice, outcome.failure);
         return this.goOnAfter(upstreamId, outcome.failure);
     }
   }
 
+  private noteLost({upstream}: Choice, failure: RoutedAttemptFailure): void {
+    if (failure.kind === 'lost' && failure.cause === 'connection') {
+      this.context.crashes.noteLost(this.fingerprint, upstream);
+    }
+  }
+
   private settleWhole(
     upstreamId: string,
     head: AnswerHead,
     body: Buffer,
   ): 'done' | {readonly drawsOnBudget: boolean} {
     const {status} = head;
+    this.context.crashes.noteAnswered(this.fingerprint);
     if (status >= FIRST_FAILURE_STATUS) {
       const failure: RoutedAttemptFailure = {kind: 'failed-after-run', status};
       const next = decideNextAttempt(failure, this.history());
--- a/packages/entry-process/src/routed/stream_relay.ts
+++ b/packages/entry-process/src/routed/stream_relay.ts
@@ -3,7 +3,11 @@
  */
 import type {RoutedResponder} from '@lacewingwinch/callers';
 import type {SplitEvent} from '@lacewingwinch/decisions';
-import {encodeAnswerHeaders} from '@lacewingwinch/platform';
+import {
+  decodeAnswerHeaders,
+  encodeAnswerHeaders,
+  weightVersionOfEvent,
+} from '@lacewingwinch/platform';
 import type {AnswerHead} from '@lacewingwinch/upstreams';
 
 import type {StreamReceiver} from './routed_attempt.js';
@@ -13,6 +17,7 @@
   private hasStarted = false;
   private lastId: string | undefined;
   private count = 0;
+  private version: number | undefined;
 
   constructor(private readonly responder: RoutedResponder) {}
 
@@ -31,10 +36,16 @@
     return this.count;
   }
 
+  /** Version of the weights that made the last event passed on, if known. */
+  get weightVersion(): number | undefined {
+    return this.version;
+  }
+
   /** The headers of the first attempt stand for the whole answer. */
   onHead(head: AnswerHead): void {
     if (!this.hasStarted) {
       this.hasStarted = true;
+      this.version = decodeAnswerHeaders(head.headers).weightVersion;
       this.responder.begin(head.status, encodeAnswerHeaders(head.rawHeaders));
     }
   }
@@ -46,6 +57,9 @@
     }
     this.count += fresh.length;
     this.lastId = fresh.at(-1)?.id ?? this.lastId;
+    for (const {bytes} of fresh) {
+      this.version = weightVersionOfEvent(bytes) ?? this.version;
+    }
     const goesOn = this.responder.write(
       Buffer.concat(fresh.map(({bytes}) => bytes)),
     );
--- a/packages/entry-process/tests/quota_exchange_test.ts
+++ b/packages/entry-process/tests/quota_exchange_test.ts
@@ -1,14 +1,11 @@
 /** Tests of quotas over the hosts of a large fleet. */
-import {
-  type Member,
-  quotaHolders,
-  type WorkspaceQuota,
-} from '@lacewingwinch/decisions';
+import {quotaHolders, type WorkspaceQuota} from '@lacewingwinch/decisions';
 import type {PeerCaller, QuotaAnswer} from '@lacewingwinch/entry-hosts';
 import {createEventLog} from '@lacewingwinch/observability';
 import {beforeEach, describe, expect, it} from 'vitest';
 
 import {QuotaExchange} from '../src/routed/quota_exchange.js';
+import {servingMember} from './host_fixtures.js';
 
 const HOSTS = Array.from({length: 40}, (_, index) => `host-${index}`);
 const HOLDERS = quotaHolders('large', HOSTS);
@@ -33,16 +30,6 @@
   return state / 2 ** 32;
 }
 
-function member(hostId: string): Member {
-  return {
-    hostId,
-    failureDomain: 'north',
-    addresses: {callers: '', peers: hostId, operators: ''},
-    incarnation: 1,
-    status: 'serving',
-  };
-}
-
 const peers = {
   call: (
     address: string,
@@ -79,7 +66,8 @@
         startedAt: -10_000,
         clock: () => 0,
         random,
-        otherHosts: () => HOSTS.filter(one => one !== hostId).map(member),
+        otherHosts: () =>
+          HOSTS.filter(one => one !== hostId).map(servingMember),
         sharing: () => HOSTS,
         slack: 0,
         isFirstStart: true,
--- a/packages/entry-process/tests/routed_placement_test.ts
+++ b/packages/entry-process/tests/routed_placement_test.ts
@@ -1,7 +1,6 @@
 /** Tests of placement by a dispatcher for several fronts. */
 import {
   type ListedUpstream,
-  type Member,
   type PlacementDemand,
   rendezvousWinner,
   UpstreamHealth,
@@ -12,21 +11,12 @@
 import {beforeEach, describe, expect, it} from 'vitest';
 
 import {RoutedPlacement} from '../src/routed/routed_placement.js';
+import {servingMember} from './host_fixtures.js';
 
 const HOSTS = ['host-0', 'host-1', 'host-2', 'host-3', 'host-4', 'host-5'];
 const events = createEventLog('test', 'error');
 let hosts: Map<string, RoutedPlacement>;
 
-function member(hostId: string): Member {
-  return {
-    hostId,
-    failureDomain: 'north',
-    addresses: {callers: '', peers: hostId, operators: ''},
-    incarnation: 1,
-    status: 'serving',
-  };
-}
-
 function upstream(upstreamId: string): ListedUpstream {
   return {
     upstreamId,
@@ -71,7 +61,7 @@
     health: new UpstreamHealth(),
     peers,
     events,
-    servingHosts: () => HOSTS.map(member),
+    servingHosts: () => HOSTS.map(servingMember),
     clock: () => 0,
     keptMilliseconds: 20_000,
   });
--- a/packages/entry-process/tests/routed_process_test.ts
+++ b/packages/entry-process/tests/routed_process_test.ts
@@ -412,6 +412,52 @@
       second?.ran.some(({headers}) => headers['last-event-id'] === '3'),
     ).toBe(true);
   });
+
+  it.each([
+    {name: 'the same weights', version: 5, isBroken: false},
+    {name: 'other weights', version: 6, isBroken: true},
+  ])('that is resumed at $name', async ({version, isBroken}) => {
+    await startProcess();
+    const [, , first, second] = engines;
+    setBehavior('answer');
+    if (first !== undefined && second !== undefined) {
+      first.behavior = 'break-off';
+      first.weightVersion = 5;
+      second.weightVersion = version;
+    }
+    const answers = await Promise.all(
+      Array.from({length: 6}, (_, index) => call({path: `/resumed/${index}`})),
+    );
+    expect(answers.some(one => one.isBroken)).toBe(isBroken);
+    answers.forEach(({body}) => expect(whole.startsWith(body)).toBe(true));
+    expect(
+      second?.ran.some(({headers}) => headers['last-event-id'] === '3'),
+    ).toBe(!isBroken);
+  });
+});
+
+describe('content that crashes its upstreams', () => {
+  it('reaches three of them, whatever id it bears, and is refused then', async () => {
+    const third = new RoutedEngineStandIn('i-third');
+    await third.listen();
+    engines.push(third);
+    store.put('keyed.servers', third.upstreamId, third.entry('plain'));
+    await startProcess();
+    setBehavior('lose');
+    const path = '/once/poison';
+    const statuses: number[] = [];
+    await waitUntil(async () => {
+      statuses.push((await call({path, body: 'poison'})).status);
+      return statuses.at(-1) === 422;
+    });
+    const runs = ranOf(path);
+    setBehavior('answer');
+    const refused = await call({path, body: 'poison'});
+    expect(refused.status).toBe(422);
+    expect(Number(refused.headers['retry-after'])).toBeGreaterThan(0);
+    expect(ranOf(path)).toBe(runs);
+    expect((await call({path, body: 'other'})).status).toBe(200);
+  });
 });
 
 describe('a belief', () => {
--- a/packages/observability/src/event_catalogue.ts
+++ b/packages/observability/src/event_catalogue.ts
@@ -131,7 +131,8 @@
   4003: {
     level: 'warn',
     message: 'content {fingerprint} crashed upstream {upstreamId}',
-    advice: 'After a second crash the content is refused for a while.',
+    advice:
+      'After two crashes, on the platform after three, it is refused for a while.',
   },
   4004: {
     level: 'info',
--- a/packages/stand-ins/src/routed_engine_stand_in.ts
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -47,6 +47,8 @@
   isStreamed = false;
   /** Milliseconds for which a request that is not streamed runs. */
   workMilliseconds = 0;
+  /** Version of the weights of its model; 0 for an upstream without one. */
+  weightVersion = 0;
   /** Requests that ran. */
   readonly ran: SeenRequest[] = [];
   /** Requests whose caller closed the connection before the answer. */
@@ -85,11 +87,19 @@
     const signed = {
       'x-attempt-id': attemptId,
       'x-response-signature': `signed-by-${this.upstreamId}`,
+      ...(this.weightVersion > 0 && {
+        'x-weight-versions': String(this.weightVersion),
+      }),
     };
     if (headers['x-expected-instance'] !== this.upstreamId) {
       response.writeHead(421, {'x-instance-id': this.upstreamId}).end();
       return;
     }
+    const expected = headers['x-expected-version'];
+    if (expected !== undefined && expected !== String(this.weightVersion)) {
+      response.writeHead(421, {'x-not-executed': '1'}).end();
+      return;
+    }
     if (this.behavior === 'shed') {
       response.writeHead(503, {'x-not-executed': '1'}).end();
       return;
--- a/packages/upstreams/src/connection_pool.ts
+++ b/packages/upstreams/src/connection_pool.ts
@@ -69,7 +69,7 @@
 
 interface Upstream {
   readonly idle: Connection[];
-  open: number;
+  readonly open: Set<Connection>;
 }
 
 /** Kept connections to every upstream. */
@@ -104,6 +104,16 @@
     }
   }
 
+  /**
+   * Whether every connection that is open to `address` now has ended by the
+   * time the function that is returned is called: an upstream that crashes ends
+   * them all, a single connection that is lost leaves the others.
+   */
+  watchConnections(address: string): () => boolean {
+    const open = [...(this.upstreams.get(address)?.open ?? [])];
+    return () => open.every(({isClosed}) => isClosed);
+  }
+
   /** Closes idle connections. */
   close(): void {
     for (const address of this.upstreams.keys()) {
@@ -128,7 +138,7 @@
       }
       void connection.client.destroy();
     }
-    return upstream.open >= maximumConnections
+    return upstream.open.size >= maximumConnections
       ? undefined
       : this.open(address, upstream);
   }
@@ -163,13 +173,13 @@
       isUnframed: false,
       isClosed: false,
     };
-    upstream.open += 1;
+    upstream.open.add(connection);
     const onClosed = (): void => {
       if (connection.isClosed) {
         return;
       }
       connection.isClosed = true;
-      upstream.open -= 1;
+      upstream.open.delete(connection);
       const index = upstream.idle.indexOf(connection);
       if (index >= 0) {
         upstream.idle.splice(index, 1);
@@ -186,7 +196,7 @@
     if (known !== undefined) {
       return known;
     }
-    const fresh: Upstream = {idle: [], open: 0};
+    const fresh: Upstream = {idle: [], open: new Set()};
     this.upstreams.set(address, fresh);
     return fresh;
   }
