--- a/packages/measurements/src/fuzz_commands.ts
+++ b/packages/measurements/src/fuzz_commands.ts
@@ -3,12 +3,10 @@
  */
 import * as fc from 'fast-check';
 
-import {
-  FUZZ_HOSTS,
-  FUZZ_KEYS,
-  FUZZ_OBJECTS,
-  type FuzzWorld,
-} from './fuzz_world.js';
+import {FUZZ_KEYS} from './fuzz_claims.js';
+import {FUZZ_OBJECTS} from './fuzz_configurations.js';
+import {FUZZ_HOSTS} from './fuzz_log.js';
+import {checkAnswer, type FuzzWorld} from './fuzz_world.js';
 
 /** The model of fast-check; the world itself holds the oracle. */
 export type FuzzModel = Readonly<Record<string, never>>;
@@ -31,41 +29,47 @@
       fc
         .tuple(HOST, KEY)
         .map(([host, key]) =>
-          command(`submit ${host} ${key}`, world => world.submit(host, key)),
+          command(`submit ${host} ${key}`, world =>
+            world.claims.submit(host, key),
+          ),
         ),
       INDEX.map(index =>
-        command(`double ${index}`, world => world.doubleClaim(index)),
+        command(`double ${index}`, world => world.claims.doubleClaim(index)),
       ),
       HOST.map(host =>
-        command(`readClaims ${host}`, world => world.readClaims(host)),
+        command(`readClaims ${host}`, world => world.claims.readClaims(host)),
       ),
       fc
         .tuple(INDEX, BOOLEAN)
         .map(([index, isLost]) =>
           command(`send ${index} ${isLost}`, world =>
-            world.send(index, isLost),
+            world.claims.send(index, isLost),
           ),
         ),
       INDEX.map(index =>
-        command(`giveUp ${index}`, world => world.giveUp(index)),
+        command(`giveUp ${index}`, world => world.claims.giveUp(index)),
       ),
       fc
         .tuple(INDEX, HOST, BOOLEAN)
         .map(([index, to, isLost]) =>
           command(`handOver ${index} ${to} ${isLost}`, world =>
-            world.handOver(index, to, isLost),
+            world.claims.handOver(index, to, isLost),
           ),
         ),
-      fc.constant(command('deliverHandover', world => world.deliverHandover())),
-      fc.constant(command('deliverAppend', world => world.deliverAppend())),
+      fc.constant(
+        command('deliverHandover', world => world.claims.deliverHandover()),
+      ),
+      fc.constant(command('deliverAppend', world => world.log.deliver())),
       BOOLEAN.map(isDown =>
-        command(`log ${isDown}`, world => world.setLog(isDown)),
+        command(`log ${isDown}`, world => {
+          world.log.isDown = isDown;
+        }),
       ),
       fc
         .tuple(HOST, BOOLEAN)
         .map(([host, isPaused]) =>
           command(`pause ${host} ${isPaused}`, world =>
-            world.pause(host, isPaused),
+            world.hosts.pause(host, isPaused),
           ),
         ),
       HOST.map(host => command(`crash ${host}`, world => world.crash(host))),
@@ -73,34 +77,34 @@
         .tuple(HOST, OBJECT, BOOLEAN)
         .map(([host, object, isLate]) =>
           command(`publish ${host} ${object} ${isLate}`, world =>
-            world.publish(host, object, isLate),
+            world.configurations.publish(host, object, isLate),
           ),
         ),
       fc
         .tuple(HOST, BOOLEAN)
         .map(([host, isLate]) =>
           command(`snapshot ${host} ${isLate}`, world =>
-            world.snapshot(host, isLate),
+            world.configurations.snapshot(host, isLate),
           ),
         ),
-      fc.constant(command('retain', world => world.retain())),
+      fc.constant(command('retain', world => world.configurations.retain())),
       HOST.map(host =>
         command(`readConfiguration ${host}`, world =>
-          world.readConfiguration(host),
+          world.configurations.read(host),
         ),
       ),
       fc
         .tuple(HOST, HOST)
         .map(([from, to]) =>
           command(`fetchConfiguration ${from} ${to}`, world =>
-            world.fetchConfiguration(from, to),
+            world.configurations.fetch(from, to),
           ),
         ),
       fc
         .array(fc.tuple(fc.nat(2), fc.nat(6)), {maxLength: 30})
         .map(arrivals =>
-          command(`answer ${JSON.stringify(arrivals)}`, world =>
-            world.checkAnswer(arrivals),
+          command(`answer ${JSON.stringify(arrivals)}`, () =>
+            checkAnswer(arrivals),
           ),
         ),
     ],
--- /dev/null
+++ b/packages/measurements/src/fuzz_log.ts
@@ -0,0 +1,49 @@
+/**
+ * The log service and the hosts of the fuzzing, as far as they fail.
+ */
+
+/** Hosts of the world. */
+export const FUZZ_HOSTS = 3;
+
+/** A log service that may be down, and appends that reach it late. */
+export class FuzzLog {
+  isDown = false;
+  /** Appends that reach the log later, if ever. */
+  private readonly late: (() => void)[] = [];
+
+  /** Appends on their way. */
+  get lateCount(): number {
+    return this.late.length;
+  }
+
+  /** Takes an append now, or later if it is late or the log is down. */
+  take(isLate: boolean, append: () => void): void {
+    if (this.isDown || isLate) {
+      this.late.push(append);
+      return;
+    }
+    append();
+  }
+
+  /** An append that was late reaches the log. */
+  deliver(): void {
+    this.late.shift()?.();
+  }
+}
+
+/** Which hosts stand still. */
+export class FuzzHosts {
+  private readonly paused = new Set<number>();
+
+  pause(host: number, isPaused: boolean): void {
+    if (isPaused) {
+      this.paused.add(host);
+    } else {
+      this.paused.delete(host);
+    }
+  }
+
+  isDown(host: number): boolean {
+    return host >= FUZZ_HOSTS || this.paused.has(host);
+  }
+}
