Fault soak: real processes under the faults of a seed

packages/soak starts entry hosts as processes, upstreams, a store and callers that keep their connections; faults come from outside. What callers got is checked against what upstreams ran.

Not in it yet: links between entry hosts, which tell each other the addresses at which they listen.

--- /dev/null
+++ b/packages/soak/src/index.ts
@@ -0,0 +1,8 @@
+/**
+ * Seeded faults against real processes.
+ */
+export * from './check_promises.js';
+export * from './fault_plan.js';
+export * from './fault_proxy.js';
+export * from './regression_seeds.js';
+export * from './run_seed.js';
--- /dev/null
+++ b/packages/soak/src/soak.ts
@@ -0,0 +1,44 @@
+/**
+ * `npm run --silent soak -- --seeds A..B [--hosts N]`: runs seeds, prints a line
+ * for each and a JSON summary at the end.
+ */
+import {parseArgs} from 'node:util';
+
+import {runSeed, type SeedResult, USUAL_SIZE} from './run_seed.js';
+
+const {values} = parseArgs({
+  options: {seeds: {type: 'string'}, hosts: {type: 'string'}},
+});
+const range = /^(\d+)(?:\.\.(\d+))?$/.exec(values.seeds ?? '');
+const hosts = Number(values.hosts ?? USUAL_SIZE.hosts);
+if (range === null || !Number.isInteger(hosts) || hosts < 1) {
+  process.stderr.write('soak: --seeds A..B [--hosts N], whole numbers\n');
+  process.exit(2);
+}
+const first = Number(range[1]);
+const last = Number(range[2] ?? range[1]);
+
+const failed: SeedResult[] = [];
+let calls = 0;
+for (let seed = first; seed <= last; seed += 1) {
+  const result = await runSeed(seed, {...USUAL_SIZE, hosts});
+  calls += result.calls;
+  const hasFailed = result.folder !== undefined;
+  process.stdout.write(
+    `seed ${seed}: ${result.faults} faults, ${result.answered} of ${result.calls} calls answered, ` +
+      `${result.reports} reports: ${hasFailed ? 'FAILED' : 'kept'}\n`,
+  );
+  if (hasFailed) {
+    failed.push(result);
+    for (const {promise, detail} of result.violations) {
+      process.stdout.write(`  ${promise}: ${detail}\n`);
+    }
+    process.stdout.write(
+      `  recovered: ${result.hasRecovered}; logs: ${result.folder}\n`,
+    );
+  }
+}
+process.stdout.write(
+  `${JSON.stringify({soak: 'seeds', first, last, hosts, calls, failed: failed.map(({seed}) => seed)})}\n`,
+);
+process.exitCode = failed.length === 0 ? 0 : 1;
--- /dev/null
+++ b/packages/soak/tests/fault_plan_test.ts
@@ -0,0 +1,51 @@
+/** Tests of the plan of faults. */
+import {describe, expect, it} from 'vitest';
+
+import {type Fault, FAULT_MILLISECONDS, planFaults} from '../src/index.js';
+
+const SEEDS = Array.from({length: 200}, (_, index) => index + 1);
+
+describe('a plan of faults', () => {
+  it('is the same for the same seed', () => {
+    expect(planFaults(7)).toEqual(planFaults(7));
+    expect(planFaults(7)).not.toEqual(planFaults(8));
+  });
+
+  it.each(SEEDS.slice(0, 20))(
+    'of seed %i is in order and within time',
+    seed => {
+      const times = planFaults(seed).map(({at}) => at);
+      expect([...times].sort((left, right) => left - right)).toEqual(times);
+      expect(times.every(at => at >= 0 && at <= FAULT_MILLISECONDS)).toBe(true);
+    },
+  );
+
+  it('has every kind of fault, and faults that overlap', () => {
+    const plans = SEEDS.map(planFaults);
+    const kinds = new Set(
+      plans.flat().map(({fault}): Fault['kind'] => fault.kind),
+    );
+    expect([...kinds].sort()).toEqual([
+      'clock',
+      'engine',
+      'engine-link',
+      'freeze',
+      'kill',
+      'revoke',
+      'stop',
+      'store-down',
+      'store-expires',
+      'store-link',
+      'store-loses',
+    ]);
+    const overlapping = plans.filter(plan =>
+      plan.some(
+        ({at}, index) =>
+          index > 0 &&
+          at <
+            (plan[index - 1]?.at ?? 0) + (plan[index - 1]?.milliseconds ?? 0),
+      ),
+    );
+    expect(overlapping.length).toBeGreaterThan(SEEDS.length / 2);
+  });
+});
--- a/packages/stand-ins/src/routed_engine_stand_in.ts
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -35,7 +35,7 @@
 }
 
 /** Events of a streamed answer. */
-const EVENTS = 6;
+export const STREAM_EVENTS = 6;
 
 /** Milliseconds between two events. */
 const EVENT_MILLISECONDS = 10;
@@ -47,6 +47,8 @@
   isStreamed = false;
   /** Milliseconds for which a request that is not streamed runs. */
   workMilliseconds = 0;
+  /** Whether answers name the attempt that they belong to. */
+  namesAttempt = false;
   /** Version of the weights of its model; 0 for an upstream without one. */
   weightVersion = 0;
   /** Requests that ran. */
@@ -74,6 +76,11 @@
     };
   }
 
+  /** Attempts that ran. */
+  ranAttempts(): readonly string[] {
+    return this.ran.map(({headers}) => String(headers['x-attempt-id']));
+  }
+
   protected async handle(
     message: IncomingMessage,
     response: ServerResponse,
@@ -136,21 +143,27 @@
     signed: Readonly<Record<string, string>>,
   ): Promise<void> {
     if (!this.isStreamed) {
-      response.writeHead(200, signed).end(`answer-of-${this.upstreamId}`);
+      const text = `answer-of-${this.upstreamId}${this.attemptOf(message)}`;
+      response.writeHead(200, signed).end(text);
       return;
     }
     response.writeHead(200, {...signed, 'content-type': 'text/event-stream'});
     const after = Number(message.headers['last-event-id'] ?? 0);
-    for (let id = after + 1; id <= EVENTS; id += 1) {
-      if (this.behavior === 'break-off' && id > EVENTS / 2) {
+    for (let id = after + 1; id <= STREAM_EVENTS; id += 1) {
+      if (this.behavior === 'break-off' && id > STREAM_EVENTS / 2) {
         response.write(`id: ${id}\ndata: cut in the mid`);
         await delay(EVENT_MILLISECONDS);
         message.socket.resetAndDestroy();
         return;
       }
-      response.write(`id: ${id}\ndata: event-${id}\n\n`);
+      const event = `event-${id}${this.attemptOf(message)}`;
+      response.write(`id: ${id}\ndata: ${event}\n\n`);
       await delay(EVENT_MILLISECONDS);
     }
     response.end();
   }
+
+  private attemptOf({headers}: IncomingMessage): string {
+    return this.namesAttempt ? ` for ${String(headers['x-attempt-id'])}` : '';
+  }
 }
--- a/packages/stand-ins/src/settings_file_stand_in.ts
+++ b/packages/stand-ins/src/settings_file_stand_in.ts
@@ -55,17 +55,31 @@
   );
 }
 
+/** What a settings file may hold besides the defaults. */
+export interface SettingsFileOptions {
+  /** Peer addresses to join at. */
+  readonly seeds?: readonly string[];
+  /** Of the keys, while the store is away. */
+  readonly revocationMilliseconds?: number;
+  readonly usageWindowSeconds?: number;
+}
+
 /** The text of a settings file. */
 export function settingsFileText(
   hostId: string,
   addresses: LoopbackAddresses,
   storeAddress: string,
+  {
+    seeds = [],
+    revocationMilliseconds = 5000,
+    usageWindowSeconds = 5,
+  }: SettingsFileOptions = {},
 ): string {
   return `nodeName = "${hostId}"
 ip = "127.0.0.1"
 zone = "north"
 internalPortRange = [0, 0]
-seedNodes = []
+seedNodes = ${JSON.stringify(seeds)}
 bootstrap = true
 [zones]
 north = "region"
@@ -80,6 +94,8 @@
 fileDescriptors = 4100
 [bounds]
 leaseMs = 3000
+revocationMs = ${revocationMilliseconds}
+usageWindowS = ${usageWindowSeconds}
 [platform]
 address = "${storeAddress}"
 [cloudApi]
--- a/packages/stand-ins/src/store_stand_in.ts
+++ b/packages/stand-ins/src/store_stand_in.ts
@@ -20,6 +20,18 @@
   readonly body: Readonly<Record<string, unknown>>;
 }
 
+/** The window that a report of usage is about, and what it says. */
+export function usageReportOf({path, body}: AcceptedDuty):
+  | {
+      readonly window: unknown;
+      readonly counts: string;
+    }
+  | undefined {
+  return path === '/usage'
+    ? {window: body['windowNumber'], counts: JSON.stringify(body['counts'])}
+    : undefined;
+}
+
 /** Faults of the store. */
 export interface StoreFaults {
   /** Every call is answered 503. */
@@ -65,6 +77,16 @@
     );
   }
 
+  /** Writes the entry of an upstream, as it does itself. */
+  listUpstream(upstreamId: string, entry: unknown): void {
+    this.put('keyed.servers', upstreamId, entry);
+  }
+
+  /** Forgets the history of the list of upstreams. */
+  expireUpstreams(): void {
+    this.expire('keyed.servers');
+  }
+
   /** Forgets every record before the end, as a retention that passed. */
   expire(topic: string): void {
     const partition = this.partition(topic);
