Part the recovery of answers from the path of requests

front/ held both: the path that every request of the own interface takes, and its claims, backup copies and takeovers. The latter are recovery/ now. No line of a function changed.

--- a/packages/entry-process/src/build_tasks.ts
+++ b/packages/entry-process/src/build_tasks.ts
@@ -30,14 +30,14 @@
 import {v7 as uuidV7} from 'uuid';
 
 import {AttemptLoop} from './front/attempt_loop.js';
-import {BackupStore} from './front/backup_store.js';
-import {ClaimClient} from './front/claim_client.js';
 import type {FrontContext} from './front/front_context.js';
 import {FrontTask} from './front/front_task.js';
-import {Handover} from './front/handover.js';
 import {LimitExchange} from './front/limit_exchange.js';
 import {RequestRegistry} from './front/request_registry.js';
-import {StreamMover} from './front/stream_mover.js';
+import {BackupStore} from './recovery/backup_store.js';
+import {ClaimClient} from './recovery/claim_client.js';
+import {Handover} from './recovery/handover.js';
+import {StreamMover} from './recovery/stream_mover.js';
 import type {Settings} from './settings.js';
 import {ClaimTask} from './tasks/claim_task.js';
 import {ConfigurationTask} from './tasks/configuration_task.js';
--- a/packages/entry-process/src/front/attempt_loop.ts
+++ b/packages/entry-process/src/front/attempt_loop.ts
@@ -19,11 +19,11 @@
   streamCompletion,
 } from '@lacewingwinch/upstreams';
 
+import type {StreamMover} from '../recovery/stream_mover.js';
 import {engineBody, upstreamHeaders} from './engine_request.js';
 import type {FrontContext} from './front_context.js';
 import {type Place, PlaceFinder, type RequestRun} from './place_finder.js';
 import {outcomeOf, ranOf, type ServedRequest} from './served_request.js';
-import type {StreamMover} from './stream_mover.js';
 
 /** How one attempt ended. */
 type AttemptEnd =
--- a/packages/entry-process/src/front/front_context.ts
+++ b/packages/entry-process/src/front/front_context.ts
@@ -12,10 +12,10 @@
 import type {EventLog, Metrics, Tracing} from '@lacewingwinch/observability';
 import type {UpstreamConnections} from '@lacewingwinch/upstreams';
 
+import type {ClaimClient} from '../recovery/claim_client.js';
 import type {MembershipTask} from '../tasks/membership_task.js';
 import type {PermitClient} from '../tasks/permit_client.js';
 import type {UpstreamDirectory} from '../tasks/upstream_directory.js';
-import type {ClaimClient} from './claim_client.js';
 
 /** What the parts of the front share. */
 export interface FrontContext {
--- a/packages/entry-process/src/front/front_task.ts
+++ b/packages/entry-process/src/front/front_task.ts
@@ -21,12 +21,12 @@
 import type {BackupCopy} from '@lacewingwinch/entry-hosts';
 import type {Explanation} from '@lacewingwinch/operators';
 
+import {BackupPlacement} from '../recovery/backup_placement.js';
+import type {BackupStore} from '../recovery/backup_store.js';
+import {ClaimStep, requireSameContent} from '../recovery/claim_step.js';
 import {admitCall, type AdmittedCall} from './admission.js';
 import {answerOf, refusalOf} from './answer_of.js';
 import type {AttemptLoop} from './attempt_loop.js';
-import {BackupPlacement} from './backup_placement.js';
-import type {BackupStore} from './backup_store.js';
-import {ClaimStep, requireSameContent} from './claim_step.js';
 import {claimKeyOf} from './engine_request.js';
 import {callerUrlOf, type FrontContext, requestUrlAt} from './front_context.js';
 import type {RequestRegistry} from './request_registry.js';
--- a/packages/entry-process/src/front/backup_placement.ts
+++ b/packages/entry-process/src/recovery/backup_placement.ts
@@ -8,8 +8,8 @@
   ServingError,
 } from '@lacewingwinch/decisions';
 
-import type {FrontContext} from './front_context.js';
-import type {ServedRequest} from './served_request.js';
+import type {FrontContext} from '../front/front_context.js';
+import type {ServedRequest} from '../front/served_request.js';
 
 /** Milliseconds that a backup has to store a copy. */
 const BACKUP_TIMEOUT_MILLISECONDS = 500;
--- a/packages/entry-process/src/front/claim_step.ts
+++ b/packages/entry-process/src/recovery/claim_step.ts
@@ -9,9 +9,9 @@
 } from '@lacewingwinch/decisions';
 import type {ClaimVerdict} from '@lacewingwinch/entry-hosts';
 
-import {type FrontContext, requestUrlAt} from './front_context.js';
-import type {RequestRegistry} from './request_registry.js';
-import type {ServedRequest} from './served_request.js';
+import {type FrontContext, requestUrlAt} from '../front/front_context.js';
+import type {RequestRegistry} from '../front/request_registry.js';
+import type {ServedRequest} from '../front/served_request.js';
 
 /** Milliseconds that another host has to say whether it has a request. */
 const LOCATE_TIMEOUT_MILLISECONDS = 500;
--- a/packages/entry-process/src/front/handover.ts
+++ b/packages/entry-process/src/recovery/handover.ts
@@ -16,12 +16,12 @@
   isPeerError,
 } from '@lacewingwinch/entry-hosts';
 
+import type {AttemptLoop} from '../front/attempt_loop.js';
+import {type FrontContext, requestUrlAt} from '../front/front_context.js';
+import type {RequestRegistry} from '../front/request_registry.js';
+import {ServedRequest} from '../front/served_request.js';
 import {messageOf} from '../util/message_of.js';
-import type {AttemptLoop} from './attempt_loop.js';
 import type {BackupStore} from './backup_store.js';
-import {type FrontContext, requestUrlAt} from './front_context.js';
-import type {RequestRegistry} from './request_registry.js';
-import {ServedRequest} from './served_request.js';
 import type {StreamMover} from './stream_mover.js';
 
 /** Milliseconds that another host has to take a request over. */
--- a/packages/entry-process/src/front/stream_mover.ts
+++ b/packages/entry-process/src/recovery/stream_mover.ts
@@ -14,9 +14,9 @@
   type ResumePoint,
 } from '@lacewingwinch/upstreams';
 
-import type {FrontContext} from './front_context.js';
-import {estimateTokens, textOfEvents} from './prompt_text.js';
-import type {ServedRequest} from './served_request.js';
+import type {FrontContext} from '../front/front_context.js';
+import {estimateTokens, textOfEvents} from '../front/prompt_text.js';
+import type {ServedRequest} from '../front/served_request.js';
 
 /** Milliseconds before a reclaim at which streams are moved. */
 const MOVE_LEAD_MILLISECONDS = 1500;
