--- a/packages/measurements/src/fuzz_commands.ts
+++ b/packages/measurements/src/fuzz_commands.ts
@@ -5,7 +5,7 @@
 
 import {FUZZ_KEYS} from './fuzz_claims.js';
 import {FUZZ_OBJECTS} from './fuzz_configurations.js';
-import {FUZZ_HOSTS} from './fuzz_log.js';
+import {FUZZ_HOSTS} from './fuzz_hosts.js';
 import {checkAnswer, type FuzzWorld} from './fuzz_world.js';
 
 /** The model of fast-check; the world itself holds the oracle. */
--- a/packages/measurements/src/fuzz_configurations.ts
+++ b/packages/measurements/src/fuzz_configurations.ts
@@ -14,7 +14,8 @@
 } from '@lacewingwinch/decisions';
 
 import {BrokenPromiseError} from './broken_promise_error.js';
-import {FUZZ_HOSTS, type FuzzHosts, type FuzzLog} from './fuzz_log.js';
+import {FUZZ_HOSTS, type FuzzHosts} from './fuzz_hosts.js';
+import type {FuzzLog} from './fuzz_log.js';
 
 /** Objects that operators change. */
 export const FUZZ_OBJECTS = 2;
--- a/packages/measurements/src/fuzz_log.ts
+++ b/packages/measurements/src/fuzz_log.ts
@@ -1,10 +1,7 @@
 /**
- * The log service and the hosts of the fuzzing, as far as they fail.
+ * The log service of the fuzzing, as far as it fails.
  */
 
-/** Hosts of the world. */
-export const FUZZ_HOSTS = 3;
-
 /** A log service that may be down, and appends that reach it late. */
 export class FuzzLog {
   isDown = false;
@@ -30,20 +27,3 @@
     this.late.shift()?.();
   }
 }
-
-/** Which hosts stand still. */
-export class FuzzHosts {
-  private readonly paused = new Set<number>();
-
-  pause(host: number, isPaused: boolean): void {
-    if (isPaused) {
-      this.paused.add(host);
-    } else {
-      this.paused.delete(host);
-    }
-  }
-
-  isDown(host: number): boolean {
-    return host >= FUZZ_HOSTS || this.paused.has(host);
-  }
-}
--- a/packages/measurements/src/fuzz_world.ts
+++ b/packages/measurements/src/fuzz_world.ts
@@ -8,7 +8,8 @@
 import {BrokenPromiseError} from './broken_promise_error.js';
 import {FuzzClaims} from './fuzz_claims.js';
 import {FuzzConfigurations} from './fuzz_configurations.js';
-import {FuzzHosts, FuzzLog} from './fuzz_log.js';
+import {FuzzHosts} from './fuzz_hosts.js';
+import {FuzzLog} from './fuzz_log.js';
 
 /** The world, and the oracle. */
 export class FuzzWorld {
