No look at every host's clock for contents that met no crash

True time sorts a sample of each host; the watch for crashes took it twice or more for each request. It asks for it only where a suspicion is known; what was answered here is kept by the steady clock, as no other host sees it. What a crash or a run to the end tells is made in one place, beside the quarantine, and the headers of an answer are decoded once.

The tests of the watch, the quarantine and of whole processes pass as they were.

--- a/packages/decisions/src/retries/quarantine.ts
+++ b/packages/decisions/src/retries/quarantine.ts
@@ -23,12 +23,12 @@
   readonly fingerprint: string;
   /** The last crash of each upstream, oldest first. */
   readonly crashes: readonly Crash[];
-  /** When the content last ran to its end; `NEVER_CLEARED` for never. */
+  /** When the content last ran to its end; -1 for never. */
   readonly lastCleared: number;
 }
 
 /** Time of a content that has not run to its end since its first crash. */
-export const NEVER_CLEARED = -1;
+const NEVER_CLEARED = -1;
 
 /** How a request is to be treated. */
 export type QuarantineVerdict =
@@ -92,11 +92,9 @@
     wasAlone: boolean,
     now: number,
   ): Suspicion {
-    return this.merge({
-      fingerprint,
-      crashes: [{upstreamId, wasAlone, time: now}],
-      lastCleared: NEVER_CLEARED,
-    });
+    return this.merge(
+      suspicionOfCrash(fingerprint, {upstreamId, wasAlone, time: now}),
+    );
   }
 
   /** Joins a suspicion with what is known; the order does not matter. */
@@ -121,7 +119,7 @@
    */
   clear(fingerprint: string, now: number): Suspicion | undefined {
     return this.suspicions.has(fingerprint)
-      ? this.merge({fingerprint, crashes: [], lastCleared: now})
+      ? this.merge(liftedSuspicion(fingerprint, now))
       : undefined;
   }
 
@@ -153,6 +151,16 @@
   }
 }
 
+/** What one crash tells of a content. */
+export function suspicionOfCrash(fingerprint: string, crash: Crash): Suspicion {
+  return {fingerprint, crashes: [crash], lastCleared: NEVER_CLEARED};
+}
+
+/** What a run to the end at `time` tells of a content. */
+export function liftedSuspicion(fingerprint: string, time: number): Suspicion {
+  return {fingerprint, crashes: [], lastCleared: time};
+}
+
 /** The crashes since the content last ran to its end. */
 function countedCrashes({crashes, lastCleared}: Suspicion): readonly Crash[] {
   return crashes.filter(({time}) => time > lastCleared);
--- a/packages/entry-process/src/routed/crash_watch.ts
+++ b/packages/entry-process/src/routed/crash_watch.ts
@@ -7,12 +7,13 @@
 
 import {
   AnsweredContents,
+  liftedSuspicion,
   type Member,
-  NEVER_CLEARED,
   Quarantine,
   rendezvousOrder,
   SHARED_POLICY,
   type Suspicion,
+  suspicionOfCrash,
 } from '@lacewingwinch/decisions';
 import type {PeerCaller} from '@lacewingwinch/entry-hosts';
 import type {EventLog} from '@lacewingwinch/observability';
@@ -49,6 +50,8 @@
   readonly peers: PeerCaller;
   readonly events: EventLog;
   readonly pool: Pick<ConnectionPool, 'watchConnections'>;
+  /** Steady milliseconds. */
+  readonly clock: () => number;
   /** Milliseconds since the epoch, the same on all hosts. */
   readonly trueTime: () => number;
   /** Serving hosts, with this one. */
@@ -66,6 +69,10 @@
 
   /** Milliseconds for which `fingerprint` is refused still; 0 if it is not. */
   refusedFor(fingerprint: string): number {
+    // Nearly no content met a crash; true time looks at the clock of every host.
+    if (this.quarantine.find(fingerprint) === undefined) {
+      return 0;
+    }
     const now = this.context.trueTime();
     const verdict = this.quarantine.verdict(
       fingerprint,
@@ -77,11 +84,11 @@
 
   /** Notes that a request ran to its end. */
   noteAnswered(fingerprint: string): void {
-    const now = this.context.trueTime();
-    this.answered.note(fingerprint, now);
+    const {clock, trueTime} = this.context;
+    this.answered.note(fingerprint, clock());
     const isKnown = this.quarantine.find(fingerprint) !== undefined;
     if (this.reported.delete(fingerprint) || isKnown) {
-      this.tellCounting({fingerprint, crashes: [], lastCleared: now});
+      this.tellCounting(liftedSuspicion(fingerprint, trueTime()));
     }
   }
 
@@ -108,14 +115,14 @@
     const known = this.quarantine.merge(heard);
     this.quarantine.forget(this.context.trueTime());
     const isRefused = this.refusedFor(fingerprint) > 0;
-    const {hostId, servingHosts} = this.context;
+    const {hostId, servingHosts, clock} = this.context;
     if (
       isRefused !== wasRefused &&
       this.countingIds(fingerprint).includes(hostId)
     ) {
       this.tell(servingHosts(), known);
     }
-    if (isRefused && this.hasAnswered(fingerprint)) {
+    if (isRefused && this.answered.has(fingerprint, clock())) {
       this.noteAnswered(fingerprint);
     }
   }
@@ -128,15 +135,9 @@
     }
     this.reported.add(fingerprint);
     const time = this.context.trueTime();
-    this.tellCounting({
-      fingerprint,
-      crashes: [{upstreamId, wasAlone: false, time}],
-      lastCleared: NEVER_CLEARED,
-    });
-  }
-
-  private hasAnswered(fingerprint: string): boolean {
-    return this.answered.has(fingerprint, this.context.trueTime());
+    this.tellCounting(
+      suspicionOfCrash(fingerprint, {upstreamId, wasAlone: false, time}),
+    );
   }
 
   private countingIds(fingerprint: string): readonly string[] {
--- a/packages/entry-process/src/routed/routed_attempt.ts
+++ b/packages/entry-process/src/routed/routed_attempt.ts
@@ -28,7 +28,7 @@
 
 /** Receives a streamed answer while it arrives. */
 export interface StreamReceiver {
-  onHead(head: AnswerHead): void;
+  onHead(head: AnswerHead, facts: AnswerHeaders): void;
   /** Returns false to ask for a pause until `resume` is called. */
   onEvents(events: readonly SplitEvent[], resume: () => void): boolean;
   /** Bytes after the last whole event of a complete stream. */
@@ -122,7 +122,7 @@
     this.plan.onFirstAnswerByte();
     if (this.plan.isStreamed && head.status === 200) {
       this.isPassedOn = true;
-      this.plan.stream.onHead(head);
+      this.plan.stream.onHead(head, facts);
     }
   }
 
--- a/packages/entry-process/src/routed/routed_process.ts
+++ b/packages/entry-process/src/routed/routed_process.ts
@@ -182,6 +182,7 @@
       peers: this.peers,
       events: this.events,
       pool: this.pool,
+      clock: clocks.steady,
       trueTime: () => this.readTrueTime(),
       servingHosts: () => this.membership.serving(),
     });
--- a/packages/entry-process/src/routed/stream_relay.ts
+++ b/packages/entry-process/src/routed/stream_relay.ts
@@ -4,7 +4,7 @@
 import type {RoutedResponder} from '@lacewingwinch/callers';
 import type {SplitEvent} from '@lacewingwinch/decisions';
 import {
-  decodeAnswerHeaders,
+  type AnswerHeaders,
   encodeAnswerHeaders,
   weightVersionOfEvent,
 } from '@lacewingwinch/platform';
@@ -42,10 +42,10 @@
   }
 
   /** The headers of the first attempt stand for the whole answer. */
-  onHead(head: AnswerHead): void {
+  onHead(head: AnswerHead, {weightVersion}: AnswerHeaders): void {
     if (!this.hasStarted) {
       this.hasStarted = true;
-      this.version = decodeAnswerHeaders(head.headers).weightVersion;
+      this.version = weightVersion;
       this.responder.begin(head.status, encodeAnswerHeaders(head.rawHeaders));
     }
   }
--- a/packages/entry-process/tests/crash_watch_test.ts
+++ b/packages/entry-process/tests/crash_watch_test.ts
@@ -45,6 +45,7 @@
         peers,
         events,
         pool: {watchConnections: () => () => haveOthersEnded},
+        clock: () => Date.now(),
         trueTime: () => Date.now(),
         servingHosts: () => HOSTS.map(servingMember),
       }),
