--- a/packages/decisions/src/placement/decide_load_shedding.ts
+++ b/packages/decisions/src/placement/decide_load_shedding.ts
@@ -39,6 +39,17 @@
 /** Shortest delay after which a client is told to retry, before jitter. */
 const MINIMUM_RETRY_AFTER_MILLISECONDS = 200;
 
+/** Returns the milliseconds for which a request may wait for its first event. */
+export function longestToleratedWait(bounds: LatencyBounds): number {
+  return Math.min(
+    bounds.millisecondsLeft * MAXIMUM_SHARE_OF_TIME_LEFT,
+    Math.max(
+      bounds.objectiveMilliseconds * TOLERATED_OBJECTIVES,
+      MINIMUM_TOLERATED_WAIT_MILLISECONDS,
+    ),
+  );
+}
+
 /**
  * Decides whether a request is sent to the engine of `choice` or refused.
  * `jitter`, from 0 to 1, spreads the retries of requests that are refused at
@@ -50,14 +61,7 @@
   jitter: number,
 ): PlacementVerdict {
   const expectedWait = choice.estimateMilliseconds;
-  const longestToleratedWait = Math.min(
-    bounds.millisecondsLeft * MAXIMUM_SHARE_OF_TIME_LEFT,
-    Math.max(
-      bounds.objectiveMilliseconds * TOLERATED_OBJECTIVES,
-      MINIMUM_TOLERATED_WAIT_MILLISECONDS,
-    ),
-  );
-  if (!choice.mustWait || expectedWait <= longestToleratedWait) {
+  if (!choice.mustWait || expectedWait <= longestToleratedWait(bounds)) {
     return {kind: 'send'};
   }
   const excessWait = Math.max(
--- a/packages/decisions/src/retries/decide_next_attempt.ts
+++ b/packages/decisions/src/retries/decide_next_attempt.ts
@@ -10,6 +10,8 @@
   | {readonly kind: 'not-sent'; readonly reason: string}
   /** No byte was sent because all connections of this host are in use. */
   | {readonly kind: 'no-connection'; readonly reason: string}
+  /** No byte was sent because the upstream had stopped accepting requests. */
+  | {readonly kind: 'withheld'; readonly reason: string}
   /** The upstream reported that it did not and will not run the request. */
   | {readonly kind: 'not-executed'; readonly status: number}
   /** The upstream ran the request and answered with an error status. */
@@ -60,6 +62,7 @@
   switch (failure.kind) {
     case 'not-sent':
     case 'no-connection':
+    case 'withheld':
     case 'not-executed': {
       const canTryAgain =
         hasTime &&
--- a/packages/entry-hosts/src/peer_methods.ts
+++ b/packages/entry-hosts/src/peer_methods.ts
@@ -187,6 +187,11 @@
       readonly upstreamId: string;
       /** Result; absent if it gives no information about the upstream. */
       readonly result?: UpstreamResult;
+      /**
+       * Start time of the upstream's process if that process announced that it
+       * is leaving, in milliseconds since the epoch.
+       */
+      readonly leavingBornAt?: number;
     };
 
 /** Parameters and result of each peer method. */
--- /dev/null
+++ b/packages/entry-process/src/routed/attempt_gate.ts
@@ -0,0 +1,110 @@
+/**
+ * The checks before each attempt of a request: whether the request is refused,
+ * and whether it has to wait until an upstream accepts requests.
+ */
+import {
+  decideLoadShedding,
+  decidePausedService,
+  type EngineChoice,
+  type LatencyBounds,
+  ServingError,
+} from '@lacewingwinch/decisions';
+import type {EventLog} from '@lacewingwinch/observability';
+
+import {pause} from '../util/pause.js';
+import type {CrashWatch} from './crash_watch.js';
+import type {PlacementCandidates} from './placement_candidates.js';
+
+/** Dependencies of `AttemptGate`. */
+export interface AttemptGateDependencies {
+  readonly events: EventLog;
+  readonly crashes: CrashWatch;
+  readonly candidates: PlacementCandidates;
+  readonly random: () => number;
+}
+
+/** The request that is checked. */
+export interface GatedRequest {
+  readonly requestId: string;
+  readonly service: string;
+  readonly fingerprint: string;
+}
+
+/** The checks before each attempt of one request. */
+export class AttemptGate {
+  constructor(
+    private readonly dependencies: AttemptGateDependencies,
+    private readonly request: GatedRequest,
+  ) {}
+
+  /** Returns the refusal of content that has crashed too many upstreams. */
+  refusalIfQuarantined(): ServingError | undefined {
+    const {fingerprint} = this.request;
+    const milliseconds =
+      this.dependencies.crashes.quarantineMillisecondsLeft(fingerprint);
+    return milliseconds <= 0
+      ? undefined
+      : new ServingError('quarantined', {
+          detail: `content ${fingerprint}`,
+          retryAfterSeconds: milliseconds / 1000,
+        });
+  }
+
+  /** Returns the refusal of a request that cannot meet its deadline. */
+  refusalIfDeadlineUnreachable(
+    choice: EngineChoice,
+    bounds: LatencyBounds,
+  ): ServingError | undefined {
+    const verdict = decideLoadShedding(
+      choice,
+      bounds,
+      this.dependencies.random(),
+    );
+    switch (verdict.kind) {
+      case 'send':
+        return undefined;
+      case 'refuse': {
+        const wait = Math.round(choice.estimateMilliseconds);
+        return new ServingError('overloaded', {
+          detail: `the first event would take ${wait} ms`,
+          retryAfterSeconds: verdict.retryAfterMilliseconds / 1000,
+        });
+      }
+    }
+  }
+
+  /**
+   * Waits until an upstream that is not in `tried` accepts requests of this
+   * host; returns a refusal if that takes too long. The wait ends early if
+   * `signal` aborts.
+   */
+  async waitWhilePaused(
+    tried: ReadonlySet<string>,
+    bounds: LatencyBounds,
+    signal: AbortSignal,
+  ): Promise<ServingError | undefined> {
+    const {candidates, events, random} = this.dependencies;
+    const {requestId, service} = this.request;
+    const milliseconds = candidates.pauseMillisecondsLeft(service, tried) ?? 0;
+    if (milliseconds <= 0) {
+      return undefined;
+    }
+    const verdict = decidePausedService(milliseconds, bounds, random());
+    events.write(4105, {
+      requestId,
+      service,
+      milliseconds: Math.round(milliseconds),
+      decision: verdict.kind,
+    });
+    switch (verdict.kind) {
+      case 'wait':
+        await pause(verdict.milliseconds, signal);
+        return undefined;
+      case 'refuse':
+        return new ServingError('overloaded', {
+          detail: `every upstream of ${service} has asked for a pause`,
+          retryAfterSeconds: verdict.retryAfterMilliseconds / 1000,
+        });
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry-process/src/routed/attempt_runner.ts
@@ -0,0 +1,171 @@
+/**
+ * Runs the attempts of one request at upstreams, one after the other, and keeps
+ * count of them.
+ */
+import type {RoutedCall} from '@lacewingwinch/callers';
+import type {
+  RoutedAdmission,
+  UpstreamAnnouncement,
+  UpstreamAnnouncements,
+  UsableUpstream,
+} from '@lacewingwinch/decisions';
+import type {EventLog} from '@lacewingwinch/observability';
+import type {ConnectionPool} from '@lacewingwinch/upstreams';
+
+import type {Clocks} from './clocks.js';
+import {type AttemptOutcome, RoutedAttempt} from './routed_attempt.js';
+import type {Placement} from './routed_placement.js';
+import type {StreamRelay} from './stream_relay.js';
+import {createUpstreamRequest} from './upstream_request.js';
+import {upstreamResultOf} from './upstream_result.js';
+
+/** Dependencies of `AttemptRunner`. */
+export interface AttemptRunnerDependencies {
+  readonly clocks: Clocks;
+  readonly events: EventLog;
+  readonly pool: ConnectionPool;
+  readonly announcements: UpstreamAnnouncements;
+  /** Returns the number of entry hosts that share limits and budgets. */
+  readonly sharingHostCount: () => number;
+}
+
+/** The request that is sent to upstreams. */
+export interface AttemptedRequest {
+  readonly attemptId: string;
+  readonly promptTokens: number;
+  readonly call: RoutedCall;
+  readonly admission: RoutedAdmission;
+  /** The part of the response that the client has received so far. */
+  readonly relay: StreamRelay;
+  /** Called at the first sign that an upstream is working on the request. */
+  readonly onFirstAnswerByte: () => void;
+}
+
+/** Runs the attempts of one request. */
+export class AttemptRunner {
+  private readonly triedIds = new Set<string>();
+  private attempt: RoutedAttempt | undefined;
+  private isCancelled = false;
+  private attemptCount = 0;
+  private reachedCount = 0;
+  private lastId = '';
+
+  constructor(
+    private readonly dependencies: AttemptRunnerDependencies,
+    private readonly request: AttemptedRequest,
+  ) {}
+
+  /** Upstreams that are not tried again. */
+  get tried(): ReadonlySet<string> {
+    return this.triedIds;
+  }
+
+  /** Number of attempts so far. */
+  get attempts(): number {
+    return this.attemptCount;
+  }
+
+  /** Number of upstreams that may have run the request. */
+  get upstreamsReached(): number {
+    return this.reachedCount;
+  }
+
+  /** Upstream of the last attempt; empty before the first one. */
+  get lastUpstreamId(): string {
+    return this.lastId;
+  }
+
+  /** Makes one attempt at the upstream of `placement`. */
+  async run(
+    placement: Placement,
+    millisecondsLeft: number,
+  ): Promise<AttemptOutcome> {
+    const {pool, announcements, clocks, sharingHostCount, events} =
+      this.dependencies;
+    const {attemptId, call, admission, relay} = this.request;
+    const {choice} = placement;
+    const {upstream} = choice;
+    this.triedIds.add(upstream.upstreamId);
+    this.attemptCount += 1;
+    this.lastId = upstream.upstreamId;
+    const attempt = new RoutedAttempt(pool, {
+      attemptId,
+      isStreamed: admission.rule.isStreamed,
+      request: createUpstreamRequest({
+        call,
+        admission,
+        choice,
+        relay,
+        millisecondsLeft,
+        sharingHostCount: sharingHostCount(),
+      }),
+      stream: relay,
+      isAccepting: () =>
+        announcements.accepts(upstream, clocks.suspensionAware()),
+      onAnnouncement: announcement =>
+        this.recordAnnouncement(upstream, announcement),
+      onSend: () => {
+        this.reachedCount += 1;
+      },
+      onFirstAnswerByte: () => {
+        placement.reportStarted();
+        this.request.onFirstAnswerByte();
+      },
+    });
+    this.attempt = attempt;
+    events.write(4104, {
+      requestId: attemptId,
+      upstreamId: upstream.upstreamId,
+      estimate: Math.round(choice.estimateMilliseconds),
+      cached: choice.cachedTokens,
+      prompt: this.request.promptTokens,
+    });
+    attempt.start();
+    if (this.isCancelled) {
+      attempt.cancel();
+    }
+    const outcome = await attempt.outcome;
+    if (outcome.kind === 'failed' && outcome.failure.kind === 'not-executed') {
+      this.reachedCount -= 1;
+    }
+    placement.reportEnded(upstreamResultOf(outcome));
+    if (announcements.isLeaving(upstream)) {
+      pool.closeIdle(upstream.address);
+    }
+    return outcome;
+  }
+
+  /** Cancels the current attempt and those that follow. */
+  cancel(): void {
+    this.isCancelled = true;
+    this.attempt?.cancel();
+  }
+
+  private recordAnnouncement(
+    upstream: UsableUpstream,
+    announcement: UpstreamAnnouncement,
+  ): void {
+    const {announcements, clocks, events} = this.dependencies;
+    const {upstreamId, service} = upstream;
+    const isNew = announcements.record(
+      upstream,
+      announcement,
+      clocks.suspensionAware(),
+    );
+    switch (announcement.kind) {
+      case 'leaving':
+        if (isNew) {
+          events.write(3006, {upstreamId, service});
+        }
+        return;
+      case 'paused':
+        // A refusal for the sake of a pause does not speak against another
+        // attempt at this upstream later.
+        this.triedIds.delete(upstreamId);
+        if (isNew) {
+          const milliseconds = Math.round(announcement.milliseconds);
+          events.write(3007, {upstreamId, service, milliseconds});
+        }
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry-process/src/routed/placement_candidates.ts
@@ -0,0 +1,134 @@
+/**
+ * The upstreams at which a request may be placed: those that are listed, accept
+ * requests of this host and, if possible, have not failed lately.
+ */
+import {
+  type PlacementDemand,
+  type RoutedShard,
+  routedShards,
+  shardsInOrder,
+  type UpstreamAnnouncements,
+  type UpstreamHealth,
+  type UpstreamList,
+  type UsableUpstream,
+} from '@lacewingwinch/decisions';
+
+/** Dependencies of `PlacementCandidates`. */
+export interface PlacementCandidatesDependencies {
+  readonly upstreams: UpstreamList;
+  readonly health: UpstreamHealth;
+  readonly announcements: UpstreamAnnouncements;
+  /** Returns suspension-aware clock readings in milliseconds. */
+  readonly clock: () => number;
+}
+
+/** Which upstreams are excluded from a choice. */
+export interface CandidateFilter {
+  readonly service: string;
+  /** Shard from which the candidates are taken if possible. */
+  readonly shardId: string;
+  /** Upstreams that are used only if there is no other. */
+  readonly excluded: readonly string[];
+  /** Upstreams that are not used. */
+  readonly tried: ReadonlySet<string>;
+}
+
+/** Selects the upstreams at which a request may be placed. */
+export class PlacementCandidates {
+  /** Shards, by the list of upstreams that they partition. */
+  private readonly shards = new WeakMap<
+    readonly UsableUpstream[],
+    readonly RoutedShard[]
+  >();
+
+  constructor(private readonly dependencies: PlacementCandidatesDependencies) {}
+
+  /** Returns the shards of `service`. */
+  shardsOf(service: string): readonly RoutedShard[] {
+    const usable = this.usable(service);
+    const cached = this.shards.get(usable);
+    if (cached !== undefined) {
+      return cached;
+    }
+    const computed = routedShards(service, usable);
+    this.shards.set(usable, computed);
+    return computed;
+  }
+
+  /** Returns the shards of `service` in the order in which to try them. */
+  shardsFor(service: string, demand: PlacementDemand): readonly RoutedShard[] {
+    return shardsInOrder(demand, this.shardsOf(service));
+  }
+
+  /** Returns the upstreams of `service` that accept requests of this host. */
+  accepting(service: string): readonly UsableUpstream[] {
+    const {announcements, clock} = this.dependencies;
+    return announcements.accepting(this.usable(service), clock());
+  }
+
+  /**
+   * Returns the upstreams that this host has ejected and those that do not
+   * accept its requests.
+   */
+  locallyExcludedIds(service: string): readonly string[] {
+    const {health, announcements, clock} = this.dependencies;
+    const now = clock();
+    return this.usable(service)
+      .filter(
+        upstream =>
+          health.isEjected(upstream.upstreamId, now) ||
+          !announcements.accepts(upstream, now),
+      )
+      .map(({upstreamId}) => upstreamId);
+  }
+
+  /** Returns the upstreams among which a request's upstream is chosen. */
+  select(filter: CandidateFilter): readonly UsableUpstream[] {
+    const accepting = this.accepting(filter.service);
+    const shard = this.shardsOf(filter.service).find(
+      ({id}) => id === filter.shardId,
+    );
+    const members = new Set(
+      shard?.upstreams.map(({upstreamId}) => upstreamId) ?? [],
+    );
+    const excluded = new Set(filter.excluded);
+    const notExcluded = accepting.filter(
+      ({upstreamId}) => !excluded.has(upstreamId),
+    );
+    return firstNotEmpty([
+      notExcluded.filter(({upstreamId}) => members.has(upstreamId)),
+      notExcluded,
+      accepting.filter(({upstreamId}) => !filter.tried.has(upstreamId)),
+    ]);
+  }
+
+  /**
+   * Returns the milliseconds until the first upstream of `service` that is not
+   * in `tried` accepts requests of this host; undefined if there is none.
+   */
+  pauseMillisecondsLeft(
+    service: string,
+    tried: ReadonlySet<string>,
+  ): number | undefined {
+    const {announcements, clock} = this.dependencies;
+    const acceptsFrom = Math.min(
+      ...this.usable(service)
+        .filter(({upstreamId}) => !tried.has(upstreamId))
+        .map(upstream => announcements.acceptsFrom(upstream)),
+    );
+    return acceptsFrom === Infinity
+      ? undefined
+      : Math.max(0, acceptsFrom - clock());
+  }
+
+  private usable(service: string): readonly UsableUpstream[] {
+    const {upstreams, clock} = this.dependencies;
+    return upstreams.usable(service, clock());
+  }
+}
+
+function firstNotEmpty(
+  lists: readonly (readonly UsableUpstream[])[],
+): readonly UsableUpstream[] {
+  return lists.find(list => list.length > 0) ?? [];
+}
--- a/packages/entry-process/src/routed/routed_attempt.ts
+++ b/packages/entry-process/src/routed/routed_attempt.ts
@@ -2,9 +2,11 @@
  * One attempt at an upstream, from the first byte sent to its outcome.
  */
 import {
+  announcementsOf,
   EventSplitter,
   type RoutedAttemptFailure,
   type SplitEvent,
+  type UpstreamAnnouncement,
 } from '@lacewingwinch/decisions';
 import {
   type AnswerHeaders,
@@ -41,8 +43,12 @@
   readonly isStreamed: boolean;
   readonly request: PooledRequest;
   readonly stream: StreamReceiver;
+  /** Returns whether the upstream accepts requests from this host. */
+  readonly isAccepting: () => boolean;
   /** Called just before the first byte is written. */
   readonly onSend: () => void;
+  /** Called for each announcement in the head of the upstream's response. */
+  readonly onAnnouncement: (announcement: UpstreamAnnouncement) => void;
   /** Called at the first sign that the upstream is working on the request. */
   readonly onFirstAnswerByte: () => void;
 }
@@ -81,6 +87,13 @@
         if (this.isCancelled) {
           return false;
         }
+        if (!this.plan.isAccepting()) {
+          this.fail({
+            kind: 'withheld',
+            reason: 'the upstream has stopped accepting requests',
+          });
+          return false;
+        }
         this.plan.onSend();
         return true;
       },
@@ -116,11 +129,16 @@
   private onHead(head: AnswerHead): void {
     this.head = head;
     const answerHeaders = decodeAnswerHeaders(head.headers);
-    const failure = failureOfHead(
-      head.status,
-      answerHeaders,
-      this.plan.attemptId,
-    );
+    const {status} = head;
+    if (
+      status !== MISDIRECTED_REQUEST_STATUS &&
+      !isForeign(answerHeaders, this.plan.attemptId)
+    ) {
+      announcementsOf({status, ...answerHeaders}).forEach(announcement =>
+        this.plan.onAnnouncement(announcement),
+      );
+    }
+    const failure = failureOfHead(status, answerHeaders, this.plan.attemptId);
     if (failure !== undefined) {
       this.cancelUnlessReusable(failure);
       return;
@@ -190,10 +208,7 @@
   answerHeaders: AnswerHeaders,
   attemptId: string,
 ): RoutedAttemptFailure | undefined {
-  const isForeign =
-    answerHeaders.attemptId !== undefined &&
-    answerHeaders.attemptId !== attemptId;
-  if (isForeign) {
+  if (isForeign(answerHeaders, attemptId)) {
     return lostAnswer('the answer belongs to another attempt');
   }
   if (answerHeaders.isNotExecuted || status === MISDIRECTED_REQUEST_STATUS) {
@@ -215,6 +230,14 @@
   return undefined;
 }
 
+/** Returns whether a response belongs to another attempt. */
+function isForeign(answerHeaders: AnswerHeaders, attemptId: string): boolean {
+  return (
+    answerHeaders.attemptId !== undefined &&
+    answerHeaders.attemptId !== attemptId
+  );
+}
+
 function lostAnswer(reason: string): RoutedAttemptFailure {
   return {kind: 'lost', cause: 'answer', reason};
 }
--- a/packages/entry-process/src/routed/routed_front.ts
+++ b/packages/entry-process/src/routed/routed_front.ts
@@ -16,6 +16,7 @@
   type RoutingConfiguration,
   type ServiceRetryBudgets,
   ServingError,
+  type UpstreamAnnouncements,
 } from '@lacewingwinch/decisions';
 import type {EventLog, Metrics} from '@lacewingwinch/observability';
 import {
@@ -47,6 +48,7 @@
   readonly metrics: Metrics;
   readonly pool: ConnectionPool;
   readonly placement: RoutedPlacement;
+  readonly announcements: UpstreamAnnouncements;
   readonly quotas: QuotaExchange;
   readonly crashes: CrashWatch;
   readonly retryBudgets: ServiceRetryBudgets;
--- a/packages/entry-process/src/routed/routed_placement.ts
+++ b/packages/entry-process/src/routed/routed_placement.ts
@@ -9,14 +9,8 @@
   type PlacedRequest,
   type PlacementDemand,
   PlacementTable,
-  type RoutedShard,
-  routedShards,
-  shardsInOrder,
   type UpstreamChange,
-  type UpstreamHealth,
-  type UpstreamList,
   type UpstreamResult,
-  type UsableUpstream,
 } from '@lacewingwinch/decisions';
 import type {
   PeerClient,
@@ -29,6 +23,10 @@
 import {isAborted} from '../util/is_aborted.js';
 import {pause} from '../util/pause.js';
 import {callPeer} from './call_peer.js';
+import {
+  PlacementCandidates,
+  type PlacementCandidatesDependencies,
+} from './placement_candidates.js';
 
 /**
  * Milliseconds to wait for the dispatcher's response. Links take 3 to 6 ms both
@@ -56,16 +54,12 @@
 const CROWDED_ESTIMATE_MILLISECONDS = 250;
 
 /** Dependencies of `RoutedPlacement`. */
-export interface RoutedPlacementDependencies {
+export interface RoutedPlacementDependencies extends PlacementCandidatesDependencies {
   readonly hostId: string;
   readonly failureDomain: string;
-  readonly upstreams: UpstreamList;
-  readonly health: UpstreamHealth;
   readonly peers: PeerClient;
   readonly events: EventLog;
   readonly servingHosts: () => readonly Member[];
-  /** Returns suspension-aware clock readings in milliseconds. */
-  readonly clock: () => number;
   /**
    * Milliseconds for which a prompt part stays in a cache after its last use.
    */
@@ -88,13 +82,12 @@
 export class RoutedPlacement {
   private readonly tables = new Map<string, PlacementTable>();
   private readonly backoffUntil = new Map<string, number>();
-  /** Shards, by the list of upstreams that they partition. */
-  private readonly shards = new WeakMap<
-    readonly UsableUpstream[],
-    readonly RoutedShard[]
-  >();
+  /** The upstreams at which requests may be placed. */
+  readonly candidates: PlacementCandidates;
 
-  constructor(private readonly dependencies: RoutedPlacementDependencies) {}
+  constructor(private readonly dependencies: RoutedPlacementDependencies) {
+    this.candidates = new PlacementCandidates(dependencies);
+  }
 
   /**
    * Places a request at an upstream of `service` that is not in `tried`. If the
@@ -105,7 +98,7 @@
     demand: PlacementDemand,
     tried: ReadonlySet<string>,
   ): Promise<Placement | undefined> {
-    const shards = shardsInOrder(demand, this.shardsOf(service));
+    const shards = this.candidates.shardsFor(service, demand);
     let best: Placement | undefined;
     for (const {id} of shards.slice(0, MAXIMUM_SHARDS_TRIED)) {
       const placement = await this.placeInShard(service, id, demand, tried);
@@ -128,7 +121,7 @@
     tried: ReadonlySet<string>,
   ): Promise<Placement | undefined> {
     const {hostId, failureDomain} = this.dependencies;
-    const excluded = [...tried, ...this.locallyEjectedIds(service)];
+    const excluded = [...tried, ...this.candidates.locallyExcludedIds(service)];
     const request = {
       service,
       shardId,
@@ -152,13 +145,6 @@
       : this.placementOf(service, demand, choice, dispatcher);
   }
 
-  /** Returns whether `service` has a usable upstream that is not in `tried`. */
-  hasUntriedUpstream(service: string, tried: ReadonlySet<string>): boolean {
-    return this.dependencies.upstreams
-      .usable(service, this.dependencies.clock())
-      .some(({upstreamId}) => !tried.has(upstreamId));
-  }
-
   /**
    * Places a request for a front as the dispatcher of its shard. The dispatcher
    * learns of failing upstreams from the results of all fronts, before each of
@@ -167,7 +153,7 @@
   onPlacementRequest(request: PlacementRequest): PlacementAnswer {
     const excluded = [
       ...request.excluded,
-      ...this.locallyEjectedIds(request.service),
+      ...this.candidates.locallyExcludedIds(request.service),
     ];
     const choice = this.placeLocally(
       {...request, excluded},
@@ -195,6 +181,7 @@
       case 'ended':
         table.recordEnd(notification.front, notification);
         this.recordResult(notification.upstreamId, notification.result);
+        this.recordLeaving(notification.upstreamId, notification.leavingBornAt);
     }
   }
 
@@ -244,11 +231,12 @@
     choice: EngineChoice,
     dispatcher: Member | undefined,
   ): Placement {
-    const {hostId, peers, clock} = this.dependencies;
+    const {hostId, peers, clock, announcements} = this.dependencies;
+    const {upstream} = choice;
     const table = this.tableOf(service);
     const placedAttempt = {
       attemptId: demand.attemptId,
-      upstreamId: choice.upstream.upstreamId,
+      upstreamId: upstream.upstreamId,
     };
     const placedAt = clock();
     const notifyDispatcher = (notification: PlacementReport): void => {
@@ -284,6 +272,9 @@
           front: hostId,
           ...placedAttempt,
           ...(result === undefined ? {} : {result}),
+          ...(announcements.isLeaving(upstream) && {
+            leavingBornAt: upstream.bornAt,
+          }),
         });
       },
     };
@@ -302,6 +293,14 @@
     }
   }
 
+  /** Records that another host learned that an upstream is leaving. */
+  private recordLeaving(upstreamId: string, bornAt: number | undefined): void {
+    const {announcements, clock} = this.dependencies;
+    if (bornAt !== undefined) {
+      announcements.record({upstreamId, bornAt}, {kind: 'leaving'}, clock());
+    }
+  }
+
   /**
    * Returns this host's requests at each other dispatcher of `service`, by the
    * dispatcher's address.
@@ -311,7 +310,7 @@
   ): ReadonlyMap<string, readonly PlacedRequest[]> {
     const requests = this.tableOf(service).requestsOf(this.dependencies.hostId);
     const byAddress = new Map<string, PlacedRequest[]>();
-    for (const {id, upstreams} of this.shardsOf(service)) {
+    for (const {id, upstreams} of this.candidates.shardsOf(service)) {
       const dispatcher = this.dispatcherOf(id);
       if (
         dispatcher === undefined ||
@@ -329,18 +328,6 @@
     return byAddress;
   }
 
-  private shardsOf(service: string): readonly RoutedShard[] {
-    const {upstreams, clock} = this.dependencies;
-    const usable = upstreams.usable(service, clock());
-    const cached = this.shards.get(usable);
-    if (cached !== undefined) {
-      return cached;
-    }
-    const computed = routedShards(service, usable);
-    this.shards.set(usable, computed);
-    return computed;
-  }
-
   private dispatcherOf(shardId: string): Member | undefined {
     const serving = this.dependencies.servingHosts();
     const [winner] = dispatcherOrder(
@@ -384,8 +371,8 @@
     if (answer.kind === 'none') {
       return undefined;
     }
-    const upstream = this.dependencies.upstreams
-      .usable(service, this.dependencies.clock())
+    const upstream = this.candidates
+      .accepting(service)
       .find(({upstreamId}) => upstreamId === answer.upstreamId);
     return upstream === undefined ? undefined : {upstream, ...answer.estimate};
   }
@@ -394,38 +381,16 @@
     request: PlacementRequest,
     tried: ReadonlySet<string>,
   ): EngineChoice | undefined {
-    const {upstreams, clock} = this.dependencies;
-    const now = clock();
-    const usable = upstreams.usable(request.service, now);
-    const shard = this.shardsOf(request.service).find(
-      ({id}) => id === request.shardId,
-    );
-    const excluded = new Set(request.excluded);
-    const candidates = firstNotEmpty([
-      (shard?.upstreams ?? usable).filter(
-        ({upstreamId}) => !excluded.has(upstreamId),
-      ),
-      usable.filter(({upstreamId}) => !excluded.has(upstreamId)),
-      usable.filter(({upstreamId}) => !tried.has(upstreamId)),
-    ]);
+    const candidates = this.candidates.select({...request, tried});
     return this.tableOf(request.service).place(
       request.front,
       request.demand,
       candidates,
       request.failureDomain,
-      now,
+      this.dependencies.clock(),
     );
   }
 
-  private locallyEjectedIds(service: string): readonly string[] {
-    const {upstreams, health, clock} = this.dependencies;
-    const now = clock();
-    return upstreams
-      .usable(service, now)
-      .map(({upstreamId}) => upstreamId)
-      .filter(upstreamId => health.isEjected(upstreamId, now));
-  }
-
   private tableOf(service: string): PlacementTable {
     const existing = this.tables.get(service);
     if (existing !== undefined) {
@@ -463,9 +428,3 @@
   (isFirstBetter ? second : first).reportEnded();
   return isFirstBetter ? first : second;
 }
-
-function firstNotEmpty(
-  lists: readonly (readonly UsableUpstream[])[],
-): readonly UsableUpstream[] {
-  return lists.find(list => list.length > 0) ?? [];
-}
--- a/packages/entry-process/src/routed/routed_process.ts
+++ b/packages/entry-process/src/routed/routed_process.ts
@@ -11,6 +11,7 @@
   ServiceRetryBudgets,
   storeReaders,
   TrueTime,
+  UpstreamAnnouncements,
   type UpstreamChange,
   UpstreamHealth,
   UsageWindows,
@@ -84,6 +85,7 @@
   private readonly pool: ConnectionPool;
   private readonly peers: PeerClient = createPeerClient();
   private readonly health = new UpstreamHealth();
+  private readonly announcements = new UpstreamAnnouncements();
   private readonly retryBudgets: ServiceRetryBudgets;
   private readonly configuration: ConfigurationFollower;
   private readonly upstreams: UpstreamFollower;
@@ -144,6 +146,7 @@
       failureDomain: settings.failureDomain,
       upstreams: this.upstreams.list,
       health: this.health,
+      announcements: this.announcements,
       cacheRetentionMilliseconds: settings.bounds.reuseWindowMilliseconds * 2,
     });
     this.membership = createRoutedMembership({
@@ -350,6 +353,7 @@
       metrics: this.metrics,
       pool: this.pool,
       placement: this.placement,
+      announcements: this.announcements,
       quotas: this.quotas,
       crashes: this.crashes,
       retryBudgets: this.retryBudgets,
--- a/packages/entry-process/src/routed/routed_request.ts
+++ b/packages/entry-process/src/routed/routed_request.ts
@@ -5,9 +5,9 @@
 import type {RoutedCall, RoutedResponder} from '@lacewingwinch/callers';
 import {
   type AttemptHistory,
-  decideLoadShedding,
   decideNextAttempt,
   type EngineChoice,
+  type LatencyBounds,
   type PlacementDemand,
   type RoutedAdmission,
   type RoutedAttemptFailure,
@@ -16,13 +16,15 @@
 import {type CallHeaders, encodeAnswerHeaders} from '@lacewingwinch/platform';
 import type {AnswerHead} from '@lacewingwinch/upstreams';
 
+import {AttemptGate} from './attempt_gate.js';
+import {AttemptRunner} from './attempt_runner.js';
 import {fingerprintOf} from './crash_watch.js';
-import {type AttemptOutcome, RoutedAttempt} from './routed_attempt.js';
+import {RequestLog} from './request_log.js';
+import type {AttemptOutcome} from './routed_attempt.js';
 import type {RoutedFrontDependencies} from './routed_front.js';
 import type {Placement} from './routed_placement.js';
 import {StreamRelay} from './stream_relay.js';
-import {createUpstreamRequest} from './upstream_request.js';
-import {FIRST_FAILURE_STATUS, upstreamResultOf} from './upstream_result.js';
+import {FIRST_FAILURE_STATUS} from './upstream_result.js';
 
 /** Result of a request. */
 export interface RequestResult {
@@ -41,14 +43,13 @@
    * Steady clock reading in milliseconds at which the complete response is due.
    */
   private readonly deadline: number;
-  private readonly tried = new Set<string>();
-  private attempts = 0;
-  private upstreamsReached = 0;
   private hasBegunToRun = false;
-  private attempt: RoutedAttempt | undefined;
   private interruption: Interruption | undefined;
-  private lastUpstream = '';
+  private readonly interrupted = new AbortController();
   private readonly fingerprint: string;
+  private readonly gate: AttemptGate;
+  private readonly runner: AttemptRunner;
+  private readonly log: RequestLog;
 
   constructor(
     private readonly dependencies: RoutedFrontDependencies,
@@ -65,8 +66,30 @@
       target: call.target,
       body: call.body,
     });
+    const requestId = headers.attemptId ?? '';
+    this.log = new RequestLog(dependencies, requestId, admission);
+    this.gate = new AttemptGate(
+      {
+        ...dependencies,
+        candidates: dependencies.placement.candidates,
+        random: Math.random,
+      },
+      {
+        requestId,
+        service: admission.service.name,
+        fingerprint: this.fingerprint,
+      },
+    );
+    this.runner = new AttemptRunner(dependencies, {
+      attemptId: requestId,
+      promptTokens: headers.promptTokens,
+      call,
+      admission,
+      relay: this.relay,
+      onFirstAnswerByte: () => this.recordStart(),
+    });
     this.demand = {
-      attemptId: headers.attemptId ?? '',
+      attemptId: requestId,
       parts: headers.promptParts,
       promptTokens: headers.promptTokens,
       priority: admission.priority,
@@ -89,13 +112,21 @@
       clearTimeout(timer);
       this.call.clientDisconnected.removeEventListener('abort', onClientLeft);
     }
-    return {mayHaveRun: this.upstreamsReached > 0};
+    return {mayHaveRun: this.runner.upstreamsReached > 0};
   }
 
   private async runAttempts(): Promise<void> {
     let drawsOnBudget = false;
     for (;;) {
-      if (this.refuseIfQuarantined()) {
+      if (this.endIfRefused(this.gate.refusalIfQuarantined(), 'quarantined')) {
+        return;
+      }
+      const refusal = await this.gate.waitWhilePaused(
+        this.runner.tried,
+        this.latencyBounds(),
+        this.interrupted.signal,
+      );
+      if (this.endIfRefused(refusal, 'overloaded')) {
         return;
       }
       const placement = await this.place();
@@ -110,14 +141,14 @@
       ) {
         placement?.reportEnded();
         this.giveUp(
-          this.upstreamsReached > 0 ? 'outcome-unknown' : 'no-upstream',
+          this.runner.upstreamsReached > 0 ? 'outcome-unknown' : 'no-upstream',
         );
         return;
       }
       if (this.refuseIfDeadlineUnreachable(placement)) {
         return;
       }
-      const outcome = await this.attemptAt(placement);
+      const outcome = await this.runner.run(placement, this.millisecondsLeft());
       const next = this.settle(placement.choice, outcome);
       if (next === 'done') {
         return;
@@ -127,25 +158,23 @@
   }
 
   /**
-   * Refuses content that has crashed too many upstreams; returns whether the
-   * request has ended.
+   * Ends a request for which `refusal` was decided; returns whether it ended. A
+   * request that an upstream has received is not refused, because it may have
+   * run.
    */
-  private refuseIfQuarantined(): boolean {
-    const milliseconds = this.dependencies.crashes.quarantineMillisecondsLeft(
-      this.fingerprint,
-    );
-    if (milliseconds <= 0) {
+  private endIfRefused(
+    refusal: ServingError | undefined,
+    outcome: string,
+  ): boolean {
+    if (refusal === undefined) {
       return false;
     }
-    if (this.upstreamsReached > 0) {
+    if (this.runner.upstreamsReached > 0 || this.relay.hasBegun) {
       this.giveUp('outcome-unknown');
       return true;
     }
-    this.recordEnd('quarantined');
-    throw new ServingError('quarantined', {
-      detail: `content ${this.fingerprint}`,
-      retryAfterSeconds: milliseconds / 1000,
-    });
+    this.recordEnd(outcome);
+    throw refusal;
   }
 
   /**
@@ -153,35 +182,34 @@
    * already received it; returns false if the attempt may go ahead.
    */
   private refuseIfDeadlineUnreachable(placement: Placement): boolean {
-    if (this.upstreamsReached > 0 || this.relay.hasBegun) {
+    if (this.runner.upstreamsReached > 0 || this.relay.hasBegun) {
       return false;
     }
-    const verdict = decideLoadShedding(
+    const refusal = this.gate.refusalIfDeadlineUnreachable(
       placement.choice,
-      {
-        objectiveMilliseconds: this.admission.rule.objectiveMilliseconds,
-        millisecondsLeft: this.millisecondsLeft(),
-      },
-      Math.random(),
+      this.latencyBounds(),
     );
-    switch (verdict.kind) {
-      case 'send':
-        return false;
-      case 'refuse': {
-        placement.reportEnded();
-        const wait = Math.round(placement.choice.estimateMilliseconds);
-        this.recordEnd('overloaded');
-        throw new ServingError('overloaded', {
-          detail: `the first event would take ${wait} ms`,
-          retryAfterSeconds: verdict.retryAfterMilliseconds / 1000,
-        });
-      }
+    if (refusal === undefined) {
+      return false;
     }
+    placement.reportEnded();
+    return this.endIfRefused(refusal, 'overloaded');
+  }
+
+  private latencyBounds(): LatencyBounds {
+    return {
+      objectiveMilliseconds: this.admission.rule.objectiveMilliseconds,
+      millisecondsLeft: this.millisecondsLeft(),
+    };
   }
 
   private place(): Promise<Placement | undefined> {
     const {name} = this.admission.service;
-    return this.dependencies.placement.place(name, this.demand, this.tried);
+    return this.dependencies.placement.place(
+      name,
+      this.demand,
+      this.runner.tried,
+    );
   }
 
   private takeRetryBudget(): boolean {
@@ -191,58 +219,10 @@
       .take(sharingHostCount(), clocks.steady());
   }
 
-  private async attemptAt(placement: Placement): Promise<AttemptOutcome> {
-    const {pool} = this.dependencies;
-    const {choice} = placement;
-    const {upstreamId} = choice.upstream;
-    this.tried.add(upstreamId);
-    this.attempts += 1;
-    this.lastUpstream = upstreamId;
-    const attempt = new RoutedAttempt(pool, {
-      attemptId: this.demand.attemptId,
-      isStreamed: this.admission.rule.isStreamed,
-      request: createUpstreamRequest({
-        call: this.call,
-        admission: this.admission,
-        choice,
-        relay: this.relay,
-        millisecondsLeft: this.millisecondsLeft(),
-        sharingHostCount: this.dependencies.sharingHostCount(),
-      }),
-      stream: this.relay,
-      onSend: () => {
-        this.upstreamsReached += 1;
-      },
-      onFirstAnswerByte: () => {
-        placement.reportStarted();
-        this.recordStart();
-      },
-    });
-    this.attempt = attempt;
-    this.dependencies.events.write(4104, {
-      requestId: this.demand.attemptId,
-      upstreamId,
-      estimate: Math.round(choice.estimateMilliseconds),
-      cached: choice.cachedTokens,
-      prompt: this.demand.promptTokens,
-    });
-    attempt.start();
-    if (this.interruption !== undefined) {
-      attempt.cancel();
-    }
-    const outcome = await attempt.outcome;
-    placement.reportEnded(upstreamResultOf(outcome));
-    return outcome;
-  }
-
   private recordStart(): void {
-    const {onRunStarted, clocks, metrics} = this.dependencies;
+    const {onRunStarted, clocks} = this.dependencies;
     if (!this.hasBegunToRun) {
-      const elapsed = clocks.steady() - this.startedAt;
-      metrics.firstByteSeconds.observe(
-        {service: this.admission.service.name},
-        elapsed / 1000,
-      );
+      this.log.recordFirstByte(clocks.steady() - this.startedAt);
     }
     const workspace = this.admission.workspace?.name;
     if (!this.hasBegunToRun && workspace !== undefined) {
@@ -296,7 +276,12 @@
       const failure: RoutedAttemptFailure = {kind: 'failed-after-run', status};
       const next = decideNextAttempt(failure, this.history());
       if (next.kind === 'attempt' && this.hasAnotherUpstream()) {
-        this.recordAttemptFailure(upstreamId, failure, 'attempt');
+        this.log.recordAttemptFailure(
+          this.runner.attempts,
+          upstreamId,
+          failure,
+          'attempt',
+        );
         return {drawsOnBudget: next.drawsOnBudget};
       }
     }
@@ -315,22 +300,26 @@
 
   private hasAnotherUpstream(): boolean {
     const {name} = this.admission.service;
-    return this.dependencies.placement.hasUntriedUpstream(name, this.tried);
+    return this.dependencies.placement.candidates
+      .accepting(name)
+      .some(({upstreamId}) => !this.runner.tried.has(upstreamId));
   }
 
   private continueAfterFailure(
     upstreamId: string,
     failure: RoutedAttemptFailure,
   ): 'done' | {readonly drawsOnBudget: boolean} {
-    if (failure.kind === 'not-executed') {
-      this.upstreamsReached -= 1;
-    }
     if (this.interruption !== undefined) {
       this.endInterrupted();
       return 'done';
     }
     const next = decideNextAttempt(failure, this.history());
-    this.recordAttemptFailure(upstreamId, failure, next.kind);
+    this.log.recordAttemptFailure(
+      this.runner.attempts,
+      upstreamId,
+      failure,
+      next.kind,
+    );
     switch (next.kind) {
       case 'attempt':
         return {drawsOnBudget: next.drawsOnBudget};
@@ -344,37 +333,18 @@
     const {rule} = this.admission;
     return {
       execution: rule.execution,
-      upstreamsReached: this.upstreamsReached,
-      attempts: this.attempts,
+      upstreamsReached: this.runner.upstreamsReached,
+      attempts: this.runner.attempts,
       maximumAttempts: rule.maximumAttempts,
       hasAnswerBegun: this.relay.hasBegun,
       millisecondsLeft: this.millisecondsLeft(),
     };
   }
 
-  private recordAttemptFailure(
-    upstreamId: string,
-    failure: RoutedAttemptFailure,
-    next: string,
-  ): void {
-    const reason = 'status' in failure ? failure.status : failure.reason;
-    this.dependencies.events.write(4102, {
-      requestId: this.demand.attemptId,
-      attempt: this.attempts,
-      upstreamId,
-      failure: failure.kind,
-      reason,
-      next,
-    });
-    this.dependencies.metrics.attempts.inc({
-      end: failure.kind,
-      service: this.admission.service.name,
-    });
-  }
-
   private interrupt(interruption: Interruption): void {
     this.interruption ??= interruption;
-    this.attempt?.cancel();
+    this.interrupted.abort();
+    this.runner.cancel();
   }
 
   private endInterrupted(): void {
@@ -402,22 +372,12 @@
   }
 
   private recordEnd(outcome: string): void {
-    const {rule, service, workspace, configurationVersion} = this.admission;
-    const duration = this.dependencies.clocks.steady() - this.startedAt;
-    this.dependencies.events.write(4101, {
-      requestId: this.demand.attemptId,
+    this.log.recordEnd({
       outcome,
-      duration: Math.round(duration),
-      rule: rule.name,
-      version: configurationVersion,
-      attempts: this.attempts,
-      upstreamId: this.lastUpstream,
+      durationMilliseconds: this.dependencies.clocks.steady() - this.startedAt,
+      attempts: this.runner.attempts,
+      upstreamId: this.runner.lastUpstreamId,
       eventCount: this.relay.events,
     });
-    this.dependencies.metrics.requests.inc({
-      workspace: workspace?.name ?? '',
-      service: service.name,
-      outcome: outcome.startsWith('broken') ? 'broken-off' : outcome,
-    });
   }
 }
--- a/packages/entry-process/src/routed/upstream_result.ts
+++ b/packages/entry-process/src/routed/upstream_result.ts
@@ -34,6 +34,7 @@
         case 'silent':
           return 'failed';
         case 'no-connection':
+        case 'withheld':
         case 'not-executed':
           return undefined;
       }
--- a/packages/entry-process/tests/routed_placement_test.ts
+++ b/packages/entry-process/tests/routed_placement_test.ts
@@ -3,6 +3,8 @@
   type ListedUpstream,
   type PlacementDemand,
   rendezvousWinner,
+  type UpstreamAnnouncement,
+  UpstreamAnnouncements,
   UpstreamHealth,
   UpstreamList,
 } from '@lacewingwinch/decisions';
@@ -16,6 +18,8 @@
 const HOSTS = ['host-0', 'host-1', 'host-2', 'host-3', 'host-4', 'host-5'];
 const events = createEventLog('test', 'error');
 let hosts: Map<string, RoutedPlacement>;
+/** What upstreams announced, by the host to which they did. */
+const announcements = new Map<string, UpstreamAnnouncements>();
 
 function upstream(upstreamId: string): ListedUpstream {
   return {
@@ -58,11 +62,14 @@
     {readTo: 1, relistedBy: -Infinity},
     0,
   );
+  const announced = new UpstreamAnnouncements();
+  announcements.set(hostId, announced);
   return new RoutedPlacement({
     hostId,
     failureDomain: 'north',
     upstreams,
     health: new UpstreamHealth(),
+    announcements: announced,
     peers,
     events,
     servingHosts: () => HOSTS.map(servingMember),
@@ -114,6 +121,53 @@
   });
 });
 
+describe('an upstream that announced', () => {
+  const leaving: UpstreamAnnouncement = {kind: 'leaving'};
+  const paused: UpstreamAnnouncement = {kind: 'paused', milliseconds: 1000};
+
+  it.each([
+    {
+      name: 'to a front that it is leaving is not chosen for that front',
+      announcement: leaving,
+      other: false,
+      avoided: true,
+    },
+    {
+      name: 'to a front that it is leaving is not chosen for other fronts',
+      announcement: leaving,
+      other: true,
+      avoided: true,
+    },
+    {
+      name: 'a pause to a front is not chosen for that front',
+      announcement: paused,
+      other: false,
+      avoided: true,
+    },
+    {
+      name: 'a pause to a front is still chosen for other fronts',
+      announcement: paused,
+      other: true,
+      avoided: false,
+    },
+  ])('$name', async ({announcement, other, avoided}) => {
+    hosts = new Map(HOSTS.map(hostId => [hostId, startHost(hostId, 4)]));
+    const [first = '', second = ''] = HOSTS.filter(
+      hostId => hostId !== rendezvousWinner('dispatcher/engines', HOSTS),
+    );
+    const placement = await hosts
+      .get(first)
+      ?.place('engines', demand('a', 'hot'), new Set());
+    const chosen = placement?.choice.upstream;
+    announcements
+      .get(first)
+      ?.record(upstream(chosen?.upstreamId ?? ''), announcement, 0);
+    placement?.reportEnded();
+    const next = await placeAt(other ? second : first, 'b', 'hot');
+    expect(next !== chosen?.upstreamId).toBe(avoided);
+  });
+});
+
 describe('the dispatchers of a service with many engines', () => {
   beforeEach(() => {
     hosts = new Map(HOSTS.map(hostId => [hostId, startHost(hostId, 128)]));
--- a/packages/entry-process/tests/routed_process_test.ts
+++ b/packages/entry-process/tests/routed_process_test.ts
@@ -1,9 +1,5 @@
 /** Tests of complete processes with stand-ins for the platform. */
-import type {ClientRequest} from 'node:http';
-
-import type {PlatformSettings} from '@lacewingwinch/platform';
 import {
-  callRouted,
   type EngineBehavior,
   freeLoopbackAddresses,
   RoutedEngineStandIn,
@@ -12,176 +8,32 @@
 } from '@lacewingwinch/stand-ins';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
-import {RoutedProcess} from '../src/index.js';
-
-/**
- * Ends a test that would otherwise never end; the tested behavior has no such
- * limit.
- */
-const WAIT_TIMEOUT_MILLISECONDS = 55_000;
-const POLL_PERIOD_MILLISECONDS = 20;
-
-interface Answer {
-  readonly status: number;
-  readonly headers: Readonly<Record<string, unknown>>;
-  readonly body: string;
-  /** Whether the connection was closed before the response was complete. */
-  readonly isBroken: boolean;
-}
-
-interface Call {
-  readonly path: string;
-  readonly key?: string;
-  readonly deadline?: number;
-  readonly attemptId?: string;
-  readonly headers?: Readonly<Record<string, string>>;
-  readonly body?: string;
-}
-
-const CONFIGURATION = {
-  version: 3,
-  routes: [
-    route('again', 'idempotent', '/again/', 'plain'),
-    route('once', 'non_idempotent', '/once/', 'plain'),
-    {...route('stream', 'streaming', '/stream/', 'engines'), maxAttempts: 1},
-    {
-      ...route('resumed', 'streaming', '/resumed/', 'engines'),
-      streamResumption: true,
-    },
-  ],
-  services: [
-    {name: 'plain', connectionLimit: 500},
-    {name: 'engines', connectionLimit: 500},
-  ],
-  limits: {
-    maxHeaderBytes: 4096,
-    maxBodyBytes: 1000,
-    headerTimeoutMs: 3000,
-    idleTimeoutMs: 15_000,
-  },
-  tenants: [{name: 'tenant', apiKeys: ['key-1', 'key-2']}],
-};
-
-function route(
-  name: string,
-  kind: string,
-  pathPrefix: string,
-  service: string,
-): object {
-  return {
-    name,
-    host: 'host.example',
-    pathPrefix,
-    kind,
-    service,
-    timeoutMs: 2000,
-    targetLatencyMs: 200,
-    priority: 1,
-    maxAttempts: 2,
-  };
-}
+import {
+  type Answer,
+  type Call,
+  CONFIGURATION,
+  RoutedInstallation,
+  waitUntil,
+} from './routed_fixtures.js';
 
+let installation: RoutedInstallation;
 let store: StoreStandIn;
 let engines: RoutedEngineStandIn[];
-let processes: RoutedProcess[];
-let callers: string[];
-let attempts = 0;
 
 beforeEach(async () => {
-  store = new StoreStandIn();
-  await store.listen();
-  engines = [];
-  processes = [];
-  callers = [];
-  for (const service of ['plain', 'plain', 'engines', 'engines']) {
-    const engine = new RoutedEngineStandIn(`i-${engines.length}`);
-    engine.isStreamed = service === 'engines';
-    await engine.listen();
-    engines.push(engine);
-    store.put('keyed.servers', engine.upstreamId, engine.entry(service));
-  }
-  store.put('keyed.op', 'config', CONFIGURATION);
+  installation = await RoutedInstallation.start();
+  ({store, engines} = installation);
 });
 
-afterEach(async () => {
-  await Promise.all(processes.map(started => started.stopNow()));
-  await Promise.all(engines.map(engine => engine.close()));
-  await store.close();
-});
+afterEach(() => installation.stop());
 
-async function startProcess(
-  overrides: Partial<PlatformSettings> = {},
-): Promise<RoutedProcess> {
-  const addresses = await freeLoopbackAddresses();
-  const routedProcess = new RoutedProcess({
-    hostId: `host-${processes.length}`,
-    failureDomain: 'north',
-    region: '',
-    listenAddress: '127.0.0.1',
-    failureDomains: ['north'],
-    addresses,
-    freePorts: {first: 0, last: 0},
-    seeds: [],
-    isFirstStart: true,
-    storeAddress: store.address,
-    cloudAddress: store.address,
-    duties: ['usage-reporting'],
-    upstreamHeartbeatMilliseconds: 1200,
-    memoryBytes: 0,
-    fileDescriptors: 1000,
-    bounds: {
-      contactMilliseconds: 3000,
-      drainMilliseconds: 2000,
-      gracePeriodMilliseconds: 8000,
-      revocationMilliseconds: 2500,
-      failsClosed: true,
-      retryRatio: 0.2,
-      retrySlack: 500,
-      retryWindowMilliseconds: 10_000,
-      quotaSlack: 0,
-      leaseMilliseconds: 1500,
-      usageWindowMilliseconds: 1000,
-      usageDelayMilliseconds: 10_000,
-      reuseWindowMilliseconds: 10_000,
-      discoverySeconds: 5,
-    },
-    ...overrides,
-  });
-  processes.push(routedProcess);
-  callers.push(addresses.callers);
-  await routedProcess.start();
-  return routedProcess;
-}
+const startProcess: RoutedInstallation['startProcess'] = overrides =>
+  installation.startProcess(overrides);
 
-async function call(
-  {path, key = 'key-1', deadline = 1500, ...rest}: Call,
-  address = callers[0] ?? '',
-  onRequest: (request: ClientRequest) => void = () => undefined,
+function call(
+  ...parameters: Parameters<RoutedInstallation['call']>
 ): Promise<Answer> {
-  attempts += 1;
-  const {attemptId = `attempt-${attempts}`, headers = {}, body = ''} = rest;
-  const {isComplete, ...answer} = await callRouted({
-    address,
-    path,
-    attemptId,
-    key,
-    deadline,
-    body,
-    headers,
-    agent: false,
-    onRequest,
-  });
-  return {...answer, isBroken: !isComplete};
-}
-
-async function waitUntil(
-  condition: () => Promise<boolean> | boolean,
-): Promise<void> {
-  const until = Date.now() + WAIT_TIMEOUT_MILLISECONDS;
-  while (!(await condition())) {
-    expect(Date.now()).toBeLessThan(until);
-    await new Promise(resolve => setTimeout(resolve, POLL_PERIOD_MILLISECONDS));
-  }
+  return installation.call(...parameters);
 }
 
 function setBehavior(...behaviors: readonly EngineBehavior[]): void {
@@ -339,9 +191,13 @@
   it('is cancelled at its upstream when its client disconnects', async () => {
     await startProcess();
     setBehavior('hang');
-    const answer = call({path: '/again/1'}, callers[0], request => {
-      setTimeout(() => request.destroy(), 100);
-    });
+    const answer = call(
+      {path: '/again/1'},
+      installation.callers[0],
+      request => {
+        setTimeout(() => request.destroy(), 100);
+      },
+    );
     await expect(answer).rejects.toThrow();
     await waitUntil(() =>
       engines.some(({abandonedRequests}) => abandonedRequests === 1),
@@ -480,18 +336,18 @@
     });
     await waitUntil(
       async () =>
-        (await call({path: '/again/1', key: 'key-1'}, callers[1])).status ===
-        401,
+        (await call({path: '/again/1', key: 'key-1'}, installation.callers[1]))
+          .status === 401,
     );
     // Without the other host the keys would have become too old by then, and
     // would stay so.
     await new Promise(resolve => setTimeout(resolve, 3000));
     await waitUntil(
       async () =>
-        (await call({path: '/again/1', key: 'key-2'}, callers[1])).status ===
-        200,
+        (await call({path: '/again/1', key: 'key-2'}, installation.callers[1]))
+          .status === 200,
     );
-    await processes.pop()?.stopNow();
+    await installation.processes.pop()?.stopNow();
     await gate.close();
   });
 
--- a/packages/observability/src/event_catalogue.ts
+++ b/packages/observability/src/event_catalogue.ts
@@ -127,6 +127,18 @@
     advice:
       'No action needed unless many upstreams are withdrawn at the same time.',
   },
+  3006: {
+    level: 'info',
+    message: 'upstream {upstreamId} of {service} announced that it is leaving',
+    advice: 'No action needed; it gets no new requests.',
+  },
+  3007: {
+    level: 'info',
+    message:
+      'upstream {upstreamId} of {service} asked this host to pause for {milliseconds} ms',
+    advice:
+      'No action needed unless it happens often: then the service has too few upstreams.',
+  },
   4001: {
     level: 'warn',
     message: 'request {requestId} failed with {kind}',
@@ -178,6 +190,12 @@
       'request {requestId} is sent to upstream {upstreamId}: first token expected after {estimate} ms, {cached} of {prompt} prompt tokens cached',
     advice: 'No action needed.',
   },
+  4105: {
+    level: 'info',
+    message:
+      'request {requestId} found every upstream of {service} paused for {milliseconds} ms: {decision}',
+    advice: 'Look for event 3007 of the upstreams of the service.',
+  },
   5001: {
     level: 'info',
     message:
--- a/packages/stand-ins/src/routed_engine_stand_in.ts
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -54,6 +54,12 @@
   hasAttemptIdInAnswer = false;
   /** Version of the model weights; 0 for an upstream without a model. */
   weightVersion = 0;
+  /** Whether every answer says that the upstream is leaving. */
+  isLeaving = false;
+  /** Value of `retry-after` of each refusal; undefined to send none. */
+  pauseAnnouncement: string | undefined;
+  /** Times at which requests arrived, executed or not. */
+  readonly arrivals: number[] = [];
   /** Executed requests. */
   readonly ran: ExecutedRequest[] = [];
   /** Number of requests whose connection closed before the answer ended. */
@@ -90,6 +96,10 @@
   ): Promise<void> {
     const body = await readText(message);
     const {headers} = message;
+    this.arrivals.push(Date.now());
+    if (this.isLeaving) {
+      response.setHeader('server-leaving', '1');
+    }
     response.once('close', () => {
       this.abandonedRequests += response.writableFinished ? 0 : 1;
     });
@@ -114,6 +124,9 @@
       return;
     }
     if (this.behavior === 'shed') {
+      if (this.pauseAnnouncement !== undefined) {
+        response.setHeader('retry-after', this.pauseAnnouncement);
+      }
       response.writeHead(503, {'x-not-executed': '1'}).end();
       return;
     }
