Bound answers of upstreams that send bytes without end

Cause: the HTTP parser counts the bytes of headers only. A status line, a chunk header, blank lines or informational answers without end were read until the deadline of the request, and the body of a refusal, which nobody waits for, was read for ever and kept one of the few connections to its upstream. An event of a stream without its end grew in memory, and a byte now and then kept a stalled stream open for its whole timeout.

Change: the pool compares the bytes that were parsed with those of the body and ends a response with more framing than headers and chunks can need, and one that is not complete a second after the deadline. An idle connection that receives bytes is closed. Silence alone still ends no stream.

Ruled out: a timer for each response, and a limit on all bytes of a stream, which would cut sound ones.

--- a/packages/decisions/src/answers/event_splitter.ts
+++ b/packages/decisions/src/answers/event_splitter.ts
@@ -19,6 +19,11 @@
 export class EventSplitter {
   private remainder: Buffer = Buffer.alloc(0);
 
+  /** Number of bytes after the last complete event. */
+  get pendingBytes(): number {
+    return this.remainder.length;
+  }
+
   /** Adds `chunk` and returns the events that it completes. */
   push(chunk: Buffer): readonly SplitEvent[] {
     const bytes =
--- a/packages/decisions/src/routing/routing_configuration.ts
+++ b/packages/decisions/src/routing/routing_configuration.ts
@@ -35,6 +35,8 @@
    * full benefit.
    */
   readonly objectiveMilliseconds: number;
+  /** Longest gap between events that is on time; undefined if not stated. */
+  readonly eventGapMilliseconds: number | undefined;
   /** Largest number of upstreams to which one request may be sent. */
   readonly maximumAttempts: number;
   /** 0 is the most urgent. */
--- a/packages/decisions/tests/routing_test.ts
+++ b/packages/decisions/tests/routing_test.ts
@@ -22,6 +22,7 @@
     isStreamed: false,
     targets: [{service: 'first', weight: 1}],
     timeoutMilliseconds: 5000,
+    eventGapMilliseconds: undefined,
     objectiveMilliseconds: 500,
     maximumAttempts: 2,
     priority: 3,
--- a/packages/entry-process/src/routed/attempt_runner.ts
+++ b/packages/entry-process/src/routed/attempt_runner.ts
@@ -3,11 +3,12 @@
  * count of them.
  */
 import type {RoutedCall} from '@lacewingwinch/callers';
-import type {
-  RoutedAdmission,
-  UpstreamAnnouncement,
-  UpstreamAnnouncements,
-  UsableUpstream,
+import {
+  eventPatienceMilliseconds,
+  type RoutedAdmission,
+  type UpstreamAnnouncement,
+  type UpstreamAnnouncements,
+  type UsableUpstream,
 } from '@lacewingwinch/decisions';
 import type {EventLog} from '@lacewingwinch/observability';
 import type {ConnectionPool} from '@lacewingwinch/upstreams';
@@ -88,30 +89,35 @@
     this.triedIds.add(upstream.upstreamId);
     this.attemptCount += 1;
     this.lastId = upstream.upstreamId;
-    const attempt = new RoutedAttempt(pool, {
-      attemptId,
-      isStreamed: admission.rule.isStreamed,
-      request: createUpstreamRequest({
-        call,
-        admission,
-        choice,
-        relay,
-        millisecondsLeft,
-        sharingHostCount: sharingHostCount(),
-      }),
-      stream: relay,
-      isAccepting: () =>
-        announcements.accepts(upstream, clocks.suspensionAware()),
-      onAnnouncement: announcement =>
-        this.recordAnnouncement(upstream, announcement),
-      onSend: () => {
-        this.reachedCount += 1;
+    const attempt = new RoutedAttempt(
+      pool,
+      {
+        attemptId,
+        isStreamed: admission.rule.isStreamed,
+        eventPatienceMilliseconds: eventPatienceMilliseconds(admission.rule),
+        request: createUpstreamRequest({
+          call,
+          admission,
+          choice,
+          relay,
+          millisecondsLeft,
+          sharingHostCount: sharingHostCount(),
+        }),
+        stream: relay,
+        isAccepting: () =>
+          announcements.accepts(upstream, clocks.suspensionAware()),
+        onAnnouncement: announcement =>
+          this.recordAnnouncement(upstream, announcement),
+        onSend: () => {
+          this.reachedCount += 1;
+        },
+        onFirstAnswerByte: () => {
+          placement.reportStarted();
+          this.request.onFirstAnswerByte();
+        },
       },
-      onFirstAnswerByte: () => {
-        placement.reportStarted();
-        this.request.onFirstAnswerByte();
-      },
-    });
+      clocks.steady,
+    );
     this.attempt = attempt;
     events.write(4104, {
       requestId: attemptId,
--- a/packages/entry-process/src/routed/routed_attempt.ts
+++ b/packages/entry-process/src/routed/routed_attempt.ts
@@ -4,6 +4,8 @@
 import {
   announcementsOf,
   EventSplitter,
+  findStreamFault,
+  MAXIMUM_RESPONSE_BYTES,
   type RoutedAttemptFailure,
   type SplitEvent,
   type UpstreamAnnouncement,
@@ -41,6 +43,8 @@
 export interface AttemptPlan {
   readonly attemptId: string;
   readonly isStreamed: boolean;
+  /** Milliseconds within which a begun event of a stream must be complete. */
+  readonly eventPatienceMilliseconds: number;
   readonly request: PooledRequest;
   readonly stream: StreamReceiver;
   /** Returns whether the upstream accepts requests from this host. */
@@ -53,9 +57,6 @@
   readonly onFirstAnswerByte: () => void;
 }
 
-/** Maximum number of bytes of a response that is not streamed. */
-const MAXIMUM_BUFFERED_BYTES = 16 * 1024 * 1024;
-
 /** Statuses that promise a client that its request has not run. */
 const SAFE_RETRY_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -69,11 +70,14 @@
   private readonly splitter = new EventSplitter();
   private readonly chunks: Buffer[] = [];
   private bytes = 0;
+  /** Time at which the pending event began; undefined without one. */
+  private eventBegunAt: number | undefined;
   private isCancelled = false;
 
   constructor(
     private readonly pool: ConnectionPool,
     private readonly plan: AttemptPlan,
+    private readonly clock: () => number,
   ) {
     this.outcome = new Promise(resolve => {
       this.settle = resolve;
@@ -173,10 +177,11 @@
           this.exchange?.pause();
         }
       }
+      this.checkPendingEvent(events.length > 0, this.clock());
       return;
     }
     this.bytes += chunk.length;
-    if (this.bytes > MAXIMUM_BUFFERED_BYTES) {
+    if (this.bytes > MAXIMUM_RESPONSE_BYTES) {
       const failure = lostAnswer('the answer is too large');
       this.cancel({kind: 'failed', failure});
       return;
@@ -184,6 +189,28 @@
     this.chunks.push(chunk);
   }
 
+  /**
+   * Gives up a stream whose pending event grows without end. Silence alone does
+   * not end a stream, because the upstream may still be working on it.
+   */
+  private checkPendingEvent(hasNewEvent: boolean, now: number): void {
+    const bytes = this.splitter.pendingBytes;
+    if (bytes === 0) {
+      this.eventBegunAt = undefined;
+      return;
+    }
+    const since = hasNewEvent ? now : (this.eventBegunAt ?? now);
+    this.eventBegunAt = since;
+    const fault = findStreamFault(
+      {bytes, since},
+      this.plan.eventPatienceMilliseconds,
+      now,
+    );
+    if (fault !== undefined) {
+      this.cancel({kind: 'failed', failure: lostAnswer(fault)});
+    }
+  }
+
   private onEnd(): void {
     if (this.isRelayed) {
       this.plan.stream.onTail(this.splitter.takeRemainder());
--- a/packages/entry-process/src/routed/upstream_request.ts
+++ b/packages/entry-process/src/routed/upstream_request.ts
@@ -29,6 +29,12 @@
 /** Idle milliseconds after which a pooled connection is not used at all. */
 const REPEATABLE_IDLE_MILLISECONDS = 60_000;
 
+/**
+ * Milliseconds after the deadline of a request within which the rest of an
+ * answer that nobody waits for is read, so that its connection can be kept.
+ */
+const ANSWER_GRACE_MILLISECONDS = 1000;
+
 /** Inputs for an upstream request. */
 export interface UpstreamRequestOptions {
   readonly call: RoutedCall;
@@ -73,6 +79,7 @@
     maximumIdleMilliseconds: isAtMostOnce
       ? AT_MOST_ONCE_IDLE_MILLISECONDS
       : REPEATABLE_IDLE_MILLISECONDS,
+    maximumMilliseconds: millisecondsLeft + ANSWER_GRACE_MILLISECONDS,
     maximumConnections: Math.max(MINIMUM_CONNECTIONS, Math.floor(share)),
   };
 }
--- a/packages/upstreams/src/connection_pool.ts
+++ b/packages/upstreams/src/connection_pool.ts
@@ -6,6 +6,12 @@
 
 import {buildConnector, Client, type Dispatcher} from 'undici';
 
+import {
+  endIfExcessive,
+  ResponseWatch,
+  type WatchedResponse,
+} from './response_watch.js';
+
 /** Milliseconds allowed to connect; links have a delay of some milliseconds. */
 const CONNECT_TIMEOUT_MILLISECONDS = 300;
 
@@ -28,6 +34,8 @@
   readonly maximumIdleMilliseconds: number;
   /** Maximum number of open connections of this host to the upstream. */
   readonly maximumConnections: number;
+  /** Milliseconds after which an incomplete response is ended. */
+  readonly maximumMilliseconds: number;
 }
 
 /** Status and headers of an answer. */
@@ -62,7 +70,10 @@
 
 interface Connection {
   readonly client: Client;
+  socket: Socket | undefined;
   idleSince: number;
+  /** The response in progress; undefined while the connection is idle. */
+  response: WatchedResponse | undefined;
   /** Whether the socket failed, which leaves an unframed body incomplete. */
   hasFailed: boolean;
   /** Whether the current body has no length and ends with the connection. */
@@ -78,8 +89,11 @@
 /** Pool of persistent connections, kept per upstream address. */
 export class ConnectionPool {
   private readonly upstreams = new Map<string, Upstream>();
+  private readonly watch: ResponseWatch;
 
-  constructor(private readonly clock: () => number) {}
+  constructor(private readonly clock: () => number) {
+    this.watch = new ResponseWatch(clock);
+  }
 
   /**
    * Sends a request. Returns undefined if all connections that are allowed to
@@ -93,7 +107,9 @@
     if (connection === undefined) {
       return undefined;
     }
-    return startExchange(connection, request, receiver, isReusable => {
+    const dueAt = this.clock() + request.maximumMilliseconds;
+    const context = {connection, watch: this.watch, dueAt};
+    return startExchange(context, request, receiver, isReusable => {
       if (isReusable && !connection.isClosed) {
         connection.idleSince = this.clock();
         this.getOrCreateUpstream(request.address).idle.push(connection);
@@ -126,6 +142,7 @@
     for (const address of this.upstreams.keys()) {
       this.closeIdle(address);
     }
+    this.watch.close();
   }
 
   private takeConnection(request: PooledRequest): Connection | undefined {
@@ -156,6 +173,8 @@
       connect: (options, callback) => {
         connector(options, (...result) => {
           const [, socket] = result;
+          connection.socket = socket ?? undefined;
+          socket?.on('readable', () => checkReceivedBytes(connection));
           // Must run before undici's own listener, which treats a reset as the
           // end of a body without a length.
           socket?.prependListener('error', () => {
@@ -175,7 +194,9 @@
     });
     const connection: Connection = {
       client,
+      socket: undefined,
       idleSince: this.clock(),
+      response: undefined,
       hasFailed: false,
       isUnframed: false,
       isClosed: false,
@@ -229,8 +250,34 @@
   );
 }
 
+/**
+ * Ends a response without end, and closes an idle connection that receives
+ * bytes, which belong to no request.
+ */
+function checkReceivedBytes({response, socket, client}: Connection): void {
+  if (response !== undefined) {
+    endIfExcessive(response);
+    return;
+  }
+  if (socket !== undefined && socket.readableLength > 0) {
+    void client.destroy();
+  }
+}
+
+/** Returns the bytes that the HTTP parser has taken from a connection. */
+function parsedBytesOf({socket}: Connection): number {
+  return socket === undefined ? 0 : socket.bytesRead - socket.readableLength;
+}
+
+interface ExchangeContext {
+  readonly connection: Connection;
+  readonly watch: ResponseWatch;
+  /** Time by which the response must be complete. */
+  readonly dueAt: number;
+}
+
 function startExchange(
-  connection: Connection,
+  {connection, watch, dueAt}: ExchangeContext,
   request: PooledRequest,
   receiver: PooledReceiver,
   release: (isReusable: boolean) => void,
@@ -238,11 +285,27 @@
   let controller: Dispatcher.DispatchController | undefined;
   let wasSent = false;
   let isFinished = false;
+  let bodyBytes = 0;
+  let parsedBytesBefore = 0;
+  const watched: WatchedResponse = {
+    dueAt,
+    parsedBytes: () => parsedBytesOf(connection) - parsedBytesBefore,
+    bodyBytes: () => bodyBytes,
+    fail: (reason: string) => {
+      controller?.abort(new Error(reason));
+      fail(new Error(reason));
+    },
+  };
+  const stopWatching = (): void => {
+    watch.remove(watched);
+    connection.response = undefined;
+  };
   const finish = (isReusable: boolean, notifyReceiver: () => void): void => {
     if (isFinished) {
       return;
     }
     isFinished = true;
+    stopWatching();
     release(isReusable);
     notifyReceiver();
   };
@@ -265,6 +328,9 @@
           return;
         }
         wasSent = true;
+        parsedBytesBefore = parsedBytesOf(connection);
+        connection.response = watched;
+        watch.add(watched);
       },
       onResponseStart: (started, status, headers) => {
         if (isFinished || status < 200) {
@@ -275,6 +341,7 @@
       },
       onResponseData: (_controller, chunk) => {
         if (!isFinished) {
+          bodyBytes += chunk.length;
           receiver.onData(chunk);
         }
       },
@@ -294,6 +361,7 @@
         return;
       }
       isFinished = true;
+      stopWatching();
       controller?.abort(new Error('cancelled'));
       release(false);
     },
--- a/packages/upstreams/src/model_engine.ts
+++ b/packages/upstreams/src/model_engine.ts
@@ -2,6 +2,7 @@
  * Calls to model engines: streamed completions, their resumption, and export of
  * key-value caches.
  */
+import {MAXIMUM_EVENT_BYTES} from '@lacewingwinch/decisions';
 import {createParser} from 'eventsource-parser';
 import {z} from 'zod';
 
@@ -56,11 +57,12 @@
   connections: UpstreamConnections,
   call: EngineCall,
 ): Promise<void> {
-  const progress = {status: 0, hasEnded: false};
+  const progress = {status: 0, hasEnded: false, pendingBytes: 0};
   const errorBody: Buffer[] = [];
   const decoder = new TextDecoder();
   const parser = createParser({
     onEvent: ({id, data}) => {
+      progress.pendingBytes = 0;
       if (data === END_OF_STREAM) {
         progress.hasEnded = true;
         return;
@@ -77,6 +79,10 @@
         progress.status = answerStatus;
       },
       onData: chunk => {
+        progress.pendingBytes += chunk.length;
+        if (progress.pendingBytes > MAXIMUM_EVENT_BYTES) {
+          throw new Error(`the engine at ${call.address} sent too many bytes`);
+        }
         if (progress.status !== 200) {
           errorBody.push(chunk);
           return;
--- a/packages/upstreams/src/plain_service.ts
+++ b/packages/upstreams/src/plain_service.ts
@@ -1,6 +1,8 @@
 /**
  * Calls to plain services.
  */
+import {MAXIMUM_RESPONSE_BYTES} from '@lacewingwinch/decisions';
+
 import type {UpstreamConnections} from './upstream_connections.js';
 import {UpstreamError} from './upstream_error.js';
 import {
@@ -25,9 +27,6 @@
   readonly isRepeatable: boolean;
 }
 
-/** Maximum size of an answer of a plain service, in bytes. */
-const MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024;
-
 /** Status with which a service states that it did not accept the call. */
 const SERVICE_UNAVAILABLE = 503;
 
@@ -68,18 +67,12 @@
     },
     onData: chunk => {
       bytes += chunk.length;
-      if (bytes <= MAXIMUM_ANSWER_BYTES) {
-        chunks.push(chunk);
+      if (bytes > MAXIMUM_RESPONSE_BYTES) {
+        throw new Error(`the answer of ${call.address} is too large`);
       }
+      chunks.push(chunk);
     },
   });
-  if (bytes > MAXIMUM_ANSWER_BYTES) {
-    throw new UpstreamError(
-      {kind: 'connection-lost'},
-      `the answer of ${call.address} exceeds the size limit`,
-      true,
-    );
-  }
   return {status, contentType, body: Buffer.concat(chunks)};
 }
 
--- a/packages/upstreams/src/upstream_exchange.ts
+++ b/packages/upstreams/src/upstream_exchange.ts
@@ -27,6 +27,7 @@
 /** Receiver of the parts of an answer. */
 export interface AnswerReceiver {
   onHead(status: number, headers: IncomingHttpHeaders): void;
+  /** Receives bytes of the body; throwing an error ends the exchange. */
   onData(chunk: Buffer): void;
 }
 
--- a/packages/upstreams/tests/connection_pool_test.ts
+++ b/packages/upstreams/tests/connection_pool_test.ts
@@ -56,6 +56,7 @@
         body: Buffer.from('question'),
         maximumIdleMilliseconds: 5000,
         maximumConnections: 2,
+        maximumMilliseconds: 2000,
       },
       {
         onSend: () => {
@@ -168,3 +169,122 @@
   servers.splice(0).forEach(server => server.close());
   expect(await send(address)).toMatchObject({end: 'error', wasSent: false});
 });
+
+/** Sends `head` and then `piece` again and again until the connection closes. */
+function sendWithoutEnd(socket: Socket, head: string, piece: string): void {
+  const block = Buffer.from(piece.repeat(Math.ceil(65_536 / piece.length)));
+  const send = (): void => {
+    while (!socket.destroyed && socket.write(block)) {}
+  };
+  socket.on('drain', send);
+  socket.write(head);
+  send();
+}
+
+/** Sends `head` and then one byte now and then until the connection closes. */
+function sendSlowly(socket: Socket, head: string): void {
+  socket.write(head);
+  const timer = setInterval(() => {
+    if (socket.destroyed) {
+      clearInterval(timer);
+      return;
+    }
+    socket.write('x');
+  }, PAUSE_MILLISECONDS);
+}
+
+const OK = 'HTTP/1.1 200 OK\r\n';
+const COMPLETE = `${OK}Content-Length: 1\r\n\r\n`;
+
+/** The kernel buffers several megabytes of a connection on loopback. */
+const MAXIMUM_SENT_BYTES = 32 * 1024 * 1024;
+
+describe('bytes without end', () => {
+  test.each([
+    {where: 'before the status line', head: '', piece: '\r\n'},
+    {where: 'in the status line', head: 'HTTP/1.1 200 ', piece: 'x'},
+    {where: 'in a header', head: `${OK}X-Long: `, piece: 'x'},
+    {where: 'in many headers', head: OK, piece: 'X-Many: x\r\n'},
+    {
+      where: 'in informational responses',
+      head: '',
+      piece: 'HTTP/1.1 102 Processing\r\n\r\n',
+    },
+    {
+      where: 'in a chunk header',
+      head: `${OK}Transfer-Encoding: chunked\r\n\r\n5;`,
+      piece: 'x',
+    },
+    {
+      where: 'in a trailer',
+      head: `${OK}Transfer-Encoding: chunked\r\n\r\n0\r\nX-Long: `,
+      piece: 'x',
+    },
+  ])('$where end the response', async ({head, piece}) => {
+    let requests = 0;
+    const address = await listen(socket => {
+      requests += 1;
+      if (requests > 1) {
+        socket.write(`${COMPLETE}2`);
+        return;
+      }
+      sendWithoutEnd(socket, head, piece);
+    });
+    expect((await send(address)).end).toBe('error');
+    expect(sockets[0]?.bytesWritten).toBeLessThan(MAXIMUM_SENT_BYTES);
+    expect((await send(address)).body).toBe('2');
+  });
+
+  test.each([
+    {where: 'in the status line', head: 'HTTP/1.1 200 '},
+    {where: 'in a header', head: `${OK}X-Long: `},
+    {
+      where: 'in a chunk header',
+      head: `${OK}Transfer-Encoding: chunked\r\n\r\n5;`,
+    },
+    {where: 'in a body without a length', head: `${OK}\r\n`},
+  ])('$where, a byte now and then, end the response', async ({head}) => {
+    const address = await listen(socket => sendSlowly(socket, head));
+    expect((await send(address)).end).toBe('error');
+  });
+
+  test.each([
+    {name: 'blank lines', piece: '\r\n'},
+    {name: 'further answers', piece: `${COMPLETE}1`},
+    {name: 'bytes that are no answer', piece: 'x'},
+  ])(
+    'after a complete response close its connection: $name',
+    async ({piece}) => {
+      let requests = 0;
+      const address = await listen(socket => {
+        requests += 1;
+        if (requests > 1) {
+          socket.write(`${COMPLETE}2`);
+          return;
+        }
+        socket.write(`${COMPLETE}1`);
+        afterPause(() => sendWithoutEnd(socket, '', piece));
+      });
+      expect((await send(address)).body).toBe('1');
+      await new Promise(resolve => setTimeout(resolve, 4 * PAUSE_MILLISECONDS));
+      expect((await send(address)).body).toBe('2');
+      expect(sockets[0]?.bytesWritten).toBeLessThan(MAXIMUM_SENT_BYTES);
+    },
+  );
+
+  test('are no reason to end a large response', async () => {
+    const body = 'x'.repeat(4 * 1024 * 1024);
+    const address = await listen(socket => {
+      socket.write(`${OK}Content-Length: ${body.length}\r\n\r\n${body}`);
+    });
+    expect((await send(address)).body).toHaveLength(body.length);
+  });
+
+  test('are no reason to end a response in chunks of one byte', async () => {
+    const chunks = '1\r\nx\r\n'.repeat(100_000);
+    const address = await listen(socket => {
+      socket.write(`${OK}Transfer-Encoding: chunked\r\n\r\n${chunks}0\r\n\r\n`);
+    });
+    expect((await send(address)).body).toHaveLength(100_000);
+  });
+});
