Survive a store that comes back from an older copy of itself

Cause: after a drill the store may come back some seconds old and give out offsets again; the header Store-Era rises. Offsets were taken for an order: a reader went on at an offset that now belonged to other records, an engine that had been withdrawn was listed again, a process that started then took an older configuration for the newest (a key taken away counted again), and the fencing number fell. The counts of usage windows are fixed in a record that can be lost after they were reported, so that another host reported other counts.

Change: the store client joins era and offset into one position, a whole number that only rises; a position of an earlier era is read like an expired one, a late response of an earlier era is dropped, and an append that was executed in another era than its condition counts as unknown. Positions order relayed lists and are the fencing numbers. An upstream that is known as withdrawn or leaving stays so until its own next heartbeat or start; one that the copy lacks has the usual time to list itself again. A duty record names the era in which it was composed. In a new era a holder goes on only while its lease lasts; any other host waits a lease, fixes again the counts that it has read, and leaves out every window that can have been fixed since. A process that starts again first compares its configuration with two serving hosts, for at most 500 ms, and a version is confirmed only while no other host knows a newer one.

Ruled out: trusting the record that the store brings back, which a write that is executed late can have replaced; marking the era in the key of the record alone, for the same reason; closing windows on the first start of the system (a test found that it lost a report).

--- a/packages/decisions/src/duties/duty_record.ts
+++ b/packages/decisions/src/duties/duty_record.ts
@@ -1,11 +1,13 @@
 /**
  * The record with which one host at a time holds the duties. It also contains
  * the usage counts that must never be reported with different values. The
- * offset of the record in its log is the fencing number of all calls that its
+ * position of the record in its log is the fencing number of all calls that its
  * holder makes.
  */
 import {z} from 'zod';
 
+import {eraOf} from '../store/store_position.js';
+
 const COUNTS_SCHEMA = z.record(z.string(), z.number()).readonly();
 
 const DUTY_RECORD_SCHEMA = z
@@ -13,10 +15,17 @@
     holder: z.string(),
     /** ID of the holder's process, which changes at each start. */
     processId: z.string(),
+    /** Era of the store in which the holder wrote the record. */
+    era: z.number().default(0),
     /** Counts by window; they never change once they are in this record. */
     fixedUsage: z.record(z.string(), COUNTS_SCHEMA).readonly(),
     /** Last window up to which the platform has accepted all counts. */
     reportedTo: z.number(),
+    /**
+     * Last window whose counts can no longer be fixed, because they may have
+     * been reported before the store lost its newest records.
+     */
+    closedTo: z.number().default(-1),
     /** Highest number of on-demand engines of each service without an order. */
     mostLastingEngines: z.record(z.string(), z.number()).readonly(),
   })
@@ -37,11 +46,11 @@
 /** The newest duty record as a host has read it from the log. */
 export interface DutyView {
   readonly record: DutyRecord | undefined;
-  /** Offset of the record; undefined if there is none yet. */
-  readonly offset: number | undefined;
-  /** Offset that the next record of the log will get. */
+  /** Position of the record; undefined if there is none yet. */
+  readonly position: number | undefined;
+  /** Position that the next record of the log will get. */
   readonly end: number;
-  /** Time at which this offset was first seen, by the suspension clock. */
+  /** Time at which this position was first seen, by the suspension clock. */
   readonly seenAt: number;
 }
 
@@ -69,6 +78,17 @@
   return now - view.seenAt > requiredSilenceMilliseconds;
 }
 
+/**
+ * Returns whether the newest record was written by `processId` and no other
+ * host can have held the duties since. A record that the store has brought back
+ * from a copy can be followed by lost records of other hosts.
+ */
+export function isOwnNewestRecord(view: DutyView, processId: string): boolean {
+  return (
+    view.record?.processId === processId && view.record.era === eraOf(view.end)
+  );
+}
+
 /** Share of a lease, from sending its renewal, in which the holder may act. */
 const ACTIVE_LEASE_SHARE = 0.7;
 
@@ -83,3 +103,28 @@
 ): boolean {
   return now - renewalSentAt < leaseMilliseconds * ACTIVE_LEASE_SHARE;
 }
+
+/** A host that held the duties when it last renewed them. */
+export interface DutyHolder {
+  readonly processId: string;
+  /** Time at which its last successful renewal was sent. */
+  readonly renewalSentAt: number;
+}
+
+/**
+ * Returns whether a holder that has read the newest record may renew it. If the
+ * store has come back from a copy since its last renewal, it may do so only
+ * while its lease lasts and no host has written a record in the new era.
+ */
+export function canKeepDuties(
+  view: DutyView,
+  {processId, renewalSentAt}: DutyHolder,
+  leaseMilliseconds: number,
+  now: number,
+): boolean {
+  const isFirstOfEra = view.record?.era !== eraOf(view.end);
+  return (
+    isOwnNewestRecord(view, processId) ||
+    (isFirstOfEra && canActOnDuties(renewalSentAt, leaseMilliseconds, now))
+  );
+}
--- a/packages/decisions/src/duties/usage_windows.ts
+++ b/packages/decisions/src/duties/usage_windows.ts
@@ -2,6 +2,7 @@
  * Counts of the requests that began to run, by window of true time.
  */
 import type {DutyRecord, UsageCounts} from './duty_record.js';
+import type {ContinuedRecord} from './reconcile_duty_record.js';
 
 /** Number of windows for which counts are kept. */
 const RETAINED_WINDOWS = 8;
@@ -69,15 +70,19 @@
 
   /**
    * Returns the windows whose counts can be fixed now: they have settled and
-   * are later than all windows that `record` contains or that were reported.
+   * are later than all windows that `record` contains or has closed.
    */
   windowsToFix(
-    record: DutyRecord | undefined,
+    record: ContinuedRecord | undefined,
     trueTime: number,
   ): readonly number[] {
     const last = this.windowOf(trueTime - SETTLING_MILLISECONDS) - 1;
     const fixed = Object.keys(record?.fixedUsage ?? {}).map(Number);
-    const lastHandled = Math.max(record?.reportedTo ?? -1, ...fixed);
+    const lastHandled = Math.max(
+      record?.reportedTo ?? -1,
+      record?.closedTo ?? -1,
+      ...fixed,
+    );
     const first = Math.max(lastHandled + 1, last - RETAINED_WINDOWS + 1);
     const windows: number[] = [];
     for (let window = first; window <= last; window += 1) {
--- a/packages/decisions/src/orders/engine_order_book.ts
+++ b/packages/decisions/src/orders/engine_order_book.ts
@@ -4,7 +4,7 @@
  * soon as they leave. A domain that refuses an order counts as out of capacity,
  * so that on-demand engines are ordered as replacements.
  */
-import type {ListedUpstream} from '../upstreams/upstream_list.js';
+import type {ListedUpstream} from '../upstreams/listed_upstream.js';
 import {countMatchingEngines, type EngineOrder} from './wanted_engines.js';
 
 /** The result of placing an order. */
--- a/packages/decisions/src/orders/wanted_engines.ts
+++ b/packages/decisions/src/orders/wanted_engines.ts
@@ -11,7 +11,7 @@
   RoutedService,
   ScalingBounds,
 } from '../routing/routing_configuration.js';
-import type {ListedUpstream} from '../upstreams/upstream_list.js';
+import type {ListedUpstream} from '../upstreams/listed_upstream.js';
 
 /** A wanted number of engines; repeating the order has no further effect. */
 export interface EngineOrder {
--- a/packages/decisions/src/placement/choose_engine.ts
+++ b/packages/decisions/src/placement/choose_engine.ts
@@ -4,7 +4,7 @@
  * which has the part in its cache, unless waiting for that engine costs more
  * than reading the part again at another one.
  */
-import type {UsableUpstream} from '../upstreams/upstream_list.js';
+import type {UsableUpstream} from '../upstreams/listed_upstream.js';
 import {rendezvousOrder} from '../util/rendezvous_hash.js';
 
 /** A part of a prompt. */
--- a/packages/decisions/src/placement/placement_table.ts
+++ b/packages/decisions/src/placement/placement_table.ts
@@ -5,7 +5,7 @@
  * when the dispatcher does not answer. Load reports arrive too late when many
  * requests reach many hosts at once, so each placement is counted immediately.
  */
-import type {UsableUpstream} from '../upstreams/upstream_list.js';
+import type {UsableUpstream} from '../upstreams/listed_upstream.js';
 import {
   chooseEngine,
   type EngineChoice,
--- a/packages/decisions/src/placement/routed_shards.ts
+++ b/packages/decisions/src/placement/routed_shards.ts
@@ -10,7 +10,7 @@
   MAXIMUM_SHARD_SIZE,
   shardCount,
 } from '../dispatch/shards.js';
-import type {UsableUpstream} from '../upstreams/upstream_list.js';
+import type {UsableUpstream} from '../upstreams/listed_upstream.js';
 import {weightedRendezvousOrder} from '../util/rendezvous_hash.js';
 import {affinityKey, type PlacementDemand} from './choose_engine.js';
 
--- a/packages/decisions/src/upstreams/upstream_announcements.ts
+++ b/packages/decisions/src/upstreams/upstream_announcements.ts
@@ -5,7 +5,7 @@
  * kept sending, the engine would spend its time on refusals, and every request
  * would lose an attempt. Announcements apply to one incarnation of an upstream.
  */
-import type {ListedUpstream} from './upstream_list.js';
+import type {ListedUpstream} from './listed_upstream.js';
 
 /** An announcement in a response of an upstream. */
 export type UpstreamAnnouncement =
--- a/packages/decisions/src/upstreams/upstream_list.ts
+++ b/packages/decisions/src/upstreams/upstream_list.ts
@@ -1,96 +1,49 @@
 /**
- * The upstreams that the platform lists, as known to one entry host.
+ * The upstreams that the platform lists, as known to one entry host. The store
+ * can come back from an older copy, in which upstreams are listed that have
+ * been withdrawn since, or as ready that have been leaving since. They stay so
+ * until their own next heartbeat.
  */
 import {isDeepStrictEqual} from 'node:util';
 
-/** An upstream, as it describes itself. */
-export interface ListedUpstream {
-  readonly upstreamId: string;
-  readonly service: string;
-  /** IP address and port. */
-  readonly address: string;
-  readonly failureDomain: string;
-  readonly slots: number;
-  readonly isLeaving: boolean;
-  /** Milliseconds until its departure; undefined if it did not report them. */
-  readonly leavesInMilliseconds: number | undefined;
-  /**
-   * Start time of its process in milliseconds since the epoch; 0 if it did not
-   * report one.
-   */
-  readonly bornAt: number;
-  /** Whether it can be reclaimed together with its failure domain. */
-  readonly isReclaimable: boolean;
-  /** Remaining milliseconds for which it is slow after its start. */
-  readonly coldMilliseconds: number;
-}
-
-/** A change read from the store. */
-export type UpstreamUpdate =
-  | {readonly kind: 'listed'; readonly upstream: ListedUpstream}
-  /** The entry was removed, or its contents describe no usable upstream. */
-  | {readonly kind: 'withdrawn'; readonly upstreamId: string};
-
-/** A change that was applied to the list. */
-export interface UpstreamChange {
-  readonly upstreamId: string;
-  readonly service: string;
-  readonly failureDomain: string;
-  readonly state: 'leaving' | 'listed' | 'withdrawn';
-  /** Whether it restarted under the same ID and lost its earlier state. */
-  readonly isRestarted: boolean;
-}
-
-/** An upstream, as one host relays it to another. */
-export interface RelayedUpstream {
-  readonly upstream: ListedUpstream;
-  /**
-   * Milliseconds until the upstream counts as gone unless it is listed again;
-   * present if its entry lapsed during an outage of the store.
-   */
-  readonly lapsesInMilliseconds?: number;
-}
-
-/** A list of upstreams, as one host relays it to another. */
-export type RelayedList =
-  /** The complete list. */
-  | {readonly kind: 'whole'; readonly listed: readonly RelayedUpstream[]}
-  /** The changes since the offset up to which the other host has read. */
-  | {
-      readonly kind: 'changes';
-      readonly listed: readonly RelayedUpstream[];
-      readonly withdrawn: readonly string[];
-    };
-
-/** The state of the store at which updates were read. */
-export interface UpdateSource {
-  /** Offset in the store's log up to which the updates were read. */
-  readonly readTo: number;
-  /** Time until which entries that lapsed in an outage can be listed again. */
-  readonly relistedBy: number;
-}
+import {eraOf} from '../store/store_position.js';
+import type {
+  ListedUpstream,
+  UpdateSource,
+  UpstreamChange,
+  UpstreamUpdate,
+  UsableUpstream,
+} from './listed_upstream.js';
+import type {RelayedList, RelayedUpstream} from './relayed_list.js';
 
 /** Largest number of withdrawals remembered in order to relay them. */
 const MAXIMUM_REMEMBERED_WITHDRAWALS = 1024;
 
-/** An upstream that accepts new work. */
-export interface UsableUpstream extends ListedUpstream {
-  /**
-   * Time at which this host first saw the upstream's process ready, in
-   * milliseconds of the suspension-aware clock.
-   */
-  readonly knownSince: number;
-}
-
 interface Entry {
   readonly upstream: ListedUpstream;
+  readonly heartbeat: number | undefined;
   readonly knownSince: number;
   /** Time at which an entry that lapsed in an outage is removed. */
   readonly lapsesAt: number;
-  /** Offset up to which the store had been read when the entry changed. */
+  /** Position up to which the store had been read when the entry changed. */
+  readonly changedTo: number;
+}
+
+/** The last state of an upstream that was withdrawn. */
+interface Withdrawal {
+  readonly bornAt: number;
+  readonly heartbeat: number | undefined;
+  /** Position up to which the store had been read when it was withdrawn. */
   readonly changedTo: number;
 }
 
+/** A listing of an upstream, and where it comes from. */
+interface Listing {
+  readonly upstream: ListedUpstream;
+  readonly heartbeat: number | undefined;
+  readonly origin: 'log' | 'relay' | 'snapshot';
+}
+
 /**
  * Milliseconds within which upstreams list themselves again after an outage of
  * the store, as guaranteed by the platform.
@@ -101,9 +54,8 @@
 export class UpstreamList {
   private readonly entries = new Map<string, Entry>();
   private changes: readonly UpstreamChange[] = [];
-  /** Offsets up to which the store had been read, by withdrawn upstream. */
-  private readonly withdrawn = new Map<string, number>();
-  /** Offset after which all withdrawals are remembered. */
+  private readonly withdrawn = new Map<string, Withdrawal>();
+  /** Position after which all withdrawals are remembered. */
   private withdrawalsKnownSince = -Infinity;
   private readonly usableByService = new Map<
     string,
@@ -132,7 +84,7 @@
     for (const update of updates) {
       switch (update.kind) {
         case 'listed':
-          this.list(update.upstream, source, now);
+          this.list({...update, origin: 'log'}, source, now);
           break;
         case 'withdrawn':
           this.withdraw(update.upstreamId, source, now);
@@ -141,16 +93,27 @@
     }
   }
 
-  /** Replaces the list with the state of the store; see `apply`. */
+  /** Replaces the list with a snapshot of the store; see `apply`. */
   replace(
-    upstreams: readonly ListedUpstream[],
+    updates: readonly UpstreamUpdate[],
     source: UpdateSource,
     now: number,
   ): void {
-    const listed = new Set(upstreams.map(({upstreamId}) => upstreamId));
-    for (const upstream of upstreams) {
-      this.list(upstream, source, now);
-    }
+    const listings = updates.flatMap(update =>
+      update.kind === 'listed'
+        ? [{...update, origin: 'snapshot' as const}]
+        : [],
+    );
+    this.replaceBy(listings, source, now);
+  }
+
+  private replaceBy(
+    listings: readonly Listing[],
+    source: UpdateSource,
+    now: number,
+  ): boolean {
+    const listed = new Set(listings.map(({upstream}) => upstream.upstreamId));
+    const isCurrent = this.listAll(listings, source, now);
     for (const upstreamId of [...this.entries.keys()]) {
       if (!listed.has(upstreamId)) {
         this.withdraw(upstreamId, source, now);
@@ -161,6 +124,18 @@
       this.withdrawalsKnownSince,
       source.readTo,
     );
+    return isCurrent;
+  }
+
+  /** Lists upstreams; returns false if any of the listings is outdated. */
+  private listAll(
+    listings: readonly Listing[],
+    source: UpdateSource,
+    now: number,
+  ): boolean {
+    return listings
+      .map(listing => this.list(listing, source, now))
+      .every(isCurrent => isCurrent);
   }
 
   /**
@@ -180,23 +155,28 @@
       .filter(({changedTo}) => changedTo > since)
       .map(entry => toRelayed(entry, now));
     const withdrawn = [...this.withdrawn]
-      .filter(([, changedTo]) => changedTo > since)
+      .filter(([, {changedTo}]) => changedTo > since)
       .map(([upstreamId]) => upstreamId);
     return {kind: 'changes', listed, withdrawn};
   }
 
-  /** Applies the list of another host, which has read up to `readTo`. */
-  applyRelayed(relayed: RelayedList, readTo: number, now: number): void {
+  /**
+   * Applies the list of another host, which has read up to `readTo`. Returns
+   * false if parts of it are outdated; the rest is applied.
+   */
+  applyRelayed(relayed: RelayedList, readTo: number, now: number): boolean {
     const source = {readTo, relistedBy: -Infinity};
-    const upstreams = relayed.listed.map(({upstream}) => upstream);
-    switch (relayed.kind) {
-      case 'whole':
-        this.replace(upstreams, source, now);
-        break;
-      case 'changes':
-        upstreams.forEach(upstream => this.list(upstream, source, now));
-        relayed.withdrawn.forEach(id => this.withdraw(id, source, now));
-        break;
+    const listings = relayed.listed.map(({upstream, heartbeat}) => ({
+      upstream,
+      heartbeat,
+      origin: 'relay' as const,
+    }));
+    const isCurrent =
+      relayed.kind === 'whole'
+        ? this.replaceBy(listings, source, now)
+        : this.listAll(listings, source, now);
+    if (relayed.kind === 'changes') {
+      relayed.withdrawn.forEach(id => this.withdraw(id, source, now));
     }
     for (const {upstream, lapsesInMilliseconds} of relayed.listed) {
       if (lapsesInMilliseconds !== undefined) {
@@ -204,6 +184,7 @@
         this.withdraw(upstream.upstreamId, {readTo, relistedBy}, now);
       }
     }
+    return isCurrent;
   }
 
   /** Returns the upstreams of `service` that accept new work at `now`. */
@@ -234,19 +215,20 @@
   }
 
   /**
-   * Adds or updates an entry. Upstreams list themselves again every second,
-   * usually without a change.
+   * Adds or updates an entry; returns false if the listing is outdated.
+   * Upstreams list themselves again every second, usually without a change.
    */
-  private list(
-    upstream: ListedUpstream,
-    {readTo}: UpdateSource,
-    now: number,
-  ): void {
+  private list(listing: Listing, {readTo}: UpdateSource, now: number): boolean {
+    const {upstream, heartbeat} = listing;
     const {upstreamId} = upstream;
+    if (this.isOutdated(listing, readTo)) {
+      return false;
+    }
     const existing = this.entries.get(upstreamId);
     const isLapsing = existing?.lapsesAt !== Infinity;
     if (!isLapsing && isDeepStrictEqual(existing.upstream, upstream)) {
-      return;
+      this.entries.set(upstreamId, {...existing, heartbeat});
+      return true;
     }
     const isSameProcess = existing?.upstream.bornAt === upstream.bornAt;
     const isRestarted = existing !== undefined && !isSameProcess;
@@ -257,11 +239,13 @@
     this.withdrawn.delete(upstreamId);
     this.entries.set(upstreamId, {
       upstream,
+      heartbeat,
       knownSince: isSameProcess ? existing.knownSince : now,
       lapsesAt: Infinity,
       changedTo: readTo,
     });
     this.usableByService.clear();
+    return true;
   }
 
   private withdraw(
@@ -281,16 +265,46 @@
     this.remove(existing, readTo);
   }
 
-  private remove({upstream}: Entry, readTo: number): void {
+  /**
+   * Returns whether a listing is older than what is known of the upstream. That
+   * is possible only if the store has come back from an older copy since.
+   */
+  private isOutdated(listing: Listing, readTo: number): boolean {
+    const {upstream, origin} = listing;
+    const existing = this.entries.get(upstream.upstreamId);
+    const known =
+      existing === undefined
+        ? this.withdrawn.get(upstream.upstreamId)
+        : {...existing, bornAt: existing.upstream.bornAt};
+    if (
+      known === undefined ||
+      origin === 'log' ||
+      eraOf(known.changedTo) === eraOf(readTo)
+    ) {
+      return false;
+    }
+    const isRegression =
+      existing === undefined ||
+      (existing.upstream.isLeaving && !upstream.isLeaving);
+    return (
+      upstream.bornAt < known.bornAt ||
+      (upstream.bornAt === known.bornAt &&
+        isRegression &&
+        !isLater(listing, known.heartbeat))
+    );
+  }
+
+  private remove({upstream, heartbeat}: Entry, readTo: number): void {
     this.entries.delete(upstream.upstreamId);
-    this.rememberWithdrawal(upstream.upstreamId, readTo);
+    const {upstreamId, bornAt} = upstream;
+    this.rememberWithdrawal(upstreamId, {bornAt, heartbeat, changedTo: readTo});
     this.recordChange(upstream, 'withdrawn', false);
     this.usableByService.clear();
   }
 
-  private rememberWithdrawal(upstreamId: string, readTo: number): void {
+  private rememberWithdrawal(upstreamId: string, withdrawal: Withdrawal): void {
     this.withdrawn.delete(upstreamId);
-    this.withdrawn.set(upstreamId, readTo);
+    this.withdrawn.set(upstreamId, withdrawal);
     const [oldest] = this.withdrawn;
     if (
       this.withdrawn.size > MAXIMUM_REMEMBERED_WITHDRAWALS &&
@@ -299,7 +313,7 @@
       this.withdrawn.delete(oldest[0]);
       this.withdrawalsKnownSince = Math.max(
         this.withdrawalsKnownSince,
-        oldest[1],
+        oldest[1].changedTo,
       );
     }
   }
@@ -322,8 +336,23 @@
   }
 }
 
-function toRelayed({upstream, lapsesAt}: Entry, now: number): RelayedUpstream {
-  return Number.isFinite(lapsesAt)
-    ? {upstream, lapsesInMilliseconds: lapsesAt - now}
-    : {upstream};
+/** Returns whether a listing has a later heartbeat than the known one. */
+function isLater(
+  {heartbeat, origin}: Listing,
+  knownHeartbeat: number | undefined,
+): boolean {
+  return heartbeat === undefined || knownHeartbeat === undefined
+    ? origin !== 'snapshot'
+    : heartbeat > knownHeartbeat;
+}
+
+function toRelayed(
+  {upstream, heartbeat, lapsesAt}: Entry,
+  now: number,
+): RelayedUpstream {
+  return {
+    upstream,
+    ...(heartbeat === undefined ? {} : {heartbeat}),
+    ...(Number.isFinite(lapsesAt) && {lapsesInMilliseconds: lapsesAt - now}),
+  };
 }
--- a/packages/decisions/tests/duties_test.ts
+++ b/packages/decisions/tests/duties_test.ts
@@ -27,10 +27,12 @@
   fixedUsage: {},
   reportedTo: -1,
   mostLastingEngines: {},
+  era: 0,
+  closedTo: -1,
 };
 
 function view(record: DutyRecord | undefined): DutyView {
-  return {record, offset: 4, end: 5, seenAt: 1000};
+  return {record, position: 4, end: 5, seenAt: 1000};
 }
 
 describe('the duties', () => {
--- a/packages/decisions/tests/upstream_list_test.ts
+++ b/packages/decisions/tests/upstream_list_test.ts
@@ -30,8 +30,11 @@
   };
 }
 
-function listed(listedUpstream: ListedUpstream): UpstreamUpdate {
-  return {kind: 'listed', upstream: listedUpstream};
+function listed(
+  listedUpstream: ListedUpstream,
+  heartbeat?: number,
+): UpstreamUpdate {
+  return {kind: 'listed', upstream: listedUpstream, heartbeat};
 }
 
 const NOW = 1000;
@@ -118,7 +121,7 @@
     },
   ])('$name', ({updates, relistedBy, later, usable}) => {
     const list = new UpstreamList();
-    list.replace([upstream('a'), upstream('b')], source(), NOW);
+    list.replace([listed(upstream('a')), listed(upstream('b'))], source(), NOW);
     list.apply(updates, source(1, relistedBy), NOW);
     expect(
       list.usable('engines', NOW + later).map(({upstreamId}) => upstreamId),
@@ -136,8 +139,8 @@
 
   it('that a complete read no longer contains is removed', () => {
     const list = new UpstreamList();
-    list.replace([upstream('a'), upstream('b')], source(), NOW);
-    list.replace([upstream('b')], source(), NOW + 1);
+    list.replace([listed(upstream('a')), listed(upstream('b'))], source(), NOW);
+    list.replace([listed(upstream('b'))], source(), NOW + 1);
     expect(list.all().map(({upstreamId}) => upstreamId)).toEqual(['b']);
   });
 });
@@ -196,7 +199,7 @@
     },
   ])('$name', ({updates, relistedBy, changes}) => {
     const list = new UpstreamList();
-    list.replace([upstream('a'), upstream('b')], source(), NOW);
+    list.replace([listed(upstream('a')), listed(upstream('b'))], source(), NOW);
     expect(list.takeChanges(NOW).length).toBe(2);
     list.apply(updates, source(1, relistedBy), NOW);
     expect(
@@ -212,9 +215,9 @@
 
   it('report upstreams that a complete read no longer contains', () => {
     const list = new UpstreamList();
-    list.replace([upstream('a'), upstream('b')], source(), NOW);
+    list.replace([listed(upstream('a')), listed(upstream('b'))], source(), NOW);
     list.takeChanges(NOW);
-    list.replace([upstream('b')], source(1), NOW);
+    list.replace([listed(upstream('b'))], source(1), NOW);
     expect(list.takeChanges(NOW).map(({state}) => state)).toEqual([
       'withdrawn',
     ]);
@@ -224,7 +227,11 @@
 describe('a list that another host relays', () => {
   it('keeps the time at which an entry lapses', () => {
     const ownList = new UpstreamList();
-    ownList.replace([upstream('a'), upstream('b')], source(), NOW);
+    ownList.replace(
+      [listed(upstream('a')), listed(upstream('b'))],
+      source(),
+      NOW,
+    );
     ownList.apply(
       [{kind: 'withdrawn', upstreamId: 'a'}],
       source(1, NOW + 500),
@@ -240,7 +247,7 @@
   it('contains only the changes for a host that has read before', () => {
     const ownList = new UpstreamList();
     ownList.replace(
-      [upstream('a'), upstream('b'), upstream('c')],
+      [listed(upstream('a')), listed(upstream('b')), listed(upstream('c'))],
       source(10),
       NOW,
     );
@@ -276,14 +283,14 @@
 
   it('is complete for a host that last read before this one did', () => {
     const list = new UpstreamList();
-    list.replace([upstream('a')], source(10), NOW);
+    list.replace([listed(upstream('a'))], source(10), NOW);
     expect(list.relay(9, NOW).kind).toBe('whole');
     expect(list.relay(10, NOW).kind).toBe('changes');
   });
 
   it('replaces the known list', () => {
     const list = new UpstreamList();
-    list.replace([upstream('a'), upstream('b')], source(), NOW);
+    list.replace([listed(upstream('a')), listed(upstream('b'))], source(), NOW);
     list.applyRelayed(
       {kind: 'whole', listed: [{upstream: upstream('b', {isLeaving: true})}]},
       1,
--- a/packages/entry-process/src/routed/configuration_follower.ts
+++ b/packages/entry-process/src/routed/configuration_follower.ts
@@ -211,11 +211,16 @@
   /**
    * Updates the confirmation time. A confirmation applies only to the version
    * for which it was made, so it is ignored if `version` is not the current
-   * one.
+   * one. While another host knows a newer version, nothing is confirmed: the
+   * store may have come back from an older copy.
    */
   private confirm(confirmedAt: number, version: number | undefined): void {
     const {confirmed} = this;
-    if (confirmed === undefined || confirmed.value.version !== version) {
+    if (
+      confirmed === undefined ||
+      confirmed.value.version !== version ||
+      version < this.newestVersion
+    ) {
       return;
     }
     this.confirmed = {
--- a/packages/entry-process/src/routed/duty_task.ts
+++ b/packages/entry-process/src/routed/duty_task.ts
@@ -4,17 +4,20 @@
  */
 import {
   canActOnDuties,
+  canKeepDuties,
   canTakeOverDuties,
+  type ContinuedRecord,
   type DutyRecord,
   type DutyView,
-  type EngineOrder,
-  EngineOrderBook,
+  eraOf,
+  isOwnNewestRecord,
+  KnownUsage,
   type ListedUpstream,
   parseDutyRecord,
+  reconcileDutyRecord,
   rendezvousOrder,
   type RoutingConfiguration,
   type UsageWindows,
-  wantedEngines,
   windowsToReport,
   withFixedWindows,
 } from '@lacewingwinch/decisions';
@@ -31,6 +34,7 @@
 import {isAborted} from '../util/is_aborted.js';
 import {messageOf} from '../util/message_of.js';
 import type {Clocks} from './clocks.js';
+import {EngineOrders} from './engine_orders.js';
 
 /**
  * Milliseconds between two rounds: a lease of 3,000 ms is renewed in time even
@@ -67,6 +71,8 @@
   readonly duties: readonly PlatformDuty[];
   readonly events: EventLog;
   readonly clocks: Clocks;
+  /** Whether this process started with the whole system for the first time. */
+  readonly isFirstStart: boolean;
   readonly leaseMilliseconds: number;
   readonly failureDomains: readonly string[];
   readonly usage: UsageWindows;
@@ -86,13 +92,24 @@
   private renewalSentAt = -Infinity;
   private isHolder = false;
   private reportedTo = -1;
-  private readonly orders = new EngineOrderBook();
+  private readonly orders: EngineOrders;
+  private readonly knownUsage = new KnownUsage();
+  /** The record that this host wrote last. */
+  private ownRecord: DutyRecord | undefined;
   private readonly engineLeavingNotifier = new ChangeNotifier();
 
   private readonly startedAt: number;
 
   constructor(private readonly dependencies: DutyTaskDependencies) {
     this.startedAt = dependencies.clocks.suspensionAware();
+    this.orders = new EngineOrders({
+      ...dependencies,
+      clock: dependencies.clocks.suspensionAware,
+      place: order =>
+        this.callAsHolder(fence =>
+          dependencies.cloud.orderEngines(order, fence),
+        ),
+    });
   }
 
   /** Whether this host is the lease holder, as far as it knows. */
@@ -139,9 +156,13 @@
       this.view = undefined;
       return;
     }
-    if (!this.isHolder) {
+    if (!this.isHolder || this.view === undefined) {
       await this.readView();
     }
+    if (this.isHolder && !this.canKeepDuties()) {
+      this.loseDuties();
+      return;
+    }
     if (!this.isHolder && !this.canTakeDuties(rank)) {
       return;
     }
@@ -150,16 +171,28 @@
     }
   }
 
+  private canKeepDuties(): boolean {
+    const {processId, leaseMilliseconds, clocks} = this.dependencies;
+    const holder = {processId, renewalSentAt: this.renewalSentAt};
+    return (
+      this.view !== undefined &&
+      canKeepDuties(
+        this.view,
+        holder,
+        leaseMilliseconds,
+        clocks.suspensionAware(),
+      )
+    );
+  }
+
   private canTakeDuties(rank: number): boolean {
     const {clocks, leaseMilliseconds} = this.dependencies;
     const {view} = this;
     if (view === undefined) {
       return false;
     }
-    // If the newest record was written by this process, no other host has held
-    // the duties since.
     return (
-      view.record?.processId === this.dependencies.processId ||
+      isOwnNewestRecord(view, this.dependencies.processId) ||
       canTakeOverDuties(view, rank, leaseMilliseconds, clocks.suspensionAware())
     );
   }
@@ -171,11 +204,15 @@
     });
     const newest = records.find(({key}) => key === DUTY_KEY);
     const isUnchanged =
-      this.view !== undefined && this.view.offset === newest?.offset;
+      this.view !== undefined && this.view.position === newest?.position;
+    const record =
+      newest?.value === undefined ? undefined : parseRecord(newest.value);
+    if (record !== undefined) {
+      this.knownUsage.remember(record, eraOf(end));
+    }
     this.view = {
-      record:
-        newest?.value === undefined ? undefined : parseRecord(newest.value),
-      offset: newest?.offset,
+      record,
+      position: newest?.position,
       end,
       seenAt: isUnchanged
         ? (this.view?.seenAt ?? clocks.suspensionAware())
@@ -193,7 +230,8 @@
     if (view === undefined) {
       return false;
     }
-    const record = this.nextRecord(view.record);
+    const era = eraOf(view.end);
+    const record = this.nextRecord(this.previousRecord(view), era);
     const sentAt = clocks.suspensionAware();
     try {
       const result = await store.appendKeyed(
@@ -206,15 +244,21 @@
         case 'moved':
           this.loseDuties();
           return false;
+        case 'era-changed':
+          events.write(5008, {hostId});
+          this.view = undefined;
+          return false;
         case 'appended':
           this.view = {
             record,
-            offset: result.offset,
-            end: result.offset + 1,
+            position: result.position,
+            end: result.position + 1,
             seenAt: sentAt,
           };
+          this.ownRecord = record;
+          this.knownUsage.remember(record, era);
           if (!this.isHolder) {
-            events.write(5001, {fencingNumber: result.offset, hostId});
+            events.write(5001, {fencingNumber: result.position, hostId});
           }
           this.isHolder = true;
           this.renewalSentAt = sentAt;
@@ -237,14 +281,42 @@
     this.view = undefined;
   }
 
-  private nextRecord(previous: DutyRecord | undefined): DutyRecord {
+  /**
+   * Returns the record that the next one continues. A holder whose lease has
+   * not ended knows its own last record to be the newest, even if the store has
+   * lost it.
+   */
+  private previousRecord(view: DutyView): ContinuedRecord {
+    const {clocks, leaseMilliseconds, usage, trueTime, isFirstStart, store} =
+      this.dependencies;
+    const isLeaseValid =
+      this.isHolder &&
+      canActOnDuties(
+        this.renewalSentAt,
+        leaseMilliseconds,
+        clocks.suspensionAware(),
+      );
+    if (isLeaseValid && this.ownRecord !== undefined) {
+      return this.ownRecord;
+    }
+    return reconcileDutyRecord(view.record, {
+      era: eraOf(view.end),
+      known: this.knownUsage,
+      isFirstEra: isFirstStart && !store.hasComeBack,
+      currentWindow: usage.windowOf(trueTime()),
+    });
+  }
+
+  private nextRecord(previous: ContinuedRecord, era: number): DutyRecord {
     const {hostId, processId, usage, trueTime} = this.dependencies;
     const record: DutyRecord = {
-      fixedUsage: previous?.fixedUsage ?? {},
-      reportedTo: Math.max(previous?.reportedTo ?? -1, this.reportedTo),
+      fixedUsage: previous.fixedUsage,
+      reportedTo: Math.max(previous.reportedTo, this.reportedTo),
       mostLastingEngines: this.countLastingEngines(previous),
+      closedTo: previous.closedTo,
       holder: hostId,
       processId,
+      era,
     };
     const windows = usage
       .windowsToFix(previous, trueTime())
@@ -257,11 +329,11 @@
    * engines seen so far, which are the engines that exist without an order.
    */
   private countLastingEngines(
-    previous: DutyRecord | undefined,
+    previous: ContinuedRecord,
   ): Readonly<Record<string, number>> {
     const services = this.dependencies.configuration()?.services.values() ?? [];
     const upstreams = this.dependencies.upstreams();
-    const counts: Record<string, number> = {...previous?.mostLastingEngines};
+    const counts: Record<string, number> = {...previous.mostLastingEngines};
     for (const {name, scaling} of services) {
       const count = upstreams.filter(
         ({service, isReclaimable}) => service === name && !isReclaimable,
@@ -286,7 +358,7 @@
       await this.reportUsage(record);
     }
     if (duties.includes('scaling') && hasSettled) {
-      await this.orderEngines(record);
+      await this.orders.placeDueOrders(record);
     }
   }
 
@@ -312,84 +384,12 @@
     }
   }
 
-  /**
-   * Places the orders that are due. A refusal changes which engines are wanted,
-   * so the orders that follow from it are placed in the same round.
-   */
-  private async orderEngines(record: DutyRecord): Promise<void> {
-    const wasRefused = await this.placeOrders(record);
-    if (wasRefused) {
-      await this.placeOrders(record);
-    }
-  }
-
-  /**
-   * Places the orders that are due; returns whether any of them was refused.
-   */
-  private async placeOrders(record: DutyRecord): Promise<boolean> {
-    const {clocks, upstreams} = this.dependencies;
-    const listed = upstreams();
-    let wasRefused = false;
-    const now = clocks.suspensionAware();
-    for (const order of this.orders.dueOrders(
-      this.wantedOrders(record),
-      listed,
-      now,
-    )) {
-      const result = await this.callAsHolder(fence =>
-        this.dependencies.cloud.orderEngines(order, fence),
-      );
-      if (result === undefined) {
-        return false;
-      }
-      wasRefused ||= result.kind === 'refused';
-      this.orders.recordResult(
-        order,
-        result.kind,
-        listed,
-        clocks.suspensionAware(),
-      );
-      this.logOrder(order, result);
-    }
-    return wasRefused;
-  }
-
-  private logOrder(order: EngineOrder, result: DutyResult): void {
-    this.dependencies.events.write(5007, {
-      service: order.service,
-      failureDomain: order.failureDomain,
-      count: order.count,
-      hostClass: order.isReclaimable ? 'reclaimable' : 'on-demand',
-      result: result.kind,
-    });
-  }
-
-  private wantedOrders(record: DutyRecord): readonly EngineOrder[] {
-    const {configuration, failureDomains, upstreams, clocks} =
-      this.dependencies;
-    const now = clocks.suspensionAware();
-    const services = [...(configuration()?.services.values() ?? [])];
-    return services.flatMap(service => {
-      const engines = record.mostLastingEngines[service.name];
-      return service.scaling === undefined || engines === undefined
-        ? []
-        : wantedEngines(
-            service,
-            service.scaling,
-            failureDomains,
-            upstreams(),
-            {engines},
-            this.orders.domainsOutOfCapacity(service.name, failureDomains, now),
-          );
-    });
-  }
-
   /** Makes a call only if this host still holds the duties at this moment. */
   private async callAsHolder(
     call: (fence: DutyFence) => Promise<DutyResult>,
   ): Promise<DutyResult | undefined> {
     const {clocks, hostId, leaseMilliseconds} = this.dependencies;
-    const offset = this.view?.offset;
+    const position = this.view?.position;
     const isValid =
       this.isHolder &&
       canActOnDuties(
@@ -397,10 +397,10 @@
         leaseMilliseconds,
         clocks.suspensionAware(),
       );
-    if (offset === undefined || !isValid) {
+    if (position === undefined || !isValid) {
       return undefined;
     }
-    const result = await call({holder: hostId, fencingNumber: offset});
+    const result = await call({holder: hostId, fencingNumber: position});
     if (result.kind === 'refused' && result.reason.includes('fence')) {
       this.loseDuties();
       return undefined;
--- a/packages/entry-process/src/routed/routed_process.ts
+++ b/packages/entry-process/src/routed/routed_process.ts
@@ -104,6 +104,8 @@
   private readonly processId = uuidV7();
   private readonly stopping = new AbortController();
   private listeners: RoutedListeners | undefined;
+  /** Whether the state was compared with that of other hosts at the start. */
+  private hasComparedState = false;
   private isLeaving = false;
   private leavingSince = Infinity;
 
@@ -226,6 +228,10 @@
     if (this.duties !== undefined) {
       this.monitor('duties', this.duties.run(this.stopping.signal));
     }
+    if (!this.settings.isFirstStart) {
+      await this.relay.compareAtStart(this.stopping.signal);
+    }
+    this.hasComparedState = true;
     while (!this.hasRequiredState() && !this.stopping.signal.aborted) {
       await pause(POLL_PERIOD_MILLISECONDS, this.stopping.signal);
     }
@@ -337,7 +343,11 @@
   }
 
   private hasRequiredState(): boolean {
-    return this.configuration.current !== undefined && this.upstreams.isKnown;
+    return (
+      this.hasComparedState &&
+      this.configuration.current !== undefined &&
+      this.upstreams.isKnown
+    );
   }
 
   private onConfigurationChange({limits, version}: RoutingConfiguration): void {
@@ -357,7 +367,8 @@
       quotas: this.quotas,
       crashes: this.crashes,
       retryBudgets: this.retryBudgets,
-      configuration: () => this.configuration.current,
+      configuration: () =>
+        this.hasComparedState ? this.configuration.current : undefined,
       maximumKeyAge: () => {
         const {failsClosed, revocationMilliseconds} = this.settings.bounds;
         return failsClosed ? revocationMilliseconds * KEY_AGE_SHARE : Infinity;
@@ -394,6 +405,7 @@
       duties: settings.duties,
       events: this.events,
       clocks: this.clocks,
+      isFirstStart: settings.isFirstStart,
       leaseMilliseconds: settings.bounds.leaseMilliseconds,
       failureDomains: settings.failureDomains,
       usage: this.usage,
--- a/packages/entry-process/src/routed/state_relay.ts
+++ b/packages/entry-process/src/routed/state_relay.ts
@@ -60,6 +60,15 @@
  */
 const PEERS_PER_ROUND = 2;
 
+/**
+ * Milliseconds for which a starting process looks for another host to compare
+ * its state with. It joins the others within about 50 ms if one of them serves.
+ */
+const COMPARISON_TIMEOUT_MILLISECONDS = 500;
+
+/** Milliseconds between two attempts to compare. */
+const COMPARISON_PERIOD_MILLISECONDS = 25;
+
 /** Dependencies of `StateRelay`. */
 export interface StateRelayDependencies {
   readonly peers: PeerClient;
@@ -116,6 +125,26 @@
     };
   }
 
+  /**
+   * Compares the state of a starting process with that of other hosts. The
+   * store can have come back from an older copy, in which a key is valid that
+   * the other hosts know to be revoked. Without another host, the state of the
+   * store is all there is.
+   */
+  async compareAtStart(signal: AbortSignal): Promise<void> {
+    const {clocks} = this.dependencies;
+    const until = clocks.steady() + COMPARISON_TIMEOUT_MILLISECONDS;
+    while (!isAborted(signal) && clocks.steady() < until) {
+      const answers = await Promise.all(
+        this.choosePeers().map(member => this.fetchFrom(member, true)),
+      );
+      if (answers.includes(true)) {
+        return;
+      }
+      await pause(COMPARISON_PERIOD_MILLISECONDS, signal);
+    }
+  }
+
   /** Checks the age of the state periodically until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!isAborted(signal)) {
@@ -170,10 +199,11 @@
     return shuffle(otherHosts(), random).slice(0, PEERS_PER_ROUND);
   }
 
+  /** Fetches the state of another host; returns whether it responded. */
   private async fetchFrom(
     member: Member,
     wantsDocument: boolean,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const {clocks, configuration, upstreams} = this.dependencies;
     const sentAt = clocks.suspensionAware();
     const state = await callPeer(
@@ -191,7 +221,7 @@
     );
     if (state === undefined) {
       this.backOff(member);
-      return;
+      return false;
     }
     if (isStaleState(state)) {
       this.backOff(member);
@@ -208,6 +238,7 @@
       const {list, age, readTo} = state.upstreams;
       upstreams.acceptRelayed(list, readTo, sentAt - age);
     }
+    return true;
   }
 }
 
--- a/packages/entry-process/src/routed/upstream_follower.ts
+++ b/packages/entry-process/src/routed/upstream_follower.ts
@@ -2,6 +2,7 @@
  * The task that keeps the platform's list of upstreams up to date.
  */
 import {
+  eraOf,
   type RelayedList,
   RELIST_MILLISECONDS,
   type UpstreamChange,
@@ -60,6 +61,8 @@
 export class UpstreamFollower {
   readonly list = new UpstreamList();
   private next: number | undefined;
+  /** Era of the store in which the list was read. */
+  private era = 0;
   private hasRead = false;
   /** Time at which the last answered read was sent. */
   private answeredAt = -Infinity;
@@ -77,7 +80,7 @@
   }
 
   /**
-   * Offset in the log up to which the list has been read; undefined before the
+   * Position in the log up to which the list has been read; undefined before the
    * first read.
    */
   get readTo(): number | undefined {
@@ -90,8 +93,8 @@
   }
 
   /**
-   * Accepts the list that another host read up to the offset `readTo` and
-   * confirmed as the newest at `confirmedAt`. The offsets decide which list is
+   * Accepts the list that another host read up to the position `readTo` and
+   * confirmed as the newest at `confirmedAt`. The positions decide which list is
    * newer; times cannot, because two reads may overlap. If this host has read
    * further, its own list was valid at that time as well.
    */
@@ -100,12 +103,17 @@
       return;
     }
     if (this.next === undefined || readTo > this.next) {
-      this.list.applyRelayed(
+      const isCurrent = this.list.applyRelayed(
         list,
         readTo,
         this.dependencies.clocks.suspensionAware(),
       );
-      this.next = readTo;
+      // Otherwise the whole list is fetched again, until the upstreams that are
+      // known to have left since have lapsed or sent a heartbeat.
+      if (isCurrent) {
+        this.next = readTo;
+        this.era = eraOf(readTo);
+      }
       this.hasRead = true;
       this.publishChanges();
     }
@@ -144,18 +152,18 @@
       if (this.hasReadBeyond(end)) {
         return true;
       }
+      if (this.hasRead && eraOf(end) !== this.era) {
+        // Upstreams that listed themselves since the copy do so again.
+        this.outageEndedAt = sentAt;
+      }
       const updates = records.map(({key, value}) =>
         decodeUpstreamEntry(key, value),
       );
       const now = clocks.suspensionAware();
-      this.list.replace(
-        updates.flatMap(update =>
-          update.kind === 'listed' ? [update.upstream] : [],
-        ),
-        {readTo: end, relistedBy: this.relistedBy},
-        now,
-      );
+      const {relistedBy} = this;
+      this.list.replace(updates, {readTo: end, relistedBy}, now);
       this.next = end;
+      this.era = eraOf(end);
       this.hasRead = true;
       this.publishChanges();
       return true;
@@ -176,7 +184,7 @@
     const readTo = this.next;
     const updates = page.records.flatMap(record => {
       const keyed = decodeKeyedRecord(record);
-      return keyed === undefined || keyed.offset < readTo
+      return keyed === undefined || keyed.position < readTo
         ? []
         : [decodeUpstreamEntry(keyed.key, keyed.value)];
     });
--- a/packages/entry-process/tests/routed_fixtures.ts
+++ b/packages/entry-process/tests/routed_fixtures.ts
@@ -89,6 +89,8 @@
   readonly processes: RoutedProcess[] = [];
   /** Addresses for clients, by process. */
   readonly callers: string[] = [];
+  /** Addresses for other entry processes, by process. */
+  readonly peers: string[] = [];
   private attempts = 0;
 
   /** Starts the stand-ins; the test starts the processes. */
@@ -155,6 +157,7 @@
     });
     this.processes.push(routedProcess);
     this.callers.push(addresses.callers);
+    this.peers.push(addresses.peers);
     await routedProcess.start();
     return routedProcess;
   }
--- a/packages/entry-process/tests/routed_placement_test.ts
+++ b/packages/entry-process/tests/routed_placement_test.ts
@@ -58,7 +58,11 @@
 function startHost(hostId: string, engines: number): RoutedPlacement {
   const upstreams = new UpstreamList();
   upstreams.replace(
-    Array.from({length: engines}, (_, index) => upstream(`i-${index}`)),
+    Array.from({length: engines}, (_, index) => ({
+      kind: 'listed',
+      upstream: upstream(`i-${index}`),
+      heartbeat: undefined,
+    })),
     {readTo: 1, relistedBy: -Infinity},
     0,
   );
--- a/packages/observability/src/event_catalogue.ts
+++ b/packages/observability/src/event_catalogue.ts
@@ -224,6 +224,13 @@
       '{count} {hostClass} engines of {service} in {failureDomain} were ordered: {result}',
     advice: 'No action needed; a refused order is retried.',
   },
+  5008: {
+    level: 'warn',
+    message:
+      'the store came back from an older copy while entry host {hostId} renewed the duty lease',
+    advice:
+      'See "When the store comes back from an older copy" in OPERATIONS.md.',
+  },
   5003: {
     level: 'warn',
     message:
--- a/packages/stand-ins/src/store_stand_in.ts
+++ b/packages/stand-ins/src/store_stand_in.ts
@@ -6,6 +6,9 @@
 
 import {delay, ListeningStandIn, urlOf, writeJson} from './http_stand_in.js';
 
+/** A copy of the records of all topics. */
+export type StoreCopy = ReadonlyMap<string, readonly Buffer[]>;
+
 /** Records of one topic. */
 interface Partition {
   readonly records: Buffer[];
@@ -44,6 +47,8 @@
   isUnresponsive: boolean;
   /** Number of further appends that take effect without an answer. */
   appendAnswersToLose: number;
+  /** Number of further appends that wait for `releaseAppends`. */
+  appendsToDelay: number;
 }
 
 /** Bytes of the length that precedes each record. */
@@ -58,6 +63,7 @@
     isDown: false,
     isUnresponsive: false,
     appendAnswersToLose: 0,
+    appendsToDelay: 0,
   };
   /** Number of received calls by path. */
   readonly calls = new Map<string, number>();
@@ -65,6 +71,8 @@
   readonly duties: FencedCall[] = [];
   private readonly partitions = new Map<string, Partition>();
   private highestFencingNumber = -1;
+  private era = 0;
+  private delayedAppends: (() => void)[] = [];
 
   /** Publishes `configuration` as an operator does. */
   publish(configuration: unknown): void {
@@ -88,6 +96,30 @@
     this.put('keyed.servers', upstreamId, entry);
   }
 
+  /** Copies the records of all topics. */
+  copy(): StoreCopy {
+    return new Map(
+      [...this.partitions].map(([topic, {records}]) => [topic, [...records]]),
+    );
+  }
+
+  /** Comes back from an older copy and starts a new era. */
+  restore(copy: StoreCopy): void {
+    this.era += 1;
+    this.partitions.clear();
+    for (const [topic, records] of copy) {
+      this.partitions.set(topic, {records: [...records], first: 0});
+    }
+    this.dropConnections();
+  }
+
+  /** Executes the appends that were delayed. */
+  releaseAppends(): void {
+    const delayed = this.delayedAppends;
+    this.delayedAppends = [];
+    delayed.forEach(append => append());
+  }
+
   /** Drops all records of the list of upstreams, as retention does. */
   dropUpstreamRecords(): void {
     this.dropRecords('keyed.servers');
@@ -105,6 +137,7 @@
   ): Promise<void> {
     const url = urlOf(message);
     const body = await readBytes(message);
+    response.setHeader('store-era', String(this.era));
     this.calls.set(url.pathname, (this.calls.get(url.pathname) ?? 0) + 1);
     if (this.faults.isUnresponsive) {
       return;
@@ -116,7 +149,7 @@
     const topic = url.searchParams.get('topic') ?? '';
     switch (url.pathname) {
       case '/api/log-append':
-        this.append(topic, url.searchParams.get('at'), body, response);
+        this.appendOrDelay(topic, url.searchParams.get('at'), body, response);
         return;
       case '/api/log-read':
         await this.read(topic, url.searchParams, response);
@@ -133,6 +166,15 @@
     }
   }
 
+  private appendOrDelay(...append: Parameters<StoreStandIn['append']>): void {
+    if (this.faults.appendsToDelay > 0) {
+      this.faults.appendsToDelay -= 1;
+      this.delayedAppends.push(() => this.append(...append));
+      return;
+    }
+    this.append(...append);
+  }
+
   private append(
     topic: string,
     expectedOffset: string | null,
--- a/scripts/check_models.mjs
+++ b/scripts/check_models.mjs
@@ -13,6 +13,7 @@
 // Macro definitions that limit the quick check. With `--full` the limits that
 // the model itself defines are used.
 const QUICK_CHECK_DEFINITIONS = {
+  duties: [['APPENDS=3']],
   claims: [[]],
   configuration: [
     ['CHANGES=2', 'SNAPSHOTS=1'],
