--- a/packages/entry-process/src/routed/routed_attempt.ts
+++ b/packages/entry-process/src/routed/routed_attempt.ts
@@ -2,9 +2,13 @@
  * One attempt at an upstream, from the first byte sent to its outcome.
  */
 import {
+  announcementsOf,
   EventSplitter,
+  findStreamFault,
+  MAXIMUM_RESPONSE_BYTES,
   type RoutedAttemptFailure,
   type SplitEvent,
+  type UpstreamAnnouncement,
 } from '@lacewingwinch/decisions';
 import {
   type AnswerHeaders,
@@ -39,17 +43,20 @@
 export interface AttemptPlan {
   readonly attemptId: string;
   readonly isStreamed: boolean;
+  /** Milliseconds within which a begun event of a stream must be complete. */
+  readonly eventPatienceMilliseconds: number;
   readonly request: PooledRequest;
   readonly stream: StreamReceiver;
+  /** Returns whether the upstream accepts requests from this host. */
+  readonly isAccepting: () => boolean;
   /** Called just before the first byte is written. */
   readonly onSend: () => void;
+  /** Called for each announcement in the head of the upstream's response. */
+  readonly onAnnouncement: (announcement: UpstreamAnnouncement) => void;
   /** Called at the first sign that the upstream is working on the request. */
   readonly onFirstAnswerByte: () => void;
 }
 
-/** Maximum number of bytes of a response that is not streamed. */
-const MAXIMUM_BUFFERED_BYTES = 16 * 1024 * 1024;
-
 /** Statuses that promise a client that its request has not run. */
 const SAFE_RETRY_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -63,11 +70,14 @@
   private readonly splitter = new EventSplitter();
   private readonly chunks: Buffer[] = [];
   private bytes = 0;
+  /** Time at which the pending event began; undefined without one. */
+  private eventBegunAt: number | undefined;
   private isCancelled = false;
 
   constructor(
     private readonly pool: ConnectionPool,
     private readonly plan: AttemptPlan,
+    private readonly clock: () => number,
   ) {
     this.outcome = new Promise(resolve => {
       this.settle = resolve;
@@ -81,6 +91,13 @@
         if (this.isCancelled) {
           return false;
         }
+        if (!this.plan.isAccepting()) {
+          this.fail({
+            kind: 'withheld',
+            reason: 'the upstream has stopped accepting requests',
+          });
+          return false;
+        }
         this.plan.onSend();
         return true;
       },
@@ -116,11 +133,16 @@
   private onHead(head: AnswerHead): void {
     this.head = head;
     const answerHeaders = decodeAnswerHeaders(head.headers);
-    const failure = failureOfHead(
-      head.status,
-      answerHeaders,
-      this.plan.attemptId,
-    );
+    const {status} = head;
+    if (
+      status !== MISDIRECTED_REQUEST_STATUS &&
+      !isForeign(answerHeaders, this.plan.attemptId)
+    ) {
+      announcementsOf({status, ...answerHeaders}).forEach(announcement =>
+        this.plan.onAnnouncement(announcement),
+      );
+    }
+    const failure = failureOfHead(status, answerHeaders, this.plan.attemptId);
     if (failure !== undefined) {
       this.cancelUnlessReusable(failure);
       return;
@@ -155,10 +177,11 @@
           this.exchange?.pause();
         }
       }
+      this.checkPendingEvent(events.length > 0, this.clock());
       return;
     }
     this.bytes += chunk.length;
-    if (this.bytes > MAXIMUM_BUFFERED_BYTES) {
+    if (this.bytes > MAXIMUM_RESPONSE_BYTES) {
       const failure = lostAnswer('the answer is too large');
       this.cancel({kind: 'failed', failure});
       return;
@@ -166,6 +189,28 @@
     this.chunks.push(chunk);
   }
 
+  /**
+   * Gives up a stream whose pending event grows without end. Silence alone does
+   * not end a stream, because the upstream may still be working on it.
+   */
+  private checkPendingEvent(hasNewEvent: boolean, now: number): void {
+    const bytes = this.splitter.pendingBytes;
+    if (bytes === 0) {
+      this.eventBegunAt = undefined;
+      return;
+    }
+    const since = hasNewEvent ? now : (this.eventBegunAt ?? now);
+    this.eventBegunAt = since;
+    const fault = findStreamFault(
+      {bytes, since},
+      this.plan.eventPatienceMilliseconds,
+      now,
+    );
+    if (fault !== undefined) {
+      this.cancel({kind: 'failed', failure: lostAnswer(fault)});
+    }
+  }
+
   private onEnd(): void {
     if (this.isRelayed) {
       this.plan.stream.onTail(this.splitter.takeRemainder());
@@ -190,10 +235,7 @@
   answerHeaders: AnswerHeaders,
   attemptId: string,
 ): RoutedAttemptFailure | undefined {
-  const isForeign =
-    answerHeaders.attemptId !== undefined &&
-    answerHeaders.attemptId !== attemptId;
-  if (isForeign) {
+  if (isForeign(answerHeaders, attemptId)) {
     return lostAnswer('the answer belongs to another attempt');
   }
   if (answerHeaders.isNotExecuted || status === MISDIRECTED_REQUEST_STATUS) {
@@ -215,6 +257,14 @@
   return undefined;
 }
 
+/** Returns whether a response belongs to another attempt. */
+function isForeign(answerHeaders: AnswerHeaders, attemptId: string): boolean {
+  return (
+    answerHeaders.attemptId !== undefined &&
+    answerHeaders.attemptId !== attemptId
+  );
+}
+
 function lostAnswer(reason: string): RoutedAttemptFailure {
   return {kind: 'lost', cause: 'answer', reason};
 }
