Soak: a store that comes back from a copy, upstreams that leave, pause or send without end

The kinds are drawn from a generator of their own, so that the other faults of a seed stay the same. A host of the soak said at each start that the whole system started for the first time; now only its first start does.

--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -31,6 +31,9 @@
   'answer-unsigned',
 ];
 
+/** Faults that were added later; see `planFaults`. */
+const LATER_ENGINE_FAULTS: readonly EngineFault[] = ['flood', 'trickle'];
+
 /** A fault. Targets are indexes that wrap around. */
 export type Fault =
   /** The process gets SIGKILL and is restarted at the end of the fault. */
@@ -66,6 +69,18 @@
   | {readonly kind: 'store-loses'; readonly count: number}
   /** The store drops the history of the upstream list. */
   | {readonly kind: 'store-expires'}
+  /**
+   * The store is down and comes back from a copy of the start of the fault;
+   * what operators and upstreams wrote since is written again.
+   */
+  | {readonly kind: 'store-comes-back'}
+  /**
+   * The upstream says in all its answers that it is leaving, and starts again
+   * under its id at the end of the fault.
+   */
+  | {readonly kind: 'engine-leaves'; readonly engine: number}
+  /** The upstream refuses every request and asks for a pause. */
+  | {readonly kind: 'engine-pauses'; readonly engine: number}
   /** A key is revoked permanently. */
   | {readonly kind: 'revoke'};
 
@@ -88,6 +103,9 @@
 const MAXIMUM_DURATION_MILLISECONDS = 5500;
 const MINIMUM_DURATION_MILLISECONDS = 200;
 
+/** Maximum number of faults of the kinds that were added later. */
+const MAXIMUM_LATER_FAULTS = 3;
+
 const MINIMUM_FAULTS = 3;
 const MAXIMUM_FAULTS = 9;
 
@@ -114,21 +132,59 @@
   'revoke',
 ];
 
+/** Kinds that were added later. */
+const LATER_FAULT_KINDS: readonly Fault['kind'][] = [
+  'store-comes-back',
+  'engine-leaves',
+  'engine-pauses',
+  'engine',
+];
+
 /**
  * Number of target indexes to draw from. They wrap around at the number of
  * hosts or upstreams in the run.
  */
 const TARGET_INDEXES = 60;
 
-/** Returns the faults of the run with `seed`, ordered by start time. */
+/**
+ * Returns the faults of the run with `seed`, ordered by start time. Kinds that
+ * were added later are drawn from a generator of their own, so that the other
+ * faults of a seed stay the same.
+ */
 export function planFaults(seed: number): readonly PlannedFault[] {
+  return [
+    ...drawFaults(seed, {
+      kinds: WEIGHTED_FAULT_KINDS,
+      engineFaults: ENGINE_FAULTS,
+      minimum: MINIMUM_FAULTS,
+      maximum: MAXIMUM_FAULTS,
+    }),
+    ...drawFaults(-seed - 1, {
+      kinds: LATER_FAULT_KINDS,
+      engineFaults: LATER_ENGINE_FAULTS,
+      minimum: 0,
+      maximum: MAXIMUM_LATER_FAULTS,
+    }),
+  ].sort(
+    (left, right) => left.startsAtMilliseconds - right.startsAtMilliseconds,
+  );
+}
+
+interface FaultRange {
+  readonly kinds: readonly Fault['kind'][];
+  readonly engineFaults: readonly EngineFault[];
+  readonly minimum: number;
+  readonly maximum: number;
+}
+
+function drawFaults(seed: number, range: FaultRange): readonly PlannedFault[] {
   const generator = xoroshiro128plus(seed);
   const draw = (from: number, to: number): number =>
     uniformInt(generator, from, to);
   const pick = <T>(from: readonly T[]): T =>
     from[draw(0, from.length - 1)] as T;
-  const count = draw(MINIMUM_FAULTS, MAXIMUM_FAULTS);
-  const planned = Array.from({length: count}, (): PlannedFault => {
+  const count = draw(range.minimum, range.maximum);
+  return Array.from({length: count}, (): PlannedFault => {
     const target = draw(0, TARGET_INDEXES - 1);
     return {
       startsAtMilliseconds: draw(0, FAULT_WINDOW_MILLISECONDS),
@@ -136,12 +192,9 @@
         MINIMUM_DURATION_MILLISECONDS,
         MAXIMUM_DURATION_MILLISECONDS,
       ),
-      fault: createFault(pick(WEIGHTED_FAULT_KINDS), target, draw, pick),
+      fault: createFault(pick(range.kinds), target, draw, pick, range),
     };
   });
-  return planned.sort(
-    (left, right) => left.startsAtMilliseconds - right.startsAtMilliseconds,
-  );
 }
 
 function createFault(
@@ -149,6 +202,7 @@
   target: number,
   draw: (from: number, to: number) => number,
   pick: <T>(from: readonly T[]) => T,
+  {engineFaults}: FaultRange,
 ): Fault {
   switch (kind) {
     case 'kill':
@@ -169,11 +223,15 @@
     case 'engine-link':
       return {kind, engine: target, fault: pick(LINK_FAULTS)};
     case 'engine':
-      return {kind, engine: target, fault: pick(ENGINE_FAULTS)};
+      return {kind, engine: target, fault: pick(engineFaults)};
     case 'store-loses':
       return {kind, count: draw(1, 3)};
+    case 'engine-leaves':
+    case 'engine-pauses':
+      return {kind, engine: target};
     case 'store-down':
     case 'store-expires':
+    case 'store-comes-back':
     case 'revoke':
       return {kind};
   }
--- a/packages/soak/src/soak_host.ts
+++ b/packages/soak/src/soak_host.ts
@@ -45,6 +45,7 @@
 export class SoakHost {
   readonly storeLink: FaultProxy;
   private child: ChildProcess | undefined;
+  private hasStarted = false;
   private exitPromise: Promise<void> = Promise.resolve();
 
   constructor(private readonly options: SoakHostOptions) {
@@ -63,19 +64,6 @@
   /** Opens the link to the store and starts the process. */
   async open(): Promise<void> {
     await this.storeLink.listen();
-    writeFileSync(
-      this.settingsPath,
-      settingsFileText(
-        this.hostId,
-        this.options.addresses,
-        this.storeLink.address,
-        {
-          seeds: this.options.seeds,
-          revocationMilliseconds: REVOCATION_MILLISECONDS,
-          usageWindowSeconds: USAGE_WINDOW_SECONDS,
-        },
-      ),
-    );
     this.start();
   }
 
@@ -84,6 +72,8 @@
     if (this.child !== undefined) {
       return;
     }
+    this.writeSettings(!this.hasStarted);
+    this.hasStarted = true;
     const {folder, clockPreload, hostId} = this.options;
     const log = openSync(join(folder, `${hostId}.log`), 'a');
     const child = spawn(
@@ -135,6 +125,22 @@
     await this.storeLink.close();
   }
 
+  private writeSettings(isFirstStart: boolean): void {
+    const {addresses, seeds} = this.options;
+    const text = settingsFileText(
+      this.hostId,
+      addresses,
+      this.storeLink.address,
+      {
+        seeds,
+        revocationMilliseconds: REVOCATION_MILLISECONDS,
+        usageWindowSeconds: USAGE_WINDOW_SECONDS,
+        isFirstStart,
+      },
+    );
+    writeFileSync(this.settingsPath, text);
+  }
+
   private get settingsPath(): string {
     return join(this.options.folder, `${this.hostId}.toml`);
   }
--- a/packages/soak/src/soak_installation.ts
+++ b/packages/soak/src/soak_installation.ts
@@ -25,6 +25,15 @@
 /** Interval at which each upstream is listed in the store again. */
 const HEARTBEAT_MILLISECONDS = 1000;
 
+/**
+ * Milliseconds after the store came back from a copy until the operator writes
+ * the configuration again.
+ */
+const REPUBLISH_MILLISECONDS = 500;
+
+/** Seconds for which an upstream wants no requests after a refusal. */
+const PAUSE_SECONDS = '0.8';
+
 /** Execution time of a request, so that faults hit requests in progress. */
 const WORK_MILLISECONDS = 40;
 
@@ -73,6 +82,7 @@
   private readonly upstreams: Upstream[] = [];
   private readonly heartbeat: NodeJS.Timeout;
   private version = 1;
+  private keys: readonly string[] = [];
 
   constructor(private readonly clock: () => number) {
     this.heartbeat = setInterval(
@@ -214,6 +224,28 @@
         return () => {
           this.store.faults.isDown = false;
         };
+      case 'store-comes-back': {
+        const copy = this.store.copy();
+        return async () => {
+          this.store.restore(copy);
+          await delay(REPUBLISH_MILLISECONDS);
+          this.publish(this.keys);
+        };
+      }
+      case 'engine-leaves': {
+        const {engine} = elementAt(this.upstreams, fault.engine);
+        engine.isLeaving = true;
+        return () => engine.restart();
+      }
+      case 'engine-pauses': {
+        const {engine} = elementAt(this.upstreams, fault.engine);
+        engine.behavior = 'shed';
+        engine.pauseAnnouncement = PAUSE_SECONDS;
+        return () => {
+          engine.behavior = 'answer';
+          engine.pauseAnnouncement = undefined;
+        };
+      }
       case 'store-loses':
         this.store.faults.appendAnswersToLose += fault.count;
         return undefined;
@@ -228,6 +260,7 @@
   }
 
   private publish(keys: readonly string[]): void {
+    this.keys = keys;
     this.store.publish(standInConfiguration(this.version, RULES, keys));
     this.version += 1;
   }
--- a/packages/stand-ins/src/routed_engine_stand_in.ts
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -2,6 +2,7 @@
  * Stand-in for an upstream on the platform: a plain service or an engine that
  * streams events, with faults that tests switch on.
  */
+import {once} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
 import {delay, ListeningStandIn, readText} from './http_stand_in.js';
@@ -28,7 +29,11 @@
    */
   | 'break-off'
   /** Never answers. */
-  | 'hang';
+  | 'hang'
+  /** Sends an answer whose body never ends. */
+  | 'flood'
+  /** Sends an answer whose body never ends, a byte now and then. */
+  | 'trickle';
 
 /** A request as the upstream received it. */
 export interface ExecutedRequest {
@@ -43,6 +48,13 @@
 /** Milliseconds between two events of a stream. */
 const EVENT_INTERVAL_MILLISECONDS = 10;
 
+/** What a body without end consists of. */
+const FLOOD_BLOCK = Buffer.alloc(65_536, 'x');
+const FLOOD_BYTE = Buffer.from('x');
+
+/** Milliseconds between two bytes of a slow body without end. */
+const TRICKLE_MILLISECONDS = 50;
+
 /** An upstream that refuses requests meant for another instance. */
 export class RoutedEngineStandIn extends ListeningStandIn {
   behavior: EngineBehavior = 'answer';
@@ -54,6 +66,10 @@
   hasAttemptIdInAnswer = false;
   /** Version of the model weights; 0 for an upstream without a model. */
   weightVersion = 0;
+  /** Start time of the process; increased when it restarts under its id. */
+  bornAt = 1;
+  /** Number of entries that the process has written. */
+  private heartbeat = 0;
   /** Whether every answer says that the upstream is leaving. */
   isLeaving = false;
   /** Value of `retry-after` of each refusal; undefined to send none. */
@@ -71,6 +87,7 @@
 
   /** Returns the entry that the upstream writes into the store's list. */
   entry(service: string, overrides: object = {}): object {
+    this.heartbeat += 1;
     return {
       service,
       address: this.address,
@@ -79,12 +96,20 @@
       slots: 8,
       state: 'ready',
       coldRemainingMs: 0,
-      sequence: 1,
-      born: 1,
+      sequence: this.heartbeat,
+      born: this.bornAt,
       ...overrides,
     };
   }
 
+  /** Starts again under the same id, without any state of before. */
+  restart(): void {
+    this.bornAt += 1;
+    this.heartbeat = 0;
+    this.isLeaving = false;
+    this.dropConnections();
+  }
+
   /** Returns the attempt ids of the executed requests. */
   executedAttemptIds(): readonly string[] {
     return this.ran.map(({headers}) => String(headers['x-attempt-id']));
@@ -154,6 +179,14 @@
       case 'busy':
         response.writeHead(503, signedHeaders).end();
         return;
+      case 'flood':
+        response.writeHead(200, signedHeaders);
+        await sendWithoutEnd(response, FLOOD_BLOCK, 0);
+        return;
+      case 'trickle':
+        response.writeHead(200, signedHeaders);
+        await sendWithoutEnd(response, FLOOD_BYTE, TRICKLE_MILLISECONDS);
+        return;
       case 'hang':
     }
   }
@@ -193,3 +226,23 @@
       : '';
   }
 }
+
+/** Sends `piece` again and again until the connection closes. */
+async function sendWithoutEnd(
+  response: ServerResponse,
+  piece: Buffer,
+  pauseMilliseconds: number,
+): Promise<void> {
+  const closing = new AbortController();
+  response.once('close', () => closing.abort());
+  while (!closing.signal.aborted) {
+    const canContinue = response.write(piece);
+    if (canContinue) {
+      await delay(pauseMilliseconds);
+      continue;
+    }
+    await once(response, 'drain', {signal: closing.signal}).catch(
+      () => undefined,
+    );
+  }
+}
--- a/packages/stand-ins/src/settings_file_stand_in.ts
+++ b/packages/stand-ins/src/settings_file_stand_in.ts
@@ -68,6 +68,8 @@
    */
   readonly revocationMilliseconds?: number;
   readonly usageWindowSeconds?: number;
+  /** Whether the whole system starts for the first time. */
+  readonly isFirstStart?: boolean;
 }
 
 /** Returns the text of a settings file. */
@@ -79,6 +81,7 @@
     seeds = [],
     revocationMilliseconds = 5000,
     usageWindowSeconds = 5,
+    isFirstStart = true,
   }: SettingsFileOptions = {},
 ): string {
   return `nodeName = "${hostId}"
@@ -86,7 +89,7 @@
 zone = "north"
 internalPortRange = [0, 0]
 seedNodes = ${JSON.stringify(seeds)}
-bootstrap = true
+bootstrap = ${isFirstStart}
 [zones]
 north = "region"
 [listenAddresses]
