Part the larger files of the routed process by concept

An upstream that reports no start time is free of what it announced once it is withdrawn, because its next incarnation cannot be told from it; otherwise one that comes back under its id would never get requests again. Nothing else changes.

--- a/packages/decisions/src/duties/duty_record.ts
+++ b/packages/decisions/src/duties/duty_record.ts
@@ -43,6 +43,15 @@
   return parsed.success ? parsed.data : undefined;
 }
 
+/** Decodes a record from the store; undefined if it is malformed. */
+export function decodeDutyRecord(value: Buffer): DutyRecord | undefined {
+  try {
+    return parseDutyRecord(JSON.parse(value.toString()));
+  } catch {
+    return undefined;
+  }
+}
+
 /** The newest duty record as a host has read it from the log. */
 export interface DutyView {
   readonly record: DutyRecord | undefined;
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -33,6 +33,7 @@
 export * from './membership/membership.js';
 export * from './membership/small_fleet.js';
 export * from './membership/store_readers.js';
+export * from './orders/count_lasting_engines.js';
 export * from './orders/engine_order_book.js';
 export * from './orders/lease_records.js';
 export * from './orders/wanted_engines.js';
--- a/packages/decisions/src/upstreams/upstream_announcements.ts
+++ b/packages/decisions/src/upstreams/upstream_announcements.ts
@@ -30,6 +30,9 @@
 /** Longest pause that is observed, in case an upstream announces a wrong one. */
 export const MAXIMUM_PAUSE_MILLISECONDS = 300_000;
 
+/** Start time of an upstream that reported none. */
+const UNKNOWN_START = 0;
+
 /** Largest number of upstreams whose announcements are remembered. */
 const MAXIMUM_REMEMBERED_UPSTREAMS = 4096;
 
@@ -118,6 +121,16 @@
       : upstreams.filter(upstream => this.accepts(upstream, now));
   }
 
+  /**
+   * Discards what an upstream that is gone announced, if it reported no start
+   * time by which its next incarnation can be told from it.
+   */
+  forgetUnidentified(upstreamId: string): void {
+    if (this.states.get(upstreamId)?.bornAt === UNKNOWN_START) {
+      this.states.delete(upstreamId);
+    }
+  }
+
   private stateOf({
     upstreamId,
     bornAt,
--- a/packages/decisions/tests/upstream_announcements_test.ts
+++ b/packages/decisions/tests/upstream_announcements_test.ts
@@ -100,6 +100,20 @@
     );
   });
 
+  it.each([
+    {name: 'is free again', bornAt: 0, accepts: true},
+    {
+      name: 'is not free again if its start is known',
+      bornAt: 5,
+      accepts: false,
+    },
+  ])('that is gone $name', ({bornAt, accepts}) => {
+    const announcements = new UpstreamAnnouncements();
+    announcements.record({...UPSTREAM, bornAt}, LEAVING, 0);
+    announcements.forgetUnidentified(UPSTREAM.upstreamId);
+    expect(announcements.accepts({...UPSTREAM, bornAt}, 0)).toBe(accepts);
+  });
+
   it('changes by an announcement only if that is news', () => {
     const announcements = new UpstreamAnnouncements();
     const changes = [PAUSED, PAUSED, LEAVING, LEAVING, PAUSED].map(
--- a/packages/entry-process/src/routed/duty_task.ts
+++ b/packages/entry-process/src/routed/duty_task.ts
@@ -7,13 +7,14 @@
   canKeepDuties,
   canTakeOverDuties,
   type ContinuedRecord,
+  countLastingEngines,
+  decodeDutyRecord,
   type DutyRecord,
   type DutyView,
   eraOf,
   isOwnNewestRecord,
   KnownUsage,
   type ListedUpstream,
-  parseDutyRecord,
   reconcileDutyRecord,
   rendezvousOrder,
   type RoutingConfiguration,
@@ -206,7 +207,7 @@
     const isUnchanged =
       this.view !== undefined && this.view.position === newest?.position;
     const record =
-      newest?.value === undefined ? undefined : parseRecord(newest.value);
+      newest?.value === undefined ? undefined : decodeDutyRecord(newest.value);
     if (record !== undefined) {
       this.knownUsage.remember(record, eraOf(end));
     }
@@ -308,11 +309,16 @@
   }
 
   private nextRecord(previous: ContinuedRecord, era: number): DutyRecord {
-    const {hostId, processId, usage, trueTime} = this.dependencies;
+    const {hostId, processId, usage, trueTime, configuration, upstreams} =
+      this.dependencies;
     const record: DutyRecord = {
       fixedUsage: previous.fixedUsage,
       reportedTo: Math.max(previous.reportedTo, this.reportedTo),
-      mostLastingEngines: this.countLastingEngines(previous),
+      mostLastingEngines: countLastingEngines(
+        previous.mostLastingEngines,
+        configuration()?.services.values() ?? [],
+        upstreams(),
+      ),
       closedTo: previous.closedTo,
       holder: hostId,
       processId,
@@ -324,27 +330,6 @@
     return withFixedWindows(record, windows);
   }
 
-  /**
-   * Returns, for each scaled service, the highest number of non-reclaimable
-   * engines seen so far, which are the engines that exist without an order.
-   */
-  private countLastingEngines(
-    previous: ContinuedRecord,
-  ): Readonly<Record<string, number>> {
-    const services = this.dependencies.configuration()?.services.values() ?? [];
-    const upstreams = this.dependencies.upstreams();
-    const counts: Record<string, number> = {...previous.mostLastingEngines};
-    for (const {name, scaling} of services) {
-      const count = upstreams.filter(
-        ({service, isReclaimable}) => service === name && !isReclaimable,
-      ).length;
-      if (scaling !== undefined && count > 0) {
-        counts[name] = Math.max(counts[name] ?? 0, count);
-      }
-    }
-    return counts;
-  }
-
   private async performDuties(): Promise<void> {
     const record = this.view?.record;
     if (record === undefined) {
@@ -408,11 +393,3 @@
     return result;
   }
 }
-
-function parseRecord(value: Buffer): DutyRecord | undefined {
-  try {
-    return parseDutyRecord(JSON.parse(value.toString()));
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/entry-process/src/routed/routed_placement.ts
+++ b/packages/entry-process/src/routed/routed_placement.ts
@@ -3,7 +3,6 @@
  * does not respond, with the state of this host alone.
  */
 import {
-  dispatcherOrder,
   type EngineChoice,
   type Member,
   type PlacedRequest,
@@ -22,21 +21,12 @@
 
 import {isAborted} from '../util/is_aborted.js';
 import {pause} from '../util/pause.js';
-import {callPeer} from './call_peer.js';
+import {DispatcherCalls} from './dispatcher_calls.js';
 import {
   PlacementCandidates,
   type PlacementCandidatesDependencies,
 } from './placement_candidates.js';
 
-/**
- * Milliseconds to wait for the dispatcher's response. Links take 3 to 6 ms both
- * ways; a local choice costs more than a short wait but less than a long one.
- */
-const DISPATCHER_TIMEOUT_MILLISECONDS = 60;
-
-/** Milliseconds for which a dispatcher that did not respond is not called. */
-const DISPATCHER_BACKOFF_MILLISECONDS = 500;
-
 /**
  * Milliseconds between two renewals, which correct the effect of lost
  * notifications.
@@ -81,12 +71,13 @@
 /** Places requests, and serves other hosts as the dispatcher of its shards. */
 export class RoutedPlacement {
   private readonly tables = new Map<string, PlacementTable>();
-  private readonly backoffUntil = new Map<string, number>();
   /** The upstreams at which requests may be placed. */
   readonly candidates: PlacementCandidates;
+  private readonly dispatchers: DispatcherCalls;
 
   constructor(private readonly dependencies: RoutedPlacementDependencies) {
     this.candidates = new PlacementCandidates(dependencies);
+    this.dispatchers = new DispatcherCalls(dependencies);
   }
 
   /**
@@ -130,11 +121,11 @@
       demand,
       excluded,
     };
-    const dispatcher = this.dispatcherOf(shardId);
+    const dispatcher = this.dispatchers.otherDispatcherOf(shardId);
     const answer =
-      dispatcher === undefined || dispatcher.hostId === hostId
+      dispatcher === undefined
         ? undefined
-        : await this.queryDispatcher(dispatcher, request);
+        : await this.dispatchers.requestChoice(dispatcher, request);
     const choice =
       (answer === undefined
         ? undefined
@@ -231,7 +222,7 @@
     choice: EngineChoice,
     dispatcher: Member | undefined,
   ): Placement {
-    const {hostId, peers, clock, announcements} = this.dependencies;
+    const {hostId, clock, announcements} = this.dependencies;
     const {upstream} = choice;
     const table = this.tableOf(service);
     const placedAttempt = {
@@ -239,22 +230,13 @@
       upstreamId: upstream.upstreamId,
     };
     const placedAt = clock();
-    const notifyDispatcher = (notification: PlacementReport): void => {
-      if (dispatcher !== undefined && dispatcher.hostId !== hostId) {
-        peers.notify(
-          dispatcher.addresses.peers,
-          'placement.note',
-          notification,
-        );
-      }
-    };
     return {
       choice,
       reportStarted: () => {
         const tokens = choice.tokensToRead;
         const elapsed = clock() - placedAt;
         table.recordFirstOutput(hostId, placedAttempt, tokens, elapsed);
-        notifyDispatcher({
+        this.dispatchers.report(dispatcher, {
           kind: 'began',
           service,
           front: hostId,
@@ -266,7 +248,7 @@
       reportEnded: result => {
         table.recordEnd(hostId, placedAttempt);
         this.recordResult(placedAttempt.upstreamId, result);
-        notifyDispatcher({
+        this.dispatchers.report(dispatcher, {
           kind: 'ended',
           service,
           front: hostId,
@@ -311,11 +293,8 @@
     const requests = this.tableOf(service).requestsOf(this.dependencies.hostId);
     const byAddress = new Map<string, PlacedRequest[]>();
     for (const {id, upstreams} of this.candidates.shardsOf(service)) {
-      const dispatcher = this.dispatcherOf(id);
-      if (
-        dispatcher === undefined ||
-        dispatcher.hostId === this.dependencies.hostId
-      ) {
+      const dispatcher = this.dispatchers.otherDispatcherOf(id);
+      if (dispatcher === undefined) {
         continue;
       }
       const address = dispatcher.addresses.peers;
@@ -328,39 +307,6 @@
     return byAddress;
   }
 
-  private dispatcherOf(shardId: string): Member | undefined {
-    const serving = this.dependencies.servingHosts();
-    const [winner] = dispatcherOrder(
-      {id: shardId},
-      serving.map(({hostId}) => hostId),
-      1,
-    );
-    const isBackedOff =
-      winner !== undefined &&
-      this.dependencies.clock() < (this.backoffUntil.get(winner) ?? 0);
-    return isBackedOff
-      ? undefined
-      : serving.find(({hostId}) => hostId === winner);
-  }
-
-  private async queryDispatcher(
-    dispatcher: Member,
-    request: PlacementRequest,
-  ): Promise<PlacementAnswer | undefined> {
-    const answer = await callPeer(
-      this.dependencies,
-      dispatcher,
-      'placement.ask',
-      request,
-      DISPATCHER_TIMEOUT_MILLISECONDS,
-    );
-    if (answer === undefined) {
-      const until = this.dependencies.clock() + DISPATCHER_BACKOFF_MILLISECONDS;
-      this.backoffUntil.set(dispatcher.hostId, until);
-    }
-    return answer;
-  }
-
   /**
    * Returns the dispatcher's choice if this host knows the upstream as well.
    */
@@ -408,6 +354,7 @@
       table.forgetUpstream(upstreamId);
     }
     this.dependencies.health.forget(upstreamId);
+    this.dependencies.announcements.forgetUnidentified(upstreamId);
   }
 }
 
--- a/packages/entry-process/src/routed/routed_process.ts
+++ b/packages/entry-process/src/routed/routed_process.ts
@@ -5,11 +5,8 @@
 
 import type {DirectoryAnswer} from '@lacewingwinch/callers';
 import {
-  countSharingHosts,
-  type Member,
   type RoutingConfiguration,
   ServiceRetryBudgets,
-  storeReaders,
   TrueTime,
   UpstreamAnnouncements,
   type UpstreamChange,
@@ -40,6 +37,7 @@
 import {CrashWatch} from './crash_watch.js';
 import {answerDirectoryCall} from './directory_answers.js';
 import {DutyTask} from './duty_task.js';
+import {FleetView} from './fleet_view.js';
 import {QuotaExchange} from './quota_exchange.js';
 import {RoutedFront} from './routed_front.js';
 import {openListeners, type RoutedListeners} from './routed_listeners.js';
@@ -48,6 +46,7 @@
 import {StateRelay} from './state_relay.js';
 import {UpstreamFollower} from './upstream_follower.js';
 import {UsagePush} from './usage_push.js';
+import {waitUntilDrained} from './wait_until_drained.js';
 
 /**
  * Maximum age of the keys, as a share of the time within which a revocation
@@ -55,24 +54,12 @@
  */
 const KEY_AGE_SHARE = 0.9;
 
-/**
- * Milliseconds after the stop signal during which requests may still arrive:
- * clients cache addresses for some seconds, and requests sent up to 3,000 ms
- * after the signal must be answered.
- */
-const LINGER_MILLISECONDS = 3200;
-
 /**
  * Milliseconds after the stop signal from which new requests are refused as not
  * executed: the grace period may end before they complete.
  */
 const LAST_REQUEST_MILLISECONDS = 2900;
 
-/**
- * Milliseconds between the stop of the process and the end of the grace period.
- */
-const STOP_MARGIN_MILLISECONDS = 400;
-
 /** Milliseconds between two checks of a condition. */
 const POLL_PERIOD_MILLISECONDS = 50;
 
@@ -91,6 +78,7 @@
   private readonly upstreams: UpstreamFollower;
   private readonly placement: RoutedPlacement;
   private readonly membership: MembershipTask;
+  private readonly fleet: FleetView;
   private readonly front: RoutedFront;
   private readonly trueTime = new TrueTime();
   private readonly usage: UsageWindows;
@@ -129,14 +117,14 @@
       store: this.store,
       events: this.events,
       clocks,
-      isStoreReader: () => this.isStoreReader(),
+      isStoreReader: () => this.fleet.isStoreReader(),
       onChange: configuration => this.onConfigurationChange(configuration),
     });
     this.upstreams = new UpstreamFollower({
       store: this.store,
       events: this.events,
       clocks,
-      isStoreReader: () => this.isStoreReader(),
+      isStoreReader: () => this.fleet.isStoreReader(),
       onChanges: changes => this.onUpstreamChanges(changes),
     });
     this.placement = new RoutedPlacement({
@@ -160,6 +148,11 @@
       trueTime: this.trueTime,
       version: () => this.configuration.current?.value.version ?? -1,
     });
+    this.fleet = new FleetView(
+      settings.hostId,
+      this.membership,
+      this.startedAt,
+    );
     this.retryBudgets = new ServiceRetryBudgets({
       ratio: settings.bounds.retryRatio,
       slack: settings.bounds.retrySlack,
@@ -171,7 +164,7 @@
       events: this.events,
       clock: clocks.steady,
       random: Math.random,
-      otherHosts: () => this.otherServingHosts(),
+      otherHosts: () => this.fleet.otherServingHosts(),
       hostId: settings.hostId,
       startedAt: this.startedAt,
       sharingHostIds: () => this.membership.sharingHostIds(),
@@ -184,9 +177,9 @@
       clocks,
       random: Math.random,
       hostId: settings.hostId,
-      servingHosts: () => this.servingIds(),
-      otherHosts: () => this.otherServingHosts(),
-      isStoreReader: () => this.isStoreReader(),
+      servingHosts: () => this.fleet.servingIds(),
+      otherHosts: () => this.fleet.otherServingHosts(),
+      isStoreReader: () => this.fleet.isStoreReader(),
       configuration: this.configuration,
       upstreams: this.upstreams,
     });
@@ -204,7 +197,7 @@
       processId: this.processId,
       usage: this.usage,
       peers: this.peers,
-      candidates: () => this.dutyCandidates(),
+      candidates: () => this.fleet.othersOf(this.duties?.candidates() ?? []),
       trueTime: () => this.readTrueTime(),
     });
     this.front = this.createFront();
@@ -268,19 +261,15 @@
     this.isLeaving = true;
     this.leavingSince = this.clocks.steady();
     const {hostId, bounds} = this.settings;
-    const startedAt = this.clocks.steady();
     this.events.write(1003, {hostId, reason: 'signal'});
     this.membership.declare('leaving');
     this.listeners?.callers.startLeaving();
-    const lingerUntil = startedAt + LINGER_MILLISECONDS;
-    const stopAt =
-      startedAt + bounds.gracePeriodMilliseconds - STOP_MARGIN_MILLISECONDS;
-    while (
-      this.clocks.steady() < lingerUntil ||
-      (this.front.runningCount > 0 && this.clocks.steady() < stopAt)
-    ) {
-      await pause(POLL_PERIOD_MILLISECONDS, this.stopping.signal);
-    }
+    await waitUntilDrained({
+      clock: this.clocks.steady,
+      gracePeriodMilliseconds: bounds.gracePeriodMilliseconds,
+      runningCount: () => this.front.runningCount,
+      signal: this.stopping.signal,
+    });
     const cut = this.front.runningCount;
     await this.stopNow();
     this.events.write(1004, {hostId, cut});
@@ -376,7 +365,7 @@
       isUpstreamListKnown: () => this.upstreams.isKnown,
       isClosing: () =>
         this.clocks.steady() - this.leavingSince > LAST_REQUEST_MILLISECONDS,
-      sharingHostCount: () => this.sharingHostCount(),
+      sharingHostCount: () => this.fleet.sharingHostCount(this.clocks.steady()),
       onRunStarted: workspace =>
         this.usage.add(this.processId, workspace, this.readTrueTime()),
     });
@@ -410,45 +399,17 @@
       failureDomains: settings.failureDomains,
       usage: this.usage,
       trueTime: () => this.readTrueTime(),
-      servingHosts: () => this.servingIds(),
+      servingHosts: () => this.fleet.servingIds(),
       configuration: () => this.configuration.current?.value,
       upstreams: () => this.upstreams.list.all(),
     });
   }
 
-  private servingIds(): readonly string[] {
-    return this.membership.serving().map(({hostId}) => hostId);
-  }
-
-  private isStoreReader(): boolean {
-    return storeReaders(this.servingIds()).includes(this.settings.hostId);
-  }
-
   private readTrueTime(): number {
     const {timeOfDay, steady} = this.clocks;
     return this.trueTime.now(timeOfDay(), steady());
   }
 
-  private dutyCandidates(): readonly Member[] {
-    return (this.duties?.candidates() ?? []).flatMap(hostId =>
-      hostId === this.settings.hostId
-        ? []
-        : (this.membership.find(hostId) ?? []),
-    );
-  }
-
-  private otherServingHosts(): readonly Member[] {
-    return this.membership
-      .serving()
-      .filter(({hostId}) => hostId !== this.settings.hostId);
-  }
-
-  private sharingHostCount(): number {
-    const now = this.clocks.steady();
-    const knownCount = this.membership.sharingHostIds().length;
-    return countSharingHosts(knownCount, now - this.startedAt);
-  }
-
   private monitor(task: string, running: Promise<void>): void {
     running.catch((error: unknown) => {
       this.events.write(1006, {task, error: messageOf(error)});
