Wait a lease before taking duties that a later era has no record of

Change: a store without a record speaks for free duties only in the first era since the system first started; the wait begins anew with each era. The fuzzing runs the decisions on duties against copies that come back, late writes, lost answers, restarts and passing time.

--- a/packages/decisions/src/duties/duty_record.ts
+++ b/packages/decisions/src/duties/duty_record.ts
@@ -61,6 +61,11 @@
   readonly end: number;
   /** Time at which this position was first seen, by the suspension clock. */
   readonly seenAt: number;
+  /**
+   * Whether the store has had no other era since the system started for the
+   * first time.
+   */
+  readonly isFirstEra: boolean;
 }
 
 /** Time that each candidate waits in addition to the one ranked before it. */
@@ -68,8 +73,9 @@
 
 /**
  * Returns whether the candidate of rank `rank` (0 is the first) may take over
- * the duties: no host holds them, or the holder has not renewed its record for
- * a full lease. Each further candidate waits longer.
+ * the duties: no host has held them yet, or the holder has not renewed its
+ * record for a full lease. Each further candidate waits longer. In a later era,
+ * a store without a record may have lost the record of a holder.
  */
 export function canTakeOverDuties(
   view: DutyView,
@@ -77,7 +83,7 @@
   leaseMilliseconds: number,
   now: number,
 ): boolean {
-  if (view.record === undefined) {
+  if (view.record === undefined && view.isFirstEra) {
     return (
       rank === 0 || now - view.seenAt > rank * CANDIDATE_DELAY_MILLISECONDS
     );
--- a/packages/decisions/src/duties/reconcile_duty_record.ts
+++ b/packages/decisions/src/duties/reconcile_duty_record.ts
@@ -5,7 +5,8 @@
  * read are fixed again with the same values. All other windows that can have
  * been fixed are left out, because nobody can know what was reported of them.
  */
-import type {DutyRecord, UsageCounts} from './duty_record.js';
+import {eraOf} from '../store/store_position.js';
+import type {DutyRecord, DutyView, UsageCounts} from './duty_record.js';
 
 /** Largest number of windows whose counts are remembered. */
 const MAXIMUM_REMEMBERED_WINDOWS = 16;
@@ -45,14 +46,7 @@
 
 /** What a host knows when it reads a record of an earlier era. */
 export interface ReconcilingHost {
-  /** Era of the store. */
-  readonly era: number;
   readonly known: KnownUsage;
-  /**
-   * Whether the store has had no other era since the system started for the
-   * first time.
-   */
-  readonly isFirstEra: boolean;
   /** The window that contains the present true time. */
   readonly currentWindow: number;
 }
@@ -68,15 +62,14 @@
 };
 
 /**
- * Returns what the next holder continues from the newest record, which is
- * undefined if the store has none. A record that was written in this era is
- * continued unchanged.
+ * Returns what the next holder continues from the newest record. A record that
+ * was written in this era is continued unchanged.
  */
 export function reconcileDutyRecord(
-  record: DutyRecord | undefined,
-  {era, known, isFirstEra, currentWindow}: ReconcilingHost,
+  {record, end, isFirstEra}: DutyView,
+  {known, currentWindow}: ReconcilingHost,
 ): ContinuedRecord {
-  if (record?.era === era) {
+  if (record?.era === eraOf(end)) {
     return record;
   }
   if (record === undefined && isFirstEra) {
--- a/packages/decisions/tests/duties_test.ts
+++ b/packages/decisions/tests/duties_test.ts
@@ -32,7 +32,7 @@
 };
 
 function view(record: DutyRecord | undefined): DutyView {
-  return {record, position: 4, end: 5, seenAt: 1000};
+  return {record, position: 4, end: 5, seenAt: 1000, isFirstEra: true};
 }
 
 describe('the duties', () => {
--- a/packages/decisions/tests/store_era_test.ts
+++ b/packages/decisions/tests/store_era_test.ts
@@ -3,6 +3,7 @@
 
 import {
   canKeepDuties,
+  canTakeOverDuties,
   type DutyRecord,
   type DutyView,
   eraOf,
@@ -34,12 +35,17 @@
   };
 }
 
-function view(era: number, newest: DutyRecord | undefined): DutyView {
+function view(
+  era: number,
+  newest: DutyRecord | undefined,
+  isFirstEra = false,
+): DutyView {
   return {
     record: newest,
     position: storePosition(era, 4),
     end: storePosition(era, 5),
     seenAt: 0,
+    isFirstEra,
   };
 }
 
@@ -105,6 +111,32 @@
   });
 });
 
+describe('a store without a duty record', () => {
+  it.each([
+    {
+      name: 'lets the first candidate take over',
+      isFirstEra: true,
+      now: 0,
+      canTake: true,
+    },
+    {
+      name: 'may have lost that of a holder in a later era',
+      isFirstEra: false,
+      now: LEASE,
+      canTake: false,
+    },
+    {
+      name: 'lets it take over after a lease in a later era',
+      isFirstEra: false,
+      now: LEASE + 1,
+      canTake: true,
+    },
+  ])('$name', ({isFirstEra, now, canTake}) => {
+    const empty = view(2, undefined, isFirstEra);
+    expect(canTakeOverDuties(empty, 0, LEASE, now)).toBe(canTake);
+  });
+});
+
 describe('the counts of usage', () => {
   const lost = record({
     era: 1,
@@ -132,10 +164,8 @@
   ])('$name', ({read, expected}) => {
     const known = new KnownUsage();
     read.forEach(seen => known.remember(seen, 1));
-    const continued = reconcileDutyRecord(brought, {
-      era: 2,
+    const continued = reconcileDutyRecord(view(2, brought), {
       known,
-      isFirstEra: false,
       currentWindow: 13,
     });
     expect(continued.fixedUsage).toEqual(expected);
@@ -150,12 +180,7 @@
   it('continue unchanged within an era', () => {
     const known = new KnownUsage();
     expect(
-      reconcileDutyRecord(lost, {
-        era: 1,
-        known,
-        isFirstEra: false,
-        currentWindow: 13,
-      }),
+      reconcileDutyRecord(view(1, lost), {known, currentWindow: 13}),
     ).toEqual(lost);
   });
 
@@ -166,10 +191,8 @@
     'of earlier windows $name if the store has no record',
     ({isFirstEra, closedTo}) => {
       const known = new KnownUsage();
-      const continued = reconcileDutyRecord(undefined, {
-        era: 1,
+      const continued = reconcileDutyRecord(view(1, undefined, isFirstEra), {
         known,
-        isFirstEra,
         currentWindow: 13,
       });
       expect(continued).toMatchObject({fixedUsage: {}, closedTo});
--- a/packages/entry-process/src/routed/duty_task.ts
+++ b/packages/entry-process/src/routed/duty_task.ts
@@ -199,13 +199,15 @@
   }
 
   private async readView(): Promise<void> {
-    const {store, clocks} = this.dependencies;
+    const {store, clocks, isFirstStart} = this.dependencies;
     const {records, end} = await store.newest('duties', {
       timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS,
     });
     const newest = records.find(({key}) => key === DUTY_KEY);
     const isUnchanged =
-      this.view !== undefined && this.view.position === newest?.position;
+      this.view !== undefined &&
+      this.view.position === newest?.position &&
+      eraOf(this.view.end) === eraOf(end);
     const record =
       newest?.value === undefined ? undefined : decodeDutyRecord(newest.value);
     if (record !== undefined) {
@@ -218,6 +220,7 @@
       seenAt: isUnchanged
         ? (this.view?.seenAt ?? clocks.suspensionAware())
         : clocks.suspensionAware(),
+      isFirstEra: isFirstStart && !store.hasComeBack,
     };
   }
 
@@ -255,6 +258,7 @@
             position: result.position,
             end: result.position + 1,
             seenAt: sentAt,
+            isFirstEra: view.isFirstEra,
           };
           this.ownRecord = record;
           this.knownUsage.remember(record, era);
@@ -288,8 +292,7 @@
    * lost it.
    */
   private previousRecord(view: DutyView): ContinuedRecord {
-    const {clocks, leaseMilliseconds, usage, trueTime, isFirstStart, store} =
-      this.dependencies;
+    const {clocks, leaseMilliseconds, usage, trueTime} = this.dependencies;
     const isLeaseValid =
       this.isHolder &&
       canActOnDuties(
@@ -300,10 +303,8 @@
     if (isLeaseValid && this.ownRecord !== undefined) {
       return this.ownRecord;
     }
-    return reconcileDutyRecord(view.record, {
-      era: eraOf(view.end),
+    return reconcileDutyRecord(view, {
       known: this.knownUsage,
-      isFirstEra: isFirstStart && !store.hasComeBack,
       currentWindow: usage.windowOf(trueTime()),
     });
   }
--- a/packages/measurements/src/fuzz.ts
+++ b/packages/measurements/src/fuzz.ts
@@ -8,6 +8,7 @@
 import * as fc from 'fast-check';
 
 import {fuzzCommands} from './fuzz_commands.js';
+import {dutySteps, runDutySteps} from './fuzz_duties.js';
 import {FuzzSystem} from './fuzz_system.js';
 
 /** Runs between two checks of the elapsed time. */
@@ -40,11 +41,20 @@
     }),
     {numRuns: RUNS_PER_ROUND, seed: seed + runs},
   );
-  if (result.failed) {
-    failure = `seed ${result.seed} path ${result.counterexamplePath ?? ''}: ${fc.stringify(result.counterexample)}: ${String(result.errorInstance)}`;
-  }
+  const dutyResult = fc.check(fc.property(dutySteps(), runDutySteps), {
+    numRuns: RUNS_PER_ROUND,
+    seed: seed + runs,
+  });
+  runs += dutyResult.numRuns;
+  failure = describeFailure(result) ?? describeFailure(dutyResult);
 }
 process.stdout.write(
   `${JSON.stringify({fuzz: 'protocol', seed, runs, commands, failure: failure ?? null})}\n`,
 );
 process.exitCode = failure === undefined ? 0 : 1;
+
+function describeFailure<T>(result: fc.RunDetails<T>): string | undefined {
+  return result.failed
+    ? `seed ${result.seed} path ${result.counterexamplePath ?? ''}: ${fc.stringify(result.counterexample)}: ${String(result.errorInstance)}`
+    : undefined;
+}
--- a/packages/measurements/src/index.ts
+++ b/packages/measurements/src/index.ts
@@ -2,4 +2,5 @@
  * The parts of the fuzzing that tests use.
  */
 export * from './fuzz_commands.js';
+export * from './fuzz_duties.js';
 export * from './fuzz_system.js';
--- a/packages/measurements/tests/fuzz_test.ts
+++ b/packages/measurements/tests/fuzz_test.ts
@@ -2,7 +2,12 @@
 import * as fc from 'fast-check';
 import {describe, it} from 'vitest';
 
-import {fuzzCommands, FuzzSystem} from '../src/index.js';
+import {
+  dutySteps,
+  fuzzCommands,
+  FuzzSystem,
+  runDutySteps,
+} from '../src/index.js';
 
 const RUNS = 3000;
 
@@ -16,3 +21,12 @@
     );
   });
 });
+
+describe('the duties under fuzzing', () => {
+  it.each([1, 2, 3])('keep their guarantees with seed %i', seed => {
+    fc.assert(fc.property(dutySteps(), runDutySteps), {
+      numRuns: RUNS * 10,
+      seed,
+    });
+  });
+});
