--- a/packages/decisions/src/store/store_position.ts
+++ b/packages/decisions/src/store/store_position.ts
@@ -5,9 +5,12 @@
  * whole number, so that positions are unique and never go back.
  */
 
-/** Number of offsets in an era; eras up to 131,071 fit into a safe integer. */
+/** Number of offsets in an era. */
 const OFFSETS_PER_ERA = 2 ** 36;
 
+/** The last era whose positions are safe integers. */
+export const MAXIMUM_ERA = 2 ** 17 - 1;
+
 /** Returns the position of `offset` in `era`. */
 export function storePosition(era: number, offset: number): number {
   return era * OFFSETS_PER_ERA + offset;
--- a/packages/decisions/tests/store_era_test.ts
+++ b/packages/decisions/tests/store_era_test.ts
@@ -10,6 +10,7 @@
   isOwnNewestRecord,
   KnownUsage,
   type ListedUpstream,
+  MAXIMUM_ERA,
   offsetOf,
   reconcileDutyRecord,
   storePosition,
@@ -54,7 +55,7 @@
     {era: 0, offset: 0},
     {era: 0, offset: 68_719_476_735},
     {era: 1, offset: 0},
-    {era: 131_071, offset: 68_719_476_735},
+    {era: MAXIMUM_ERA, offset: 68_719_476_735},
   ])('of offset $offset in era $era has both parts', ({era, offset}) => {
     const position = storePosition(era, offset);
     expect(Number.isSafeInteger(position)).toBe(true);
