Compare the configuration at the start only when the store can have come back

In its era 0 the store cannot have come back from a copy.

Change: the comparison is made in later eras only, once at the start of a process.

--- a/packages/entry-process/src/routed/duty_task.ts
+++ b/packages/entry-process/src/routed/duty_task.ts
@@ -220,7 +220,8 @@
       seenAt: isUnchanged
         ? (this.view?.seenAt ?? clocks.suspensionAware())
         : clocks.suspensionAware(),
-      isFirstEra: isFirstStart && !store.hasComeBack,
+      isFirstEra:
+        !store.canHaveComeBack || (isFirstStart && !store.hasComeBack),
     };
   }
 
--- a/packages/entry-process/src/routed/routed_process.ts
+++ b/packages/entry-process/src/routed/routed_process.ts
@@ -92,8 +92,11 @@
   private readonly processId = uuidV7();
   private readonly stopping = new AbortController();
   private listeners: RoutedListeners | undefined;
-  /** Whether the state was compared with that of other hosts at the start. */
-  private hasComparedState = false;
+  /**
+   * Whether the state that was read at the start is known to be current. It
+   * stays so when the store comes back from a copy later.
+   */
+  private isStateCurrent = false;
   private isLeaving = false;
   private leavingSince = Infinity;
 
@@ -221,13 +224,13 @@
     if (this.duties !== undefined) {
       this.monitor('duties', this.duties.run(this.stopping.signal));
     }
-    if (!this.settings.isFirstStart) {
-      await this.relay.compareAtStart(this.stopping.signal);
-    }
-    this.hasComparedState = true;
-    while (!this.hasRequiredState() && !this.stopping.signal.aborted) {
+    while (!this.hasReadState() && !this.stopping.signal.aborted) {
       await pause(POLL_PERIOD_MILLISECONDS, this.stopping.signal);
     }
+    if (this.mustCompareState()) {
+      await this.relay.compareAtStart(this.stopping.signal);
+    }
+    this.isStateCurrent = true;
     if (!this.isLeaving) {
       this.membership.declare('serving');
       this.events.write(1002, {hostId, address: addresses.callers});
@@ -332,10 +335,22 @@
   }
 
   private hasRequiredState(): boolean {
+    return this.hasReadState() && !this.mustCompareState();
+  }
+
+  private hasReadState(): boolean {
+    return this.configuration.current !== undefined && this.upstreams.isKnown;
+  }
+
+  /**
+   * Returns whether this process has to compare its state with other hosts
+   * before it serves, because the store can have lost what they know.
+   */
+  private mustCompareState(): boolean {
     return (
-      this.hasComparedState &&
-      this.configuration.current !== undefined &&
-      this.upstreams.isKnown
+      this.store.canHaveComeBack &&
+      !this.settings.isFirstStart &&
+      !this.isStateCurrent
     );
   }
 
@@ -357,7 +372,7 @@
       crashes: this.crashes,
       retryBudgets: this.retryBudgets,
       configuration: () =>
-        this.hasComparedState ? this.configuration.current : undefined,
+        this.mustCompareState() ? undefined : this.configuration.current,
       maximumKeyAge: () => {
         const {failsClosed, revocationMilliseconds} = this.settings.bounds;
         return failsClosed ? revocationMilliseconds * KEY_AGE_SHARE : Infinity;
