--- a/packages/decisions/tests/store_era_test.ts
+++ b/packages/decisions/tests/store_era_test.ts
@@ -3,12 +3,14 @@
 
 import {
   canKeepDuties,
+  canTakeOverDuties,
   type DutyRecord,
   type DutyView,
   eraOf,
   isOwnNewestRecord,
   KnownUsage,
   type ListedUpstream,
+  MAXIMUM_ERA,
   offsetOf,
   reconcileDutyRecord,
   storePosition,
@@ -34,12 +36,17 @@
   };
 }
 
-function view(era: number, newest: DutyRecord | undefined): DutyView {
+function view(
+  era: number,
+  newest: DutyRecord | undefined,
+  isFirstEra = false,
+): DutyView {
   return {
     record: newest,
     position: storePosition(era, 4),
     end: storePosition(era, 5),
     seenAt: 0,
+    isFirstEra,
   };
 }
 
@@ -48,7 +55,7 @@
     {era: 0, offset: 0},
     {era: 0, offset: 68_719_476_735},
     {era: 1, offset: 0},
-    {era: 131_071, offset: 68_719_476_735},
+    {era: MAXIMUM_ERA, offset: 68_719_476_735},
   ])('of offset $offset in era $era has both parts', ({era, offset}) => {
     const position = storePosition(era, offset);
     expect(Number.isSafeInteger(position)).toBe(true);
@@ -105,6 +112,32 @@
   });
 });
 
+describe('a store without a duty record', () => {
+  it.each([
+    {
+      name: 'lets the first candidate take over',
+      isFirstEra: true,
+      now: 0,
+      canTake: true,
+    },
+    {
+      name: 'may have lost that of a holder in a later era',
+      isFirstEra: false,
+      now: LEASE,
+      canTake: false,
+    },
+    {
+      name: 'lets it take over after a lease in a later era',
+      isFirstEra: false,
+      now: LEASE + 1,
+      canTake: true,
+    },
+  ])('$name', ({isFirstEra, now, canTake}) => {
+    const empty = view(2, undefined, isFirstEra);
+    expect(canTakeOverDuties(empty, 0, LEASE, now)).toBe(canTake);
+  });
+});
+
 describe('the counts of usage', () => {
   const lost = record({
     era: 1,
@@ -132,10 +165,8 @@
   ])('$name', ({read, expected}) => {
     const known = new KnownUsage();
     read.forEach(seen => known.remember(seen, 1));
-    const continued = reconcileDutyRecord(brought, {
-      era: 2,
+    const continued = reconcileDutyRecord(view(2, brought), {
       known,
-      isFirstEra: false,
       currentWindow: 13,
     });
     expect(continued.fixedUsage).toEqual(expected);
@@ -150,12 +181,7 @@
   it('continue unchanged within an era', () => {
     const known = new KnownUsage();
     expect(
-      reconcileDutyRecord(lost, {
-        era: 1,
-        known,
-        isFirstEra: false,
-        currentWindow: 13,
-      }),
+      reconcileDutyRecord(view(1, lost), {known, currentWindow: 13}),
     ).toEqual(lost);
   });
 
@@ -166,10 +192,8 @@
     'of earlier windows $name if the store has no record',
     ({isFirstEra, closedTo}) => {
       const known = new KnownUsage();
-      const continued = reconcileDutyRecord(undefined, {
-        era: 1,
+      const continued = reconcileDutyRecord(view(1, undefined, isFirstEra), {
         known,
-        isFirstEra,
         currentWindow: 13,
       });
       expect(continued).toMatchObject({fixedUsage: {}, closedTo});
--- a/packages/entry-process/src/routed/duty_task.ts
+++ b/packages/entry-process/src/routed/duty_task.ts
@@ -7,13 +7,14 @@
   canKeepDuties,
   canTakeOverDuties,
   type ContinuedRecord,
+  countLastingEngines,
+  decodeDutyRecord,
   type DutyRecord,
   type DutyView,
   eraOf,
   isOwnNewestRecord,
   KnownUsage,
   type ListedUpstream,
-  parseDutyRecord,
   reconcileDutyRecord,
   rendezvousOrder,
   type RoutingConfiguration,
@@ -198,15 +199,17 @@
   }
 
   private async readView(): Promise<void> {
-    const {store, clocks} = this.dependencies;
+    const {store, clocks, isFirstStart} = this.dependencies;
     const {records, end} = await store.newest('duties', {
       timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS,
     });
     const newest = records.find(({key}) => key === DUTY_KEY);
     const isUnchanged =
-      this.view !== undefined && this.view.position === newest?.position;
+      this.view !== undefined &&
+      this.view.position === newest?.position &&
+      eraOf(this.view.end) === eraOf(end);
     const record =
-      newest?.value === undefined ? undefined : parseRecord(newest.value);
+      newest?.value === undefined ? undefined : decodeDutyRecord(newest.value);
     if (record !== undefined) {
       this.knownUsage.remember(record, eraOf(end));
     }
@@ -217,6 +220,8 @@
       seenAt: isUnchanged
         ? (this.view?.seenAt ?? clocks.suspensionAware())
         : clocks.suspensionAware(),
+      isFirstEra:
+        !store.canHaveComeBack || (isFirstStart && !store.hasComeBack),
     };
   }
 
@@ -254,6 +259,7 @@
             position: result.position,
             end: result.position + 1,
             seenAt: sentAt,
+            isFirstEra: view.isFirstEra,
           };
           this.ownRecord = record;
           this.knownUsage.remember(record, era);
@@ -287,8 +293,7 @@
    * lost it.
    */
   private previousRecord(view: DutyView): ContinuedRecord {
-    const {clocks, leaseMilliseconds, usage, trueTime, isFirstStart, store} =
-      this.dependencies;
+    const {clocks, leaseMilliseconds, usage, trueTime} = this.dependencies;
     const isLeaseValid =
       this.isHolder &&
       canActOnDuties(
@@ -299,20 +304,23 @@
     if (isLeaseValid && this.ownRecord !== undefined) {
       return this.ownRecord;
     }
-    return reconcileDutyRecord(view.record, {
-      era: eraOf(view.end),
+    return reconcileDutyRecord(view, {
       known: this.knownUsage,
-      isFirstEra: isFirstStart && !store.hasComeBack,
       currentWindow: usage.windowOf(trueTime()),
     });
   }
 
   private nextRecord(previous: ContinuedRecord, era: number): DutyRecord {
-    const {hostId, processId, usage, trueTime} = this.dependencies;
+    const {hostId, processId, usage, trueTime, configuration, upstreams} =
+      this.dependencies;
     const record: DutyRecord = {
       fixedUsage: previous.fixedUsage,
       reportedTo: Math.max(previous.reportedTo, this.reportedTo),
-      mostLastingEngines: this.countLastingEngines(previous),
+      mostLastingEngines: countLastingEngines(
+        previous.mostLastingEngines,
+        configuration()?.services.values() ?? [],
+        upstreams(),
+      ),
       closedTo: previous.closedTo,
       holder: hostId,
       processId,
@@ -324,27 +332,6 @@
     return withFixedWindows(record, windows);
   }
 
-  /**
-   * Returns, for each scaled service, the highest number of non-reclaimable
-   * engines seen so far, which are the engines that exist without an order.
-   */
-  private countLastingEngines(
-    previous: ContinuedRecord,
-  ): Readonly<Record<string, number>> {
-    const services = this.dependencies.configuration()?.services.values() ?? [];
-    const upstreams = this.dependencies.upstreams();
-    const counts: Record<string, number> = {...previous.mostLastingEngines};
-    for (const {name, scaling} of services) {
-      const count = upstreams.filter(
-        ({service, isReclaimable}) => service === name && !isReclaimable,
-      ).length;
-      if (scaling !== undefined && count > 0) {
-        counts[name] = Math.max(counts[name] ?? 0, count);
-      }
-    }
-    return counts;
-  }
-
   private async performDuties(): Promise<void> {
     const record = this.view?.record;
     if (record === undefined) {
@@ -408,11 +395,3 @@
     return result;
   }
 }
-
-function parseRecord(value: Buffer): DutyRecord | undefined {
-  try {
-    return parseDutyRecord(JSON.parse(value.toString()));
-  } catch {
-    return undefined;
-  }
-}
