--- a/packages/decisions/src/duties/reconcile_duty_record.ts
+++ b/packages/decisions/src/duties/reconcile_duty_record.ts
@@ -3,7 +3,7 @@
  * that were appended since the copy are lost, together with the counts that
  * they fixed and that the platform may have accepted. Counts that this host has
  * read are fixed again with the same values. All other windows that can have
- * been fixed are left out, because nobody can know what was reported of them.
+ * been fixed are left out, because their reported counts are unknown.
  */
 import {eraOf} from '../store/store_position.js';
 import type {DutyRecord, DutyView, UsageCounts} from './duty_record.js';
--- a/packages/decisions/src/upstreams/upstream_announcements.ts
+++ b/packages/decisions/src/upstreams/upstream_announcements.ts
@@ -122,8 +122,8 @@
   }
 
   /**
-   * Discards what an upstream that is gone announced, if it reported no start
-   * time by which its next incarnation can be told from it.
+   * Discards the announcements of an upstream that is gone, if it reported no
+   * start time that distinguishes its next incarnation.
    */
   forgetUnidentified(upstreamId: string): void {
     if (this.states.get(upstreamId)?.bornAt === UNKNOWN_START) {
--- a/packages/entry-process/src/routed/dispatcher_calls.ts
+++ b/packages/entry-process/src/routed/dispatcher_calls.ts
@@ -59,7 +59,7 @@
       : undefined;
   }
 
-  /** Asks a dispatcher for a choice; undefined if it did not respond. */
+  /** Requests a choice; returns undefined if the dispatcher did not respond. */
   async requestChoice(
     dispatcher: Member,
     request: PlacementRequest,
--- a/packages/entry-process/src/routed/placement_candidates.ts
+++ b/packages/entry-process/src/routed/placement_candidates.ts
@@ -82,7 +82,7 @@
       .map(({upstreamId}) => upstreamId);
   }
 
-  /** Returns the upstreams among which a request's upstream is chosen. */
+  /** Returns the candidates from which the upstream of a request is selected. */
   select(filter: CandidateFilter): readonly UsableUpstream[] {
     const accepting = this.accepting(filter.service);
     const shard = this.shardsOf(filter.service).find(
