Log and count how the answers of upstreams end

Change: the head of an answer carries its framing; event 4106 names framing and pending bytes of an answer without a length or with an incomplete event, lacewingwinch_answer_ends_total counts all.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -3,6 +3,7 @@
  * without input or output.
  */
 export * from './answers/answer_buffer.js';
+export * from './answers/body_framing.js';
 export * from './answers/choose_resumption.js';
 export * from './answers/event_splitter.js';
 export * from './answers/response_limits.js';
--- a/packages/entry-process/src/routed/attempt_runner.ts
+++ b/packages/entry-process/src/routed/attempt_runner.ts
@@ -10,11 +10,15 @@
   type UpstreamAnnouncements,
   type UsableUpstream,
 } from '@lacewingwinch/decisions';
-import type {EventLog} from '@lacewingwinch/observability';
+import type {EventLog, Metrics} from '@lacewingwinch/observability';
 import type {ConnectionPool} from '@lacewingwinch/upstreams';
 
 import type {Clocks} from './clocks.js';
-import {type AttemptOutcome, RoutedAttempt} from './routed_attempt.js';
+import {
+  type AnswerEnd,
+  type AttemptOutcome,
+  RoutedAttempt,
+} from './routed_attempt.js';
 import type {Placement} from './routed_placement.js';
 import type {StreamRelay} from './stream_relay.js';
 import {createUpstreamRequest} from './upstream_request.js';
@@ -24,6 +28,7 @@
 export interface AttemptRunnerDependencies {
   readonly clocks: Clocks;
   readonly events: EventLog;
+  readonly metrics: Metrics;
   readonly pool: ConnectionPool;
   readonly announcements: UpstreamAnnouncements;
   /** Returns the number of entry hosts that share limits and budgets. */
@@ -111,6 +116,7 @@
         onSend: () => {
           this.reachedCount += 1;
         },
+        onAnswerEnd: end => this.recordAnswerEnd(upstream.upstreamId, end),
         onFirstAnswerByte: () => {
           placement.reportStarted();
           this.request.onFirstAnswerByte();
@@ -147,6 +153,19 @@
     this.attempt?.cancel();
   }
 
+  private recordAnswerEnd(
+    upstreamId: string,
+    {framing, pendingBytes}: AnswerEnd,
+  ): void {
+    const {events, metrics} = this.dependencies;
+    const end = pendingBytes === 0 ? 'after-event' : 'inside-event';
+    metrics.answerEnds.inc({end, framing});
+    if (framing === 'connection' || pendingBytes > 0) {
+      const requestId = this.request.attemptId;
+      events.write(4106, {upstreamId, requestId, framing, pendingBytes});
+    }
+  }
+
   private recordAnnouncement(
     upstream: UsableUpstream,
     announcement: UpstreamAnnouncement,
--- a/packages/entry-process/src/routed/routed_attempt.ts
+++ b/packages/entry-process/src/routed/routed_attempt.ts
@@ -3,6 +3,7 @@
  */
 import {
   announcementsOf,
+  type BodyFraming,
   EventSplitter,
   findStreamFault,
   MAXIMUM_RESPONSE_BYTES,
@@ -39,6 +40,13 @@
   onTail(tail: Buffer): void;
 }
 
+/** The end of an answer, as it arrived. */
+export interface AnswerEnd {
+  readonly framing: BodyFraming;
+  /** Bytes of a stream after its last complete event. */
+  readonly pendingBytes: number;
+}
+
 /** Inputs and callbacks of an attempt. */
 export interface AttemptPlan {
   readonly attemptId: string;
@@ -53,6 +61,8 @@
   readonly onSend: () => void;
   /** Called for each announcement in the head of the upstream's response. */
   readonly onAnnouncement: (announcement: UpstreamAnnouncement) => void;
+  /** Called when the answer ends without an error of its connection. */
+  readonly onAnswerEnd: (end: AnswerEnd) => void;
   /** Called at the first sign that the upstream is working on the request. */
   readonly onFirstAnswerByte: () => void;
 }
@@ -212,6 +222,11 @@
   }
 
   private onEnd(): void {
+    if (this.head !== undefined) {
+      const {framing} = this.head;
+      const {pendingBytes} = this.splitter;
+      this.plan.onAnswerEnd({framing, pendingBytes});
+    }
     if (this.isRelayed) {
       this.plan.stream.onTail(this.splitter.takeRemainder());
       this.settle({kind: 'streamed'});
--- a/packages/observability/src/event_catalogue.ts
+++ b/packages/observability/src/event_catalogue.ts
@@ -196,6 +196,13 @@
       'request {requestId} found every upstream of {service} paused for {milliseconds} ms: {decision}',
     advice: 'Look for event 3007 of the upstreams of the service.',
   },
+  4106: {
+    level: 'info',
+    message:
+      'the answer of upstream {upstreamId} to request {requestId}, framed by {framing}, ended {pendingBytes} bytes after its last complete event',
+    advice:
+      'No action needed unless it happens often: then the upstream crashes, or sends answers without a length.',
+  },
   5001: {
     level: 'info',
     message:
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -12,6 +12,7 @@
   readonly registry: Registry;
   readonly requests: Counter<'outcome' | 'service' | 'workspace'>;
   readonly attempts: Counter<'end' | 'service'>;
+  readonly answerEnds: Counter<'end' | 'framing'>;
   readonly firstByteSeconds: Histogram<'service'>;
   readonly permitWaitSeconds: Histogram<'service'>;
   readonly recomputedTokens: Counter<'cause'>;
@@ -44,6 +45,12 @@
       labelNames: ['end', 'service'],
       registers,
     }),
+    answerEnds: new Counter({
+      name: 'lacewingwinch_answer_ends_total',
+      help: 'Answers of upstreams that ended without an error of the connection, by framing and by whether they ended after an event or inside one.',
+      labelNames: ['end', 'framing'],
+      registers,
+    }),
     firstByteSeconds: new Histogram({
       name: 'lacewingwinch_first_byte_seconds',
       help: 'Seconds from a request to the first byte of its answer.',
--- a/packages/upstreams/src/connection_pool.ts
+++ b/packages/upstreams/src/connection_pool.ts
@@ -4,6 +4,7 @@
  */
 import type {Socket} from 'node:net';
 
+import {type BodyFraming, bodyFramingOf} from '@lacewingwinch/decisions';
 import {buildConnector, Client, type Dispatcher} from 'undici';
 
 import {
@@ -44,6 +45,7 @@
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   /** Alternating names and values, as sent by the upstream. */
   readonly rawHeaders: readonly string[];
+  readonly framing: BodyFraming;
 }
 
 /**
@@ -243,13 +245,6 @@
   connection.hasFailed ||= socket.errored !== null;
 }
 
-function hasFraming(headers: AnswerHead['headers']): boolean {
-  return (
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined
-  );
-}
-
 /**
  * Ends a response without end, and closes an idle connection that receives
  * bytes, which belong to no request.
@@ -336,8 +331,10 @@
         if (isFinished || status < 200) {
           return;
         }
-        connection.isUnframed = !hasFraming(headers);
-        receiver.onHead({status, headers, rawHeaders: rawHeadersOf(started)});
+        const framing = bodyFramingOf(headers);
+        connection.isUnframed = framing === 'connection';
+        const rawHeaders = rawHeadersOf(started);
+        receiver.onHead({status, headers, rawHeaders, framing});
       },
       onResponseData: (_controller, chunk) => {
         if (!isFinished) {
