--- a/packages/upstreams/tests/plain_service_test.ts
+++ b/packages/upstreams/tests/plain_service_test.ts
@@ -98,6 +98,24 @@
         socket.on('data', () => socket.end(ANSWER.slice(0, -1))),
       expected: {result: 'connection-lost', sendChecks: 1},
     },
+    {
+      name: 'an answer without a length that is reset',
+      onConnection: socket =>
+        socket.on('data', () => {
+          socket.write('HTTP/1.1 200 OK\r\n\r\no');
+          setTimeout(() => socket.resetAndDestroy(), 30);
+        }),
+      expected: {result: 'connection-lost', sendChecks: 1},
+    },
+    {
+      name: 'an answer without a length that is reset with its data',
+      onConnection: socket =>
+        socket.on('data', () => {
+          socket.write('HTTP/1.1 200 OK\r\n\r\no');
+          socket.resetAndDestroy();
+        }),
+      expected: {result: 'connection-lost', sendChecks: 1},
+    },
   ];
 
   it.each(cases)('ends with $name', async ({onConnection, expected}) => {
