Stop reusing connections whose answer closes them

Cause: release() put a connection back into the idle list after an answer that said `Connection: close` or had no length; the next request took it and failed with "The client is destroyed". Callers lost an attempt: a resumable stream with two attempts was broken off after its first. Change: such a connection is closed at the end of its answer. Measured: the test of 20 requests in a row fails before for answers without a length and with `close`, and passes now.

--- a/packages/upstreams/src/connection_pool.ts
+++ b/packages/upstreams/src/connection_pool.ts
@@ -280,6 +280,7 @@
   let controller: Dispatcher.DispatchController | undefined;
   let wasSent = false;
   let isFinished = false;
+  let isReusable = false;
   let bodyBytes = 0;
   let parsedBytesBefore = 0;
   const watched: WatchedResponse = {
@@ -295,13 +296,13 @@
     watch.remove(watched);
     connection.response = undefined;
   };
-  const finish = (isReusable: boolean, notifyReceiver: () => void): void => {
+  const finish = (canReuse: boolean, notifyReceiver: () => void): void => {
     if (isFinished) {
       return;
     }
     isFinished = true;
     stopWatching();
-    release(isReusable);
+    release(canReuse);
     notifyReceiver();
   };
   const fail = (error: Error): void =>
@@ -332,6 +333,7 @@
           return;
         }
         const framing = bodyFramingOf(headers);
+        isReusable = framing !== 'connection' && !saysClose(headers);
         connection.isUnframed = framing === 'connection';
         const rawHeaders = rawHeadersOf(started);
         receiver.onHead({status, headers, rawHeaders, framing});
@@ -347,7 +349,7 @@
           fail(new Error('the connection was reset'));
           return;
         }
-        finish(true, () => receiver.onEnd());
+        finish(isReusable, () => receiver.onEnd());
       },
       onResponseError: (_controller, error) => fail(error),
     },
@@ -367,6 +369,14 @@
   };
 }
 
+/** Returns whether a response with `headers` closes its connection. */
+function saysClose({connection}: AnswerHead['headers']): boolean {
+  const options = [connection ?? []].flat().join(',');
+  return options
+    .split(',')
+    .some(option => option.trim().toLowerCase() === 'close');
+}
+
 function rawHeadersOf(
   controller: Dispatcher.DispatchController,
 ): readonly string[] {
--- /dev/null
+++ b/packages/upstreams/src/upstream_socket.ts
@@ -0,0 +1,97 @@
+/**
+ * Connections to upstreams on which a failure cannot be taken for an orderly
+ * end. undici completes a body without a length when its connection is reset,
+ * and libuv reports an end when a reset is polled together with data.
+ */
+import {Socket} from 'node:net';
+
+import type {buildConnector} from 'undici';
+
+/** System calls whose errors mean that the connection is lost. */
+const TRANSFER_CALLS: ReadonlySet<string> = new Set(['read', 'write']);
+
+/** Port of an origin without one. */
+const DEFAULT_PORT = 80;
+
+/** Error of a connection that was reset. */
+export class ConnectionResetError extends Error {
+  override readonly name = 'ConnectionResetError';
+
+  constructor(cause: Error) {
+    super('the connection was reset', {cause});
+  }
+}
+
+/** A socket whose failures take effect after the data that came before them. */
+export class UpstreamSocket extends Socket {
+  /** Failure that takes effect as soon as all received data has been read. */
+  private failure: ConnectionResetError | undefined;
+
+  override read(size?: number): unknown {
+    if (this.failure !== undefined && this.readableLength === 0) {
+      super.destroy(this.failure);
+      return null;
+    }
+    return super.read(size) as unknown;
+  }
+
+  override push(chunk: unknown, encoding?: BufferEncoding): boolean {
+    if (chunk !== null || !this.hasPendingReset()) {
+      return super.push(chunk, encoding);
+    }
+    // A stream with an error reports no further data by itself.
+    this.emit('readable');
+    return false;
+  }
+
+  override destroy(error?: Error): this {
+    if (error === undefined || !isTransferError(error)) {
+      return super.destroy(error);
+    }
+    this.failure ??= new ConnectionResetError(error);
+    return this.readableLength === 0 ? super.destroy(this.failure) : this;
+  }
+
+  /**
+   * Returns whether a reset is pending at the end of the received data. A write
+   * of no bytes fails on a pending reset and succeeds after an orderly end.
+   */
+  private hasPendingReset(): boolean {
+    if (this.failure === undefined && this.writable) {
+      this.write(Buffer.alloc(0));
+      if (this.errored !== null) {
+        this.failure = new ConnectionResetError(this.errored);
+      }
+    }
+    return this.failure !== undefined;
+  }
+}
+
+/** Returns a connector for undici that opens an `UpstreamSocket`. */
+export function createUpstreamConnector(
+  timeoutMilliseconds: number,
+): buildConnector.connector {
+  return ({hostname, port}, callback) => {
+    const socket = new UpstreamSocket();
+    const timer = setTimeout(
+      () => socket.destroy(new Error('connecting took too long')),
+      timeoutMilliseconds,
+    );
+    const onError = (error: Error): void => {
+      clearTimeout(timer);
+      callback(error, null);
+    };
+    socket.once('error', onError);
+    socket.setNoDelay(true);
+    socket.connect({host: hostname, port: Number(port) || DEFAULT_PORT}, () => {
+      clearTimeout(timer);
+      socket.off('error', onError);
+      callback(null, socket);
+    });
+  };
+}
+
+function isTransferError(error: Error): boolean {
+  const {syscall} = error as NodeJS.ErrnoException;
+  return syscall !== undefined && TRANSFER_CALLS.has(syscall);
+}
--- a/packages/upstreams/tests/connection_pool_test.ts
+++ b/packages/upstreams/tests/connection_pool_test.ts
@@ -164,6 +164,22 @@
   expect((await send(address)).body).toBe('2');
 });
 
+test.each([
+  {name: 'without a length', head: ''},
+  {
+    name: 'with a length and `Connection: close`',
+    head: 'Connection: close\r\nContent-Length: 5\r\n',
+  },
+])('the connection of an answer $name is not used again', async ({head}) => {
+  const address = await listen(socket =>
+    socket.end(`HTTP/1.1 200 OK\r\n${head}\r\nwhole`),
+  );
+  for (let count = 0; count < 20; count += 1) {
+    const result = await send(address);
+    expect(result).toMatchObject({end: 'complete', wasSent: true});
+  }
+});
+
 test('a request to an address without a listener is reported as not sent', async () => {
   const address = await listen(() => undefined);
   servers.splice(0).forEach(server => server.close());
