Break off answers that end early, and frame none stronger than it came

Cause: an upstream that crashes may end its connection by FIN. Every end of an answer without a length counted as complete, also inside an event, and the answer left in chunks or with a length, a stronger statement than had come. In the own interface undici completed such an answer even on a reset. Change: judgeAnswerEnd decides by framing and pending bytes: a stream that ends inside an event was broken off (it is resumed, or its client is reset); an end of the connection confirms nothing, so such an answer is passed on without a length and ends with its connection, and a continuation that ends so does not complete an answer in chunks. An unconfirmed end does not clear a content of crashes. UpstreamSocket keeps a failure from being taken for an end and lets it take effect after the data before it; both paths use it. Why it works: no end of ours states more than the end that came.

--- a/packages/callers/src/client_messages.ts
+++ b/packages/callers/src/client_messages.ts
@@ -3,6 +3,7 @@
  * requests.
  */
 import type {
+  BodyFraming,
   CallKind,
   DiscoveredHost,
   ServingError,
@@ -75,6 +76,8 @@
       readonly contentType: string;
       readonly headers: Readonly<Record<string, string>>;
       readonly body: Buffer;
+      /** With the framing `connection` it has no length. */
+      readonly framing: BodyFraming;
     };
 
 /** The list of entry hosts for one client. */
--- a/packages/callers/src/routed_server.ts
+++ b/packages/callers/src/routed_server.ts
@@ -9,7 +9,9 @@
   type ServerResponse,
 } from 'node:http';
 
-import {ServingError} from '@lacewingwinch/decisions';
+import {type BodyFraming, ServingError} from '@lacewingwinch/decisions';
+
+import {omitFraming} from './omit_framing.js';
 
 /** A client request whose body was read completely. */
 export interface RoutedCall {
@@ -31,18 +33,24 @@
   /** Whether the head of the response has been written. */
   readonly hasBegun: boolean;
   /**
-   * Writes a complete response; `headers` are alternating names and values.
+   * Writes a complete response; `headers` are alternating names and values. With
+   * the framing `connection` it has no length and closes its connection.
    */
-  sendComplete(status: number, headers: readonly string[], body: Buffer): void;
+  sendComplete(
+    status: number,
+    headers: readonly string[],
+    body: Buffer,
+    framing: BodyFraming,
+  ): void;
   /** Begins a streamed response. */
-  begin(status: number, headers: readonly string[]): void;
+  begin(status: number, headers: readonly string[], framing: BodyFraming): void;
   /**
    * Writes a part of a streamed response. Returns false if the next write
    * should wait for `onDrain`.
    */
   write(chunk: Buffer): boolean;
   onDrain(listener: () => void): void;
-  /** Ends a streamed response as complete. */
+  /** Ends a streamed response in the orderly way of its framing. */
   end(): void;
   /**
    * Aborts a streamed response by resetting the connection, so that the client
@@ -240,8 +248,18 @@
     return this.response.headersSent;
   }
 
-  sendComplete(status: number, headers: readonly string[], body: Buffer): void {
-    this.writeHead(status, [...headers, 'content-length', String(body.length)]);
+  sendComplete(
+    status: number,
+    headers: readonly string[],
+    body: Buffer,
+    framing: BodyFraming,
+  ): void {
+    if (framing === 'connection') {
+      this.begin(status, headers, framing);
+    } else {
+      const length = String(body.length);
+      this.writeHead(status, [...headers, 'content-length', length]);
+    }
     this.response.end(body);
   }
 
@@ -271,7 +289,14 @@
     message.resume();
   }
 
-  begin(status: number, headers: readonly string[]): void {
+  begin(
+    status: number,
+    headers: readonly string[],
+    framing: BodyFraming,
+  ): void {
+    if (framing === 'connection') {
+      omitFraming(this.response);
+    }
     this.writeHead(status, headers);
     this.response.flushHeaders();
   }
--- a/packages/callers/src/write_answer.ts
+++ b/packages/callers/src/write_answer.ts
@@ -6,6 +6,7 @@
 import type {ServingError} from '@lacewingwinch/decisions';
 
 import type {ClientAnswer, StreamItem} from './client_messages.js';
+import {omitFraming} from './omit_framing.js';
 
 /** Writes `answer` to `response`. */
 export async function writeAnswer(
@@ -24,9 +25,14 @@
       writeProblem(response, answer.error, answer.requestId, answer.headers);
       return;
     case 'whole':
+      if (answer.framing === 'connection') {
+        omitFraming(response);
+      }
       response.writeHead(answer.status, {
         'content-type': answer.contentType,
-        'content-length': answer.body.length,
+        ...(answer.framing !== 'connection' && {
+          'content-length': answer.body.length,
+        }),
         ...answer.headers,
         ...requestIdHeader(answer.requestId),
       });
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -6,6 +6,7 @@
 export * from './answers/body_framing.js';
 export * from './answers/choose_resumption.js';
 export * from './answers/event_splitter.js';
+export * from './answers/judge_answer_end.js';
 export * from './answers/response_limits.js';
 export * from './claims/claim_records.js';
 export * from './claims/execution_right.js';
--- /dev/null
+++ b/packages/decisions/tests/answer_end_test.ts
@@ -0,0 +1,69 @@
+/** Tests of the framing and the end of answers. */
+import {describe, expect, it} from 'vitest';
+
+import {
+  type AnswerEnd,
+  type AnswerEndVerdict,
+  type BodyFraming,
+  bodyFramingOf,
+  type FramingHeaders,
+  judgeAnswerEnd,
+} from '../src/index.js';
+
+describe('the framing of a body', () => {
+  it.each<{
+    readonly name: string;
+    readonly headers: FramingHeaders;
+    readonly framing: BodyFraming;
+  }>([
+    {name: 'no headers', headers: {}, framing: 'connection'},
+    {
+      name: 'a length',
+      headers: {'content-length': '0'},
+      framing: 'length',
+    },
+    {
+      name: 'chunks',
+      headers: {'transfer-encoding': 'Chunked '},
+      framing: 'chunks',
+    },
+    {
+      name: 'chunks as the last of two codings',
+      headers: {'transfer-encoding': 'gzip, chunked'},
+      framing: 'chunks',
+    },
+    {
+      name: 'codings in two headers',
+      headers: {'transfer-encoding': ['gzip', 'chunked']},
+      framing: 'chunks',
+    },
+    {
+      name: 'chunks before another coding',
+      headers: {'transfer-encoding': 'chunked, gzip'},
+      framing: 'connection',
+    },
+    {
+      name: 'a coding that only contains the word',
+      headers: {'transfer-encoding': 'unchunked'},
+      framing: 'connection',
+    },
+  ])('with $name is $framing', ({headers, framing}) => {
+    expect(bodyFramingOf(headers)).toBe(framing);
+  });
+});
+
+describe('the end of an answer', () => {
+  it.each<AnswerEnd & {readonly verdict: AnswerEndVerdict}>([
+    {framing: 'length', pendingBytes: 0, verdict: 'complete'},
+    {framing: 'length', pendingBytes: 5, verdict: 'complete'},
+    {framing: 'chunks', pendingBytes: 0, verdict: 'complete'},
+    {framing: 'chunks', pendingBytes: 5, verdict: 'broken-off'},
+    {framing: 'connection', pendingBytes: 0, verdict: 'unconfirmed'},
+    {framing: 'connection', pendingBytes: 5, verdict: 'broken-off'},
+  ])(
+    'framed by $framing with $pendingBytes pending bytes is $verdict',
+    ({verdict, ...end}) => {
+      expect(judgeAnswerEnd(end)).toBe(verdict);
+    },
+  );
+});
--- a/packages/entry-hosts/src/peer_methods.ts
+++ b/packages/entry-hosts/src/peer_methods.ts
@@ -2,6 +2,7 @@
  * The JSON-RPC methods between entry processes.
  */
 import type {
+  BodyFraming,
   Claim,
   DispatchEffect,
   HeldPermit,
@@ -98,6 +99,8 @@
   readonly contentType: string;
   /** Encoded in Base64. */
   readonly body: string;
+  /** Framing of the answer of the upstream; it is passed on with it. */
+  readonly framing: BodyFraming;
 }
 
 /** Decision on a claim, according to the order of claims in the log. */
--- a/packages/entry-process/src/front/attempt_loop.ts
+++ b/packages/entry-process/src/front/attempt_loop.ts
@@ -250,6 +250,7 @@
       status: answer.status,
       contentType: answer.contentType,
       body: answer.body.toString('base64'),
+      framing: answer.framing,
     });
   }
 
@@ -304,6 +305,7 @@
           status: error.status,
           contentType: 'application/json',
           body: error.body.toString('base64'),
+          framing: error.framing,
         },
       });
       return {kind: 'refused-for-good'};
--- a/packages/entry-process/src/front/client_answer.ts
+++ b/packages/entry-process/src/front/client_answer.ts
@@ -68,7 +68,7 @@
       break;
   }
   if (state.answer !== undefined) {
-    const {status, contentType, body} = state.answer;
+    const {status, contentType, body, framing} = state.answer;
     const bytes = Buffer.from(body, 'base64');
     return {
       kind: 'whole',
@@ -77,6 +77,7 @@
       contentType,
       headers,
       body: bytes,
+      framing,
     };
   }
   if (isStreamed) {
@@ -96,5 +97,6 @@
     contentType: 'application/json',
     headers,
     body: Buffer.from(document),
+    framing: 'length',
   };
 }
--- a/packages/entry-process/src/routed/attempt_runner.ts
+++ b/packages/entry-process/src/routed/attempt_runner.ts
@@ -4,6 +4,7 @@
  */
 import type {RoutedCall} from '@lacewingwinch/callers';
 import {
+  type AnswerEnd,
   eventPatienceMilliseconds,
   type RoutedAdmission,
   type UpstreamAnnouncement,
@@ -14,11 +15,7 @@
 import type {ConnectionPool} from '@lacewingwinch/upstreams';
 
 import type {Clocks} from './clocks.js';
-import {
-  type AnswerEnd,
-  type AttemptOutcome,
-  RoutedAttempt,
-} from './routed_attempt.js';
+import {type AttemptOutcome, RoutedAttempt} from './routed_attempt.js';
 import type {Placement} from './routed_placement.js';
 import type {StreamRelay} from './stream_relay.js';
 import {createUpstreamRequest} from './upstream_request.js';
--- a/packages/entry-process/src/routed/routed_attempt.ts
+++ b/packages/entry-process/src/routed/routed_attempt.ts
@@ -3,9 +3,10 @@
  */
 import {
   announcementsOf,
-  type BodyFraming,
+  type AnswerEnd,
   EventSplitter,
   findStreamFault,
+  judgeAnswerEnd,
   MAXIMUM_RESPONSE_BYTES,
   type RoutedAttemptFailure,
   type SplitEvent,
@@ -27,12 +28,18 @@
 export type AttemptOutcome =
   | {readonly kind: 'whole'; readonly head: AnswerHead; readonly body: Buffer}
   /** Every event was passed to the receiver. */
-  | {readonly kind: 'streamed'}
+  | {
+      readonly kind: 'streamed';
+      /** Whether the upstream stated that the stream is complete. */
+      readonly isConfirmed: boolean;
+    }
   | {readonly kind: 'failed'; readonly failure: RoutedAttemptFailure}
   | {readonly kind: 'cancelled'};
 
 /** Receiver of a streamed response while it arrives. */
 export interface StreamReceiver {
+  /** Whether an orderly end tells the client that the stream is complete. */
+  readonly isFramed: boolean;
   onHead(head: AnswerHead, answerHeaders: AnswerHeaders): void;
   /** Returns false to pause the response until `resume` is called. */
   onEvents(events: readonly SplitEvent[], resume: () => void): boolean;
@@ -40,13 +47,6 @@
   onTail(tail: Buffer): void;
 }
 
-/** The end of an answer, as it arrived. */
-export interface AnswerEnd {
-  readonly framing: BodyFraming;
-  /** Bytes of a stream after its last complete event. */
-  readonly pendingBytes: number;
-}
-
 /** Inputs and callbacks of an attempt. */
 export interface AttemptPlan {
   readonly attemptId: string;
@@ -222,24 +222,39 @@
   }
 
   private onEnd(): void {
-    if (this.head !== undefined) {
-      const {framing} = this.head;
-      const {pendingBytes} = this.splitter;
-      this.plan.onAnswerEnd({framing, pendingBytes});
-    }
-    if (this.isRelayed) {
-      this.plan.stream.onTail(this.splitter.takeRemainder());
-      this.settle({kind: 'streamed'});
-      return;
-    }
     if (this.head === undefined) {
       this.fail(lostAnswer('the answer has no head'));
       return;
     }
+    const {framing} = this.head;
+    const end = {framing, pendingBytes: this.splitter.pendingBytes};
+    this.plan.onAnswerEnd(end);
+    if (this.isRelayed) {
+      this.endStream(end);
+      return;
+    }
     const body = Buffer.concat(this.chunks);
     this.settle({kind: 'whole', head: this.head, body});
   }
 
+  private endStream(end: AnswerEnd): void {
+    const verdict = judgeAnswerEnd(end);
+    switch (verdict) {
+      case 'broken-off':
+        this.fail(lostStream(end, 'the stream ended inside an event'));
+        return;
+      case 'unconfirmed':
+        if (this.plan.stream.isFramed) {
+          this.fail(lostStream(end, 'the end of the stream is not confirmed'));
+          return;
+        }
+        break;
+      case 'complete':
+    }
+    this.plan.stream.onTail(this.splitter.takeRemainder());
+    this.settle({kind: 'streamed', isConfirmed: verdict === 'complete'});
+  }
+
   private fail(failure: RoutedAttemptFailure): void {
     this.settle({kind: 'failed', failure});
   }
@@ -283,3 +298,11 @@
 function lostAnswer(reason: string): RoutedAttemptFailure {
   return {kind: 'lost', cause: 'answer', reason};
 }
+
+function lostStream(
+  {framing}: AnswerEnd,
+  reason: string,
+): RoutedAttemptFailure {
+  const cause = framing === 'connection' ? 'connection' : 'answer';
+  return {kind: 'lost', cause, reason};
+}
--- a/packages/entry-process/src/routed/routed_front.ts
+++ b/packages/entry-process/src/routed/routed_front.ts
@@ -225,7 +225,12 @@
       return;
     }
     const answer = refusalOf(error, headers.attemptId);
-    responder.sendComplete(answer.status, answer.headers, answer.body);
+    responder.sendComplete(
+      answer.status,
+      answer.headers,
+      answer.body,
+      'length',
+    );
   }
 }
 
--- a/packages/entry-process/src/routed/routed_request.ts
+++ b/packages/entry-process/src/routed/routed_request.ts
@@ -238,7 +238,9 @@
     const {upstreamId} = choice.upstream;
     switch (outcome.kind) {
       case 'streamed':
-        this.dependencies.crashes.recordCompletion(this.fingerprint);
+        if (outcome.isConfirmed) {
+          this.dependencies.crashes.recordCompletion(this.fingerprint);
+        }
         this.responder.end();
         this.recordEnd('answered');
         return 'done';
@@ -270,8 +272,10 @@
     head: AnswerHead,
     body: Buffer,
   ): 'done' | {readonly drawsOnBudget: boolean} {
-    const {status} = head;
-    this.dependencies.crashes.recordCompletion(this.fingerprint);
+    const {status, framing} = head;
+    if (framing !== 'connection') {
+      this.dependencies.crashes.recordCompletion(this.fingerprint);
+    }
     if (status >= FIRST_FAILURE_STATUS) {
       const failure: RoutedAttemptFailure = {kind: 'failed-after-run', status};
       const next = decideNextAttempt(failure, this.history());
@@ -292,6 +296,7 @@
         status,
         encodeAnswerHeaders(head.rawHeaders),
         body,
+        framing,
       );
     }
     this.recordEnd(`status ${status}`);
--- a/packages/entry-process/src/routed/stream_relay.ts
+++ b/packages/entry-process/src/routed/stream_relay.ts
@@ -2,7 +2,7 @@
  * The streamed response to one request, across all its attempts.
  */
 import type {RoutedResponder} from '@lacewingwinch/callers';
-import type {SplitEvent} from '@lacewingwinch/decisions';
+import type {BodyFraming, SplitEvent} from '@lacewingwinch/decisions';
 import {
   type AnswerHeaders,
   encodeAnswerHeaders,
@@ -14,7 +14,7 @@
 
 /** Relays complete events, each one once and in the order of their ids. */
 export class StreamRelay implements StreamReceiver {
-  private hasStarted = false;
+  private framing: BodyFraming | undefined;
   private lastId: string | undefined;
   private count = 0;
   private version: number | undefined;
@@ -23,7 +23,12 @@
 
   /** Whether the head of the response has been sent to the client. */
   get hasBegun(): boolean {
-    return this.hasStarted;
+    return this.framing !== undefined;
+  }
+
+  /** Whether an orderly end tells the client that the response is complete. */
+  get isFramed(): boolean {
+    return this.framing !== undefined && this.framing !== 'connection';
   }
 
   /** Id of the last relayed event. */
@@ -46,10 +51,11 @@
    * used.
    */
   onHead(head: AnswerHead, {weightVersion}: AnswerHeaders): void {
-    if (!this.hasStarted) {
-      this.hasStarted = true;
+    if (this.framing === undefined) {
+      const {status, rawHeaders, framing} = head;
+      this.framing = framing;
       this.version = weightVersion;
-      this.responder.begin(head.status, encodeAnswerHeaders(head.rawHeaders));
+      this.responder.begin(status, encodeAnswerHeaders(rawHeaders), framing);
     }
   }
 
--- a/packages/entry-process/src/routed/upstream_result.ts
+++ b/packages/entry-process/src/routed/upstream_result.ts
@@ -17,7 +17,7 @@
 ): UpstreamResult | undefined {
   switch (outcome.kind) {
     case 'streamed':
-      return 'answered';
+      return outcome.isConfirmed ? 'answered' : undefined;
     case 'whole':
       return outcome.head.status >= FIRST_FAILURE_STATUS
         ? 'errored'
--- a/packages/stand-ins/src/routed_client_stand_in.ts
+++ b/packages/stand-ins/src/routed_client_stand_in.ts
@@ -53,6 +53,7 @@
   const [host, port] = call.address.split(':');
   return new Promise((resolve, reject) => {
     let hasAnswer = false;
+    let isReset = false;
     const request = sendHttp(
       {
         host,
@@ -82,7 +83,8 @@
             status: statusCode,
             headers,
             body,
-            isComplete: response.complete,
+            // Node completes an answer without a length when it is reset.
+            isComplete: response.complete && !isReset,
             isSigned: headers['x-response-signature'] !== undefined,
             attemptId: headers['x-attempt-id']?.toString(),
           }),
@@ -91,6 +93,7 @@
     );
     // Once an answer has begun, its own listeners report how it ended.
     request.on('error', error => {
+      isReset = true;
       if (!hasAnswer) {
         reject(error);
       }
--- a/packages/upstreams/src/connection_pool.ts
+++ b/packages/upstreams/src/connection_pool.ts
@@ -5,13 +5,14 @@
 import type {Socket} from 'node:net';
 
 import {type BodyFraming, bodyFramingOf} from '@lacewingwinch/decisions';
-import {buildConnector, Client, type Dispatcher} from 'undici';
+import {Client, type Dispatcher} from 'undici';
 
 import {
   endIfExcessive,
   ResponseWatch,
   type WatchedResponse,
 } from './response_watch.js';
+import {createUpstreamConnector} from './upstream_socket.js';
 
 /** Milliseconds allowed to connect; links have a delay of some milliseconds. */
 const CONNECT_TIMEOUT_MILLISECONDS = 300;
@@ -76,10 +77,6 @@
   idleSince: number;
   /** The response in progress; undefined while the connection is idle. */
   response: WatchedResponse | undefined;
-  /** Whether the socket failed, which leaves an unframed body incomplete. */
-  hasFailed: boolean;
-  /** Whether the current body has no length and ends with the connection. */
-  isUnframed: boolean;
   isClosed: boolean;
 }
 
@@ -170,21 +167,13 @@
   }
 
   private openConnection(address: string, upstream: Upstream): Connection {
-    const connector = buildConnector({timeout: CONNECT_TIMEOUT_MILLISECONDS});
+    const connector = createUpstreamConnector(CONNECT_TIMEOUT_MILLISECONDS);
     const client = new Client(`http://${address}`, {
       connect: (options, callback) => {
         connector(options, (...result) => {
           const [, socket] = result;
           connection.socket = socket ?? undefined;
           socket?.on('readable', () => checkReceivedBytes(connection));
-          // Must run before undici's own listener, which treats a reset as the
-          // end of a body without a length.
-          socket?.prependListener('error', () => {
-            connection.hasFailed = true;
-          });
-          socket?.prependListener('end', () =>
-            probeForReset(connection, socket),
-          );
           callback(...result);
         });
       },
@@ -199,8 +188,6 @@
       socket: undefined,
       idleSince: this.clock(),
       response: undefined,
-      hasFailed: false,
-      isUnframed: false,
       isClosed: false,
     };
     upstream.open.add(connection);
@@ -232,19 +219,6 @@
   }
 }
 
-/**
- * Detects a reset that arrived together with data. libuv then reports the end
- * of the stream and leaves the reset pending. An empty write fails on a pending
- * reset and succeeds after an orderly end.
- */
-function probeForReset(connection: Connection, socket: Socket): void {
-  if (!connection.isUnframed) {
-    return;
-  }
-  socket.write(Buffer.alloc(0));
-  connection.hasFailed ||= socket.errored !== null;
-}
-
 /**
  * Ends a response without end, and closes an idle connection that receives
  * bytes, which belong to no request.
@@ -334,7 +308,6 @@
         }
         const framing = bodyFramingOf(headers);
         isReusable = framing !== 'connection' && !saysClose(headers);
-        connection.isUnframed = framing === 'connection';
         const rawHeaders = rawHeadersOf(started);
         receiver.onHead({status, headers, rawHeaders, framing});
       },
@@ -344,13 +317,7 @@
           receiver.onData(chunk);
         }
       },
-      onResponseEnd: () => {
-        if (connection.hasFailed) {
-          fail(new Error('the connection was reset'));
-          return;
-        }
-        finish(isReusable, () => receiver.onEnd());
-      },
+      onResponseEnd: () => finish(isReusable, () => receiver.onEnd()),
       onResponseError: (_controller, error) => fail(error),
     },
   );
--- a/packages/upstreams/src/model_engine.ts
+++ b/packages/upstreams/src/model_engine.ts
@@ -2,7 +2,11 @@
  * Calls to model engines: streamed completions, their resumption, and export of
  * key-value caches.
  */
-import {MAXIMUM_EVENT_BYTES} from '@lacewingwinch/decisions';
+import {
+  type BodyFraming,
+  bodyFramingOf,
+  MAXIMUM_EVENT_BYTES,
+} from '@lacewingwinch/decisions';
 import {createParser} from 'eventsource-parser';
 import {z} from 'zod';
 
@@ -58,6 +62,7 @@
   call: EngineCall,
 ): Promise<void> {
   const progress = {status: 0, hasEnded: false, pendingBytes: 0};
+  let framing: BodyFraming = 'connection';
   const errorBody: Buffer[] = [];
   const decoder = new TextDecoder();
   const parser = createParser({
@@ -75,8 +80,9 @@
     `http://${call.address}`,
     call.request,
     {
-      onHead: answerStatus => {
+      onHead: (answerStatus, headers) => {
         progress.status = answerStatus;
+        framing = bodyFramingOf(headers);
       },
       onData: chunk => {
         progress.pendingBytes += chunk.length;
@@ -100,7 +106,7 @@
     );
   }
   if (status !== 200) {
-    throw new EngineRefusal(status, Buffer.concat(errorBody));
+    throw new EngineRefusal(status, Buffer.concat(errorBody), framing);
   }
   if (!progress.hasEnded) {
     throw new UpstreamError(
@@ -118,6 +124,7 @@
   constructor(
     readonly status: number,
     readonly body: Buffer,
+    readonly framing: BodyFraming,
   ) {
     super(`the engine answered ${status}`);
   }
--- a/packages/upstreams/src/plain_service.ts
+++ b/packages/upstreams/src/plain_service.ts
@@ -1,7 +1,11 @@
 /**
  * Calls to plain services.
  */
-import {MAXIMUM_RESPONSE_BYTES} from '@lacewingwinch/decisions';
+import {
+  type BodyFraming,
+  bodyFramingOf,
+  MAXIMUM_RESPONSE_BYTES,
+} from '@lacewingwinch/decisions';
 
 import type {UpstreamConnections} from './upstream_connections.js';
 import {UpstreamError} from './upstream_error.js';
@@ -16,6 +20,7 @@
   readonly status: number;
   readonly contentType: string;
   readonly body: Buffer;
+  readonly framing: BodyFraming;
 }
 
 /** A call to a plain service. */
@@ -58,12 +63,14 @@
 ): Promise<PlainAnswer> {
   let status = 0;
   let contentType = 'application/octet-stream';
+  let framing: BodyFraming = 'connection';
   let bytes = 0;
   const chunks: Buffer[] = [];
   await run({
     onHead: (answerStatus, headers) => {
       status = answerStatus;
       contentType = headers['content-type'] ?? contentType;
+      framing = bodyFramingOf(headers);
     },
     onData: chunk => {
       bytes += chunk.length;
@@ -73,7 +80,7 @@
       chunks.push(chunk);
     },
   });
-  return {status, contentType, body: Buffer.concat(chunks)};
+  return {status, contentType, body: Buffer.concat(chunks), framing};
 }
 
 function rejectUnavailable(answer: PlainAnswer): PlainAnswer {
--- a/packages/upstreams/src/upstream_connections.ts
+++ b/packages/upstreams/src/upstream_connections.ts
@@ -3,6 +3,8 @@
  */
 import {Agent, Client, type Dispatcher} from 'undici';
 
+import {createUpstreamConnector} from './upstream_socket.js';
+
 const CONNECT_TIMEOUT_MILLISECONDS = 1000;
 
 /** Idle milliseconds after which a persistent connection is closed. */
@@ -11,7 +13,7 @@
 /** Connections to upstreams, persistent where a repeated call is harmless. */
 export class UpstreamConnections {
   private readonly agent = new Agent({
-    connect: {timeout: CONNECT_TIMEOUT_MILLISECONDS},
+    connect: createUpstreamConnector(CONNECT_TIMEOUT_MILLISECONDS),
     keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
     headersTimeout: 0,
     bodyTimeout: 0,
@@ -30,7 +32,7 @@
    */
   openSingleUse(origin: string): Client {
     return new Client(origin, {
-      connect: {timeout: CONNECT_TIMEOUT_MILLISECONDS},
+      connect: createUpstreamConnector(CONNECT_TIMEOUT_MILLISECONDS),
       headersTimeout: 0,
       bodyTimeout: 0,
       pipelining: 1,
