Check again after a wait for paused upstreams

Cause: a timer may fire a fraction of a millisecond early; the upstream was still paused then, no candidate was left and the request was refused with no-upstream after its whole wait (log of the failing run of upstream_announcements_test.ts, 'is waited for if its pause is short': wait of 388 ms, then no-upstream). A pause that another answer extends during the wait ended the same way. Change: the gate checks the pauses until none is left, the time left with them.

--- a/packages/entry-process/src/routed/attempt_gate.ts
+++ b/packages/entry-process/src/routed/attempt_gate.ts
@@ -18,8 +18,8 @@
 /** Dependencies of `AttemptGate`. */
 export interface AttemptGateDependencies {
   readonly events: EventLog;
-  readonly crashes: CrashWatch;
-  readonly candidates: PlacementCandidates;
+  readonly crashes: Pick<CrashWatch, 'quarantineMillisecondsLeft'>;
+  readonly candidates: Pick<PlacementCandidates, 'pauseMillisecondsLeft'>;
   readonly random: () => number;
 }
 
@@ -76,19 +76,37 @@
   /**
    * Waits until an upstream that is not in `tried` accepts requests of this
    * host; returns a refusal if that takes too long. The wait ends early if
-   * `signal` aborts.
+   * `signal` aborts. A timer may fire a fraction of a millisecond early, and
+   * pauses may be extended meanwhile, so they are checked again.
    */
   async waitWhilePaused(
     tried: ReadonlySet<string>,
+    bounds: () => LatencyBounds,
+    signal: AbortSignal,
+  ): Promise<ServingError | undefined> {
+    const {candidates} = this.dependencies;
+    const {service} = this.request;
+    while (!signal.aborted) {
+      const milliseconds =
+        candidates.pauseMillisecondsLeft(service, tried) ?? 0;
+      if (milliseconds <= 0) {
+        return undefined;
+      }
+      const refusal = await this.waitOnce(milliseconds, bounds(), signal);
+      if (refusal !== undefined) {
+        return refusal;
+      }
+    }
+    return undefined;
+  }
+
+  private async waitOnce(
+    milliseconds: number,
     bounds: LatencyBounds,
     signal: AbortSignal,
   ): Promise<ServingError | undefined> {
-    const {candidates, events, random} = this.dependencies;
+    const {events, random} = this.dependencies;
     const {requestId, service} = this.request;
-    const milliseconds = candidates.pauseMillisecondsLeft(service, tried) ?? 0;
-    if (milliseconds <= 0) {
-      return undefined;
-    }
     const verdict = decidePausedService(milliseconds, bounds, random());
     events.write(4105, {
       requestId,
@@ -98,7 +116,7 @@
     });
     switch (verdict.kind) {
       case 'wait':
-        await pause(verdict.milliseconds, signal);
+        await pause(Math.ceil(verdict.milliseconds), signal);
         return undefined;
       case 'refuse':
         return new ServingError('overloaded', {
--- a/packages/entry-process/src/routed/routed_request.ts
+++ b/packages/entry-process/src/routed/routed_request.ts
@@ -123,7 +123,7 @@
       }
       const refusal = await this.gate.waitWhilePaused(
         this.runner.tried,
-        this.latencyBounds(),
+        () => this.latencyBounds(),
         this.interrupted.signal,
       );
       if (this.endIfRefused(refusal, 'overloaded')) {
