Log the software version of upstreams and continuations of streams

Cause: the record of second1 names neither the software version to which a request is sent nor that a request continues a stream. Change: entries of upstreams are decoded with their version, event 4104 names it, event 4107 names the stream that a request takes up.

--- a/packages/decisions/src/upstreams/listed_upstream.ts
+++ b/packages/decisions/src/upstreams/listed_upstream.ts
@@ -6,6 +6,11 @@
 export interface ListedUpstream {
   readonly upstreamId: string;
   readonly service: string;
+  /**
+   * Version of its software, which is not that of its model weights; empty if it
+   * reported none.
+   */
+  readonly softwareVersion: string;
   /** IP address and port. */
   readonly address: string;
   readonly failureDomain: string;
--- a/packages/decisions/tests/duties_test.ts
+++ b/packages/decisions/tests/duties_test.ts
@@ -174,6 +174,7 @@
     slots: 8,
     isLeaving: index >= onDemand + reclaimable,
     leavesInMilliseconds: undefined,
+    softwareVersion: 'v1',
     bornAt: 0,
     isReclaimable: index >= onDemand,
     coldMilliseconds: 0,
--- a/packages/decisions/tests/placement_test.ts
+++ b/packages/decisions/tests/placement_test.ts
@@ -30,6 +30,7 @@
     slots: 64,
     isLeaving: false,
     leavesInMilliseconds: undefined,
+    softwareVersion: 'v1',
     bornAt: 0,
     isReclaimable: false,
     coldMilliseconds: 0,
--- a/packages/decisions/tests/store_era_test.ts
+++ b/packages/decisions/tests/store_era_test.ts
@@ -210,6 +210,7 @@
     slots: 8,
     isLeaving: false,
     leavesInMilliseconds: undefined,
+    softwareVersion: 'v1',
     bornAt: 100,
     isReclaimable: false,
     coldMilliseconds: 0,
--- a/packages/decisions/tests/upstream_list_test.ts
+++ b/packages/decisions/tests/upstream_list_test.ts
@@ -23,6 +23,7 @@
     slots: 8,
     isLeaving: false,
     leavesInMilliseconds: undefined,
+    softwareVersion: 'v1',
     bornAt: 0,
     isReclaimable: false,
     coldMilliseconds: 0,
--- a/packages/entry-process/src/routed/attempt_runner.ts
+++ b/packages/entry-process/src/routed/attempt_runner.ts
@@ -125,6 +125,7 @@
     events.write(4104, {
       requestId: attemptId,
       upstreamId: upstream.upstreamId,
+      softwareVersion: upstream.softwareVersion,
       estimate: Math.round(choice.estimateMilliseconds),
       cached: choice.cachedTokens,
       prompt: this.request.promptTokens,
--- a/packages/entry-process/src/routed/request_log.ts
+++ b/packages/entry-process/src/routed/request_log.ts
@@ -6,6 +6,7 @@
   RoutedAttemptFailure,
 } from '@lacewingwinch/decisions';
 import type {EventLog, Metrics} from '@lacewingwinch/observability';
+import type {CallHeaders} from '@lacewingwinch/platform';
 
 /** Dependencies of `RequestLog`. */
 export interface RequestLogDependencies {
@@ -31,6 +32,17 @@
     private readonly admission: RoutedAdmission,
   ) {}
 
+  /** Records that a client takes up a stream that broke off. */
+  recordContinuation({lastEventId, resumedAttemptId}: CallHeaders): void {
+    if (lastEventId !== undefined && this.admission.rule.isStreamed) {
+      this.dependencies.events.write(4107, {
+        requestId: this.requestId,
+        resumedAttemptId: resumedAttemptId ?? '',
+        lastEventId,
+      });
+    }
+  }
+
   /** Records the time until an upstream began to respond. */
   recordFirstByte(elapsedMilliseconds: number): void {
     this.dependencies.metrics.firstByteSeconds.observe(
--- a/packages/entry-process/src/routed/routed_request.ts
+++ b/packages/entry-process/src/routed/routed_request.ts
@@ -68,6 +68,7 @@
     });
     const requestId = headers.attemptId ?? '';
     this.log = new RequestLog(dependencies, requestId, admission);
+    this.log.recordContinuation(headers);
     this.gate = new AttemptGate(
       {
         ...dependencies,
--- a/packages/entry-process/tests/routed_placement_test.ts
+++ b/packages/entry-process/tests/routed_placement_test.ts
@@ -30,6 +30,7 @@
     slots: 64,
     isLeaving: false,
     leavesInMilliseconds: undefined,
+    softwareVersion: 'v1',
     bornAt: 0,
     isReclaimable: false,
     coldMilliseconds: 0,
--- a/packages/observability/src/event_catalogue.ts
+++ b/packages/observability/src/event_catalogue.ts
@@ -187,7 +187,7 @@
   4104: {
     level: 'info',
     message:
-      'request {requestId} is sent to upstream {upstreamId}: first token expected after {estimate} ms, {cached} of {prompt} prompt tokens cached',
+      'request {requestId} is sent to upstream {upstreamId} with software version {softwareVersion}: first token expected after {estimate} ms, {cached} of {prompt} prompt tokens cached',
     advice: 'No action needed.',
   },
   4105: {
@@ -203,6 +203,13 @@
     advice:
       'No action needed unless it happens often: then the upstream crashes, or sends answers without a length.',
   },
+  4107: {
+    level: 'info',
+    message:
+      'request {requestId} takes up the stream of {resumedAttemptId} after event {lastEventId}',
+    advice:
+      'Look for event 4104 of both requests: their software versions must be the same.',
+  },
   5001: {
     level: 'info',
     message:
