Reproduce streams that go on at another software version

Whole processes with engines of two versions: streams that break off within one answer, and streams that their client takes up at another host after the host that began them has died.

--- /dev/null
+++ b/packages/entry-process/tests/software_versions_test.ts
@@ -0,0 +1,265 @@
+/** Tests of streams that continue while two software versions serve. */
+import {RoutedEngineStandIn} from '@lacewingwinch/stand-ins';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import {type Answer, RoutedInstallation, waitUntil} from './routed_fixtures.js';
+
+const STREAMS = 12;
+
+/** Milliseconds for which the hosts read the list and talk to each other. */
+const SETTLE_MILLISECONDS = 700;
+
+let installation: RoutedInstallation;
+/** Software version by upstream. */
+let versions: Map<string, string>;
+
+beforeEach(async () => {
+  installation = await RoutedInstallation.start();
+  versions = new Map();
+});
+
+afterEach(() => installation.stop());
+
+/** Lists an engine of the streaming service. */
+async function listEngine(
+  upstreamId: string,
+  version: string,
+): Promise<RoutedEngineStandIn> {
+  const existing = installation.engines.find(
+    engine => engine.upstreamId === upstreamId,
+  );
+  const engine = existing ?? new RoutedEngineStandIn(upstreamId);
+  if (existing === undefined) {
+    engine.isStreamed = true;
+    await engine.listen();
+    installation.engines.push(engine);
+  }
+  versions.set(upstreamId, version);
+  const entry = engine.entry('engines', {version});
+  installation.store.put('keyed.servers', upstreamId, entry);
+  return engine;
+}
+
+function withdraw(upstreamId: string): void {
+  installation.store.put('keyed.servers', upstreamId, undefined);
+}
+
+async function startHosts(count: number): Promise<void> {
+  for (let index = 0; index < count; index += 1) {
+    await installation.startProcess({
+      seeds: installation.peers.slice(0, 1),
+    });
+  }
+  await settle();
+}
+
+function settle(): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, SETTLE_MILLISECONDS));
+}
+
+/** Returns the software versions of the engines that ran `attemptId`. */
+function versionsThatRan(attemptId: string): readonly string[] {
+  return installation.engines
+    .filter(engine => engine.executedAttemptIds().includes(attemptId))
+    .map(({upstreamId}) => versions.get(upstreamId) ?? '');
+}
+
+/** Breaks off the first attempt at each engine; a continuation is answered. */
+function breakOffFirstAttempts(): void {
+  for (const engine of installation.engines) {
+    engine.breaksOffFirstAttempts = true;
+  }
+}
+
+function lastIdOf({body}: Answer): string {
+  return [...body.matchAll(/^id: (\d+)$/gm)].at(-1)?.[1] ?? '0';
+}
+
+/** Starts a stream that breaks off, at host `host`; returns its last id. */
+async function startBrokenStream(
+  attemptId: string,
+  host: number,
+): Promise<string> {
+  const answer = await installation.call(
+    {path: `/resumed/${attemptId}`, attemptId},
+    installation.callers[host],
+  );
+  expect(answer.isBroken).toBe(true);
+  return lastIdOf(answer);
+}
+
+function takeUp(
+  attemptId: string,
+  lastEventId: string,
+  host: number,
+): Promise<Answer> {
+  return installation.call(
+    {
+      path: `/resumed/${attemptId}`,
+      attemptId: `${attemptId}-again`,
+      headers: {'last-event-id': lastEventId, resumes: attemptId},
+    },
+    installation.callers[host],
+  );
+}
+
+describe('a stream that breaks off within one answer', () => {
+  it('is not continued by an engine of another software version', async () => {
+    await listEngine('i-2', 'v1');
+    await listEngine('i-3', 'v2');
+    breakOffFirstAttempts();
+    await startHosts(1);
+    for (let index = 0; index < STREAMS; index += 1) {
+      const attemptId = `stream-${index}`;
+      const path = `/resumed/${index}`;
+      const answer = await installation.call({path, attemptId});
+      expect(answer.isBroken).toBe(true);
+      expect(versionsThatRan(attemptId)).toHaveLength(1);
+    }
+  });
+
+  it('is continued by another engine of its software version', async () => {
+    await listEngine('i-2', 'v1');
+    await listEngine('i-3', 'v2');
+    await listEngine('i-4', 'v1');
+    await listEngine('i-5', 'v2');
+    breakOffFirstAttempts();
+    await startHosts(2);
+    for (let index = 0; index < STREAMS; index += 1) {
+      const attemptId = `stream-${index}`;
+      const answer = await installation.call(
+        {path: `/resumed/${index}`, attemptId},
+        installation.callers[index % 2],
+      );
+      expect(answer.isBroken).toBe(false);
+      const ran = versionsThatRan(attemptId);
+      expect(ran).toHaveLength(2);
+      expect(new Set(ran).size).toBe(1);
+    }
+  });
+});
+
+describe('a stream that its client takes up at another host', () => {
+  beforeEach(() => {
+    installation.store.publish(withSingleAttempts());
+  });
+
+  it('goes on at its software version after its host has died', async () => {
+    await listEngine('i-2', 'v1');
+    await listEngine('i-3', 'v2');
+    await listEngine('i-4', 'v1');
+    await listEngine('i-5', 'v2');
+    await startHosts(4);
+    breakOffFirstAttempts();
+    const lastIds = new Map<string, string>();
+    for (let index = 0; index < STREAMS; index += 1) {
+      const attemptId = `stream-${index}`;
+      lastIds.set(attemptId, await startBrokenStream(attemptId, 0));
+    }
+    await settle();
+    await installation.processes[0]?.stopNow();
+    for (const [attemptId, lastId] of lastIds) {
+      const answer = await takeUp(attemptId, lastId, 1);
+      expect(answer.status).toBe(200);
+      expect(answer.isBroken).toBe(false);
+      expect(versionsThatRan(`${attemptId}-again`)).toEqual(
+        versionsThatRan(attemptId),
+      );
+    }
+  });
+
+  it('goes on if its host told nobody while one version served', async () => {
+    await listEngine('i-2', 'v1');
+    await listEngine('i-3', 'v1');
+    await startHosts(3);
+    breakOffFirstAttempts();
+    const lastId = await startBrokenStream('stream-1', 0);
+    await installation.processes[0]?.stopNow();
+    const answer = await takeUp('stream-1', lastId, 1);
+    expect(answer).toMatchObject({status: 200, isBroken: false});
+  });
+
+  it('goes on if another version has come since it broke off', async () => {
+    await listEngine('i-2', 'v1');
+    await startHosts(3);
+    withdraw('i-3');
+    breakOffFirstAttempts();
+    await settle();
+    const lastId = await startBrokenStream('stream-1', 0);
+    await listEngine('i-3', 'v2');
+    await settle();
+    const answer = await takeUp('stream-1', lastId, 1);
+    expect(answer).toMatchObject({status: 200, isBroken: false});
+    expect(versionsThatRan('stream-1-again')).toEqual(['v1']);
+  });
+
+  it.each([
+    {name: 'is refused if nobody knows where it began', resumes: 'unknown'},
+    {name: 'is refused if its client names no attempt', resumes: undefined},
+  ])('$name and two versions serve', async ({resumes}) => {
+    await listEngine('i-2', 'v1');
+    await listEngine('i-3', 'v2');
+    await startHosts(2);
+    const startedAt = Date.now();
+    const answer = await installation.call({
+      path: '/resumed/1',
+      attemptId: 'again',
+      headers: {
+        'last-event-id': '2',
+        ...(resumes !== undefined && {resumes}),
+      },
+    });
+    expect(answer.status).toBe(503);
+    expect(versionsThatRan('again')).toEqual([]);
+    expect(Date.now() - startedAt).toBeLessThan(500);
+  });
+
+  it('is refused at once if no engine of its version is left', async () => {
+    await listEngine('i-2', 'v1');
+    await listEngine('i-3', 'v1');
+    await startHosts(2);
+    breakOffFirstAttempts();
+    const lastId = await startBrokenStream('stream-1', 0);
+    withdraw('i-2');
+    withdraw('i-3');
+    await listEngine('i-4', 'v2');
+    await waitUntil(async () => {
+      const answer = await installation.call({
+        path: '/stream/1',
+        attemptId: 'probe',
+      });
+      return answer.status === 200;
+    });
+    await settle();
+    const answer = await takeUp('stream-1', lastId, 1);
+    expect(answer.status).toBe(503);
+    expect(versionsThatRan('stream-1-again')).toEqual([]);
+  });
+});
+
+/** Makes an attempt that breaks off end the answer. */
+function withSingleAttempts(): object {
+  return {
+    version: 4,
+    routes: ['resumed', 'stream'].map(name => ({
+      name,
+      host: 'host.example',
+      pathPrefix: `/${name}/`,
+      kind: 'streaming',
+      service: 'engines',
+      timeoutMs: 2000,
+      targetLatencyMs: 200,
+      priority: 1,
+      maxAttempts: 1,
+      streamResumption: name === 'resumed',
+    })),
+    services: [{name: 'engines', connectionLimit: 500}],
+    limits: {
+      maxHeaderBytes: 4096,
+      maxBodyBytes: 1000,
+      headerTimeoutMs: 3000,
+      idleTimeoutMs: 15_000,
+    },
+    tenants: [{name: 'tenant', apiKeys: ['key-1']}],
+  };
+}
--- a/packages/stand-ins/src/routed_engine_stand_in.ts
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -60,6 +60,8 @@
   behavior: EngineBehavior = 'answer';
   /** Whether answers are event streams. */
   isStreamed = false;
+  /** Whether streams break off that continue no other one. */
+  breaksOffFirstAttempts = false;
   /** Milliseconds that an execution takes before its answer begins. */
   executionMilliseconds = 0;
   /** Whether the text of an answer contains the id of its attempt. */
@@ -207,7 +209,10 @@
     });
     const lastEventId = Number(message.headers['last-event-id'] ?? 0);
     for (let id = lastEventId + 1; id <= STREAM_EVENTS; id += 1) {
-      if (this.behavior === 'break-off' && id > STREAM_EVENTS / 2) {
+      const breaksOff =
+        this.behavior === 'break-off' ||
+        (this.breaksOffFirstAttempts && lastEventId === 0);
+      if (breaksOff && id > STREAM_EVENTS / 2) {
         response.write(`id: ${id}\ndata: cut in the mid`);
         await delay(EVENT_INTERVAL_MILLISECONDS);
         message.socket.resetAndDestroy();
