Resume streams only at the software version that began them

Cause: entry hosts did not know the software version of an engine; every continuation was placed at any engine of the service, within one answer and for a client that takes a stream up at another host. Change: the first event binds a stream to the version of its engine; placement, pauses and the dispatcher's choice are limited to it. While a service has had one version for as long as its streams last, that is known without a record. With several, the host that begins a stream gives its origin to three hosts that win a hash of the attempt's id, in messages shared by 50 ms of streams; streams that began before the other version came are told when it comes. A host that takes a stream up asks four hosts, at most 150 ms. What nobody knows is refused with stream-unknown (503, not run). Continuations stay at the service that the first attempt was given. Why it works: no continuation is placed without a version that a record or a complete history of the list names. Messages: none a stream with one version, at most three short ones with several.

--- a/packages/decisions/src/errors/error_kinds.ts
+++ b/packages/decisions/src/errors/error_kinds.ts
@@ -100,6 +100,13 @@
     retry: 'later',
     retryAfterSeconds: 2,
   },
+  'stream-unknown': {
+    status: 503,
+    title: 'The software version that began the stream is not known',
+    ran: 'no',
+    retry: 'later',
+    retryAfterSeconds: 1,
+  },
   'not-ready': {
     status: 503,
     title: 'This entry host is not serving',
--- a/packages/decisions/src/placement/choose_engine.ts
+++ b/packages/decisions/src/placement/choose_engine.ts
@@ -21,6 +21,11 @@
   readonly promptTokens: number;
   /** 0 is the most urgent; engines read the most urgent prompts first. */
   readonly priority: number;
+  /**
+   * Software version that began the stream that the request continues; absent if
+   * any version may run it.
+   */
+  readonly softwareVersion?: string;
 }
 
 /** Work in progress at an upstream, as far as this host knows. */
--- /dev/null
+++ b/packages/decisions/src/streams/software_versions.ts
@@ -0,0 +1,78 @@
+/**
+ * The software versions of the upstreams of each service that one host has seen
+ * listed. While a service has had a single version for longer than a stream
+ * lasts, the version that began any of its streams is known without a record.
+ */
+import type {ListedUpstream} from '../upstreams/listed_upstream.js';
+
+/** The versions of a service within some time. */
+export interface SeenVersions {
+  readonly versions: readonly string[];
+  /** Whether no other version can have been listed within that time. */
+  readonly isComplete: boolean;
+}
+
+/** What a read of the list of upstreams covers. */
+export type ReadCoverage =
+  /** Every listing since the read before. */
+  | 'every-listing'
+  /** The listings that are in force; others may have come and gone. */
+  | 'listings-in-force';
+
+/**
+ * Milliseconds between two reads within which no upstream comes, takes a stream
+ * and goes.
+ */
+const MAXIMUM_GAP_MILLISECONDS = 2000;
+
+/** Age of the last read above which a version may have come since. */
+const MAXIMUM_AGE_MILLISECONDS = 2000;
+
+/** The software versions that one host has seen. */
+export class SoftwareVersions {
+  /** Time of the last listing by service and version. */
+  private readonly lastListed = new Map<string, Map<string, number>>();
+  private lastReadAt = -Infinity;
+  private completeSince: number | undefined;
+
+  /** `isFirstStart`: whether no upstream was listed before this host started. */
+  constructor(private readonly isFirstStart: boolean) {}
+
+  /** Records that an upstream is listed. */
+  recordListing(
+    {
+      service,
+      softwareVersion,
+    }: Pick<ListedUpstream, 'service' | 'softwareVersion'>,
+    now: number,
+  ): void {
+    const versions = this.lastListed.get(service) ?? new Map<string, number>();
+    versions.set(softwareVersion, now);
+    this.lastListed.set(service, versions);
+  }
+
+  /** Records a read of the list, whose listings have been recorded. */
+  recordRead(coverage: ReadCoverage, now: number): void {
+    if (this.completeSince === undefined) {
+      this.completeSince = this.isFirstStart ? -Infinity : now;
+    } else if (
+      coverage === 'listings-in-force' &&
+      now - this.lastReadAt > MAXIMUM_GAP_MILLISECONDS
+    ) {
+      this.completeSince = now;
+    }
+    this.lastReadAt = now;
+  }
+
+  /** Returns the versions of `service` that were listed within `milliseconds`. */
+  seenWithin(service: string, milliseconds: number, now: number): SeenVersions {
+    const versions = [...(this.lastListed.get(service) ?? [])]
+      .filter(([, listedAt]) => listedAt >= now - milliseconds)
+      .map(([version]) => version);
+    const isComplete =
+      this.completeSince !== undefined &&
+      this.completeSince <= now - milliseconds &&
+      now - this.lastReadAt <= MAXIMUM_AGE_MILLISECONDS;
+    return {versions, isComplete};
+  }
+}
--- a/packages/decisions/src/upstreams/upstream_list.ts
+++ b/packages/decisions/src/upstreams/upstream_list.ts
@@ -7,6 +7,10 @@
 import {isDeepStrictEqual} from 'node:util';
 
 import {eraOf} from '../store/store_position.js';
+import {
+  type ReadCoverage,
+  SoftwareVersions,
+} from '../streams/software_versions.js';
 import type {
   ListedUpstream,
   UpdateSource,
@@ -52,6 +56,7 @@
 
 /** The upstreams known to one entry host. */
 export class UpstreamList {
+  readonly versions: SoftwareVersions;
   private readonly entries = new Map<string, Entry>();
   private changes: readonly UpstreamChange[] = [];
   private readonly withdrawn = new Map<string, Withdrawal>();
@@ -62,6 +67,11 @@
     readonly UsableUpstream[]
   >();
 
+  /** `isFirstStart`: whether no upstream was listed before this host started. */
+  constructor(isFirstStart = false) {
+    this.versions = new SoftwareVersions(isFirstStart);
+  }
+
   /** Returns the changes since the last call, including lapsed entries. */
   takeChanges(now: number): readonly UpstreamChange[] {
     this.dropLapsed(now);
@@ -91,6 +101,7 @@
           break;
       }
     }
+    this.recordVersions('every-listing', now);
   }
 
   /** Replaces the list with a snapshot of the store; see `apply`. */
@@ -119,6 +130,7 @@
         this.withdraw(upstreamId, source, now);
       }
     }
+    this.recordVersions('listings-in-force', now);
     // Withdrawals before this read are unknown.
     this.withdrawalsKnownSince = Math.max(
       this.withdrawalsKnownSince,
@@ -177,6 +189,7 @@
         : this.listAll(listings, source, now);
     if (relayed.kind === 'changes') {
       relayed.withdrawn.forEach(id => this.withdraw(id, source, now));
+      this.recordVersions('listings-in-force', now);
     }
     for (const {upstream, lapsesInMilliseconds} of relayed.listed) {
       if (lapsesInMilliseconds !== undefined) {
@@ -221,6 +234,7 @@
   private list(listing: Listing, {readTo}: UpdateSource, now: number): boolean {
     const {upstream, heartbeat} = listing;
     const {upstreamId} = upstream;
+    this.versions.recordListing(upstream, now);
     if (this.isOutdated(listing, readTo)) {
       return false;
     }
@@ -248,6 +262,13 @@
     return true;
   }
 
+  private recordVersions(coverage: ReadCoverage, now: number): void {
+    for (const {upstream} of this.entries.values()) {
+      this.versions.recordListing(upstream, now);
+    }
+    this.versions.recordRead(coverage, now);
+  }
+
   private withdraw(
     upstreamId: string,
     {readTo, relistedBy}: UpdateSource,
--- a/packages/entry-hosts/src/peer_methods.ts
+++ b/packages/entry-hosts/src/peer_methods.ts
@@ -7,6 +7,7 @@
   DispatchEffect,
   HeldPermit,
   Member,
+  OriginKnowledge,
   PermitRequest,
   PlacedRequest,
   PlacementDemand,
@@ -14,6 +15,7 @@
   ProcessCounts,
   RelayedList,
   SnapshotRecord,
+  StreamOrigin,
   Suspicion,
   UpstreamResult,
 } from '@lacewingwinch/decisions';
@@ -197,6 +199,15 @@
       readonly leavingBornAt?: number;
     };
 
+/** Question for the origin of a stream that a client takes up. */
+export interface OriginQuery {
+  /** ID of the attempt that brought the first event; empty if not stated. */
+  readonly attemptId: string;
+  readonly service: string;
+  /** Milliseconds for which streams of the rule may be taken up. */
+  readonly lifetimeMilliseconds: number;
+}
+
 /** Parameters and result of each peer method. */
 export interface PeerMethods {
   readonly gossip: {
@@ -320,6 +331,16 @@
     readonly params: Suspicion;
     readonly result: null;
   };
+  /** Gives the origins of streams to a host that keeps them. */
+  readonly 'stream.began': {
+    readonly params: {readonly origins: readonly StreamOrigin[]};
+    readonly result: null;
+  };
+  /** Returns what a host knows of the origin of a stream. */
+  readonly 'stream.locate': {
+    readonly params: OriginQuery;
+    readonly result: OriginKnowledge;
+  };
   readonly 'limit.transfer': {
     readonly params: {readonly workspace: string; readonly tokens: number};
     readonly result: null;
--- a/packages/entry-process/src/routed/attempt_gate.ts
+++ b/packages/entry-process/src/routed/attempt_gate.ts
@@ -7,6 +7,7 @@
   decidePausedService,
   type EngineChoice,
   type LatencyBounds,
+  type PlacementDemand,
   ServingError,
 } from '@lacewingwinch/decisions';
 import type {EventLog} from '@lacewingwinch/observability';
@@ -80,6 +81,7 @@
    * pauses may be extended meanwhile, so they are checked again.
    */
   async waitWhilePaused(
+    demand: PlacementDemand,
     tried: ReadonlySet<string>,
     bounds: () => LatencyBounds,
     signal: AbortSignal,
@@ -88,7 +90,7 @@
     const {service} = this.request;
     while (!signal.aborted) {
       const milliseconds =
-        candidates.pauseMillisecondsLeft(service, tried) ?? 0;
+        candidates.pauseMillisecondsLeft(service, demand, tried) ?? 0;
       if (milliseconds <= 0) {
         return undefined;
       }
--- a/packages/entry-process/src/routed/attempt_runner.ts
+++ b/packages/entry-process/src/routed/attempt_runner.ts
@@ -51,7 +51,7 @@
   private isCancelled = false;
   private attemptCount = 0;
   private reachedCount = 0;
-  private lastId = '';
+  private last: UsableUpstream | undefined;
 
   constructor(
     private readonly dependencies: AttemptRunnerDependencies,
@@ -73,9 +73,9 @@
     return this.reachedCount;
   }
 
-  /** Upstream of the last attempt; empty before the first one. */
-  get lastUpstreamId(): string {
-    return this.lastId;
+  /** Upstream of the last attempt; undefined before the first one. */
+  get lastUpstream(): UsableUpstream | undefined {
+    return this.last;
   }
 
   /** Makes one attempt at the upstream of `placement`. */
@@ -90,7 +90,7 @@
     const {upstream} = choice;
     this.triedIds.add(upstream.upstreamId);
     this.attemptCount += 1;
-    this.lastId = upstream.upstreamId;
+    this.last = upstream;
     const attempt = new RoutedAttempt(
       pool,
       {
--- a/packages/entry-process/src/routed/placement_candidates.ts
+++ b/packages/entry-process/src/routed/placement_candidates.ts
@@ -31,6 +31,7 @@
   readonly excluded: readonly string[];
   /** Upstreams that are not used. */
   readonly tried: ReadonlySet<string>;
+  readonly demand: PlacementDemand;
 }
 
 /** Selects the upstreams at which a request may be placed. */
@@ -60,10 +61,19 @@
     return shardsInOrder(demand, this.shardsOf(service));
   }
 
-  /** Returns the upstreams of `service` that accept requests of this host. */
-  accepting(service: string): readonly UsableUpstream[] {
+  /**
+   * Returns the upstreams of `service` that accept requests of this host and may
+   * run the request of `demand`.
+   */
+  accepting(
+    service: string,
+    demand: PlacementDemand,
+  ): readonly UsableUpstream[] {
     const {announcements, clock} = this.dependencies;
-    return announcements.accepting(this.usable(service), clock());
+    return suitable(
+      announcements.accepting(this.usable(service), clock()),
+      demand,
+    );
   }
 
   /**
@@ -84,7 +94,7 @@
 
   /** Returns the candidates from which the upstream of a request is selected. */
   select(filter: CandidateFilter): readonly UsableUpstream[] {
-    const accepting = this.accepting(filter.service);
+    const accepting = this.accepting(filter.service, filter.demand);
     const shard = this.shardsOf(filter.service).find(
       ({id}) => id === filter.shardId,
     );
@@ -103,16 +113,18 @@
   }
 
   /**
-   * Returns the milliseconds until the first upstream of `service` that is not
-   * in `tried` accepts requests of this host; undefined if there is none.
+   * Returns the milliseconds until the first upstream of `service` that may run
+   * the request of `demand` and is not in `tried` accepts requests of this host;
+   * undefined if there is none.
    */
   pauseMillisecondsLeft(
     service: string,
+    demand: PlacementDemand,
     tried: ReadonlySet<string>,
   ): number | undefined {
     const {announcements, clock} = this.dependencies;
     const acceptsFrom = Math.min(
-      ...this.usable(service)
+      ...suitable(this.usable(service), demand)
         .filter(({upstreamId}) => !tried.has(upstreamId))
         .map(upstream => announcements.acceptsFrom(upstream)),
     );
@@ -127,6 +139,18 @@
   }
 }
 
+/** Returns the upstreams at whose software version a request may run. */
+function suitable(
+  upstreams: readonly UsableUpstream[],
+  {softwareVersion}: PlacementDemand,
+): readonly UsableUpstream[] {
+  return softwareVersion === undefined
+    ? upstreams
+    : upstreams.filter(
+        upstream => upstream.softwareVersion === softwareVersion,
+      );
+}
+
 function firstNotEmpty(
   lists: readonly (readonly UsableUpstream[])[],
 ): readonly UsableUpstream[] {
--- a/packages/entry-process/src/routed/routed_front.ts
+++ b/packages/entry-process/src/routed/routed_front.ts
@@ -31,6 +31,7 @@
 import type {QuotaExchange} from './quota_exchange.js';
 import type {RoutedPlacement} from './routed_placement.js';
 import {RoutedRequest} from './routed_request.js';
+import type {StreamOriginExchange} from './stream_origin_exchange.js';
 
 /** Maximum number of bytes of a body before a configuration is known. */
 const DEFAULT_MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
@@ -51,6 +52,7 @@
   readonly announcements: UpstreamAnnouncements;
   readonly quotas: QuotaExchange;
   readonly crashes: CrashWatch;
+  readonly streams: StreamOriginExchange;
   readonly retryBudgets: ServiceRetryBudgets;
   readonly configuration: () =>
     ConfirmedValue<RoutingConfiguration> | undefined;
@@ -123,7 +125,8 @@
     const now = this.dependencies.clocks.suspensionAware();
     const verdict = admitRoutedCall(
       {
-        attemptId: headers.attemptId,
+        // A stream that is taken up stays at the service that began it.
+        attemptId: headers.resumedAttemptId ?? headers.attemptId,
         host: call.host,
         path: call.path,
         workspaceKey: headers.workspaceKey,
--- a/packages/entry-process/src/routed/routed_peer_handlers.ts
+++ b/packages/entry-process/src/routed/routed_peer_handlers.ts
@@ -9,6 +9,7 @@
 import type {QuotaExchange} from './quota_exchange.js';
 import type {RoutedPlacement} from './routed_placement.js';
 import type {StateRelay} from './state_relay.js';
+import type {StreamOriginExchange} from './stream_origin_exchange.js';
 
 /** Dependencies of the peer methods. */
 export interface RoutedPeerDependencies {
@@ -18,6 +19,7 @@
   readonly usage: UsageWindows;
   readonly quotas: QuotaExchange;
   readonly crashes: CrashWatch;
+  readonly streams: StreamOriginExchange;
   readonly quotaOf: (workspace: string) => WorkspaceQuota | undefined;
 }
 
@@ -25,8 +27,16 @@
 export function createRoutedPeerHandlers(
   dependencies: RoutedPeerDependencies,
 ): Partial<PeerHandlers> {
-  const {membership, placement, relay, usage, quotas, crashes, quotaOf} =
-    dependencies;
+  const {
+    membership,
+    placement,
+    relay,
+    usage,
+    quotas,
+    crashes,
+    streams,
+    quotaOf,
+  } = dependencies;
   return {
     gossip: digest => membership.onGossip(digest),
     probe: async ({hostId}) => ({answered: await membership.probeFor(hostId)}),
@@ -48,6 +58,11 @@
       crashes.onSuspicion(suspicion);
       return null;
     },
+    'stream.began': ({origins}) => {
+      streams.keep(origins);
+      return null;
+    },
+    'stream.locate': query => streams.answer(query),
     'quota.ask': ({workspace, amount}) => ({
       given: quotas.give(workspace, quotaOf(workspace), amount),
     }),
--- a/packages/entry-process/src/routed/routed_placement.ts
+++ b/packages/entry-process/src/routed/routed_placement.ts
@@ -129,7 +129,7 @@
     const choice =
       (answer === undefined
         ? undefined
-        : this.choiceFromAnswer(service, answer)) ??
+        : this.choiceFromAnswer(service, demand, answer)) ??
       this.placeLocally(request, tried);
     return choice === undefined
       ? undefined
@@ -312,13 +312,14 @@
    */
   private choiceFromAnswer(
     service: string,
+    demand: PlacementDemand,
     answer: PlacementAnswer,
   ): EngineChoice | undefined {
     if (answer.kind === 'none') {
       return undefined;
     }
     const upstream = this.candidates
-      .accepting(service)
+      .accepting(service, demand)
       .find(({upstreamId}) => upstreamId === answer.upstreamId);
     return upstream === undefined ? undefined : {upstream, ...answer.estimate};
   }
--- a/packages/entry-process/src/routed/routed_process.ts
+++ b/packages/entry-process/src/routed/routed_process.ts
@@ -44,6 +44,7 @@
 import {createRoutedMembership} from './routed_membership.js';
 import {RoutedPlacement} from './routed_placement.js';
 import {StateRelay} from './state_relay.js';
+import {StreamOriginExchange} from './stream_origin_exchange.js';
 import {UpstreamFollower} from './upstream_follower.js';
 import {UsagePush} from './usage_push.js';
 import {waitUntilDrained} from './wait_until_drained.js';
@@ -87,6 +88,7 @@
   private readonly quotas: QuotaExchange;
   private readonly relay: StateRelay;
   private readonly crashes: CrashWatch;
+  private readonly streams: StreamOriginExchange;
   private readonly startedAt: number;
   /** Identity of this process, new at each start. */
   private readonly processId = uuidV7();
@@ -129,6 +131,15 @@
       clocks,
       isStoreReader: () => this.fleet.isStoreReader(),
       onChanges: changes => this.onUpstreamChanges(changes),
+      isFirstStart: settings.isFirstStart,
+    });
+    this.streams = new StreamOriginExchange({
+      hostId: settings.hostId,
+      peers: this.peers,
+      events: this.events,
+      servingHosts: () => this.membership.serving(),
+      versions: this.upstreams.list.versions,
+      clock: clocks.suspensionAware,
     });
     this.placement = new RoutedPlacement({
       hostId: settings.hostId,
@@ -312,6 +323,7 @@
         usage: this.usage,
         quotas: this.quotas,
         crashes: this.crashes,
+        streams: this.streams,
         quotaOf: name =>
           configuration.current?.value.workspaces.find(
             workspace => workspace.name === name,
@@ -370,6 +382,7 @@
       announcements: this.announcements,
       quotas: this.quotas,
       crashes: this.crashes,
+      streams: this.streams,
       retryBudgets: this.retryBudgets,
       configuration: () =>
         this.mustCompareState() ? undefined : this.configuration.current,
@@ -388,6 +401,7 @@
 
   private onUpstreamChanges(changes: readonly UpstreamChange[]): void {
     this.placement.onUpstreamChanges(changes);
+    this.streams.publishAmbiguous();
     for (const change of changes) {
       this.events.write(3005, {...change});
       if (change.state !== 'listed') {
--- a/packages/entry-process/src/routed/routed_request.ts
+++ b/packages/entry-process/src/routed/routed_request.ts
@@ -12,6 +12,7 @@
   type RoutedAdmission,
   type RoutedAttemptFailure,
   ServingError,
+  streamLifetimeMilliseconds,
 } from '@lacewingwinch/decisions';
 import {type CallHeaders, encodeAnswerHeaders} from '@lacewingwinch/platform';
 import type {AnswerHead} from '@lacewingwinch/upstreams';
@@ -37,7 +38,7 @@
 /** One admitted request. */
 export class RoutedRequest {
   private readonly relay: StreamRelay;
-  private readonly demand: PlacementDemand;
+  private demand: PlacementDemand;
   private readonly startedAt: number;
   /**
    * Steady clock reading in milliseconds at which the complete response is due.
@@ -54,11 +55,11 @@
   constructor(
     private readonly dependencies: RoutedFrontDependencies,
     private readonly call: RoutedCall,
-    headers: CallHeaders,
+    private readonly headers: CallHeaders,
     private readonly admission: RoutedAdmission,
     private readonly responder: RoutedResponder,
   ) {
-    this.relay = new StreamRelay(responder);
+    this.relay = new StreamRelay(responder, () => this.recordFirstEvent());
     this.startedAt = dependencies.clocks.steady();
     this.deadline = this.startedAt + admission.budgetMilliseconds;
     this.fingerprint = fingerprintOf({
@@ -108,6 +109,7 @@
       this.admission.budgetMilliseconds,
     );
     try {
+      await this.requireOrigin();
       await this.runAttempts();
     } finally {
       clearTimeout(timer);
@@ -116,6 +118,60 @@
     return {mayHaveRun: this.runner.upstreamsReached > 0};
   }
 
+  /**
+   * Finds the software version at which a stream that the client takes up began;
+   * throws if it is not known.
+   */
+  private async requireOrigin(): Promise<void> {
+    const {rule, service} = this.admission;
+    const {lastEventId, resumedAttemptId} = this.headers;
+    if (lastEventId === undefined || rule.execution !== 'resumable') {
+      return;
+    }
+    const continuation = await this.dependencies.streams.locate({
+      attemptId: resumedAttemptId ?? '',
+      service: service.name,
+      lifetimeMilliseconds: streamLifetimeMilliseconds(rule),
+    });
+    switch (continuation.kind) {
+      case 'at-version': {
+        const {softwareVersion} = continuation;
+        this.demand = {...this.demand, softwareVersion};
+        return;
+      }
+      case 'unknown':
+        this.recordEnd('stream-unknown');
+        throw new ServingError('stream-unknown');
+    }
+  }
+
+  /**
+   * Binds the stream to the software version that brings its first event, and
+   * records it for the time in which the client may take the stream up.
+   */
+  private recordFirstEvent(): void {
+    const {rule, service} = this.admission;
+    const upstream = this.runner.lastUpstream;
+    if (upstream === undefined || rule.execution !== 'resumable') {
+      return;
+    }
+    const {softwareVersion} = upstream;
+    this.demand = {...this.demand, softwareVersion};
+    this.dependencies.streams.recordBegun({
+      attemptId: this.originAttemptId,
+      service: service.name,
+      softwareVersion,
+      lifetimeMilliseconds: streamLifetimeMilliseconds(rule),
+    });
+  }
+
+  /** ID of the client's attempt that brought the first event of the stream. */
+  private get originAttemptId(): string {
+    const {attemptId, lastEventId, resumedAttemptId} = this.headers;
+    const own = attemptId ?? '';
+    return lastEventId === undefined ? own : (resumedAttemptId ?? own);
+  }
+
   private async runAttempts(): Promise<void> {
     let drawsOnBudget = false;
     for (;;) {
@@ -123,6 +179,7 @@
         return;
       }
       const refusal = await this.gate.waitWhilePaused(
+        this.demand,
         this.runner.tried,
         () => this.latencyBounds(),
         this.interrupted.signal,
@@ -242,6 +299,7 @@
         if (outcome.isConfirmed) {
           this.dependencies.crashes.recordCompletion(this.fingerprint);
         }
+        this.dependencies.streams.recordComplete(this.originAttemptId);
         this.responder.end();
         this.recordEnd('answered');
         return 'done';
@@ -307,7 +365,7 @@
   private hasAnotherUpstream(): boolean {
     const {name} = this.admission.service;
     return this.dependencies.placement.candidates
-      .accepting(name)
+      .accepting(name, this.demand)
       .some(({upstreamId}) => !this.runner.tried.has(upstreamId));
   }
 
@@ -382,7 +440,7 @@
       outcome,
       durationMilliseconds: this.dependencies.clocks.steady() - this.startedAt,
       attempts: this.runner.attempts,
-      upstreamId: this.runner.lastUpstreamId,
+      upstreamId: this.runner.lastUpstream?.upstreamId ?? '',
       eventCount: this.relay.events,
     });
   }
--- /dev/null
+++ b/packages/entry-process/src/routed/stream_origin_exchange.ts
@@ -0,0 +1,195 @@
+/**
+ * Keeps the origins of streams at several hosts while more than one software
+ * version serves, and finds the origin of a stream that a client takes up.
+ */
+import {
+  type Continuation,
+  decideContinuation,
+  type Member,
+  type OriginKnowledge,
+  rendezvousOrder,
+  type SoftwareVersions,
+  type StreamOrigin,
+  StreamOrigins,
+} from '@lacewingwinch/decisions';
+import type {OriginQuery, PeerClient} from '@lacewingwinch/entry-hosts';
+import type {EventLog} from '@lacewingwinch/observability';
+
+import {callPeer} from './call_peer.js';
+
+/** Number of hosts that keep the origin of a stream besides its own. */
+const KEEPING_HOSTS = 3;
+
+/** Number of hosts that are asked, because some may have gone since. */
+const ASKED_HOSTS = KEEPING_HOSTS + 1;
+
+/** Milliseconds for which origins are collected into one message. */
+const COLLECTION_MILLISECONDS = 50;
+
+/**
+ * Milliseconds to wait for the hosts that are asked; a response takes a few
+ * milliseconds.
+ */
+const ANSWER_TIMEOUT_MILLISECONDS = 150;
+
+/** Dependencies of `StreamOriginExchange`. */
+export interface StreamOriginExchangeDependencies {
+  readonly hostId: string;
+  readonly peers: PeerClient;
+  readonly events: EventLog;
+  readonly servingHosts: () => readonly Member[];
+  readonly versions: SoftwareVersions;
+  /** Returns suspension-aware clock readings in milliseconds. */
+  readonly clock: () => number;
+}
+
+/** The origins of streams, across all entry hosts. */
+export class StreamOriginExchange {
+  private readonly origins = new StreamOrigins();
+  /** Origins of streams of this host that no other host keeps. */
+  private readonly unpublished = new StreamOrigins();
+  /** Origins that are about to be sent, by host. */
+  private readonly outgoing = new Map<string, StreamOrigin[]>();
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly dependencies: StreamOriginExchangeDependencies,
+  ) {}
+
+  /** Records the first event of a stream that this host relays. */
+  recordBegun(origin: StreamOrigin): void {
+    const now = this.dependencies.clock();
+    this.origins.record(origin, now);
+    if (this.hasSeveralVersions(origin, now)) {
+      this.publish(origin);
+      return;
+    }
+    this.unpublished.record(origin, now);
+  }
+
+  /** Records that a stream is complete and will not be taken up. */
+  recordComplete(attemptId: string): void {
+    this.unpublished.forget(attemptId);
+  }
+
+  /**
+   * Tells other hosts of streams that began while their service had one version
+   * and that another version has joined since.
+   */
+  publishAmbiguous(): void {
+    const now = this.dependencies.clock();
+    for (const origin of this.unpublished.all(now)) {
+      if (this.hasSeveralVersions(origin, now)) {
+        this.unpublished.forget(origin.attemptId);
+        this.publish(origin);
+      }
+    }
+  }
+
+  /** Keeps origins for another host. */
+  keep(origins: readonly StreamOrigin[]): void {
+    const now = this.dependencies.clock();
+    origins.forEach(origin => this.origins.record(origin, now));
+  }
+
+  /** Returns what this host knows of the origin of a stream. */
+  answer({
+    attemptId,
+    service,
+    lifetimeMilliseconds,
+  }: OriginQuery): OriginKnowledge {
+    const {clock, versions} = this.dependencies;
+    const now = clock();
+    const origin = this.origins.find(attemptId, now);
+    return {
+      ...(origin !== undefined && {origin}),
+      seen: versions.seenWithin(service, lifetimeMilliseconds, now),
+    };
+  }
+
+  /** Decides at which software version a stream may go on. */
+  async locate(query: OriginQuery): Promise<Continuation> {
+    const own = this.answer(query);
+    const knowledge =
+      own.origin === undefined ? [own, ...(await this.ask(query))] : [own];
+    return decideContinuation(query.service, knowledge);
+  }
+
+  /** Asks other hosts, until one of them knows the origin or time is up. */
+  private ask(query: OriginQuery): Promise<readonly OriginKnowledge[]> {
+    const asked = this.hostsOf(query.attemptId, ASKED_HOSTS);
+    const answers: OriginKnowledge[] = [];
+    return new Promise(resolve => {
+      let unanswered = asked.length;
+      const finish = (): void => {
+        clearTimeout(timer);
+        resolve(answers);
+      };
+      const timer = setTimeout(finish, ANSWER_TIMEOUT_MILLISECONDS);
+      const onAnswer = (answer: OriginKnowledge | undefined): void => {
+        answers.push(...(answer === undefined ? [] : [answer]));
+        unanswered -= 1;
+        if (unanswered === 0 || answer?.origin !== undefined) {
+          finish();
+        }
+      };
+      if (asked.length === 0) {
+        finish();
+      }
+      for (const member of asked) {
+        void callPeer(
+          this.dependencies,
+          member,
+          'stream.locate',
+          query,
+          ANSWER_TIMEOUT_MILLISECONDS,
+        ).then(onAnswer);
+      }
+    });
+  }
+
+  private hasSeveralVersions(
+    {service, lifetimeMilliseconds}: StreamOrigin,
+    now: number,
+  ): boolean {
+    const {versions} = this.dependencies;
+    const seen = versions.seenWithin(service, lifetimeMilliseconds, now);
+    return seen.versions.length > 1;
+  }
+
+  private publish(origin: StreamOrigin): void {
+    for (const {hostId} of this.hostsOf(origin.attemptId, KEEPING_HOSTS)) {
+      const collected = this.outgoing.get(hostId) ?? [];
+      collected.push(origin);
+      this.outgoing.set(hostId, collected);
+    }
+    this.timer ??= setTimeout(
+      () => this.sendCollected(),
+      COLLECTION_MILLISECONDS,
+    ).unref();
+  }
+
+  private sendCollected(): void {
+    this.timer = undefined;
+    const {peers, servingHosts} = this.dependencies;
+    for (const {hostId, addresses} of servingHosts()) {
+      const origins = this.outgoing.get(hostId);
+      if (origins !== undefined) {
+        peers.notify(addresses.peers, 'stream.began', {origins});
+      }
+    }
+    this.outgoing.clear();
+  }
+
+  /** Returns the other hosts that keep the origin of a stream, best first. */
+  private hostsOf(attemptId: string, count: number): readonly Member[] {
+    const {hostId, servingHosts} = this.dependencies;
+    const others = servingHosts().filter(member => member.hostId !== hostId);
+    const byId = new Map(others.map(member => [member.hostId, member]));
+    return rendezvousOrder(
+      `stream/${attemptId}`,
+      [...byId.keys()],
+      count,
+    ).flatMap(id => byId.get(id) ?? []);
+  }
+}
--- a/packages/entry-process/src/routed/stream_relay.ts
+++ b/packages/entry-process/src/routed/stream_relay.ts
@@ -19,7 +19,11 @@
   private count = 0;
   private version: number | undefined;
 
-  constructor(private readonly responder: RoutedResponder) {}
+  constructor(
+    private readonly responder: RoutedResponder,
+    /** Called before the first event is relayed. */
+    private readonly onFirstEvent: () => void,
+  ) {}
 
   /** Whether the head of the response has been sent to the client. */
   get hasBegun(): boolean {
@@ -64,6 +68,9 @@
     if (newEvents.length === 0) {
       return true;
     }
+    if (this.count === 0) {
+      this.onFirstEvent();
+    }
     this.count += newEvents.length;
     this.lastId = newEvents.at(-1)?.id ?? this.lastId;
     for (const {bytes} of newEvents) {
--- a/packages/entry-process/src/routed/upstream_follower.ts
+++ b/packages/entry-process/src/routed/upstream_follower.ts
@@ -55,11 +55,13 @@
    */
   readonly isStoreReader: () => boolean;
   readonly onChanges: (changes: readonly UpstreamChange[]) => void;
+  /** Whether this is the first start of the host. */
+  readonly isFirstStart: boolean;
 }
 
 /** Follows the list of upstreams. */
 export class UpstreamFollower {
-  readonly list = new UpstreamList();
+  readonly list: UpstreamList;
   private next: number | undefined;
   /** Era of the store in which the list was read. */
   private era = 0;
@@ -71,6 +73,7 @@
   private readonly reachability: StoreReachability;
 
   constructor(private readonly dependencies: UpstreamFollowerDependencies) {
+    this.list = new UpstreamList(dependencies.isFirstStart);
     this.reachability = new StoreReachability('upstreams', dependencies.events);
   }
 
--- a/packages/entry-process/tests/attempt_gate_test.ts
+++ b/packages/entry-process/tests/attempt_gate_test.ts
@@ -42,6 +42,7 @@
       {requestId: 'attempt-1', service: 'plain', fingerprint: ''},
     );
     const refusal = await gate.waitWhilePaused(
+      {attemptId: 'attempt-1', parts: [], promptTokens: 0, priority: 1},
       new Set(),
       () => ({objectiveMilliseconds: OBJECTIVE_MILLISECONDS, millisecondsLeft}),
       new AbortController().signal,
--- a/packages/entry-process/tests/upstream_follower_test.ts
+++ b/packages/entry-process/tests/upstream_follower_test.ts
@@ -24,6 +24,7 @@
     clocks: createProcessClocks(),
     isStoreReader: () => true,
     onChanges: () => undefined,
+    isFirstStart: true,
   });
 });
 
