Pause exchanges at their sockets and not at the HTTP parser

What could happen: undici 7.30.2 asserts that its parser is not paused when the connection of an answer without a length, or with `Connection: close`, ends. The assertion is thrown out of an event of the socket, where nobody can catch it: a client that reads slowly could end a host with all its requests, and the receiver of the exchange was never told. Change: UpstreamSocket stops reading by itself; data, end and failure that come after a pause reach undici after the resume, in their order. A relay waits for its client once, for the attempt that paused last.

--- a/packages/entry-process/src/routed/stream_relay.ts
+++ b/packages/entry-process/src/routed/stream_relay.ts
@@ -18,6 +18,8 @@
   private lastId: string | undefined;
   private count = 0;
   private version: number | undefined;
+  /** Resumes the attempt that waits for the client; undefined if none does. */
+  private resumeAttempt: (() => void) | undefined;
 
   constructor(
     private readonly responder: RoutedResponder,
@@ -80,11 +82,25 @@
       Buffer.concat(newEvents.map(({bytes}) => bytes)),
     );
     if (!canContinue) {
-      this.responder.onDrain(resume);
+      this.waitForClient(resume);
     }
     return canContinue;
   }
 
+  /** Resumes the attempt that paused last as soon as the client has read on. */
+  private waitForClient(resume: () => void): void {
+    const isWaiting = this.resumeAttempt !== undefined;
+    this.resumeAttempt = resume;
+    if (isWaiting) {
+      return;
+    }
+    this.responder.onDrain(() => {
+      const resumeLast = this.resumeAttempt;
+      this.resumeAttempt = undefined;
+      resumeLast?.();
+    });
+  }
+
   onTail(tail: Buffer): void {
     if (tail.length > 0) {
       this.responder.write(tail);
--- a/packages/upstreams/src/connection_pool.ts
+++ b/packages/upstreams/src/connection_pool.ts
@@ -2,8 +2,6 @@
  * A pool of connections to upstreams. Each connection carries one request at a
  * time, and the receiver learns exactly when its first byte is written.
  */
-import type {Socket} from 'node:net';
-
 import {type BodyFraming, bodyFramingOf} from '@lacewingwinch/decisions';
 import {Client, type Dispatcher} from 'undici';
 
@@ -12,7 +10,10 @@
   ResponseWatch,
   type WatchedResponse,
 } from './response_watch.js';
-import {createUpstreamConnector} from './upstream_socket.js';
+import {
+  createUpstreamConnector,
+  type UpstreamSocket,
+} from './upstream_socket.js';
 
 /** Milliseconds allowed to connect; links have a delay of some milliseconds. */
 const CONNECT_TIMEOUT_MILLISECONDS = 300;
@@ -73,7 +74,7 @@
 
 interface Connection {
   readonly client: Client;
-  socket: Socket | undefined;
+  socket: UpstreamSocket | undefined;
   idleSince: number;
   /** The response in progress; undefined while the connection is idle. */
   response: WatchedResponse | undefined;
@@ -167,16 +168,11 @@
   }
 
   private openConnection(address: string, upstream: Upstream): Connection {
-    const connector = createUpstreamConnector(CONNECT_TIMEOUT_MILLISECONDS);
     const client = new Client(`http://${address}`, {
-      connect: (options, callback) => {
-        connector(options, (...result) => {
-          const [, socket] = result;
-          connection.socket = socket ?? undefined;
-          socket?.on('readable', () => checkReceivedBytes(connection));
-          callback(...result);
-        });
-      },
+      connect: createUpstreamConnector(CONNECT_TIMEOUT_MILLISECONDS, socket => {
+        connection.socket = socket;
+        socket.on('readable', () => checkReceivedBytes(connection));
+      }),
       headersTimeout: 0,
       bodyTimeout: 0,
       pipelining: 1,
@@ -276,6 +272,7 @@
     }
     isFinished = true;
     stopWatching();
+    connection.socket?.resumeReading();
     release(canReuse);
     notifyReceiver();
   };
@@ -331,8 +328,16 @@
       controller?.abort(new Error('cancelled'));
       release(false);
     },
-    pause: () => controller?.pause(),
-    resume: () => controller?.resume(),
+    pause: () => {
+      if (!isFinished) {
+        connection.socket?.pauseReading();
+      }
+    },
+    resume: () => {
+      if (!isFinished) {
+        connection.socket?.resumeReading();
+      }
+    },
   };
 }
 
--- a/packages/upstreams/src/upstream_socket.ts
+++ b/packages/upstreams/src/upstream_socket.ts
@@ -22,12 +22,35 @@
   }
 }
 
-/** A socket whose failures take effect after the data that came before them. */
+/**
+ * A socket whose failures take effect after the data that came before them.
+ * Reading is paused here and not at undici, whose parser asserts that it is not
+ * paused when the connection ends: nothing that follows a pause, neither data
+ * nor an end nor a failure, reaches undici before reading is resumed.
+ */
 export class UpstreamSocket extends Socket {
   /** Failure that takes effect as soon as all received data has been read. */
   private failure: ConnectionResetError | undefined;
+  private isReadingPaused = false;
+
+  /** Pauses reading until `resumeReading` is called. */
+  pauseReading(): void {
+    this.isReadingPaused = true;
+  }
+
+  /** Resumes reading with what has arrived in the meantime. */
+  resumeReading(): void {
+    if (this.isReadingPaused) {
+      this.isReadingPaused = false;
+      // undici may be in the middle of parsing.
+      process.nextTick(() => this.emit('readable'));
+    }
+  }
 
   override read(size?: number): unknown {
+    if (this.isReadingPaused) {
+      return null;
+    }
     if (this.failure !== undefined && this.readableLength === 0) {
       super.destroy(this.failure);
       return null;
@@ -49,7 +72,9 @@
       return super.destroy(error);
     }
     this.failure ??= new ConnectionResetError(error);
-    return this.readableLength === 0 ? super.destroy(this.failure) : this;
+    return this.isReadingPaused || this.readableLength > 0
+      ? this
+      : super.destroy(this.failure);
   }
 
   /**
@@ -70,6 +95,7 @@
 /** Returns a connector for undici that opens an `UpstreamSocket`. */
 export function createUpstreamConnector(
   timeoutMilliseconds: number,
+  onConnected: (socket: UpstreamSocket) => void = () => undefined,
 ): buildConnector.connector {
   return ({hostname, port}, callback) => {
     const socket = new UpstreamSocket();
@@ -86,6 +112,7 @@
     socket.connect({host: hostname, port: Number(port) || DEFAULT_PORT}, () => {
       clearTimeout(timer);
       socket.off('error', onError);
+      onConnected(socket);
       callback(null, socket);
     });
   };
