End a process in order after an error that nothing caught

Change: one place at the edge of each program logs the stack (event 1009), leaves as after a stop signal and exits with 1; it never goes on.

--- a/packages/entry-process/src/entry_process.ts
+++ b/packages/entry-process/src/entry_process.ts
@@ -34,7 +34,7 @@
 const EXPIRY_PERIOD_MILLISECONDS = 10_000;
 
 /** Reason for which a host leaves. */
-export type LeaveReason = 'drain' | 'reclaim' | 'signal';
+export type LeaveReason = 'drain' | 'failure' | 'reclaim' | 'signal';
 
 interface Servers {
   readonly callers: ClientFacingServer;
@@ -89,6 +89,12 @@
     return this.leaving;
   }
 
+  /** Logs an error that nothing caught; the process leaves because of it. */
+  logUncaught(stack: string): void {
+    const {hostId} = this.settings;
+    this.tasks.events.write(1009, {hostId, stack});
+  }
+
   /** Resolves when the process has stopped, for whatever reason. */
   whenStopped(): Promise<void> {
     return this.stopped.next();
--- a/packages/entry-process/src/main.ts
+++ b/packages/entry-process/src/main.ts
@@ -11,6 +11,7 @@
 } from '@lacewingwinch/platform';
 import {cac} from 'cac';
 
+import {endOnUncaughtError} from './end_on_uncaught_error.js';
 import type {EntryProcess} from './entry_process.js';
 import type {RoutedProcess} from './routed/routed_process.js';
 import {readSettings, SETTING_NAMES, SETTINGS, variableOf} from './settings.js';
@@ -50,7 +51,11 @@
       const {EntryProcess} = await import('./entry_process.js');
       const entryProcess = new EntryProcess(result.settings);
       stopOnSignals(entryProcess);
-      void entryProcess.whenStopped().then(() => process.exit(0));
+      endOnUncaughtError(process, {
+        log: stack => entryProcess.logUncaught(stack),
+        leave: () => entryProcess.leave('failure'),
+      });
+      void entryProcess.whenStopped().then(() => process.exit());
       await entryProcess.start();
     }
   }
@@ -91,6 +96,10 @@
               setTimeout(() => process.exit(), LOG_FLUSH_MILLISECONDS),
             );
         });
+        endOnUncaughtError(process, {
+          log: stack => routedProcess.logUncaught(stack),
+          leave: () => routedProcess.leave(),
+        });
         reloadOnChange(path, routedProcess);
         await routedProcess.start();
       }
--- a/packages/entry-process/src/routed/routed_process.ts
+++ b/packages/entry-process/src/routed/routed_process.ts
@@ -99,7 +99,7 @@
    * stays so when the store comes back from a copy later.
    */
   private isStateCurrent = false;
-  private isLeaving = false;
+  private leaving: Promise<void> | undefined;
   private leavingSince = Infinity;
 
   constructor(
@@ -242,7 +242,7 @@
       await this.relay.compareAtStart(this.stopping.signal);
     }
     this.isStateCurrent = true;
-    if (!this.isLeaving) {
+    if (this.leaving === undefined) {
       this.membership.declare('serving');
       this.events.write(1002, {hostId, address: addresses.callers});
     }
@@ -268,11 +268,17 @@
    * Leaves the fleet without cutting off requests if the grace period allows
    * it; resolves when the process has stopped.
    */
-  async leave(): Promise<void> {
-    if (this.isLeaving) {
-      return;
-    }
-    this.isLeaving = true;
+  leave(): Promise<void> {
+    this.leaving ??= this.leaveOnce();
+    return this.leaving;
+  }
+
+  /** Logs an error that nothing caught; the process leaves because of it. */
+  logUncaught(stack: string): void {
+    this.events.write(1009, {hostId: this.settings.hostId, stack});
+  }
+
+  private async leaveOnce(): Promise<void> {
     this.leavingSince = this.clocks.steady();
     const {hostId, bounds} = this.settings;
     this.events.write(1003, {hostId, reason: 'signal'});
@@ -343,7 +349,7 @@
   }
 
   private isReady(): boolean {
-    return this.hasRequiredState() && !this.isLeaving;
+    return this.hasRequiredState() && this.leaving === undefined;
   }
 
   private hasRequiredState(): boolean {
--- a/packages/observability/src/event_catalogue.ts
+++ b/packages/observability/src/event_catalogue.ts
@@ -62,6 +62,13 @@
     advice:
       'Correct the settings file; until then the previous settings stay in force.',
   },
+  1009: {
+    level: 'error',
+    message:
+      'entry host {hostId} leaves and ends because of an uncaught error: {stack}',
+    advice:
+      'Report it with the surrounding log lines; see "A host that ends by itself" in OPERATIONS.md.',
+  },
   2001: {
     level: 'info',
     message: 'configuration {version} is in force',
