Disconnect clients that stop reading a response that has ended

Cause: after the end of a request nothing limited how long its response stays in memory for a client that takes nothing. Change: such a client is reset after 5 to 10 s without progress; one that goes on reading gets all of it, however slowly. Measured: stalled_clients_test.ts failed before (still connected and served after 13 s), passes now.

--- a/packages/callers/src/routed_server.ts
+++ b/packages/callers/src/routed_server.ts
@@ -106,6 +106,12 @@
  */
 const DISCARD_MILLISECONDS = 500;
 
+/**
+ * Milliseconds for which a client may take nothing of a response that has ended.
+ * Node.js notices after one to two such periods.
+ */
+const STALLED_CLIENT_MILLISECONDS = 5000;
+
 /** Starts a server for routed requests at `address`. */
 export async function listenForRoutedCalls(
   address: string,
@@ -260,7 +266,7 @@
       const length = String(body.length);
       this.writeHead(status, [...headers, 'content-length', length]);
     }
-    this.response.end(body);
+    this.endResponse(body);
   }
 
   /**
@@ -310,7 +316,7 @@
   }
 
   end(): void {
-    this.response.end();
+    this.endResponse();
   }
 
   abort(): void {
@@ -322,6 +328,15 @@
     socket.resetAndDestroy();
   }
 
+  /** Ends the response, and its connection if the client stops reading. */
+  private endResponse(body?: Buffer): void {
+    const {response} = this;
+    response.end(body);
+    if (response.writableLength > 0) {
+      response.setTimeout(STALLED_CLIENT_MILLISECONDS, () => this.abort());
+    }
+  }
+
   private writeHead(status: number, headers: readonly string[]): void {
     if (this.isLeaving()) {
       this.response.shouldKeepAlive = false;
