--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -32,7 +32,12 @@
 ];
 
 /** Faults that were added later; see `planFaults`. */
-const LATER_ENGINE_FAULTS: readonly EngineFault[] = ['flood', 'trickle'];
+const LATER_ENGINE_FAULTS: readonly EngineFault[] = [
+  'flood',
+  'trickle',
+  'answer-unframed',
+  'break-off-unframed',
+];
 
 /** A fault. Targets are indexes that wrap around. */
 export type Fault =
--- a/packages/stand-ins/src/routed_engine_stand_in.ts
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -28,6 +28,13 @@
    * resets the connection.
    */
   | 'break-off'
+  /** Sends a complete answer without a length, which ends its connection. */
+  | 'answer-unframed'
+  /**
+   * Sends a stream without a length that ends with its connection, inside an
+   * event; other answers are complete.
+   */
+  | 'break-off-unframed'
   /** Never answers. */
   | 'hang'
   /** Sends an answer whose body never ends. */
@@ -162,6 +169,8 @@
     switch (this.behavior) {
       case 'answer':
       case 'break-off':
+      case 'answer-unframed':
+      case 'break-off-unframed':
         await this.answer(message, response, signedHeaders);
         return;
       case 'fail':
@@ -198,6 +207,11 @@
     response: ServerResponse,
     signedHeaders: Readonly<Record<string, string>>,
   ): Promise<void> {
+    const isUnframed = this.behavior.endsWith('unframed');
+    if (isUnframed) {
+      response.shouldKeepAlive = false;
+      response.removeHeader('transfer-encoding');
+    }
     if (!this.isStreamed) {
       const text = `answer-of-${this.upstreamId}${this.attemptSuffixOf(message)}`;
       response.writeHead(200, signedHeaders).end(text);
@@ -210,11 +224,15 @@
     const lastEventId = Number(message.headers['last-event-id'] ?? 0);
     for (let id = lastEventId + 1; id <= STREAM_EVENTS; id += 1) {
       const breaksOff =
-        this.behavior === 'break-off' ||
+        this.behavior.startsWith('break-off') ||
         (this.breaksOffFirstAttempts && lastEventId === 0);
       if (breaksOff && id > STREAM_EVENTS / 2) {
         response.write(`id: ${id}\ndata: cut in the mid`);
         await delay(EVENT_INTERVAL_MILLISECONDS);
+        if (isUnframed) {
+          response.end();
+          return;
+        }
         message.socket.resetAndDestroy();
         return;
       }
