--- a/packages/entry-process/src/front/attempt_loop.ts
+++ b/packages/entry-process/src/front/attempt_loop.ts
@@ -5,7 +5,6 @@
 import {
   type AttemptFailure,
   decideRetry,
-  type ErrorKind,
   findService,
   listServices,
   type SendOutcome,
@@ -397,6 +396,5 @@
   if (error instanceof ServingError) {
     return error;
   }
-  const kind: ErrorKind = 'internal';
-  return new ServingError(kind, {ran: ranOf(request), cause: error});
+  return new ServingError('internal', {ran: ranOf(request), cause: error});
 }
--- a/packages/entry-process/src/routed/attempt_runner.ts
+++ b/packages/entry-process/src/routed/attempt_runner.ts
@@ -5,6 +5,7 @@
 import type {RoutedCall} from '@lacewingwinch/callers';
 import {
   type AnswerEnd,
+  type AttemptHistory,
   eventPatienceMilliseconds,
   type RoutedAdmission,
   type UpstreamAnnouncement,
@@ -78,6 +79,19 @@
     return this.last;
   }
 
+  /** Returns the state of the request, which has `millisecondsLeft`. */
+  history(millisecondsLeft: number): AttemptHistory {
+    const {admission, relay} = this.request;
+    return {
+      execution: admission.rule.execution,
+      upstreamsReached: this.reachedCount,
+      attempts: this.attemptCount,
+      maximumAttempts: admission.rule.maximumAttempts,
+      hasAnswerBegun: relay.hasBegun,
+      millisecondsLeft,
+    };
+  }
+
   /** Makes one attempt at the upstream of `placement`. */
   async run(
     placement: Placement,
--- a/packages/entry-process/src/routed/placement_candidates.ts
+++ b/packages/entry-process/src/routed/placement_candidates.ts
@@ -76,6 +76,17 @@
     );
   }
 
+  /** Returns whether an upstream that is not in `tried` may run the request. */
+  hasUntried(
+    service: string,
+    demand: PlacementDemand,
+    tried: ReadonlySet<string>,
+  ): boolean {
+    return this.accepting(service, demand).some(
+      ({upstreamId}) => !tried.has(upstreamId),
+    );
+  }
+
   /**
    * Returns the upstreams that this host has ejected and those that do not
    * accept its requests.
--- a/packages/entry-process/src/routed/routed_request.ts
+++ b/packages/entry-process/src/routed/routed_request.ts
@@ -4,7 +4,6 @@
  */
 import type {RoutedCall, RoutedResponder} from '@lacewingwinch/callers';
 import {
-  type AttemptHistory,
   decideNextAttempt,
   type EngineChoice,
   type LatencyBounds,
@@ -12,7 +11,6 @@
   type RoutedAdmission,
   type RoutedAttemptFailure,
   ServingError,
-  streamLifetimeMilliseconds,
 } from '@lacewingwinch/decisions';
 import {type CallHeaders, encodeAnswerHeaders} from '@lacewingwinch/platform';
 import type {AnswerHead} from '@lacewingwinch/upstreams';
@@ -24,6 +22,7 @@
 import type {AttemptOutcome} from './routed_attempt.js';
 import type {RoutedFrontDependencies} from './routed_front.js';
 import type {Placement} from './routed_placement.js';
+import {StreamContinuation} from './stream_continuation.js';
 import {StreamRelay} from './stream_relay.js';
 import {FIRST_FAILURE_STATUS} from './upstream_result.js';
 
@@ -38,7 +37,8 @@
 /** One admitted request. */
 export class RoutedRequest {
   private readonly relay: StreamRelay;
-  private demand: PlacementDemand;
+  private readonly initialDemand: PlacementDemand;
+  private readonly continuation: StreamContinuation;
   private readonly startedAt: number;
   /**
    * Steady clock reading in milliseconds at which the complete response is due.
@@ -55,7 +55,7 @@
   constructor(
     private readonly dependencies: RoutedFrontDependencies,
     private readonly call: RoutedCall,
-    private readonly headers: CallHeaders,
+    headers: CallHeaders,
     private readonly admission: RoutedAdmission,
     private readonly responder: RoutedResponder,
   ) {
@@ -90,7 +90,12 @@
       relay: this.relay,
       onFirstAnswerByte: () => this.recordStart(),
     });
-    this.demand = {
+    this.continuation = new StreamContinuation(
+      dependencies.streams,
+      headers,
+      admission,
+    );
+    this.initialDemand = {
       attemptId: requestId,
       parts: headers.promptParts,
       promptTokens: headers.promptTokens,
@@ -109,7 +114,8 @@
       this.admission.budgetMilliseconds,
     );
     try {
-      await this.requireOrigin();
+      const refusal = await this.continuation.findOrigin();
+      this.endIfRefused(refusal, 'stream-unknown');
       await this.runAttempts();
     } finally {
       clearTimeout(timer);
@@ -118,58 +124,19 @@
     return {mayHaveRun: this.runner.upstreamsReached > 0};
   }
 
-  /**
-   * Finds the software version at which a stream that the client takes up began;
-   * throws if it is not known.
-   */
-  private async requireOrigin(): Promise<void> {
-    const {rule, service} = this.admission;
-    const {lastEventId, resumedAttemptId} = this.headers;
-    if (lastEventId === undefined || rule.execution !== 'resumable') {
-      return;
-    }
-    const continuation = await this.dependencies.streams.locate({
-      attemptId: resumedAttemptId ?? '',
-      service: service.name,
-      lifetimeMilliseconds: streamLifetimeMilliseconds(rule),
-    });
-    switch (continuation.kind) {
-      case 'at-version': {
-        const {softwareVersion} = continuation;
-        this.demand = {...this.demand, softwareVersion};
-        return;
-      }
-      case 'unknown':
-        this.recordEnd('stream-unknown');
-        throw new ServingError('stream-unknown');
-    }
-  }
-
-  /**
-   * Binds the stream to the software version that brings its first event, and
-   * records it for the time in which the client may take the stream up.
-   */
   private recordFirstEvent(): void {
-    const {rule, service} = this.admission;
     const upstream = this.runner.lastUpstream;
-    if (upstream === undefined || rule.execution !== 'resumable') {
-      return;
+    if (upstream !== undefined) {
+      this.continuation.recordFirstEvent(upstream);
     }
-    const {softwareVersion} = upstream;
-    this.demand = {...this.demand, softwareVersion};
-    this.dependencies.streams.recordBegun({
-      attemptId: this.originAttemptId,
-      service: service.name,
-      softwareVersion,
-      lifetimeMilliseconds: streamLifetimeMilliseconds(rule),
-    });
   }
 
-  /** ID of the client's attempt that brought the first event of the stream. */
-  private get originAttemptId(): string {
-    const {attemptId, lastEventId, resumedAttemptId} = this.headers;
-    const own = attemptId ?? '';
-    return lastEventId === undefined ? own : (resumedAttemptId ?? own);
+  /** Returns what the next attempt demands of its upstream. */
+  private demand(): PlacementDemand {
+    const {softwareVersion} = this.continuation;
+    return softwareVersion === undefined
+      ? this.initialDemand
+      : {...this.initialDemand, softwareVersion};
   }
 
   private async runAttempts(): Promise<void> {
@@ -179,7 +146,7 @@
         return;
       }
       const refusal = await this.gate.waitWhilePaused(
-        this.demand,
+        this.demand(),
         this.runner.tried,
         () => this.latencyBounds(),
         this.interrupted.signal,
@@ -265,7 +232,7 @@
     const {name} = this.admission.service;
     return this.dependencies.placement.place(
       name,
-      this.demand,
+      this.demand(),
       this.runner.tried,
     );
   }
@@ -299,7 +266,7 @@
         if (outcome.isConfirmed) {
           this.dependencies.crashes.recordCompletion(this.fingerprint);
         }
-        this.dependencies.streams.recordComplete(this.originAttemptId);
+        this.continuation.recordComplete();
         this.responder.end();
         this.recordEnd('answered');
         return 'done';
@@ -309,23 +276,15 @@
         this.endInterrupted();
         return 'done';
       case 'failed':
-        this.reportLostConnection(choice, outcome.failure);
+        this.dependencies.crashes.recordFailure(
+          this.fingerprint,
+          choice.upstream,
+          outcome.failure,
+        );
         return this.continueAfterFailure(upstreamId, outcome.failure);
     }
   }
 
-  private reportLostConnection(
-    {upstream}: EngineChoice,
-    failure: RoutedAttemptFailure,
-  ): void {
-    if (failure.kind === 'lost' && failure.cause === 'connection') {
-      this.dependencies.crashes.recordLostConnection(
-        this.fingerprint,
-        upstream,
-      );
-    }
-  }
-
   private settleComplete(
     upstreamId: string,
     head: AnswerHead,
@@ -337,8 +296,17 @@
     }
     if (status >= FIRST_FAILURE_STATUS) {
       const failure: RoutedAttemptFailure = {kind: 'failed-after-run', status};
-      const next = decideNextAttempt(failure, this.history());
-      if (next.kind === 'attempt' && this.hasAnotherUpstream()) {
+      const next = decideNextAttempt(
+        failure,
+        this.runner.history(this.millisecondsLeft()),
+      );
+      const hasAnotherUpstream =
+        this.dependencies.placement.candidates.hasUntried(
+          this.admission.service.name,
+          this.demand(),
+          this.runner.tried,
+        );
+      if (next.kind === 'attempt' && hasAnotherUpstream) {
         this.log.recordAttemptFailure(
           this.runner.attempts,
           upstreamId,
@@ -362,13 +330,6 @@
     return 'done';
   }
 
-  private hasAnotherUpstream(): boolean {
-    const {name} = this.admission.service;
-    return this.dependencies.placement.candidates
-      .accepting(name, this.demand)
-      .some(({upstreamId}) => !this.runner.tried.has(upstreamId));
-  }
-
   private continueAfterFailure(
     upstreamId: string,
     failure: RoutedAttemptFailure,
@@ -377,7 +338,10 @@
       this.endInterrupted();
       return 'done';
     }
-    const next = decideNextAttempt(failure, this.history());
+    const next = decideNextAttempt(
+      failure,
+      this.runner.history(this.millisecondsLeft()),
+    );
     this.log.recordAttemptFailure(
       this.runner.attempts,
       upstreamId,
@@ -393,18 +357,6 @@
     }
   }
 
-  private history(): AttemptHistory {
-    const {rule} = this.admission;
-    return {
-      execution: rule.execution,
-      upstreamsReached: this.runner.upstreamsReached,
-      attempts: this.runner.attempts,
-      maximumAttempts: rule.maximumAttempts,
-      hasAnswerBegun: this.relay.hasBegun,
-      millisecondsLeft: this.millisecondsLeft(),
-    };
-  }
-
   private interrupt(interruption: Interruption): void {
     this.interruption ??= interruption;
     this.interrupted.abort();
