--- a/packages/decisions/src/streams/software_versions.ts
+++ b/packages/decisions/src/streams/software_versions.ts
@@ -28,6 +28,9 @@
 /** Age of the last read above which a version may have come since. */
 const MAXIMUM_AGE_MILLISECONDS = 2000;
 
+/** Largest number of versions remembered for one service. */
+const MAXIMUM_VERSIONS = 64;
+
 /** The software versions that one host has seen. */
 export class SoftwareVersions {
   /** Time of the last listing by service and version. */
@@ -47,7 +50,13 @@
     now: number,
   ): void {
     const versions = this.lastListed.get(service) ?? new Map<string, number>();
+    // The version that was listed last is at the end.
+    versions.delete(softwareVersion);
     versions.set(softwareVersion, now);
+    const [oldest] = versions.keys();
+    if (versions.size > MAXIMUM_VERSIONS && oldest !== undefined) {
+      versions.delete(oldest);
+    }
     this.lastListed.set(service, versions);
   }
 
