--- a/packages/entry-process/tests/slow_clients_test.ts
+++ b/packages/entry-process/tests/slow_clients_test.ts
@@ -4,6 +4,7 @@
 
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
+import {UpstreamSocket} from '../../upstreams/src/upstream_socket.js';
 import {RoutedInstallation, waitUntil} from './routed_fixtures.js';
 
 const EVENT_BYTES = 2000;
@@ -133,7 +134,12 @@
         port,
         path: `/stream/${attempts}`,
         method: 'POST',
-        agent: false,
+        // A plain socket may report a reset that comes with data as an end.
+        createConnection: () => {
+          const socket = new UpstreamSocket();
+          socket.connect({host, port: Number(port)});
+          return socket;
+        },
         headers: {
           host: 'host.example',
           'x-attempt-id': `slow-${attempts}`,
