--- a/packages/entry-process/src/routed/stream_origin_exchange.ts
+++ b/packages/entry-process/src/routed/stream_origin_exchange.ts
@@ -73,8 +73,8 @@
   }
 
   /**
-   * Tells other hosts of streams that began while their service had one version
-   * and that another version has joined since.
+   * Publishes the origins of streams that began while their service had one
+   * version, if another version has been listed since.
    */
   publishAmbiguous(): void {
     const now = this.dependencies.clock();
@@ -115,7 +115,7 @@
     return decideContinuation(query.service, knowledge);
   }
 
-  /** Asks other hosts, until one of them knows the origin or time is up. */
+  /** Queries other hosts until one returns the origin or the timeout expires. */
   private ask(query: OriginQuery): Promise<readonly OriginKnowledge[]> {
     const asked = this.hostsOf(query.attemptId, ASKED_HOSTS);
     const answers: OriginKnowledge[] = [];
