Log lost connections with the prompt parts and the progress of the answer

Event 4108 and lacewingwinch_lost_connections_total say both; what the outcomes of a request show goes through CrashEvidence. No decision changes.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -47,6 +47,7 @@
 export * from './placement/prefill_speeds.js';
 export * from './placement/prefix_memory.js';
 export * from './placement/routed_shards.js';
+export * from './placement/shared_part_ids.js';
 export * from './retries/answered_contents.js';
 export * from './retries/decide_next_attempt.js';
 export * from './retries/decide_retry.js';
--- a/packages/entry-process/src/routed/attempt_runner.ts
+++ b/packages/entry-process/src/routed/attempt_runner.ts
@@ -53,6 +53,8 @@
   private attemptCount = 0;
   private reachedCount = 0;
   private last: UsableUpstream | undefined;
+  /** Steady clock reading; undefined while the last attempt has no answer. */
+  private answerBegunAt: number | undefined;
 
   constructor(
     private readonly dependencies: AttemptRunnerDependencies,
@@ -79,6 +81,16 @@
     return this.last;
   }
 
+  /**
+   * Returns the milliseconds since the answer of the last attempt began;
+   * undefined if it has not begun.
+   */
+  millisecondsSinceAnswerBegan(now: number): number | undefined {
+    return this.answerBegunAt === undefined
+      ? undefined
+      : now - this.answerBegunAt;
+  }
+
   /** Returns the state of the request, which has `millisecondsLeft`. */
   history(millisecondsLeft: number): AttemptHistory {
     const {admission, relay} = this.request;
@@ -105,6 +117,7 @@
     this.triedIds.add(upstream.upstreamId);
     this.attemptCount += 1;
     this.last = upstream;
+    this.answerBegunAt = undefined;
     const attempt = new RoutedAttempt(
       pool,
       {
@@ -129,6 +142,7 @@
         },
         onAnswerEnd: end => this.recordAnswerEnd(upstream.upstreamId, end),
         onFirstAnswerByte: () => {
+          this.answerBegunAt = clocks.steady();
           placement.reportStarted();
           this.request.onFirstAnswerByte();
         },
--- a/packages/entry-process/src/routed/crash_watch.ts
+++ b/packages/entry-process/src/routed/crash_watch.ts
@@ -11,7 +11,6 @@
   type Member,
   Quarantine,
   rendezvousOrder,
-  type RoutedAttemptFailure,
   SHARED_POLICY,
   type Suspicion,
   suspicionOfCrash,
@@ -106,17 +105,6 @@
     }
   }
 
-  /** Records a failed attempt, which may have crashed its upstream. */
-  recordFailure(
-    fingerprint: string,
-    upstream: {readonly upstreamId: string; readonly address: string},
-    failure: RoutedAttemptFailure,
-  ): void {
-    if (failure.kind === 'lost' && failure.cause === 'connection') {
-      this.recordLostConnection(fingerprint, upstream);
-    }
-  }
-
   /**
    * Records that the connection of a running request ended. It counts as a
    * crash if all other connections to the upstream end as well.
--- a/packages/entry-process/src/routed/request_log.ts
+++ b/packages/entry-process/src/routed/request_log.ts
@@ -24,6 +24,16 @@
   readonly eventCount: number;
 }
 
+/** A running attempt whose connection ended. */
+export interface LostConnection {
+  readonly upstreamId: string;
+  /** Milliseconds since the answer began; undefined if it had not begun. */
+  readonly millisecondsSinceAnswerBegan: number | undefined;
+  readonly eventCount: number;
+  /** Ids of the prompt parts that other requests can share. */
+  readonly sharedParts: readonly string[];
+}
+
 /** Writes what happens to one request. */
 export class RequestLog {
   constructor(
@@ -73,6 +83,22 @@
     });
   }
 
+  /** Records that the connection of a running attempt ended. */
+  recordLostConnection(lost: LostConnection): void {
+    const {events, metrics} = this.dependencies;
+    const begun = lost.millisecondsSinceAnswerBegan;
+    events.write(4108, {
+      requestId: this.requestId,
+      upstreamId: lost.upstreamId,
+      begun: begun === undefined ? -1 : Math.round(begun),
+      eventCount: lost.eventCount,
+      parts: lost.sharedParts.join(','),
+    });
+    metrics.lostConnections.inc({
+      answer: begun === undefined ? 'not-begun' : 'begun',
+    });
+  }
+
   /** Records the end of the request. */
   recordEnd(summary: RequestSummary): void {
     const {events, metrics} = this.dependencies;
--- a/packages/entry-process/src/routed/routed_request.ts
+++ b/packages/entry-process/src/routed/routed_request.ts
@@ -11,12 +11,14 @@
   type RoutedAdmission,
   type RoutedAttemptFailure,
   ServingError,
+  sharedPartIds,
 } from '@lacewingwinch/decisions';
 import {type CallHeaders, encodeAnswerHeaders} from '@lacewingwinch/platform';
 import type {AnswerHead} from '@lacewingwinch/upstreams';
 
 import {AttemptGate} from './attempt_gate.js';
 import {AttemptRunner} from './attempt_runner.js';
+import {CrashEvidence} from './crash_evidence.js';
 import {fingerprintOf} from './crash_watch.js';
 import {RequestLog} from './request_log.js';
 import type {AttemptOutcome} from './routed_attempt.js';
@@ -47,7 +49,7 @@
   private hasBegunToRun = false;
   private interruption: Interruption | undefined;
   private readonly interrupted = new AbortController();
-  private readonly fingerprint: string;
+  private readonly evidence: CrashEvidence;
   private readonly gate: AttemptGate;
   private readonly runner: AttemptRunner;
   private readonly log: RequestLog;
@@ -62,7 +64,7 @@
     this.relay = new StreamRelay(responder, () => this.recordFirstEvent());
     this.startedAt = dependencies.clocks.steady();
     this.deadline = this.startedAt + admission.budgetMilliseconds;
-    this.fingerprint = fingerprintOf({
+    const fingerprint = fingerprintOf({
       workspace: admission.workspace?.name ?? '',
       target: call.target,
       body: call.body,
@@ -70,6 +72,10 @@
     const requestId = headers.attemptId ?? '';
     this.log = new RequestLog(dependencies, requestId, admission);
     this.log.recordContinuation(headers);
+    this.evidence = new CrashEvidence(dependencies.crashes, this.log, {
+      fingerprint,
+      sharedParts: sharedPartIds(headers.promptParts),
+    });
     this.gate = new AttemptGate(
       {
         ...dependencies,
@@ -79,7 +85,7 @@
       {
         requestId,
         service: admission.service.name,
-        fingerprint: this.fingerprint,
+        fingerprint,
       },
     );
     this.runner = new AttemptRunner(dependencies, {
@@ -261,11 +267,14 @@
     outcome: AttemptOutcome,
   ): 'done' | {readonly drawsOnBudget: boolean} {
     const {upstreamId} = choice.upstream;
+    this.evidence.recordOutcome(choice.upstream, outcome, {
+      millisecondsSinceAnswerBegan: this.runner.millisecondsSinceAnswerBegan(
+        this.dependencies.clocks.steady(),
+      ),
+      eventCount: this.relay.events,
+    });
     switch (outcome.kind) {
       case 'streamed':
-        if (outcome.isConfirmed) {
-          this.dependencies.crashes.recordCompletion(this.fingerprint);
-        }
         this.continuation.recordComplete();
         this.responder.end();
         this.recordEnd('answered');
@@ -276,11 +285,6 @@
         this.endInterrupted();
         return 'done';
       case 'failed':
-        this.dependencies.crashes.recordFailure(
-          this.fingerprint,
-          choice.upstream,
-          outcome.failure,
-        );
         return this.continueAfterFailure(upstreamId, outcome.failure);
     }
   }
@@ -291,9 +295,6 @@
     body: Buffer,
   ): 'done' | {readonly drawsOnBudget: boolean} {
     const {status, framing} = head;
-    if (framing !== 'connection') {
-      this.dependencies.crashes.recordCompletion(this.fingerprint);
-    }
     if (status >= FIRST_FAILURE_STATUS) {
       const failure: RoutedAttemptFailure = {kind: 'failed-after-run', status};
       const next = decideNextAttempt(
--- a/packages/observability/src/event_catalogue.ts
+++ b/packages/observability/src/event_catalogue.ts
@@ -217,6 +217,13 @@
     advice:
       'Look for event 4104 of both requests: their software versions must be the same.',
   },
+  4108: {
+    level: 'warn',
+    message:
+      'the connection of request {requestId} to upstream {upstreamId} ended {begun} ms after the answer had begun and after {eventCount} events; shared prompt parts {parts}',
+    advice:
+      'A value of -1 means that the answer had not begun. If many of these events name the same part, the part crashes upstreams.',
+  },
   5001: {
     level: 'info',
     message:
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -13,6 +13,7 @@
   readonly requests: Counter<'outcome' | 'service' | 'workspace'>;
   readonly attempts: Counter<'end' | 'service'>;
   readonly answerEnds: Counter<'end' | 'framing'>;
+  readonly lostConnections: Counter<'answer'>;
   readonly firstByteSeconds: Histogram<'service'>;
   readonly permitWaitSeconds: Histogram<'service'>;
   readonly recomputedTokens: Counter<'cause'>;
@@ -51,6 +52,12 @@
       labelNames: ['end', 'framing'],
       registers,
     }),
+    lostConnections: new Counter({
+      name: 'lacewingwinch_lost_connections_total',
+      help: 'Connections to upstreams that ended without an answer, by whether the answer had begun.',
+      labelNames: ['answer'],
+      registers,
+    }),
     firstByteSeconds: new Histogram({
       name: 'lacewingwinch_first_byte_seconds',
       help: 'Seconds from a request to the first byte of its answer.',
