Reproduce prompt parts that crash one upstream after the other

Three entry hosts, six engines that crash when they begin to answer a prompt with a certain part, requests that share that part and are never alike, beside sound ones that share their other parts.

--- /dev/null
+++ b/packages/entry-process/tests/prompt_part_crashes_test.ts
@@ -0,0 +1,197 @@
+/**
+ * Tests of prompt parts that crash every upstream that begins to answer them:
+ * requests with such a part went on ending one upstream after the other.
+ */
+import {RoutedEngineStandIn} from '@lacewingwinch/stand-ins';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import {type Answer, RoutedInstallation, waitUntil} from './routed_fixtures.js';
+
+const HOSTS = 3;
+const ENGINES = 6;
+
+/** Crashes after which the hosts have the time below to react. */
+const CRASHES_TO_NOTICE = 5;
+
+/** Milliseconds from the fifth crash until requests with the part count. */
+const REACTION_MILLISECONDS = 3000;
+
+/** Milliseconds for which requests are counted after that. */
+const OBSERVATION_MILLISECONDS = 3000;
+
+/** Requests with a crashing part that may reach upstreams after that. */
+const TOLERATED_REQUESTS = 3;
+
+const SOUND_PERIOD_MILLISECONDS = 40;
+const CRASHING_PERIOD_MILLISECONDS = 120;
+
+/** Subjects that sound requests and crashing ones share. */
+const SUBJECTS = 6;
+
+let installation: RoutedInstallation;
+/** Requests with a crashing part, by the time at which they were sent. */
+let crashingSent: Map<string, number>;
+let soundAnswers: {readonly sentAt: number; readonly answer: Answer}[];
+let sending: AbortController;
+let count: number;
+
+beforeEach(async () => {
+  installation = await RoutedInstallation.start();
+  crashingSent = new Map();
+  soundAnswers = [];
+  sending = new AbortController();
+  count = 0;
+  for (let index = 2; index < ENGINES; index += 1) {
+    const engine = new RoutedEngineStandIn(`i-${index + 2}`);
+    engine.isStreamed = true;
+    await engine.listen();
+    installation.engines.push(engine);
+    list(engine);
+  }
+});
+
+afterEach(async () => {
+  sending.abort();
+  await installation.stop();
+});
+
+function list(engine: RoutedEngineStandIn): void {
+  const entry = engine.entry('engines');
+  installation.store.put('keyed.servers', engine.upstreamId, entry);
+}
+
+function streamingEngines(): readonly RoutedEngineStandIn[] {
+  return installation.engines.filter(({isStreamed}) => isStreamed);
+}
+
+function crashUnder(parts: readonly string[]): void {
+  for (const engine of streamingEngines()) {
+    engine.crashingParts = new Set(parts);
+    engine.onRestarted = () => list(engine);
+  }
+}
+
+async function startHosts(): Promise<void> {
+  for (let index = 0; index < HOSTS; index += 1) {
+    await installation.startProcess({seeds: installation.peers.slice(0, 1)});
+  }
+  await pause(500);
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
+
+/** Sends a request whose prompt has `parts` and a last part of its own. */
+async function send(
+  attemptId: string,
+  parts: readonly string[],
+): Promise<Answer | undefined> {
+  const own = `${attemptId.replace(/\D/g, '')}:10`;
+  const prefix = [...parts.map(part => `${part}:100`), own].join(',');
+  const caller = installation.callers[count % installation.callers.length];
+  try {
+    return await installation.call(
+      {
+        path: '/resumed/x',
+        attemptId,
+        body: attemptId,
+        headers: {'x-prompt-prefix': prefix, 'x-token-count': '300,10'},
+      },
+      caller,
+    );
+  } catch {
+    return undefined;
+  }
+}
+
+/** Sends sound requests until the test ends. */
+async function sendSoundRequests(): Promise<void> {
+  while (!sending.signal.aborted) {
+    count += 1;
+    const sentAt = Date.now();
+    void send(`sound-${count}`, ['aa', `5${count % SUBJECTS}`]).then(answer => {
+      if (answer !== undefined) {
+        soundAnswers.push({sentAt, answer});
+      }
+    });
+    await pause(SOUND_PERIOD_MILLISECONDS);
+  }
+}
+
+/** Sends requests with each of `parts` in turn until the test ends. */
+async function sendCrashingRequests(parts: readonly string[]): Promise<void> {
+  while (!sending.signal.aborted) {
+    count += 1;
+    const attemptId = `crashing-${count}`;
+    const part = parts[count % parts.length] ?? '';
+    crashingSent.set(attemptId, Date.now());
+    void send(attemptId, ['aa', part, `5${count % SUBJECTS}`]);
+    await pause(CRASHING_PERIOD_MILLISECONDS);
+  }
+}
+
+/** Times of all crashes, earliest first. */
+function crashTimes(): readonly number[] {
+  return streamingEngines()
+    .flatMap(({crashes}) => crashes)
+    .sort((left, right) => left - right);
+}
+
+async function waitForCrashes(number: number): Promise<number> {
+  await waitUntil(() => crashTimes().length >= number);
+  return crashTimes()[number - 1] ?? 0;
+}
+
+/** Crashing requests sent after `since` that reached an upstream. */
+function crashingReachedSince(since: number): readonly string[] {
+  return installation.engines
+    .flatMap(engine => engine.executedAttemptIds())
+    .filter(attemptId => (crashingSent.get(attemptId) ?? 0) > since);
+}
+
+function soundShareSince(since: number): number {
+  const answers = soundAnswers.filter(({sentAt}) => sentAt > since);
+  const served = answers.filter(({answer}) => answer.status === 200);
+  return served.length / Math.max(1, answers.length);
+}
+
+describe('requests that share a prompt part under which upstreams crash', () => {
+  it.each<{readonly name: string; readonly parts: readonly string[]}>([
+    {name: 'one part', parts: ['bad1']},
+    {name: 'two parts', parts: ['bad1', 'bad2']},
+  ])(
+    'stop reaching upstreams while sound ones go on: $name',
+    async ({parts}) => {
+      await startHosts();
+      void sendSoundRequests();
+      await pause(1000);
+      crashUnder(parts);
+      void sendCrashingRequests(parts);
+      const fifth = await waitForCrashes(CRASHES_TO_NOTICE * parts.length);
+      const since = fifth + REACTION_MILLISECONDS;
+      await pause(since + OBSERVATION_MILLISECONDS - Date.now());
+      const reached = crashingReachedSince(since);
+      expect(reached.length).toBeLessThanOrEqual(
+        TOLERATED_REQUESTS * parts.length,
+      );
+      expect(soundShareSince(since)).toBeGreaterThan(0.9);
+    },
+  );
+});
+
+describe('sound requests', () => {
+  it('are served after every upstream has crashed at once, twice', async () => {
+    await startHosts();
+    void sendSoundRequests();
+    await pause(1000);
+    crashUnder([]);
+    for (let crash = 0; crash < 2; crash += 1) {
+      await Promise.all(streamingEngines().map(engine => engine.crash()));
+      await pause(1000);
+    }
+    const since = Date.now();
+    await pause(2000);
+    expect(soundShareSince(since)).toBeGreaterThan(0.95);
+  });
+});
--- a/packages/stand-ins/src/routed_engine_stand_in.ts
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -55,6 +55,9 @@
 /** Milliseconds between two events of a stream. */
 const EVENT_INTERVAL_MILLISECONDS = 10;
 
+/** Milliseconds between the head of an answer and a crash under it. */
+const CRASH_DELAY_MILLISECONDS = 60;
+
 /** What a body without end consists of. */
 const FLOOD_BLOCK = Buffer.alloc(65_536, 'x');
 const FLOOD_BYTE = Buffer.from('x');
@@ -77,6 +80,7 @@
   weightVersion = 0;
   /** Start time of the process; increased when it restarts under its id. */
   bornAt = 1;
+  private isStopped = false;
   /** Number of entries that the process has written. */
   private heartbeat = 0;
   /** Whether every answer says that the upstream is leaving. */
@@ -87,6 +91,14 @@
   readonly arrivals: number[] = [];
   /** Executed requests. */
   readonly ran: ExecutedRequest[] = [];
+  /** Prompt parts under which the process crashes when it begins to answer. */
+  crashingParts: ReadonlySet<string> = new Set();
+  /** Milliseconds from a crash until the process has started again. */
+  restartMilliseconds = 300;
+  /** Called when the process has started again after a crash. */
+  onRestarted: () => void = () => undefined;
+  /** Times at which the process crashed. */
+  readonly crashes: number[] = [];
   /** Number of requests whose connection closed before the answer ended. */
   abandonedRequests = 0;
 
@@ -119,6 +131,25 @@
     this.dropConnections();
   }
 
+  /** Ends all connections, refuses new ones for a while and starts again. */
+  async crash(): Promise<void> {
+    const port = Number(this.address.split(':')[1]);
+    this.crashes.push(Date.now());
+    await super.close();
+    await delay(this.restartMilliseconds);
+    if (this.isStopped) {
+      return;
+    }
+    await this.listen(port);
+    this.restart();
+    this.onRestarted();
+  }
+
+  override close(): Promise<void> {
+    this.isStopped = true;
+    return super.close();
+  }
+
   /** Returns the attempt ids of the executed requests. */
   executedAttemptIds(): readonly string[] {
     return this.ran.map(({headers}) => String(headers['x-attempt-id']));
@@ -221,6 +252,12 @@
       ...signedHeaders,
       'content-type': 'text/event-stream',
     });
+    if (this.crashesUnder(message)) {
+      response.flushHeaders();
+      await delay(CRASH_DELAY_MILLISECONDS);
+      await this.crash();
+      return;
+    }
     const lastEventId = Number(message.headers['last-event-id'] ?? 0);
     for (let id = lastEventId + 1; id <= STREAM_EVENTS; id += 1) {
       const breaksOff =
@@ -243,6 +280,14 @@
     response.end();
   }
 
+  /** Returns whether a shared part of the prompt crashes the process. */
+  private crashesUnder({headers}: IncomingMessage): boolean {
+    const parts = String(headers['x-prompt-prefix'] ?? '').split(',');
+    return parts
+      .slice(0, -1)
+      .some(part => this.crashingParts.has(part.split(':')[0] ?? ''));
+  }
+
   private attemptSuffixOf({headers}: IncomingMessage): string {
     return this.hasAttemptIdInAnswer
       ? ` for ${String(headers['x-attempt-id'])}`
