Take a stream without any event and without framing for broken off

Cause: an engine that crashes when it begins to write may end its connection in the orderly way. Where answers have neither a length nor chunks, an empty stream looked complete: the client got an empty answer with status 200, the attempt was not repeated, and the crash accused nothing. Change: such a stream was broken off, unless it continues another one, after whose last event nothing may be left.

A new case has a part that ran soundly before. The loops of one test sent into the next one; they keep their own signal now, which explains the case that failed only after others.

--- a/packages/decisions/src/answers/judge_answer_end.ts
+++ b/packages/decisions/src/answers/judge_answer_end.ts
@@ -10,6 +10,10 @@
   readonly framing: BodyFraming;
   /** Bytes of a stream after its last complete event. */
   readonly pendingBytes: number;
+  /** Complete events of a stream in this answer. */
+  readonly events: number;
+  /** Whether the answer continues a stream, so that no event may be left. */
+  readonly isContinuation: boolean;
 }
 
 /** What the end of an answer says about its completeness. */
@@ -21,11 +25,14 @@
 
 /**
  * Judges the end of an answer. A stream that ends inside an event was broken
- * off, unless it has a length, which counts the bytes of a complete body.
+ * off, unless it has a length, which counts the bytes of a complete body. One
+ * that ends with its connection before its first event was broken off as well.
  */
 export function judgeAnswerEnd({
   framing,
   pendingBytes,
+  events,
+  isContinuation,
 }: AnswerEnd): AnswerEndVerdict {
   switch (framing) {
     case 'length':
@@ -33,6 +40,8 @@
     case 'chunks':
       return pendingBytes === 0 ? 'complete' : 'broken-off';
     case 'connection':
-      return pendingBytes === 0 ? 'unconfirmed' : 'broken-off';
+      return pendingBytes === 0 && (events > 0 || isContinuation)
+        ? 'unconfirmed'
+        : 'broken-off';
   }
 }
--- a/packages/decisions/tests/answer_end_test.ts
+++ b/packages/decisions/tests/answer_end_test.ts
@@ -53,15 +53,56 @@
 });
 
 describe('the end of an answer', () => {
+  const AFTER_EVENTS = {events: 3, isContinuation: false};
+  const BEFORE_EVENTS = {events: 0, isContinuation: false};
+  const NOTHING_LEFT = {events: 0, isContinuation: true};
+
   it.each<AnswerEnd & {readonly verdict: AnswerEndVerdict}>([
-    {framing: 'length', pendingBytes: 0, verdict: 'complete'},
-    {framing: 'length', pendingBytes: 5, verdict: 'complete'},
-    {framing: 'chunks', pendingBytes: 0, verdict: 'complete'},
-    {framing: 'chunks', pendingBytes: 5, verdict: 'broken-off'},
-    {framing: 'connection', pendingBytes: 0, verdict: 'unconfirmed'},
-    {framing: 'connection', pendingBytes: 5, verdict: 'broken-off'},
+    {
+      framing: 'length',
+      pendingBytes: 0,
+      ...BEFORE_EVENTS,
+      verdict: 'complete',
+    },
+    {framing: 'length', pendingBytes: 5, ...AFTER_EVENTS, verdict: 'complete'},
+    {
+      framing: 'chunks',
+      pendingBytes: 0,
+      ...BEFORE_EVENTS,
+      verdict: 'complete',
+    },
+    {
+      framing: 'chunks',
+      pendingBytes: 5,
+      ...AFTER_EVENTS,
+      verdict: 'broken-off',
+    },
+    {
+      framing: 'connection',
+      pendingBytes: 0,
+      ...AFTER_EVENTS,
+      verdict: 'unconfirmed',
+    },
+    {
+      framing: 'connection',
+      pendingBytes: 5,
+      ...AFTER_EVENTS,
+      verdict: 'broken-off',
+    },
+    {
+      framing: 'connection',
+      pendingBytes: 0,
+      ...BEFORE_EVENTS,
+      verdict: 'broken-off',
+    },
+    {
+      framing: 'connection',
+      pendingBytes: 0,
+      ...NOTHING_LEFT,
+      verdict: 'unconfirmed',
+    },
   ])(
-    'framed by $framing with $pendingBytes pending bytes is $verdict',
+    'framed by $framing with $pendingBytes bytes after $events events is $verdict',
     ({verdict, ...end}) => {
       expect(judgeAnswerEnd(end)).toBe(verdict);
     },
--- a/packages/entry-process/src/routed/attempt_runner.ts
+++ b/packages/entry-process/src/routed/attempt_runner.ts
@@ -37,6 +37,8 @@
 export interface AttemptedRequest {
   readonly attemptId: string;
   readonly promptTokens: number;
+  /** Whether the client takes a stream up after one of its events. */
+  readonly isContinuation: boolean;
   readonly call: RoutedCall;
   readonly admission: RoutedAdmission;
   /** The part of the response that the client has received so far. */
@@ -125,6 +127,8 @@
       {
         attemptId,
         isStreamed: admission.rule.isStreamed,
+        isContinuation:
+          this.request.isContinuation || relay.lastEventId !== undefined,
         eventPatienceMilliseconds: eventPatienceMilliseconds(admission.rule),
         request: createUpstreamRequest({
           call,
--- a/packages/entry-process/src/routed/routed_attempt.ts
+++ b/packages/entry-process/src/routed/routed_attempt.ts
@@ -51,6 +51,8 @@
 export interface AttemptPlan {
   readonly attemptId: string;
   readonly isStreamed: boolean;
+  /** Whether the request continues a stream after one of its events. */
+  readonly isContinuation: boolean;
   /** Milliseconds within which a begun event of a stream must be complete. */
   readonly eventPatienceMilliseconds: number;
   readonly request: PooledRequest;
@@ -80,6 +82,7 @@
   private readonly splitter = new EventSplitter();
   private readonly chunks: Buffer[] = [];
   private bytes = 0;
+  private eventCount = 0;
   /** Time at which the pending event began; undefined without one. */
   private eventBegunAt: number | undefined;
   private isCancelled = false;
@@ -179,6 +182,7 @@
   private onData(chunk: Buffer): void {
     if (this.isRelayed) {
       const events = this.splitter.push(chunk);
+      this.eventCount += events.length;
       if (events.length > 0) {
         const canContinue = this.plan.stream.onEvents(events, () =>
           this.exchange?.resume(),
@@ -227,7 +231,12 @@
       return;
     }
     const {framing} = this.head;
-    const end = {framing, pendingBytes: this.splitter.pendingBytes};
+    const end = {
+      framing,
+      pendingBytes: this.splitter.pendingBytes,
+      events: this.eventCount,
+      isContinuation: this.plan.isContinuation,
+    };
     this.plan.onAnswerEnd(end);
     if (this.isRelayed) {
       this.endStream(end);
@@ -241,7 +250,14 @@
     const verdict = judgeAnswerEnd(end);
     switch (verdict) {
       case 'broken-off':
-        this.fail(lostStream(end, 'the stream ended inside an event'));
+        this.fail(
+          lostStream(
+            end,
+            end.pendingBytes > 0
+              ? 'the stream ended inside an event'
+              : 'the stream ended before its first event',
+          ),
+        );
         return;
       case 'unconfirmed':
         if (this.plan.stream.isFramed) {
--- a/packages/entry-process/src/routed/routed_request.ts
+++ b/packages/entry-process/src/routed/routed_request.ts
@@ -90,6 +90,7 @@
     this.runner = new AttemptRunner(dependencies, {
       attemptId: requestId,
       promptTokens: headers.promptTokens,
+      isContinuation: headers.lastEventId !== undefined,
       call,
       admission,
       relay: this.relay,
--- a/packages/entry-process/tests/prompt_part_crashes_test.ts
+++ b/packages/entry-process/tests/prompt_part_crashes_test.ts
@@ -2,7 +2,10 @@
  * Tests of prompt parts that crash every upstream that begins to answer them:
  * requests with such a part went on ending one upstream after the other.
  */
-import {RoutedEngineStandIn} from '@lacewingwinch/stand-ins';
+import {
+  type EngineBehavior,
+  RoutedEngineStandIn,
+} from '@lacewingwinch/stand-ins';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import {type Answer, RoutedInstallation, waitUntil} from './routed_fixtures.js';
@@ -110,7 +113,8 @@
 
 /** Sends sound requests until the test ends. */
 async function sendSoundRequests(): Promise<void> {
-  while (!sending.signal.aborted) {
+  const {signal} = sending;
+  while (!signal.aborted) {
     count += 1;
     const sentAt = Date.now();
     void send(`sound-${count}`, ['aa', `5${count % SUBJECTS}`]).then(answer => {
@@ -124,7 +128,8 @@
 
 /** Sends requests with each of `parts` in turn until the test ends. */
 async function sendCrashingRequests(parts: readonly string[]): Promise<void> {
-  while (!sending.signal.aborted) {
+  const {signal} = sending;
+  while (!signal.aborted) {
     count += 1;
     const attemptId = `crashing-${count}`;
     const part = parts[count % parts.length] ?? '';
@@ -160,17 +165,37 @@
 }
 
 describe('requests that share a prompt part under which upstreams crash', () => {
-  it.each<{readonly name: string; readonly parts: readonly string[]}>([
+  it.each<{
+    readonly name: string;
+    readonly parts: readonly string[];
+    readonly behavior?: EngineBehavior;
+    /** Whether the parts ran soundly before. */
+    readonly wereSound?: boolean;
+  }>([
     {name: 'one part', parts: ['bad1']},
     {name: 'two parts', parts: ['bad1', 'bad2']},
+    {
+      name: 'answers that end with their connection',
+      parts: ['bad1'],
+      behavior: 'answer-unframed',
+    },
+    {name: 'a part that was sound before', parts: ['bad1'], wereSound: true},
   ])(
     'stop reaching upstreams while sound ones go on: $name',
-    async ({parts}) => {
+    async ({parts, behavior = 'answer', wereSound = false}) => {
+      streamingEngines().forEach(engine => {
+        engine.behavior = behavior;
+      });
       await startHosts();
       void sendSoundRequests();
+      if (wereSound) {
+        void sendCrashingRequests(parts);
+      }
       await pause(1000);
       crashUnder(parts);
-      void sendCrashingRequests(parts);
+      if (!wereSound) {
+        void sendCrashingRequests(parts);
+      }
       const fifth = await waitForCrashes(CRASHES_TO_NOTICE * parts.length);
       const since = fifth + REACTION_MILLISECONDS;
       await pause(since + OBSERVATION_MILLISECONDS - Date.now());
