--- a/packages/decisions/src/crashes/blame_parts.ts
+++ b/packages/decisions/src/crashes/blame_parts.ts
@@ -25,8 +25,9 @@
   verdictInForce,
 } from './part_suspicion.js';
 
-/** Number of crashes that a part must explain to be as likely as an unknown. */
-const KNOWN_SOUND_COST = 4;
+/** Range of the costs of parts that are known to be sound. */
+const LEAST_SOUND_COST = 2;
+const MAXIMUM_SOUND_COST = 6;
 
 /**
  * Number of crashes from which parts are blamed together that explain exactly the
@@ -76,9 +77,23 @@
   }
 }
 
+/**
+ * Number of crashes that a part must explain to be as likely as one that was
+ * never sound: the more sound runs are known, the less likely it has turned.
+ */
+function costOf(isSound: boolean, soundRuns: number): number {
+  return isSound
+    ? Math.min(
+        MAXIMUM_SOUND_COST,
+        LEAST_SOUND_COST + Math.log2(1 + soundRuns) / 2,
+      )
+    : 1;
+}
+
 function candidateOf(suspicion: PartSuspicion, now: number): Candidate {
   const crashes = countedCrashes(suspicion, now);
-  const cost = isKnownSound(suspicion, crashes) ? KNOWN_SOUND_COST : 1;
+  const isSound = isKnownSound(suspicion, crashes);
+  const cost = costOf(isSound, suspicion.soundRuns);
   return {suspicion, cost, crashes};
 }
 
--- a/packages/decisions/src/crashes/part_quarantine.ts
+++ b/packages/decisions/src/crashes/part_quarantine.ts
@@ -167,6 +167,20 @@
     return isDue;
   }
 
+  /** Returns whether a crash counts against one of `parts` at `now`. */
+  isAnyAccused(
+    service: string,
+    parts: readonly string[],
+    now: number,
+  ): boolean {
+    return parts.some(partId => {
+      const suspicion = this.find({service, partId});
+      return (
+        suspicion !== undefined && countedCrashes(suspicion, now).length > 0
+      );
+    });
+  }
+
   /** Returns the suspicion of a part, if there is one. */
   find(part: PartAtService): PartSuspicion | undefined {
     return this.entries.get(keyOf(part))?.suspicion;
@@ -216,9 +230,7 @@
     if (own !== undefined) {
       return refusalBy(own);
     }
-    const hasRunHere =
-      (this.soundParts.latest(keyOf(part)) ?? NEVER_SOUND) > NEVER_SOUND;
-    if (hasRunHere) {
+    if (this.soundParts.find(keyOf(part)) !== undefined) {
       return undefined;
     }
     for (const service of this.servicesByPart.get(part.partId) ?? []) {
@@ -234,12 +246,11 @@
   private mergeOne(received: PartSuspicion, now: number): void {
     const key = keyOf(received);
     const existing = this.entries.get(key);
+    const {latestAt = NEVER_SOUND, count = 0} = this.soundParts.find(key) ?? {};
     const known: PartSuspicion = {
       ...received,
-      soundAt: Math.max(
-        received.soundAt,
-        this.soundParts.latest(key) ?? NEVER_SOUND,
-      ),
+      soundAt: Math.max(received.soundAt, latestAt),
+      soundRuns: Math.max(received.soundRuns, count),
     };
     const merged =
       existing === undefined
--- a/packages/decisions/src/crashes/part_suspicion.ts
+++ b/packages/decisions/src/crashes/part_suspicion.ts
@@ -38,6 +38,8 @@
      * milliseconds since the epoch; `NEVER_SOUND` without one.
      */
     soundAt: z.number(),
+    /** Most sound runs in about the last minute that one host knows of. */
+    soundRuns: z.number(),
     verdict: PART_VERDICT_SCHEMA.optional(),
   })
   .readonly();
@@ -77,7 +79,13 @@
   {service, partId}: PartAtService,
   crash: UpstreamCrash,
 ): PartSuspicion {
-  return {service, partId, crashes: [crash], soundAt: NEVER_SOUND};
+  return {
+    service,
+    partId,
+    crashes: [crash],
+    soundAt: NEVER_SOUND,
+    soundRuns: 0,
+  };
 }
 
 /** Returns what two hosts together know of the same part. */
@@ -91,6 +99,7 @@
     partId: left.partId,
     crashes: mergeCrashes([...left.crashes, ...right.crashes]),
     soundAt: Math.max(left.soundAt, right.soundAt),
+    soundRuns: Math.max(left.soundRuns, right.soundRuns),
     ...(verdict === undefined ? {} : {verdict}),
   };
 }
--- a/packages/decisions/src/crashes/sound_parts.ts
+++ b/packages/decisions/src/crashes/sound_parts.ts
@@ -1,6 +1,5 @@
 /**
- * The prompt parts of which a host knows sound runs, with the time of the latest
- * one.
+ * The prompt parts of which a host knows sound runs.
  */
 
 /** Duration of a generation; an entry is kept for one to two of them. */
@@ -9,10 +8,17 @@
 /** Largest size of a generation: 10 s of 400 requests a second with two parts. */
 const MAXIMUM_PARTS_PER_GENERATION = 8192;
 
+/** The sound runs with a part. */
+export interface SoundRuns {
+  /** Time of the latest one. */
+  readonly latestAt: number;
+  readonly count: number;
+}
+
 /** Sound parts of one host, in two generations. */
 export class SoundParts {
-  private current = new Map<string, number>();
-  private previous = new Map<string, number>();
+  private current = new Map<string, SoundRuns>();
+  private previous = new Map<string, SoundRuns>();
   /** Time at which the current generation began. */
   private since = 0;
 
@@ -24,13 +30,23 @@
       known !== undefined ||
       this.current.size < MAXIMUM_PARTS_PER_GENERATION
     ) {
-      this.current.set(key, Math.max(known ?? time, time));
+      this.current.set(key, {
+        latestAt: Math.max(known?.latestAt ?? time, time),
+        count: (known?.count ?? 0) + 1,
+      });
     }
   }
 
-  /** Returns the time of the latest sound run; undefined without one. */
-  latest(key: string): number | undefined {
-    return this.current.get(key) ?? this.previous.get(key);
+  /** Returns the sound runs with a part; undefined without one. */
+  find(key: string): SoundRuns | undefined {
+    const current = this.current.get(key);
+    const previous = this.previous.get(key);
+    return current === undefined
+      ? previous
+      : {
+          latestAt: current.latestAt,
+          count: current.count + (previous?.count ?? 0),
+        };
   }
 
   private rotateGenerations(now: number): void {
@@ -41,8 +57,8 @@
     this.previous =
       age < 2 * GENERATION_MILLISECONDS
         ? this.current
-        : new Map<string, number>();
-    this.current = new Map<string, number>();
+        : new Map<string, SoundRuns>();
+    this.current = new Map<string, SoundRuns>();
     this.since = now;
   }
 }
--- a/packages/entry-process/src/routed/part_watch.ts
+++ b/packages/entry-process/src/routed/part_watch.ts
@@ -19,6 +19,7 @@
 import {isAborted} from '../util/is_aborted.js';
 import {pause} from '../util/pause.js';
 import type {PartVerdictStore} from './part_verdict_store.js';
+import {UnconfirmedRuns, type UpstreamOfRun} from './unconfirmed_runs.js';
 
 /** Milliseconds for which reports of crashes are collected before sending. */
 const REPORT_DELAY_MILLISECONDS = 10;
@@ -41,12 +42,6 @@
 /** Largest number of suspicions in one message. */
 const MAXIMUM_SUSPICIONS_PER_MESSAGE = 64;
 
-/** Largest number of ended runs whose upstream is awaited to answer again. */
-const MAXIMUM_UNCONFIRMED_RUNS = 256;
-
-/** Milliseconds for which a sign of life of an upstream is awaited. */
-const UNCONFIRMED_RUN_MILLISECONDS = 10_000;
-
 /** An incarnation of an upstream that crashed while answers began there. */
 export interface CrashedUpstream {
   readonly upstreamId: string;
@@ -54,13 +49,6 @@
   readonly service: string;
 }
 
-/** A run whose end does not tell whether its upstream lives on. */
-interface UnconfirmedRun extends CrashedUpstream {
-  readonly parts: readonly string[];
-  /** Clock reading from which an answer of the upstream shows that it lives. */
-  readonly soundFrom: number;
-}
-
 /** How a request with certain prompt parts is treated. */
 export type PartDecision =
   | {readonly kind: 'clear'}
@@ -87,6 +75,8 @@
   readonly trueTime: () => number;
   /** Returns the serving hosts, including this one. */
   readonly servingHosts: () => readonly Member[];
+  /** Returns whether an upstream accepts a connection. */
+  readonly canConnect: (address: string) => Promise<boolean>;
 }
 
 /** The quarantine of prompt parts at one entry host. */
@@ -100,10 +90,15 @@
   /** Verdicts that this host has to write to the store, or to remove there. */
   private readonly unsaved = new Map<string, PartAtService>();
   private gossipReceivedAt = -Infinity;
-  /** Oldest first. */
-  private unconfirmedRuns: readonly UnconfirmedRun[] = [];
-
-  constructor(private readonly dependencies: PartWatchDependencies) {}
+  private readonly unconfirmedRuns: UnconfirmedRuns;
+
+  constructor(private readonly dependencies: PartWatchDependencies) {
+    this.unconfirmedRuns = new UnconfirmedRuns({
+      ...dependencies,
+      onSound: ({service, parts}, millisecondsAgo) =>
+        this.recordSound(service, parts, millisecondsAgo),
+    });
+  }
 
   /** Decides how a request of `service` with `parts` is treated now. */
   decide(service: string, parts: readonly string[]): PartDecision {
@@ -169,38 +164,24 @@
    * sound if the upstream begins another answer `milliseconds` from now or later.
    */
   awaitSignOfLife(
-    {service, upstreamId, bornAt}: CrashedUpstream,
+    {service, upstreamId, bornAt, address}: UpstreamOfRun,
     parts: readonly string[],
     milliseconds: number,
   ): void {
     if (parts.length === 0) {
       return;
     }
-    const soundFrom = this.dependencies.clock() + milliseconds;
-    this.unconfirmedRuns = [
-      ...this.unconfirmedRuns.slice(-MAXIMUM_UNCONFIRMED_RUNS + 1),
-      {service, upstreamId, bornAt, parts, soundFrom},
-    ];
+    const {clock, trueTime} = this.dependencies;
+    const soundFrom = clock() + milliseconds;
+    this.unconfirmedRuns.add(
+      {service, upstreamId, bornAt, address, parts, soundFrom},
+      this.quarantine.isAnyAccused(service, parts, trueTime()),
+    );
   }
 
   /** Records that an upstream began an answer, and so lives. */
-  recordSignOfLife({upstreamId, bornAt}: CrashedUpstream): void {
-    if (this.unconfirmedRuns.length === 0) {
-      return;
-    }
-    const now = this.dependencies.clock();
-    const isConfirmed = (run: UnconfirmedRun): boolean =>
-      run.upstreamId === upstreamId &&
-      run.bornAt === bornAt &&
-      now >= run.soundFrom;
-    const confirmed = this.unconfirmedRuns.filter(isConfirmed);
-    this.unconfirmedRuns = this.unconfirmedRuns.filter(
-      run =>
-        !isConfirmed(run) && now - run.soundFrom < UNCONFIRMED_RUN_MILLISECONDS,
-    );
-    confirmed.forEach(({service, parts, soundFrom}) =>
-      this.recordSound(service, parts, now - soundFrom),
-    );
+  recordSignOfLife(upstream: UpstreamOfRun): void {
+    this.unconfirmedRuns.recordSignOfLife(upstream);
   }
 
   /** Merges suspicions that another host or the store knows. */
--- a/packages/entry-process/src/routed/routed_process.ts
+++ b/packages/entry-process/src/routed/routed_process.ts
@@ -25,7 +25,7 @@
   type PlatformSettings,
   StoreClient,
 } from '@lacewingwinch/platform';
-import {ConnectionPool} from '@lacewingwinch/upstreams';
+import {canConnect, ConnectionPool} from '@lacewingwinch/upstreams';
 import {v7 as uuidV7} from 'uuid';
 
 import type {MembershipTask} from '../tasks/membership_task.js';
@@ -64,6 +64,9 @@
  */
 const LAST_REQUEST_MILLISECONDS = 2900;
 
+/** Milliseconds within which an upstream that lives accepts a connection. */
+const CONNECT_TIMEOUT_MILLISECONDS = 300;
+
 /** Milliseconds between two checks of a condition. */
 const POLL_PERIOD_MILLISECONDS = 50;
 
@@ -223,6 +226,7 @@
       clock: clocks.steady,
       trueTime: () => this.readTrueTime(),
       servingHosts: () => this.membership.serving(),
+      canConnect: address => canConnect(address, CONNECT_TIMEOUT_MILLISECONDS),
     });
     this.duties = createRoutedDuties(settings, {
       processId: this.processId,
--- /dev/null
+++ b/packages/upstreams/src/can_connect.ts
@@ -0,0 +1,24 @@
+/**
+ * Whether an upstream accepts a connection, which shows that it runs.
+ */
+import {connect} from 'node:net';
+
+/** Connects to `address` (IP address and port) and closes the connection. */
+export function canConnect(
+  address: string,
+  timeoutMilliseconds: number,
+): Promise<boolean> {
+  const separator = address.lastIndexOf(':');
+  const host = address.slice(0, separator);
+  const port = Number(address.slice(separator + 1));
+  return new Promise(resolve => {
+    const socket = connect({host, port});
+    const end = (isConnected: boolean): void => {
+      socket.destroy();
+      resolve(isConnected);
+    };
+    socket.setTimeout(timeoutMilliseconds, () => end(false));
+    socket.once('connect', () => end(true));
+    socket.once('error', () => end(false));
+  });
+}
--- a/packages/upstreams/src/index.ts
+++ b/packages/upstreams/src/index.ts
@@ -1,6 +1,7 @@
 /**
  * Connections and calls to model engines and plain services.
  */
+export * from './can_connect.js';
 export * from './connection_pool.js';
 export * from './engine_events.js';
 export * from './model_engine.js';
