Refuse messages that crash upstreams at the own interface

The messages of a chat but the last are its parts; AttemptEvidence passes what attempts show to the quarantine of contents and to PartWatch, which both interfaces share now. Crashes without a known start count once a second for one id.

--- a/packages/decisions/src/crashes/blame_parts.ts
+++ b/packages/decisions/src/crashes/blame_parts.ts
@@ -19,6 +19,7 @@
   judgePart,
 } from './judge_part.js';
 import {
+  incarnationOf,
   type PartSuspicion,
   type PartVerdict,
   type UpstreamCrash,
@@ -150,7 +151,3 @@
 function crashesOf(suspicions: readonly PartSuspicion[]): Set<string> {
   return new Set(suspicions.flatMap(({crashes}) => crashes.map(incarnationOf)));
 }
-
-function incarnationOf({upstreamId, bornAt}: UpstreamCrash): string {
-  return `${upstreamId}@${bornAt}`;
-}
--- a/packages/decisions/src/crashes/part_suspicion.ts
+++ b/packages/decisions/src/crashes/part_suspicion.ts
@@ -74,6 +74,20 @@
 /** Largest number of crashes kept for one part, the latest ones. */
 const MAXIMUM_CRASHES_PER_PART = 32;
 
+/** Time within which crashes count as one if no start is known. */
+const UNKNOWN_START_MILLISECONDS = 1000;
+
+/** Returns an id of the incarnation that crashed. */
+export function incarnationOf({
+  upstreamId,
+  bornAt,
+  time,
+}: UpstreamCrash): string {
+  return bornAt > 0
+    ? `${upstreamId}@${bornAt}`
+    : `${upstreamId}@@${Math.floor(time / UNKNOWN_START_MILLISECONDS)}`;
+}
+
 /** Returns a suspicion of a single crash. */
 export function partSuspicionOf(
   {service, partId}: PartAtService,
@@ -129,7 +143,7 @@
 ): readonly UpstreamCrash[] {
   const byIncarnation = new Map<string, UpstreamCrash>();
   for (const crash of crashes) {
-    const key = `${crash.upstreamId}@${crash.bornAt}`;
+    const key = incarnationOf(crash);
     const existing = byIncarnation.get(key);
     if (existing === undefined || crash.time < existing.time) {
       byIncarnation.set(key, crash);
--- a/packages/entry-process/src/build_tasks.ts
+++ b/packages/entry-process/src/build_tasks.ts
@@ -26,7 +26,7 @@
   connectHostList,
   connectLogService,
 } from '@lacewingwinch/platform';
-import {UpstreamConnections} from '@lacewingwinch/upstreams';
+import {canConnect, UpstreamConnections} from '@lacewingwinch/upstreams';
 import {v7 as uuidV7} from 'uuid';
 
 import {AttemptLoop} from './front/attempt_loop.js';
@@ -44,6 +44,7 @@
 import {DispatcherTask} from './tasks/dispatcher_task.js';
 import {MembershipTask} from './tasks/membership_task.js';
 import {OrdersTask} from './tasks/orders_task.js';
+import {PartWatch, type VerdictStore} from './tasks/part_watch.js';
 import {PermitClient} from './tasks/permit_client.js';
 import {ShardLoads} from './tasks/shard_loads.js';
 import {UpstreamDirectory} from './tasks/upstream_directory.js';
@@ -57,6 +58,16 @@
  */
 const MAXIMUM_LEAVING_PER_DIGEST = 64;
 
+/** Milliseconds within which an upstream that lives accepts a connection. */
+const CONNECT_TIMEOUT_MILLISECONDS = 300;
+
+/** The log service of this interface keeps no verdicts. */
+const NO_VERDICT_STORE: VerdictStore = {
+  load: () => Promise.resolve([]),
+  save: () => Promise.resolve(true),
+  remove: () => Promise.resolve(true),
+};
+
 /** The tasks of an entry process, with the services that they share. */
 export interface Tasks {
   readonly events: EventLog;
@@ -66,6 +77,7 @@
   readonly peers: PeerClient;
   readonly connections: UpstreamConnections;
   readonly quarantine: Quarantine;
+  readonly parts: PartWatch;
   readonly configuration: ConfigurationTask;
   readonly membership: MembershipTask;
   readonly directory: UpstreamDirectory;
@@ -99,6 +111,18 @@
   const peers = createPeerClient();
   const connections = new UpstreamConnections();
   const quarantine = new Quarantine();
+  const parts: PartWatch = new PartWatch({
+    hostId,
+    peers,
+    events,
+    metrics,
+    random: Math.random,
+    verdicts: NO_VERDICT_STORE,
+    clock,
+    trueTime: clock,
+    servingHosts: () => membership.serving(),
+    canConnect: address => canConnect(address, CONNECT_TIMEOUT_MILLISECONDS),
+  });
   const limits = new LimitShares();
   const backups = new BackupStore();
   const log = connectLogService(settings.logUrl);
@@ -137,6 +161,7 @@
           .leavingIds()
           .slice(-MAXIMUM_LEAVING_PER_DIGEST),
         suspicions: quarantine.list().slice(-MAXIMUM_SUSPICIONS_PER_DIGEST),
+        partSuspicions: parts.openSuspicions(),
         loads: dispatcher.loads(),
         demands: limitExchange.ownDemands(),
       }),
@@ -185,6 +210,7 @@
     peers,
     connections,
     quarantine,
+    parts,
     limits,
     events,
     metrics,
@@ -231,6 +257,7 @@
   function applyDigest(sender: Member, digest: GossipDigest): void {
     directory.markLeaving(digest.leavingUpstreams, undefined);
     digest.suspicions.forEach(suspicion => quarantine.merge(suspicion));
+    parts.onGossip(digest.partSuspicions ?? []);
     shardLoads.update(digest.loads);
     limitExchange.onDemands(sender, digest.demands);
     configuration.onPeerAhead(sender, digest.configurationReadTo);
@@ -244,6 +271,7 @@
     peers,
     connections,
     quarantine,
+    parts,
     configuration,
     membership,
     directory,
--- a/packages/entry-process/src/entry_process.ts
+++ b/packages/entry-process/src/entry_process.ts
@@ -143,6 +143,7 @@
     this.monitor('permits', tasks.permits.run(signal));
     this.monitor('claims', tasks.claims.run(signal));
     this.monitor('limits', tasks.limitExchange.run(signal));
+    this.monitor('quarantine', tasks.parts.run(signal));
     this.monitor('orders', tasks.orders.run(signal));
     this.monitor('forgetting', this.expireState(signal));
   }
--- a/packages/entry-process/src/front/attempt_loop.ts
+++ b/packages/entry-process/src/front/attempt_loop.ts
@@ -20,6 +20,7 @@
 } from '@lacewingwinch/upstreams';
 
 import type {StreamMover} from '../recovery/stream_mover.js';
+import {AttemptEvidence} from './attempt_evidence.js';
 import {engineBody, upstreamHeaders} from './engine_request.js';
 import type {FrontContext} from './front_context.js';
 import {outcomeOf, ranOf, type ServedRequest} from './served_request.js';
@@ -34,12 +35,14 @@
 /** Runs requests, each with as many attempts as its rule allows. */
 export class AttemptLoop {
   private readonly slotFinder: SlotFinder;
+  private readonly evidence: AttemptEvidence;
 
   constructor(
     private readonly context: FrontContext,
     private readonly mover: StreamMover,
   ) {
     this.slotFinder = new SlotFinder(context);
+    this.evidence = new AttemptEvidence(context, this.slotFinder);
   }
 
   /**
@@ -86,6 +89,7 @@
     const {request, service} = run;
     const excluded: string[] = [];
     while (request.isRunning()) {
+      this.evidence.requireNotQuarantined(run);
       const slot = await this.slotFinder.find(run, excluded);
       const end = await this.runAttemptInSlot(slot, run, accepted);
       this.context.metrics.attempts.inc({
@@ -96,7 +100,7 @@
         return;
       }
       excluded.push(slot.upstream.id);
-      this.recordCrash(request, slot, end.failure);
+      this.evidence.recordFailure(run, slot, end.failure);
       this.requireRetryAllowed(run, end.failure);
     }
   }
@@ -134,7 +138,7 @@
       case 'give-up':
         throw new ServingError(decision.error, {ran: decision.ran});
       case 'try-again': {
-        this.requireNotQuarantined(run, now);
+        this.evidence.requireNotQuarantined(run);
         const budget = this.context.retryBudgetOf(service.name);
         const hasRetryBudget =
           !decision.needsBudget ||
@@ -153,21 +157,11 @@
     }
   }
 
-  private requireNotQuarantined(run: RequestRun, now: number): void {
-    const verdict = this.slotFinder.quarantineVerdictOf(run, now);
-    if (verdict.kind === 'quarantined') {
-      throw new ServingError('quarantined', {
-        ran: ranOf(run.request),
-        retryAfterSeconds: Math.ceil((verdict.until - now) / 1000),
-      });
-    }
-  }
-
   private async attempt(
     run: RequestRun,
     slot: UpstreamSlot,
   ): Promise<AttemptEnd> {
-    const {request, service, outcome} = run;
+    const {request, service} = run;
     const attemptId = `${request.id}.${request.attempts + 1}`;
     const signal = request.beginAttempt(attemptId, slot.upstream.id);
     const span = this.context.tracing.startHop(
@@ -180,7 +174,7 @@
       if (this.context.clock() >= request.copy.deadline) {
         return {kind: 'failed', failure: {kind: 'deadline-passed'}};
       }
-      const parameters = {request, outcome, slot, attemptId, signal};
+      const parameters = {run, slot, attemptId, signal};
       const headers = upstreamHeaders(
         request.copy,
         attemptId,
@@ -232,7 +226,8 @@
     headers: Readonly<Record<string, string>>,
     authorizeSend: () => boolean,
   ): Promise<void> {
-    const {request, slot, signal} = parameters;
+    const {run, slot, signal} = parameters;
+    const {request} = run;
     const answer = await callPlainService(this.context.connections, {
       address: slot.upstream.address,
       isRepeatable: request.copy.isIdempotent,
@@ -245,7 +240,7 @@
         canSend: authorizeSend,
       },
     });
-    this.finishAnswered(request, slot, answer.status, {
+    this.finishAnswered(run, slot, answer.status, {
       status: answer.status,
       contentType: answer.contentType,
       body: answer.body.toString('base64'),
@@ -258,7 +253,8 @@
     headers: Readonly<Record<string, string>>,
     authorizeSend: () => boolean,
   ): Promise<void> {
-    const {request, outcome, slot, attemptId, signal} = parameters;
+    const {run, slot, attemptId, signal} = parameters;
+    const {request, outcome} = run;
     const resume = this.mover.resumePoint(request);
     await streamCompletion(this.context.connections, {
       address: slot.upstream.address,
@@ -270,20 +266,20 @@
         signal,
         canSend: authorizeSend,
       },
-      onEvent: ({offset, data}) => request.acceptEvent(attemptId, offset, data),
+      onEvent: ({offset, data}) =>
+        request.acceptEvent(attemptId, offset, data, this.context.clock()),
     });
-    this.finishAnswered(request, slot, 200, undefined);
+    this.finishAnswered(run, slot, 200, undefined);
   }
 
   private finishAnswered(
-    request: ServedRequest,
+    run: RequestRun,
     slot: UpstreamSlot,
     status: number,
     answer: KeptAnswer | undefined,
   ): void {
-    if (slot.isAlone) {
-      this.context.quarantine.clear(request.fingerprint, this.context.clock());
-    }
+    const {request} = run;
+    this.evidence.recordAnswered(run, slot);
     request.recordStep({kind: 'answered', status}, this.context.clock());
     request.finish({kind: 'answered', ...answerField(answer)});
   }
@@ -319,33 +315,6 @@
     return {kind: 'failed', failure: error.failure};
   }
 
-  /**
-   * Records a lost connection as a possible crash caused by the content, unless
-   * the upstream is leaving.
-   */
-  private recordCrash(
-    request: ServedRequest,
-    slot: UpstreamSlot,
-    failure: AttemptFailure,
-  ): void {
-    const upstreamId = slot.upstream.id;
-    const isLeaving = this.context.directory.leavingIds().includes(upstreamId);
-    if (failure.kind !== 'connection-lost' || isLeaving) {
-      return;
-    }
-    this.context.quarantine.recordCrash(
-      upstreamId,
-      request.fingerprint,
-      slot.isAlone,
-      this.context.clock(),
-    );
-    this.context.events.write(4003, {
-      fingerprint: request.fingerprint,
-      upstreamId,
-    });
-    this.context.membership.broadcast();
-  }
-
   private giveUp(request: ServedRequest, error: ServingError): void {
     const {kind} = error;
     request.recordStep(
@@ -379,8 +348,7 @@
 
 /** Parameters shared by the upstream calls of one attempt. */
 interface AttemptParameters {
-  readonly request: ServedRequest;
-  readonly outcome: SendOutcome;
+  readonly run: RequestRun;
   readonly slot: UpstreamSlot;
   readonly attemptId: string;
   readonly signal: AbortSignal;
--- a/packages/entry-process/src/front/front_context.ts
+++ b/packages/entry-process/src/front/front_context.ts
@@ -14,6 +14,7 @@
 
 import type {ClaimClient} from '../recovery/claim_client.js';
 import type {MembershipTask} from '../tasks/membership_task.js';
+import type {PartWatch} from '../tasks/part_watch.js';
 import type {PermitClient} from '../tasks/permit_client.js';
 import type {UpstreamDirectory} from '../tasks/upstream_directory.js';
 
@@ -32,6 +33,8 @@
   readonly peers: PeerClient;
   readonly connections: UpstreamConnections;
   readonly quarantine: Quarantine;
+  /** Messages under which upstreams crash, whatever else a request holds. */
+  readonly parts: PartWatch;
   readonly limits: LimitShares;
   readonly events: EventLog;
   readonly metrics: Metrics;
--- a/packages/entry-process/src/front/served_request.ts
+++ b/packages/entry-process/src/front/served_request.ts
@@ -17,6 +17,7 @@
 } from '@lacewingwinch/operators';
 
 import {ChangeNotifier} from '../util/change_notifier.js';
+import {sharedMessageIds} from './message_parts.js';
 
 /** The state of a request. */
 export type RequestState =
@@ -44,7 +45,11 @@
   attemptId = '';
   /** Id of the upstream of the current attempt. */
   upstreamId: string | undefined;
+  /** Time of the first event of the current attempt; undefined before it. */
+  attemptBegunAt: number | undefined;
   readonly buffer: AnswerBuffer;
+  /** Ids of the messages that other requests can share. */
+  readonly sharedParts: readonly string[];
   private permitRequestCount = 0;
   private currentRight: ExecutionRight | undefined;
   private current: RequestState = {kind: 'running'};
@@ -60,6 +65,8 @@
     events: readonly string[] = [],
   ) {
     this.buffer = new AnswerBuffer(events);
+    this.sharedParts =
+      copy.callKind === 'chat-completion' ? sharedMessageIds(body) : [];
   }
 
   get id(): string {
@@ -140,6 +147,7 @@
     this.attempts += 1;
     this.attemptId = attemptId;
     this.upstreamId = upstreamId;
+    this.attemptBegunAt = undefined;
     this.buffer.begin(attemptId);
     this.attemptController = new AbortController();
     return this.attemptController.signal;
@@ -151,7 +159,15 @@
   }
 
   /** Adds an event of an attempt to the response. */
-  acceptEvent(attemptId: string, offset: number, data: string): void {
+  acceptEvent(
+    attemptId: string,
+    offset: number,
+    data: string,
+    now: number,
+  ): void {
+    if (attemptId === this.attemptId) {
+      this.attemptBegunAt ??= now;
+    }
     if (this.buffer.accept(attemptId, offset, data) === 'accepted') {
       this.changes.notify();
     }
--- a/packages/entry-process/src/peer_handlers.ts
+++ b/packages/entry-process/src/peer_handlers.ts
@@ -46,6 +46,10 @@
       isServing: configuration.readySource !== 'none',
       snapshot: configuration.snapshot(),
     }),
+    'suspicion.parts': ({suspicions}) => {
+      tasks.parts.onSuspicions(suspicions);
+      return null;
+    },
     'limit.transfer': ({workspace, tokens}) => {
       tasks.limitExchange.onTransfer(workspace, tokens);
       return null;
--- a/packages/entry-process/src/routed/attempt_gate.ts
+++ b/packages/entry-process/src/routed/attempt_gate.ts
@@ -12,9 +12,9 @@
 } from '@lacewingwinch/decisions';
 import type {EventLog} from '@lacewingwinch/observability';
 
+import type {PartWatch} from '../tasks/part_watch.js';
 import {pause} from '../util/pause.js';
 import type {CrashWatch} from './crash_watch.js';
-import type {PartWatch} from './part_watch.js';
 import type {PlacementCandidates} from './placement_candidates.js';
 
 /**
--- a/packages/entry-process/src/routed/part_verdict_store.ts
+++ b/packages/entry-process/src/routed/part_verdict_store.ts
@@ -12,6 +12,7 @@
 import type {EventLog} from '@lacewingwinch/observability';
 import type {StoreClient} from '@lacewingwinch/platform';
 
+import type {VerdictStore} from '../tasks/part_watch.js';
 import {messageOf} from '../util/message_of.js';
 
 /** Milliseconds within which the store must answer. */
@@ -26,10 +27,9 @@
 }
 
 /** The verdicts in the store. Errors are logged, and the call returns. */
-export class PartVerdictStore {
+export class PartVerdictStore implements VerdictStore {
   constructor(private readonly dependencies: PartVerdictStoreDependencies) {}
 
-  /** Returns the verdicts in the store; undefined if it does not answer. */
   async load(): Promise<readonly PartSuspicion[] | undefined> {
     const {store, events} = this.dependencies;
     try {
@@ -45,12 +45,10 @@
     }
   }
 
-  /** Writes a verdict; returns whether the store has it. */
   save(suspicion: PartSuspicion): Promise<boolean> {
     return this.put(suspicion, Buffer.from(JSON.stringify(suspicion)));
   }
 
-  /** Removes a verdict; returns whether the store has done so. */
   remove(part: PartAtService): Promise<boolean> {
     return this.put(part, NO_VALUE);
   }
--- a/packages/entry-process/src/routed/routed_front.ts
+++ b/packages/entry-process/src/routed/routed_front.ts
@@ -27,9 +27,9 @@
 } from '@lacewingwinch/platform';
 import type {ConnectionPool} from '@lacewingwinch/upstreams';
 
+import type {PartWatch} from '../tasks/part_watch.js';
 import type {Clocks} from './clocks.js';
 import type {CrashWatch} from './crash_watch.js';
-import type {PartWatch} from './part_watch.js';
 import type {QuotaExchange} from './quota_exchange.js';
 import type {RoutedPlacement} from './routed_placement.js';
 import {RoutedRequest} from './routed_request.js';
--- a/packages/entry-process/src/routed/routed_membership.ts
+++ b/packages/entry-process/src/routed/routed_membership.ts
@@ -7,8 +7,8 @@
 import type {PlatformSettings} from '@lacewingwinch/platform';
 
 import {MembershipTask} from '../tasks/membership_task.js';
+import type {PartWatch} from '../tasks/part_watch.js';
 import type {Clocks} from './clocks.js';
-import type {PartWatch} from './part_watch.js';
 
 /** Dependencies of the membership task. */
 export interface RoutedMembershipDependencies {
--- a/packages/entry-process/src/routed/routed_peer_handlers.ts
+++ b/packages/entry-process/src/routed/routed_peer_handlers.ts
@@ -5,8 +5,8 @@
 import type {PeerHandlers} from '@lacewingwinch/entry-hosts';
 
 import type {MembershipTask} from '../tasks/membership_task.js';
+import type {PartWatch} from '../tasks/part_watch.js';
 import type {CrashWatch} from './crash_watch.js';
-import type {PartWatch} from './part_watch.js';
 import type {QuotaExchange} from './quota_exchange.js';
 import type {RoutedPlacement} from './routed_placement.js';
 import type {StateRelay} from './state_relay.js';
--- a/packages/entry-process/src/routed/routed_process.ts
+++ b/packages/entry-process/src/routed/routed_process.ts
@@ -29,6 +29,7 @@
 import {v7 as uuidV7} from 'uuid';
 
 import type {MembershipTask} from '../tasks/membership_task.js';
+import {PartWatch} from '../tasks/part_watch.js';
 import {messageOf} from '../util/message_of.js';
 import {pause} from '../util/pause.js';
 import {type Clocks, createProcessClocks} from './clocks.js';
@@ -38,7 +39,6 @@
 import type {DutyTask} from './duty_task.js';
 import {FleetView} from './fleet_view.js';
 import {PartVerdictStore} from './part_verdict_store.js';
-import {PartWatch} from './part_watch.js';
 import {QuotaExchange} from './quota_exchange.js';
 import {RequiredState} from './required_state.js';
 import {createRoutedDuties} from './routed_duties.js';
--- a/packages/entry-process/src/routed/part_watch.ts
+++ b/packages/entry-process/src/tasks/part_watch.ts
@@ -18,7 +18,6 @@
 
 import {isAborted} from '../util/is_aborted.js';
 import {pause} from '../util/pause.js';
-import type {PartVerdictStore} from './part_verdict_store.js';
 import {UnconfirmedRuns, type UpstreamOfRun} from './unconfirmed_runs.js';
 
 /** Milliseconds for which reports of crashes are collected before sending. */
@@ -49,6 +48,16 @@
   readonly service: string;
 }
 
+/** Where verdicts outlive a restart of every entry host. */
+export interface VerdictStore {
+  /** Returns the verdicts in the store; undefined if it does not answer. */
+  load(): Promise<readonly PartSuspicion[] | undefined>;
+  /** Writes a verdict; returns whether the store has it. */
+  save(suspicion: PartSuspicion): Promise<boolean>;
+  /** Removes a verdict; returns whether the store has done so. */
+  remove(part: PartAtService): Promise<boolean>;
+}
+
 /** How a request with certain prompt parts is treated. */
 export type PartDecision =
   | {readonly kind: 'clear'}
@@ -68,7 +77,7 @@
   readonly events: EventLog;
   readonly metrics: Metrics;
   readonly random: RandomSource;
-  readonly verdicts: PartVerdictStore;
+  readonly verdicts: VerdictStore;
   /** Returns steady clock readings in milliseconds. */
   readonly clock: () => number;
   /** Returns milliseconds since the epoch, the same on all hosts. */
--- a/packages/entry-process/tests/quarantine_test.ts
+++ b/packages/entry-process/tests/quarantine_test.ts
@@ -83,3 +83,55 @@
     );
   });
 });
+
+describe('a message that crashes upstreams, whatever follows it', () => {
+  /** Crashes after which all hosts have to refuse requests with the message. */
+  const NOTICED_CRASHES = 5;
+
+  /** Requests with the message that may still reach upstreams after that. */
+  const TOLERATED_REQUESTS = 3;
+
+  const PAUSE_MILLISECONDS = 150;
+  const SYSTEM_MESSAGE = {role: 'system', content: 'Answer briefly.'};
+
+  function callChat(host: number, texts: readonly string[]): Promise<Response> {
+    return fetch(`http://${fleet.entry(host).callers}/v1/chat/completions`, {
+      method: 'POST',
+      redirect: 'manual',
+      headers: {
+        authorization: `Bearer ${KEY_ONE}`,
+        'content-type': 'application/json',
+      },
+      body: JSON.stringify({
+        model: 'writer',
+        messages: [
+          SYSTEM_MESSAGE,
+          ...texts.map(content => ({role: 'user', content})),
+        ],
+        max_tokens: 2,
+      }),
+    });
+  }
+
+  it('stops reaching upstreams, and other requests are answered', async () => {
+    fleet = await Fleet.start({
+      entryDomains: ['east', 'west', 'north'],
+      engines: 4,
+    });
+    for (let index = 0; index < 12; index += 1) {
+      const sound = await callChat(index % 3, [`sound ${index}`, 'and on']);
+      expect(sound.status).toBe(200);
+      await callChat((index + 1) % 3, [CRASHING_PROMPT, `request ${index}`]);
+      await new Promise(resolve => setTimeout(resolve, PAUSE_MILLISECONDS));
+    }
+    expect(crashCount()).toBeLessThanOrEqual(
+      NOTICED_CRASHES + TOLERATED_REQUESTS,
+    );
+    const refused = await callChat(0, [CRASHING_PROMPT, 'another request']);
+    expect(refused.status).toBe(503);
+    expect(await refused.json()).toMatchObject({
+      kind: 'prompt-part-quarantined',
+      ran: 'no',
+    });
+  });
+});
