Read and log the limits that upstreams name

UpstreamLimits keeps the newest statement of each incarnation; events 3008 and 3009 and a metric say what it changes. No decision uses it yet.

--- a/packages/entry-process/src/routed/attempt_runner.ts
+++ b/packages/entry-process/src/routed/attempt_runner.ts
@@ -10,6 +10,7 @@
   type RoutedAdmission,
   type UpstreamAnnouncement,
   type UpstreamAnnouncements,
+  type UpstreamLimits,
   type UsableUpstream,
 } from '@lacewingwinch/decisions';
 import type {EventLog, Metrics} from '@lacewingwinch/observability';
@@ -29,6 +30,9 @@
   readonly metrics: Metrics;
   readonly pool: ConnectionPool;
   readonly announcements: UpstreamAnnouncements;
+  readonly upstreamLimits: UpstreamLimits;
+  /** Returns milliseconds since the epoch, the same on all hosts. */
+  readonly trueTime: () => number;
   /** Returns the number of entry hosts that share limits and budgets. */
   readonly sharingHostCount: () => number;
 }
@@ -59,6 +63,8 @@
   private last: UsableUpstream | undefined;
   /** Steady clock reading; undefined while the last attempt has no answer. */
   private answerBegunAt: number | undefined;
+  /** Steady clock reading at the first byte of the last attempt. */
+  private sentAt = 0;
 
   constructor(
     private readonly dependencies: AttemptRunnerDependencies,
@@ -146,7 +152,10 @@
           this.recordAnnouncement(upstream, announcement),
         onSend: () => {
           this.reachedCount += 1;
+          this.sentAt = clocks.steady();
         },
+        onLimit: requestsPerSecond =>
+          this.recordLimit(upstream, requestsPerSecond),
         onAnswerEnd: end => this.recordAnswerEnd(upstream.upstreamId, end),
         onFirstAnswerByte: () => {
           this.answerBegunAt = clocks.steady();
@@ -199,6 +208,35 @@
     }
   }
 
+  private recordLimit(
+    upstream: UsableUpstream,
+    requestsPerSecond: number | undefined,
+  ): void {
+    const {upstreamLimits, trueTime, clocks, events, metrics} =
+      this.dependencies;
+    if (requestsPerSecond === undefined && upstreamLimits.isEmpty) {
+      return;
+    }
+    const answeredAt = trueTime();
+    const statement = upstreamLimits.recordAnswer(upstream, {
+      requestsPerSecond,
+      sentAt: answeredAt - (clocks.steady() - this.sentAt),
+      answeredAt,
+    });
+    if (statement === undefined) {
+      return;
+    }
+    const {upstreamId, service} = upstream;
+    const limit = statement.requestsPerSecond;
+    if (limit === null) {
+      events.write(3009, {upstreamId, service});
+      metrics.upstreamLimits.remove({upstream: upstreamId});
+      return;
+    }
+    events.write(3008, {upstreamId, service, limit});
+    metrics.upstreamLimits.set({upstream: upstreamId}, limit);
+  }
+
   private recordAnnouncement(
     upstream: UsableUpstream,
     announcement: UpstreamAnnouncement,
--- a/packages/entry-process/src/routed/routed_attempt.ts
+++ b/packages/entry-process/src/routed/routed_attempt.ts
@@ -63,6 +63,8 @@
   readonly onSend: () => void;
   /** Called for each announcement in the head of the upstream's response. */
   readonly onAnnouncement: (announcement: UpstreamAnnouncement) => void;
+  /** Called with the limit that the head of the response names, if any. */
+  readonly onLimit: (requestsPerSecond: number | undefined) => void;
   /** Called when the answer ends without an error of its connection. */
   readonly onAnswerEnd: (end: AnswerEnd) => void;
   /** Called at the first sign that the upstream is working on the request. */
@@ -154,6 +156,7 @@
       announcementsOf({status, ...answerHeaders}).forEach(announcement =>
         this.plan.onAnnouncement(announcement),
       );
+      this.plan.onLimit(answerHeaders.requestsPerSecond);
     }
     const failure = failureOfHead(status, answerHeaders, this.plan.attemptId);
     if (failure !== undefined) {
--- a/packages/entry-process/src/routed/routed_front.ts
+++ b/packages/entry-process/src/routed/routed_front.ts
@@ -17,6 +17,7 @@
   type ServiceRetryBudgets,
   ServingError,
   type UpstreamAnnouncements,
+  type UpstreamLimits,
   type UsableUpstream,
 } from '@lacewingwinch/decisions';
 import type {EventLog, Metrics} from '@lacewingwinch/observability';
@@ -52,6 +53,9 @@
   readonly pool: ConnectionPool;
   readonly placement: RoutedPlacement;
   readonly announcements: UpstreamAnnouncements;
+  readonly upstreamLimits: UpstreamLimits;
+  /** Returns milliseconds since the epoch, the same on all hosts. */
+  readonly trueTime: () => number;
   readonly quotas: QuotaExchange;
   readonly crashes: CrashWatch;
   readonly parts: PartWatch;
--- a/packages/entry-process/src/routed/routed_process.ts
+++ b/packages/entry-process/src/routed/routed_process.ts
@@ -11,6 +11,7 @@
   UpstreamAnnouncements,
   type UpstreamChange,
   UpstreamHealth,
+  UpstreamLimits,
   UsageWindows,
 } from '@lacewingwinch/decisions';
 import {createPeerClient, type PeerClient} from '@lacewingwinch/entry-hosts';
@@ -80,6 +81,7 @@
   private readonly peers: PeerClient = createPeerClient();
   private readonly health = new UpstreamHealth();
   private readonly announcements = new UpstreamAnnouncements();
+  private readonly upstreamLimits = new UpstreamLimits();
   private readonly retryBudgets: ServiceRetryBudgets;
   private readonly configuration: ConfigurationFollower;
   private readonly upstreams: UpstreamFollower;
@@ -400,6 +402,8 @@
       pool: this.pool,
       placement: this.placement,
       announcements: this.announcements,
+      upstreamLimits: this.upstreamLimits,
+      trueTime: () => this.readTrueTime(),
       quotas: this.quotas,
       crashes: this.crashes,
       parts: this.parts,
--- a/packages/observability/src/event_catalogue.ts
+++ b/packages/observability/src/event_catalogue.ts
@@ -146,6 +146,18 @@
     advice:
       'No action needed unless it happens often: then the service has too few upstreams.',
   },
+  3008: {
+    level: 'info',
+    message:
+      'upstream {upstreamId} of {service} takes {limit} requests a second from all hosts together',
+    advice:
+      'No action needed unless many upstreams do so: then the service has too few of them.',
+  },
+  3009: {
+    level: 'info',
+    message: 'upstream {upstreamId} of {service} names no limit any more',
+    advice: 'No action needed.',
+  },
   4001: {
     level: 'warn',
     message: 'request {requestId} failed with {kind}',
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -14,6 +14,7 @@
   readonly attempts: Counter<'end' | 'service'>;
   readonly answerEnds: Counter<'end' | 'framing'>;
   readonly lostConnections: Counter<'answer'>;
+  readonly upstreamLimits: Gauge<'upstream'>;
   readonly quarantinedParts: Gauge;
   readonly firstByteSeconds: Histogram<'service'>;
   readonly permitWaitSeconds: Histogram<'service'>;
@@ -59,6 +60,12 @@
       labelNames: ['answer'],
       registers,
     }),
+    upstreamLimits: new Gauge({
+      name: 'lacewingwinch_upstream_limit',
+      help: 'Requests per second that an upstream takes from all hosts together, while it names a limit.',
+      labelNames: ['upstream'],
+      registers,
+    }),
     quarantinedParts: new Gauge({
       name: 'lacewingwinch_quarantined_parts',
       help: 'Prompt parts whose requests are refused because upstreams crashed under them.',
