--- a/packages/stand-ins/src/routed_engine_stand_in.ts
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -85,6 +85,8 @@
   private heartbeat = 0;
   /** Whether every answer says that the upstream is leaving. */
   isLeaving = false;
+  /** Value of `server-limit` of each answer; undefined to send none. */
+  namedLimit: string | undefined;
   /** Value of `retry-after` of each refusal; undefined to send none. */
   pauseAnnouncement: string | undefined;
   /** Times at which requests arrived, executed or not. */
@@ -165,6 +167,9 @@
     if (this.isLeaving) {
       response.setHeader('server-leaving', '1');
     }
+    if (this.namedLimit !== undefined) {
+      response.setHeader('server-limit', this.namedLimit);
+    }
     response.once('close', () => {
       this.abandonedRequests += response.writableFinished ? 0 : 1;
     });
