--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -36,6 +36,7 @@
 export * from './limits/limit_shares.js';
 export * from './limits/quota_holders.js';
 export * from './limits/quota_share.js';
+export * from './limits/upstream_grants.js';
 export * from './limits/upstream_limits.js';
 export * from './membership/discovery.js';
 export * from './membership/member.js';
--- /dev/null
+++ b/packages/decisions/src/limits/upstream_grants.ts
@@ -0,0 +1,115 @@
+/**
+ * The grants by which one host spaces the requests that upstreams with a limit get
+ * from all entry hosts.
+ *
+ * Load pattern: an upstream in need takes a few requests a second, and seven or
+ * two hundred hosts have requests for it. A fixed share of the limit for each host
+ * would be one request in minutes; a sum that is kept at one place is exact.
+ */
+import type {UpstreamIncarnation} from '../upstreams/upstream_announcements.js';
+
+/**
+ * Time whose worth of requests may come at once, besides the spaced ones; it
+ * keeps four seconds within a bound of 1.5 times the limit.
+ */
+const BURST_MILLISECONDS = 250;
+
+/** Longest time for which a grant is reserved ahead. */
+export const LONGEST_GRANT_WAIT_MILLISECONDS = 500;
+
+/** Time from its beginning within which a grant has to be used. */
+export const GRANT_LIFETIME_MILLISECONDS = 500;
+
+/** Share of a limit that a host grants that may not be the only one to do so. */
+const STAND_IN_SHARE = 0.4;
+
+/**
+ * Time for which a new dispatcher grants less, because the one before may have
+ * granted the whole limit.
+ */
+const SUCCESSION_MILLISECONDS = 4000;
+
+/** Largest number of upstreams whose grants are remembered. */
+const MAXIMUM_REMEMBERED_UPSTREAMS = 4096;
+
+/** A host that grants, and what it knows of the other ones. */
+export interface GrantingHost {
+  /**
+   * Time for which this host has been the dispatcher; undefined if it is not.
+   */
+  readonly dispatcherFor: number | undefined;
+  readonly servingHosts: number;
+  /** Serving hosts and those that were lost a short time ago. */
+  readonly knownHosts: number;
+}
+
+/**
+ * Returns the share of a limit that a host may grant. Hosts that were lost may be
+ * cut off together and grant their share.
+ */
+export function grantShareOf({
+  dispatcherFor,
+  servingHosts,
+  knownHosts,
+}: GrantingHost): number {
+  const isOnlyGranter =
+    dispatcherFor !== undefined && dispatcherFor >= SUCCESSION_MILLISECONDS;
+  const reachableShare = Math.min(1, servingHosts / Math.max(1, knownHosts));
+  return reachableShare * (isOnlyGranter ? 1 : STAND_IN_SHARE);
+}
+
+interface GrantState {
+  readonly bornAt: number;
+  /** Time from which the next grant is on schedule. */
+  readonly scheduledAt: number;
+}
+
+/** The grants of one host. */
+export class UpstreamGrants {
+  /** By upstream, the longest unused one first. */
+  private readonly states = new Map<string, GrantState>();
+
+  /** Returns the milliseconds until an upstream has a free grant. */
+  waitFor(upstream: UpstreamIncarnation, now: number): number {
+    const state = this.find(upstream);
+    return state === undefined
+      ? 0
+      : Math.max(0, state.scheduledAt - BURST_MILLISECONDS - now);
+  }
+
+  /** Takes the next grant; returns the milliseconds until it may be used. */
+  take(
+    upstream: UpstreamIncarnation,
+    requestsPerSecond: number,
+    now: number,
+  ): number {
+    const wait = this.waitFor(upstream, now);
+    const scheduledAt =
+      this.find(upstream)?.scheduledAt ?? now + BURST_MILLISECONDS;
+    this.remember(upstream.upstreamId, {
+      bornAt: upstream.bornAt,
+      scheduledAt: Math.max(scheduledAt, now + wait) + 1000 / requestsPerSecond,
+    });
+    return wait;
+  }
+
+  private find({
+    upstreamId,
+    bornAt,
+  }: UpstreamIncarnation): GrantState | undefined {
+    const state = this.states.get(upstreamId);
+    return state?.bornAt === bornAt ? state : undefined;
+  }
+
+  private remember(upstreamId: string, state: GrantState): void {
+    this.states.delete(upstreamId);
+    this.states.set(upstreamId, state);
+    const [oldest] = this.states.keys();
+    if (
+      this.states.size > MAXIMUM_REMEMBERED_UPSTREAMS &&
+      oldest !== undefined
+    ) {
+      this.states.delete(oldest);
+    }
+  }
+}
--- a/packages/decisions/src/placement/choose_engine.ts
+++ b/packages/decisions/src/placement/choose_engine.ts
@@ -46,6 +46,8 @@
   prefillSpeedOf(upstreamId: string): number;
   /** Returns the tokens of the longest cached prefix of `parts`. */
   cachedTokens(upstreamId: string, parts: readonly PromptPart[]): number;
+  /** Returns the milliseconds until the upstream may get another request. */
+  grantWaitOf(upstream: UsableUpstream): number;
 }
 
 /** The expected start of a request at an upstream. */
@@ -58,6 +60,11 @@
   readonly estimateMilliseconds: number;
   /** Prompt tokens that the upstream is expected to have in its cache. */
   readonly cachedTokens: number;
+  /**
+   * Milliseconds until a request may be sent to an upstream that has a limit;
+   * absent for one without a limit.
+   */
+  readonly grantWaitMilliseconds?: number;
 }
 
 /** The chosen upstream and the estimate that led to the choice. */
@@ -145,7 +152,9 @@
   const tokensToRead =
     queuedTokens + Math.max(0, demand.promptTokens - cachedTokens);
   const excessRequests = Math.max(0, load.running + 1 - slots);
+  const grantWait = view.grantWaitOf(upstream);
   const estimateMilliseconds =
+    grantWait +
     tokensToRead / tokensPerMillisecond +
     load.running * MILLISECONDS_PER_RUNNING_REQUEST +
     excessRequests * MILLISECONDS_PER_EXCESS_REQUEST +
@@ -155,7 +164,7 @@
     estimateMilliseconds,
     cachedTokens,
     tokensToRead,
-    mustWait: queuedTokens > 0 || excessRequests > 0,
+    mustWait: queuedTokens > 0 || excessRequests > 0 || grantWait > 0,
   };
 }
 
--- a/packages/decisions/src/placement/decide_paused_service.ts
+++ b/packages/decisions/src/placement/decide_paused_service.ts
@@ -17,7 +17,7 @@
   | {readonly kind: 'refuse'; readonly retryAfterMilliseconds: number};
 
 /** Time over which the clients that were refused return after a pause. */
-const RETURN_SPREAD_MILLISECONDS = 1000;
+export const RETURN_SPREAD_MILLISECONDS = 1000;
 
 /**
  * Decides on a request while the first upstream accepts requests again only
--- a/packages/decisions/src/placement/placement_table.ts
+++ b/packages/decisions/src/placement/placement_table.ts
@@ -29,6 +29,23 @@
   readonly priority: number;
 }
 
+/** The grants that a host gives for upstreams with a limit. */
+export interface PlacementGrants {
+  /** Returns the milliseconds until the upstream has a free grant. */
+  waitOf(upstream: UsableUpstream): number;
+  /**
+   * Takes a grant; returns the milliseconds until it may be used, or undefined if
+   * the upstream has no limit.
+   */
+  take(upstream: UsableUpstream): number | undefined;
+}
+
+/** Grants where no upstream has a limit. */
+export const NO_GRANTS: PlacementGrants = {
+  waitOf: () => 0,
+  take: () => undefined,
+};
+
 /** Time without a message after which a front's requests are discarded. */
 const FRONT_TIMEOUT_MILLISECONDS = 4000;
 
@@ -59,6 +76,7 @@
     candidates: readonly UsableUpstream[],
     ownDomain: string,
     now: number,
+    grants: PlacementGrants = NO_GRANTS,
   ): EngineChoice | undefined {
     const loads = this.loads(now);
     const choice = chooseEngine(demand, candidates, ownDomain, {
@@ -66,11 +84,16 @@
       prefillSpeedOf: upstreamId => this.speeds.speedOf(upstreamId),
       cachedTokens: (upstreamId, parts) =>
         this.prefixes.cachedTokens(upstreamId, parts, now),
+      grantWaitOf: upstream => grants.waitOf(upstream),
     });
-    if (choice !== undefined) {
-      this.add(front, demand, choice, now);
+    if (choice === undefined) {
+      return undefined;
     }
-    return choice;
+    this.add(front, demand, choice, now);
+    const grantWaitMilliseconds = grants.take(choice.upstream);
+    return grantWaitMilliseconds === undefined
+      ? choice
+      : {...choice, grantWaitMilliseconds};
   }
 
   /** Counts a request at an upstream that this or another host has chosen. */
--- a/packages/decisions/tests/placement_test.ts
+++ b/packages/decisions/tests/placement_test.ts
@@ -185,6 +185,7 @@
     loadOf: () => ({running: 0, waitingTokens: new Map<number, number>()}),
     prefillSpeedOf: () => 40,
     cachedTokens: () => 0,
+    grantWaitOf: () => 0,
   };
   expect(chooseEngine(demand('a', 'b'), [], 'north', view)).toBeUndefined();
 });
--- a/packages/decisions/tests/upstream_limits_test.ts
+++ b/packages/decisions/tests/upstream_limits_test.ts
@@ -1,7 +1,12 @@
 /** Tests of the limits that upstreams name in their answers. */
 import {beforeEach, describe, expect, it} from 'vitest';
 
-import {UpstreamLimits} from '../src/index.js';
+import {
+  type GrantingHost,
+  grantShareOf,
+  UpstreamGrants,
+  UpstreamLimits,
+} from '../src/index.js';
 
 const UPSTREAM = {upstreamId: 'i-1', bornAt: 100};
 const START = 1_000_000;
@@ -97,3 +102,88 @@
     expect(limits.limitOf({upstreamId: 'i-4999', bornAt: 1})).toBe(2);
   });
 });
+
+describe('the grants for an upstream', () => {
+  const WINDOW_MILLISECONDS = 4000;
+
+  /** Takes each grant that is free at once or within 500 ms, for a minute. */
+  function useAllGrants(limit: number): readonly number[] {
+    const grants = new UpstreamGrants();
+    const times: number[] = [];
+    for (let now = 0; now < 60_000; now += 10) {
+      if (grants.waitFor(UPSTREAM, now) <= 500) {
+        times.push(now + grants.take(UPSTREAM, limit, now));
+      }
+    }
+    return times;
+  }
+
+  it.each([0.1, 0.5, 1, 5, 50])(
+    'keep each window of 4 s within a limit of %d, and use it',
+    limit => {
+      const times = useAllGrants(limit);
+      const most = Math.max(
+        ...times.map(
+          start =>
+            times.filter(
+              time => time >= start && time < start + WINDOW_MILLISECONDS,
+            ).length,
+        ),
+      );
+      const allowed = (limit * WINDOW_MILLISECONDS) / 1000;
+      expect(most).toBeLessThanOrEqual(allowed * 1.0625 + 1);
+      expect(times.length).toBeGreaterThan(limit * 60 * 0.95);
+    },
+  );
+
+  it('do not come in a burst after an idle time', () => {
+    const grants = new UpstreamGrants();
+    grants.take(UPSTREAM, 4, 0);
+    const waits = Array.from({length: 4}, () =>
+      grants.take(UPSTREAM, 4, 60_000),
+    );
+    expect(waits).toEqual([0, 0, 250, 500]);
+  });
+
+  it('are those of one incarnation', () => {
+    const grants = new UpstreamGrants();
+    grants.take(UPSTREAM, 0.1, 0);
+    expect(grants.waitFor(UPSTREAM, 0)).toBeGreaterThan(0);
+    expect(grants.waitFor({...UPSTREAM, bornAt: 200}, 0)).toBe(0);
+  });
+});
+
+describe('the share of a limit that a host grants', () => {
+  it.each<GrantingHost & {readonly name: string; readonly share: number}>([
+    {
+      name: 'all at a dispatcher that has long been one',
+      dispatcherFor: 4000,
+      servingHosts: 7,
+      knownHosts: 7,
+      share: 1,
+    },
+    {
+      name: 'less at a new one, since the one before may have granted all',
+      dispatcherFor: 3999,
+      servingHosts: 7,
+      knownHosts: 7,
+      share: 0.4,
+    },
+    {
+      name: 'less at a host that only stands in',
+      dispatcherFor: undefined,
+      servingHosts: 7,
+      knownHosts: 7,
+      share: 0.4,
+    },
+    {
+      name: 'that of the hosts that are there, since others may be cut off',
+      dispatcherFor: 4000,
+      servingHosts: 3,
+      knownHosts: 6,
+      share: 0.5,
+    },
+  ])('is $name', ({share, ...host}) => {
+    expect(grantShareOf(host)).toBe(share);
+  });
+});
--- a/packages/entry-hosts/src/peer_methods.ts
+++ b/packages/entry-hosts/src/peer_methods.ts
@@ -6,6 +6,7 @@
   Claim,
   DispatchEffect,
   HeldPermit,
+  LimitStatement,
   Member,
   OriginKnowledge,
   PartSuspicion,
@@ -164,6 +165,8 @@
    * IDs of upstreams already tried or failing from the front's point of view.
    */
   readonly excluded: readonly string[];
+  /** What the front knows of limits; sent where the dispatcher knows less. */
+  readonly limits?: readonly LimitStatement[];
 }
 
 /** The upstream chosen for a request, if there is one. */
@@ -172,6 +175,14 @@
       readonly kind: 'chosen';
       readonly upstreamId: string;
       readonly estimate: PlacementEstimate;
+      /** What the dispatcher knows of limits, if the front sent any. */
+      readonly limits?: readonly LimitStatement[];
+    }
+  /** Every upstream has as many requests as its limit allows. */
+  | {
+      readonly kind: 'limited';
+      /** Milliseconds until the first of them takes another request. */
+      readonly milliseconds: number;
     }
   | {readonly kind: 'none'};
 
@@ -186,6 +197,8 @@
       readonly tokens: number;
       /** Milliseconds from the placement to the first output. */
       readonly elapsed: number;
+      /** What the upstream said of its limit, if anything. */
+      readonly limit?: LimitStatement;
     }
   | {
       readonly kind: 'ended';
--- a/packages/entry-process/src/routed/attempt_gate.ts
+++ b/packages/entry-process/src/routed/attempt_gate.ts
@@ -8,6 +8,7 @@
   type EngineChoice,
   type LatencyBounds,
   type PlacementDemand,
+  RETURN_SPREAD_MILLISECONDS,
   ServingError,
 } from '@lacewingwinch/decisions';
 import type {EventLog} from '@lacewingwinch/observability';
@@ -156,6 +157,32 @@
     return undefined;
   }
 
+  /** Waits until the grant of a placement may be used or `signal` aborts. */
+  async waitForGrant(
+    {upstream, grantWaitMilliseconds = 0}: EngineChoice,
+    signal: AbortSignal,
+  ): Promise<void> {
+    if (grantWaitMilliseconds <= 0) {
+      return;
+    }
+    this.dependencies.events.write(4112, {
+      requestId: this.request.requestId,
+      upstreamId: upstream.upstreamId,
+      milliseconds: Math.round(grantWaitMilliseconds),
+    });
+    await pause(Math.ceil(grantWaitMilliseconds), signal);
+  }
+
+  /** Returns the refusal of a request for which no upstream has a grant left. */
+  refusalForLimits(milliseconds: number): ServingError {
+    const {random} = this.dependencies;
+    return new ServingError('overloaded', {
+      detail: `every upstream of ${this.request.service} has named a limit`,
+      retryAfterSeconds:
+        (milliseconds + random() * RETURN_SPREAD_MILLISECONDS) / 1000,
+    });
+  }
+
   private async waitOnce(
     milliseconds: number,
     bounds: LatencyBounds,
--- a/packages/entry-process/src/routed/attempt_runner.ts
+++ b/packages/entry-process/src/routed/attempt_runner.ts
@@ -17,8 +17,8 @@
 import type {ConnectionPool} from '@lacewingwinch/upstreams';
 
 import type {Clocks} from './clocks.js';
+import type {Placement} from './placement_result.js';
 import {type AttemptOutcome, RoutedAttempt} from './routed_attempt.js';
-import type {Placement} from './routed_placement.js';
 import type {StreamRelay} from './stream_relay.js';
 import {createUpstreamRequest} from './upstream_request.js';
 import {upstreamResultOf} from './upstream_result.js';
@@ -147,6 +147,7 @@
         stream: relay,
         isAccepting: () =>
           announcements.accepts(upstream, clocks.suspensionAware()) &&
+          placement.isSendable() &&
           this.request.mayBeSent(),
         onAnnouncement: announcement =>
           this.recordAnnouncement(upstream, announcement),
--- a/packages/entry-process/src/routed/dispatcher_calls.ts
+++ b/packages/entry-process/src/routed/dispatcher_calls.ts
@@ -35,28 +35,72 @@
 /** Calls the dispatchers of shards. */
 export class DispatcherCalls {
   private readonly backoffUntil = new Map<string, number>();
+  /** Times since which this host has dispatched shards. */
+  private readonly dispatcherSince = new Map<string, number>();
 
   constructor(private readonly dependencies: DispatcherCallsDependencies) {}
 
+  /** Returns whether this host dispatches the shard. */
+  isDispatcher(shardId: string): boolean {
+    return this.orderOf(shardId)[0]?.hostId === this.dependencies.hostId;
+  }
+
+  /**
+   * Returns the milliseconds for which this host is known to have dispatched the
+   * shard; undefined if it does not.
+   */
+  dispatcherFor(shardId: string): number | undefined {
+    if (!this.isDispatcher(shardId)) {
+      this.dispatcherSince.delete(shardId);
+      return undefined;
+    }
+    const now = this.dependencies.clock();
+    const since = this.dispatcherSince.get(shardId) ?? now;
+    this.dispatcherSince.set(shardId, since);
+    return now - since;
+  }
+
   /**
    * Returns the other host that dispatches the shard; undefined if this host
    * does or if the dispatcher did not respond a moment ago.
    */
   otherDispatcherOf(shardId: string): Member | undefined {
-    const {hostId, servingHosts, clock} = this.dependencies;
-    const serving = servingHosts();
-    const [winner] = dispatcherOrder(
+    const [winner] = this.orderOf(shardId);
+    return winner !== undefined && this.isCalled(winner) ? winner : undefined;
+  }
+
+  /** Returns whether this host dispatches the shard if its dispatcher is lost. */
+  isStandIn(shardId: string): boolean {
+    return this.orderOf(shardId)[1]?.hostId === this.dependencies.hostId;
+  }
+
+  /**
+   * Returns the host that dispatches the shard if its dispatcher is lost;
+   * undefined if this host would or if it did not respond a moment ago.
+   */
+  standInOf(shardId: string): Member | undefined {
+    const [, standIn] = this.orderOf(shardId);
+    return standIn !== undefined && this.isCalled(standIn)
+      ? standIn
+      : undefined;
+  }
+
+  /** Returns the dispatcher of a shard and the host that follows it. */
+  private orderOf(shardId: string): readonly Member[] {
+    const serving = this.dependencies.servingHosts();
+    const order = dispatcherOrder(
       {id: shardId},
       serving.map(member => member.hostId),
-      1,
+      2,
     );
-    const isCalled =
-      winner !== undefined &&
-      winner !== hostId &&
-      clock() >= (this.backoffUntil.get(winner) ?? 0);
-    return isCalled
-      ? serving.find(member => member.hostId === winner)
-      : undefined;
+    return order.flatMap(
+      hostId => serving.find(member => member.hostId === hostId) ?? [],
+    );
+  }
+
+  private isCalled({hostId}: Member): boolean {
+    const {hostId: ownId, clock} = this.dependencies;
+    return hostId !== ownId && clock() >= (this.backoffUntil.get(hostId) ?? 0);
   }
 
   /** Requests a choice; returns undefined if the dispatcher did not respond. */
--- a/packages/entry-process/src/routed/placement_candidates.ts
+++ b/packages/entry-process/src/routed/placement_candidates.ts
@@ -103,9 +103,17 @@
       .map(({upstreamId}) => upstreamId);
   }
 
-  /** Returns the candidates from which the upstream of a request is selected. */
-  select(filter: CandidateFilter): readonly UsableUpstream[] {
-    const accepting = this.accepting(filter.service, filter.demand);
+  /**
+   * Returns the candidates from which the upstream of a request is selected;
+   * `isAllowed` says which of them may be used at all.
+   */
+  select(
+    filter: CandidateFilter,
+    isAllowed: (upstream: UsableUpstream) => boolean = () => true,
+  ): readonly UsableUpstream[] {
+    const accepting = this.accepting(filter.service, filter.demand).filter(
+      isAllowed,
+    );
     const shard = this.shardsOf(filter.service).find(
       ({id}) => id === filter.shardId,
     );
--- /dev/null
+++ b/packages/entry-process/src/routed/placement_result.ts
@@ -0,0 +1,58 @@
+/**
+ * A request placed at an upstream, and the choice between two of them.
+ */
+import type {EngineChoice, UpstreamResult} from '@lacewingwinch/decisions';
+
+/**
+ * Estimated milliseconds above which a second shard is tried: a request to its
+ * dispatcher takes about 10 ms, while reading a shared prompt part again takes
+ * about 250 ms.
+ */
+const CROWDED_ESTIMATE_MILLISECONDS = 250;
+
+/** A request placed at an upstream. */
+export interface Placement {
+  readonly kind: 'placed';
+  readonly choice: EngineChoice;
+  /**
+   * Returns whether the request may be sent now. A grant that was not used in
+   * time is void.
+   */
+  isSendable(): boolean;
+  /** Reports the first sign of a response. */
+  reportStarted(): void;
+  /**
+   * Reports that the request is no longer at the upstream, with its result
+   * there if that says something about the upstream's health.
+   */
+  reportEnded(result?: UpstreamResult): void;
+}
+
+/** Result of a placement; undefined if no upstream may run the request. */
+export type PlacementResult =
+  | Placement
+  /** Every upstream has as many requests as the limit that it named allows. */
+  | {readonly kind: 'limited'; readonly milliseconds: number}
+  | undefined;
+
+/** Returns whether a second shard is tried because the request would wait. */
+export function isCrowded({
+  mustWait,
+  estimateMilliseconds,
+}: EngineChoice): boolean {
+  return mustWait && estimateMilliseconds > CROWDED_ESTIMATE_MILLISECONDS;
+}
+
+/** Returns the placement with the lower estimate and ends the other one. */
+export function betterOf(
+  first: Placement | undefined,
+  second: Placement | undefined,
+): Placement | undefined {
+  if (first === undefined || second === undefined) {
+    return first ?? second;
+  }
+  const isFirstBetter =
+    first.choice.estimateMilliseconds <= second.choice.estimateMilliseconds;
+  (isFirstBetter ? second : first).reportEnded();
+  return isFirstBetter ? first : second;
+}
--- a/packages/entry-process/src/routed/routed_placement.ts
+++ b/packages/entry-process/src/routed/routed_placement.ts
@@ -4,12 +4,15 @@
  */
 import {
   type EngineChoice,
+  GRANT_LIFETIME_MILLISECONDS,
   type Member,
   type PlacedRequest,
   type PlacementDemand,
   PlacementTable,
   type UpstreamChange,
+  type UpstreamLimits,
   type UpstreamResult,
+  type UsableUpstream,
 } from '@lacewingwinch/decisions';
 import type {
   PeerClient,
@@ -22,10 +25,21 @@
 import {isAborted} from '../util/is_aborted.js';
 import {pause} from '../util/pause.js';
 import {DispatcherCalls} from './dispatcher_calls.js';
+import {
+  LimitedUpstreams,
+  type LimitedUpstreamsDependencies,
+} from './limited_upstreams.js';
 import {
   PlacementCandidates,
   type PlacementCandidatesDependencies,
 } from './placement_candidates.js';
+import {
+  betterOf,
+  isCrowded,
+  type Placement,
+  type PlacementResult,
+} from './placement_result.js';
+import {ShardPlacement} from './shard_placement.js';
 
 /**
  * Milliseconds between two renewals, which correct the effect of lost
@@ -36,15 +50,9 @@
 /** Maximum number of shards that are tried for one request. */
 const MAXIMUM_SHARDS_TRIED = 2;
 
-/**
- * Estimated milliseconds above which a second shard is tried: a request to its
- * dispatcher takes about 10 ms, while reading a shared prompt part again takes
- * about 250 ms.
- */
-const CROWDED_ESTIMATE_MILLISECONDS = 250;
-
 /** Dependencies of `RoutedPlacement`. */
-export interface RoutedPlacementDependencies extends PlacementCandidatesDependencies {
+export interface RoutedPlacementDependencies
+  extends PlacementCandidatesDependencies, LimitedUpstreamsDependencies {
   readonly hostId: string;
   readonly failureDomain: string;
   readonly peers: PeerClient;
@@ -56,28 +64,32 @@
   readonly cacheRetentionMilliseconds: number;
 }
 
-/** A request placed at an upstream. */
-export interface Placement {
-  readonly choice: EngineChoice;
-  /** Reports the first sign of a response. */
-  reportStarted(): void;
-  /**
-   * Reports that the request is no longer at the upstream, with its result
-   * there if that says something about the upstream's health.
-   */
-  reportEnded(result?: UpstreamResult): void;
-}
-
 /** Places requests, and serves other hosts as the dispatcher of its shards. */
 export class RoutedPlacement {
   private readonly tables = new Map<string, PlacementTable>();
   /** The upstreams at which requests may be placed. */
   readonly candidates: PlacementCandidates;
   private readonly dispatchers: DispatcherCalls;
+  private readonly shards: ShardPlacement;
 
   constructor(private readonly dependencies: RoutedPlacementDependencies) {
     this.candidates = new PlacementCandidates(dependencies);
     this.dispatchers = new DispatcherCalls(dependencies);
+    this.shards = new ShardPlacement({
+      candidates: this.candidates,
+      dispatchers: this.dispatchers,
+      upstreamLimits: dependencies.upstreamLimits,
+      limited: new LimitedUpstreams(dependencies),
+      choose: ({service, front, demand, failureDomain}, candidates, grants) =>
+        this.tableOf(service).place(
+          front,
+          demand,
+          candidates,
+          failureDomain,
+          dependencies.clock(),
+          grants,
+        ),
+    });
   }
 
   /**
@@ -88,12 +100,17 @@
     service: string,
     demand: PlacementDemand,
     tried: ReadonlySet<string>,
-  ): Promise<Placement | undefined> {
+  ): Promise<PlacementResult> {
     const shards = this.candidates.shardsFor(service, demand);
     let best: Placement | undefined;
+    let limitedFor = Infinity;
     for (const {id} of shards.slice(0, MAXIMUM_SHARDS_TRIED)) {
-      const placement = await this.placeInShard(service, id, demand, tried);
-      best = betterOf(best, placement);
+      const result = await this.placeInShard(service, id, demand, tried);
+      if (result?.kind === 'limited') {
+        limitedFor = Math.min(limitedFor, result.milliseconds);
+        continue;
+      }
+      best = betterOf(best, result);
       if (best !== undefined && !isCrowded(best.choice)) {
         break;
       }
@@ -101,8 +118,11 @@
     if (best !== undefined) {
       const {hostId, clock} = this.dependencies;
       this.tableOf(service).add(hostId, demand, best.choice, clock());
+      return best;
     }
-    return best;
+    return limitedFor === Infinity
+      ? undefined
+      : {kind: 'limited', milliseconds: limitedFor};
   }
 
   private async placeInShard(
@@ -110,30 +130,26 @@
     shardId: string,
     demand: PlacementDemand,
     tried: ReadonlySet<string>,
-  ): Promise<Placement | undefined> {
+  ): Promise<PlacementResult> {
     const {hostId, failureDomain} = this.dependencies;
     const excluded = [...tried, ...this.candidates.locallyExcludedIds(service)];
-    const request = {
-      service,
-      shardId,
-      front: hostId,
-      failureDomain,
-      demand,
-      excluded,
-    };
-    const dispatcher = this.dispatchers.otherDispatcherOf(shardId);
-    const answer =
-      dispatcher === undefined
-        ? undefined
-        : await this.dispatchers.requestChoice(dispatcher, request);
-    const choice =
-      (answer === undefined
-        ? undefined
-        : this.choiceFromAnswer(service, demand, answer)) ??
-      this.placeLocally(request, tried);
-    return choice === undefined
-      ? undefined
-      : this.placementOf(service, demand, choice, dispatcher);
+    const result = await this.shards.place(
+      {service, shardId, front: hostId, failureDomain, demand, excluded},
+      tried,
+    );
+    switch (result.kind) {
+      case 'none':
+        return undefined;
+      case 'limited':
+        return result;
+      case 'chosen':
+        return this.placementOf(
+          service,
+          demand,
+          result.choice,
+          result.dispatcher,
+        );
+    }
   }
 
   /**
@@ -146,15 +162,10 @@
       ...request.excluded,
       ...this.candidates.locallyExcludedIds(request.service),
     ];
-    const choice = this.placeLocally(
+    return this.shards.onRequest(
       {...request, excluded},
       new Set(request.excluded),
     );
-    if (choice === undefined) {
-      return {kind: 'none'};
-    }
-    const {upstream, ...estimate} = choice;
-    return {kind: 'chosen', upstreamId: upstream.upstreamId, estimate};
   }
 
   /** Handles a notification from a front that a request started or ended. */
@@ -168,6 +179,9 @@
           notification.tokens,
           notification.elapsed,
         );
+        if (notification.limit !== undefined) {
+          this.dependencies.upstreamLimits.merge(notification.limit);
+        }
         return;
       case 'ended':
         table.recordEnd(notification.front, notification);
@@ -195,6 +209,9 @@
     while (!isAborted(signal)) {
       await pause(RENEW_PERIOD_MILLISECONDS, signal);
       for (const [service, table] of this.tables) {
+        this.candidates
+          .shardsOf(service)
+          .forEach(({id}) => this.dispatchers.dispatcherFor(id));
         table.forgetSilentFronts(hostId, clock());
         for (const [address, requests] of this.requestsByDispatcher(service)) {
           peers.notify(address, 'placement.renew', {
@@ -230,8 +247,14 @@
       upstreamId: upstream.upstreamId,
     };
     const placedAt = clock();
+    const {grantWaitMilliseconds} = choice;
     return {
+      kind: 'placed',
       choice,
+      isSendable: () =>
+        grantWaitMilliseconds === undefined ||
+        clock() <
+          placedAt + grantWaitMilliseconds + GRANT_LIFETIME_MILLISECONDS,
       reportStarted: () => {
         const tokens = choice.tokensToRead;
         const elapsed = clock() - placedAt;
@@ -243,6 +266,7 @@
           ...placedAttempt,
           tokens,
           elapsed,
+          ...limitField(this.dependencies.upstreamLimits, upstream),
         });
       },
       reportEnded: result => {
@@ -307,37 +331,6 @@
     return byAddress;
   }
 
-  /**
-   * Returns the dispatcher's choice if this host knows the upstream as well.
-   */
-  private choiceFromAnswer(
-    service: string,
-    demand: PlacementDemand,
-    answer: PlacementAnswer,
-  ): EngineChoice | undefined {
-    if (answer.kind === 'none') {
-      return undefined;
-    }
-    const upstream = this.candidates
-      .accepting(service, demand)
-      .find(({upstreamId}) => upstreamId === answer.upstreamId);
-    return upstream === undefined ? undefined : {upstream, ...answer.estimate};
-  }
-
-  private placeLocally(
-    request: PlacementRequest,
-    tried: ReadonlySet<string>,
-  ): EngineChoice | undefined {
-    const candidates = this.candidates.select({...request, tried});
-    return this.tableOf(request.service).place(
-      request.front,
-      request.demand,
-      candidates,
-      request.failureDomain,
-      this.dependencies.clock(),
-    );
-  }
-
   private tableOf(service: string): PlacementTable {
     const existing = this.tables.get(service);
     if (existing !== undefined) {
@@ -359,20 +352,11 @@
   }
 }
 
-function isCrowded({mustWait, estimateMilliseconds}: EngineChoice): boolean {
-  return mustWait && estimateMilliseconds > CROWDED_ESTIMATE_MILLISECONDS;
-}
-
-/** Returns the placement with the lower estimate and ends the other one. */
-function betterOf(
-  first: Placement | undefined,
-  second: Placement | undefined,
-): Placement | undefined {
-  if (first === undefined || second === undefined) {
-    return first ?? second;
-  }
-  const isFirstBetter =
-    first.choice.estimateMilliseconds <= second.choice.estimateMilliseconds;
-  (isFirstBetter ? second : first).reportEnded();
-  return isFirstBetter ? first : second;
+/** Returns the field of a report that states the limit of an upstream. */
+function limitField(
+  limits: UpstreamLimits,
+  upstream: UsableUpstream,
+): Pick<PlacementReport & {kind: 'began'}, 'limit'> {
+  const [limit] = limits.known([upstream]);
+  return limit === undefined ? {} : {limit};
 }
--- a/packages/entry-process/src/routed/routed_request.ts
+++ b/packages/entry-process/src/routed/routed_request.ts
@@ -17,13 +17,13 @@
 import type {AnswerHead} from '@lacewingwinch/upstreams';
 
 import {AttemptGate} from './attempt_gate.js';
+import {AttemptPlacement, type NextPlacement} from './attempt_placement.js';
 import {AttemptRunner} from './attempt_runner.js';
 import {CrashEvidence} from './crash_evidence.js';
 import {fingerprintOf} from './crash_watch.js';
 import {RequestLog} from './request_log.js';
 import type {AttemptOutcome} from './routed_attempt.js';
 import type {RoutedFrontDependencies} from './routed_front.js';
-import type {Placement} from './routed_placement.js';
 import {StreamContinuation} from './stream_continuation.js';
 import {StreamRelay} from './stream_relay.js';
 import {FIRST_FAILURE_STATUS} from './upstream_result.js';
@@ -51,6 +51,7 @@
   private readonly interrupted = new AbortController();
   private readonly evidence: CrashEvidence;
   private readonly gate: AttemptGate;
+  private readonly placing: AttemptPlacement;
   private readonly runner: AttemptRunner;
   private readonly log: RequestLog;
 
@@ -100,6 +101,17 @@
         this.recordStart();
       },
     });
+    this.placing = new AttemptPlacement({
+      placement: dependencies.placement,
+      gate: this.gate,
+      runner: this.runner,
+      service,
+      demand: () => this.demand(),
+      latencyBounds: () => this.latencyBounds(),
+      takeRetryBudget: () => this.takeRetryBudget(),
+      hasAnswerBegun: () => this.relay.hasBegun,
+      interrupted: this.interrupted.signal,
+    });
     this.continuation = new StreamContinuation(
       dependencies.streams,
       headers,
@@ -125,7 +137,10 @@
     );
     try {
       const refusal = await this.continuation.findOrigin();
-      this.endIfRefused(refusal, 'stream-unknown');
+      if (refusal !== undefined) {
+        this.refuse(refusal);
+        return {mayHaveRun: false};
+      }
       await this.runAttempts();
     } finally {
       clearTimeout(timer);
@@ -152,86 +167,50 @@
   private async runAttempts(): Promise<void> {
     let drawsOnBudget = false;
     for (;;) {
-      const quarantined = this.gate.refusalIfQuarantined();
-      if (this.endIfRefused(quarantined, quarantined?.kind ?? '')) {
+      const next = await this.placing.next(drawsOnBudget);
+      if (next.kind !== 'placed') {
+        this.endUnplaced(next);
         return;
       }
-      const refusal = await this.gate.waitWhilePaused(
-        this.demand(),
-        this.runner.tried,
-        () => this.latencyBounds(),
-        this.interrupted.signal,
-      );
-      if (this.endIfRefused(refusal, 'overloaded')) {
+      const {placement} = next;
+      const outcome = await this.runner.run(placement, this.millisecondsLeft());
+      const settled = this.settle(placement.choice, outcome);
+      if (settled === 'done') {
         return;
       }
-      const placement = await this.place();
-      if (this.interruption !== undefined) {
-        placement?.reportEnded();
+      drawsOnBudget = settled.drawsOnBudget;
+    }
+  }
+
+  /** Ends a request that makes no further attempt. */
+  private endUnplaced(next: Exclude<NextPlacement, {kind: 'placed'}>): void {
+    switch (next.kind) {
+      case 'interrupted':
         this.endInterrupted();
         return;
-      }
-      if (
-        placement === undefined ||
-        (drawsOnBudget && !this.takeRetryBudget())
-      ) {
-        placement?.reportEnded();
+      case 'refused':
+        this.refuse(next.error);
+        return;
+      case 'none':
         this.giveUp(
           this.runner.upstreamsReached > 0 ? 'outcome-unknown' : 'no-upstream',
         );
-        return;
-      }
-      if (this.refuseIfDeadlineUnreachable(placement)) {
-        return;
-      }
-      const outcome = await this.runner.run(placement, this.millisecondsLeft());
-      const next = this.settle(placement.choice, outcome);
-      if (next === 'done') {
-        return;
-      }
-      drawsOnBudget = next.drawsOnBudget;
     }
   }
 
   /**
-   * Ends a request for which `refusal` was decided; returns whether it ended. A
-   * request that an upstream has received is not refused, because it may have
-   * run.
+   * Refuses the request, unless an upstream has received it, because it may have
+   * run then.
    */
-  private endIfRefused(
-    refusal: ServingError | undefined,
-    outcome: string,
-  ): boolean {
-    if (refusal === undefined) {
-      return false;
-    }
+  private refuse(refusal: ServingError): void {
     if (this.runner.upstreamsReached > 0 || this.relay.hasBegun) {
       this.giveUp('outcome-unknown');
-      return true;
+      return;
     }
-    this.recordEnd(outcome);
+    this.recordEnd(refusal.kind);
     throw refusal;
   }
 
-  /**
-   * Refuses a request that cannot meet its deadline, unless an upstream has
-   * already received it; returns false if the attempt may go ahead.
-   */
-  private refuseIfDeadlineUnreachable(placement: Placement): boolean {
-    if (this.runner.upstreamsReached > 0 || this.relay.hasBegun) {
-      return false;
-    }
-    const refusal = this.gate.refusalIfDeadlineUnreachable(
-      placement.choice,
-      this.latencyBounds(),
-    );
-    if (refusal === undefined) {
-      return false;
-    }
-    placement.reportEnded();
-    return this.endIfRefused(refusal, 'overloaded');
-  }
-
   private latencyBounds(): LatencyBounds {
     return {
       objectiveMilliseconds: this.admission.rule.objectiveMilliseconds,
@@ -239,15 +218,6 @@
     };
   }
 
-  private place(): Promise<Placement | undefined> {
-    const {name} = this.admission.service;
-    return this.dependencies.placement.place(
-      name,
-      this.demand(),
-      this.runner.tried,
-    );
-  }
-
   private takeRetryBudget(): boolean {
     const {retryBudgets, sharingHostCount, clocks} = this.dependencies;
     return retryBudgets
--- /dev/null
+++ b/packages/entry-process/src/routed/routed_tasks.ts
@@ -0,0 +1,295 @@
+/**
+ * Construction and wiring of the tasks of an entry process on the platform.
+ */
+import {
+  type RoutingConfiguration,
+  ServiceRetryBudgets,
+  TrueTime,
+  UpstreamAnnouncements,
+  type UpstreamChange,
+  UpstreamHealth,
+  UpstreamLimits,
+  UsageWindows,
+  type WorkspaceQuota,
+} from '@lacewingwinch/decisions';
+import {createPeerClient, type PeerClient} from '@lacewingwinch/entry-hosts';
+import {
+  createEventLog,
+  createMetrics,
+  type EventLog,
+  type Metrics,
+} from '@lacewingwinch/observability';
+import {type PlatformSettings, StoreClient} from '@lacewingwinch/platform';
+import {canConnect, ConnectionPool} from '@lacewingwinch/upstreams';
+import {v7 as uuidV7} from 'uuid';
+
+import type {MembershipTask} from '../tasks/membership_task.js';
+import {PartWatch} from '../tasks/part_watch.js';
+import {type Clocks, createProcessClocks} from './clocks.js';
+import {ConfigurationFollower} from './configuration_follower.js';
+import {CrashWatch} from './crash_watch.js';
+import type {DutyTask} from './duty_task.js';
+import {FleetView} from './fleet_view.js';
+import {PartVerdictStore} from './part_verdict_store.js';
+import {QuotaExchange} from './quota_exchange.js';
+import {RequiredState} from './required_state.js';
+import {createRoutedDuties} from './routed_duties.js';
+import {RoutedFront} from './routed_front.js';
+import {createRoutedMembership} from './routed_membership.js';
+import {RoutedPlacement} from './routed_placement.js';
+import {StateRelay} from './state_relay.js';
+import {StreamOriginExchange} from './stream_origin_exchange.js';
+import {UpstreamFollower} from './upstream_follower.js';
+import {UsagePush} from './usage_push.js';
+
+/**
+ * Maximum age of the keys, as a share of the time within which a revocation
+ * must take effect.
+ */
+const KEY_AGE_SHARE = 0.9;
+
+/** Milliseconds within which an upstream that lives accepts a connection. */
+const CONNECT_TIMEOUT_MILLISECONDS = 300;
+
+/** What the tasks need to know of the process that runs them. */
+export interface RoutedTasksDependencies {
+  /** Returns the settings in force. */
+  readonly settings: () => PlatformSettings;
+  /** Returns whether this process accepts no new requests any more. */
+  readonly isClosing: () => boolean;
+  readonly onConfigurationChange: (configuration: RoutingConfiguration) => void;
+}
+
+/** The tasks of one entry process, with the services that they share. */
+export class RoutedTasks {
+  readonly clocks: Clocks = createProcessClocks();
+  readonly events: EventLog;
+  readonly metrics: Metrics;
+  readonly store: StoreClient;
+  readonly pool: ConnectionPool;
+  readonly peers: PeerClient = createPeerClient();
+  readonly configuration: ConfigurationFollower;
+  readonly upstreams: UpstreamFollower;
+  readonly placement: RoutedPlacement;
+  readonly membership: MembershipTask;
+  readonly front: RoutedFront;
+  readonly usage: UsageWindows;
+  readonly usagePush: UsagePush;
+  readonly duties: DutyTask | undefined;
+  readonly quotas: QuotaExchange;
+  readonly relay: StateRelay;
+  readonly crashes: CrashWatch;
+  readonly parts: PartWatch;
+  readonly streams: StreamOriginExchange;
+  readonly state: RequiredState;
+  private readonly health = new UpstreamHealth();
+  private readonly announcements = new UpstreamAnnouncements();
+  private readonly upstreamLimits = new UpstreamLimits();
+  private readonly retryBudgets: ServiceRetryBudgets;
+  private readonly fleet: FleetView;
+  private readonly trueTime = new TrueTime();
+  private readonly startedAt: number;
+  /** Identity of this process, new at each start. */
+  private readonly processId = uuidV7();
+
+  /** Returns whether this host holds the duties. */
+  readonly isHoldingDuties = (): boolean => this.duties?.isHolding === true;
+
+  /** Returns the quota of a workspace in the configuration in force. */
+  readonly quotaOf = (name: string): WorkspaceQuota | undefined =>
+    this.configuration.current?.value.workspaces.find(
+      workspace => workspace.name === name,
+    )?.quota;
+
+  constructor(private readonly dependencies: RoutedTasksDependencies) {
+    const settings = dependencies.settings();
+    const {clocks} = this;
+    this.startedAt = clocks.steady();
+    this.events = createEventLog(settings.hostId, 'info');
+    this.metrics = createMetrics();
+    this.store = new StoreClient(settings.storeAddress, (call, end) =>
+      this.metrics.storeCalls.inc({call, end: String(end)}),
+    );
+    this.pool = new ConnectionPool(clocks.steady);
+    this.configuration = new ConfigurationFollower({
+      store: this.store,
+      events: this.events,
+      clocks,
+      isStoreReader: () => this.fleet.isStoreReader(),
+      onChange: dependencies.onConfigurationChange,
+    });
+    this.upstreams = new UpstreamFollower({
+      store: this.store,
+      events: this.events,
+      clocks,
+      isStoreReader: () => this.fleet.isStoreReader(),
+      onChanges: changes => this.onUpstreamChanges(changes),
+      isFirstStart: settings.isFirstStart,
+    });
+    this.state = new RequiredState({
+      store: this.store,
+      configuration: this.configuration,
+      upstreams: this.upstreams,
+      isFirstStart: settings.isFirstStart,
+    });
+    this.streams = new StreamOriginExchange({
+      hostId: settings.hostId,
+      peers: this.peers,
+      events: this.events,
+      servingHosts: () => this.membership.serving(),
+      versions: this.upstreams.list.versions,
+      clock: clocks.suspensionAware,
+    });
+    this.placement = new RoutedPlacement({
+      hostId: settings.hostId,
+      peers: this.peers,
+      events: this.events,
+      servingHosts: () => this.membership.serving(),
+      clock: clocks.suspensionAware,
+      failureDomain: settings.failureDomain,
+      upstreams: this.upstreams.list,
+      health: this.health,
+      announcements: this.announcements,
+      upstreamLimits: this.upstreamLimits,
+      hostCounts: () => ({
+        servingHosts: this.membership.serving().length,
+        knownHosts: this.membership.sharingHostIds().length,
+      }),
+      cacheRetentionMilliseconds: settings.bounds.reuseWindowMilliseconds * 2,
+    });
+    this.membership = createRoutedMembership({
+      settings: dependencies.settings,
+      clocks,
+      peers: this.peers,
+      events: this.events,
+      metrics: this.metrics,
+      parts: () => this.parts,
+      trueTime: this.trueTime,
+      version: () => this.configuration.current?.value.version ?? -1,
+    });
+    this.fleet = new FleetView(
+      settings.hostId,
+      this.membership,
+      this.startedAt,
+    );
+    this.retryBudgets = new ServiceRetryBudgets({
+      ratio: settings.bounds.retryRatio,
+      slack: settings.bounds.retrySlack,
+      windowMilliseconds: settings.bounds.retryWindowMilliseconds,
+    });
+    this.usage = new UsageWindows(settings.bounds.usageWindowMilliseconds);
+    this.quotas = new QuotaExchange({
+      peers: this.peers,
+      events: this.events,
+      clock: clocks.steady,
+      random: Math.random,
+      otherHosts: () => this.fleet.otherServingHosts(),
+      hostId: settings.hostId,
+      startedAt: this.startedAt,
+      sharingHostIds: () => this.membership.sharingHostIds(),
+      slack: settings.bounds.quotaSlack,
+      isFirstStart: settings.isFirstStart,
+    });
+    this.relay = new StateRelay({
+      peers: this.peers,
+      events: this.events,
+      clocks,
+      random: Math.random,
+      hostId: settings.hostId,
+      servingHosts: () => this.fleet.servingIds(),
+      otherHosts: () => this.fleet.otherServingHosts(),
+      isStoreReader: () => this.fleet.isStoreReader(),
+      configuration: this.configuration,
+      upstreams: this.upstreams,
+    });
+    this.crashes = new CrashWatch({
+      hostId: settings.hostId,
+      peers: this.peers,
+      events: this.events,
+      pool: this.pool,
+      clock: clocks.steady,
+      trueTime: () => this.readTrueTime(),
+      servingHosts: () => this.membership.serving(),
+    });
+    this.parts = new PartWatch({
+      hostId: settings.hostId,
+      peers: this.peers,
+      events: this.events,
+      metrics: this.metrics,
+      random: Math.random,
+      verdicts: new PartVerdictStore({store: this.store, events: this.events}),
+      clock: clocks.steady,
+      trueTime: () => this.readTrueTime(),
+      servingHosts: () => this.membership.serving(),
+      canConnect: address => canConnect(address, CONNECT_TIMEOUT_MILLISECONDS),
+    });
+    this.duties = createRoutedDuties(settings, {
+      processId: this.processId,
+      store: this.store,
+      events: this.events,
+      clocks,
+      usage: this.usage,
+      trueTime: () => this.readTrueTime(),
+      servingHosts: () => this.fleet.servingIds(),
+      configuration: () => this.configuration.current?.value,
+      upstreams: () => this.upstreams.list.all(),
+    });
+    this.usagePush = new UsagePush({
+      processId: this.processId,
+      usage: this.usage,
+      peers: this.peers,
+      candidates: () => this.fleet.othersOf(this.duties?.candidates() ?? []),
+      trueTime: () => this.readTrueTime(),
+    });
+    this.front = this.createFront();
+  }
+
+  private createFront(): RoutedFront {
+    return new RoutedFront({
+      clocks: this.clocks,
+      events: this.events,
+      metrics: this.metrics,
+      pool: this.pool,
+      placement: this.placement,
+      announcements: this.announcements,
+      upstreamLimits: this.upstreamLimits,
+      trueTime: () => this.readTrueTime(),
+      quotas: this.quotas,
+      crashes: this.crashes,
+      parts: this.parts,
+      isEndExpected: upstream =>
+        this.announcements.isLeaving(upstream) ||
+        this.upstreams.list.find(upstream.upstreamId)?.isLeaving !== false,
+      streams: this.streams,
+      retryBudgets: this.retryBudgets,
+      configuration: () =>
+        this.state.mustBeCompared ? undefined : this.configuration.current,
+      maximumKeyAge: () => {
+        const {failsClosed, revocationMilliseconds} =
+          this.dependencies.settings().bounds;
+        return failsClosed ? revocationMilliseconds * KEY_AGE_SHARE : Infinity;
+      },
+      isUpstreamListKnown: () => this.upstreams.isKnown,
+      isClosing: this.dependencies.isClosing,
+      sharingHostCount: () => this.fleet.sharingHostCount(this.clocks.steady()),
+      onRunStarted: workspace =>
+        this.usage.add(this.processId, workspace, this.readTrueTime()),
+    });
+  }
+
+  private onUpstreamChanges(changes: readonly UpstreamChange[]): void {
+    this.placement.onUpstreamChanges(changes);
+    this.streams.publishAmbiguous();
+    for (const change of changes) {
+      this.events.write(3005, {...change});
+      if (change.state !== 'listed') {
+        this.duties?.onEngineLeaving();
+      }
+    }
+  }
+
+  private readTrueTime(): number {
+    const {timeOfDay, steady} = this.clocks;
+    return this.trueTime.now(timeOfDay(), steady());
+  }
+}
--- /dev/null
+++ b/packages/entry-process/src/routed/shard_placement.ts
@@ -0,0 +1,227 @@
+/**
+ * Places requests in one shard: at its dispatcher, at a stand-in for it, or with
+ * the state of this host alone.
+ */
+import type {
+  EngineChoice,
+  Member,
+  PlacementGrants,
+  UpstreamLimits,
+  UsableUpstream,
+} from '@lacewingwinch/decisions';
+import type {
+  PlacementAnswer,
+  PlacementRequest,
+} from '@lacewingwinch/entry-hosts';
+
+import type {DispatcherCalls} from './dispatcher_calls.js';
+import type {LimitedUpstreams} from './limited_upstreams.js';
+import type {PlacementCandidates} from './placement_candidates.js';
+
+/** Result of a placement in one shard. */
+export type ShardChoice =
+  | {
+      readonly kind: 'chosen';
+      readonly choice: EngineChoice;
+      /** Host that counts the request; undefined if only this one does. */
+      readonly dispatcher: Member | undefined;
+    }
+  /** Every upstream has as many requests as the limit that it named allows. */
+  | {readonly kind: 'limited'; readonly milliseconds: number}
+  | {readonly kind: 'none'};
+
+/** Dependencies of `ShardPlacement`. */
+export interface ShardPlacementDependencies {
+  readonly candidates: PlacementCandidates;
+  readonly dispatchers: DispatcherCalls;
+  readonly upstreamLimits: UpstreamLimits;
+  readonly limited: LimitedUpstreams;
+  /** Chooses one of the candidates and counts the request there. */
+  readonly choose: (
+    request: PlacementRequest,
+    candidates: readonly UsableUpstream[],
+    grants: PlacementGrants,
+  ) => EngineChoice | undefined;
+}
+
+/** Places requests in the shards of services. */
+export class ShardPlacement {
+  constructor(private readonly dependencies: ShardPlacementDependencies) {}
+
+  /** Places a request of this host at an upstream that is not in `tried`. */
+  async place(
+    request: PlacementRequest,
+    tried: ReadonlySet<string>,
+  ): Promise<ShardChoice> {
+    const {dispatchers} = this.dependencies;
+    const {shardId} = request;
+    if (dispatchers.isDispatcher(shardId)) {
+      return this.placeHere(request, tried);
+    }
+    const dispatcher = dispatchers.otherDispatcherOf(shardId);
+    const choice =
+      dispatcher === undefined
+        ? undefined
+        : await this.placeAt(dispatcher, request);
+    if (choice !== undefined) {
+      return choice;
+    }
+    return (
+      this.placeWithoutLimit(request, tried, dispatcher) ??
+      (await this.placeAtStandIn(request, tried)) ?? {kind: 'none'}
+    );
+  }
+
+  /** Places a request of another host. */
+  onRequest(
+    request: PlacementRequest,
+    tried: ReadonlySet<string>,
+  ): PlacementAnswer {
+    const {upstreamLimits, candidates} = this.dependencies;
+    request.limits?.forEach(statement => upstreamLimits.merge(statement));
+    const result = this.placeHere(request, tried);
+    switch (result.kind) {
+      case 'none':
+        return {kind: 'none'};
+      case 'limited':
+        return result;
+      case 'chosen': {
+        const {upstream, ...estimate} = result.choice;
+        return {
+          kind: 'chosen',
+          upstreamId: upstream.upstreamId,
+          estimate,
+          ...(request.limits !== undefined && {
+            limits: upstreamLimits.known(
+              candidates.accepting(request.service, request.demand),
+            ),
+          }),
+        };
+      }
+    }
+  }
+
+  /** Places a request with the grants of this host. */
+  private placeHere(
+    request: PlacementRequest,
+    tried: ReadonlySet<string>,
+  ): ShardChoice {
+    const {candidates, dispatchers, limited, choose} = this.dependencies;
+    const filter = {...request, tried};
+    const withRoom = candidates.select(filter, upstream =>
+      limited.hasRoom(upstream),
+    );
+    const choice = choose(
+      request,
+      withRoom,
+      limited.grantsOf(dispatchers.dispatcherFor(request.shardId)),
+    );
+    if (choice !== undefined) {
+      return {kind: 'chosen', choice, dispatcher: undefined};
+    }
+    const waits = candidates
+      .select(filter)
+      .map(upstream => limited.waitOf(upstream));
+    return waits.length === 0
+      ? {kind: 'none'}
+      : {kind: 'limited', milliseconds: Math.min(...waits)};
+  }
+
+  /** Places a request at upstreams that need no grant. */
+  private placeWithoutLimit(
+    request: PlacementRequest,
+    tried: ReadonlySet<string>,
+    dispatcher: Member | undefined,
+  ): ShardChoice | undefined {
+    const {candidates, limited, choose} = this.dependencies;
+    const withoutLimit = candidates.select(
+      {...request, tried},
+      upstream => !limited.isLimited(upstream),
+    );
+    const choice = choose(request, withoutLimit, limited.grantsOf(undefined));
+    return choice === undefined
+      ? undefined
+      : {kind: 'chosen', choice, dispatcher};
+  }
+
+  /** Requests a grant of the host that would follow a lost dispatcher. */
+  private async placeAtStandIn(
+    request: PlacementRequest,
+    tried: ReadonlySet<string>,
+  ): Promise<ShardChoice | undefined> {
+    const {dispatchers, candidates} = this.dependencies;
+    if (dispatchers.isStandIn(request.shardId)) {
+      return this.placeHere(request, tried);
+    }
+    const hasUpstream =
+      candidates.accepting(request.service, request.demand).length > 0;
+    const standIn = dispatchers.standInOf(request.shardId);
+    return !hasUpstream || standIn === undefined
+      ? undefined
+      : this.placeAt(standIn, request);
+  }
+
+  /**
+   * Requests a choice of another host. A dispatcher that does not know a limit is
+   * told what this host knows. Returns undefined without a usable answer.
+   */
+  private async placeAt(
+    dispatcher: Member,
+    request: PlacementRequest,
+  ): Promise<ShardChoice | undefined> {
+    const {dispatchers, upstreamLimits, candidates} = this.dependencies;
+    const first = await dispatchers.requestChoice(dispatcher, request);
+    const choice = this.choiceFrom(request, first, dispatcher);
+    if (choice?.kind !== 'chosen' || !this.lacksGrant(choice.choice)) {
+      return choice;
+    }
+    const limits = upstreamLimits.known(
+      candidates.accepting(request.service, request.demand),
+    );
+    const second = await dispatchers.requestChoice(dispatcher, {
+      ...request,
+      limits,
+    });
+    if (second?.kind === 'chosen') {
+      second.limits?.forEach(statement => upstreamLimits.merge(statement));
+    }
+    const granted = this.choiceFrom(request, second, dispatcher);
+    return granted?.kind === 'chosen' && this.lacksGrant(granted.choice)
+      ? undefined
+      : granted;
+  }
+
+  private choiceFrom(
+    {service, demand}: PlacementRequest,
+    answer: PlacementAnswer | undefined,
+    dispatcher: Member,
+  ): ShardChoice | undefined {
+    switch (answer?.kind) {
+      case undefined:
+      case 'none':
+        return undefined;
+      case 'limited':
+        return answer;
+      case 'chosen': {
+        // This host has to know the upstream as well.
+        const upstream = this.dependencies.candidates
+          .accepting(service, demand)
+          .find(({upstreamId}) => upstreamId === answer.upstreamId);
+        return upstream === undefined
+          ? undefined
+          : {
+              kind: 'chosen',
+              choice: {upstream, ...answer.estimate},
+              dispatcher,
+            };
+      }
+    }
+  }
+
+  private lacksGrant({upstream, grantWaitMilliseconds}: EngineChoice): boolean {
+    return (
+      grantWaitMilliseconds === undefined &&
+      this.dependencies.limited.isLimited(upstream)
+    );
+  }
+}
--- a/packages/entry-process/tests/routed_placement_test.ts
+++ b/packages/entry-process/tests/routed_placement_test.ts
@@ -6,12 +6,14 @@
   type UpstreamAnnouncement,
   UpstreamAnnouncements,
   UpstreamHealth,
+  UpstreamLimits,
   UpstreamList,
 } from '@lacewingwinch/decisions';
 import type {PeerClient} from '@lacewingwinch/entry-hosts';
 import {createEventLog} from '@lacewingwinch/observability';
 import {beforeEach, describe, expect, it} from 'vitest';
 
+import type {Placement} from '../src/routed/placement_result.js';
 import {RoutedPlacement} from '../src/routed/routed_placement.js';
 import {servingMember} from './host_fixtures.js';
 
@@ -75,6 +77,8 @@
     upstreams,
     health: new UpstreamHealth(),
     announcements: announced,
+    upstreamLimits: new UpstreamLimits(),
+    hostCounts: () => ({servingHosts: HOSTS.length, knownHosts: HOSTS.length}),
     peers,
     events,
     servingHosts: () => HOSTS.map(servingMember),
@@ -95,14 +99,23 @@
   };
 }
 
-async function placeAt(
+async function placementAt(
   hostId: string,
   attemptId: string,
   shared: string,
-): Promise<string> {
-  const placement = await hosts
+): Promise<Placement | undefined> {
+  const result = await hosts
     .get(hostId)
     ?.place('engines', demand(attemptId, shared), new Set());
+  return result?.kind === 'placed' ? result : undefined;
+}
+
+async function placeAt(
+  hostId: string,
+  attemptId: string,
+  shared: string,
+): Promise<string> {
+  const placement = await placementAt(hostId, attemptId, shared);
   return placement?.choice.upstream.upstreamId ?? '';
 }
 
@@ -115,9 +128,7 @@
     const [first = '', second = ''] = HOSTS.filter(
       hostId => hostId !== rendezvousWinner('dispatcher/engines', HOSTS),
     );
-    const placement = await hosts
-      .get(first)
-      ?.place('engines', demand('a', 'hot'), new Set());
+    const placement = await placementAt(first, 'a', 'hot');
     const chosen = placement?.choice.upstream.upstreamId;
     placement?.reportEnded();
     expect(await placeAt(second, 'b', 'hot')).toBe(chosen);
@@ -160,9 +171,7 @@
     const [first = '', second = ''] = HOSTS.filter(
       hostId => hostId !== rendezvousWinner('dispatcher/engines', HOSTS),
     );
-    const placement = await hosts
-      .get(first)
-      ?.place('engines', demand('a', 'hot'), new Set());
+    const placement = await placementAt(first, 'a', 'hot');
     const chosen = placement?.choice.upstream;
     announcements
       .get(first)
@@ -181,9 +190,7 @@
   it('place requests with a common prompt part from all fronts at one upstream', async () => {
     const chosen = new Set<string>();
     for (const [index, hostId] of HOSTS.entries()) {
-      const placement = await hosts
-        .get(hostId)
-        ?.place('engines', demand(`a-${index}`, 'hot'), new Set());
+      const placement = await placementAt(hostId, `a-${index}`, 'hot');
       chosen.add(placement?.choice.upstream.upstreamId ?? '');
       placement?.reportEnded('answered');
     }
--- a/packages/observability/src/event_catalogue.ts
+++ b/packages/observability/src/event_catalogue.ts
@@ -255,6 +255,13 @@
       'request {requestId} tries whether prompt part {part} of {service} still crashes upstreams',
     advice: 'No action needed.',
   },
+  4112: {
+    level: 'info',
+    message:
+      'request {requestId} waits {milliseconds} ms until upstream {upstreamId} takes another request',
+    advice:
+      'Look for event 3008 of the upstreams of the service: too many of them are in need.',
+  },
   5001: {
     level: 'info',
     message:
