Work off what was granted at the present rate, and measure grants for limits

The model of limits found it: a host that is cut off grants its small share of a limit, and the schedule of that grant, 39 s for one of 195 hosts, held up all others after the cut had ended. UpstreamGrants keeps the excess of requests instead of the time of the next one.

A test stops the dispatcher in the middle.

--- a/packages/decisions/src/limits/upstream_grants.ts
+++ b/packages/decisions/src/limits/upstream_grants.ts
@@ -60,21 +60,32 @@
 
 interface GrantState {
   readonly bornAt: number;
-  /** Time from which the next grant is on schedule. */
-  readonly scheduledAt: number;
+  /** Requests granted beyond what the limit has allowed since. */
+  readonly excess: number;
+  /** Time at which `excess` was right. */
+  readonly at: number;
 }
 
-/** The grants of one host. */
+/**
+ * The grants of one host. The rate may change from call to call; what was granted
+ * at another rate is worked off at the new one.
+ */
 export class UpstreamGrants {
   /** By upstream, the longest unused one first. */
   private readonly states = new Map<string, GrantState>();
 
-  /** Returns the milliseconds until an upstream has a free grant. */
-  waitFor(upstream: UpstreamIncarnation, now: number): number {
-    const state = this.find(upstream);
-    return state === undefined
-      ? 0
-      : Math.max(0, state.scheduledAt - BURST_MILLISECONDS - now);
+  /**
+   * Returns the milliseconds until an upstream that gets `requestsPerSecond` from
+   * this host has a free grant.
+   */
+  waitFor(
+    upstream: UpstreamIncarnation,
+    requestsPerSecond: number,
+    now: number,
+  ): number {
+    const burst = burstOf(requestsPerSecond);
+    const excess = this.excessOf(upstream, requestsPerSecond, now);
+    return (Math.max(0, excess - burst) * 1000) / requestsPerSecond;
   }
 
   /** Takes the next grant; returns the milliseconds until it may be used. */
@@ -83,16 +94,31 @@
     requestsPerSecond: number,
     now: number,
   ): number {
-    const wait = this.waitFor(upstream, now);
-    const scheduledAt =
-      this.find(upstream)?.scheduledAt ?? now + BURST_MILLISECONDS;
+    const wait = this.waitFor(upstream, requestsPerSecond, now);
+    const excess = this.excessOf(upstream, requestsPerSecond, now);
     this.remember(upstream.upstreamId, {
       bornAt: upstream.bornAt,
-      scheduledAt: Math.max(scheduledAt, now + wait) + 1000 / requestsPerSecond,
+      excess: excess + 1,
+      at: now,
     });
     return wait;
   }
 
+  /** A host that has granted nothing yet has no burst to give. */
+  private excessOf(
+    upstream: UpstreamIncarnation,
+    requestsPerSecond: number,
+    now: number,
+  ): number {
+    const state = this.find(upstream);
+    return state === undefined
+      ? burstOf(requestsPerSecond)
+      : Math.max(
+          0,
+          state.excess - ((now - state.at) * requestsPerSecond) / 1000,
+        );
+  }
+
   private find({
     upstreamId,
     bornAt,
@@ -113,3 +139,8 @@
     }
   }
 }
+
+/** Returns the requests that may come at once besides the spaced ones. */
+function burstOf(requestsPerSecond: number): number {
+  return (requestsPerSecond * BURST_MILLISECONDS) / 1000;
+}
--- a/packages/decisions/tests/upstream_limits_test.ts
+++ b/packages/decisions/tests/upstream_limits_test.ts
@@ -111,7 +111,7 @@
     const grants = new UpstreamGrants();
     const times: number[] = [];
     for (let now = 0; now < 60_000; now += 10) {
-      if (grants.waitFor(UPSTREAM, now) <= 500) {
+      if (grants.waitFor(UPSTREAM, limit, now) <= 500) {
         times.push(now + grants.take(UPSTREAM, limit, now));
       }
     }
@@ -148,8 +148,15 @@
   it('are those of one incarnation', () => {
     const grants = new UpstreamGrants();
     grants.take(UPSTREAM, 0.1, 0);
-    expect(grants.waitFor(UPSTREAM, 0)).toBeGreaterThan(0);
-    expect(grants.waitFor({...UPSTREAM, bornAt: 200}, 0)).toBe(0);
+    expect(grants.waitFor(UPSTREAM, 0.1, 0)).toBeGreaterThan(0);
+    expect(grants.waitFor({...UPSTREAM, bornAt: 200}, 0.1, 0)).toBe(0);
+  });
+
+  it('are not held up by a low share that has ended', () => {
+    const grants = new UpstreamGrants();
+    grants.take(UPSTREAM, 0.025, 0);
+    expect(grants.waitFor(UPSTREAM, 0.025, 1000)).toBe(39_000);
+    expect(grants.waitFor(UPSTREAM, 5, 1000)).toBe(0);
   });
 });
 
--- a/packages/entry-process/src/routed/limited_upstreams.ts
+++ b/packages/entry-process/src/routed/limited_upstreams.ts
@@ -20,6 +20,12 @@
   readonly hostCounts: () => Pick<GrantingHost, 'knownHosts' | 'servingHosts'>;
 }
 
+/** The grants of one host in one shard. */
+export interface LimitedGrants extends PlacementGrants {
+  /** Returns whether a request may be sent to an upstream soon enough. */
+  hasRoom(upstream: UpstreamIncarnation): boolean;
+}
+
 /** Grants requests to upstreams that have a limit. */
 export class LimitedUpstreams {
   private readonly grants = new UpstreamGrants();
@@ -31,39 +37,32 @@
     return this.dependencies.upstreamLimits.limitOf(upstream) !== undefined;
   }
 
-  /** Returns whether a request may be sent to an upstream soon enough. */
-  hasRoom(upstream: UpstreamIncarnation): boolean {
-    return this.waitOf(upstream) <= LONGEST_GRANT_WAIT_MILLISECONDS;
-  }
-
-  /** Returns the milliseconds until an upstream has a free grant. */
-  waitOf(upstream: UpstreamIncarnation): number {
-    return this.isLimited(upstream)
-      ? this.grants.waitFor(upstream, this.dependencies.clock())
-      : 0;
-  }
-
   /**
    * Returns the grants of a host that has been the dispatcher of a shard for
    * `dispatcherFor` milliseconds, or that is not the dispatcher.
    */
-  grantsOf(dispatcherFor: number | undefined): PlacementGrants {
+  grantsOf(dispatcherFor: number | undefined): LimitedGrants {
+    const {clock, hostCounts} = this.dependencies;
+    const share = grantShareOf({dispatcherFor, ...hostCounts()});
+    const rateOf = (upstream: UpstreamIncarnation): number | undefined => {
+      const limit = this.dependencies.upstreamLimits.limitOf(upstream);
+      return limit === undefined ? undefined : limit * share;
+    };
+    const waitOf = (upstream: UpstreamIncarnation): number => {
+      const rate = rateOf(upstream);
+      return rate === undefined
+        ? 0
+        : this.grants.waitFor(upstream, rate, clock());
+    };
     return {
-      waitOf: upstream => this.waitOf(upstream),
-      take: upstream => this.take(upstream, dispatcherFor),
+      waitOf,
+      hasRoom: upstream => waitOf(upstream) <= LONGEST_GRANT_WAIT_MILLISECONDS,
+      take: upstream => {
+        const rate = rateOf(upstream);
+        return rate === undefined
+          ? undefined
+          : this.grants.take(upstream, rate, clock());
+      },
     };
   }
-
-  private take(
-    upstream: UpstreamIncarnation,
-    dispatcherFor: number | undefined,
-  ): number | undefined {
-    const {upstreamLimits, clock, hostCounts} = this.dependencies;
-    const limit = upstreamLimits.limitOf(upstream);
-    if (limit === undefined) {
-      return undefined;
-    }
-    const share = grantShareOf({dispatcherFor, ...hostCounts()});
-    return this.grants.take(upstream, limit * share, clock());
-  }
 }
--- a/packages/entry-process/src/routed/shard_placement.ts
+++ b/packages/entry-process/src/routed/shard_placement.ts
@@ -108,20 +108,17 @@
   ): ShardChoice {
     const {candidates, dispatchers, limited, choose} = this.dependencies;
     const filter = {...request, tried};
+    const grants = limited.grantsOf(dispatchers.dispatcherFor(request.shardId));
     const withRoom = candidates.select(filter, upstream =>
-      limited.hasRoom(upstream),
-    );
-    const choice = choose(
-      request,
-      withRoom,
-      limited.grantsOf(dispatchers.dispatcherFor(request.shardId)),
+      grants.hasRoom(upstream),
     );
+    const choice = choose(request, withRoom, grants);
     if (choice !== undefined) {
       return {kind: 'chosen', choice, dispatcher: undefined};
     }
     const waits = candidates
       .select(filter)
-      .map(upstream => limited.waitOf(upstream));
+      .map(upstream => grants.waitOf(upstream));
     return waits.length === 0
       ? {kind: 'none'}
       : {kind: 'limited', milliseconds: Math.min(...waits)};
--- a/packages/entry-process/tests/upstream_limits_test.ts
+++ b/packages/entry-process/tests/upstream_limits_test.ts
@@ -2,6 +2,7 @@
  * Tests of upstreams in need, which name the requests a second that they take
  * from all entry hosts together: they got as many as before.
  */
+import {rendezvousWinner} from '@lacewingwinch/decisions';
 import {RoutedEngineStandIn} from '@lacewingwinch/stand-ins';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
@@ -112,6 +113,39 @@
   );
 }
 
+describe('an upstream whose dispatcher leaves', () => {
+  it('gets no more from the hosts that stay', async () => {
+    await startHosts();
+    const dispatcherId = rendezvousWinner(
+      'dispatcher/engines',
+      installation.processes.map((_, index) => `host-${index}`),
+    );
+    const dispatcher = Number(dispatcherId?.split('-')[1]);
+    let callers: readonly string[] = installation.callers;
+    void sendRequests(() => callers);
+    await pause(1000);
+    const limited = streamingEngines();
+    limited.forEach(engine => {
+      engine.namedLimit = '2';
+    });
+    const since = Date.now() + REACTION_MILLISECONDS;
+    await pause(REACTION_MILLISECONDS + WINDOW_MILLISECONDS / 2);
+    callers = callers.filter((_, index) => index !== dispatcher);
+    await installation.processes[dispatcher]?.stopNow();
+    const stoppedAt = Date.now();
+    await pause(WINDOW_MILLISECONDS + 2000);
+    for (const engine of limited) {
+      expect(mostInWindow(engine, since)).toBeLessThanOrEqual(
+        toleratedInWindow(2),
+      );
+    }
+    const served = answers.filter(
+      ({sentAt, status}) => sentAt > stoppedAt && status === 200,
+    );
+    expect(served.length).toBeGreaterThan(0);
+  });
+});
+
 describe('an upstream that names a limit', () => {
   it.each<{
     readonly name: string;
--- a/packages/measurements/src/measure.ts
+++ b/packages/measurements/src/measure.ts
@@ -4,6 +4,7 @@
  */
 import {measureCrashingParts} from './measure_crashing_parts.js';
 import {measureDispatch} from './measure_dispatch.js';
+import {measureLimits} from './measure_limits.js';
 import {measureMembership} from './measure_membership.js';
 import {measureOverload} from './measure_overload.js';
 import {measurePath} from './measure_path.js';
@@ -17,6 +18,7 @@
 const MEASUREMENTS: Readonly<Record<string, Measurement>> = {
   'crashing-parts': measureCrashingParts,
   dispatch: measureDispatch,
+  limits: measureLimits,
   membership: measureMembership,
   overload: measureOverload,
   path: measurePath,
