--- a/packages/decisions/src/upstreams/upstream_health.ts
+++ b/packages/decisions/src/upstreams/upstream_health.ts
@@ -50,15 +50,22 @@
 export class UpstreamHealth {
   private readonly records = new Map<string, HealthRecord>();
 
-  /** Records the result of a request. */
-  recordResult(upstreamId: string, result: UpstreamResult, now: number): void {
+  /**
+   * Records the result of a request. Returns the milliseconds for which the
+   * upstream is ejected because of it; undefined if it is not.
+   */
+  recordResult(
+    upstreamId: string,
+    result: UpstreamResult,
+    now: number,
+  ): number | undefined {
     const record = this.findOrCreateRecord(upstreamId);
     switch (result) {
       case 'answered':
         record.consecutiveFailures = 0;
         record.ejections = 0;
         record.failureShare *= 1 - NEWEST_RESULT_WEIGHT;
-        return;
+        return undefined;
       case 'errored':
       case 'failed':
       case 'unreachable': {
@@ -71,9 +78,9 @@
               ? ERRORS_BEFORE_EJECTION
               : FAILURES_BEFORE_EJECTION) ||
           record.failureShare > MAXIMUM_FAILURE_SHARE;
-        if (shouldEject && now >= record.ejectedUntil) {
-          this.eject(record, now);
-        }
+        return shouldEject && now >= record.ejectedUntil
+          ? eject(record, now)
+          : undefined;
       }
     }
   }
@@ -89,15 +96,6 @@
     this.records.delete(upstreamId);
   }
 
-  private eject(record: HealthRecord, now: number): void {
-    const duration = Math.min(
-      FIRST_EJECTION_MILLISECONDS * 2 ** record.ejections,
-      MAXIMUM_EJECTION_MILLISECONDS,
-    );
-    record.ejections += 1;
-    record.ejectedUntil = now + duration;
-  }
-
   private findOrCreateRecord(upstreamId: string): HealthRecord {
     const existing = this.records.get(upstreamId);
     if (existing !== undefined) {
@@ -113,3 +111,14 @@
     return created;
   }
 }
+
+/** Ejects an upstream; returns the duration in milliseconds. */
+function eject(record: HealthRecord, now: number): number {
+  const duration = Math.min(
+    FIRST_EJECTION_MILLISECONDS * 2 ** record.ejections,
+    MAXIMUM_EJECTION_MILLISECONDS,
+  );
+  record.ejections += 1;
+  record.ejectedUntil = now + duration;
+  return duration;
+}
--- a/packages/entry-process/src/routed/request_log.ts
+++ b/packages/entry-process/src/routed/request_log.ts
@@ -19,6 +19,8 @@
   readonly outcome: string;
   readonly durationMilliseconds: number;
   readonly attempts: number;
+  /** Number of upstreams that may have run the request. */
+  readonly upstreamsReached: number;
   /** Upstream of the last attempt; empty if there was none. */
   readonly upstreamId: string;
   readonly eventCount: number;
@@ -111,6 +113,7 @@
       rule: rule.name,
       version: configurationVersion,
       attempts: summary.attempts,
+      reached: summary.upstreamsReached,
       upstreamId: summary.upstreamId,
       eventCount: summary.eventCount,
     });
--- a/packages/entry-process/src/routed/routed_placement.ts
+++ b/packages/entry-process/src/routed/routed_placement.ts
@@ -185,7 +185,7 @@
         return;
       case 'ended':
         table.recordEnd(notification.front, notification);
-        this.recordResult(notification.upstreamId, notification.result);
+        this.recordResult(notification, notification.result);
         this.recordLeaving(notification.upstreamId, notification.leavingBornAt);
     }
   }
@@ -271,7 +271,7 @@
       },
       reportEnded: result => {
         table.recordEnd(hostId, placedAttempt);
-        this.recordResult(placedAttempt.upstreamId, result);
+        this.recordResult({...placedAttempt, front: hostId}, result);
         this.dispatchers.report(dispatcher, {
           kind: 'ended',
           service,
@@ -287,15 +287,16 @@
   }
 
   private recordResult(
-    upstreamId: string,
+    {upstreamId, front}: {readonly upstreamId: string; readonly front: string},
     result: UpstreamResult | undefined,
   ): void {
-    if (result !== undefined) {
-      this.dependencies.health.recordResult(
-        upstreamId,
-        result,
-        this.dependencies.clock(),
-      );
+    if (result === undefined) {
+      return;
+    }
+    const {health, clock, events} = this.dependencies;
+    const milliseconds = health.recordResult(upstreamId, result, clock());
+    if (milliseconds !== undefined) {
+      events.write(3010, {upstreamId, front, result, milliseconds});
     }
   }
 
--- a/packages/entry-process/src/routed/routed_request.ts
+++ b/packages/entry-process/src/routed/routed_request.ts
@@ -368,6 +368,7 @@
       outcome,
       durationMilliseconds: this.dependencies.clocks.steady() - this.startedAt,
       attempts: this.runner.attempts,
+      upstreamsReached: this.runner.upstreamsReached,
       upstreamId: this.runner.lastUpstream?.upstreamId ?? '',
       eventCount: this.relay.events,
     });
--- a/packages/observability/src/event_catalogue.ts
+++ b/packages/observability/src/event_catalogue.ts
@@ -158,6 +158,13 @@
     message: 'upstream {upstreamId} of {service} names no limit any more',
     advice: 'No action needed.',
   },
+  3010: {
+    level: 'warn',
+    message:
+      'upstream {upstreamId} gets no requests from this host for {milliseconds} ms: {result} at entry host {front}',
+    advice:
+      'If many upstreams are named within a second, the links of the entry host are at fault.',
+  },
   4001: {
     level: 'warn',
     message: 'request {requestId} failed with {kind}',
@@ -188,7 +195,7 @@
   4101: {
     level: 'info',
     message:
-      'request {requestId} ended with {outcome} after {duration} ms and {eventCount} events: rule {rule}, configuration {version}, {attempts} attempts, the last at upstream {upstreamId}',
+      'request {requestId} ended with {outcome} after {duration} ms and {eventCount} events: rule {rule}, configuration {version}, {attempts} attempts, of which {reached} were sent, the last at upstream {upstreamId}',
     advice: 'Look for events 4102 to 4104 of the same request.',
   },
   4102: {
