Reproduce hosts that are cut off from every upstream

Four hosts with links of their own to six upstreams, proxies in processes that can be stopped, so that new connections hang as well. Where only new connections are refused the test passes: kept ones carry on.

--- a/packages/stand-ins/src/child_process_group.ts
+++ b/packages/stand-ins/src/child_process_group.ts
@@ -25,7 +25,7 @@
   env?: Readonly<Record<string, string>>,
 ): StartedProcess {
   const child = spawn(process.execPath, [script, ...commandArguments], {
-    stdio: ['ignore', 'pipe', 'pipe'],
+    stdio: ['pipe', 'pipe', 'pipe'],
     // A process group of its own, so that Ctrl-C in the terminal interrupts
     // only the parent, which then stops the child.
     detached: true,
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -6,6 +6,8 @@
 export * from './engine_stand_in.js';
 export * from './fleet.js';
 export * from './http_stand_in.js';
+export * from './link_process.js';
+export * from './link_stand_in.js';
 export * from './log_stand_in.js';
 export * from './plain_service_stand_in.js';
 export * from './platform_stand_in.js';
--- a/packages/stand-ins/src/stand_in_main.ts
+++ b/packages/stand-ins/src/stand_in_main.ts
@@ -1,12 +1,16 @@
 /**
- * Runs one stand-in as a process: `platform`, `engine` or `plain`. Its first
- * line of output is its address.
+ * Runs one stand-in as a process: `platform`, `engine`, `plain` or `links`. Its
+ * first line of output is its address, or the addresses of the links; those take
+ * orders over their input and confirm them.
  */
+import {createInterface} from 'node:readline';
+
 import {EngineStandIn} from './engine_stand_in.js';
+import {LinkStandIn} from './link_stand_in.js';
 import {PlainServiceStandIn} from './plain_service_stand_in.js';
 import {PlatformStandIn} from './platform_stand_in.js';
 
-const [, , kind] = process.argv;
+const [, , kind, ...targets] = process.argv;
 
 switch (kind ?? '') {
   case 'platform': {
@@ -27,8 +31,20 @@
     process.stdout.write(`${service.address}\n`);
     break;
   }
+  case 'links': {
+    const links = new LinkStandIn(targets);
+    await links.listen();
+    process.stdout.write(`${links.addresses.join(',')}\n`);
+    for await (const order of createInterface({input: process.stdin})) {
+      await links.setFault(
+        order === 'reset' || order === 'refuse-new' ? order : undefined,
+      );
+      process.stdout.write(`${order}\n`);
+    }
+    break;
+  }
   default:
-    process.stderr.write('usage: stand-in platform|engine|plain\n');
+    process.stderr.write('usage: stand-in platform|engine|plain|links\n');
     process.exitCode = 2;
 }
 
