--- a/packages/decisions/src/membership/discovery.ts
+++ b/packages/decisions/src/membership/discovery.ts
@@ -39,6 +39,22 @@
     }));
 }
 
+/** Share of the fleet above which hosts that are cut off are named as well. */
+const MAXIMUM_OMITTED_SHARE = 0.5;
+
+/**
+ * Returns the hosts that clients are told to use: those that reach upstreams over
+ * their own links, unless too few do so.
+ */
+export function withoutCutOff(
+  serving: readonly Member[],
+  isCutOff: (member: Member) => boolean,
+): readonly Member[] {
+  const sound = serving.filter(member => !isCutOff(member));
+  const omitted = serving.length - sound.length;
+  return omitted < serving.length * MAXIMUM_OMITTED_SHARE ? sound : serving;
+}
+
 /**
  * Returns the host that keeps the backup copy of `requestId`. It is in another
  * failure domain than `front`; undefined if there is no such host.
--- a/packages/decisions/src/membership/member.ts
+++ b/packages/decisions/src/membership/member.ts
@@ -11,6 +11,8 @@
   readonly callers: string;
   readonly peers: string;
   readonly operators: string;
+  /** Absent for a host that carries no attempts of other hosts. */
+  readonly relay?: string;
 }
 
 /** An entry host, as another host knows it. */
--- a/packages/decisions/src/retries/decide_next_attempt.ts
+++ b/packages/decisions/src/retries/decide_next_attempt.ts
@@ -2,12 +2,24 @@
  * The decision on what follows a failed attempt of a routed request.
  */
 import type {ErrorKind} from '../errors/error_kinds.js';
+import type {CarrierResult} from '../paths/carriers.js';
 import type {Execution} from '../routing/routing_configuration.js';
 
 /** How an attempt ended without a complete answer. */
 export type RoutedAttemptFailure =
-  /** No byte was sent because the upstream cannot be reached. */
-  | {readonly kind: 'not-sent'; readonly reason: string}
+  /** No byte reached the upstream. */
+  | {
+      readonly kind: 'not-sent';
+      /** Whether no connection could be made, or it closed just before. */
+      readonly cause: 'closed' | 'connect-failed';
+      readonly reason: string;
+    }
+  /** Another host was to carry the request and sent no byte of it. */
+  | {
+      readonly kind: 'not-carried';
+      readonly result: CarrierResult;
+      readonly reason: string;
+    }
   /** No byte was sent because all connections of this host are in use. */
   | {readonly kind: 'no-connection'; readonly reason: string}
   /** No byte was sent because the upstream had stopped accepting requests. */
@@ -19,8 +31,11 @@
   /** There was no usable answer; the request may have run. */
   | {
       readonly kind: 'lost';
-      /** Whether the answer was invalid or the connection ended. */
-      readonly cause: 'answer' | 'connection';
+      /**
+       * Whether the answer was invalid, the connection ended, or the link to the
+       * upstream fell silent while another host still reached it.
+       */
+      readonly cause: 'answer' | 'connection' | 'path';
       readonly reason: string;
     }
   /** There was no answer in time; the request may still be running. */
@@ -61,6 +76,7 @@
   const hasTime = history.millisecondsLeft > MINIMUM_ATTEMPT_MILLISECONDS;
   switch (failure.kind) {
     case 'not-sent':
+    case 'not-carried':
     case 'no-connection':
     case 'withheld':
     case 'not-executed': {
--- a/packages/decisions/src/upstreams/upstream_health.ts
+++ b/packages/decisions/src/upstreams/upstream_health.ts
@@ -41,9 +41,11 @@
   | 'answered'
   /** The upstream answered with an error status. */
   | 'errored'
-  /** The answer was broken off, invalid or missing. */
+  /** The answer was invalid or missing. */
   | 'failed'
-  /** No connection could be made. */
+  /** The connection was lost; the upstream or the link may be at fault. */
+  | 'disconnected'
+  /** Several hosts could not connect, or the only one. */
   | 'unreachable';
 
 /** The health of upstreams according to the results of requests. */
@@ -68,6 +70,7 @@
         return undefined;
       case 'errored':
       case 'failed':
+      case 'disconnected':
       case 'unreachable': {
         record.consecutiveFailures += 1;
         record.failureShare += (1 - record.failureShare) * NEWEST_RESULT_WEIGHT;
--- a/packages/decisions/tests/shared_limits_test.ts
+++ b/packages/decisions/tests/shared_limits_test.ts
@@ -207,7 +207,11 @@
   reason: 'reset',
 };
 const NOT_EXECUTED: RoutedAttemptFailure = {kind: 'not-executed', status: 503};
-const NOT_SENT: RoutedAttemptFailure = {kind: 'not-sent', reason: 'refused'};
+const NOT_SENT: RoutedAttemptFailure = {
+  kind: 'not-sent',
+  cause: 'connect-failed',
+  reason: 'refused',
+};
 
 describe('after a failed attempt', () => {
   it.each<{
--- a/packages/entry-hosts/src/index.ts
+++ b/packages/entry-hosts/src/index.ts
@@ -6,3 +6,4 @@
 export * from './peer_links.js';
 export * from './peer_methods.js';
 export * from './peer_server.js';
+export * from './relay_messages.js';
--- a/packages/entry-hosts/src/peer_methods.ts
+++ b/packages/entry-hosts/src/peer_methods.ts
@@ -38,6 +38,8 @@
   readonly demands: readonly WorkspaceDemand[];
   /** The sender's time of day, in milliseconds since the epoch. */
   readonly timeOfDay?: number;
+  /** Whether the sender reaches no upstream; absent if it does. */
+  readonly isCutOff?: boolean;
 }
 
 /** Load of one shard: requests in progress divided by slots. */
@@ -215,6 +217,14 @@
       readonly leavingBornAt?: number;
     };
 
+/** Which upstreams a host reaches. */
+export interface ReachAnswer {
+  /** Those of the upstreams to which it could connect. */
+  readonly reached: readonly string[];
+  /** Whether it reaches no upstream at all, so that it cannot tell. */
+  readonly isCutOff: boolean;
+}
+
 /** Question for the origin of a stream that a client takes up. */
 export interface OriginQuery {
   /** ID of the attempt that brought the first event; empty if not stated. */
@@ -290,6 +300,11 @@
       readonly snapshot: SnapshotRecord;
     };
   };
+  /** Asks a host to connect to upstreams that the sender does not reach. */
+  readonly 'reach.ask': {
+    readonly params: {readonly upstreamIds: readonly string[]};
+    readonly result: ReachAnswer;
+  };
   /** Requests the dispatcher of a service to choose an upstream. */
   readonly 'placement.ask': {
     readonly params: PlacementRequest;
--- /dev/null
+++ b/packages/entry-hosts/src/relay_messages.ts
@@ -0,0 +1,168 @@
+/**
+ * The headers of attempts that one entry host carries to an upstream for another
+ * one. The method, path, body and other headers are those of the attempt.
+ */
+import type {BodyFraming} from '@lacewingwinch/decisions';
+
+/** What a host asks another one to carry. */
+export interface RelayOrder {
+  readonly upstreamId: string;
+  /** The host that asks. */
+  readonly front: string;
+  readonly requestId: string;
+  /** Milliseconds after which an incomplete answer is ended. */
+  readonly maximumMilliseconds: number;
+  /** Connections that were idle for this long or longer are not used. */
+  readonly maximumIdleMilliseconds: number;
+  /** Maximum number of open connections to the upstream. */
+  readonly maximumConnections: number;
+}
+
+/** Why a host did not carry an attempt; no byte reached the upstream. */
+export interface RelayRefusal {
+  readonly reason: string;
+  /** Whether the host could not connect to the upstream. */
+  readonly isUnreachable: boolean;
+  /** Whether the host reaches no upstream at all. */
+  readonly isCutOff: boolean;
+}
+
+type RawHeaders = readonly string[];
+type HeaderValues = Readonly<
+  Record<string, string | readonly string[] | undefined>
+>;
+
+const PREFIX = 'lacewingwinch-relay-';
+
+const UPSTREAM = `${PREFIX}upstream`;
+const FRONT = `${PREFIX}front`;
+const REQUEST = `${PREFIX}request`;
+const MAXIMUM = `${PREFIX}milliseconds`;
+const MAXIMUM_IDLE = `${PREFIX}idle-milliseconds`;
+const CONNECTIONS = `${PREFIX}connections`;
+const REFUSAL = `${PREFIX}refusal`;
+const UNREACHABLE = `${PREFIX}unreachable`;
+const CUT_OFF = `${PREFIX}cut-off`;
+const FRAMING = `${PREFIX}framing`;
+
+const FRAMINGS: readonly BodyFraming[] = ['chunks', 'connection', 'length'];
+
+/** Headers that each connection sets for itself. */
+const CONNECTION_HEADERS = new Set([
+  'connection',
+  'content-length',
+  'keep-alive',
+  'transfer-encoding',
+]);
+
+/** Returns the headers of an attempt with those of its order. */
+export function encodeRelayOrder(
+  rawHeaders: RawHeaders,
+  order: RelayOrder,
+): string[] {
+  return [
+    ...withoutRelayHeaders(rawHeaders),
+    UPSTREAM,
+    order.upstreamId,
+    FRONT,
+    order.front,
+    REQUEST,
+    encodeURIComponent(order.requestId),
+    MAXIMUM,
+    String(Math.round(order.maximumMilliseconds)),
+    MAXIMUM_IDLE,
+    String(Math.round(order.maximumIdleMilliseconds)),
+    CONNECTIONS,
+    String(order.maximumConnections),
+  ];
+}
+
+/** Decodes an order; undefined if it is malformed. */
+export function decodeRelayOrder(
+  headers: HeaderValues,
+): RelayOrder | undefined {
+  const upstreamId = valueOf(headers, UPSTREAM);
+  const front = valueOf(headers, FRONT);
+  const requestId = valueOf(headers, REQUEST);
+  const maximumMilliseconds = Number(valueOf(headers, MAXIMUM));
+  const maximumIdleMilliseconds = Number(valueOf(headers, MAXIMUM_IDLE));
+  const maximumConnections = Number(valueOf(headers, CONNECTIONS));
+  return upstreamId === undefined ||
+    front === undefined ||
+    requestId === undefined ||
+    !(maximumMilliseconds > 0) ||
+    !(maximumIdleMilliseconds > 0) ||
+    !(maximumConnections > 0)
+    ? undefined
+    : {
+        upstreamId,
+        front,
+        requestId: decodeURIComponent(requestId),
+        maximumMilliseconds,
+        maximumIdleMilliseconds,
+        maximumConnections,
+      };
+}
+
+/** Returns the headers of an attempt as the upstream gets them. */
+export function carriedHeaders(rawHeaders: RawHeaders): string[] {
+  return withoutRelayHeaders(rawHeaders, name => CONNECTION_HEADERS.has(name));
+}
+
+/** Returns the headers of a refusal. */
+export function encodeRelayRefusal(refusal: RelayRefusal): string[] {
+  return [
+    REFUSAL,
+    encodeURIComponent(refusal.reason),
+    ...(refusal.isUnreachable ? [UNREACHABLE, '1'] : []),
+    ...(refusal.isCutOff ? [CUT_OFF, '1'] : []),
+  ];
+}
+
+/** Decodes a refusal; undefined if the headers are those of an answer. */
+export function decodeRelayRefusal(
+  headers: HeaderValues,
+): RelayRefusal | undefined {
+  const reason = valueOf(headers, REFUSAL);
+  return reason === undefined
+    ? undefined
+    : {
+        reason: decodeURIComponent(reason),
+        isUnreachable: valueOf(headers, UNREACHABLE) === '1',
+        isCutOff: valueOf(headers, CUT_OFF) === '1',
+      };
+}
+
+/** Returns the header that states the framing of the upstream's answer. */
+export function encodeAnswerFraming(framing: BodyFraming): string[] {
+  return [FRAMING, framing];
+}
+
+/** Returns the framing of the upstream's answer. */
+export function decodeAnswerFraming(
+  headers: HeaderValues,
+): BodyFraming | undefined {
+  const framing = valueOf(headers, FRAMING);
+  return FRAMINGS.find(known => known === framing);
+}
+
+/** Returns headers without those of this module and those that `drops` names. */
+export function withoutRelayHeaders(
+  rawHeaders: RawHeaders,
+  drops: (name: string) => boolean = () => false,
+): string[] {
+  const kept: string[] = [];
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index] ?? '';
+    const lowerCaseName = name.toLowerCase();
+    if (!lowerCaseName.startsWith(PREFIX) && !drops(lowerCaseName)) {
+      kept.push(name, rawHeaders[index + 1] ?? '');
+    }
+  }
+  return kept;
+}
+
+function valueOf(headers: HeaderValues, name: string): string | undefined {
+  const value = headers[name];
+  return typeof value === 'string' ? value : value?.[0];
+}
--- a/packages/entry-process/src/build_tasks.ts
+++ b/packages/entry-process/src/build_tasks.ts
@@ -121,7 +121,7 @@
     clock,
     trueTime: clock,
     servingHosts: () => membership.serving(),
-    canConnect: address => canConnect(address, CONNECT_TIMEOUT_MILLISECONDS),
+    isAlive: ({address}) => canConnect(address, CONNECT_TIMEOUT_MILLISECONDS),
   });
   const limits = new LimitShares();
   const backups = new BackupStore();
--- /dev/null
+++ b/packages/entry-process/src/paths/relay_carrier.ts
@@ -0,0 +1,275 @@
+/**
+ * Carries attempts of other entry hosts to upstreams that those do not reach. The
+ * other host decides everything about its request; this one decides only whether
+ * the upstream accepts requests from here.
+ */
+import type {IncomingHttpHeaders} from 'node:http';
+
+import type {
+  RefusalAnswer,
+  RoutedCall,
+  RoutedCallHandler,
+  RoutedResponder,
+} from '@lacewingwinch/callers';
+import type {ServingError} from '@lacewingwinch/decisions';
+import {
+  carriedHeaders,
+  decodeRelayOrder,
+  encodeAnswerFraming,
+  encodeRelayRefusal,
+  type RelayOrder,
+  type RelayRefusal,
+} from '@lacewingwinch/entry-hosts';
+import type {EventLog, Metrics} from '@lacewingwinch/observability';
+import {decodeAnswerHeaders} from '@lacewingwinch/platform';
+import {
+  type AnswerHead,
+  ConnectFailedError,
+  type ExchangeSender,
+  type PooledExchange,
+} from '@lacewingwinch/upstreams';
+
+import type {AnnouncingHead} from '../routed/answer_announcements.js';
+import type {UpstreamPaths} from './upstream_paths.js';
+
+/** Status of a response that carries a refusal. */
+const REFUSAL_STATUS = 503;
+
+/** Milliseconds allowed to connect to an upstream for another host. */
+const CONNECT_MILLISECONDS = 150;
+
+/** Maximum number of bytes of the body of a carried attempt. */
+const MAXIMUM_BODY_BYTES = 64 * 1024 * 1024;
+
+/** Maximum number of bytes of the headers of a carried attempt. */
+const MAXIMUM_HEADER_BYTES = 60 * 1024;
+
+/** Attempts that a host carries at the same time. */
+const MAXIMUM_CARRIED_ATTEMPTS = 512;
+
+/** An upstream, as far as a carrier needs to know it. */
+export interface CarriedUpstream {
+  readonly upstreamId: string;
+  readonly bornAt: number;
+  readonly service: string;
+  /** IP address and port. */
+  readonly address: string;
+}
+
+/** How a carried attempt ended. */
+type CarriedEnd = 'answered' | 'cancelled' | 'lost' | 'not-sent';
+
+/** Dependencies of `RelayCarrier`. */
+export interface RelayCarrierDependencies {
+  readonly pool: ExchangeSender;
+  readonly events: EventLog;
+  readonly metrics: Metrics;
+  /** Returns an upstream that accepts requests from this host. */
+  readonly acceptingUpstream: (
+    upstreamId: string,
+  ) => CarriedUpstream | undefined;
+  readonly paths: UpstreamPaths;
+  /** Returns steady clock readings in milliseconds. */
+  readonly clock: () => number;
+  /** Called with the head of each answer of an upstream. */
+  readonly onHead: (upstream: CarriedUpstream, head: AnnouncingHead) => void;
+}
+
+/** Carries attempts to upstreams. */
+export class RelayCarrier implements RoutedCallHandler {
+  private carried = 0;
+
+  constructor(private readonly dependencies: RelayCarrierDependencies) {}
+
+  /** Number of attempts in progress. */
+  get carriedCount(): number {
+    return this.carried;
+  }
+
+  maximumBodyBytes(): number {
+    return MAXIMUM_BODY_BYTES;
+  }
+
+  maximumHeaderBytes(): number {
+    return MAXIMUM_HEADER_BYTES;
+  }
+
+  refuse(_headers: IncomingHttpHeaders, error: ServingError): RefusalAnswer {
+    return this.refusalOf(error.message, false);
+  }
+
+  async serve(call: RoutedCall, responder: RoutedResponder): Promise<void> {
+    const order = decodeRelayOrder(call.headers);
+    if (order === undefined) {
+      this.sendRefusal(responder, 'the order is malformed', false);
+      return;
+    }
+    const upstream = this.dependencies.acceptingUpstream(order.upstreamId);
+    if (upstream === undefined) {
+      const reason = 'the upstream accepts no requests from this host';
+      this.sendRefusal(responder, reason, false, order);
+      return;
+    }
+    if (this.carried >= MAXIMUM_CARRIED_ATTEMPTS) {
+      this.sendRefusal(responder, 'too many attempts at once', false, order);
+      return;
+    }
+    this.carried += 1;
+    try {
+      await this.carry(call, order, upstream, responder);
+    } finally {
+      this.carried -= 1;
+    }
+  }
+
+  private carry(
+    call: RoutedCall,
+    order: RelayOrder,
+    upstream: CarriedUpstream,
+    responder: RoutedResponder,
+  ): Promise<void> {
+    const {pool, paths, acceptingUpstream} = this.dependencies;
+    const {upstreamId, address} = upstream;
+    return new Promise(resolve => {
+      let hasBegun = false;
+      let sentAt = 0;
+      const end = (outcome: CarriedEnd): void => {
+        call.clientDisconnected.removeEventListener('abort', onFrontLeft);
+        this.recordEnd(order, outcome);
+        resolve();
+      };
+      const onFrontLeft = (): void => {
+        exchange?.cancel();
+        end('cancelled');
+      };
+      call.clientDisconnected.addEventListener('abort', onFrontLeft, {
+        once: true,
+      });
+      const exchange: PooledExchange | undefined = pool.send(
+        {
+          address,
+          method: call.method,
+          path: call.target,
+          headers: carriedHeaders(call.rawHeaders),
+          body: call.body.length === 0 ? undefined : call.body,
+          maximumIdleMilliseconds: order.maximumIdleMilliseconds,
+          maximumConnections: order.maximumConnections,
+          maximumMilliseconds: order.maximumMilliseconds,
+          connectMilliseconds: CONNECT_MILLISECONDS,
+        },
+        {
+          onSend: isNewConnection => {
+            sentAt = this.dependencies.clock();
+            if (isNewConnection) {
+              paths.recordReached(upstreamId);
+            }
+            return acceptingUpstream(upstreamId)?.bornAt === upstream.bornAt;
+          },
+          onHead: head => {
+            paths.recordReached(upstreamId);
+            this.recordHead(upstream, order, head, sentAt);
+            hasBegun = true;
+            responder.begin(head.status, answerHeaders(head), 'chunks');
+          },
+          onData: chunk => {
+            paths.recordReached(upstreamId);
+            if (!responder.write(chunk)) {
+              exchange?.pause();
+              responder.onDrain(() => exchange?.resume());
+            }
+          },
+          onEnd: () => {
+            responder.end();
+            end('answered');
+          },
+          onError: (error, wasSent) => {
+            if (wasSent || hasBegun) {
+              responder.abort();
+              end('lost');
+              return;
+            }
+            this.refuseUnsent(order, error, responder);
+            end('not-sent');
+          },
+        },
+      );
+      if (exchange === undefined) {
+        this.sendRefusal(responder, 'every connection is in use', false, order);
+        end('not-sent');
+      }
+    });
+  }
+
+  private recordHead(
+    upstream: CarriedUpstream,
+    {requestId}: RelayOrder,
+    head: AnswerHead,
+    sentAt: number,
+  ): void {
+    const headers = decodeAnswerHeaders(head.headers);
+    this.dependencies.onHead(upstream, {
+      status: head.status,
+      headers,
+      isOwn: headers.attemptId === undefined || headers.attemptId === requestId,
+      sentAt,
+    });
+  }
+
+  private refuseUnsent(
+    order: RelayOrder,
+    error: Error,
+    responder: RoutedResponder,
+  ): void {
+    const isUnreachable = error instanceof ConnectFailedError;
+    if (isUnreachable) {
+      this.dependencies.paths.recordUnreachable(
+        order.upstreamId,
+        error.message,
+      );
+    }
+    this.sendRefusal(responder, error.message, isUnreachable, order);
+  }
+
+  private sendRefusal(
+    responder: RoutedResponder,
+    reason: string,
+    isUnreachable: boolean,
+    order?: RelayOrder,
+  ): void {
+    const {status, headers, body} = this.refusalOf(reason, isUnreachable);
+    this.dependencies.events.write(4114, {
+      requestId: order?.requestId ?? '',
+      front: order?.front ?? '',
+      upstreamId: order?.upstreamId ?? '',
+      reason,
+    });
+    responder.sendComplete(status, headers, body, 'length');
+  }
+
+  private refusalOf(reason: string, isUnreachable: boolean): RefusalAnswer {
+    const refusal: RelayRefusal = {
+      reason,
+      isUnreachable,
+      isCutOff: this.dependencies.paths.isCutOff,
+    };
+    return {
+      status: REFUSAL_STATUS,
+      headers: encodeRelayRefusal(refusal),
+      body: Buffer.alloc(0),
+    };
+  }
+
+  private recordEnd(
+    {requestId, front, upstreamId}: RelayOrder,
+    outcome: CarriedEnd,
+  ): void {
+    const {events, metrics} = this.dependencies;
+    events.write(4115, {requestId, front, upstreamId, outcome});
+    metrics.carriedAttempts.inc({end: outcome});
+  }
+}
+
+/** Returns the headers of an answer with its framing at the upstream. */
+function answerHeaders({rawHeaders, framing}: AnswerHead): string[] {
+  return [...carriedHeaders(rawHeaders), ...encodeAnswerFraming(framing)];
+}
--- /dev/null
+++ b/packages/entry-process/src/paths/upstream_paths.ts
@@ -0,0 +1,375 @@
+/**
+ * The paths from this host to the upstreams: which of them work, which other host
+ * carries attempts where they do not, and what a silent or lost connection says.
+ */
+import {
+  type CarriedAttempt,
+  type CarrierResult,
+  Carriers,
+  chooseWay,
+  isCutOffRequest,
+  type Member,
+  type OpenRequest,
+  type TriedWays,
+  UpstreamReach,
+  upstreamsToTry,
+  type Way,
+} from '@lacewingwinch/decisions';
+import type {PeerClient, ReachAnswer} from '@lacewingwinch/entry-hosts';
+import type {EventLog, Metrics} from '@lacewingwinch/observability';
+
+import {messageOf} from '../util/message_of.js';
+
+/** Milliseconds between two looks at silent requests and failed paths. */
+const CHECK_PERIOD_MILLISECONDS = 250;
+
+/** Failed paths that are tried at once. */
+const TRIALS_AT_ONCE = 4;
+
+/** Other hosts that are asked whether they reach an upstream. */
+const HOSTS_ASKED = 2;
+
+/** Milliseconds for another host to connect to an upstream and answer. */
+const ASK_TIMEOUT_MILLISECONDS = 500;
+
+/** Upstreams to which a host connects for one question of another host. */
+const MAXIMUM_UPSTREAMS_ASKED = 4;
+
+/** An upstream whose path is asked for. */
+export interface PathTarget {
+  readonly upstreamId: string;
+  /** IP address and port. */
+  readonly address: string;
+}
+
+/** A request in progress over a link of this host. */
+export interface WatchedRequest extends OpenRequest {
+  /** Called if the link is cut while another host reaches the upstream. */
+  readonly onOutOfReach: () => void;
+}
+
+/** Dependencies of `UpstreamPaths`. */
+export interface UpstreamPathsDependencies {
+  readonly failureDomain: string;
+  readonly peers: PeerClient;
+  readonly events: EventLog;
+  readonly metrics: Metrics;
+  /** Returns steady clock readings in milliseconds. */
+  readonly clock: () => number;
+  readonly random: () => number;
+  /** Returns the other serving hosts. */
+  readonly otherHosts: () => readonly Member[];
+  /** Returns the address of a listed upstream. */
+  readonly addressOf: (upstreamId: string) => string | undefined;
+  /** Returns whether an upstream accepts a connection of this host. */
+  readonly canConnect: (address: string) => Promise<boolean>;
+  /** Closes the idle connections to an address, or to all of them. */
+  readonly closeIdle: (address?: string) => void;
+  /** Called when this host is cut off from the upstreams, and afterwards. */
+  readonly onCutOffChange: () => void;
+}
+
+/** The paths of one entry host. */
+export class UpstreamPaths {
+  private readonly reach = new UpstreamReach();
+  private readonly carriers = new Carriers();
+  private readonly requests = new Set<WatchedRequest>();
+  private readonly triedAt = new Map<string, number>();
+  private timer: NodeJS.Timeout | undefined;
+  private wasCutOff = false;
+
+  constructor(private readonly dependencies: UpstreamPathsDependencies) {}
+
+  /** Whether this host reaches none of the upstreams. */
+  get isCutOff(): boolean {
+    return this.reach.isCutOff(this.dependencies.clock());
+  }
+
+  /** Returns whether another host said lately that it reaches no upstream. */
+  isHostCutOff(hostId: string): boolean {
+    return this.carriers.isCutOff(hostId, this.dependencies.clock());
+  }
+
+  /** Records a connection to an upstream, or bytes that arrived from it. */
+  recordReached(upstreamId: string): void {
+    this.reach.recordReached(upstreamId, this.dependencies.clock());
+  }
+
+  /** Records a connection that could not be made. */
+  recordUnreachable(upstreamId: string, reason: string): void {
+    const {clock, events} = this.dependencies;
+    const now = clock();
+    if (this.reach.isDirect(upstreamId, now)) {
+      events.write(3011, {upstreamId, reason});
+    }
+    this.reach.recordUnreachable(upstreamId, now);
+    this.startTimer();
+  }
+
+  /** Records that an established connection was lost. */
+  recordLost(upstreamId: string): void {
+    this.reach.recordLost(upstreamId, this.dependencies.clock());
+  }
+
+  /** Records what another host says of itself. */
+  recordHostCutOff(hostId: string, isCutOff: boolean): void {
+    this.carriers.recordCutOff(hostId, isCutOff, this.dependencies.clock());
+  }
+
+  /** Records what became of an attempt that another host was to carry. */
+  recordCarried(
+    hostId: string,
+    upstreamId: string,
+    result: CarrierResult,
+  ): void {
+    const {clock} = this.dependencies;
+    this.carriers.recordResult(hostId, upstreamId, result, clock());
+  }
+
+  /** Returns the next way to an upstream; undefined if none is left. */
+  nextWay(upstreamId: string, tried: TriedWays): Way | undefined {
+    return chooseWay(
+      {
+        isDirect: this.reach.isDirect(upstreamId, this.dependencies.clock()),
+        carrier: this.chooseCarrier(upstreamId, tried.triedHosts),
+      },
+      tried,
+    );
+  }
+
+  /** Returns whether another host might carry an attempt to an upstream. */
+  hasCarrier(upstreamId: string): boolean {
+    return this.chooseCarrier(upstreamId, new Set()) !== undefined;
+  }
+
+  /**
+   * Returns whether the failure to reach an upstream is that of the upstream:
+   * another host failed as well, or there is no other.
+   */
+  isUnreachableForAll(upstreamId: string): boolean {
+    const {clock, otherHosts} = this.dependencies;
+    const others = otherHosts();
+    return (
+      others.length === 0 ||
+      this.carriers.isOutOfReachElsewhere(others, upstreamId, clock())
+    );
+  }
+
+  /**
+   * Watches a request over a link of this host until the returned function is
+   * called.
+   */
+  watch(request: WatchedRequest): () => void {
+    this.requests.add(request);
+    this.startTimer();
+    return () => this.requests.delete(request);
+  }
+
+  /** Returns whether an upstream runs, by this host's link or another one's. */
+  async isAlive({upstreamId, address}: PathTarget): Promise<boolean> {
+    return (
+      (await this.dependencies.canConnect(address)) ||
+      (await this.askOthers([upstreamId])).reached.has(upstreamId)
+    );
+  }
+
+  /**
+   * Returns whether an upstream to which all connections of this host were lost
+   * has ended. Where the links of this host are suspect, another one must say so.
+   */
+  async hasEnded({upstreamId}: PathTarget): Promise<boolean> {
+    const {clock, otherHosts} = this.dependencies;
+    if (
+      !this.reach.isPathSuspect(upstreamId, clock()) ||
+      otherHosts().length === 0
+    ) {
+      return true;
+    }
+    const {reached, canTell} = await this.askOthers([upstreamId]);
+    return canTell && !reached.has(upstreamId);
+  }
+
+  /** Answers another host that does not reach some upstreams. */
+  async answer(upstreamIds: readonly string[]): Promise<ReachAnswer> {
+    const {addressOf, canConnect} = this.dependencies;
+    const reached = await Promise.all(
+      upstreamIds.slice(0, MAXIMUM_UPSTREAMS_ASKED).map(async upstreamId => {
+        const address = addressOf(upstreamId);
+        const isReached = address !== undefined && (await canConnect(address));
+        return isReached ? [upstreamId] : [];
+      }),
+    );
+    return {reached: reached.flat(), isCutOff: this.isCutOff};
+  }
+
+  /** Discards what is known of an upstream that left or started again. */
+  forget(upstreamId: string): void {
+    this.reach.forget(upstreamId);
+    this.triedAt.delete(upstreamId);
+  }
+
+  private chooseCarrier(
+    upstreamId: string,
+    triedHosts: CarriedAttempt['triedHosts'],
+  ): Member | undefined {
+    const {failureDomain, otherHosts, clock, random} = this.dependencies;
+    return this.carriers.choose(
+      otherHosts(),
+      {upstreamId, failureDomain, triedHosts},
+      clock(),
+      random,
+    );
+  }
+
+  private startTimer(): void {
+    this.timer ??= setInterval(
+      () => this.check(this.dependencies.clock()),
+      CHECK_PERIOD_MILLISECONDS,
+    ).unref();
+  }
+
+  private check(now: number): void {
+    this.reportCutOff(now);
+    for (const upstreamId of this.reach.takeTrials(TRIALS_AT_ONCE, now)) {
+      void this.tryPath(upstreamId);
+    }
+    const silent = upstreamsToTry(
+      [...this.requests],
+      {
+        anyReachedAt: this.reach.anyReachedAt,
+        reachedAt: upstreamId => this.reach.reachedAt(upstreamId),
+        triedAt: upstreamId => this.triedAt.get(upstreamId) ?? -Infinity,
+      },
+      now,
+    );
+    if (silent.length > 0) {
+      silent.forEach(upstreamId => this.triedAt.set(upstreamId, now));
+      void this.tryAll(silent);
+    }
+    if (
+      this.requests.size === 0 &&
+      !this.reach.hasOutOfReach &&
+      !this.wasCutOff
+    ) {
+      clearInterval(this.timer);
+      this.timer = undefined;
+    }
+  }
+
+  private reportCutOff(now: number): void {
+    const isCutOff = this.reach.isCutOff(now);
+    const {events, metrics, closeIdle, onCutOffChange} = this.dependencies;
+    metrics.cutOff.set(isCutOff ? 1 : 0);
+    if (isCutOff === this.wasCutOff) {
+      return;
+    }
+    this.wasCutOff = isCutOff;
+    if (isCutOff) {
+      const silence = Math.round(now - this.reach.anyReachedAt);
+      events.write(3013, {silence: Number.isFinite(silence) ? silence : -1});
+      closeIdle();
+      void this.tryAll([
+        ...new Set([...this.requests].map(({upstreamId}) => upstreamId)),
+      ]);
+    } else {
+      events.write(3014, {});
+    }
+    onCutOffChange();
+  }
+
+  /**
+   * Tries the paths of upstreams that are silent. Requests whose path is cut
+   * while another host reaches their upstream are given up.
+   */
+  private async tryAll(upstreamIds: readonly string[]): Promise<void> {
+    const results = await Promise.all(
+      upstreamIds.map(async upstreamId =>
+        (await this.tryPath(upstreamId)) ? [] : [upstreamId],
+      ),
+    );
+    const failed = results.flat();
+    if (failed.length === 0) {
+      return;
+    }
+    const {reached} = await this.askOthers(failed);
+    const now = this.dependencies.clock();
+    for (const request of this.requests) {
+      if (
+        reached.has(request.upstreamId) &&
+        isCutOffRequest(
+          request,
+          {reachedAt: upstreamId => this.reach.reachedAt(upstreamId)},
+          now,
+        )
+      ) {
+        request.onOutOfReach();
+      }
+    }
+  }
+
+  /** Connects to an upstream without a request; returns whether it worked. */
+  private async tryPath(upstreamId: string): Promise<boolean> {
+    const {addressOf, canConnect, clock, events, closeIdle} = this.dependencies;
+    const address = addressOf(upstreamId);
+    if (address === undefined) {
+      this.forget(upstreamId);
+      return true;
+    }
+    const wasDirect = this.reach.isDirect(upstreamId, clock());
+    if (!(await canConnect(address))) {
+      this.recordUnreachable(upstreamId, 'a trial connection failed');
+      return false;
+    }
+    if (!wasDirect) {
+      closeIdle(address);
+      events.write(3012, {upstreamId});
+    }
+    this.recordReached(upstreamId);
+    return true;
+  }
+
+  /** Asks other hosts which upstreams they reach. */
+  private async askOthers(upstreamIds: readonly string[]): Promise<{
+    readonly reached: ReadonlySet<string>;
+    readonly canTell: boolean;
+  }> {
+    const triedHosts = new Set<string>();
+    const answers: Promise<ReachAnswer | undefined>[] = [];
+    for (let count = 0; count < HOSTS_ASKED; count += 1) {
+      const host = this.chooseCarrier(upstreamIds[0] ?? '', triedHosts);
+      if (host !== undefined) {
+        triedHosts.add(host.hostId);
+        answers.push(this.ask(host, upstreamIds));
+      }
+    }
+    const told = (await Promise.all(answers)).flatMap(answer => answer ?? []);
+    return {
+      reached: new Set(told.flatMap(({reached}) => reached)),
+      canTell: told.some(({isCutOff}) => !isCutOff),
+    };
+  }
+
+  private async ask(
+    {hostId, addresses}: Member,
+    upstreamIds: readonly string[],
+  ): Promise<ReachAnswer | undefined> {
+    const {peers, events} = this.dependencies;
+    try {
+      const answer = await peers.call(
+        addresses.peers,
+        'reach.ask',
+        {upstreamIds},
+        ASK_TIMEOUT_MILLISECONDS,
+      );
+      this.recordHostCutOff(hostId, answer.isCutOff);
+      return answer;
+    } catch (error) {
+      events.write(3004, {
+        hostId,
+        method: 'reach.ask',
+        error: messageOf(error),
+      });
+      return undefined;
+    }
+  }
+}
--- a/packages/entry-process/src/routed/attempt_runner.ts
+++ b/packages/entry-process/src/routed/attempt_runner.ts
@@ -6,16 +6,23 @@
 import {
   type AnswerEnd,
   type AttemptHistory,
+  type CarrierResult,
   eventPatienceMilliseconds,
+  NO_WAYS_TRIED,
   type RoutedAdmission,
-  type UpstreamAnnouncement,
+  type RoutedAttemptFailure,
   type UpstreamAnnouncements,
-  type UpstreamLimits,
+  type UpstreamResult,
   type UsableUpstream,
+  type Way,
+  withTriedWay,
 } from '@lacewingwinch/decisions';
 import type {EventLog, Metrics} from '@lacewingwinch/observability';
-import type {ConnectionPool} from '@lacewingwinch/upstreams';
+import type {ConnectionPool, ExchangeSender} from '@lacewingwinch/upstreams';
 
+import {RelaySender} from '../paths/relay_sender.js';
+import type {UpstreamPaths} from '../paths/upstream_paths.js';
+import type {AnswerAnnouncements} from './answer_announcements.js';
 import type {Clocks} from './clocks.js';
 import type {Placement} from './placement_result.js';
 import {type AttemptOutcome, RoutedAttempt} from './routed_attempt.js';
@@ -23,16 +30,22 @@
 import {createUpstreamRequest} from './upstream_request.js';
 import {upstreamResultOf} from './upstream_result.js';
 
+/**
+ * Milliseconds allowed to connect where another way is left; a connection takes a
+ * few milliseconds.
+ */
+const DIRECT_CONNECT_MILLISECONDS = 100;
+
 /** Dependencies of `AttemptRunner`. */
 export interface AttemptRunnerDependencies {
   readonly clocks: Clocks;
   readonly events: EventLog;
   readonly metrics: Metrics;
   readonly pool: ConnectionPool;
+  readonly hostId: string;
   readonly announcements: UpstreamAnnouncements;
-  readonly upstreamLimits: UpstreamLimits;
-  /** Returns milliseconds since the epoch, the same on all hosts. */
-  readonly trueTime: () => number;
+  readonly answers: AnswerAnnouncements;
+  readonly paths: UpstreamPaths;
   /** Returns the number of entry hosts that share limits and budgets. */
   readonly sharingHostCount: () => number;
 }
@@ -58,6 +71,8 @@
   private readonly triedIds = new Set<string>();
   private attempt: RoutedAttempt | undefined;
   private isCancelled = false;
+  /** Whether a byte of the last attempt was written. */
+  private isSent = false;
   private attemptCount = 0;
   private reachedCount = 0;
   private last: UsableUpstream | undefined;
@@ -114,50 +129,109 @@
     };
   }
 
-  /** Makes one attempt at the upstream of `placement`. */
+  /**
+   * Makes one attempt at the upstream of `placement`, over the link of this host
+   * or through other hosts until the upstream has received it.
+   */
   async run(
+    placement: Placement,
+    millisecondsLeft: () => number,
+  ): Promise<AttemptOutcome> {
+    const {pool, announcements, paths, events} = this.dependencies;
+    const {upstream, estimateMilliseconds, cachedTokens} = placement.choice;
+    const {upstreamId} = upstream;
+    this.triedIds.add(upstreamId);
+    this.attemptCount += 1;
+    this.last = upstream;
+    this.answerBegunAt = undefined;
+    events.write(4104, {
+      requestId: this.request.attemptId,
+      upstreamId,
+      softwareVersion: upstream.softwareVersion,
+      estimate: Math.round(estimateMilliseconds),
+      cached: cachedTokens,
+      prompt: this.request.promptTokens,
+    });
+    let tried = NO_WAYS_TRIED;
+    let outcome: AttemptOutcome;
+    for (;;) {
+      const way = paths.nextWay(upstreamId, tried) ?? {kind: 'direct'};
+      tried = withTriedWay(tried, way);
+      this.isSent = false;
+      outcome = await this.runOver(way, placement, millisecondsLeft());
+      const hasAnotherWay = paths.nextWay(upstreamId, tried) !== undefined;
+      if (this.isCancelled || !canTakeAnotherWay(outcome) || !hasAnotherWay) {
+        break;
+      }
+    }
+    placement.reportEnded(this.resultOf(upstreamId, outcome));
+    if (announcements.isLeaving(upstream)) {
+      pool.closeIdle(upstream.address);
+    }
+    return outcome;
+  }
+
+  /** Makes an attempt over one way to its upstream. */
+  private async runOver(
+    way: Way,
     placement: Placement,
     millisecondsLeft: number,
   ): Promise<AttemptOutcome> {
-    const {pool, announcements, clocks, sharingHostCount, events} =
-      this.dependencies;
+    const {announcements, clocks, paths, answers} = this.dependencies;
     const {attemptId, call, admission, relay} = this.request;
     const {choice} = placement;
     const {upstream} = choice;
-    this.triedIds.add(upstream.upstreamId);
-    this.attemptCount += 1;
-    this.last = upstream;
-    this.answerBegunAt = undefined;
+    const {upstreamId} = upstream;
+    let stopWatching: () => void = () => undefined;
     const attempt = new RoutedAttempt(
-      pool,
+      this.senderOf(way, upstreamId),
       {
         attemptId,
         isStreamed: admission.rule.isStreamed,
         isContinuation:
           this.request.isContinuation || relay.lastEventId !== undefined,
         eventPatienceMilliseconds: eventPatienceMilliseconds(admission.rule),
-        request: createUpstreamRequest({
-          call,
-          admission,
-          choice,
-          relay,
-          millisecondsLeft,
-          sharingHostCount: sharingHostCount(),
-        }),
+        request: {
+          ...createUpstreamRequest({
+            call,
+            admission,
+            choice,
+            relay,
+            millisecondsLeft,
+            sharingHostCount: this.dependencies.sharingHostCount(),
+          }),
+          ...(paths.hasCarrier(upstreamId) && {
+            connectMilliseconds: DIRECT_CONNECT_MILLISECONDS,
+          }),
+        },
         stream: relay,
         isAccepting: () =>
           announcements.accepts(upstream, clocks.suspensionAware()) &&
           placement.isSendable() &&
           this.request.mayBeSent(),
-        onAnnouncement: announcement =>
-          this.recordAnnouncement(upstream, announcement),
-        onSend: () => {
+        onHead: (status, headers, isOwn) => {
+          const said = answers.record(upstream, {
+            status,
+            headers,
+            isOwn,
+            sentAt: this.sentAt,
+          });
+          if (said.some(({kind}) => kind === 'paused')) {
+            // A refusal for the sake of a pause does not speak against another
+            // attempt at this upstream later.
+            this.triedIds.delete(upstreamId);
+          }
+        },
+        onSend: isNewConnection => {
+          this.isSent = true;
           this.reachedCount += 1;
           this.sentAt = clocks.steady();
+          if (way.kind === 'direct') {
+            stopWatching = this.watch(attempt, upstreamId, isNewConnection);
+          }
         },
-        onLimit: requestsPerSecond =>
-          this.recordLimit(upstream, requestsPerSecond),
-        onAnswerEnd: end => this.recordAnswerEnd(upstream.upstreamId, end),
+        onBytes: () => this.recordBytes(way, upstreamId),
+        onAnswerEnd: end => this.recordAnswerEnd(upstreamId, end),
         onFirstAnswerByte: () => {
           this.answerBegunAt = clocks.steady();
           placement.reportStarted();
@@ -167,29 +241,116 @@
       clocks.steady,
     );
     this.attempt = attempt;
-    events.write(4104, {
-      requestId: attemptId,
-      upstreamId: upstream.upstreamId,
-      softwareVersion: upstream.softwareVersion,
-      estimate: Math.round(choice.estimateMilliseconds),
-      cached: choice.cachedTokens,
-      prompt: this.request.promptTokens,
-    });
     attempt.start();
     if (this.isCancelled) {
       attempt.cancel();
     }
     const outcome = await attempt.outcome;
-    if (outcome.kind === 'failed' && outcome.failure.kind === 'not-executed') {
+    stopWatching();
+    if (this.isSent && hasNotRun(outcome)) {
       this.reachedCount -= 1;
     }
-    placement.reportEnded(upstreamResultOf(outcome));
-    if (announcements.isLeaving(upstream)) {
-      pool.closeIdle(upstream.address);
-    }
+    this.recordWay(way, upstreamId, outcome);
     return outcome;
   }
 
+  private senderOf(way: Way, upstreamId: string): ExchangeSender {
+    const {pool, hostId, events} = this.dependencies;
+    switch (way.kind) {
+      case 'direct':
+        return pool;
+      case 'carried': {
+        const {carrier} = way;
+        const requestId = this.request.attemptId;
+        events.write(4113, {requestId, upstreamId, hostId: carrier.hostId});
+        return new RelaySender({
+          pool,
+          carrier,
+          front: hostId,
+          upstreamId,
+          requestId,
+          connectMilliseconds: DIRECT_CONNECT_MILLISECONDS,
+        });
+      }
+    }
+  }
+
+  /**
+   * Watches a request that was sent over the link of this host, and gives it up if
+   * the link is cut and the request may be repeated.
+   */
+  private watch(
+    attempt: RoutedAttempt,
+    upstreamId: string,
+    isNewConnection: boolean,
+  ): () => void {
+    const {paths} = this.dependencies;
+    if (isNewConnection) {
+      paths.recordReached(upstreamId);
+    }
+    const mayRunAgain =
+      this.request.admission.rule.execution !== 'at-most-once';
+    return paths.watch({
+      upstreamId,
+      sentAt: this.sentAt,
+      onOutOfReach: () => {
+        if (mayRunAgain) {
+          const reason = 'the link to the upstream is cut';
+          attempt.cancel({
+            kind: 'failed',
+            failure: {kind: 'lost', cause: 'path', reason},
+          });
+        }
+      },
+    });
+  }
+
+  private recordBytes(way: Way, upstreamId: string): void {
+    if (way.kind === 'direct') {
+      this.dependencies.paths.recordReached(upstreamId);
+    }
+  }
+
+  /** Records what an attempt showed of the way that it took. */
+  private recordWay(
+    way: Way,
+    upstreamId: string,
+    outcome: AttemptOutcome,
+  ): void {
+    const {paths, metrics} = this.dependencies;
+    const failure = outcome.kind === 'failed' ? outcome.failure : undefined;
+    switch (way.kind) {
+      case 'direct':
+        if (
+          failure?.kind === 'not-sent' &&
+          failure.cause === 'connect-failed'
+        ) {
+          paths.recordUnreachable(upstreamId, failure.reason);
+        }
+        if (failure?.kind === 'lost' && failure.cause === 'connection') {
+          paths.recordLost(upstreamId);
+        }
+        return;
+      case 'carried': {
+        const result = carrierResultFrom(failure);
+        paths.recordCarried(way.carrier.hostId, upstreamId, result);
+        metrics.relayedAttempts.inc({result});
+      }
+    }
+  }
+
+  /** Returns what the outcome says of the upstream itself. */
+  private resultOf(
+    upstreamId: string,
+    outcome: AttemptOutcome,
+  ): UpstreamResult | undefined {
+    const {paths} = this.dependencies;
+    const result = upstreamResultOf(outcome);
+    return result === 'unreachable' && !paths.isUnreachableForAll(upstreamId)
+      ? undefined
+      : result;
+  }
+
   /** Cancels the current attempt and those that follow. */
   cancel(): void {
     this.isCancelled = true;
@@ -208,61 +369,40 @@
       events.write(4106, {upstreamId, requestId, framing, pendingBytes});
     }
   }
+}
 
-  private recordLimit(
-    upstream: UsableUpstream,
-    requestsPerSecond: number | undefined,
-  ): void {
-    const {upstreamLimits, trueTime, clocks, events, metrics} =
-      this.dependencies;
-    if (requestsPerSecond === undefined && upstreamLimits.isEmpty) {
-      return;
-    }
-    const answeredAt = trueTime();
-    const statement = upstreamLimits.recordAnswer(upstream, {
-      requestsPerSecond,
-      sentAt: answeredAt - (clocks.steady() - this.sentAt),
-      answeredAt,
-    });
-    if (statement === undefined) {
-      return;
-    }
-    const {upstreamId, service} = upstream;
-    const limit = statement.requestsPerSecond;
-    if (limit === null) {
-      events.write(3009, {upstreamId, service});
-      metrics.upstreamLimits.remove({upstream: upstreamId});
-      return;
-    }
-    events.write(3008, {upstreamId, service, limit});
-    metrics.upstreamLimits.set({upstream: upstreamId}, limit);
-  }
+/** Returns whether an attempt may take another way to the same upstream. */
+function canTakeAnotherWay(outcome: AttemptOutcome): boolean {
+  return (
+    isUnsent(outcome) &&
+    outcome.kind === 'failed' &&
+    !(outcome.failure.kind === 'not-sent' && outcome.failure.cause === 'closed')
+  );
+}
 
-  private recordAnnouncement(
-    upstream: UsableUpstream,
-    announcement: UpstreamAnnouncement,
-  ): void {
-    const {announcements, clocks, events} = this.dependencies;
-    const {upstreamId, service} = upstream;
-    const isNew = announcements.record(
-      upstream,
-      announcement,
-      clocks.suspensionAware(),
-    );
-    switch (announcement.kind) {
-      case 'leaving':
-        if (isNew) {
-          events.write(3006, {upstreamId, service});
-        }
-        return;
-      case 'paused':
-        // A refusal for the sake of a pause does not speak against another
-        // attempt at this upstream later.
-        this.triedIds.delete(upstreamId);
-        if (isNew) {
-          const milliseconds = Math.round(announcement.milliseconds);
-          events.write(3007, {upstreamId, service, milliseconds});
-        }
-    }
+/** Returns whether the upstream has received no byte of an attempt. */
+function isUnsent(outcome: AttemptOutcome): boolean {
+  return (
+    outcome.kind === 'failed' &&
+    (outcome.failure.kind === 'not-sent' ||
+      outcome.failure.kind === 'not-carried')
+  );
+}
+
+/** Returns what became of an attempt that another host was to carry. */
+function carrierResultFrom(
+  failure: RoutedAttemptFailure | undefined,
+): CarrierResult {
+  if (failure?.kind === 'not-carried') {
+    return failure.result;
   }
+  return failure?.kind === 'not-sent' ? 'unreachable' : 'carried';
+}
+
+/** Returns whether the upstream certainly did not run an attempt. */
+function hasNotRun(outcome: AttemptOutcome): boolean {
+  return (
+    outcome.kind === 'failed' &&
+    (outcome.failure.kind === 'not-executed' || isUnsent(outcome))
+  );
 }
--- a/packages/entry-process/src/routed/crash_watch.ts
+++ b/packages/entry-process/src/routed/crash_watch.ts
@@ -50,12 +50,20 @@
   readonly body: Buffer;
 }
 
+/** An upstream that may have crashed. */
+export interface WatchedUpstream {
+  readonly upstreamId: string;
+  readonly address: string;
+}
+
 /** Dependencies of `CrashWatch`. */
 export interface CrashWatchDependencies {
   readonly hostId: string;
   readonly peers: PeerClient;
   readonly events: EventLog;
   readonly pool: Pick<ConnectionPool, 'watchConnections'>;
+  /** Returns whether an upstream to which all connections were lost has ended. */
+  readonly hasEnded: (upstream: WatchedUpstream) => Promise<boolean>;
   /** Returns steady clock readings in milliseconds. */
   readonly clock: () => number;
   /** Returns milliseconds since the epoch, the same on all hosts. */
@@ -107,12 +115,12 @@
 
   /**
    * Records that the connection of a running request ended. It counts as a
-   * crash if all other connections to the upstream end as well; `onCrash` is
-   * called then.
+   * crash if all other connections to the upstream end as well, and if it is not
+   * the links of this host that failed; `onCrash` is called then.
    */
   recordLostConnection(
     fingerprint: string,
-    upstream: {readonly upstreamId: string; readonly address: string},
+    upstream: WatchedUpstream,
     onCrash: () => void = () => undefined,
   ): void {
     const haveAllEnded = this.dependencies.pool.watchConnections(
@@ -120,12 +128,22 @@
     );
     setTimeout(() => {
       if (haveAllEnded()) {
-        this.reportCrash(fingerprint, upstream.upstreamId);
-        onCrash();
+        void this.reportIfEnded(fingerprint, upstream, onCrash);
       }
     }, CRASH_DETECTION_MILLISECONDS).unref();
   }
 
+  private async reportIfEnded(
+    fingerprint: string,
+    upstream: WatchedUpstream,
+    onCrash: () => void,
+  ): Promise<void> {
+    if (await this.dependencies.hasEnded(upstream)) {
+      this.reportCrash(fingerprint, upstream.upstreamId);
+      onCrash();
+    }
+  }
+
   /**
    * Merges a suspicion reported by another host. If a request with the same
    * content ran to completion on this host, the crashes have another cause and
--- a/packages/entry-process/src/routed/placement_candidates.ts
+++ b/packages/entry-process/src/routed/placement_candidates.ts
@@ -3,6 +3,7 @@
  * requests of this host and, if possible, have not failed lately.
  */
 import {
+  type FleetHealth,
   type PlacementDemand,
   type RoutedShard,
   routedShards,
@@ -16,7 +17,10 @@
 /** Dependencies of `PlacementCandidates`. */
 export interface PlacementCandidatesDependencies {
   readonly upstreams: UpstreamList;
+  /** Health by the results of this host. */
   readonly health: UpstreamHealth;
+  /** Health by the results of all hosts that this one knows. */
+  readonly fleetHealth: FleetHealth;
   readonly announcements: UpstreamAnnouncements;
   /** Returns suspension-aware clock readings in milliseconds. */
   readonly clock: () => number;
@@ -88,21 +92,40 @@
   }
 
   /**
-   * Returns the upstreams that this host has ejected and those that do not
-   * accept its requests.
+   * Returns the upstreams that failed at this host or at all hosts, and those that
+   * do not accept its requests.
    */
   locallyExcludedIds(service: string): readonly string[] {
-    const {health, announcements, clock} = this.dependencies;
+    const {health, clock} = this.dependencies;
     const now = clock();
     return this.usable(service)
       .filter(
         upstream =>
           health.isEjected(upstream.upstreamId, now) ||
-          !announcements.accepts(upstream, now),
+          this.isExcludedForAll(upstream, now),
       )
       .map(({upstreamId}) => upstreamId);
   }
 
+  /**
+   * Returns the upstreams that a dispatcher excludes for the requests of all hosts.
+   * What fails at the dispatcher alone may work for others.
+   */
+  excludedIdsForAll(service: string): readonly string[] {
+    const now = this.dependencies.clock();
+    return this.usable(service)
+      .filter(upstream => this.isExcludedForAll(upstream, now))
+      .map(({upstreamId}) => upstreamId);
+  }
+
+  private isExcludedForAll(upstream: UsableUpstream, now: number): boolean {
+    const {fleetHealth, announcements} = this.dependencies;
+    return (
+      fleetHealth.isEjected(upstream.upstreamId, now) ||
+      !announcements.accepts(upstream, now)
+    );
+  }
+
   /**
    * Returns the candidates from which the upstream of a request is selected;
    * `isAllowed` says which of them may be used at all.
--- a/packages/entry-process/src/routed/routed_attempt.ts
+++ b/packages/entry-process/src/routed/routed_attempt.ts
@@ -2,7 +2,6 @@
  * One attempt at an upstream, from the first byte sent to its outcome.
  */
 import {
-  announcementsOf,
   type AnswerEnd,
   EventSplitter,
   findStreamFault,
@@ -10,20 +9,22 @@
   MAXIMUM_RESPONSE_BYTES,
   type RoutedAttemptFailure,
   type SplitEvent,
-  type UpstreamAnnouncement,
 } from '@lacewingwinch/decisions';
 import {
   type AnswerHeaders,
   decodeAnswerHeaders,
   MISDIRECTED_REQUEST_STATUS,
 } from '@lacewingwinch/platform';
-import type {
-  AnswerHead,
-  ConnectionPool,
-  PooledExchange,
-  PooledRequest,
+import {
+  type AnswerHead,
+  ConnectFailedError,
+  type ExchangeSender,
+  type PooledExchange,
+  type PooledRequest,
 } from '@lacewingwinch/upstreams';
 
+import {carrierResultOf, NotCarriedError} from '../paths/relay_sender.js';
+
 /** Outcome of an attempt. */
 export type AttemptOutcome =
   | {readonly kind: 'whole'; readonly head: AnswerHead; readonly body: Buffer}
@@ -60,11 +61,15 @@
   /** Returns whether the upstream accepts requests from this host. */
   readonly isAccepting: () => boolean;
   /** Called just before the first byte is written. */
-  readonly onSend: () => void;
-  /** Called for each announcement in the head of the upstream's response. */
-  readonly onAnnouncement: (announcement: UpstreamAnnouncement) => void;
-  /** Called with the limit that the head of the response names, if any. */
-  readonly onLimit: (requestsPerSecond: number | undefined) => void;
+  readonly onSend: (isNewConnection: boolean) => void;
+  /** Called with each part of a response that arrives. */
+  readonly onBytes: () => void;
+  /** Called with the head of each response. */
+  readonly onHead: (
+    status: number,
+    headers: AnswerHeaders,
+    isOwn: boolean,
+  ) => void;
   /** Called when the answer ends without an error of its connection. */
   readonly onAnswerEnd: (end: AnswerEnd) => void;
   /** Called at the first sign that the upstream is working on the request. */
@@ -90,7 +95,7 @@
   private isCancelled = false;
 
   constructor(
-    private readonly pool: ConnectionPool,
+    private readonly pool: ExchangeSender,
     private readonly plan: AttemptPlan,
     private readonly clock: () => number,
   ) {
@@ -102,7 +107,7 @@
   /** Sends the request. */
   start(): void {
     this.exchange = this.pool.send(this.plan.request, {
-      onSend: () => {
+      onSend: isNewConnection => {
         if (this.isCancelled) {
           return false;
         }
@@ -113,18 +118,17 @@
           });
           return false;
         }
-        this.plan.onSend();
+        this.plan.onSend(isNewConnection);
         return true;
       },
       onHead: head => this.onHead(head),
       onData: chunk => this.onData(chunk),
       onEnd: () => this.onEnd(),
       onError: (error, wasSent) => {
-        const reason = error.message;
         this.fail(
           wasSent
-            ? {kind: 'lost', cause: 'connection', reason}
-            : {kind: 'not-sent', reason},
+            ? {kind: 'lost', cause: 'connection', reason: error.message}
+            : unsent(error),
         );
       },
     });
@@ -149,15 +153,9 @@
     this.head = head;
     const answerHeaders = decodeAnswerHeaders(head.headers);
     const {status} = head;
-    if (
-      status !== MISDIRECTED_REQUEST_STATUS &&
-      !isForeign(answerHeaders, this.plan.attemptId)
-    ) {
-      announcementsOf({status, ...answerHeaders}).forEach(announcement =>
-        this.plan.onAnnouncement(announcement),
-      );
-      this.plan.onLimit(answerHeaders.requestsPerSecond);
-    }
+    const isOwn = !isForeign(answerHeaders, this.plan.attemptId);
+    this.plan.onBytes();
+    this.plan.onHead(status, answerHeaders, isOwn);
     const failure = failureOfHead(status, answerHeaders, this.plan.attemptId);
     if (failure !== undefined) {
       this.cancelUnlessReusable(failure);
@@ -183,6 +181,7 @@
   }
 
   private onData(chunk: Buffer): void {
+    this.plan.onBytes();
     if (this.isRelayed) {
       const events = this.splitter.push(chunk);
       this.eventCount += events.length;
@@ -314,6 +313,18 @@
   );
 }
 
+/** Returns the failure of an attempt of which the upstream got no byte. */
+function unsent(error: Error): RoutedAttemptFailure {
+  const reason = error.message;
+  if (error instanceof NotCarriedError) {
+    const result = carrierResultOf(error.refusal);
+    return {kind: 'not-carried', result, reason};
+  }
+  const cause =
+    error instanceof ConnectFailedError ? 'connect-failed' : 'closed';
+  return {kind: 'not-sent', cause, reason};
+}
+
 function lostAnswer(reason: string): RoutedAttemptFailure {
   return {kind: 'lost', cause: 'answer', reason};
 }
--- a/packages/entry-process/src/routed/routed_front.ts
+++ b/packages/entry-process/src/routed/routed_front.ts
@@ -17,7 +17,6 @@
   type ServiceRetryBudgets,
   ServingError,
   type UpstreamAnnouncements,
-  type UpstreamLimits,
   type UsableUpstream,
 } from '@lacewingwinch/decisions';
 import type {EventLog, Metrics} from '@lacewingwinch/observability';
@@ -28,7 +27,9 @@
 } from '@lacewingwinch/platform';
 import type {ConnectionPool} from '@lacewingwinch/upstreams';
 
+import type {UpstreamPaths} from '../paths/upstream_paths.js';
 import type {PartWatch} from '../tasks/part_watch.js';
+import type {AnswerAnnouncements} from './answer_announcements.js';
 import type {Clocks} from './clocks.js';
 import type {CrashWatch} from './crash_watch.js';
 import type {QuotaExchange} from './quota_exchange.js';
@@ -52,10 +53,10 @@
   readonly metrics: Metrics;
   readonly pool: ConnectionPool;
   readonly placement: RoutedPlacement;
+  readonly hostId: string;
   readonly announcements: UpstreamAnnouncements;
-  readonly upstreamLimits: UpstreamLimits;
-  /** Returns milliseconds since the epoch, the same on all hosts. */
-  readonly trueTime: () => number;
+  readonly answers: AnswerAnnouncements;
+  readonly paths: UpstreamPaths;
   readonly quotas: QuotaExchange;
   readonly crashes: CrashWatch;
   readonly parts: PartWatch;
--- a/packages/entry-process/src/routed/routed_listeners.ts
+++ b/packages/entry-process/src/routed/routed_listeners.ts
@@ -34,6 +34,8 @@
   readonly metricsPort: number | undefined;
   readonly front: RoutedCallHandler;
   readonly directory: (method: string, target: string) => DirectoryAnswer;
+  /** Carries attempts of other entry hosts. */
+  readonly carrier: RoutedCallHandler;
   readonly metrics: MetricsSources;
   readonly peers: RoutedPeerDependencies;
   readonly onUnexpected: (error: unknown) => void;
@@ -42,6 +44,8 @@
 /** The servers while they are listening. */
 export interface RoutedListeners {
   readonly callers: RoutedServer;
+  /** Server for the attempts that this host carries for others. */
+  readonly relay: RoutedServer;
   /** Servers for discovery, readiness and metrics, which only report state. */
   readonly directoryServers: readonly Server[];
   readonly peers: PeerServer;
@@ -52,6 +56,7 @@
   addresses,
   metricsPort,
   front,
+  carrier,
   directory,
   metrics,
   peers,
@@ -62,6 +67,11 @@
     front,
     onUnexpected,
   );
+  const relay = await listenForRoutedCalls(
+    addresses.relay,
+    carrier,
+    onUnexpected,
+  );
   const directoryServers = [
     await listenForDirectory(addresses.discovery, directory, onUnexpected),
     await listenForDirectory(addresses.readiness, directory, onUnexpected),
@@ -78,5 +88,5 @@
     port,
     createRoutedPeerHandlers(peers),
   );
-  return {callers, directoryServers, peers: peerServer};
+  return {callers, relay, directoryServers, peers: peerServer};
 }
--- a/packages/entry-process/src/routed/routed_membership.ts
+++ b/packages/entry-process/src/routed/routed_membership.ts
@@ -6,6 +6,7 @@
 import type {EventLog, Metrics} from '@lacewingwinch/observability';
 import type {PlatformSettings} from '@lacewingwinch/platform';
 
+import type {UpstreamPaths} from '../paths/upstream_paths.js';
 import {MembershipTask} from '../tasks/membership_task.js';
 import type {PartWatch} from '../tasks/part_watch.js';
 import type {Clocks} from './clocks.js';
@@ -19,6 +20,8 @@
   readonly metrics: Metrics;
   /** Returns the quarantine of prompt parts, which gossips its suspicions. */
   readonly parts: () => PartWatch;
+  /** Knows whether this host and others are cut off from the upstreams. */
+  readonly paths: UpstreamPaths;
   /** Receives the times of day that other hosts report. */
   readonly trueTime: TrueTime;
   /**
@@ -31,8 +34,17 @@
 export function createRoutedMembership(
   dependencies: RoutedMembershipDependencies,
 ): MembershipTask {
-  const {settings, clocks, peers, events, metrics, parts, trueTime, version} =
-    dependencies;
+  const {
+    settings,
+    clocks,
+    peers,
+    events,
+    metrics,
+    parts,
+    paths,
+    trueTime,
+    version,
+  } = dependencies;
   const {hostId, failureDomain, addresses} = settings();
   const ownMember: Member = {
     hostId,
@@ -41,6 +53,7 @@
       callers: addresses.callers,
       peers: addresses.peers,
       operators: '',
+      relay: addresses.relay,
     },
     incarnation: clocks.timeOfDay(),
     status: 'joining',
@@ -60,8 +73,10 @@
       loads: [],
       demands: [],
       timeOfDay: clocks.timeOfDay(),
+      ...(paths.isCutOff && {isCutOff: true}),
     }),
-    onDigest: (sender, {timeOfDay, partSuspicions = []}) => {
+    onDigest: (sender, {timeOfDay, partSuspicions = [], isCutOff = false}) => {
+      paths.recordHostCutOff(sender.hostId, isCutOff);
       parts().onGossip(partSuspicions);
       if (timeOfDay !== undefined) {
         trueTime.recordSample(sender.hostId, timeOfDay, clocks.steady());
--- a/packages/entry-process/src/routed/routed_peer_handlers.ts
+++ b/packages/entry-process/src/routed/routed_peer_handlers.ts
@@ -4,6 +4,7 @@
 import type {UsageWindows, WorkspaceQuota} from '@lacewingwinch/decisions';
 import type {PeerHandlers} from '@lacewingwinch/entry-hosts';
 
+import type {UpstreamPaths} from '../paths/upstream_paths.js';
 import type {MembershipTask} from '../tasks/membership_task.js';
 import type {PartWatch} from '../tasks/part_watch.js';
 import type {CrashWatch} from './crash_watch.js';
@@ -22,6 +23,7 @@
   readonly crashes: CrashWatch;
   readonly parts: PartWatch;
   readonly streams: StreamOriginExchange;
+  readonly paths: UpstreamPaths;
   readonly quotaOf: (workspace: string) => WorkspaceQuota | undefined;
 }
 
@@ -38,11 +40,13 @@
     crashes,
     parts,
     streams,
+    paths,
     quotaOf,
   } = dependencies;
   return {
     gossip: digest => membership.onGossip(digest),
     probe: async ({hostId}) => ({answered: await membership.probeFor(hostId)}),
+    'reach.ask': ({upstreamIds}) => paths.answer(upstreamIds),
     'placement.ask': request => placement.onPlacementRequest(request),
     'placement.note': notification => {
       placement.onNotification(notification);
--- a/packages/entry-process/src/routed/routed_placement.ts
+++ b/packages/entry-process/src/routed/routed_placement.ts
@@ -160,7 +160,7 @@
   onPlacementRequest(request: PlacementRequest): PlacementAnswer {
     const excluded = [
       ...request.excluded,
-      ...this.candidates.locallyExcludedIds(request.service),
+      ...this.candidates.excludedIdsForAll(request.service),
     ];
     return this.shards.onRequest(
       {...request, excluded},
@@ -293,8 +293,14 @@
     if (result === undefined) {
       return;
     }
-    const {health, clock, events} = this.dependencies;
-    const milliseconds = health.recordResult(upstreamId, result, clock());
+    const {health, fleetHealth, clock, events, hostId} = this.dependencies;
+    const now = clock();
+    const ownEjection =
+      front === hostId
+        ? health.recordResult(upstreamId, result, now)
+        : undefined;
+    const milliseconds =
+      fleetHealth.recordResult({upstreamId, front, result}, now) ?? ownEjection;
     if (milliseconds !== undefined) {
       events.write(3010, {upstreamId, front, result, milliseconds});
     }
@@ -349,6 +355,7 @@
       table.forgetUpstream(upstreamId);
     }
     this.dependencies.health.forget(upstreamId);
+    this.dependencies.fleetHealth.forget(upstreamId);
     this.dependencies.announcements.forgetUnidentified(upstreamId);
   }
 }
--- a/packages/entry-process/src/routed/routed_process.ts
+++ b/packages/entry-process/src/routed/routed_process.ts
@@ -4,7 +4,11 @@
 import {setMaxListeners} from 'node:events';
 
 import type {DirectoryAnswer} from '@lacewingwinch/callers';
-import type {RoutingConfiguration} from '@lacewingwinch/decisions';
+import {
+  type Member,
+  type RoutingConfiguration,
+  withoutCutOff,
+} from '@lacewingwinch/decisions';
 import {
   decodeDirectoryCall,
   type PlatformSettings,
@@ -123,10 +127,12 @@
     this.tasks.events.write(1003, {hostId, reason: 'signal'});
     this.tasks.membership.declare('leaving');
     this.listeners?.callers.startLeaving();
+    this.listeners?.relay.startLeaving();
     await waitUntilDrained({
       clock: this.tasks.clocks.steady,
       gracePeriodMilliseconds: bounds.gracePeriodMilliseconds,
-      runningCount: () => this.tasks.front.runningCount,
+      runningCount: () =>
+        this.tasks.front.runningCount + this.tasks.carrier.carriedCount,
       signal: this.stopping.signal,
     });
     const cut = this.tasks.front.runningCount;
@@ -138,6 +144,7 @@
   async stopNow(): Promise<void> {
     this.tasks.membership.declare('gone');
     this.listeners?.callers.close();
+    this.listeners?.relay.close();
     this.listeners?.directoryServers.forEach(server => server.close());
     await pause(POLL_PERIOD_MILLISECONDS, this.stopping.signal);
     this.stopping.abort();
@@ -154,6 +161,7 @@
       addresses: this.settings.addresses,
       metricsPort: this.metricsPort,
       front: tasks.front,
+      carrier: tasks.carrier,
       directory: (method, target) => this.answerDirectory(method, target),
       metrics: tasks,
       peers: tasks,
@@ -165,11 +173,20 @@
   private answerDirectory(method: string, target: string): DirectoryAnswer {
     return answerDirectoryCall(decodeDirectoryCall(method, target), {
       isReady: this.isReady(),
-      serving: this.tasks.membership.serving(),
+      serving: this.hostsForClients(),
       maximumCacheSeconds: this.settings.bounds.discoverySeconds,
     });
   }
 
+  /** Returns the hosts that clients are told to use. */
+  private hostsForClients(): readonly Member[] {
+    const {membership, paths} = this.tasks;
+    const {hostId: ownId} = this.settings;
+    return withoutCutOff(membership.serving(), ({hostId}) =>
+      hostId === ownId ? paths.isCutOff : paths.isHostCutOff(hostId),
+    );
+  }
+
   private isReady(): boolean {
     return this.tasks.state.isComplete && this.leaving === undefined;
   }
--- a/packages/entry-process/src/routed/routed_request.ts
+++ b/packages/entry-process/src/routed/routed_request.ts
@@ -173,7 +173,9 @@
         return;
       }
       const {placement} = next;
-      const outcome = await this.runner.run(placement, this.millisecondsLeft());
+      const outcome = await this.runner.run(placement, () =>
+        this.millisecondsLeft(),
+      );
       const settled = this.settle(placement.choice, outcome);
       if (settled === 'done') {
         return;
--- a/packages/entry-process/src/routed/routed_tasks.ts
+++ b/packages/entry-process/src/routed/routed_tasks.ts
@@ -2,6 +2,7 @@
  * Construction and wiring of the tasks of an entry process on the platform.
  */
 import {
+  FleetHealth,
   type RoutingConfiguration,
   ServiceRetryBudgets,
   TrueTime,
@@ -23,8 +24,11 @@
 import {canConnect, ConnectionPool} from '@lacewingwinch/upstreams';
 import {v7 as uuidV7} from 'uuid';
 
+import {RelayCarrier} from '../paths/relay_carrier.js';
+import {UpstreamPaths} from '../paths/upstream_paths.js';
 import type {MembershipTask} from '../tasks/membership_task.js';
 import {PartWatch} from '../tasks/part_watch.js';
+import {AnswerAnnouncements} from './answer_announcements.js';
 import {type Clocks, createProcessClocks} from './clocks.js';
 import {ConfigurationFollower} from './configuration_follower.js';
 import {CrashWatch} from './crash_watch.js';
@@ -82,7 +86,11 @@
   readonly parts: PartWatch;
   readonly streams: StreamOriginExchange;
   readonly state: RequiredState;
+  readonly paths: UpstreamPaths;
+  readonly carrier: RelayCarrier;
+  private readonly answers: AnswerAnnouncements;
   private readonly health = new UpstreamHealth();
+  private readonly fleetHealth = new FleetHealth();
   private readonly announcements = new UpstreamAnnouncements();
   private readonly upstreamLimits = new UpstreamLimits();
   private readonly retryBudgets: ServiceRetryBudgets;
@@ -132,6 +140,16 @@
       upstreams: this.upstreams,
       isFirstStart: settings.isFirstStart,
     });
+    this.answers = new AnswerAnnouncements({
+      clocks,
+      events: this.events,
+      metrics: this.metrics,
+      announcements: this.announcements,
+      upstreamLimits: this.upstreamLimits,
+      trueTime: () => this.readTrueTime(),
+    });
+    this.paths = this.createPaths(settings.failureDomain);
+    this.carrier = this.createCarrier();
     this.streams = new StreamOriginExchange({
       hostId: settings.hostId,
       peers: this.peers,
@@ -149,6 +167,7 @@
       failureDomain: settings.failureDomain,
       upstreams: this.upstreams.list,
       health: this.health,
+      fleetHealth: this.fleetHealth,
       announcements: this.announcements,
       upstreamLimits: this.upstreamLimits,
       hostCounts: () => ({
@@ -164,6 +183,7 @@
       events: this.events,
       metrics: this.metrics,
       parts: () => this.parts,
+      paths: this.paths,
       trueTime: this.trueTime,
       version: () => this.configuration.current?.value.version ?? -1,
     });
@@ -207,6 +227,7 @@
       peers: this.peers,
       events: this.events,
       pool: this.pool,
+      hasEnded: upstream => this.paths.hasEnded(upstream),
       clock: clocks.steady,
       trueTime: () => this.readTrueTime(),
       servingHosts: () => this.membership.serving(),
@@ -221,7 +242,7 @@
       clock: clocks.steady,
       trueTime: () => this.readTrueTime(),
       servingHosts: () => this.membership.serving(),
-      canConnect: address => canConnect(address, CONNECT_TIMEOUT_MILLISECONDS),
+      isAlive: upstream => this.paths.isAlive(upstream),
     });
     this.duties = createRoutedDuties(settings, {
       processId: this.processId,
@@ -244,16 +265,56 @@
     this.front = this.createFront();
   }
 
+  private createPaths(failureDomain: string): UpstreamPaths {
+    return new UpstreamPaths({
+      failureDomain,
+      peers: this.peers,
+      events: this.events,
+      metrics: this.metrics,
+      clock: this.clocks.steady,
+      random: Math.random,
+      otherHosts: () => this.fleet.otherServingHosts(),
+      addressOf: upstreamId => this.upstreams.list.find(upstreamId)?.address,
+      canConnect: address => canConnect(address, CONNECT_TIMEOUT_MILLISECONDS),
+      closeIdle: address =>
+        address === undefined
+          ? this.pool.closeAllIdle()
+          : this.pool.closeIdle(address),
+      onCutOffChange: () => this.membership.broadcast(),
+    });
+  }
+
+  private createCarrier(): RelayCarrier {
+    return new RelayCarrier({
+      pool: this.pool,
+      events: this.events,
+      metrics: this.metrics,
+      paths: this.paths,
+      clock: this.clocks.steady,
+      acceptingUpstream: upstreamId => {
+        const upstream = this.upstreams.list.find(upstreamId);
+        const now = this.clocks.suspensionAware();
+        return upstream !== undefined &&
+          !upstream.isLeaving &&
+          this.announcements.accepts(upstream, now)
+          ? upstream
+          : undefined;
+      },
+      onHead: (upstream, head) => this.answers.record(upstream, head),
+    });
+  }
+
   private createFront(): RoutedFront {
     return new RoutedFront({
+      hostId: this.dependencies.settings().hostId,
       clocks: this.clocks,
       events: this.events,
       metrics: this.metrics,
       pool: this.pool,
       placement: this.placement,
       announcements: this.announcements,
-      upstreamLimits: this.upstreamLimits,
-      trueTime: () => this.readTrueTime(),
+      answers: this.answers,
+      paths: this.paths,
       quotas: this.quotas,
       crashes: this.crashes,
       parts: this.parts,
@@ -282,6 +343,9 @@
     this.streams.publishAmbiguous();
     for (const change of changes) {
       this.events.write(3005, {...change});
+      if (change.state === 'withdrawn' || change.isRestarted) {
+        this.paths.forget(change.upstreamId);
+      }
       if (change.state !== 'listed') {
         this.duties?.onEngineLeaving();
       }
--- a/packages/entry-process/src/routed/upstream_result.ts
+++ b/packages/entry-process/src/routed/upstream_result.ts
@@ -27,10 +27,12 @@
     case 'failed':
       switch (outcome.failure.kind) {
         case 'not-sent':
+        case 'not-carried':
           return 'unreachable';
         case 'failed-after-run':
           return 'errored';
         case 'lost':
+          return resultOfLoss(outcome.failure.cause);
         case 'silent':
           return 'failed';
         case 'no-connection':
@@ -40,3 +42,16 @@
       }
   }
 }
+
+function resultOfLoss(
+  cause: 'answer' | 'connection' | 'path',
+): UpstreamResult | undefined {
+  switch (cause) {
+    case 'answer':
+      return 'failed';
+    case 'connection':
+      return 'disconnected';
+    case 'path':
+      return undefined;
+  }
+}
--- a/packages/entry-process/src/tasks/part_watch.ts
+++ b/packages/entry-process/src/tasks/part_watch.ts
@@ -84,8 +84,8 @@
   readonly trueTime: () => number;
   /** Returns the serving hosts, including this one. */
   readonly servingHosts: () => readonly Member[];
-  /** Returns whether an upstream accepts a connection. */
-  readonly canConnect: (address: string) => Promise<boolean>;
+  /** Returns whether an upstream runs. */
+  readonly isAlive: (upstream: UpstreamOfRun) => Promise<boolean>;
 }
 
 /** The quarantine of prompt parts at one entry host. */
--- a/packages/entry-process/src/tasks/unconfirmed_runs.ts
+++ b/packages/entry-process/src/tasks/unconfirmed_runs.ts
@@ -29,8 +29,8 @@
 export interface UnconfirmedRunsDependencies {
   /** Returns steady clock readings in milliseconds. */
   readonly clock: () => number;
-  /** Returns whether an upstream accepts a connection. */
-  readonly canConnect: (address: string) => Promise<boolean>;
+  /** Returns whether an upstream runs. */
+  readonly isAlive: (upstream: UpstreamOfRun) => Promise<boolean>;
   /** Called with a run that was sound, and the milliseconds since. */
   readonly onSound: (run: UnconfirmedRun, millisecondsAgo: number) => void;
 }
@@ -85,7 +85,7 @@
       return;
     }
     this.isConnecting = true;
-    const isAlive = await this.dependencies.canConnect(run.address);
+    const isAlive = await this.dependencies.isAlive(run);
     this.isConnecting = false;
     if (isAlive) {
       this.recordSignOfLife(run);
--- a/packages/entry-process/tests/crash_watch_test.ts
+++ b/packages/entry-process/tests/crash_watch_test.ts
@@ -22,6 +22,8 @@
 let unreachableHosts: Set<string>;
 /** Whether the other connections to the upstream ended as well. */
 let haveOthersEnded: boolean;
+/** Whether other hosts do not reach the upstream either. */
+let isUpstreamGone: boolean;
 
 const peers: PeerClient = {
   call: () => Promise.reject(new Error('no call is expected')),
@@ -36,6 +38,7 @@
 beforeEach(() => {
   vi.useFakeTimers({now: 1_000_000});
   haveOthersEnded = true;
+  isUpstreamGone = true;
   unreachableHosts = new Set();
   watches = new Map(
     HOSTS.map(hostId => [
@@ -45,6 +48,7 @@
         peers,
         events,
         pool: {watchConnections: () => () => haveOthersEnded},
+        hasEnded: () => Promise.resolve(isUpstreamGone),
         clock: () => Date.now(),
         trueTime: () => Date.now(),
         servingHosts: () => HOSTS.map(servingMember),
@@ -57,12 +61,18 @@
   vi.useRealTimers();
 });
 
-function loseConnection(host: number, upstreamId: string): void {
+async function loseConnection(host: number, upstreamId: string): Promise<void> {
   watches.get(HOSTS[host] ?? '')?.recordLostConnection(CONTENT, {
     upstreamId,
     address: `address-of-${upstreamId}`,
   });
-  vi.advanceTimersByTime(DETECTION_WAIT_MILLISECONDS);
+  await vi.advanceTimersByTimeAsync(DETECTION_WAIT_MILLISECONDS);
+}
+
+async function loseConnections(upstreamIds: readonly string[]): Promise<void> {
+  for (const [host, upstreamId] of upstreamIds.entries()) {
+    await loseConnection(host, upstreamId);
+  }
 }
 
 function refusingCount(): number {
@@ -112,48 +122,54 @@
       ],
       refusing: HOSTS.length,
     },
-  ])('that crashed $name is refused at $refusing hosts', testCase => {
-    testCase.crashes.forEach(([host, upstreamId]) =>
-      loseConnection(host, upstreamId),
-    );
+  ])('that crashed $name is refused at $refusing hosts', async testCase => {
+    for (const [host, upstreamId] of testCase.crashes) {
+      await loseConnection(host, upstreamId);
+    }
     expect(refusingCount()).toBe(testCase.refusing);
   });
 
-  it('is not suspected while other connections to its upstream stay open', () => {
+  it('is not suspected while other connections to its upstream stay open', async () => {
     haveOthersEnded = false;
-    ['a', 'b', 'c', 'd'].forEach((id, index) => loseConnection(index, id));
+    await loseConnections(['a', 'b', 'c', 'd']);
+    expect(refusingCount()).toBe(0);
+  });
+
+  it('is not suspected while other hosts reach its upstream', async () => {
+    isUpstreamGone = false;
+    await loseConnections(['a', 'b', 'c', 'd']);
     expect(refusingCount()).toBe(0);
   });
 
-  it('is counted when one of the counting hosts is unreachable', () => {
+  it('is counted when one of the counting hosts is unreachable', async () => {
     unreachableHosts.add(rendezvousOrder(CONTENT, HOSTS, 1)[0] ?? '');
-    ['a', 'b', 'c'].forEach((id, index) => loseConnection(index, id));
+    await loseConnections(['a', 'b', 'c']);
     expect(refusingCount()).toBeGreaterThanOrEqual(HOSTS.length - 1);
   });
 
-  it('that ran to completion through another host is not refused', () => {
+  it('that ran to completion through another host is not refused', async () => {
     watches.get('host-9')?.recordCompletion(CONTENT);
-    ['a', 'b', 'c', 'd'].forEach((id, index) => loseConnection(index, id));
+    await loseConnections(['a', 'b', 'c', 'd']);
     expect(refusingCount()).toBe(0);
   });
 
-  it('that ran to completion after two crashes is counted anew', () => {
-    loseConnection(0, 'a');
-    loseConnection(1, 'b');
+  it('that ran to completion after two crashes is counted anew', async () => {
+    await loseConnection(0, 'a');
+    await loseConnection(1, 'b');
     watches.get('host-1')?.recordCompletion(CONTENT);
     vi.advanceTimersByTime(2 * MINUTE_MILLISECONDS);
-    loseConnection(0, 'c');
-    loseConnection(0, 'd');
+    await loseConnection(0, 'c');
+    await loseConnection(0, 'd');
     expect(refusingCount()).toBe(0);
-    loseConnection(0, 'e');
+    await loseConnection(0, 'e');
     expect(refusingCount()).toBe(HOSTS.length);
   });
 
-  it('is tried again after a minute and refused after one more crash', () => {
-    ['a', 'b', 'c'].forEach((id, index) => loseConnection(index, id));
+  it('is tried again after a minute and refused after one more crash', async () => {
+    await loseConnections(['a', 'b', 'c']);
     vi.advanceTimersByTime(MINUTE_MILLISECONDS);
     expect(refusingCount()).toBe(0);
-    loseConnection(7, 'd');
+    await loseConnection(7, 'd');
     expect(refusingCount()).toBe(HOSTS.length);
   });
 });
--- a/packages/entry-process/tests/routed_placement_test.ts
+++ b/packages/entry-process/tests/routed_placement_test.ts
@@ -1,5 +1,6 @@
 /** Tests of placement by dispatchers for several fronts. */
 import {
+  FleetHealth,
   type ListedUpstream,
   type PlacementDemand,
   rendezvousWinner,
@@ -76,6 +77,7 @@
     failureDomain: 'north',
     upstreams,
     health: new UpstreamHealth(),
+    fleetHealth: new FleetHealth(),
     announcements: announced,
     upstreamLimits: new UpstreamLimits(),
     hostCounts: () => ({servingHosts: HOSTS.length, knownHosts: HOSTS.length}),
--- a/packages/observability/src/event_catalogue.ts
+++ b/packages/observability/src/event_catalogue.ts
@@ -165,6 +165,29 @@
     advice:
       'If many upstreams are named within a second, the links of the entry host are at fault.',
   },
+  3011: {
+    level: 'warn',
+    message: 'upstream {upstreamId} is out of reach of this host: {reason}',
+    advice:
+      'If other hosts reach it, look at the link of this host; see "A host that does not reach upstreams" in OPERATIONS.md.',
+  },
+  3012: {
+    level: 'info',
+    message: 'upstream {upstreamId} is in reach of this host again',
+    advice: 'No action needed.',
+  },
+  3013: {
+    level: 'warn',
+    message:
+      'this host reaches no upstream; the last one was heard {silence} ms ago',
+    advice:
+      'Other hosts carry its requests meanwhile. Look at its links; -1 means that none was heard since its start.',
+  },
+  3014: {
+    level: 'info',
+    message: 'this host reaches upstreams again',
+    advice: 'No action needed.',
+  },
   4001: {
     level: 'warn',
     message: 'request {requestId} failed with {kind}',
@@ -269,6 +292,24 @@
     advice:
       'Look for event 3008 of the upstreams of the service: too many of them are in need.',
   },
+  4113: {
+    level: 'info',
+    message:
+      'request {requestId} is sent to upstream {upstreamId} through entry host {hostId}',
+    advice: 'Look for events 4114 and 4115 of the request at that host.',
+  },
+  4114: {
+    level: 'warn',
+    message:
+      'request {requestId} of entry host {front} was not carried to upstream {upstreamId}: {reason}',
+    advice: 'No action needed; the entry host tries another way.',
+  },
+  4115: {
+    level: 'info',
+    message:
+      'request {requestId} of entry host {front} was carried to upstream {upstreamId}: {outcome}',
+    advice: 'Look for events 3011 and 3013 at that entry host.',
+  },
   5001: {
     level: 'info',
     message:
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -15,6 +15,9 @@
   readonly answerEnds: Counter<'end' | 'framing'>;
   readonly lostConnections: Counter<'answer'>;
   readonly upstreamLimits: Gauge<'upstream'>;
+  readonly cutOff: Gauge;
+  readonly relayedAttempts: Counter<'result'>;
+  readonly carriedAttempts: Counter<'end'>;
   readonly quarantinedParts: Gauge;
   readonly firstByteSeconds: Histogram<'service'>;
   readonly permitWaitSeconds: Histogram<'service'>;
@@ -66,6 +69,23 @@
       labelNames: ['upstream'],
       registers,
     }),
+    cutOff: new Gauge({
+      name: 'lacewingwinch_cut_off',
+      help: 'Whether this host reaches no upstream over its own links, 0 or 1.',
+      registers,
+    }),
+    relayedAttempts: new Counter({
+      name: 'lacewingwinch_relayed_attempts_total',
+      help: 'Attempts that another host was to carry, by what became of them.',
+      labelNames: ['result'],
+      registers,
+    }),
+    carriedAttempts: new Counter({
+      name: 'lacewingwinch_carried_attempts_total',
+      help: 'Attempts that this host carried for others, by how they ended.',
+      labelNames: ['end'],
+      registers,
+    }),
     quarantinedParts: new Gauge({
       name: 'lacewingwinch_quarantined_parts',
       help: 'Prompt parts whose requests are refused because upstreams crashed under them.',
--- a/packages/stand-ins/src/settings_file_stand_in.ts
+++ b/packages/stand-ins/src/settings_file_stand_in.ts
@@ -19,15 +19,15 @@
   readonly peers: string;
   readonly discovery: string;
   readonly readiness: string;
+  readonly relay: string;
 }
 
 /** Returns loopback addresses with free ports. */
 export async function freeLoopbackAddresses(): Promise<LoopbackAddresses> {
-  const ports = await findFreePorts(4);
-  const [callers = '', peers = '', discovery = '', readiness = ''] = ports.map(
-    port => `127.0.0.1:${port}`,
-  );
-  return {callers, peers, discovery, readiness};
+  const ports = await findFreePorts(5);
+  const [callers = '', peers = '', discovery = '', readiness = '', relay = ''] =
+    ports.map(port => `127.0.0.1:${port}`);
+  return {callers, peers, discovery, readiness, relay};
 }
 
 /** Returns whether a process passes its readiness check. */
@@ -87,7 +87,7 @@
   return `nodeName = "${hostId}"
 ip = "127.0.0.1"
 zone = "north"
-internalPortRange = [0, 0]
+internalPortRange = [${portOf(addresses.relay)}, ${portOf(addresses.relay)}]
 seedNodes = ${JSON.stringify(seeds)}
 bootstrap = ${isFirstStart}
 [zones]
@@ -112,3 +112,7 @@
 duties = ["usage_reporting"]
 `;
 }
+
+function portOf(address: string): string {
+  return address.slice(address.lastIndexOf(':') + 1);
+}
--- a/packages/upstreams/src/can_connect.ts
+++ b/packages/upstreams/src/can_connect.ts
@@ -3,6 +3,8 @@
  */
 import {connect} from 'node:net';
 
+import {giveUpConnecting} from './upstream_socket.js';
+
 /** Connects to `address` (IP address and port) and closes the connection. */
 export function canConnect(
   address: string,
@@ -13,11 +15,15 @@
   const port = Number(address.slice(separator + 1));
   return new Promise(resolve => {
     const socket = connect({host, port});
+    const timer = setTimeout(
+      () => giveUpConnecting(socket),
+      timeoutMilliseconds,
+    );
     const end = (isConnected: boolean): void => {
+      clearTimeout(timer);
       socket.destroy();
       resolve(isConnected);
     };
-    socket.setTimeout(timeoutMilliseconds, () => end(false));
     socket.once('connect', () => end(true));
     socket.once('error', () => end(false));
   });
--- a/packages/upstreams/src/connection_pool.ts
+++ b/packages/upstreams/src/connection_pool.ts
@@ -39,6 +39,8 @@
   readonly maximumConnections: number;
   /** Milliseconds after which an incomplete response is ended. */
   readonly maximumMilliseconds: number;
+  /** Milliseconds allowed to connect; a default applies if absent. */
+  readonly connectMilliseconds?: number;
 }
 
 /** Status and headers of an answer. */
@@ -55,8 +57,11 @@
  * `onError`.
  */
 export interface PooledReceiver {
-  /** Called just before the first byte is sent; false cancels the request. */
-  onSend(): boolean;
+  /**
+   * Called just before the first byte is sent; false cancels the request.
+   * `isNewConnection` says whether it is the first one on its connection.
+   */
+  onSend(isNewConnection: boolean): boolean;
   onHead(head: AnswerHead): void;
   onData(chunk: Buffer): void;
   onEnd(): void;
@@ -76,6 +81,7 @@
   readonly client: Client;
   socket: UpstreamSocket | undefined;
   idleSince: number;
+  hasCarriedRequest: boolean;
   /** The response in progress; undefined while the connection is idle. */
   response: WatchedResponse | undefined;
   isClosed: boolean;
@@ -86,8 +92,17 @@
   readonly open: Set<Connection>;
 }
 
+/** Sends requests to upstreams. */
+export interface ExchangeSender {
+  /** Sends a request; undefined if no connection may be used for it. */
+  send(
+    request: PooledRequest,
+    receiver: PooledReceiver,
+  ): PooledExchange | undefined;
+}
+
 /** Pool of persistent connections, kept per upstream address. */
-export class ConnectionPool {
+export class ConnectionPool implements ExchangeSender {
   private readonly upstreams = new Map<string, Upstream>();
   private readonly watch: ResponseWatch;
 
@@ -138,10 +153,15 @@
   }
 
   /** Closes the idle connections to all upstreams. */
-  close(): void {
+  closeAllIdle(): void {
     for (const address of this.upstreams.keys()) {
       this.closeIdle(address);
     }
+  }
+
+  /** Closes the idle connections and ends the pool. */
+  close(): void {
+    this.closeAllIdle();
     this.watch.close();
   }
 
@@ -164,12 +184,18 @@
     }
     return upstream.open.size >= maximumConnections
       ? undefined
-      : this.openConnection(address, upstream);
+      : this.openConnection(request, upstream);
   }
 
-  private openConnection(address: string, upstream: Upstream): Connection {
+  private openConnection(
+    {
+      address,
+      connectMilliseconds = CONNECT_TIMEOUT_MILLISECONDS,
+    }: PooledRequest,
+    upstream: Upstream,
+  ): Connection {
     const client = new Client(`http://${address}`, {
-      connect: createUpstreamConnector(CONNECT_TIMEOUT_MILLISECONDS, socket => {
+      connect: createUpstreamConnector(connectMilliseconds, socket => {
         connection.socket = socket;
         socket.on('readable', () => checkReceivedBytes(connection));
       }),
@@ -183,6 +209,7 @@
       client,
       socket: undefined,
       idleSince: this.clock(),
+      hasCarriedRequest: false,
       response: undefined,
       isClosed: false,
     };
@@ -290,11 +317,16 @@
         controller = started;
         // undici may start a request a second time, which would send it again
         // on a new connection.
-        if (isFinished || wasSent || !receiver.onSend()) {
+        if (
+          isFinished ||
+          wasSent ||
+          !receiver.onSend(!connection.hasCarriedRequest)
+        ) {
           started.abort(new Error('the request may not be sent'));
           return;
         }
         wasSent = true;
+        connection.hasCarriedRequest = true;
         parsedBytesBefore = parsedBytesOf(connection);
         connection.response = watched;
         watch.add(watched);
--- a/packages/upstreams/src/index.ts
+++ b/packages/upstreams/src/index.ts
@@ -9,4 +9,7 @@
 export * from './upstream_connections.js';
 export * from './upstream_error.js';
 export * from './upstream_exchange.js';
-export {createUpstreamConnector} from './upstream_socket.js';
+export {
+  ConnectFailedError,
+  createUpstreamConnector,
+} from './upstream_socket.js';
--- a/packages/upstreams/src/upstream_socket.ts
+++ b/packages/upstreams/src/upstream_socket.ts
@@ -22,6 +22,15 @@
   }
 }
 
+/** Error of a connection that could not be made; no byte was sent. */
+export class ConnectFailedError extends Error {
+  override readonly name = 'ConnectFailedError';
+
+  constructor(cause: Error) {
+    super(cause.message, {cause});
+  }
+}
+
 /**
  * A socket whose failures take effect after the data that came before them.
  * Reading is paused here and not at undici, whose parser asserts that it is not
@@ -100,12 +109,12 @@
   return ({hostname, port}, callback) => {
     const socket = new UpstreamSocket();
     const timer = setTimeout(
-      () => socket.destroy(new Error('connecting took too long')),
+      () => giveUpConnecting(socket),
       timeoutMilliseconds,
     );
     const onError = (error: Error): void => {
       clearTimeout(timer);
-      callback(error, null);
+      callback(new ConnectFailedError(error), null);
     };
     socket.once('error', onError);
     socket.setNoDelay(true);
@@ -118,6 +127,18 @@
   };
 }
 
+/**
+ * Destroys a socket that is still connecting. Sockets are polled once more first:
+ * after a delay of this process, a timer fires before a connection that is ready.
+ */
+export function giveUpConnecting(socket: Socket): void {
+  setImmediate(() => {
+    if (socket.connecting) {
+      socket.destroy(new Error('connecting took too long'));
+    }
+  });
+}
+
 function isTransferError(error: Error): boolean {
   const {syscall} = error as NodeJS.ErrnoException;
   return syscall !== undefined && TRANSFER_CALLS.has(syscall);
