Soak: limits, crashing parts, versions, links between hosts, cut-off hosts and slow readers

New kinds, drawn from seeds of their own: an upstream that names a limit, a prompt part that crashes engines, engines that start again with another software version, links between entry hosts that fail, and the links from one host to all upstreams that hang, are reset or refuse new connections; one client in eight reads slowly. Checked besides: limits, requests with a crashing part after it had to be known, streams of two versions.

The check asks for framing now.

--- a/packages/soak/src/check_guarantees.ts
+++ b/packages/soak/src/check_guarantees.ts
@@ -20,6 +20,8 @@
   readonly status: number | undefined;
   readonly body: string;
   readonly isComplete: boolean;
+  /** Whether the end of the answer says that it is complete. */
+  readonly isFramed: boolean;
   readonly isSigned: boolean;
   readonly answeredAttemptId: string | undefined;
 }
@@ -49,12 +51,31 @@
   readonly revocationMilliseconds: number;
   /** Number of events in a complete stream. */
   readonly streamEvents: number;
+  readonly limits?: readonly ObservedLimit[];
+  /**
+   * Requests with a crashing part that were executed after the hosts had the time
+   * to refuse it, and how many may be.
+   */
+  readonly crashing?: {readonly executed: number; readonly tolerated: number};
+  /** Ids of the attempts that went on at another software version. */
+  readonly mixedAttemptIds?: readonly string[];
+}
+
+/** An upstream that named a limit for a while. */
+export interface ObservedLimit {
+  readonly upstreamId: string;
+  /** Most requests in a window, and how many may be. */
+  readonly most: number;
+  readonly tolerated: number;
 }
 
 /** A violation of a guarantee. */
 export interface Violation {
   readonly guarantee:
     | 'answer-of-another'
+    | 'crashing-part-sent'
+    | 'limit-exceeded'
+    | 'two-versions'
     | 'two-reports'
     | 'refused-and-ran'
     | 'revoked-key-served'
@@ -85,6 +106,7 @@
       ...checkKey(call, run),
     ]),
     ...checkReports(run.reports),
+    ...checkUpstreams(run),
   ];
 }
 
@@ -134,7 +156,7 @@
 
 /** Checks a stream: it may break off, but then it must not look complete. */
 function checkStream(
-  {attemptId, body, isComplete}: ObservedCall,
+  {attemptId, body, isComplete, isFramed}: ObservedCall,
   streamEvents: number,
 ): readonly Violation[] {
   const events = body.split('\n\n').filter(text => text !== '');
@@ -142,9 +164,12 @@
     {length: streamEvents},
     (_, index) => `id: ${index + 1}\ndata: event-${index + 1} for ${attemptId}`,
   );
-  const isPrefix = events.every((event, index) => event === expected[index]);
+  const isPrefix = events.every(
+    (event, index) => event.replace(/\.+$/, '') === expected[index],
+  );
   const hasAllEvents = events.length === streamEvents;
-  return isPrefix && (hasAllEvents || !isComplete)
+  const looksComplete = isComplete && isFramed;
+  return isPrefix && (hasAllEvents || !looksComplete)
     ? []
     : [{guarantee: 'stream-not-whole', detail: `${attemptId}: ${body}`}];
 }
@@ -165,6 +190,34 @@
   return [{guarantee: 'revoked-key-served', detail}];
 }
 
+function checkUpstreams({
+  limits = [],
+  crashing,
+  mixedAttemptIds = [],
+}: ObservedRun): readonly Violation[] {
+  const exceeded = limits.filter(({most, tolerated}) => most > tolerated);
+  const hasCrashed =
+    crashing !== undefined && crashing.executed > crashing.tolerated;
+  return [
+    ...exceeded.map(({upstreamId, most, tolerated}) => ({
+      guarantee: 'limit-exceeded' as const,
+      detail: `${upstreamId} got ${most} requests, ${tolerated} are tolerated`,
+    })),
+    ...mixedAttemptIds.map(attemptId => ({
+      guarantee: 'two-versions' as const,
+      detail: attemptId,
+    })),
+    ...(hasCrashed
+      ? [
+          {
+            guarantee: 'crashing-part-sent' as const,
+            detail: `${crashing.executed} requests, ${crashing.tolerated} are tolerated`,
+          },
+        ]
+      : []),
+  ];
+}
+
 function checkReports(
   reports: readonly ObservedReport[],
 ): readonly Violation[] {
--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -1,7 +1,7 @@
 /**
  * Generates the faults of a run from its seed.
  */
-import type {EngineBehavior} from '@lacewingwinch/stand-ins';
+import type {EngineBehavior, LinkCut} from '@lacewingwinch/stand-ins';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 
@@ -17,6 +17,8 @@
 /** A way in which a network link fails. */
 export type LinkFault = (typeof LINK_FAULTS)[number];
 
+const LINK_CUTS: readonly LinkCut[] = ['hang', 'refuse-new', 'reset'];
+
 /** A way in which an upstream misbehaves while it is reachable. */
 type EngineFault = Exclude<EngineBehavior, 'answer'>;
 
@@ -84,6 +86,24 @@
    * under its id at the end of the fault.
    */
   | {readonly kind: 'engine-leaves'; readonly engine: number}
+  /** The upstream names a limit of requests a second in all its answers. */
+  | {readonly kind: 'engine-limits'; readonly engine: number}
+  /** Every model engine crashes when it begins to answer a certain part. */
+  | {readonly kind: 'crashing-part'}
+  /** Every second model engine starts again with another software version. */
+  | {readonly kind: 'engine-versions'}
+  /** The link from all other hosts to one host fails. */
+  | {
+      readonly kind: 'peer-link';
+      readonly host: number;
+      readonly fault: LinkFault;
+    }
+  /** The links from one host to all upstreams fail, and no other link. */
+  | {
+      readonly kind: 'upstream-links';
+      readonly host: number;
+      readonly form: LinkCut;
+    }
   /** The upstream refuses every request and asks for a pause. */
   | {readonly kind: 'engine-pauses'; readonly engine: number}
   /** A key is revoked permanently. */
@@ -145,6 +165,21 @@
   'engine',
 ];
 
+/** Kinds that were added last. */
+const LATEST_FAULT_KINDS: readonly Fault['kind'][] = [
+  'engine-limits',
+  'crashing-part',
+  'engine-versions',
+  'peer-link',
+  'peer-link',
+  'upstream-links',
+  'upstream-links',
+  'upstream-links',
+];
+
+/** Distance of the seeds from which the latest kinds are drawn. */
+const LATEST_SEED_OFFSET = 1_000_000;
+
 /**
  * Number of target indexes to draw from. They wrap around at the number of
  * hosts or upstreams in the run.
@@ -170,6 +205,12 @@
       minimum: 0,
       maximum: MAXIMUM_LATER_FAULTS,
     }),
+    ...drawFaults(seed + LATEST_SEED_OFFSET, {
+      kinds: LATEST_FAULT_KINDS,
+      engineFaults: LATER_ENGINE_FAULTS,
+      minimum: 0,
+      maximum: MAXIMUM_LATER_FAULTS,
+    }),
   ].sort(
     (left, right) => left.startsAtMilliseconds - right.startsAtMilliseconds,
   );
@@ -231,12 +272,19 @@
       return {kind, engine: target, fault: pick(engineFaults)};
     case 'store-loses':
       return {kind, count: draw(1, 3)};
+    case 'peer-link':
+      return {kind, host: target, fault: pick(LINK_FAULTS)};
+    case 'upstream-links':
+      return {kind, host: target, form: pick(LINK_CUTS)};
     case 'engine-leaves':
     case 'engine-pauses':
+    case 'engine-limits':
       return {kind, engine: target};
     case 'store-down':
     case 'store-expires':
     case 'store-comes-back':
+    case 'crashing-part':
+    case 'engine-versions':
     case 'revoke':
       return {kind};
   }
--- a/packages/soak/src/run_seed.ts
+++ b/packages/soak/src/run_seed.ts
@@ -22,6 +22,11 @@
   REVOKED_KEY,
   SoakInstallation,
 } from './soak_installation.js';
+import {
+  observeCrashing,
+  observeLimits,
+  observeMixedVersions,
+} from './upstream_observer.js';
 
 /** The size of a run. */
 export interface RunSize {
@@ -36,6 +41,14 @@
 /** One in this many clients uses the key that may be revoked. */
 const CLIENTS_PER_REVOKED_KEY_USER = 4;
 
+/** One in this many clients reads slowly, and which of them. */
+const CLIENTS_PER_SLOW_ONE = 8;
+const SLOW_CLIENT = 3;
+
+/** One in this many clients sends the part that crashes, and which of them. */
+const CLIENTS_PER_CRASHING_ONE = 4;
+const CRASHING_CLIENT = 1;
+
 /**
  * Stops a run that would otherwise wait forever; hosts recover within seconds.
  */
@@ -82,6 +95,12 @@
           installation.hosts,
           index,
           clock,
+          {
+            readsSlowly: index % CLIENTS_PER_SLOW_ONE === SLOW_CLIENT,
+            sendsCrashingPart: () =>
+              installation.isPartCrashing &&
+              index % CLIENTS_PER_CRASHING_ONE === CRASHING_CLIENT,
+          },
         ),
     );
     await runTraffic(installation, clients, faults);
@@ -99,6 +118,9 @@
       revokedKey: REVOKED_KEY,
       revocationMilliseconds: REVOCATION_MILLISECONDS,
       streamEvents: STREAM_EVENTS,
+      limits: observeLimits(installation.namedLimits),
+      crashing: observeCrashing(installation.engines(), faults),
+      mixedAttemptIds: observeMixedVersions(installation.engines()),
     });
     const hasFailed = violations.length > 0 || !hasRecovered;
     if (!hasFailed) {
--- a/packages/soak/src/soak_clients.ts
+++ b/packages/soak/src/soak_clients.ts
@@ -7,6 +7,7 @@
 import {
   callRouted,
   delay,
+  LARGE_STREAM_MARK,
   type RoutedStandInAnswer,
 } from '@lacewingwinch/stand-ins';
 
@@ -21,6 +22,11 @@
   'resumed',
 ];
 
+const SOAK_STREAM_KINDS: readonly SoakCallKind[] = ['stream', 'resumed'];
+
+/** Part of the ids of calls whose prompts crash engines. */
+export const CRASHING_MARK = '-crashing';
+
 /** Time within which a call must be answered. */
 const DEADLINE_MILLISECONDS = 1500;
 
@@ -30,6 +36,20 @@
 /** Pause after a call without an answer. */
 const FAILURE_PAUSE_MILLISECONDS = 100;
 
+/** Part of a prompt that crashes engines during a fault. */
+export const CRASHING_PART = 'bad';
+
+/** Milliseconds for which a slow client stops reading after each piece. */
+const READ_PAUSE_MILLISECONDS = 40;
+
+/** What a client does besides sending calls. */
+export interface ClientHabits {
+  /** Whether it reads its answers slowly. */
+  readonly readsSlowly: boolean;
+  /** Returns whether its prompts have the part that crashes engines. */
+  readonly sendsCrashingPart: () => boolean;
+}
+
 /** The address at which a host accepts calls. */
 export interface HostAddress {
   readonly clientAddress: string;
@@ -47,6 +67,10 @@
     private readonly hosts: readonly HostAddress[],
     private hostIndex: number,
     private readonly clock: () => number,
+    private readonly habits: ClientHabits = {
+      readsSlowly: false,
+      sendsCrashingPart: () => false,
+    },
   ) {}
 
   /**
@@ -71,9 +95,11 @@
     this.sentCalls += 1;
     const host = elementAt(this.hosts, this.hostIndex);
     const kind = elementAt(SOAK_CALL_KINDS, sentCalls);
-    const attemptId = `${name}-${sentCalls}`;
+    const isCrashing =
+      this.habits.sendsCrashingPart() && SOAK_STREAM_KINDS.includes(kind);
+    const attemptId = `${name}${isCrashing ? CRASHING_MARK : ''}-${sentCalls}`;
     const sentAt = clock();
-    const answer = await this.send(host, kind, attemptId);
+    const answer = await this.send(host, kind, attemptId, isCrashing);
     const call: ObservedCall = {
       attemptId,
       kind,
@@ -82,6 +108,7 @@
       status: answer?.status,
       body: answer?.body ?? '',
       isComplete: answer?.isComplete ?? false,
+      isFramed: answer?.isFramed ?? false,
       isSigned: answer?.isSigned ?? false,
       answeredAttemptId: answer?.attemptId,
     };
@@ -94,16 +121,21 @@
     {clientAddress}: HostAddress,
     kind: SoakCallKind,
     attemptId: string,
+    isCrashing: boolean,
   ): Promise<RoutedStandInAnswer | undefined> {
+    const isLarge = this.habits.readsSlowly && SOAK_STREAM_KINDS.includes(kind);
+    const parts = ['a1:10', ...(isCrashing ? [`${CRASHING_PART}:10`] : [])];
     try {
       return await callRouted({
         address: clientAddress,
-        path: `/${kind}/${attemptId}`,
+        path: `/${kind}/${isLarge ? LARGE_STREAM_MARK : ''}${attemptId}`,
         attemptId,
         key: this.key,
         deadline: DEADLINE_MILLISECONDS,
         body: attemptId,
         agent: this.agent,
+        promptParts: [...parts, '0:10'].join(','),
+        ...(isLarge && {readPauseMilliseconds: READ_PAUSE_MILLISECONDS}),
       });
     } catch {
       return undefined;
--- a/packages/soak/src/soak_host.ts
+++ b/packages/soak/src/soak_host.ts
@@ -7,6 +7,7 @@
 
 import {
   isReadyAt,
+  LinkProcess,
   type LoopbackAddresses,
   settingsEnvironment,
   settingsFileText,
@@ -37,19 +38,26 @@
   readonly storeAddress: string;
   /** Folder for the settings file and the log. */
   readonly folder: string;
-  /** Script that is preloaded to shift the time of day. */
-  readonly clockPreload: URL;
+  /** Script that is preloaded into the process. */
+  readonly preload: URL;
 }
 
 /** An entry host that runs as a process of its own. */
 export class SoakHost {
   readonly storeLink: FaultProxy;
+  /** The links from the other hosts to this one. */
+  readonly peerLinks: readonly FaultProxy[];
+  private upstreams: LinkProcess | undefined;
+  /** Ports through which the process connects to other ports. */
+  private links: Readonly<Record<string, string>> = {};
   private child: ChildProcess | undefined;
   private hasStarted = false;
   private exitPromise: Promise<void> = Promise.resolve();
 
   constructor(private readonly options: SoakHostOptions) {
     this.storeLink = new FaultProxy(options.storeAddress);
+    const {peers, relay} = options.addresses;
+    this.peerLinks = [peers, relay].map(address => new FaultProxy(address));
   }
 
   get hostId(): string {
@@ -61,10 +69,34 @@
     return this.options.addresses.callers;
   }
 
-  /** Opens the link to the store and starts the process. */
-  async open(): Promise<void> {
-    await this.storeLink.listen();
-    this.start();
+  /** The links of this host to the upstreams. */
+  get upstreamLinks(): LinkProcess {
+    if (this.upstreams === undefined) {
+      throw new Error('the links to the upstreams are not open');
+    }
+    return this.upstreams;
+  }
+
+  /** Opens the links to the store, to the upstreams and from the other hosts. */
+  async open(upstreamAddresses: readonly string[]): Promise<void> {
+    this.upstreams = await LinkProcess.start(upstreamAddresses);
+    const {addresses} = this.upstreams;
+    this.links = linkPorts(upstreamAddresses, addresses);
+    await Promise.all(
+      [this.storeLink, ...this.peerLinks].map(link => link.listen()),
+    );
+  }
+
+  /** Sets the links through which the process reaches the other hosts. */
+  connectTo(others: readonly SoakHost[]): void {
+    const targets = others.flatMap(({options: {addresses}}) => [
+      addresses.peers,
+      addresses.relay,
+    ]);
+    const links = others.flatMap(({peerLinks}) =>
+      peerLinks.map(({address}) => address),
+    );
+    this.links = {...this.links, ...linkPorts(targets, links)};
   }
 
   /** Starts the process unless it is running. */
@@ -74,14 +106,17 @@
     }
     this.writeSettings(!this.hasStarted);
     this.hasStarted = true;
-    const {folder, clockPreload, hostId} = this.options;
+    const {folder, preload, hostId} = this.options;
     const log = openSync(join(folder, `${hostId}.log`), 'a');
     const child = spawn(
       process.execPath,
-      ['--import', clockPreload.href, BUNDLED_PROGRAM.pathname, 'serve-routes'],
+      ['--import', preload.href, BUNDLED_PROGRAM.pathname, 'serve-routes'],
       {
         stdio: ['ignore', log, log, 'ipc'],
-        env: settingsEnvironment(this.settingsPath),
+        env: {
+          ...settingsEnvironment(this.settingsPath),
+          SOAK_LINKS: JSON.stringify(this.links),
+        },
       },
     );
     closeSync(log);
@@ -118,11 +153,14 @@
     return isReadyAt(this.options.addresses);
   }
 
-  /** Kills the process and closes the link to the store. */
+  /** Kills the process and closes its links. */
   async close(): Promise<void> {
     this.signal('SIGKILL');
     await this.exitPromise;
-    await this.storeLink.close();
+    await Promise.all(
+      [this.storeLink, ...this.peerLinks].map(link => link.close()),
+    );
+    await this.upstreams?.stop();
   }
 
   private writeSettings(isFirstStart: boolean): void {
@@ -145,3 +183,20 @@
     return join(this.options.folder, `${this.hostId}.toml`);
   }
 }
+
+/** Returns the ports of `links` by the ports that they lead to. */
+function linkPorts(
+  targets: readonly string[],
+  links: readonly string[],
+): Readonly<Record<string, string>> {
+  return Object.fromEntries(
+    targets.map((target, index) => [
+      portOf(target),
+      portOf(links[index] ?? target),
+    ]),
+  );
+}
+
+function portOf(address: string): string {
+  return address.slice(address.lastIndexOf(':') + 1);
+}
--- a/packages/soak/src/soak_installation.ts
+++ b/packages/soak/src/soak_installation.ts
@@ -15,7 +15,9 @@
 import {elementAt} from './element_at.js';
 import type {Fault, PlannedFault} from './fault_plan.js';
 import {FaultProxy} from './fault_proxy.js';
+import {CRASHING_PART} from './soak_clients.js';
 import {SoakHost} from './soak_host.js';
+import type {NamedLimit} from './upstream_observer.js';
 
 /** The key that is never revoked. */
 export const LASTING_KEY = 'key-lasting';
@@ -34,6 +36,9 @@
 /** Seconds for which an upstream wants no requests after a refusal. */
 const PAUSE_SECONDS = '0.8';
 
+/** Limit that an upstream in need names. */
+const REQUESTS_PER_SECOND = 3;
+
 /** Execution time of a request, so that faults hit requests in progress. */
 const WORK_MILLISECONDS = 40;
 
@@ -81,6 +86,10 @@
   revokedAt: number | undefined;
   private readonly upstreams: Upstream[] = [];
   private readonly heartbeat: NodeJS.Timeout;
+  /** Limits that upstreams have named. */
+  readonly namedLimits: NamedLimit[] = [];
+  /** Number of active faults in which a prompt part crashes engines. */
+  private crashingFaults = 0;
   private version = 1;
   private keys: readonly string[] = [];
 
@@ -115,10 +124,14 @@
         seeds: addresses.slice(0, 3).map(({peers}) => peers),
         storeAddress: this.store.address,
         folder,
-        clockPreload: new URL('../dist/clock_preload.js', import.meta.url),
+        preload: new URL('../dist/host_preload.js', import.meta.url),
       });
       this.hosts.push(host);
-      await host.open();
+      await host.open(this.upstreams.map(({link}) => link.address));
+    }
+    for (const host of this.hosts) {
+      host.connectTo(this.hosts.filter(other => other !== host));
+      host.start();
     }
     await this.waitUntilReady();
   }
@@ -143,6 +156,18 @@
     return this.upstreams.flatMap(({engine}) => engine.executedAttemptIds());
   }
 
+  /** Whether a prompt part crashes engines at present. */
+  get isPartCrashing(): boolean {
+    return this.crashingFaults > 0;
+  }
+
+  /** Returns the model engines. */
+  engines(): readonly RoutedEngineStandIn[] {
+    return this.upstreams
+      .filter(({service}) => service === 'engines')
+      .map(({engine}) => engine);
+  }
+
   /** Injects a fault and resolves when it has ended. */
   async injectFault({
     fault,
@@ -246,6 +271,29 @@
           engine.pauseAnnouncement = undefined;
         };
       }
+      case 'engine-limits':
+        return this.nameLimit(elementAt(this.upstreams, fault.engine).engine);
+      case 'crashing-part':
+        return this.crashUnderPart();
+      case 'engine-versions': {
+        const engines = this.engines().filter((_, index) => index % 2 === 0);
+        restartAt(engines, 'v2');
+        return () => restartAt(engines, 'v1');
+      }
+      case 'peer-link': {
+        const ends = elementAt(this.hosts, fault.host).peerLinks.map(link =>
+          startLinkFault(link, fault.fault),
+        );
+        return () => ends.forEach(end => end());
+      }
+      case 'upstream-links': {
+        const links = elementAt(this.hosts, fault.host).upstreamLinks;
+        const cut = links.cut(fault.form);
+        return async () => {
+          await cut;
+          await links.heal();
+        };
+      }
       case 'store-loses':
         this.store.faults.appendAnswersToLose += fault.count;
         return undefined;
@@ -259,6 +307,30 @@
     }
   }
 
+  private nameLimit(engine: RoutedEngineStandIn): () => void {
+    const from = Date.now();
+    engine.namedLimit = String(REQUESTS_PER_SECOND);
+    return () => {
+      engine.namedLimit = undefined;
+      this.namedLimits.push({
+        engine,
+        requestsPerSecond: REQUESTS_PER_SECOND,
+        from,
+        to: Date.now(),
+      });
+    };
+  }
+
+  private crashUnderPart(): () => void {
+    this.crashingFaults += 1;
+    for (const engine of this.engines()) {
+      engine.crashingParts = new Set([CRASHING_PART]);
+    }
+    return () => {
+      this.crashingFaults -= 1;
+    };
+  }
+
   private publish(keys: readonly string[]): void {
     this.keys = keys;
     this.store.publish(standInConfiguration(this.version, RULES, keys));
@@ -286,6 +358,17 @@
   }
 }
 
+/** Restarts engines with a software version. */
+function restartAt(
+  engines: readonly RoutedEngineStandIn[],
+  softwareVersion: string,
+): void {
+  for (const engine of engines) {
+    engine.softwareVersion = softwareVersion;
+    engine.restart();
+  }
+}
+
 function startLinkFault(
   link: FaultProxy,
   fault: Parameters<FaultProxy['setFault']>[0],
--- a/packages/soak/tests/check_guarantees_test.ts
+++ b/packages/soak/tests/check_guarantees_test.ts
@@ -16,6 +16,7 @@
   status: 200,
   body: 'answer-of-i-1 for a',
   isComplete: true,
+  isFramed: true,
   isSigned: true,
   answeredAttemptId: 'a',
 };
@@ -52,6 +53,10 @@
       name: 'with a stream that breaks off and is marked incomplete',
       call: {...STREAM, body: EVENTS[0] ?? '', isComplete: false},
     },
+    {
+      name: 'with a stream that breaks off and whose end says nothing',
+      call: {...STREAM, body: EVENTS[0] ?? '', isFramed: false},
+    },
     {
       name: 'with an idempotent request that ran twice',
       call: {...CALL, kind: 'again'},
--- a/packages/soak/tests/fault_plan_test.ts
+++ b/packages/soak/tests/fault_plan_test.ts
@@ -35,12 +35,16 @@
     );
     expect([...kinds].sort()).toEqual([
       'clock',
+      'crashing-part',
       'engine',
       'engine-leaves',
+      'engine-limits',
       'engine-link',
       'engine-pauses',
+      'engine-versions',
       'freeze',
       'kill',
+      'peer-link',
       'revoke',
       'stop',
       'store-comes-back',
@@ -48,6 +52,7 @@
       'store-expires',
       'store-link',
       'store-loses',
+      'upstream-links',
     ]);
     const overlapping = plans.filter(plan =>
       plan.some(
--- a/packages/stand-ins/src/routed_client_stand_in.ts
+++ b/packages/stand-ins/src/routed_client_stand_in.ts
@@ -21,8 +21,12 @@
   readonly body: string;
   /** Pool of kept connections; false opens a connection for this request. */
   readonly agent: Agent | false;
+  /** Parts of the prompt as `ID:TOKENS`, separated by commas. */
+  readonly promptParts?: string;
   /** Headers besides those that every request has. */
   readonly headers?: Readonly<Record<string, string>>;
+  /** Milliseconds for which the client stops reading after each piece. */
+  readonly readPauseMilliseconds?: number;
   /** Receives the HTTP request, so that the client can abort it. */
   readonly onRequest?: (request: ClientRequest) => void;
 }
@@ -34,6 +38,8 @@
   readonly body: string;
   /** Whether the answer arrived completely. */
   readonly isComplete: boolean;
+  /** Whether the end of the answer says that it is complete. */
+  readonly isFramed: boolean;
   /** Whether the answer has the signature of an upstream. */
   readonly isSigned: boolean;
   /** Id of the attempt that the answer belongs to. */
@@ -67,6 +73,9 @@
           'x-deadline-ms': String(call.deadline),
           authorization: `Token ${call.key}`,
           'content-length': Buffer.byteLength(call.body),
+          ...(call.promptParts !== undefined && {
+            'x-prompt-prefix': call.promptParts,
+          }),
           ...call.headers,
         },
       },
@@ -76,6 +85,10 @@
         let body = '';
         response.on('data', (chunk: Buffer) => {
           body += chunk.toString();
+          if (call.readPauseMilliseconds !== undefined) {
+            response.pause();
+            setTimeout(() => response.resume(), call.readPauseMilliseconds);
+          }
         });
         response.on('error', () => undefined);
         response.on('close', () =>
@@ -85,6 +98,9 @@
             body,
             // Node completes an answer without a length when it is reset.
             isComplete: response.complete && !isReset,
+            isFramed:
+              headers['content-length'] !== undefined ||
+              headers['transfer-encoding'] !== undefined,
             isSigned: headers['x-response-signature'] !== undefined,
             attemptId: headers['x-attempt-id']?.toString(),
           }),
--- a/packages/stand-ins/src/routed_engine_stand_in.ts
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -47,11 +47,21 @@
   readonly path: string;
   readonly headers: IncomingMessage['headers'];
   readonly body: string;
+  readonly attemptId: string;
+  /** Whether it continues a stream after one of its events. */
+  readonly isContinuation: boolean;
+  /** Time of the execution, in milliseconds since the epoch. */
+  readonly at: number;
+  /** Software version of the upstream at that time. */
+  readonly softwareVersion: string;
 }
 
 /** Number of events of a streamed answer. */
 export const STREAM_EVENTS = 6;
 
+/** A path that contains this asks for large events. */
+export const LARGE_STREAM_MARK = '-large-';
+
 /** Milliseconds between two events of a stream. */
 const EVENT_INTERVAL_MILLISECONDS = 10;
 
@@ -78,6 +88,10 @@
   hasAttemptIdInAnswer = false;
   /** Version of the model weights; 0 for an upstream without a model. */
   weightVersion = 0;
+  /** Version of its software, which its entries state. */
+  softwareVersion = 'v1';
+  /** Bytes that each event has besides its text if the path asks for them. */
+  readonly largeEventBytes = 400_000;
   /** Start time of the process; increased when it restarts under its id. */
   bornAt = 1;
   private isStopped = false;
@@ -115,7 +129,7 @@
       service,
       address: this.address,
       zone: 'north',
-      version: 'v1',
+      version: this.softwareVersion,
       slots: 8,
       state: 'ready',
       coldRemainingMs: 0,
@@ -154,7 +168,7 @@
 
   /** Returns the attempt ids of the executed requests. */
   executedAttemptIds(): readonly string[] {
-    return this.ran.map(({headers}) => String(headers['x-attempt-id']));
+    return this.ran.map(({attemptId}) => attemptId);
   }
 
   protected async handle(
@@ -200,7 +214,15 @@
       response.writeHead(503, {'x-not-executed': '1'}).end();
       return;
     }
-    this.ran.push({path: message.url ?? '', headers, body});
+    this.ran.push({
+      path: message.url ?? '',
+      headers,
+      body,
+      attemptId,
+      isContinuation: headers['last-event-id'] !== undefined,
+      at: Date.now(),
+      softwareVersion: this.softwareVersion,
+    });
     await delay(this.executionMilliseconds);
     switch (this.behavior) {
       case 'answer':
@@ -278,13 +300,20 @@
         message.socket.resetAndDestroy();
         return;
       }
-      const event = `event-${id}${this.attemptSuffixOf(message)}`;
+      const event = `event-${id}${this.attemptSuffixOf(message)}${this.paddingOf(message)}`;
       response.write(`id: ${id}\ndata: ${event}\n\n`);
       await delay(EVENT_INTERVAL_MILLISECONDS);
     }
     response.end();
   }
 
+  /** Makes events large, so that a client that reads slowly holds them up. */
+  private paddingOf({url = ''}: IncomingMessage): string {
+    return url.includes(LARGE_STREAM_MARK)
+      ? '.'.repeat(this.largeEventBytes)
+      : '';
+  }
+
   /** Returns whether a shared part of the prompt crashes the process. */
   private crashesUnder({headers}: IncomingMessage): boolean {
     const parts = String(headers['x-prompt-prefix'] ?? '').split(',');
--- a/packages/test-runs/src/known_red_list.ts
+++ b/packages/test-runs/src/known_red_list.ts
@@ -9,7 +9,9 @@
   /** A test of the suite: its file, the names of its groups, and its name. */
   | {readonly kind: 'test'; readonly name: string}
   /** A day of the bench, which the test command does not play. */
-  | {readonly kind: 'day'; readonly name: string};
+  | {readonly kind: 'day'; readonly name: string}
+  /** A seed of the soak, which the test command does not run. */
+  | {readonly kind: 'soak'; readonly name: string};
 
 /** One entry of the list. */
 export interface KnownRedEntry {
@@ -31,7 +33,8 @@
 
 type FieldName = (typeof FIELDS)[number];
 
-const SUBJECT_PATTERN = /^(test|day): (\S.*)$/;
+const SUBJECT_KINDS = ['test', 'day', 'soak'] as const;
+const SUBJECT_PATTERN = /^(\w+): (\S.*)$/;
 const FIELD_PATTERN = /^ {2}(\w+): (\S.*)$/;
 const CONTINUATION_PATTERN = /^ {4,}(\S.*)$/;
 const TEST_NAME_PATTERN = /^\S+_test\.ts > \S/;
@@ -74,14 +77,11 @@
   const faults: string[] = [];
   let field: string | undefined;
   for (const line of block.split('\n').filter(row => row.trim() !== '')) {
-    const subject = SUBJECT_PATTERN.exec(line);
+    const subject = subjectOf(line);
     const named = FIELD_PATTERN.exec(line);
     const continued = CONTINUATION_PATTERN.exec(line);
-    if (subject !== null && fields.size === 0) {
-      subjects.push({
-        kind: subject[1] === 'test' ? 'test' : 'day',
-        name: subject[2] ?? '',
-      });
+    if (subject !== undefined && fields.size === 0) {
+      subjects.push(subject);
     } else if (
       named !== null &&
       isFieldName(named[1]) &&
@@ -117,7 +117,7 @@
     name => `no ${name}: ${firstLine}`,
   );
   if (subjects.length === 0) {
-    faults.push(`names no test and no day: ${firstLine}`);
+    faults.push(`names nothing that fails: ${firstLine}`);
   }
   for (const {kind, name} of subjects) {
     if (kind === 'test' && !TEST_NAME_PATTERN.test(name)) {
@@ -131,6 +131,12 @@
   return faults;
 }
 
+function subjectOf(line: string): KnownRedSubject | undefined {
+  const [, word, name = ''] = SUBJECT_PATTERN.exec(line) ?? [];
+  const kind = SUBJECT_KINDS.find(known => known === word);
+  return kind === undefined ? undefined : {kind, name};
+}
+
 function isFieldName(name: string | undefined): name is FieldName {
   return FIELDS.some(known => known === name);
 }
--- a/packages/test-runs/tests/known_red_list_test.ts
+++ b/packages/test-runs/tests/known_red_list_test.ts
@@ -23,8 +23,8 @@
       tests: ['a_test.ts > group > name'],
     },
     {
-      name: 'two tests of one entry and a day',
-      text: `# Comment.\n\ntest: a_test.ts > one\ntest: a_test.ts > two\n${FIELDS}\n\nday: site scale-1\n${FIELDS}\n`,
+      name: 'two tests of one entry, a day and a seed',
+      text: `# Comment.\n\ntest: a_test.ts > one\ntest: a_test.ts > two\n${FIELDS}\n\nday: site scale-1\nsoak: seed 4\n${FIELDS}\n`,
       tests: ['a_test.ts > one', 'a_test.ts > two'],
     },
   ])('$name', ({text, tests}) => {
@@ -57,7 +57,7 @@
     {
       name: 'an entry without a subject',
       text: FIELDS,
-      fault: /names no test and no day/,
+      fault: /names nothing that fails/,
     },
     {
       name: 'a test without its file',
