Read and log how many requests brittle upstreams may turn away

Upstreams that are brittle say so in all their answers; the header was read nowhere. It is decoded as a rate a second, and kept, exchanged between hosts and ended as the limits that upstreams name are: UpstreamLimits becomes NamedRates, with statements of two kinds. Answers that refuse a request say it as well, so that reports of ended requests carry the statements too. Events 3015 and 3016 and the gauge lacewingwinch_brittle_upstream. Nobody keeps to it yet.

--- a/packages/decisions/tests/upstream_limits_test.ts
+++ b/packages/decisions/tests/upstream_limits_test.ts
@@ -4,17 +4,17 @@
 import {
   type GrantingHost,
   grantShareOf,
+  NamedRates,
   UpstreamGrants,
-  UpstreamLimits,
 } from '../src/index.js';
 
 const UPSTREAM = {upstreamId: 'i-1', bornAt: 100};
 const START = 1_000_000;
 
-let limits: UpstreamLimits;
+let limits: NamedRates;
 
 beforeEach(() => {
-  limits = new UpstreamLimits();
+  limits = new NamedRates();
 });
 
 /** An answer that arrives `after` milliseconds, 50 ms after its request. */
@@ -22,9 +22,10 @@
   after: number,
   requestsPerSecond?: number,
   sentAfter = after - 50,
-): Parameters<UpstreamLimits['recordAnswer']>[1] {
+): Parameters<NamedRates['recordAnswer']>[1] {
   return {
     requestsPerSecond,
+    refusalsPerSecond: undefined,
     sentAt: START + sentAfter,
     answeredAt: START + after,
   };
@@ -33,7 +34,7 @@
 describe('the limit of an upstream', () => {
   it.each<{
     readonly name: string;
-    readonly answers: readonly Parameters<UpstreamLimits['recordAnswer']>[1][];
+    readonly answers: readonly Parameters<NamedRates['recordAnswer']>[1][];
     readonly limit: number | undefined;
   }>([
     {name: 'is that of its answer', answers: [answer(0, 2)], limit: 2},
@@ -69,26 +70,28 @@
     },
   ])('$name', ({answers, limit}) => {
     answers.forEach(one => limits.recordAnswer(UPSTREAM, one));
-    expect(limits.limitOf(UPSTREAM)).toBe(limit);
+    expect(limits.rateOf('requests', UPSTREAM)).toBe(limit);
   });
 
   it('is not that of its next incarnation', () => {
     limits.recordAnswer(UPSTREAM, answer(0, 2));
-    expect(limits.limitOf({...UPSTREAM, bornAt: 200})).toBeUndefined();
+    expect(
+      limits.rateOf('requests', {...UPSTREAM, bornAt: 200}),
+    ).toBeUndefined();
     limits.recordAnswer({...UPSTREAM, bornAt: 200}, answer(10, 7));
     limits.recordAnswer(UPSTREAM, answer(20, 2));
-    expect(limits.limitOf({...UPSTREAM, bornAt: 200})).toBe(7);
+    expect(limits.rateOf('requests', {...UPSTREAM, bornAt: 200})).toBe(7);
   });
 
   it('is the same at two hosts that exchange their statements in any order', () => {
-    const other = new UpstreamLimits();
+    const other = new NamedRates();
     limits.recordAnswer(UPSTREAM, answer(0, 2));
     other.recordAnswer(UPSTREAM, answer(30, 4));
     const [own, others] = [limits.known([UPSTREAM]), other.known([UPSTREAM])];
     own.forEach(statement => other.merge(statement));
     others.forEach(statement => limits.merge(statement));
-    expect(limits.limitOf(UPSTREAM)).toBe(4);
-    expect(other.limitOf(UPSTREAM)).toBe(4);
+    expect(limits.rateOf('requests', UPSTREAM)).toBe(4);
+    expect(other.rateOf('requests', UPSTREAM)).toBe(4);
   });
 
   it('is remembered for a bounded number of upstreams', () => {
@@ -98,8 +101,12 @@
         answer(index, 2),
       );
     }
-    expect(limits.limitOf({upstreamId: 'i-0', bornAt: 1})).toBeUndefined();
-    expect(limits.limitOf({upstreamId: 'i-4999', bornAt: 1})).toBe(2);
+    expect(
+      limits.rateOf('requests', {upstreamId: 'i-0', bornAt: 1}),
+    ).toBeUndefined();
+    expect(limits.rateOf('requests', {upstreamId: 'i-4999', bornAt: 1})).toBe(
+      2,
+    );
   });
 });
 
--- a/packages/entry-hosts/src/peer_methods.ts
+++ b/packages/entry-hosts/src/peer_methods.ts
@@ -6,7 +6,6 @@
   Claim,
   DispatchEffect,
   HeldPermit,
-  LimitStatement,
   Member,
   OriginKnowledge,
   PartSuspicion,
@@ -15,6 +14,7 @@
   PlacementDemand,
   PlacementEstimate,
   ProcessCounts,
+  RateStatement,
   RelayedList,
   SnapshotRecord,
   StreamOrigin,
@@ -167,8 +167,8 @@
    * IDs of upstreams already tried or failing from the front's point of view.
    */
   readonly excluded: readonly string[];
-  /** What the front knows of limits; sent where the dispatcher knows less. */
-  readonly limits?: readonly LimitStatement[];
+  /** What the front knows of rates; sent where the dispatcher knows less. */
+  readonly rates?: readonly RateStatement[];
 }
 
 /** The upstream chosen for a request, if there is one. */
@@ -177,8 +177,8 @@
       readonly kind: 'chosen';
       readonly upstreamId: string;
       readonly estimate: PlacementEstimate;
-      /** What the dispatcher knows of limits, if the front sent any. */
-      readonly limits?: readonly LimitStatement[];
+      /** What the dispatcher knows of rates, if the front sent any. */
+      readonly rates?: readonly RateStatement[];
     }
   /** Every upstream has as many requests as its limit allows. */
   | {
@@ -199,8 +199,8 @@
       readonly tokens: number;
       /** Milliseconds from the placement to the first output. */
       readonly elapsed: number;
-      /** What the upstream said of its limit, if anything. */
-      readonly limit?: LimitStatement;
+      /** What the upstream said of its rates, if anything. */
+      readonly rates?: readonly RateStatement[];
     }
   | {
       readonly kind: 'ended';
@@ -208,6 +208,8 @@
       readonly front: string;
       readonly attemptId: string;
       readonly upstreamId: string;
+      /** What the upstream said of its rates, if anything. */
+      readonly rates?: readonly RateStatement[];
       /** Result; absent if it gives no information about the upstream. */
       readonly result?: UpstreamResult;
       /**
--- a/packages/entry-process/src/routed/answer_announcements.ts
+++ b/packages/entry-process/src/routed/answer_announcements.ts
@@ -4,10 +4,12 @@
  */
 import {
   announcementsOf,
+  type AnsweredRates,
+  type NamedRates,
+  type RateStatement,
   type UpstreamAnnouncement,
   type UpstreamAnnouncements,
   type UpstreamIncarnation,
-  type UpstreamLimits,
 } from '@lacewingwinch/decisions';
 import type {EventLog, Metrics} from '@lacewingwinch/observability';
 import {
@@ -23,7 +25,7 @@
   readonly events: EventLog;
   readonly metrics: Metrics;
   readonly announcements: UpstreamAnnouncements;
-  readonly upstreamLimits: UpstreamLimits;
+  readonly namedRates: NamedRates;
   /** Returns milliseconds since the epoch, the same on all hosts. */
   readonly trueTime: () => number;
 }
@@ -59,38 +61,52 @@
     announcements.forEach(announcement =>
       this.recordAnnouncement(upstream, announcement),
     );
-    this.recordLimit(upstream, headers.requestsPerSecond, sentAt);
+    this.recordRates(upstream, headers, sentAt);
     return announcements;
   }
 
-  private recordLimit(
+  private recordRates(
     upstream: AnsweringUpstream,
-    requestsPerSecond: number | undefined,
+    {requestsPerSecond, refusalsPerSecond}: AnsweredRates,
     sentAt: number,
   ): void {
-    const {upstreamLimits, trueTime, clocks, events, metrics} =
-      this.dependencies;
-    if (requestsPerSecond === undefined && upstreamLimits.isEmpty) {
+    const {namedRates, trueTime, clocks} = this.dependencies;
+    const isNamed =
+      requestsPerSecond !== undefined || refusalsPerSecond !== undefined;
+    if (!isNamed && namedRates.isEmpty) {
       return;
     }
     const answeredAt = trueTime();
-    const statement = upstreamLimits.recordAnswer(upstream, {
-      requestsPerSecond,
-      sentAt: answeredAt - (clocks.steady() - sentAt),
-      answeredAt,
-    });
-    if (statement === undefined) {
+    namedRates
+      .recordAnswer(upstream, {
+        requestsPerSecond,
+        refusalsPerSecond,
+        sentAt: answeredAt - (clocks.steady() - sentAt),
+        answeredAt,
+      })
+      .forEach(statement => this.logRate(upstream, statement));
+  }
+
+  private logRate(
+    {upstreamId, service}: AnsweringUpstream,
+    {kind, perSecond}: RateStatement,
+  ): void {
+    const {events, metrics} = this.dependencies;
+    const gauge =
+      kind === 'requests' ? metrics.upstreamLimits : metrics.brittleUpstreams;
+    if (perSecond === null) {
+      events.write(kind === 'requests' ? 3009 : 3016, {upstreamId, service});
+      gauge.remove({upstream: upstreamId});
       return;
     }
-    const {upstreamId, service} = upstream;
-    const limit = statement.requestsPerSecond;
-    if (limit === null) {
-      events.write(3009, {upstreamId, service});
-      metrics.upstreamLimits.remove({upstream: upstreamId});
-      return;
+    gauge.set({upstream: upstreamId}, perSecond);
+    switch (kind) {
+      case 'requests':
+        events.write(3008, {upstreamId, service, limit: perSecond});
+        return;
+      case 'refusals':
+        events.write(3015, {upstreamId, service, limit: perSecond});
     }
-    events.write(3008, {upstreamId, service, limit});
-    metrics.upstreamLimits.set({upstream: upstreamId}, limit);
   }
 
   private recordAnnouncement(
--- a/packages/entry-process/src/routed/limited_upstreams.ts
+++ b/packages/entry-process/src/routed/limited_upstreams.ts
@@ -5,15 +5,15 @@
   type GrantingHost,
   grantShareOf,
   LONGEST_GRANT_WAIT_MILLISECONDS,
+  type NamedRates,
   type PlacementGrants,
   UpstreamGrants,
   type UpstreamIncarnation,
-  type UpstreamLimits,
 } from '@lacewingwinch/decisions';
 
 /** Dependencies of `LimitedUpstreams`. */
 export interface LimitedUpstreamsDependencies {
-  readonly upstreamLimits: UpstreamLimits;
+  readonly namedRates: NamedRates;
   /** Returns suspension-aware clock readings in milliseconds. */
   readonly clock: () => number;
   /** Returns the hosts among which limits are divided. */
@@ -34,7 +34,9 @@
 
   /** Returns whether an upstream has named a limit that holds. */
   isLimited(upstream: UpstreamIncarnation): boolean {
-    return this.dependencies.upstreamLimits.limitOf(upstream) !== undefined;
+    return (
+      this.dependencies.namedRates.rateOf('requests', upstream) !== undefined
+    );
   }
 
   /**
@@ -45,7 +47,7 @@
     const {clock, hostCounts} = this.dependencies;
     const share = grantShareOf({dispatcherFor, ...hostCounts()});
     const rateOf = (upstream: UpstreamIncarnation): number | undefined => {
-      const limit = this.dependencies.upstreamLimits.limitOf(upstream);
+      const limit = this.dependencies.namedRates.rateOf('requests', upstream);
       return limit === undefined ? undefined : limit * share;
     };
     const waitOf = (upstream: UpstreamIncarnation): number => {
--- a/packages/entry-process/src/routed/routed_placement.ts
+++ b/packages/entry-process/src/routed/routed_placement.ts
@@ -6,11 +6,11 @@
   type EngineChoice,
   GRANT_LIFETIME_MILLISECONDS,
   type Member,
+  type NamedRates,
   type PlacedRequest,
   type PlacementDemand,
   PlacementTable,
   type UpstreamChange,
-  type UpstreamLimits,
   type UpstreamResult,
   type UsableUpstream,
 } from '@lacewingwinch/decisions';
@@ -78,7 +78,7 @@
     this.shards = new ShardPlacement({
       candidates: this.candidates,
       dispatchers: this.dispatchers,
-      upstreamLimits: dependencies.upstreamLimits,
+      namedRates: dependencies.namedRates,
       limited: new LimitedUpstreams(dependencies),
       choose: ({service, front, demand, failureDomain}, candidates, grants) =>
         this.tableOf(service).place(
@@ -171,6 +171,9 @@
   /** Handles a notification from a front that a request started or ended. */
   onNotification(notification: PlacementReport): void {
     const table = this.tableOf(notification.service);
+    notification.rates?.forEach(rate =>
+      this.dependencies.namedRates.merge(rate),
+    );
     switch (notification.kind) {
       case 'began':
         table.recordFirstOutput(
@@ -179,9 +182,6 @@
           notification.tokens,
           notification.elapsed,
         );
-        if (notification.limit !== undefined) {
-          this.dependencies.upstreamLimits.merge(notification.limit);
-        }
         return;
       case 'ended':
         table.recordEnd(notification.front, notification);
@@ -266,7 +266,7 @@
           ...placedAttempt,
           tokens,
           elapsed,
-          ...limitField(this.dependencies.upstreamLimits, upstream),
+          ...ratesField(this.dependencies.namedRates, upstream),
         });
       },
       reportEnded: result => {
@@ -277,6 +277,7 @@
           service,
           front: hostId,
           ...placedAttempt,
+          ...ratesField(this.dependencies.namedRates, upstream),
           ...(result === undefined ? {} : {result}),
           ...(announcements.isLeaving(upstream) && {
             leavingBornAt: upstream.bornAt,
@@ -360,11 +361,11 @@
   }
 }
 
-/** Returns the field of a report that states the limit of an upstream. */
-function limitField(
-  limits: UpstreamLimits,
+/** Returns the field of a report that states the rates of an upstream. */
+function ratesField(
+  namedRates: NamedRates,
   upstream: UsableUpstream,
-): Pick<PlacementReport & {kind: 'began'}, 'limit'> {
-  const [limit] = limits.known([upstream]);
-  return limit === undefined ? {} : {limit};
+): Pick<PlacementReport, 'rates'> {
+  const rates = namedRates.known([upstream]);
+  return rates.length === 0 ? {} : {rates};
 }
--- a/packages/entry-process/src/routed/routed_tasks.ts
+++ b/packages/entry-process/src/routed/routed_tasks.ts
@@ -3,13 +3,13 @@
  */
 import {
   FleetHealth,
+  NamedRates,
   type RoutingConfiguration,
   ServiceRetryBudgets,
   TrueTime,
   UpstreamAnnouncements,
   type UpstreamChange,
   UpstreamHealth,
-  UpstreamLimits,
   UsageWindows,
   type WorkspaceQuota,
 } from '@lacewingwinch/decisions';
@@ -92,7 +92,7 @@
   private readonly health = new UpstreamHealth();
   private readonly fleetHealth = new FleetHealth();
   private readonly announcements = new UpstreamAnnouncements();
-  private readonly upstreamLimits = new UpstreamLimits();
+  private readonly namedRates = new NamedRates();
   private readonly retryBudgets: ServiceRetryBudgets;
   private readonly fleet: FleetView;
   private readonly trueTime = new TrueTime();
@@ -145,7 +145,7 @@
       events: this.events,
       metrics: this.metrics,
       announcements: this.announcements,
-      upstreamLimits: this.upstreamLimits,
+      namedRates: this.namedRates,
       trueTime: () => this.readTrueTime(),
     });
     this.paths = this.createPaths(settings.failureDomain);
@@ -169,7 +169,7 @@
       health: this.health,
       fleetHealth: this.fleetHealth,
       announcements: this.announcements,
-      upstreamLimits: this.upstreamLimits,
+      namedRates: this.namedRates,
       hostCounts: () => ({
         servingHosts: this.membership.serving().length,
         knownHosts: this.membership.sharingHostIds().length,
--- a/packages/entry-process/src/routed/shard_placement.ts
+++ b/packages/entry-process/src/routed/shard_placement.ts
@@ -5,8 +5,8 @@
 import type {
   EngineChoice,
   Member,
+  NamedRates,
   PlacementGrants,
-  UpstreamLimits,
   UsableUpstream,
 } from '@lacewingwinch/decisions';
 import type {
@@ -34,7 +34,7 @@
 export interface ShardPlacementDependencies {
   readonly candidates: PlacementCandidates;
   readonly dispatchers: DispatcherCalls;
-  readonly upstreamLimits: UpstreamLimits;
+  readonly namedRates: NamedRates;
   readonly limited: LimitedUpstreams;
   /** Chooses one of the candidates and counts the request there. */
   readonly choose: (
@@ -77,8 +77,8 @@
     request: PlacementRequest,
     tried: ReadonlySet<string>,
   ): PlacementAnswer {
-    const {upstreamLimits, candidates} = this.dependencies;
-    request.limits?.forEach(statement => upstreamLimits.merge(statement));
+    const {namedRates, candidates} = this.dependencies;
+    request.rates?.forEach(rate => namedRates.merge(rate));
     const result = this.placeHere(request, tried);
     switch (result.kind) {
       case 'none':
@@ -91,8 +91,8 @@
           kind: 'chosen',
           upstreamId: upstream.upstreamId,
           estimate,
-          ...(request.limits !== undefined && {
-            limits: upstreamLimits.known(
+          ...(request.rates !== undefined && {
+            rates: namedRates.known(
               candidates.accepting(request.service, request.demand),
             ),
           }),
@@ -166,21 +166,21 @@
     dispatcher: Member,
     request: PlacementRequest,
   ): Promise<ShardChoice | undefined> {
-    const {dispatchers, upstreamLimits, candidates} = this.dependencies;
+    const {dispatchers, namedRates, candidates} = this.dependencies;
     const first = await dispatchers.requestChoice(dispatcher, request);
     const choice = this.choiceFrom(request, first, dispatcher);
     if (choice?.kind !== 'chosen' || !this.lacksGrant(choice.choice)) {
       return choice;
     }
-    const limits = upstreamLimits.known(
+    const rates = namedRates.known(
       candidates.accepting(request.service, request.demand),
     );
     const second = await dispatchers.requestChoice(dispatcher, {
       ...request,
-      limits,
+      rates,
     });
     if (second?.kind === 'chosen') {
-      second.limits?.forEach(statement => upstreamLimits.merge(statement));
+      second.rates?.forEach(rate => namedRates.merge(rate));
     }
     const granted = this.choiceFrom(request, second, dispatcher);
     return granted?.kind === 'chosen' && this.lacksGrant(granted.choice)
--- a/packages/entry-process/tests/routed_placement_test.ts
+++ b/packages/entry-process/tests/routed_placement_test.ts
@@ -2,12 +2,12 @@
 import {
   FleetHealth,
   type ListedUpstream,
+  NamedRates,
   type PlacementDemand,
   rendezvousWinner,
   type UpstreamAnnouncement,
   UpstreamAnnouncements,
   UpstreamHealth,
-  UpstreamLimits,
   UpstreamList,
 } from '@lacewingwinch/decisions';
 import type {PeerClient} from '@lacewingwinch/entry-hosts';
@@ -79,7 +79,7 @@
     health: new UpstreamHealth(),
     fleetHealth: new FleetHealth(),
     announcements: announced,
-    upstreamLimits: new UpstreamLimits(),
+    namedRates: new NamedRates(),
     hostCounts: () => ({servingHosts: HOSTS.length, knownHosts: HOSTS.length}),
     peers,
     events,
--- a/packages/observability/src/event_catalogue.ts
+++ b/packages/observability/src/event_catalogue.ts
@@ -188,6 +188,18 @@
     message: 'this host reaches upstreams again',
     advice: 'No action needed.',
   },
+  3015: {
+    level: 'warn',
+    message:
+      'upstream {upstreamId} of {service} falls over if it has to turn away more than {limit} requests a second',
+    advice:
+      'Add upstreams to the service; until then requests are refused before they reach it.',
+  },
+  3016: {
+    level: 'info',
+    message: 'upstream {upstreamId} of {service} is not brittle any more',
+    advice: 'No action needed.',
+  },
   4001: {
     level: 'warn',
     message: 'request {requestId} failed with {kind}',
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -15,6 +15,7 @@
   readonly answerEnds: Counter<'end' | 'framing'>;
   readonly lostConnections: Counter<'answer'>;
   readonly upstreamLimits: Gauge<'upstream'>;
+  readonly brittleUpstreams: Gauge<'upstream'>;
   readonly cutOff: Gauge;
   readonly relayedAttempts: Counter<'result'>;
   readonly carriedAttempts: Counter<'end'>;
@@ -69,6 +70,12 @@
       labelNames: ['upstream'],
       registers,
     }),
+    brittleUpstreams: new Gauge({
+      name: 'lacewingwinch_brittle_upstream',
+      help: 'Requests per second that an upstream may turn away, while it says that it falls over otherwise.',
+      labelNames: ['upstream'],
+      registers,
+    }),
     cutOff: new Gauge({
       name: 'lacewingwinch_cut_off',
       help: 'Whether this host reaches no upstream over its own links, 0 or 1.',
