--- a/packages/stand-ins/src/routed_engine_stand_in.ts
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -68,6 +68,8 @@
 /** Milliseconds between the head of an answer and a crash under it. */
 const CRASH_DELAY_MILLISECONDS = 60;
 
+const SECOND_MILLISECONDS = 1000;
+
 /** What a body without end consists of. */
 const FLOOD_BLOCK = Buffer.alloc(65_536, 'x');
 const FLOOD_BYTE = Buffer.from('x');
@@ -95,12 +97,25 @@
   /** Start time of the process; increased when it restarts under its id. */
   bornAt = 1;
   private isStopped = false;
+  /** Whether the process has crashed and not started again. */
+  private isDown = false;
   /** Number of entries that the process has written. */
   private heartbeat = 0;
   /** Whether every answer says that the upstream is leaving. */
   isLeaving = false;
   /** Value of `server-limit` of each answer; undefined to send none. */
   namedLimit: string | undefined;
+  /** Requests in progress beyond which it turns requests away. */
+  room = Infinity;
+  /**
+   * Value of `server-brittle` of each answer; undefined to send none. The process
+   * crashes if it turns more requests away in a second.
+   */
+  brittleness: string | undefined;
+  /** Requests in progress. */
+  private inProgress = 0;
+  /** Times at which requests were turned away for want of room. */
+  private turnedAway: readonly number[] = [];
   /** Value of `retry-after` of each refusal; undefined to send none. */
   pauseAnnouncement: string | undefined;
   /** Times at which requests arrived, executed or not. */
@@ -150,6 +165,10 @@
   /** Ends all connections, refuses new ones for a while and starts again. */
   async crash(): Promise<void> {
     const port = Number(this.address.split(':')[1]);
+    if (this.isDown) {
+      return;
+    }
+    this.isDown = true;
     this.crashes.push(Date.now());
     await super.close();
     await delay(this.restartMilliseconds);
@@ -157,6 +176,7 @@
       return;
     }
     await this.listen(port);
+    this.isDown = false;
     this.restart();
     this.onRestarted();
   }
@@ -184,6 +204,9 @@
     if (this.namedLimit !== undefined) {
       response.setHeader('server-limit', this.namedLimit);
     }
+    if (this.brittleness !== undefined) {
+      response.setHeader('server-brittle', this.brittleness);
+    }
     response.once('close', () => {
       this.abandonedRequests += response.writableFinished ? 0 : 1;
     });
@@ -214,6 +237,15 @@
       response.writeHead(503, {'x-not-executed': '1'}).end();
       return;
     }
+    if (this.inProgress >= this.room) {
+      response.writeHead(503, {'x-not-executed': '1'}).end();
+      this.turnAway(Date.now());
+      return;
+    }
+    this.inProgress += 1;
+    response.once('close', () => {
+      this.inProgress -= 1;
+    });
     this.ran.push({
       path: message.url ?? '',
       headers,
@@ -260,6 +292,18 @@
     }
   }
 
+  /** Falls over if it turned too many requests away. */
+  private turnAway(now: number): void {
+    this.turnedAway = [
+      ...this.turnedAway.filter(time => time > now - SECOND_MILLISECONDS),
+      now,
+    ];
+    if (this.turnedAway.length > Number(this.brittleness ?? Infinity)) {
+      this.turnedAway = [];
+      void this.crash();
+    }
+  }
+
   private async answer(
     message: IncomingMessage,
     response: ServerResponse,
