End the pressure on brittle upstreams at the hosts

Cause: what one upstream turned away went to the next one, and no host sees the sum of what all of them send. The class of fault is that of the limits that upstreams name.

A grant now depends on the requests in progress besides the one that it is for; a request that waited for its turn behind others would be sent whatever was refused meanwhile.

--- a/packages/decisions/src/placement/placement_table.ts
+++ b/packages/decisions/src/placement/placement_table.ts
@@ -89,8 +89,9 @@
     if (choice === undefined) {
       return undefined;
     }
-    this.add(front, demand, choice, now);
+    // A grant depends on the requests that are in progress besides this one.
     const grantWaitMilliseconds = grants.take(choice.upstream);
+    this.add(front, demand, choice, now);
     return grantWaitMilliseconds === undefined
       ? choice
       : {...choice, grantWaitMilliseconds};
@@ -169,6 +170,11 @@
     return [...(this.fronts.get(front)?.requests.values() ?? [])];
   }
 
+  /** Returns the number of requests in progress at an upstream. */
+  runningAt(upstreamId: string, now: number): number {
+    return this.loads(now).get(upstreamId)?.running ?? 0;
+  }
+
   /** Returns the work in progress by upstream. */
   loads(now: number): ReadonlyMap<string, PlacementLoad> {
     const loads = new Map<string, MutableLoad>();
--- a/packages/decisions/src/upstreams/upstream_health.ts
+++ b/packages/decisions/src/upstreams/upstream_health.ts
@@ -39,6 +39,8 @@
 /** The end of a request at an upstream, with regard to its health. */
 export type UpstreamResult =
   | 'answered'
+  /** The upstream turned the request away without running it. */
+  | 'refused'
   /** The upstream answered with an error status. */
   | 'errored'
   /** The answer was invalid or missing. */
@@ -68,6 +70,8 @@
         record.ejections = 0;
         record.failureShare *= 1 - NEWEST_RESULT_WEIGHT;
         return undefined;
+      case 'refused':
+        return undefined;
       case 'errored':
       case 'failed':
       case 'disconnected':
--- a/packages/entry-process/src/routed/routed_placement.ts
+++ b/packages/entry-process/src/routed/routed_placement.ts
@@ -70,16 +70,22 @@
   /** The upstreams at which requests may be placed. */
   readonly candidates: PlacementCandidates;
   private readonly dispatchers: DispatcherCalls;
+  private readonly limited: LimitedUpstreams;
   private readonly shards: ShardPlacement;
 
   constructor(private readonly dependencies: RoutedPlacementDependencies) {
     this.candidates = new PlacementCandidates(dependencies);
     this.dispatchers = new DispatcherCalls(dependencies);
+    this.limited = new LimitedUpstreams({
+      ...dependencies,
+      runningAt: ({service, upstreamId}) =>
+        this.tableOf(service).runningAt(upstreamId, dependencies.clock()),
+    });
     this.shards = new ShardPlacement({
       candidates: this.candidates,
       dispatchers: this.dispatchers,
       namedRates: dependencies.namedRates,
-      limited: new LimitedUpstreams(dependencies),
+      limited: this.limited,
       choose: ({service, front, demand, failureDomain}, candidates, grants) =>
         this.tableOf(service).place(
           front,
@@ -294,8 +300,13 @@
     if (result === undefined) {
       return;
     }
-    const {health, fleetHealth, clock, events, hostId} = this.dependencies;
+    const {health, fleetHealth, clock, events, hostId, upstreams} =
+      this.dependencies;
     const now = clock();
+    const upstream = upstreams.find(upstreamId);
+    if (result === 'refused' && upstream !== undefined) {
+      this.limited.recordRefusal(upstream);
+    }
     const ownEjection =
       front === hostId
         ? health.recordResult(upstreamId, result, now)
--- a/packages/entry-process/src/routed/upstream_result.ts
+++ b/packages/entry-process/src/routed/upstream_result.ts
@@ -5,6 +5,9 @@
 
 import type {AttemptOutcome} from './routed_attempt.js';
 
+/** Status with which an upstream turns a request away for want of room. */
+const REFUSAL_STATUS = 503;
+
 /** Lowest status that means a failure of the upstream itself. */
 export const FIRST_FAILURE_STATUS = 500;
 
@@ -35,9 +38,12 @@
           return resultOfLoss(outcome.failure.cause);
         case 'silent':
           return 'failed';
+        case 'not-executed':
+          return outcome.failure.status === REFUSAL_STATUS
+            ? 'refused'
+            : undefined;
         case 'no-connection':
         case 'withheld':
-        case 'not-executed':
           return undefined;
       }
   }
