Reproduce entry hosts of the own interface that are cut off from every upstream

The same cause as on the platform, looked for in the other path: three entry hosts with host lists and links of their own, one of them cut off.

--- a/packages/stand-ins/src/fleet.ts
+++ b/packages/stand-ins/src/fleet.ts
@@ -12,6 +12,7 @@
   waitFor,
 } from './child_process_group.js';
 import {type EngineOptions, EngineStandIn} from './engine_stand_in.js';
+import {LinkProcess} from './link_process.js';
 import {PlainServiceStandIn} from './plain_service_stand_in.js';
 import {PlatformStandIn, type StandInHost} from './platform_stand_in.js';
 
@@ -37,6 +38,11 @@
    * and name.
    */
   readonly objects?: readonly FleetObject[];
+  /**
+   * Whether each entry host has links of its own to the upstreams, at the addresses
+   * of a host list of its own.
+   */
+  readonly hasOwnLinks?: boolean;
   /** Additional command-line flags of each entry host. */
   readonly entryFlags?: readonly string[];
 }
@@ -128,6 +134,10 @@
   readonly engines: EngineStandIn[] = [];
   readonly plainServices: PlainServiceStandIn[] = [];
   readonly entries: FleetEntry[] = [];
+  /** Links of the entry hosts to the upstreams, if they have their own. */
+  readonly links: LinkProcess[] = [];
+  private readonly hostLists: PlatformStandIn[] = [];
+  private readonly upstreams: StandInHost[] = [];
 
   private constructor(private readonly options: FleetOptions) {}
 
@@ -163,6 +173,9 @@
   /** Starts entry hosts that join the running ones. */
   async startEntries(domains: readonly string[]): Promise<void> {
     const ports = await findFreePorts(domains.length * 3);
+    if (this.options.hasOwnLinks === true) {
+      await Promise.all(domains.map(() => this.openLinks()));
+    }
     domains.forEach((failureDomain, index) => {
       const [callers, peers, operators] = ports
         .slice(index * 3, index * 3 + 3)
@@ -227,6 +240,8 @@
       process.child.kill('SIGKILL');
     }
     await Promise.all(this.entries.map(({process}) => process.exited));
+    await Promise.all(this.links.map(links => links.stop()));
+    await Promise.all(this.hostLists.map(list => list.close()));
     await Promise.all([
       ...this.engines.map(engine => engine.close()),
       ...this.plainServices.map(service => service.close()),
@@ -234,6 +249,19 @@
     await this.platform.close();
   }
 
+  /** Opens the links of the next entry host, with a host list of their own. */
+  private async openLinks(): Promise<void> {
+    const targets = this.upstreams.map(({address}) => address);
+    const links = await LinkProcess.start(targets);
+    const list = new PlatformStandIn();
+    await list.listen();
+    this.upstreams.forEach((host, index) =>
+      list.addHost({...host, address: links.addresses[index] ?? host.address}),
+    );
+    this.links.push(links);
+    this.hostLists.push(list);
+  }
+
   private async startUpstreams(): Promise<void> {
     const {engines = 0, plainServices = 0, engineOptions} = this.options;
     for (let index = 0; index < engines; index += 1) {
@@ -268,6 +296,7 @@
       service,
       address,
     };
+    this.upstreams.push(host);
     this.platform.addHost(host);
   }
 
@@ -297,7 +326,7 @@
       `--peer-port=${portOf(peers)}`,
       `--operator-port=${portOf(operators)}`,
       `--log-url=${this.platform.url}`,
-      `--host-list-url=${this.platform.url}`,
+      `--host-list-url=${(this.hostLists[this.entries.length] ?? this.platform).url}`,
       `--cloud-url=${this.platform.url}`,
       `--peers=${this.entries[0]?.peers ?? peers}`,
       '--host-list-seconds=0.2',
