Own interface: carry attempts through other hosts, and blame no content for lost links

The attempt loop takes the ways that UpstreamPaths knows, an exchange can go to another host that carries it, and a right that was consumed for an attempt of which the other host sent no byte is held again. A lost connection is blamed on contents and parts only if the upstream is to blame: where several upstreams are lost at once, this host still connects to it, or another host does not either. Discovery leaves out hosts that are cut off.

--- a/packages/decisions/src/claims/execution_right.ts
+++ b/packages/decisions/src/claims/execution_right.ts
@@ -1,6 +1,7 @@
 /**
  * The right to execute a non-idempotent request. It exists as one object in one
- * process and is consumed when the first byte is sent to an upstream.
+ * process and is consumed when the first byte is sent to an upstream, or to another
+ * host that sends it there.
  */
 
 /** The state of an execution right. */
@@ -22,6 +23,13 @@
     return this.transitionTo('consumed');
   }
 
+  /** Holds a consumed right again, of which no byte was sent to an upstream. */
+  restore(): void {
+    if (this.currentState === 'consumed') {
+      this.currentState = 'held';
+    }
+  }
+
   /** Destroys the unused right; returns false if it is no longer held. */
   destroy(): boolean {
     return this.transitionTo('destroyed');
--- a/packages/decisions/src/retries/decide_retry.ts
+++ b/packages/decisions/src/retries/decide_retry.ts
@@ -10,6 +10,8 @@
   | {readonly kind: 'not-sent'}
   /** The connection was lost after the first byte was written. */
   | {readonly kind: 'connection-lost'}
+  /** The link to the upstream fell silent; another host still reached it. */
+  | {readonly kind: 'path-lost'}
   /** The upstream refused the call and reported that it did not run it. */
   | {readonly kind: 'refused-by-upstream'}
   /** The attempt was cancelled because the upstream announced its departure. */
--- a/packages/entry-process/src/build_tasks.ts
+++ b/packages/entry-process/src/build_tasks.ts
@@ -26,7 +26,11 @@
   connectHostList,
   connectLogService,
 } from '@lacewingwinch/platform';
-import {canConnect, UpstreamConnections} from '@lacewingwinch/upstreams';
+import {
+  canConnect,
+  ConnectionPool,
+  UpstreamConnections,
+} from '@lacewingwinch/upstreams';
 import {v7 as uuidV7} from 'uuid';
 
 import {AttemptLoop} from './front/attempt_loop.js';
@@ -34,6 +38,8 @@
 import {FrontTask} from './front/front_task.js';
 import {LimitExchange} from './front/limit_exchange.js';
 import {RequestRegistry} from './front/request_registry.js';
+import {RelayCarrier} from './paths/relay_carrier.js';
+import {UpstreamPaths} from './paths/upstream_paths.js';
 import {BackupStore} from './recovery/backup_store.js';
 import {ClaimClient} from './recovery/claim_client.js';
 import {Handover} from './recovery/handover.js';
@@ -76,6 +82,10 @@
   readonly clock: () => number;
   readonly peers: PeerClient;
   readonly connections: UpstreamConnections;
+  readonly paths: UpstreamPaths;
+  readonly carrier: RelayCarrier;
+  /** Connections over which attempts of other hosts are carried. */
+  readonly pool: ConnectionPool;
   readonly quarantine: Quarantine;
   readonly parts: PartWatch;
   readonly configuration: ConfigurationTask;
@@ -121,7 +131,38 @@
     clock,
     trueTime: clock,
     servingHosts: () => membership.serving(),
-    isAlive: ({address}) => canConnect(address, CONNECT_TIMEOUT_MILLISECONDS),
+    isAlive: upstream => paths.isAlive(upstream),
+  });
+  const steadyClock = (): number => performance.now();
+  const pool = new ConnectionPool(steadyClock);
+  const paths: UpstreamPaths = new UpstreamPaths({
+    failureDomain: settings.failureDomain,
+    peers,
+    events,
+    metrics,
+    clock: steadyClock,
+    random: Math.random,
+    otherHosts: () =>
+      membership.serving().filter(member => member.hostId !== hostId),
+    addressOf: upstreamId => directory.find(upstreamId)?.address,
+    canConnect: address => canConnect(address, CONNECT_TIMEOUT_MILLISECONDS),
+    closeIdle: address =>
+      address === undefined ? pool.closeAllIdle() : pool.closeIdle(address),
+    onCutOffChange: () => membership.broadcast(),
+  });
+  const carrier = new RelayCarrier({
+    pool,
+    events,
+    metrics,
+    paths,
+    clock: steadyClock,
+    acceptingUpstream: upstreamId => {
+      const upstream = directory.find(upstreamId);
+      return upstream === undefined || upstream.isLeaving
+        ? undefined
+        : {...upstream, upstreamId, bornAt: 0};
+    },
+    onHead: () => undefined,
   });
   const limits = new LimitShares();
   const backups = new BackupStore();
@@ -164,6 +205,7 @@
         partSuspicions: parts.openSuspicions(),
         loads: dispatcher.loads(),
         demands: limitExchange.ownDemands(),
+        ...(paths.isCutOff && {isCutOff: true}),
       }),
       onDigest: (sender, digest) => applyDigest(sender, digest),
     },
@@ -209,6 +251,7 @@
     claims: new ClaimClient({hostId, peers, claimTask: claims, servingHosts}),
     peers,
     connections,
+    paths,
     quarantine,
     parts,
     limits,
@@ -258,6 +301,7 @@
     directory.markLeaving(digest.leavingUpstreams, undefined);
     digest.suspicions.forEach(suspicion => quarantine.merge(suspicion));
     parts.onGossip(digest.partSuspicions ?? []);
+    paths.recordHostCutOff(sender.hostId, digest.isCutOff === true);
     shardLoads.update(digest.loads);
     limitExchange.onDemands(sender, digest.demands);
     configuration.onPeerAhead(sender, digest.configurationReadTo);
@@ -270,6 +314,9 @@
     clock,
     peers,
     connections,
+    paths,
+    carrier,
+    pool,
     quarantine,
     parts,
     configuration,
@@ -296,6 +343,7 @@
       callers: `${listenAddress}:${settings.callerPort}`,
       peers: `${listenAddress}:${settings.peerPort}`,
       operators: `${listenAddress}:${settings.operatorPort}`,
+      relay: `${listenAddress}:${settings.relayPort}`,
     },
     incarnation: now,
     status: 'joining',
--- a/packages/entry-process/src/entry_process.ts
+++ b/packages/entry-process/src/entry_process.ts
@@ -6,6 +6,8 @@
 import {
   type ClientFacingServer,
   listenForClients,
+  listenForRoutedCalls,
+  type RoutedServer,
 } from '@lacewingwinch/callers';
 import {listenForPeers, type PeerServer} from '@lacewingwinch/entry-hosts';
 import {
@@ -40,6 +42,8 @@
   readonly callers: ClientFacingServer;
   readonly peers: PeerServer;
   readonly operators: OperatorServer;
+  /** Server for the attempts that this host carries for others. */
+  readonly relay: RoutedServer;
 }
 
 /** An entry process, which serves as one entry host. */
@@ -108,8 +112,9 @@
   }
 
   private async listen(): Promise<Servers> {
-    const {listenAddress, callerPort, peerPort, operatorPort} = this.settings;
-    const {events, front} = this.tasks;
+    const {listenAddress, callerPort, peerPort, relayPort, operatorPort} =
+      this.settings;
+    const {events, front, carrier} = this.tasks;
     const onUnexpected = (error: unknown): void =>
       events.write(1006, {task: 'callers', error: messageOf(error)});
     const drain = (): void => void this.leave('drain');
@@ -129,7 +134,12 @@
       operatorPort,
       createOperatorHandlers(this.settings.hostId, this.tasks, drain),
     );
-    return {callers, peers, operators};
+    const relay = await listenForRoutedCalls(
+      `${listenAddress}:${relayPort}`,
+      carrier,
+      onUnexpected,
+    );
+    return {callers, peers, operators, relay};
   }
 
   private runTasks(): void {
@@ -187,7 +197,7 @@
   }
 
   private async stop(): Promise<void> {
-    const {events, membership, registry, peers, connections, tracing} =
+    const {events, membership, registry, peers, connections, pool, tracing} =
       this.tasks;
     const {hostId} = this.settings;
     const cutCount = registry.runningCount;
@@ -203,6 +213,8 @@
     this.servers?.callers.abort();
     await this.servers?.peers.close();
     await this.servers?.operators.close();
+    this.servers?.relay.close();
+    pool.close();
     peers.close();
     await connections.close();
     await tracing.shutdown();
--- a/packages/entry-process/src/front/attempt_evidence.ts
+++ b/packages/entry-process/src/front/attempt_evidence.ts
@@ -60,34 +60,44 @@
 
   /**
    * Records a lost connection as a possible crash caused by the content, unless
-   * the upstream is leaving.
+   * the upstream is leaving, or the links of this host are suspect and another
+   * host reaches the upstream.
    */
-  recordFailure(
+  async recordFailure(
     run: RequestRun,
     slot: UpstreamSlot,
     failure: AttemptFailure,
-  ): void {
-    const {quarantine, directory, events, membership, clock} = this.context;
+  ): Promise<void> {
+    const {quarantine, directory, events, membership, clock, paths} =
+      this.context;
     const {fingerprint} = run.request;
     const upstreamId = slot.upstream.id;
     const isLeaving = directory.leavingIds().includes(upstreamId);
     if (failure.kind !== 'connection-lost' || isLeaving) {
       return;
     }
-    quarantine.recordCrash(upstreamId, fingerprint, slot.isAlone, clock());
-    this.accuseParts(run, upstreamId);
-    events.write(4003, {fingerprint, upstreamId});
-    membership.broadcast();
+    paths.recordLost(upstreamId);
+    const millisecondsSinceBegun =
+      clock() - (run.request.attemptBegunAt ?? clock());
+    const recordCrash = (): void => {
+      quarantine.recordCrash(upstreamId, fingerprint, slot.isAlone, clock());
+      this.accuseParts(run, upstreamId, millisecondsSinceBegun);
+      events.write(4003, {fingerprint, upstreamId});
+      membership.broadcast();
+    };
+    const {address} = slot.upstream;
+    if (await paths.isUpstreamToBlame({upstreamId, address})) {
+      recordCrash();
+    }
   }
 
   private accuseParts(
     {request, service}: RequestRun,
     upstreamId: string,
+    millisecondsSinceBegun: number,
   ): void {
-    const {parts, clock} = this.context;
-    const {sharedParts, attemptBegunAt} = request;
-    const now = clock();
-    const millisecondsSinceBegun = now - (attemptBegunAt ?? now);
+    const {parts} = this.context;
+    const {sharedParts} = request;
     if (
       sharedParts.length > 0 &&
       millisecondsSinceBegun <= ACCUSATION_MILLISECONDS
--- a/packages/entry-process/src/front/attempt_loop.ts
+++ b/packages/entry-process/src/front/attempt_loop.ts
@@ -7,24 +7,25 @@
   decideRetry,
   findService,
   listServices,
+  NO_WAYS_TRIED,
   type SendOutcome,
   type Service,
   ServingError,
+  type Way,
+  withTriedWay,
 } from '@lacewingwinch/decisions';
 import type {KeptAnswer} from '@lacewingwinch/entry-hosts';
-import {
-  callPlainService,
-  EngineRefusal,
-  isUpstreamError,
-  streamCompletion,
-} from '@lacewingwinch/upstreams';
+import {EngineRefusal, isUpstreamError} from '@lacewingwinch/upstreams';
 
 import type {StreamMover} from '../recovery/stream_mover.js';
 import {AttemptEvidence} from './attempt_evidence.js';
-import {engineBody, upstreamHeaders} from './engine_request.js';
+import {AttemptPath} from './attempt_path.js';
+import {exchangeCarrierOf} from './attempt_route.js';
+import {upstreamHeaders} from './engine_request.js';
 import type {FrontContext} from './front_context.js';
 import {outcomeOf, ranOf, type ServedRequest} from './served_request.js';
 import {type RequestRun, SlotFinder, type UpstreamSlot} from './slot_finder.js';
+import {type UpstreamAnswer, UpstreamCalls} from './upstream_calls.js';
 
 /** How one attempt ended. */
 type AttemptEnd =
@@ -34,6 +35,7 @@
 
 /** Runs requests, each with as many attempts as its rule allows. */
 export class AttemptLoop {
+  private readonly calls: UpstreamCalls;
   private readonly slotFinder: SlotFinder;
   private readonly evidence: AttemptEvidence;
 
@@ -41,6 +43,7 @@
     private readonly context: FrontContext,
     private readonly mover: StreamMover,
   ) {
+    this.calls = new UpstreamCalls(context, mover);
     this.slotFinder = new SlotFinder(context);
     this.evidence = new AttemptEvidence(context, this.slotFinder);
   }
@@ -100,7 +103,7 @@
         return;
       }
       excluded.push(slot.upstream.id);
-      this.evidence.recordFailure(run, slot, end.failure);
+      await this.evidence.recordFailure(run, slot, end.failure);
       this.requireRetryAllowed(run, end.failure);
     }
   }
@@ -157,13 +160,41 @@
     }
   }
 
+  /**
+   * Makes an attempt, over the link of this host or through other hosts until the
+   * upstream has received it.
+   */
   private async attempt(
     run: RequestRun,
     slot: UpstreamSlot,
+  ): Promise<AttemptEnd> {
+    const {request} = run;
+    const {paths} = this.context;
+    const upstreamId = slot.upstream.id;
+    request.countAttempt();
+    let tried = NO_WAYS_TRIED;
+    for (;;) {
+      const way = paths.nextWay(upstreamId, tried) ?? {kind: 'direct'};
+      tried = withTriedWay(tried, way);
+      const end = await this.attemptOver(way, run, slot);
+      const isUnsent = end.kind === 'failed' && end.failure.kind === 'not-sent';
+      const hasAnotherWay = paths.nextWay(upstreamId, tried) !== undefined;
+      if (!isUnsent || !request.isRunning() || !hasAnotherWay) {
+        return end;
+      }
+    }
+  }
+
+  private async attemptOver(
+    way: Way,
+    run: RequestRun,
+    slot: UpstreamSlot,
   ): Promise<AttemptEnd> {
     const {request, service} = run;
-    const attemptId = `${request.id}.${request.attempts + 1}`;
+    const attemptId = `${request.id}.${request.attempts}`;
     const signal = request.beginAttempt(attemptId, slot.upstream.id);
+    const watch = this.pathWatchOf(way, run, slot);
+    const wasSentBefore = request.wasSent;
     const span = this.context.tracing.startHop(
       'upstream',
       'client',
@@ -174,27 +205,74 @@
       if (this.context.clock() >= request.copy.deadline) {
         return {kind: 'failed', failure: {kind: 'deadline-passed'}};
       }
-      const parameters = {run, slot, attemptId, signal};
+      const carrier = exchangeCarrierOf(way, {
+        upstreamId: slot.upstream.id,
+        front: this.context.hostId,
+        requestId: request.id,
+        isRepeatable: request.copy.isIdempotent,
+        millisecondsLeft: request.copy.deadline - this.context.clock(),
+      });
+      const exchange = {
+        signal,
+        onBytes: () => watch.recordBytes(),
+        ...(carrier !== undefined && {carrier}),
+      };
       const headers = upstreamHeaders(
         request.copy,
         attemptId,
         span.traceparent,
       );
-      const authorizeSend = (): boolean =>
-        this.authorizeSend(request, slot, attemptId);
-      await (service.upstreamKind === 'model'
-        ? this.callEngine(parameters, headers, authorizeSend)
-        : this.callPlain(parameters, headers, authorizeSend));
+      const authorizeSend = (): boolean => {
+        const canSend = this.authorizeSend(request, slot, attemptId);
+        if (canSend) {
+          watch.recordSent();
+        }
+        return canSend;
+      };
+      const call = {run, slot, attemptId, headers, exchange, authorizeSend};
+      const answer =
+        service.upstreamKind === 'model'
+          ? await this.calls.callEngine(call)
+          : await this.calls.callPlain(call);
+      this.finishAnswered(run, slot, answer);
       span.end();
       return {kind: 'answered'};
     } catch (error) {
       span.end('failed');
+      if (isUpstreamError(error)) {
+        watch.recordFailure(error);
+        if (error.failure.kind === 'not-sent') {
+          request.wasSent = wasSentBefore;
+          request.executionRight?.restore();
+        }
+      }
       return this.endWithError(request, attemptId, error);
     } finally {
+      watch.stop();
       request.upstreamId = undefined;
     }
   }
 
+  /** Watches what an attempt shows of the way that it takes. */
+  private pathWatchOf(
+    way: Way,
+    {request}: RequestRun,
+    slot: UpstreamSlot,
+  ): AttemptPath {
+    const isStreamed = request.copy.callKind !== 'plain';
+    const mayRunAgain = request.copy.isIdempotent || isStreamed;
+    return new AttemptPath({
+      paths: this.context.paths,
+      way,
+      upstreamId: slot.upstream.id,
+      onOutOfReach: () => {
+        if (mayRunAgain) {
+          request.cancelAttempt({kind: 'path-lost'});
+        }
+      },
+    });
+  }
+
   /**
    * Decides whether the attempt may send its first byte now. Consumes the
    * execution right of a request that needs one, and marks the request as sent.
@@ -221,62 +299,10 @@
     return canSend;
   }
 
-  private async callPlain(
-    parameters: AttemptParameters,
-    headers: Readonly<Record<string, string>>,
-    authorizeSend: () => boolean,
-  ): Promise<void> {
-    const {run, slot, signal} = parameters;
-    const {request} = run;
-    const answer = await callPlainService(this.context.connections, {
-      address: slot.upstream.address,
-      isRepeatable: request.copy.isIdempotent,
-      request: {
-        method: request.copy.method,
-        path: request.copy.path,
-        headers,
-        body: request.body.length === 0 ? undefined : request.body,
-        signal,
-        canSend: authorizeSend,
-      },
-    });
-    this.finishAnswered(run, slot, answer.status, {
-      status: answer.status,
-      contentType: answer.contentType,
-      body: answer.body.toString('base64'),
-      framing: answer.framing,
-    });
-  }
-
-  private async callEngine(
-    parameters: AttemptParameters,
-    headers: Readonly<Record<string, string>>,
-    authorizeSend: () => boolean,
-  ): Promise<void> {
-    const {run, slot, attemptId, signal} = parameters;
-    const {request, outcome} = run;
-    const resume = this.mover.resumePoint(request);
-    await streamCompletion(this.context.connections, {
-      address: slot.upstream.address,
-      request: {
-        method: 'POST',
-        path: request.copy.path,
-        headers,
-        body: engineBody(request, outcome.model, resume),
-        signal,
-        canSend: authorizeSend,
-      },
-      onEvent: ({offset, data}) =>
-        request.acceptEvent(attemptId, offset, data, this.context.clock()),
-    });
-    this.finishAnswered(run, slot, 200, undefined);
-  }
-
   private finishAnswered(
     run: RequestRun,
     slot: UpstreamSlot,
-    status: number,
-    answer: KeptAnswer | undefined,
+    {status, answer}: UpstreamAnswer,
   ): void {
     const {request} = run;
     this.evidence.recordAnswered(run, slot);
@@ -346,14 +372,6 @@
   }
 }
 
-/** Parameters shared by the upstream calls of one attempt. */
-interface AttemptParameters {
-  readonly run: RequestRun;
-  readonly slot: UpstreamSlot;
-  readonly attemptId: string;
-  readonly signal: AbortSignal;
-}
-
 function answerField(answer: KeptAnswer | undefined): {
   readonly answer?: KeptAnswer;
 } {
--- a/packages/entry-process/src/front/front_context.ts
+++ b/packages/entry-process/src/front/front_context.ts
@@ -12,6 +12,7 @@
 import type {EventLog, Metrics, Tracing} from '@lacewingwinch/observability';
 import type {UpstreamConnections} from '@lacewingwinch/upstreams';
 
+import type {UpstreamPaths} from '../paths/upstream_paths.js';
 import type {ClaimClient} from '../recovery/claim_client.js';
 import type {MembershipTask} from '../tasks/membership_task.js';
 import type {PartWatch} from '../tasks/part_watch.js';
@@ -32,6 +33,7 @@
   readonly claims: ClaimClient;
   readonly peers: PeerClient;
   readonly connections: UpstreamConnections;
+  readonly paths: UpstreamPaths;
   readonly quarantine: Quarantine;
   /** Messages under which upstreams crash, whatever else a request holds. */
   readonly parts: PartWatch;
--- a/packages/entry-process/src/front/front_task.ts
+++ b/packages/entry-process/src/front/front_task.ts
@@ -103,8 +103,10 @@
   }
 
   discover(client: string): Discovery {
+    const {membership, paths, hostId} = this.context;
+    const hosts = paths.hostsForClients(membership.serving(), hostId);
     return {
-      hosts: discoverHosts(this.context.membership.serving(), client),
+      hosts: discoverHosts(hosts, client),
       maximumAgeSeconds: DISCOVERY_MAXIMUM_AGE_SECONDS,
     };
   }
--- a/packages/entry-process/src/front/served_request.ts
+++ b/packages/entry-process/src/front/served_request.ts
@@ -142,9 +142,13 @@
     }
   }
 
+  /** Counts an attempt, which may take several ways to its upstream. */
+  countAttempt(): void {
+    this.attempts += 1;
+  }
+
   /** Begins an attempt. The returned signal aborts when it is cancelled. */
   beginAttempt(attemptId: string, upstreamId: string): AbortSignal {
-    this.attempts += 1;
     this.attemptId = attemptId;
     this.upstreamId = upstreamId;
     this.attemptBegunAt = undefined;
--- a/packages/entry-process/src/paths/relay_carrier.ts
+++ b/packages/entry-process/src/paths/relay_carrier.ts
@@ -21,7 +21,6 @@
   type RelayRefusal,
 } from '@lacewingwinch/entry-hosts';
 import type {EventLog, Metrics} from '@lacewingwinch/observability';
-import {decodeAnswerHeaders} from '@lacewingwinch/platform';
 import {
   type AnswerHead,
   ConnectFailedError,
@@ -29,7 +28,6 @@
   type PooledExchange,
 } from '@lacewingwinch/upstreams';
 
-import type {AnnouncingHead} from '../routed/answer_announcements.js';
 import type {UpstreamPaths} from './upstream_paths.js';
 
 /** Status of a response that carries a refusal. */
@@ -71,8 +69,16 @@
   readonly paths: UpstreamPaths;
   /** Returns steady clock readings in milliseconds. */
   readonly clock: () => number;
-  /** Called with the head of each answer of an upstream. */
-  readonly onHead: (upstream: CarriedUpstream, head: AnnouncingHead) => void;
+  /**
+   * Called with the head of each answer of an upstream and the steady clock reading
+   * at the first byte of the attempt.
+   */
+  readonly onHead: (
+    upstream: CarriedUpstream,
+    order: RelayOrder,
+    head: AnswerHead,
+    sentAt: number,
+  ) => void;
 }
 
 /** Carries attempts to upstreams. */
@@ -128,7 +134,7 @@
     upstream: CarriedUpstream,
     responder: RoutedResponder,
   ): Promise<void> {
-    const {pool, paths, acceptingUpstream} = this.dependencies;
+    const {pool, paths, acceptingUpstream, onHead} = this.dependencies;
     const {upstreamId, address} = upstream;
     return new Promise(resolve => {
       let hasBegun = false;
@@ -167,7 +173,7 @@
           },
           onHead: head => {
             paths.recordReached(upstreamId);
-            this.recordHead(upstream, order, head, sentAt);
+            onHead(upstream, order, head, sentAt);
             hasBegun = true;
             responder.begin(head.status, answerHeaders(head), 'chunks');
           },
@@ -200,21 +206,6 @@
     });
   }
 
-  private recordHead(
-    upstream: CarriedUpstream,
-    {requestId}: RelayOrder,
-    head: AnswerHead,
-    sentAt: number,
-  ): void {
-    const headers = decodeAnswerHeaders(head.headers);
-    this.dependencies.onHead(upstream, {
-      status: head.status,
-      headers,
-      isOwn: headers.attemptId === undefined || headers.attemptId === requestId,
-      sentAt,
-    });
-  }
-
   private refuseUnsent(
     order: RelayOrder,
     error: Error,
--- a/packages/entry-process/src/paths/upstream_paths.ts
+++ b/packages/entry-process/src/paths/upstream_paths.ts
@@ -14,6 +14,7 @@
   UpstreamReach,
   upstreamsToTry,
   type Way,
+  withoutCutOff,
 } from '@lacewingwinch/decisions';
 import type {PeerClient, ReachAnswer} from '@lacewingwinch/entry-hosts';
 import type {EventLog, Metrics} from '@lacewingwinch/observability';
@@ -80,16 +81,30 @@
 
   constructor(private readonly dependencies: UpstreamPathsDependencies) {}
 
+  /** Present time, in milliseconds of the steady clock. */
+  get now(): number {
+    return this.dependencies.clock();
+  }
+
   /** Whether this host reaches none of the upstreams. */
   get isCutOff(): boolean {
     return this.reach.isCutOff(this.dependencies.clock());
   }
 
-  /** Returns whether another host said lately that it reaches no upstream. */
-  isHostCutOff(hostId: string): boolean {
+  private isHostCutOff(hostId: string): boolean {
     return this.carriers.isCutOff(hostId, this.dependencies.clock());
   }
 
+  /** Returns those of `serving` that clients are told to use. */
+  hostsForClients(
+    serving: readonly Member[],
+    ownId: string,
+  ): readonly Member[] {
+    return withoutCutOff(serving, ({hostId}) =>
+      hostId === ownId ? this.isCutOff : this.isHostCutOff(hostId),
+    );
+  }
+
   /** Records a connection to an upstream, or bytes that arrived from it. */
   recordReached(upstreamId: string): void {
     this.reach.recordReached(upstreamId, this.dependencies.clock());
@@ -174,15 +189,24 @@
   }
 
   /**
-   * Returns whether an upstream to which all connections of this host were lost
-   * has ended. Where the links of this host are suspect, another one must say so.
+   * Returns whether a lost connection to an upstream may be the fault of this
+   * host's links, and another host could tell.
    */
-  async hasEnded({upstreamId}: PathTarget): Promise<boolean> {
+  private isPathSuspect(upstreamId: string): boolean {
     const {clock, otherHosts} = this.dependencies;
-    if (
-      !this.reach.isPathSuspect(upstreamId, clock()) ||
-      otherHosts().length === 0
-    ) {
+    return (
+      this.reach.isPathSuspect(upstreamId, clock()) && otherHosts().length > 0
+    );
+  }
+
+  /**
+   * Returns whether the upstream is to blame for a lost connection, and not the
+   * links of this host. Where they are suspect, the upstream is if this host still
+   * connects to it, or another one does not either.
+   */
+  async isUpstreamToBlame({upstreamId, address}: PathTarget): Promise<boolean> {
+    const {canConnect} = this.dependencies;
+    if (!this.isPathSuspect(upstreamId) || (await canConnect(address))) {
       return true;
     }
     const {reached, canTell} = await this.askOthers([upstreamId]);
--- a/packages/entry-process/src/peer_handlers.ts
+++ b/packages/entry-process/src/peer_handlers.ts
@@ -11,6 +11,7 @@
   return {
     gossip: digest => membership.onGossip(digest),
     probe: async ({hostId}) => ({answered: await membership.probeFor(hostId)}),
+    'reach.ask': ({upstreamIds}) => tasks.paths.answer(upstreamIds),
     'permit.ask': ({shardId, ask: request}) =>
       dispatcher.requestPermit(shardId, request),
     'permit.release': ({shardId, permitIds}) => {
--- a/packages/entry-process/src/routed/attempt_runner.ts
+++ b/packages/entry-process/src/routed/attempt_runner.ts
@@ -6,11 +6,9 @@
 import {
   type AnswerEnd,
   type AttemptHistory,
-  type CarrierResult,
   eventPatienceMilliseconds,
   NO_WAYS_TRIED,
   type RoutedAdmission,
-  type RoutedAttemptFailure,
   type UpstreamAnnouncements,
   type UpstreamResult,
   type UsableUpstream,
@@ -23,6 +21,11 @@
 import {RelaySender} from '../paths/relay_sender.js';
 import type {UpstreamPaths} from '../paths/upstream_paths.js';
 import type {AnswerAnnouncements} from './answer_announcements.js';
+import {
+  canTakeAnotherWay,
+  carrierResultFrom,
+  hasNotRun,
+} from './attempt_ends.js';
 import type {Clocks} from './clocks.js';
 import type {Placement} from './placement_result.js';
 import {type AttemptOutcome, RoutedAttempt} from './routed_attempt.js';
@@ -370,39 +373,3 @@
     }
   }
 }
-
-/** Returns whether an attempt may take another way to the same upstream. */
-function canTakeAnotherWay(outcome: AttemptOutcome): boolean {
-  return (
-    isUnsent(outcome) &&
-    outcome.kind === 'failed' &&
-    !(outcome.failure.kind === 'not-sent' && outcome.failure.cause === 'closed')
-  );
-}
-
-/** Returns whether the upstream has received no byte of an attempt. */
-function isUnsent(outcome: AttemptOutcome): boolean {
-  return (
-    outcome.kind === 'failed' &&
-    (outcome.failure.kind === 'not-sent' ||
-      outcome.failure.kind === 'not-carried')
-  );
-}
-
-/** Returns what became of an attempt that another host was to carry. */
-function carrierResultFrom(
-  failure: RoutedAttemptFailure | undefined,
-): CarrierResult {
-  if (failure?.kind === 'not-carried') {
-    return failure.result;
-  }
-  return failure?.kind === 'not-sent' ? 'unreachable' : 'carried';
-}
-
-/** Returns whether the upstream certainly did not run an attempt. */
-function hasNotRun(outcome: AttemptOutcome): boolean {
-  return (
-    outcome.kind === 'failed' &&
-    (outcome.failure.kind === 'not-executed' || isUnsent(outcome))
-  );
-}
--- a/packages/entry-process/src/routed/crash_watch.ts
+++ b/packages/entry-process/src/routed/crash_watch.ts
@@ -62,8 +62,8 @@
   readonly peers: PeerClient;
   readonly events: EventLog;
   readonly pool: Pick<ConnectionPool, 'watchConnections'>;
-  /** Returns whether an upstream to which all connections were lost has ended. */
-  readonly hasEnded: (upstream: WatchedUpstream) => Promise<boolean>;
+  /** Returns whether the upstream is to blame, and not the links of this host. */
+  readonly isToBlame: (upstream: WatchedUpstream) => Promise<boolean>;
   /** Returns steady clock readings in milliseconds. */
   readonly clock: () => number;
   /** Returns milliseconds since the epoch, the same on all hosts. */
@@ -128,17 +128,17 @@
     );
     setTimeout(() => {
       if (haveAllEnded()) {
-        void this.reportIfEnded(fingerprint, upstream, onCrash);
+        void this.reportIfToBlame(fingerprint, upstream, onCrash);
       }
     }, CRASH_DETECTION_MILLISECONDS).unref();
   }
 
-  private async reportIfEnded(
+  private async reportIfToBlame(
     fingerprint: string,
     upstream: WatchedUpstream,
     onCrash: () => void,
   ): Promise<void> {
-    if (await this.dependencies.hasEnded(upstream)) {
+    if (await this.dependencies.isToBlame(upstream)) {
       this.reportCrash(fingerprint, upstream.upstreamId);
       onCrash();
     }
--- a/packages/entry-process/src/routed/routed_process.ts
+++ b/packages/entry-process/src/routed/routed_process.ts
@@ -4,11 +4,7 @@
 import {setMaxListeners} from 'node:events';
 
 import type {DirectoryAnswer} from '@lacewingwinch/callers';
-import {
-  type Member,
-  type RoutingConfiguration,
-  withoutCutOff,
-} from '@lacewingwinch/decisions';
+import type {RoutingConfiguration} from '@lacewingwinch/decisions';
 import {
   decodeDirectoryCall,
   type PlatformSettings,
@@ -173,20 +169,14 @@
   private answerDirectory(method: string, target: string): DirectoryAnswer {
     return answerDirectoryCall(decodeDirectoryCall(method, target), {
       isReady: this.isReady(),
-      serving: this.hostsForClients(),
+      serving: this.tasks.paths.hostsForClients(
+        this.tasks.membership.serving(),
+        this.settings.hostId,
+      ),
       maximumCacheSeconds: this.settings.bounds.discoverySeconds,
     });
   }
 
-  /** Returns the hosts that clients are told to use. */
-  private hostsForClients(): readonly Member[] {
-    const {membership, paths} = this.tasks;
-    const {hostId: ownId} = this.settings;
-    return withoutCutOff(membership.serving(), ({hostId}) =>
-      hostId === ownId ? paths.isCutOff : paths.isHostCutOff(hostId),
-    );
-  }
-
   private isReady(): boolean {
     return this.tasks.state.isComplete && this.leaving === undefined;
   }
--- a/packages/entry-process/src/routed/routed_tasks.ts
+++ b/packages/entry-process/src/routed/routed_tasks.ts
@@ -20,7 +20,11 @@
   type EventLog,
   type Metrics,
 } from '@lacewingwinch/observability';
-import {type PlatformSettings, StoreClient} from '@lacewingwinch/platform';
+import {
+  decodeAnswerHeaders,
+  type PlatformSettings,
+  StoreClient,
+} from '@lacewingwinch/platform';
 import {canConnect, ConnectionPool} from '@lacewingwinch/upstreams';
 import {v7 as uuidV7} from 'uuid';
 
@@ -227,7 +231,7 @@
       peers: this.peers,
       events: this.events,
       pool: this.pool,
-      hasEnded: upstream => this.paths.hasEnded(upstream),
+      isToBlame: upstream => this.paths.isUpstreamToBlame(upstream),
       clock: clocks.steady,
       trueTime: () => this.readTrueTime(),
       servingHosts: () => this.membership.serving(),
@@ -300,7 +304,13 @@
           ? upstream
           : undefined;
       },
-      onHead: (upstream, head) => this.answers.record(upstream, head),
+      onHead: (upstream, {requestId}, head, sentAt) => {
+        const headers = decodeAnswerHeaders(head.headers);
+        const isOwn =
+          headers.attemptId === undefined || headers.attemptId === requestId;
+        const {status} = head;
+        this.answers.record(upstream, {status, headers, isOwn, sentAt});
+      },
     });
   }
 
--- a/packages/entry-process/src/settings.ts
+++ b/packages/entry-process/src/settings.ts
@@ -45,6 +45,11 @@
     help: 'Port for other entry hosts',
     schema: PORT.default(8081),
   },
+  relayPort: {
+    flag: '--relay-port <port>',
+    help: 'Port at which other entry hosts have attempts carried to upstreams',
+    schema: PORT.default(8083),
+  },
   operatorPort: {
     flag: '--operator-port <port>',
     help: 'Port for operators',
@@ -129,6 +134,7 @@
     listenAddress: SETTINGS.listenAddress.schema,
     callerPort: SETTINGS.callerPort.schema,
     peerPort: SETTINGS.peerPort.schema,
+    relayPort: SETTINGS.relayPort.schema,
     operatorPort: SETTINGS.operatorPort.schema,
     logUrl: SETTINGS.logUrl.schema,
     hostListUrl: SETTINGS.hostListUrl.schema,
--- a/packages/entry-process/tests/crash_watch_test.ts
+++ b/packages/entry-process/tests/crash_watch_test.ts
@@ -22,8 +22,8 @@
 let unreachableHosts: Set<string>;
 /** Whether the other connections to the upstream ended as well. */
 let haveOthersEnded: boolean;
-/** Whether other hosts do not reach the upstream either. */
-let isUpstreamGone: boolean;
+/** Whether the upstream is at fault, and not the links of the host. */
+let isUpstreamToBlame: boolean;
 
 const peers: PeerClient = {
   call: () => Promise.reject(new Error('no call is expected')),
@@ -38,7 +38,7 @@
 beforeEach(() => {
   vi.useFakeTimers({now: 1_000_000});
   haveOthersEnded = true;
-  isUpstreamGone = true;
+  isUpstreamToBlame = true;
   unreachableHosts = new Set();
   watches = new Map(
     HOSTS.map(hostId => [
@@ -48,7 +48,7 @@
         peers,
         events,
         pool: {watchConnections: () => () => haveOthersEnded},
-        hasEnded: () => Promise.resolve(isUpstreamGone),
+        isToBlame: () => Promise.resolve(isUpstreamToBlame),
         clock: () => Date.now(),
         trueTime: () => Date.now(),
         servingHosts: () => HOSTS.map(servingMember),
@@ -136,7 +136,7 @@
   });
 
   it('is not suspected while other hosts reach its upstream', async () => {
-    isUpstreamGone = false;
+    isUpstreamToBlame = false;
     await loseConnections(['a', 'b', 'c', 'd']);
     expect(refusingCount()).toBe(0);
   });
--- a/packages/stand-ins/src/demo.ts
+++ b/packages/stand-ins/src/demo.ts
@@ -139,12 +139,17 @@
   });
 }
 
+/** Ports at which an entry host listens. */
+const PORTS_OF_A_HOST = 4;
+
 async function startEntryHosts(
   platformUrl: string,
 ): Promise<readonly EntryHost[]> {
-  const ports = await findFreePorts(DOMAINS.length * 3);
+  const ports = await findFreePorts(DOMAINS.length * PORTS_OF_A_HOST);
   const hosts = DOMAINS.map((domain, index) => {
-    const [clientPort, peer, operator] = ports.slice(index * 3, index * 3 + 3);
+    const [clientPort, peer, operator, relay] = ports.slice(
+      index * PORTS_OF_A_HOST,
+    );
     startedProcesses.push(
       startProcess(`entry-${index}`, ENTRY_MAIN, [
         'serve',
@@ -153,6 +158,7 @@
         `--caller-port=${clientPort}`,
         `--peer-port=${peer}`,
         `--operator-port=${operator}`,
+        `--relay-port=${relay}`,
         `--log-url=${platformUrl}`,
         `--host-list-url=${platformUrl}`,
         `--cloud-url=${platformUrl}`,
--- a/packages/stand-ins/src/fleet.ts
+++ b/packages/stand-ins/src/fleet.ts
@@ -172,19 +172,20 @@
 
   /** Starts entry hosts that join the running ones. */
   async startEntries(domains: readonly string[]): Promise<void> {
-    const ports = await findFreePorts(domains.length * 3);
+    const ports = await findFreePorts(domains.length * 4);
     if (this.options.hasOwnLinks === true) {
       await Promise.all(domains.map(() => this.openLinks()));
     }
     domains.forEach((failureDomain, index) => {
-      const [callers, peers, operators] = ports
-        .slice(index * 3, index * 3 + 3)
+      const [callers, peers, operators, relay] = ports
+        .slice(index * 4, index * 4 + 4)
         .map(port => `127.0.0.1:${port}`);
       this.startEntry(
         failureDomain,
         callers ?? '',
         peers ?? '',
         operators ?? '',
+        relay ?? '',
       );
     });
     await Promise.resolve();
@@ -315,6 +316,7 @@
     callers: string,
     peers: string,
     operators: string,
+    relay: string,
   ): void {
     const hostId = `entry-${this.entries.length}`;
     const portOf = (address: string): string => address.split(':')[1] ?? '';
@@ -325,6 +327,7 @@
       `--caller-port=${portOf(callers)}`,
       `--peer-port=${portOf(peers)}`,
       `--operator-port=${portOf(operators)}`,
+      `--relay-port=${portOf(relay)}`,
       `--log-url=${this.platform.url}`,
       `--host-list-url=${(this.hostLists[this.entries.length] ?? this.platform).url}`,
       `--cloud-url=${this.platform.url}`,
--- a/packages/upstreams/src/index.ts
+++ b/packages/upstreams/src/index.ts
@@ -8,6 +8,7 @@
 export * from './plain_service.js';
 export * from './upstream_connections.js';
 export * from './upstream_error.js';
+export type {ExchangeCarrier, UpstreamRequest} from './upstream_exchange.js';
 export * from './upstream_exchange.js';
 export {
   ConnectFailedError,
--- a/packages/upstreams/src/model_engine.ts
+++ b/packages/upstreams/src/model_engine.ts
@@ -2,17 +2,13 @@
  * Calls to model engines: streamed completions, their resumption, and export of
  * key-value caches.
  */
-import {
-  type BodyFraming,
-  bodyFramingOf,
-  MAXIMUM_EVENT_BYTES,
-} from '@lacewingwinch/decisions';
+import {type BodyFraming, MAXIMUM_EVENT_BYTES} from '@lacewingwinch/decisions';
 import {createParser} from 'eventsource-parser';
 import {z} from 'zod';
 
 import type {UpstreamConnections} from './upstream_connections.js';
 import {UpstreamError} from './upstream_error.js';
-import {exchange, type UpstreamRequest} from './upstream_exchange.js';
+import {exchange, originOf, type UpstreamRequest} from './upstream_exchange.js';
 
 /** Reference from which an engine fetches an exported key-value cache. */
 export interface CacheHandle {
@@ -77,12 +73,12 @@
   });
   await exchange(
     connections.persistent,
-    `http://${call.address}`,
+    originOf(call.address, call.request),
     call.request,
     {
-      onHead: (answerStatus, headers) => {
+      onHead: (answerStatus, _headers, answerFraming) => {
         progress.status = answerStatus;
-        framing = bodyFramingOf(headers);
+        framing = answerFraming;
       },
       onData: chunk => {
         progress.pendingBytes += chunk.length;
--- a/packages/upstreams/src/plain_service.ts
+++ b/packages/upstreams/src/plain_service.ts
@@ -3,7 +3,6 @@
  */
 import {
   type BodyFraming,
-  bodyFramingOf,
   MAXIMUM_RESPONSE_BYTES,
 } from '@lacewingwinch/decisions';
 
@@ -12,6 +11,7 @@
 import {
   type AnswerReceiver,
   exchange,
+  originOf,
   type UpstreamRequest,
 } from './upstream_exchange.js';
 
@@ -40,7 +40,7 @@
   connections: UpstreamConnections,
   call: PlainCall,
 ): Promise<PlainAnswer> {
-  const origin = `http://${call.address}`;
+  const origin = originOf(call.address, call.request);
   if (call.isRepeatable) {
     const answer = await collectAnswer(call, receiver =>
       exchange(connections.persistent, origin, call.request, receiver),
@@ -67,10 +67,10 @@
   let bytes = 0;
   const chunks: Buffer[] = [];
   await run({
-    onHead: (answerStatus, headers) => {
+    onHead: (answerStatus, headers, answerFraming) => {
       status = answerStatus;
       contentType = headers['content-type'] ?? contentType;
-      framing = bodyFramingOf(headers);
+      framing = answerFraming;
     },
     onData: chunk => {
       bytes += chunk.length;
--- a/packages/upstreams/src/upstream_connections.ts
+++ b/packages/upstreams/src/upstream_connections.ts
@@ -5,7 +5,8 @@
 
 import {createUpstreamConnector} from './upstream_socket.js';
 
-const CONNECT_TIMEOUT_MILLISECONDS = 1000;
+/** Milliseconds allowed to connect; another way is taken afterwards. */
+const CONNECT_TIMEOUT_MILLISECONDS = 300;
 
 /** Idle milliseconds after which a persistent connection is closed. */
 const KEEP_ALIVE_MILLISECONDS = 4000;
--- a/packages/upstreams/src/upstream_error.ts
+++ b/packages/upstreams/src/upstream_error.ts
@@ -12,8 +12,9 @@
     message: string,
     /** Whether any byte of the attempt was written. */
     readonly wasSent: boolean,
+    cause?: Error,
   ) {
-    super(message);
+    super(message, {cause});
   }
 }
 
--- a/packages/upstreams/src/upstream_exchange.ts
+++ b/packages/upstreams/src/upstream_exchange.ts
@@ -4,7 +4,11 @@
  */
 import type {IncomingHttpHeaders} from 'node:http';
 
-import type {AttemptFailure} from '@lacewingwinch/decisions';
+import {
+  type AttemptFailure,
+  type BodyFraming,
+  bodyFramingOf,
+} from '@lacewingwinch/decisions';
 import type {Dispatcher} from 'undici';
 
 import {UpstreamError} from './upstream_error.js';
@@ -22,15 +26,43 @@
    * returns false, the exchange fails with nothing sent.
    */
   readonly canSend: () => boolean;
+  /** Called with each part of the answer that arrives. */
+  readonly onBytes?: () => void;
+  /** Another host that carries the exchange; absent for a direct one. */
+  readonly carrier?: ExchangeCarrier;
+}
+
+/** A host that carries an exchange to its upstream. */
+export interface ExchangeCarrier {
+  /** IP address and port. */
+  readonly address: string;
+  /** Headers besides those of the request. */
+  readonly headers: Readonly<Record<string, string>>;
+  /** Returns the error of a host that did not send the request. */
+  readonly refusalIn: (headers: IncomingHttpHeaders) => Error | undefined;
+  /** Returns the framing of the upstream's answer. */
+  readonly framingIn: (headers: IncomingHttpHeaders) => BodyFraming;
 }
 
 /** Receiver of the parts of an answer. */
 export interface AnswerReceiver {
-  onHead(status: number, headers: IncomingHttpHeaders): void;
+  onHead(
+    status: number,
+    headers: IncomingHttpHeaders,
+    framing: BodyFraming,
+  ): void;
   /** Receives bytes of the body; throwing an error ends the exchange. */
   onData(chunk: Buffer): void;
 }
 
+/** Returns the origin to which the bytes of an exchange are sent. */
+export function originOf(
+  address: string,
+  {carrier}: Pick<UpstreamRequest, 'carrier'>,
+): string {
+  return `http://${carrier?.address ?? address}`;
+}
+
 /** Runs one exchange; rejects with an `UpstreamError`. */
 export function exchange(
   dispatcher: Dispatcher,
@@ -60,7 +92,7 @@
         origin,
         method: request.method,
         path: request.path,
-        headers: request.headers,
+        headers: {...request.headers, ...request.carrier?.headers},
         body: request.body ?? null,
       },
       {
@@ -72,10 +104,20 @@
           }
           wasSent = true;
         },
-        onResponseStart: (_controller, status, headers) => {
-          receiver.onHead(status, headers);
+        onResponseStart: (controller, status, headers) => {
+          const {carrier} = request;
+          const refusal = carrier?.refusalIn(headers);
+          if (refusal !== undefined) {
+            wasSent = false;
+            controller.abort(refusal);
+            return;
+          }
+          request.onBytes?.();
+          const framing = carrier?.framingIn(headers) ?? bodyFramingOf(headers);
+          receiver.onHead(status, headers, framing);
         },
         onResponseData: (_controller, chunk) => {
+          request.onBytes?.();
           receiver.onData(chunk);
         },
         onResponseEnd: () => {
@@ -98,7 +140,7 @@
     return new UpstreamError(reason, reason.kind, wasSent);
   }
   const kind = wasSent ? 'connection-lost' : 'not-sent';
-  return new UpstreamError({kind}, error.message, wasSent);
+  return new UpstreamError({kind}, error.message, wasSent, error);
 }
 
 function isAttemptFailure(value: unknown): value is AttemptFailure {
