Carrier: wait once for a full front; wording of refusals without room

A front that reads slowly made the carrier register a listener for each piece of a response that was parsed while it was paused already. Found by reading the change; one listener waits now.

The refusal of a request that finds no room at brittle upstreams said that they have named a limit.

--- a/packages/entry-process/src/paths/relay_carrier.ts
+++ b/packages/entry-process/src/paths/relay_carrier.ts
@@ -138,6 +138,7 @@
     const {upstreamId, address} = upstream;
     return new Promise(resolve => {
       let hasBegun = false;
+      let isPaused = false;
       let sentAt = 0;
       const end = (outcome: CarriedEnd): void => {
         call.clientDisconnected.removeEventListener('abort', onFrontLeft);
@@ -179,10 +180,15 @@
           },
           onData: chunk => {
             paths.recordReached(upstreamId);
-            if (!responder.write(chunk)) {
-              exchange?.pause();
-              responder.onDrain(() => exchange?.resume());
+            if (responder.write(chunk) || isPaused) {
+              return;
             }
+            isPaused = true;
+            exchange?.pause();
+            responder.onDrain(() => {
+              isPaused = false;
+              exchange?.resume();
+            });
           },
           onEnd: () => {
             responder.end();
--- a/packages/entry-process/src/paths/upstream_paths.ts
+++ b/packages/entry-process/src/paths/upstream_paths.ts
@@ -91,10 +91,6 @@
     return this.reach.isCutOff(this.dependencies.clock());
   }
 
-  private isHostCutOff(hostId: string): boolean {
-    return this.carriers.isCutOff(hostId, this.dependencies.clock());
-  }
-
   /** Returns those of `serving` that clients are told to use. */
   hostsForClients(
     serving: readonly Member[],
@@ -232,6 +228,10 @@
     this.triedAt.delete(upstreamId);
   }
 
+  private isHostCutOff(hostId: string): boolean {
+    return this.carriers.isCutOff(hostId, this.dependencies.clock());
+  }
+
   private chooseCarrier(
     upstreamId: string,
     triedHosts: CarriedAttempt['triedHosts'],
--- a/packages/entry-process/src/routed/attempt_gate.ts
+++ b/packages/entry-process/src/routed/attempt_gate.ts
@@ -177,7 +177,7 @@
   refusalForLimits(milliseconds: number): ServingError {
     const {random} = this.dependencies;
     return new ServingError('overloaded', {
-      detail: `every upstream of ${this.request.service} has named a limit`,
+      detail: `no upstream of ${this.request.service} takes another request yet`,
       retryAfterSeconds:
         (milliseconds + random() * RETURN_SPREAD_MILLISECONDS) / 1000,
     });
