--- a/packages/decisions/src/limits/brittle_rooms.ts
+++ b/packages/decisions/src/limits/brittle_rooms.ts
@@ -1,7 +1,7 @@
 /**
- * How many requests brittle upstreams get from all entry hosts. Such an upstream
- * falls over if it turns too many requests away in a second, and a refusal is the
- * only sign of how much room it has.
+ * The adaptive concurrency limit of brittle upstreams, for the requests of all entry
+ * hosts. A brittle upstream crashes if it rejects too many requests in a second, and
+ * a rejection is the only sign of how much room it has.
  *
  * Load pattern: twice the load that the upstreams of a service have room for. What
  * one of them turns away goes to the next, which then falls as well; the pressure
--- a/packages/decisions/src/paths/upstream_reach.ts
+++ b/packages/decisions/src/paths/upstream_reach.ts
@@ -1,6 +1,7 @@
 /**
- * Which upstreams this host reaches over its own links. A failed connection says
- * something about the pair of host and upstream only; the host is cut off if it
+ * The reachability of upstreams over this host's own links: a circuit breaker for
+ * each pair of host and upstream, which connections without a request close again.
+ * A failed connection says something about the pair only; the host is cut off if it
  * reaches none of several upstreams.
  *
  * Load pattern: some hosts lose their links to the upstreams while their clients,
--- a/packages/entry-process/src/paths/relay_carrier.ts
+++ b/packages/entry-process/src/paths/relay_carrier.ts
@@ -1,6 +1,6 @@
 /**
- * Carries attempts of other entry hosts to upstreams that those do not reach. The
- * other host decides everything about its request; this one decides only whether
+ * The server side of attempts that take a second hop: forwards attempts of other
+ * entry hosts to upstreams that those do not reach. The other host decides everything about its request; this one decides only whether
  * the upstream accepts requests from here.
  */
 import type {IncomingHttpHeaders} from 'node:http';
