--- a/packages/stand-ins/src/demo.ts
+++ b/packages/stand-ins/src/demo.ts
@@ -26,6 +26,9 @@
 const CONTROL_MAIN = pathOf('../../control-command/dist/main.js');
 const STAND_IN_MAIN = pathOf('./stand_in_main.js');
 
+/** Ports at which an entry host listens. */
+const PORTS_OF_A_HOST = 4;
+
 /** Key of the demonstration's workspace. */
 const DEMO_KEY = 'demo-key';
 
@@ -139,9 +142,6 @@
   });
 }
 
-/** Ports at which an entry host listens. */
-const PORTS_OF_A_HOST = 4;
-
 async function startEntryHosts(
   platformUrl: string,
 ): Promise<readonly EntryHost[]> {
