Give the routed interface rooms by concept, and peer messages one file for each concern

The routed path was one flat folder of 44 files, two of which imported each other, and each part to come would have added to it. The messages between hosts are split by concern, and their methods have the field's names.

--- /dev/null
+++ b/packages/entry-hosts/src/messages/path_messages.ts
@@ -0,0 +1,19 @@
+/**
+ * Messages that compare which upstreams hosts reach.
+ */
+/** Which upstreams a host reaches. */
+export interface ReachAnswer {
+  /** Those of the upstreams to which it could connect. */
+  readonly reached: readonly string[];
+  /** Whether it reaches no upstream at all, so that it cannot tell. */
+  readonly isCutOff: boolean;
+}
+
+/** Parameters and result of each of these methods. */
+export interface PathMethods {
+  /** Asks a host to connect to upstreams that the sender does not reach. */
+  readonly 'reach.query': {
+    readonly params: {readonly upstreamIds: readonly string[]};
+    readonly result: ReachAnswer;
+  };
+}
--- a/packages/entry-process/src/main.ts
+++ b/packages/entry-process/src/main.ts
@@ -13,7 +13,7 @@
 
 import {endOnUncaughtError} from './end_on_uncaught_error.js';
 import type {EntryProcess} from './entry_process.js';
-import type {RoutedProcess} from './routed/routed_process.js';
+import type {RoutedProcess} from './routed_interface/lifecycle/routed_process.js';
 import {readSettings, SETTING_NAMES, SETTINGS, variableOf} from './settings.js';
 import {messageOf} from './util/message_of.js';
 
@@ -87,7 +87,8 @@
         reportUsageFaults(result.faults);
         return;
       case 'valid': {
-        const {RoutedProcess} = await import('./routed/routed_process.js');
+        const {RoutedProcess} =
+          await import('./routed_interface/lifecycle/routed_process.js');
         const routedProcess = new RoutedProcess(result.settings, metricsPort);
         process.on('SIGTERM', () => {
           void routedProcess
--- a/packages/entry-process/src/paths/upstream_paths.ts
+++ b/packages/entry-process/src/paths/upstream_paths.ts
@@ -381,7 +381,7 @@
     try {
       const answer = await peers.call(
         addresses.peers,
-        'reach.ask',
+        'reach.query',
         {upstreamIds},
         ASK_TIMEOUT_MILLISECONDS,
       );
@@ -390,7 +390,7 @@
     } catch (error) {
       events.write(3004, {
         hostId,
-        method: 'reach.ask',
+        method: 'reach.query',
         error: messageOf(error),
       });
       return undefined;
--- a/packages/entry-process/src/peer_handlers.ts
+++ b/packages/entry-process/src/peer_handlers.ts
@@ -11,8 +11,8 @@
   return {
     gossip: digest => membership.onGossip(digest),
     probe: async ({hostId}) => ({answered: await membership.probeFor(hostId)}),
-    'reach.ask': ({upstreamIds}) => tasks.paths.answer(upstreamIds),
-    'permit.ask': ({shardId, ask: request}) =>
+    'reach.query': ({upstreamIds}) => tasks.paths.answer(upstreamIds),
+    'permit.request': ({shardId, ask: request}) =>
       dispatcher.requestPermit(shardId, request),
     'permit.release': ({shardId, permitIds}) => {
       dispatcher.release(shardId, permitIds);
--- a/packages/entry-process/src/routed/attempt_gate.ts
+++ b/packages/entry-process/src/routed_interface/admission/attempt_gate.ts
@@ -13,10 +13,10 @@
 } from '@lacewingwinch/decisions';
 import type {EventLog} from '@lacewingwinch/observability';
 
-import type {PartWatch} from '../tasks/part_watch.js';
-import {pause} from '../util/pause.js';
-import type {CrashWatch} from './crash_watch.js';
-import type {PlacementCandidates} from './placement_candidates.js';
+import type {PartWatch} from '../../tasks/part_watch.js';
+import {pause} from '../../util/pause.js';
+import type {CrashWatch} from '../evidence/crash_watch.js';
+import type {PlacementCandidates} from '../placement/placement_candidates.js';
 
 /**
  * Least wait that a client is told whose prompt is refused, while the trial of
--- a/packages/entry-process/src/routed/quota_exchange.ts
+++ b/packages/entry-process/src/routed_interface/admission/quota_exchange.ts
@@ -13,7 +13,7 @@
 import type {PeerClient, QuotaAnswer} from '@lacewingwinch/entry-hosts';
 import type {EventLog} from '@lacewingwinch/observability';
 
-import {callPeer} from './call_peer.js';
+import {callPeer} from '../../util/call_peer.js';
 
 /** Maximum number of other holders that are called for a transfer of quota. */
 const MAXIMUM_TRANSFER_PEERS = 2;
@@ -283,7 +283,7 @@
         callPeer(
           this.dependencies,
           member,
-          'quota.ask',
+          'quota.request',
           {workspace, amount: amount / MAXIMUM_TRANSFER_PEERS},
           PEER_TIMEOUT_MILLISECONDS,
         ),
--- a/packages/entry-process/src/routed/duty_task.ts
+++ b/packages/entry-process/src/routed_interface/duties/duty_task.ts
@@ -31,10 +31,10 @@
   type StoreClient,
 } from '@lacewingwinch/platform';
 
-import {ChangeNotifier} from '../util/change_notifier.js';
-import {isAborted} from '../util/is_aborted.js';
-import {messageOf} from '../util/message_of.js';
-import type {Clocks} from './clocks.js';
+import {ChangeNotifier} from '../../util/change_notifier.js';
+import type {Clocks} from '../../util/clocks.js';
+import {isAborted} from '../../util/is_aborted.js';
+import {messageOf} from '../../util/message_of.js';
 import {EngineOrders} from './engine_orders.js';
 
 /**
--- a/packages/entry-process/src/routed/usage_push.ts
+++ b/packages/entry-process/src/routed_interface/duties/usage_push.ts
@@ -5,8 +5,8 @@
 import type {Member, UsageWindows} from '@lacewingwinch/decisions';
 import type {PeerClient} from '@lacewingwinch/entry-hosts';
 
-import {isAborted} from '../util/is_aborted.js';
-import {pause} from '../util/pause.js';
+import {isAborted} from '../../util/is_aborted.js';
+import {pause} from '../../util/pause.js';
 
 /**
  * Milliseconds between two pushes; counts younger than this are lost with their
--- a/packages/entry-process/src/routed/answer_announcements.ts
+++ b/packages/entry-process/src/routed_interface/evidence/answer_announcements.ts
@@ -17,7 +17,7 @@
   MISDIRECTED_REQUEST_STATUS,
 } from '@lacewingwinch/platform';
 
-import type {Clocks} from './clocks.js';
+import type {Clocks} from '../../util/clocks.js';
 
 /** Dependencies of `AnswerAnnouncements`. */
 export interface AnswerAnnouncementsDependencies {
--- a/packages/entry-process/src/routed/crash_watch.ts
+++ b/packages/entry-process/src/routed_interface/evidence/crash_watch.ts
@@ -208,7 +208,7 @@
       if (hostId !== this.dependencies.hostId) {
         this.dependencies.peers.notify(
           addresses.peers,
-          'suspicion.tell',
+          'suspicion.report',
           suspicion,
         );
       }
--- a/packages/entry-process/src/routed/part_verdict_store.ts
+++ b/packages/entry-process/src/routed_interface/evidence/part_verdict_store.ts
@@ -12,8 +12,8 @@
 import type {EventLog} from '@lacewingwinch/observability';
 import type {StoreClient} from '@lacewingwinch/platform';
 
-import type {VerdictStore} from '../tasks/part_watch.js';
-import {messageOf} from '../util/message_of.js';
+import type {VerdictStore} from '../../tasks/part_watch.js';
+import {messageOf} from '../../util/message_of.js';
 
 /** Milliseconds within which the store must answer. */
 const STORE_TIMEOUT_MILLISECONDS = 1000;
--- a/packages/entry-process/src/routed/metrics_server.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/metrics_server.ts
@@ -6,9 +6,9 @@
 import {type DirectoryAnswer, listenForDirectory} from '@lacewingwinch/callers';
 import type {Metrics} from '@lacewingwinch/observability';
 
-import type {Clocks} from './clocks.js';
-import type {ConfigurationFollower} from './configuration_follower.js';
-import type {UpstreamFollower} from './upstream_follower.js';
+import type {Clocks} from '../../util/clocks.js';
+import type {ConfigurationFollower} from '../state/configuration_follower.js';
+import type {UpstreamFollower} from '../state/upstream_follower.js';
 
 const METRICS_PATH = '/metrics';
 
--- a/packages/entry-process/src/routed/routed_peer_handlers.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_peer_handlers.ts
@@ -4,14 +4,14 @@
 import type {UsageWindows, WorkspaceQuota} from '@lacewingwinch/decisions';
 import type {PeerHandlers} from '@lacewingwinch/entry-hosts';
 
-import type {UpstreamPaths} from '../paths/upstream_paths.js';
-import type {MembershipTask} from '../tasks/membership_task.js';
-import type {PartWatch} from '../tasks/part_watch.js';
-import type {CrashWatch} from './crash_watch.js';
-import type {QuotaExchange} from './quota_exchange.js';
-import type {RoutedPlacement} from './routed_placement.js';
-import type {StateRelay} from './state_relay.js';
-import type {StreamOriginExchange} from './stream_origin_exchange.js';
+import type {UpstreamPaths} from '../../paths/upstream_paths.js';
+import type {MembershipTask} from '../../tasks/membership_task.js';
+import type {PartWatch} from '../../tasks/part_watch.js';
+import type {QuotaExchange} from '../admission/quota_exchange.js';
+import type {CrashWatch} from '../evidence/crash_watch.js';
+import type {RoutedPlacement} from '../placement/routed_placement.js';
+import type {StateRelay} from '../state/state_relay.js';
+import type {StreamOriginExchange} from '../state/stream_origin_exchange.js';
 
 /** Dependencies of the peer methods. */
 export interface RoutedPeerDependencies {
@@ -46,9 +46,9 @@
   return {
     gossip: digest => membership.onGossip(digest),
     probe: async ({hostId}) => ({answered: await membership.probeFor(hostId)}),
-    'reach.ask': ({upstreamIds}) => paths.answer(upstreamIds),
-    'placement.ask': request => placement.onPlacementRequest(request),
-    'placement.note': notification => {
+    'reach.query': ({upstreamIds}) => paths.answer(upstreamIds),
+    'placement.request': request => placement.onPlacementRequest(request),
+    'placement.report': notification => {
       placement.onNotification(notification);
       return null;
     },
@@ -61,7 +61,7 @@
       counts.forEach(count => usage.merge(count));
       return null;
     },
-    'suspicion.tell': suspicion => {
+    'suspicion.report': suspicion => {
       crashes.onSuspicion(suspicion);
       return null;
     },
@@ -74,7 +74,7 @@
       return null;
     },
     'stream.locate': query => streams.answer(query),
-    'quota.ask': ({workspace, amount}) => ({
+    'quota.request': ({workspace, amount}) => ({
       given: quotas.give(workspace, quotaOf(workspace), amount),
     }),
     'quota.take': ({workspace, amount}) =>
--- a/packages/entry-process/src/routed/routed_process.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_process.ts
@@ -10,8 +10,8 @@
   type PlatformSettings,
 } from '@lacewingwinch/platform';
 
-import {messageOf} from '../util/message_of.js';
-import {pause} from '../util/pause.js';
+import {messageOf} from '../../util/message_of.js';
+import {pause} from '../../util/pause.js';
 import {answerDirectoryCall} from './directory_answers.js';
 import {openListeners, type RoutedListeners} from './routed_listeners.js';
 import {RoutedTasks} from './routed_tasks.js';
--- a/packages/entry-process/src/routed/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -28,27 +28,27 @@
 import {canConnect, ConnectionPool} from '@lacewingwinch/upstreams';
 import {v7 as uuidV7} from 'uuid';
 
-import {RelayCarrier} from '../paths/relay_carrier.js';
-import {UpstreamPaths} from '../paths/upstream_paths.js';
-import type {MembershipTask} from '../tasks/membership_task.js';
-import {PartWatch} from '../tasks/part_watch.js';
-import {AnswerAnnouncements} from './answer_announcements.js';
-import {type Clocks, createProcessClocks} from './clocks.js';
-import {ConfigurationFollower} from './configuration_follower.js';
-import {CrashWatch} from './crash_watch.js';
-import type {DutyTask} from './duty_task.js';
-import {FleetView} from './fleet_view.js';
-import {PartVerdictStore} from './part_verdict_store.js';
-import {QuotaExchange} from './quota_exchange.js';
-import {RequiredState} from './required_state.js';
-import {createRoutedDuties} from './routed_duties.js';
-import {RoutedFront} from './routed_front.js';
-import {createRoutedMembership} from './routed_membership.js';
-import {RoutedPlacement} from './routed_placement.js';
-import {StateRelay} from './state_relay.js';
-import {StreamOriginExchange} from './stream_origin_exchange.js';
-import {UpstreamFollower} from './upstream_follower.js';
-import {UsagePush} from './usage_push.js';
+import {RelayCarrier} from '../../paths/relay_carrier.js';
+import {UpstreamPaths} from '../../paths/upstream_paths.js';
+import type {MembershipTask} from '../../tasks/membership_task.js';
+import {PartWatch} from '../../tasks/part_watch.js';
+import {type Clocks, createProcessClocks} from '../../util/clocks.js';
+import {QuotaExchange} from '../admission/quota_exchange.js';
+import type {DutyTask} from '../duties/duty_task.js';
+import {createRoutedDuties} from '../duties/routed_duties.js';
+import {UsagePush} from '../duties/usage_push.js';
+import {AnswerAnnouncements} from '../evidence/answer_announcements.js';
+import {CrashWatch} from '../evidence/crash_watch.js';
+import {PartVerdictStore} from '../evidence/part_verdict_store.js';
+import {RoutedPlacement} from '../placement/routed_placement.js';
+import {RoutedFront} from '../requests/routed_front.js';
+import {ConfigurationFollower} from '../state/configuration_follower.js';
+import {FleetView} from '../state/fleet_view.js';
+import {RequiredState} from '../state/required_state.js';
+import {createRoutedMembership} from '../state/routed_membership.js';
+import {StateRelay} from '../state/state_relay.js';
+import {StreamOriginExchange} from '../state/stream_origin_exchange.js';
+import {UpstreamFollower} from '../state/upstream_follower.js';
 
 /**
  * Maximum age of the keys, as a share of the time within which a revocation
--- a/packages/entry-process/src/routed/wait_until_drained.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/wait_until_drained.ts
@@ -1,7 +1,7 @@
 /**
  * The wait of a leaving process for the requests that it still has to answer.
  */
-import {pause} from '../util/pause.js';
+import {pause} from '../../util/pause.js';
 
 /**
  * Milliseconds after the stop signal during which requests may still arrive:
--- a/packages/entry-process/src/routed/dispatcher_calls.ts
+++ b/packages/entry-process/src/routed_interface/placement/dispatcher_calls.ts
@@ -11,7 +11,7 @@
 } from '@lacewingwinch/entry-hosts';
 import type {EventLog} from '@lacewingwinch/observability';
 
-import {callPeer} from './call_peer.js';
+import {callPeer} from '../../util/call_peer.js';
 
 /**
  * Milliseconds to wait for the dispatcher's response. Links take 3 to 6 ms both
@@ -111,7 +111,7 @@
     const answer = await callPeer(
       this.dependencies,
       dispatcher,
-      'placement.ask',
+      'placement.request',
       request,
       DISPATCHER_TIMEOUT_MILLISECONDS,
     );
@@ -127,7 +127,7 @@
     if (dispatcher !== undefined) {
       this.dependencies.peers.notify(
         dispatcher.addresses.peers,
-        'placement.note',
+        'placement.report',
         report,
       );
     }
--- a/packages/entry-process/src/routed/routed_placement.ts
+++ b/packages/entry-process/src/routed_interface/placement/routed_placement.ts
@@ -22,8 +22,8 @@
 } from '@lacewingwinch/entry-hosts';
 import type {EventLog} from '@lacewingwinch/observability';
 
-import {isAborted} from '../util/is_aborted.js';
-import {pause} from '../util/pause.js';
+import {isAborted} from '../../util/is_aborted.js';
+import {pause} from '../../util/pause.js';
 import {DispatcherCalls} from './dispatcher_calls.js';
 import {
   LimitedUpstreams,
--- a/packages/entry-process/src/routed/attempt_placement.ts
+++ b/packages/entry-process/src/routed_interface/requests/attempt_placement.ts
@@ -8,11 +8,11 @@
   ServingError,
 } from '@lacewingwinch/decisions';
 
-import {isAborted} from '../util/is_aborted.js';
-import type {AttemptGate} from './attempt_gate.js';
+import {isAborted} from '../../util/is_aborted.js';
+import type {AttemptGate} from '../admission/attempt_gate.js';
+import type {Placement} from '../placement/placement_result.js';
+import type {RoutedPlacement} from '../placement/routed_placement.js';
 import type {AttemptRunner} from './attempt_runner.js';
-import type {Placement} from './placement_result.js';
-import type {RoutedPlacement} from './routed_placement.js';
 
 /** Whether and where the next attempt is made. */
 export type NextPlacement =
--- a/packages/entry-process/src/routed/attempt_runner.ts
+++ b/packages/entry-process/src/routed_interface/requests/attempt_runner.ts
@@ -18,16 +18,16 @@
 import type {EventLog, Metrics} from '@lacewingwinch/observability';
 import type {ConnectionPool, ExchangeSender} from '@lacewingwinch/upstreams';
 
-import {RelaySender} from '../paths/relay_sender.js';
-import type {UpstreamPaths} from '../paths/upstream_paths.js';
-import type {AnswerAnnouncements} from './answer_announcements.js';
+import {RelaySender} from '../../paths/relay_sender.js';
+import type {UpstreamPaths} from '../../paths/upstream_paths.js';
+import type {Clocks} from '../../util/clocks.js';
+import type {AnswerAnnouncements} from '../evidence/answer_announcements.js';
+import type {Placement} from '../placement/placement_result.js';
 import {
   canTakeAnotherWay,
   carrierResultFrom,
   hasNotRun,
 } from './attempt_ends.js';
-import type {Clocks} from './clocks.js';
-import type {Placement} from './placement_result.js';
 import {type AttemptOutcome, RoutedAttempt} from './routed_attempt.js';
 import type {StreamRelay} from './stream_relay.js';
 import {createUpstreamRequest} from './upstream_request.js';
--- a/packages/entry-process/src/routed/crash_evidence.ts
+++ b/packages/entry-process/src/routed_interface/requests/crash_evidence.ts
@@ -7,9 +7,9 @@
   UsableUpstream,
 } from '@lacewingwinch/decisions';
 
-import type {PartWatch} from '../tasks/part_watch.js';
-import type {Clocks} from './clocks.js';
-import type {CrashWatch} from './crash_watch.js';
+import type {PartWatch} from '../../tasks/part_watch.js';
+import type {Clocks} from '../../util/clocks.js';
+import type {CrashWatch} from '../evidence/crash_watch.js';
 import type {RequestLog} from './request_log.js';
 import type {AttemptOutcome} from './routed_attempt.js';
 
--- /dev/null
+++ b/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
@@ -0,0 +1,56 @@
+/**
+ * What the requests of one entry host share.
+ */
+import type {
+  ConfirmedValue,
+  RoutingConfiguration,
+  ServiceRetryBudgets,
+  UpstreamAnnouncements,
+  UsableUpstream,
+} from '@lacewingwinch/decisions';
+import type {EventLog, Metrics} from '@lacewingwinch/observability';
+import type {ConnectionPool} from '@lacewingwinch/upstreams';
+
+import type {UpstreamPaths} from '../../paths/upstream_paths.js';
+import type {PartWatch} from '../../tasks/part_watch.js';
+import type {Clocks} from '../../util/clocks.js';
+import type {QuotaExchange} from '../admission/quota_exchange.js';
+import type {AnswerAnnouncements} from '../evidence/answer_announcements.js';
+import type {CrashWatch} from '../evidence/crash_watch.js';
+import type {RoutedPlacement} from '../placement/routed_placement.js';
+import type {StreamOriginExchange} from '../state/stream_origin_exchange.js';
+
+/** What the front shares with the requests that it serves. */
+export interface FrontDependencies {
+  readonly clocks: Clocks;
+  readonly events: EventLog;
+  readonly metrics: Metrics;
+  readonly pool: ConnectionPool;
+  readonly placement: RoutedPlacement;
+  readonly hostId: string;
+  readonly announcements: UpstreamAnnouncements;
+  readonly answers: AnswerAnnouncements;
+  readonly paths: UpstreamPaths;
+  readonly quotas: QuotaExchange;
+  readonly crashes: CrashWatch;
+  readonly parts: PartWatch;
+  /** Returns whether an upstream ends because it leaves or is reclaimed. */
+  readonly isEndExpected: (upstream: UsableUpstream) => boolean;
+  readonly streams: StreamOriginExchange;
+  readonly retryBudgets: ServiceRetryBudgets;
+  readonly configuration: () =>
+    ConfirmedValue<RoutingConfiguration> | undefined;
+  /**
+   * Returns the maximum age of the keys in milliseconds; beyond it, no request
+   * with a key is served.
+   */
+  readonly maximumKeyAge: () => number;
+  /** Returns whether the list of upstreams is known. */
+  readonly isUpstreamListKnown: () => boolean;
+  /** Returns whether this host is about to stop and accepts no new requests. */
+  readonly isClosing: () => boolean;
+  /** Returns the number of entry hosts that share limits and budgets. */
+  readonly sharingHostCount: () => number;
+  /** Called when a request of `workspace` begins to run. */
+  readonly onRunStarted: (workspace: string) => void;
+}
--- a/packages/entry-process/src/routed/routed_attempt.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_attempt.ts
@@ -23,7 +23,7 @@
   type PooledRequest,
 } from '@lacewingwinch/upstreams';
 
-import {carrierResultOf, NotCarriedError} from '../paths/relay_sender.js';
+import {carrierResultOf, NotCarriedError} from '../../paths/relay_sender.js';
 
 /** Outcome of an attempt. */
 export type AttemptOutcome =
--- a/packages/entry-process/src/routed/routed_front.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_front.ts
@@ -11,31 +11,17 @@
 } from '@lacewingwinch/callers';
 import {
   admitRoutedCall,
-  type ConfirmedValue,
   type RoutedAdmission,
-  type RoutingConfiguration,
-  type ServiceRetryBudgets,
   ServingError,
-  type UpstreamAnnouncements,
-  type UsableUpstream,
 } from '@lacewingwinch/decisions';
-import type {EventLog, Metrics} from '@lacewingwinch/observability';
 import {
   type CallHeaders,
   decodeCallHeaders,
   encodeAttemptIdHeader,
 } from '@lacewingwinch/platform';
-import type {ConnectionPool} from '@lacewingwinch/upstreams';
 
-import type {UpstreamPaths} from '../paths/upstream_paths.js';
-import type {PartWatch} from '../tasks/part_watch.js';
-import type {AnswerAnnouncements} from './answer_announcements.js';
-import type {Clocks} from './clocks.js';
-import type {CrashWatch} from './crash_watch.js';
-import type {QuotaExchange} from './quota_exchange.js';
-import type {RoutedPlacement} from './routed_placement.js';
+import type {FrontDependencies} from './front_dependencies.js';
 import {RoutedRequest} from './routed_request.js';
-import type {StreamOriginExchange} from './stream_origin_exchange.js';
 
 /** Maximum number of bytes of a body before a configuration is known. */
 const DEFAULT_MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
@@ -46,46 +32,11 @@
 /** Seconds after which a client may try another host. */
 const RETRY_ELSEWHERE_SECONDS = 0.05;
 
-/** Dependencies of `RoutedFront`. */
-export interface RoutedFrontDependencies {
-  readonly clocks: Clocks;
-  readonly events: EventLog;
-  readonly metrics: Metrics;
-  readonly pool: ConnectionPool;
-  readonly placement: RoutedPlacement;
-  readonly hostId: string;
-  readonly announcements: UpstreamAnnouncements;
-  readonly answers: AnswerAnnouncements;
-  readonly paths: UpstreamPaths;
-  readonly quotas: QuotaExchange;
-  readonly crashes: CrashWatch;
-  readonly parts: PartWatch;
-  /** Returns whether an upstream ends because it leaves or is reclaimed. */
-  readonly isEndExpected: (upstream: UsableUpstream) => boolean;
-  readonly streams: StreamOriginExchange;
-  readonly retryBudgets: ServiceRetryBudgets;
-  readonly configuration: () =>
-    ConfirmedValue<RoutingConfiguration> | undefined;
-  /**
-   * Returns the maximum age of the keys in milliseconds; beyond it, no request
-   * with a key is served.
-   */
-  readonly maximumKeyAge: () => number;
-  /** Returns whether the list of upstreams is known. */
-  readonly isUpstreamListKnown: () => boolean;
-  /** Returns whether this host is about to stop and accepts no new requests. */
-  readonly isClosing: () => boolean;
-  /** Returns the number of entry hosts that share limits and budgets. */
-  readonly sharingHostCount: () => number;
-  /** Called when a request of `workspace` begins to run. */
-  readonly onRunStarted: (workspace: string) => void;
-}
-
 /** The front of one entry host. */
 export class RoutedFront implements RoutedCallHandler {
   private readonly running = new Set<RoutedRequest>();
 
-  constructor(private readonly dependencies: RoutedFrontDependencies) {}
+  constructor(private readonly dependencies: FrontDependencies) {}
 
   /** Number of requests in progress. */
   get runningCount(): number {
--- a/packages/entry-process/src/routed/routed_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_request.ts
@@ -16,14 +16,14 @@
 import {type CallHeaders, encodeAnswerHeaders} from '@lacewingwinch/platform';
 import type {AnswerHead} from '@lacewingwinch/upstreams';
 
-import {AttemptGate} from './attempt_gate.js';
+import {AttemptGate} from '../admission/attempt_gate.js';
+import {fingerprintOf} from '../evidence/crash_watch.js';
 import {AttemptPlacement, type NextPlacement} from './attempt_placement.js';
 import {AttemptRunner} from './attempt_runner.js';
 import {CrashEvidence} from './crash_evidence.js';
-import {fingerprintOf} from './crash_watch.js';
+import type {FrontDependencies} from './front_dependencies.js';
 import {RequestLog} from './request_log.js';
 import type {AttemptOutcome} from './routed_attempt.js';
-import type {RoutedFrontDependencies} from './routed_front.js';
 import {StreamContinuation} from './stream_continuation.js';
 import {StreamRelay} from './stream_relay.js';
 import {FIRST_FAILURE_STATUS} from './upstream_result.js';
@@ -56,7 +56,7 @@
   private readonly log: RequestLog;
 
   constructor(
-    private readonly dependencies: RoutedFrontDependencies,
+    private readonly dependencies: FrontDependencies,
     private readonly call: RoutedCall,
     headers: CallHeaders,
     private readonly admission: RoutedAdmission,
--- a/packages/entry-process/src/routed/stream_continuation.ts
+++ b/packages/entry-process/src/routed_interface/requests/stream_continuation.ts
@@ -11,7 +11,7 @@
 } from '@lacewingwinch/decisions';
 import type {CallHeaders} from '@lacewingwinch/platform';
 
-import type {StreamOriginExchange} from './stream_origin_exchange.js';
+import type {StreamOriginExchange} from '../state/stream_origin_exchange.js';
 
 /** The stream of one request, across the attempts of its client. */
 export class StreamContinuation {
--- a/packages/entry-process/src/routed/fleet_view.ts
+++ b/packages/entry-process/src/routed_interface/state/fleet_view.ts
@@ -7,7 +7,7 @@
   storeReaders,
 } from '@lacewingwinch/decisions';
 
-import type {MembershipTask} from '../tasks/membership_task.js';
+import type {MembershipTask} from '../../tasks/membership_task.js';
 
 /** What this process knows of the fleet. */
 export class FleetView {
--- a/packages/entry-process/src/routed/routed_membership.ts
+++ b/packages/entry-process/src/routed_interface/state/routed_membership.ts
@@ -6,10 +6,10 @@
 import type {EventLog, Metrics} from '@lacewingwinch/observability';
 import type {PlatformSettings} from '@lacewingwinch/platform';
 
-import type {UpstreamPaths} from '../paths/upstream_paths.js';
-import {MembershipTask} from '../tasks/membership_task.js';
-import type {PartWatch} from '../tasks/part_watch.js';
-import type {Clocks} from './clocks.js';
+import type {UpstreamPaths} from '../../paths/upstream_paths.js';
+import {MembershipTask} from '../../tasks/membership_task.js';
+import type {PartWatch} from '../../tasks/part_watch.js';
+import type {Clocks} from '../../util/clocks.js';
 
 /** Dependencies of the membership task. */
 export interface RoutedMembershipDependencies {
--- a/packages/entry-process/src/routed/state_relay.ts
+++ b/packages/entry-process/src/routed_interface/state/state_relay.ts
@@ -17,10 +17,10 @@
 } from '@lacewingwinch/entry-hosts';
 import type {EventLog} from '@lacewingwinch/observability';
 
-import {isAborted} from '../util/is_aborted.js';
-import {pause} from '../util/pause.js';
-import {callPeer} from './call_peer.js';
-import type {Clocks} from './clocks.js';
+import {callPeer} from '../../util/call_peer.js';
+import type {Clocks} from '../../util/clocks.js';
+import {isAborted} from '../../util/is_aborted.js';
+import {pause} from '../../util/pause.js';
 import type {ConfigurationFollower} from './configuration_follower.js';
 import type {UpstreamFollower} from './upstream_follower.js';
 
--- a/packages/entry-process/src/routed/stream_origin_exchange.ts
+++ b/packages/entry-process/src/routed_interface/state/stream_origin_exchange.ts
@@ -15,7 +15,7 @@
 import type {OriginQuery, PeerClient} from '@lacewingwinch/entry-hosts';
 import type {EventLog} from '@lacewingwinch/observability';
 
-import {callPeer} from './call_peer.js';
+import {callPeer} from '../../util/call_peer.js';
 
 /** Number of hosts that keep the origin of a stream besides its own. */
 const KEEPING_HOSTS = 3;
--- a/packages/entry-process/src/routed/upstream_follower.ts
+++ b/packages/entry-process/src/routed_interface/state/upstream_follower.ts
@@ -15,10 +15,10 @@
   type StoreClient,
 } from '@lacewingwinch/platform';
 
-import {isAborted} from '../util/is_aborted.js';
-import {messageOf} from '../util/message_of.js';
-import {pause} from '../util/pause.js';
-import type {Clocks} from './clocks.js';
+import type {Clocks} from '../../util/clocks.js';
+import {isAborted} from '../../util/is_aborted.js';
+import {messageOf} from '../../util/message_of.js';
+import {pause} from '../../util/pause.js';
 import {StoreReachability} from './store_reachability.js';
 
 /**
--- a/packages/entry-process/src/tasks/permit_client.ts
+++ b/packages/entry-process/src/tasks/permit_client.ts
@@ -110,7 +110,7 @@
     try {
       return await this.dependencies.peers.call(
         address,
-        'permit.ask',
+        'permit.request',
         {shardId: shard.id, ask: request},
         request.maximumWait + RESPONSE_MARGIN_MILLISECONDS,
       );
--- a/packages/entry-process/src/routed/call_peer.ts
+++ b/packages/entry-process/src/util/call_peer.ts
@@ -11,7 +11,7 @@
 } from '@lacewingwinch/entry-hosts';
 import type {EventLog} from '@lacewingwinch/observability';
 
-import {messageOf} from '../util/message_of.js';
+import {messageOf} from './message_of.js';
 
 /** Dependencies of `callPeer`. */
 export interface PeerCallDependencies {
--- a/packages/entry-process/tests/attempt_gate_test.ts
+++ b/packages/entry-process/tests/attempt_gate_test.ts
@@ -2,7 +2,7 @@
 import {createEventLog} from '@lacewingwinch/observability';
 import {describe, expect, it} from 'vitest';
 
-import {AttemptGate} from '../src/routed/attempt_gate.js';
+import {AttemptGate} from '../src/routed_interface/admission/attempt_gate.js';
 
 const OBJECTIVE_MILLISECONDS = 100;
 
--- a/packages/entry-process/tests/quota_exchange_test.ts
+++ b/packages/entry-process/tests/quota_exchange_test.ts
@@ -4,7 +4,7 @@
 import {createEventLog} from '@lacewingwinch/observability';
 import {beforeEach, describe, expect, it} from 'vitest';
 
-import {QuotaExchange} from '../src/routed/quota_exchange.js';
+import {QuotaExchange} from '../src/routed_interface/admission/quota_exchange.js';
 import {servingMember} from './host_fixtures.js';
 
 const HOSTS = Array.from({length: 40}, (_, index) => `host-${index}`);
--- a/packages/entry-process/tests/routed_placement_test.ts
+++ b/packages/entry-process/tests/routed_placement_test.ts
@@ -14,8 +14,8 @@
 import {createEventLog} from '@lacewingwinch/observability';
 import {beforeEach, describe, expect, it} from 'vitest';
 
-import type {Placement} from '../src/routed/placement_result.js';
-import {RoutedPlacement} from '../src/routed/routed_placement.js';
+import type {Placement} from '../src/routed_interface/placement/placement_result.js';
+import {RoutedPlacement} from '../src/routed_interface/placement/routed_placement.js';
 import {servingMember} from './host_fixtures.js';
 
 const HOSTS = ['host-0', 'host-1', 'host-2', 'host-3', 'host-4', 'host-5'];
--- a/packages/entry-process/tests/upstream_follower_test.ts
+++ b/packages/entry-process/tests/upstream_follower_test.ts
@@ -7,8 +7,8 @@
 import {RoutedEngineStandIn, StoreStandIn} from '@lacewingwinch/stand-ins';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
-import {createProcessClocks} from '../src/routed/clocks.js';
-import {UpstreamFollower} from '../src/routed/upstream_follower.js';
+import {UpstreamFollower} from '../src/routed_interface/state/upstream_follower.js';
+import {createProcessClocks} from '../src/util/clocks.js';
 
 let store: StoreStandIn;
 let client: StoreClient;
