--- a/packages/decisions/src/placement/choose_engine.ts
+++ b/packages/decisions/src/placement/choose_engine.ts
@@ -58,6 +58,13 @@
   readonly mustWait: boolean;
   /** Estimated milliseconds until the first output token. */
   readonly estimateMilliseconds: number;
+  /**
+   * Standard error of the estimate in milliseconds; absent where it is not
+   * known.
+   */
+  readonly errorMilliseconds?: number;
+  /** Age in milliseconds of the oldest load on which the estimate rests. */
+  readonly knowledgeAgeMilliseconds?: number;
   /** Prompt tokens that the upstream is expected to have in its cache. */
   readonly cachedTokens: number;
   /**
--- /dev/null
+++ b/packages/observability/src/events/duty_events.ts
@@ -0,0 +1,50 @@
+/**
+ * The log events of the duties that one host at a time performs.
+ */
+import type {EventRow} from './event_row.js';
+
+/** Events 5001 to 5999. */
+export const DUTY_EVENTS = {
+  5001: {
+    level: 'info',
+    message:
+      'entry host {hostId} holds the lease for orders or duties with fencing number {fencingNumber}',
+    advice: 'No action needed.',
+  },
+  5003: {
+    level: 'warn',
+    message:
+      'an order for {hostClass} hosts in {failureDomain} was not filled completely',
+    advice:
+      'No action needed; the missing hosts are ordered from another offer.',
+  },
+  5004: {
+    level: 'warn',
+    message: 'entry host {hostId} no longer holds the duty lease',
+    advice:
+      'No action needed; another host takes over once the lease has expired.',
+  },
+  5005: {
+    level: 'warn',
+    message: 'a round of the duty task failed: {error}',
+    advice: 'See "When the platform is down" in OPERATIONS.md.',
+  },
+  5006: {
+    level: 'info',
+    message: 'usage of window {window} was reported: {total} requests',
+    advice: 'No action needed.',
+  },
+  5007: {
+    level: 'info',
+    message:
+      '{count} {hostClass} engines of {service} in {failureDomain} were ordered: {result}',
+    advice: 'No action needed; a refused order is retried.',
+  },
+  5008: {
+    level: 'warn',
+    message:
+      'the store came back from an older copy while entry host {hostId} renewed the duty lease',
+    advice:
+      'See "When the store comes back from an older copy" in OPERATIONS.md.',
+  },
+} as const satisfies Readonly<Record<number, EventRow>>;
--- /dev/null
+++ b/packages/observability/src/events/request_events.ts
@@ -0,0 +1,130 @@
+/**
+ * The log events of requests.
+ */
+import type {EventRow} from './event_row.js';
+
+/** Events 4001 to 4999. */
+export const REQUEST_EVENTS = {
+  4001: {
+    level: 'warn',
+    message: 'request {requestId} failed with {kind}',
+    advice: 'Run "lacewingctl explain {requestId}" to see why.',
+  },
+  4002: {
+    level: 'warn',
+    message:
+      'request {requestId} is moved away from upstream {upstreamId}: {cause}',
+    advice: 'No action needed unless it happens often.',
+  },
+  4003: {
+    level: 'warn',
+    message: 'request content {fingerprint} crashed upstream {upstreamId}',
+    advice:
+      'After two crashes (on the platform after three) this content is refused for a while.',
+  },
+  4004: {
+    level: 'info',
+    message: 'request {requestId} was handed over to {hostId}',
+    advice: 'No action needed.',
+  },
+  4005: {
+    level: 'warn',
+    message: 'request {requestId} could not be handed over: {error}',
+    advice: 'No action needed; the client was told whether the request ran.',
+  },
+  4101: {
+    level: 'info',
+    message:
+      'request {requestId} ended with {outcome} after {duration} ms and {eventCount} events: rule {rule}, configuration {version}, {attempts} attempts, of which {reached} were sent, the last at upstream {upstreamId}',
+    advice: 'Look for events 4102 to 4104 of the same request.',
+  },
+  4102: {
+    level: 'warn',
+    message:
+      'attempt {attempt} of request {requestId} at upstream {upstreamId} failed with {failure}: {reason}; next step: {next}',
+    advice: 'No action needed unless it happens often at one upstream.',
+  },
+  4103: {
+    level: 'warn',
+    message:
+      'request {requestId} was refused with {kind}: {detail}; configuration {version} is {age} ms old',
+    advice: 'See ERRORS.md for the error kinds.',
+  },
+  4104: {
+    level: 'info',
+    message:
+      'request {requestId} is sent to upstream {upstreamId} with software version {softwareVersion}: first token expected after {estimate} ms, {cached} of {prompt} prompt tokens cached',
+    advice: 'No action needed.',
+  },
+  4105: {
+    level: 'info',
+    message:
+      'request {requestId} found every upstream of {service} paused for {milliseconds} ms: {decision}',
+    advice: 'Look for event 3007 of the upstreams of the service.',
+  },
+  4106: {
+    level: 'info',
+    message:
+      'the answer of upstream {upstreamId} to request {requestId}, framed by {framing}, ended {pendingBytes} bytes after its last complete event',
+    advice:
+      'No action needed unless it happens often: then the upstream crashes, or sends answers without a length.',
+  },
+  4107: {
+    level: 'info',
+    message:
+      'request {requestId} takes up the stream of {resumedAttemptId} after event {lastEventId}',
+    advice:
+      'Look for event 4104 of both requests: their software versions must be the same.',
+  },
+  4108: {
+    level: 'warn',
+    message:
+      'the connection of request {requestId} to upstream {upstreamId} ended {begun} ms after the answer had begun and after {eventCount} events; shared prompt parts {parts}',
+    advice:
+      'A value of -1 means that the answer had not begun. If many of these events name the same part, the part crashes upstreams.',
+  },
+  4109: {
+    level: 'warn',
+    message:
+      'prompt part {part} of {service} is refused: {crashes} upstreams crashed under it, the first {span} ms ago; sound runs known: {wasSound}',
+    advice:
+      'Find the requests with the part by events 4108 and have it removed from prompts; see "A prompt part that crashes upstreams" in OPERATIONS.md.',
+  },
+  4110: {
+    level: 'info',
+    message:
+      'prompt part {part} of {service} is served again: a run with it was sound',
+    advice: 'No action needed; the upstreams crashed for another reason.',
+  },
+  4111: {
+    level: 'info',
+    message:
+      'request {requestId} tries whether prompt part {part} of {service} still crashes upstreams',
+    advice: 'No action needed.',
+  },
+  4112: {
+    level: 'info',
+    message:
+      'request {requestId} waits {milliseconds} ms until upstream {upstreamId} takes another request',
+    advice:
+      'Look for event 3008 of the upstreams of the service: too many of them are in need.',
+  },
+  4113: {
+    level: 'info',
+    message:
+      'request {requestId} is sent to upstream {upstreamId} through entry host {hostId}',
+    advice: 'Look for events 4114 and 4115 of the request at that host.',
+  },
+  4114: {
+    level: 'warn',
+    message:
+      'request {requestId} of entry host {front} was not carried to upstream {upstreamId}: {reason}',
+    advice: 'No action needed; the entry host tries another way.',
+  },
+  4115: {
+    level: 'info',
+    message:
+      'request {requestId} of entry host {front} was carried to upstream {upstreamId}: {outcome}',
+    advice: 'Look for events 3011 and 3013 at that entry host.',
+  },
+} as const satisfies Readonly<Record<number, EventRow>>;
