Send nothing to an upstream that tolerates one refusal after a refusal is known

Brittle upstreams that tolerate 1.5 refusals a second fell over. The listed suspicion was that refusals become known later than the 50 ms by which requests are spaced; a trace rules that out: of 31 refusals, each was known to the placing host within 10 ms. A request that was granted with a wait of up to 50 ms was still sent after the refusal of the one before it, and two refusals in a second are one too many. Such an upstream now gets a request at once or not at all.

--- a/packages/decisions/src/limits/brittle_rooms.ts
+++ b/packages/decisions/src/limits/brittle_rooms.ts
@@ -84,9 +84,8 @@
     }
     const isWithinRoom = running < sharedRoom(state, upstream);
     const wait = Math.max(0, state.closedUntil - now, state.nextAt - now);
-    // A request that waits longer would be sent whatever is refused meanwhile.
     const isReady = isWithinRoom || now >= state.trialAt;
-    return isReady && wait <= REFUSAL_DELAY_MILLISECONDS
+    return isReady && wait <= longestWaitFor(upstream)
       ? wait
       : FULL_MILLISECONDS;
   }
@@ -186,6 +185,16 @@
   return !isTrial && !(isSingle && running >= room - 1);
 }
 
+/**
+ * Returns the longest wait of a granted request. Such a request is sent whatever is
+ * refused meanwhile, which an upstream that tolerates few refusals does not survive.
+ */
+function longestWaitFor({refusalsPerSecond}: BrittleUpstream): number {
+  return refusalsPerSecond < TOLERANT_REFUSALS_PER_SECOND
+    ? 0
+    : REFUSAL_DELAY_MILLISECONDS;
+}
+
 function trialInterval(refusalsPerSecond: number): number {
   return Math.min(
     MAXIMUM_TRIAL_MILLISECONDS,
--- a/packages/decisions/tests/brittle_rooms_test.ts
+++ b/packages/decisions/tests/brittle_rooms_test.ts
@@ -102,6 +102,14 @@
     expect(rooms.waitFor(UPSTREAM, 75)).toBe(0);
   });
 
+  it('that tolerates a single refusal gets nothing that is sent after a refusal is known', () => {
+    const rooms = new BrittleRooms();
+    const upstream = upstreamWith({refusalsPerSecond: 1.5});
+    expect(rooms.take(upstream, 0)).toBe(0);
+    expect(rooms.waitFor(upstream, 10)).toBe(FULL_MILLISECONDS);
+    expect(rooms.waitFor(upstream, 50)).toBe(0);
+  });
+
   it('tries one more than its room now and then', () => {
     const rooms = new BrittleRooms();
     const full = upstreamWith({running: 5});
