Assume that an upstream that fell over is as brittle as before until it answers

The rate that the last process under an id named now applies to the next one until that one answers; an answer without a rate ends it. Limits of requests still end with the process that named them.

--- a/packages/decisions/src/limits/named_rates.ts
+++ b/packages/decisions/src/limits/named_rates.ts
@@ -80,19 +80,18 @@
     if (known !== undefined && !supersedes(statement, known)) {
       return false;
     }
+    const before = this.rateOf(statement.kind, statement);
     this.remember(statement);
-    const before =
-      known?.bornAt === statement.bornAt ? rateIn(known) : undefined;
     return before !== rateIn(statement);
   }
 
-  /** Returns a rate of an incarnation; undefined if it names none. */
+  /** Returns a rate of an incarnation; undefined if none applies to it. */
   rateOf(kind: RateKind, upstream: UpstreamIncarnation): number | undefined {
     const statement = this.find(kind, upstream);
     return statement === undefined ? undefined : rateIn(statement);
   }
 
-  /** Returns the newest statements of each of `upstreams`. */
+  /** Returns the statements that apply to `upstreams`. */
   known(upstreams: readonly UpstreamIncarnation[]): readonly RateStatement[] {
     return this.isEmpty
       ? []
@@ -106,7 +105,9 @@
     upstream: UpstreamIncarnation,
   ): RateStatement | undefined {
     const statement = this.statements.get(keyOf(kind, upstream));
-    return statement?.bornAt === upstream.bornAt ? statement : undefined;
+    return statement !== undefined && appliesTo(statement, upstream)
+      ? statement
+      : undefined;
   }
 
   private remember(statement: RateStatement): void {
@@ -143,12 +144,31 @@
     return {kind, upstreamId, bornAt, perSecond, at: answeredAt};
   }
   const ends =
-    known !== undefined && known.perSecond !== null && sentAt > known.at;
+    known !== undefined &&
+    known.perSecond !== null &&
+    (known.bornAt < bornAt || sentAt > known.at);
   return ends
     ? {kind, upstreamId, bornAt, perSecond: null, at: sentAt}
     : undefined;
 }
 
+/**
+ * Returns whether a statement applies to an incarnation. An upstream that fell over
+ * because it had to turn requests away does so again; the next process under its id
+ * is therefore assumed to tolerate no more until it answers.
+ */
+function appliesTo(
+  {kind, bornAt}: RateStatement,
+  upstream: UpstreamIncarnation,
+): boolean {
+  switch (kind) {
+    case 'requests':
+      return bornAt === upstream.bornAt;
+    case 'refusals':
+      return bornAt <= upstream.bornAt;
+  }
+}
+
 function namedIn(kind: RateKind, answer: AnsweredRates): number | undefined {
   switch (kind) {
     case 'requests':
--- a/packages/decisions/tests/upstream_limits_test.ts
+++ b/packages/decisions/tests/upstream_limits_test.ts
@@ -110,6 +110,49 @@
   });
 });
 
+describe('the refusals that an upstream tolerates', () => {
+  const NEXT = {...UPSTREAM, bornAt: 200};
+
+  function brittleAnswer(
+    after: number,
+    refusalsPerSecond?: number,
+  ): Parameters<NamedRates['recordAnswer']>[1] {
+    return {...answer(after), refusalsPerSecond};
+  }
+
+  it.each<{
+    readonly name: string;
+    /** Answers of the next process under the same id. */
+    readonly answers: readonly Parameters<NamedRates['recordAnswer']>[1][];
+    readonly tolerated: number | undefined;
+  }>([
+    {
+      name: 'are assumed for its next process until that one answers',
+      answers: [],
+      tolerated: 2,
+    },
+    {
+      name: 'are those that its next process names',
+      answers: [brittleAnswer(10, 5)],
+      tolerated: 5,
+    },
+    {
+      name: 'do not bind its next process once that one names none',
+      answers: [brittleAnswer(10)],
+      tolerated: undefined,
+    },
+  ])('$name', ({answers, tolerated}) => {
+    limits.recordAnswer(UPSTREAM, brittleAnswer(0, 2));
+    answers.forEach(one => limits.recordAnswer(NEXT, one));
+    expect(limits.rateOf('refusals', NEXT)).toBe(tolerated);
+  });
+
+  it('are not those of an earlier process under the same id', () => {
+    limits.recordAnswer(NEXT, brittleAnswer(0, 2));
+    expect(limits.rateOf('refusals', UPSTREAM)).toBeUndefined();
+  });
+});
+
 describe('the grants for an upstream', () => {
   const WINDOW_MILLISECONDS = 4000;
 
