Model engines with shared prefill, noise, limited memory and late reports

The model read each prompt as if it were alone at its engine, kept its cache by blocks, and had neither speeds of single engines, noise, start-up nor a load report that lags. Decisions under load depend on these.

Prompts are now read in chunks between decoding steps, the most urgent rank first, and share the chunk within a rank; cached parts and running requests share a limited memory, and a part counts as cached only once it was read. Speed factor, noise, slowness near full load, start-up and the lag of reports are properties of each engine. Work progresses evenly between events, so that a run costs three events a request.

The existing measurements run on it.

--- a/packages/measurements/src/engine_model.ts
+++ b/packages/measurements/src/engine_model.ts
@@ -1,175 +1,397 @@
 /**
  * A simulated model engine in virtual time: continuous batching, in which each
- * stream slows down the steps of all, and a limited prefix cache.
+ * request slows down the steps of all; prompts that are read in chunks between
+ * these steps, the most urgent ones first; and memory that running requests and
+ * cached prompt parts share. Between two events, work progresses evenly.
  */
-import type {Upstream} from '@lacewingwinch/decisions';
+import type {PromptPart} from '@lacewingwinch/decisions';
 
-/** Milliseconds of a decoding step with an empty batch. */
-const STEP_BASE_MILLISECONDS = 14;
+import {
+  type EngineProfile,
+  type EngineReport,
+  LaggingReports,
+  NoisePeriods,
+} from './engine_profile.js';
+import {PrefixCacheModel} from './prefix_cache_model.js';
 
-/** Milliseconds that each stream in the batch adds to a step. */
-const STEP_MILLISECONDS_PER_STREAM = 1.1;
-
-/** Milliseconds of prefill per token. */
-const PREFILL_MILLISECONDS_PER_TOKEN = 0.06;
-
-/** Prefix blocks that the cache of an engine can hold. */
-const CACHE_CAPACITY_BLOCKS = 400;
-
-/** Tokens per prefix block. */
-export const TOKENS_PER_BLOCK = 64;
-
-/** A request of the workload. */
-export interface WorkloadRequest {
+/** A request that an engine runs. */
+export interface EngineRequest {
   readonly id: string;
-  readonly workspace: string;
-  /** Virtual time in milliseconds. */
-  readonly arrivalTime: number;
   readonly promptTokens: number;
   readonly outputTokens: number;
-  /** Ids of the prefix blocks of the prompt, in order. */
-  readonly prefixes: readonly string[];
+  /** Parts of the prompt in order; together at most `promptTokens`. */
+  readonly parts: readonly PromptPart[];
+  /** 0 is the most urgent. */
   readonly priority: number;
 }
 
-/** A stream that an engine runs. */
-export interface RunningStream {
-  readonly request: WorkloadRequest;
-  /** Virtual time of the first token, in milliseconds. */
-  readonly firstTokenTime: number;
-  /** Tokens of the request that other engines produced before. */
-  readonly producedBefore: number;
-  /** Progress of the engine, in steps, at which the stream ends. */
-  readonly endProgress: number;
-  /** Progress of the engine, in steps, at which the prefill has ended. */
-  readonly startProgress: number;
+/** What an engine has of a request that another engine began. */
+export interface EngineStart {
+  /** Tokens of the output that other engines produced before. */
+  readonly producedTokens: number;
+  /** Whether the memory of the request was moved here, so that it isn't read. */
+  readonly hasImportedCache: boolean;
 }
 
-/** Returns the milliseconds of a step with `streams` in the batch. */
-export function stepMilliseconds(streams: number): number {
-  return STEP_BASE_MILLISECONDS + STEP_MILLISECONDS_PER_STREAM * streams;
+const NEW_REQUEST: EngineStart = {producedTokens: 0, hasImportedCache: false};
+
+/** A change in the state of a request. */
+export interface EngineEvent<Request extends EngineRequest> {
+  readonly kind: 'first-token' | 'ended';
+  readonly request: Request;
+  /** Virtual time in milliseconds. */
+  readonly time: number;
+  /** Prompt tokens that were read, because they were not cached. */
+  readonly readTokens: number;
 }
 
-/** Returns the milliseconds of the prefill of `tokens`. */
-export function prefillMilliseconds(tokens: number): number {
-  return tokens * PREFILL_MILLISECONDS_PER_TOKEN;
+interface Run<Request extends EngineRequest> {
+  readonly request: Request;
+  readonly start: EngineStart;
+  readonly order: number;
+  /** Memory that the request may need besides cached prompt parts. */
+  reservedTokens: number;
+  unreadTokens: number;
+  readTokens: number;
+  /** Steps of the engine at the first and last token, once it decodes. */
+  firstTokenStep: number;
+  lastTokenStep: number;
+  hasFirstToken: boolean;
 }
 
+/** Smallest difference of times and steps that counts. */
+const PRECISION = 1e-6;
+
 /** A simulated engine. */
-export class EngineModel {
-  readonly streams: RunningStream[] = [];
-  /** Cost so far: hourly price times the hours with at least one stream. */
-  cost = 0;
-  prefixHitBlocks = 0;
-  prefixBlocks = 0;
-  isGone = false;
-  /** Running and queued requests at the last load report. */
-  reportedLoad = 0;
+export class EngineModel<Request extends EngineRequest = EngineRequest> {
+  /** Milliseconds with at least one request. */
+  busyMilliseconds = 0;
+  /** Prompt tokens of all requests that started here. */
+  promptTokens = 0;
+  /** Those of them that were cached. */
+  cachedTokens = 0;
+  private readonly cache = new PrefixCacheModel();
+  private readonly noise: NoisePeriods;
+  private readonly reports: LaggingReports;
+  /** Waiting and running requests, the most urgent and oldest first. */
+  private queue: Run<Request>[] = [];
+  private reading: Run<Request>[] = [];
+  private decoding: Run<Request>[] = [];
+  private readonly readyAt: number;
+  private time: number;
   /** Decoding steps since the start; a fraction within a step. */
-  private progress = 0;
-  private lastAdvanceTime = 0;
-  /** Cached prefix blocks, least recently used first. */
-  private readonly cache = new Map<string, true>();
-
-  constructor(readonly upstream: Upstream) {}
-
-  /** Advances the engine to `now`. */
-  advance(now: number): void {
-    const elapsed = now - this.lastAdvanceTime;
-    this.lastAdvanceTime = now;
-    if (this.streams.length > 0) {
-      this.progress += elapsed / stepMilliseconds(this.streams.length);
-      this.cost += (elapsed * this.upstream.pricePerHour) / 3_600_000;
+  private steps = 0;
+  private submittedCount = 0;
+
+  constructor(
+    readonly profile: EngineProfile,
+    random: () => number,
+    now: number,
+  ) {
+    this.noise = new NoisePeriods(profile.noise, random, now);
+    this.reports = new LaggingReports(profile.reportLagMilliseconds);
+    this.time = now;
+    this.readyAt = now + profile.startupMilliseconds;
+  }
+
+  /** Number of requests that run. */
+  get running(): number {
+    return this.reading.length + this.decoding.length;
+  }
+
+  /** Number of requests that wait for a slot or for memory. */
+  get queued(): number {
+    return this.queue.length;
+  }
+
+  /** Prompt tokens still to read for running and waiting requests. */
+  get unreadTokens(): number {
+    return sum([...this.reading, ...this.queue], run => run.unreadTokens);
+  }
+
+  /** Requests that run or wait, in no particular order. */
+  get requests(): readonly Request[] {
+    return this.runs().map(({request}) => request);
+  }
+
+  /** Returns whether the engine has started at `now`. */
+  isReady(now: number): boolean {
+    return now >= this.readyAt;
+  }
+
+  /** Returns the load that the engine reports at `now`. */
+  reportAt(now: number): EngineReport {
+    return this.reports.reportAt(now);
+  }
+
+  /** Returns the prompt tokens of `parts` that need not be read here. */
+  cachedTokensOf(parts: readonly PromptPart[]): number {
+    return this.cache.cachedTokens(parts);
+  }
+
+  /**
+   * Returns the tokens of output that this and earlier engines produced for a
+   * request; undefined if it is not here.
+   */
+  producedTokensOf(requestId: string): number | undefined {
+    const run = this.runs().find(({request}) => request.id === requestId);
+    if (run === undefined) {
+      return undefined;
     }
+    const steps = this.steps - (run.firstTokenStep - 1);
+    return Math.floor(run.start.producedTokens + Math.max(0, steps));
   }
 
   /**
-   * Starts a stream at `now`. With an imported cache it needs no prefill.
+   * Accepts a request at `now`, up to which the engine was advanced. Returns
+   * whether it is accepted: the engine has started, and its queue is not full.
    */
-  start(
-    request: WorkloadRequest,
-    producedBefore: number,
-    hasImportedCache: boolean,
-    now: number,
-  ): RunningStream {
-    const uncachedTokenCount = hasImportedCache
-      ? 0
-      : this.cachePrompt(request) + producedBefore;
-    const prefillTime = prefillMilliseconds(uncachedTokenCount);
-    const currentStepMilliseconds = stepMilliseconds(this.streams.length + 1);
-    const remainingTokens = request.outputTokens - producedBefore;
-    const stream: RunningStream = {
+  submit(request: Request, now: number, start = NEW_REQUEST): boolean {
+    const isFull =
+      this.running >= this.profile.slots &&
+      this.queue.length >= this.profile.queueCapacity;
+    if (isFull || !this.isReady(now) || !this.canEverHold(request)) {
+      return false;
+    }
+    const run: Run<Request> = {
       request,
-      producedBefore,
-      firstTokenTime: now + prefillTime + currentStepMilliseconds,
-      startProgress: this.progress + prefillTime / currentStepMilliseconds,
-      endProgress:
-        this.progress + prefillTime / currentStepMilliseconds + remainingTokens,
+      start,
+      order: this.submittedCount,
+      reservedTokens: 0,
+      unreadTokens: this.missingTokens(request, start),
+      readTokens: 0,
+      firstTokenStep: Infinity,
+      lastTokenStep: Infinity,
+      hasFirstToken: false,
     };
-    this.streams.push(stream);
-    return stream;
+    this.submittedCount += 1;
+    this.queue.push(run);
+    this.queue.sort(byUrgency);
+    this.startQueued(now);
+    this.recordReport(now);
+    return true;
   }
 
-  /**
-   * Returns the time at which the next stream ends if the batch does not
-   * change; infinity without streams.
-   */
-  nextEndTime(): number {
-    const [first] = [...this.streams].sort(
-      (left, right) => left.endProgress - right.endProgress,
-    );
-    return first === undefined
-      ? Infinity
-      : this.lastAdvanceTime +
-          Math.max(0, first.endProgress - this.progress) *
-            stepMilliseconds(this.streams.length);
+  /** Removes a request at `now`, for example because its client left. */
+  cancel(requestId: string, now: number): void {
+    const isOther = ({request}: Run<Request>): boolean =>
+      request.id !== requestId;
+    this.queue = this.queue.filter(isOther);
+    this.reading = this.reading.filter(isOther);
+    this.decoding = this.decoding.filter(isOther);
+    this.startQueued(now);
+    this.recordReport(now);
   }
 
-  /** Removes and returns the streams that have ended. */
-  takeEnded(): readonly RunningStream[] {
-    const ended = this.streams.filter(
-      ({endProgress}) => endProgress <= this.progress + 1e-6,
-    );
-    for (const stream of ended) {
-      this.streams.splice(this.streams.indexOf(stream), 1);
-    }
-    return ended;
+  /** Virtual time of the next event; infinity if there is none. */
+  nextEventTime(): number {
+    return this.running === 0 ? Infinity : this.nextChangeTime();
   }
 
   /**
-   * Returns the number of tokens that `stream` produced on this and earlier
-   * engines.
+   * Advances the engine to `now` and returns the events up to then, in their
+   * order.
    */
-  producedTokensOf(stream: RunningStream): number {
-    const producedOnThisEngine = Math.max(
-      0,
-      this.progress - stream.startProgress,
-    );
-    return Math.floor(stream.producedBefore + producedOnThisEngine);
+  advance(now: number): readonly EngineEvent<Request>[] {
+    const events: EngineEvent<Request>[] = [];
+    for (;;) {
+      const next = Math.min(now, Math.max(this.nextChangeTime(), this.time));
+      this.progress(next);
+      this.noise.advance(next);
+      const hasChanged = this.applyChanges(next, events);
+      if (hasChanged) {
+        this.startQueued(next);
+        this.recordReport(next);
+      } else if (next >= now) {
+        return events;
+      }
+    }
   }
 
-  /**
-   * Adds the prefix blocks of a prompt to the cache and returns the number of
-   * its tokens that were not cached.
-   */
-  private cachePrompt(request: WorkloadRequest): number {
-    const firstMissing = request.prefixes.findIndex(
-      prefix => !this.cache.has(prefix),
+  /** Lets all work progress evenly to `now`. */
+  private progress(now: number): void {
+    const elapsed = now - this.time;
+    this.time = now;
+    if (this.running === 0) {
+      return;
+    }
+    this.busyMilliseconds += elapsed;
+    const steps = elapsed / this.currentStepMilliseconds();
+    this.steps += steps;
+    const readers = this.currentReaders();
+    const tokens = (steps * this.profile.chunkTokens) / readers.length;
+    for (const run of readers) {
+      run.unreadTokens -= tokens;
+      run.readTokens += tokens;
+    }
+  }
+
+  /** Applies the changes that are due at `now`; returns whether there are any. */
+  private applyChanges(now: number, events: EngineEvent<Request>[]): boolean {
+    const report = (kind: EngineEvent<Request>['kind'], run: Run<Request>) =>
+      events.push({
+        kind,
+        request: run.request,
+        time: now,
+        readTokens: Math.round(run.readTokens),
+      });
+    const complete = this.reading.filter(
+      run => run.unreadTokens <= PRECISION * this.profile.chunkTokens,
     );
-    const hitBlocks =
-      firstMissing === -1 ? request.prefixes.length : firstMissing;
-    this.prefixHitBlocks += hitBlocks;
-    this.prefixBlocks += request.prefixes.length;
-    for (const prefix of request.prefixes) {
-      this.cache.delete(prefix);
-      this.cache.set(prefix, true);
+    complete.forEach(run => this.startDecoding(run));
+    const due = this.steps + PRECISION;
+    let hasChanged = complete.length > 0;
+    for (const run of this.decoding) {
+      if (!run.hasFirstToken && run.firstTokenStep <= due) {
+        run.hasFirstToken = true;
+        hasChanged = true;
+        report('first-token', run);
+      }
+    }
+    const ended = this.decoding.filter(run => run.lastTokenStep <= due);
+    if (ended.length > 0) {
+      this.decoding = this.decoding.filter(run => run.lastTokenStep > due);
+      ended.forEach(run => report('ended', run));
     }
-    for (const prefix of this.cache.keys()) {
-      if (this.cache.size <= CACHE_CAPACITY_BLOCKS) {
-        break;
+    return hasChanged || ended.length > 0;
+  }
+
+  private startDecoding(run: Run<Request>): void {
+    this.reading = this.reading.filter(other => other !== run);
+    this.decoding.push(run);
+    const remaining = run.request.outputTokens - run.start.producedTokens;
+    run.firstTokenStep = this.steps + 1;
+    run.lastTokenStep = this.steps + Math.max(1, remaining);
+    this.cache.add(run.request.parts);
+    this.cache.shrink(this.profile.memoryTokens - this.reservedTokens());
+  }
+
+  /** Starts waiting requests for which there are a slot and memory. */
+  private startQueued(now: number): void {
+    for (;;) {
+      const [run] = this.queue;
+      const isBlocked =
+        run === undefined ||
+        this.running >= this.profile.slots ||
+        !this.hasMemoryFor(run);
+      if (isBlocked || now < this.readyAt) {
+        return;
       }
-      this.cache.delete(prefix);
+      this.queue.shift();
+      run.unreadTokens = this.missingTokens(run.request, run.start);
+      run.reservedTokens = run.unreadTokens + run.request.outputTokens;
+      this.promptTokens += run.request.promptTokens;
+      this.cachedTokens += Math.max(
+        0,
+        run.request.promptTokens - run.unreadTokens,
+      );
+      this.reading.push(run);
+      this.reading.sort(byUrgency);
+      this.cache.shrink(this.profile.memoryTokens - this.reservedTokens());
     }
-    return request.promptTokens - hitBlocks * TOKENS_PER_BLOCK;
   }
+
+  private nextChangeTime(): number {
+    if (this.running === 0) {
+      return this.noise.nextChangeTime;
+    }
+    const readers = this.currentReaders();
+    let steps = Infinity;
+    for (const run of readers) {
+      const chunks = run.unreadTokens / this.profile.chunkTokens;
+      steps = Math.min(steps, Math.max(0, chunks) * readers.length);
+    }
+    for (const run of this.decoding) {
+      const step = run.hasFirstToken ? run.lastTokenStep : run.firstTokenStep;
+      steps = Math.min(steps, Math.max(0, step - this.steps));
+    }
+    return Math.min(
+      this.time + steps * this.currentStepMilliseconds(),
+      this.noise.nextChangeTime,
+    );
+  }
+
+  /** The running prompts of the most urgent rank, which share each chunk. */
+  private currentReaders(): readonly Run<Request>[] {
+    const [first] = this.reading;
+    return this.reading.filter(
+      ({request}) => request.priority === first?.request.priority,
+    );
+  }
+
+  private currentStepMilliseconds(): number {
+    const {profile} = this;
+    const {crowding, slots} = profile;
+    const chunkMilliseconds =
+      this.reading.length === 0
+        ? 0
+        : profile.chunkTokens / profile.prefillTokensPerMillisecond;
+    const isCrowded =
+      crowding !== undefined && this.running >= slots * crowding.fromShare;
+    const slowdown = this.noise.slowdown * (isCrowded ? crowding.slowdown : 1);
+    return (
+      ((profile.stepMilliseconds +
+        profile.stepMillisecondsPerStream * this.running +
+        chunkMilliseconds) *
+        slowdown) /
+      profile.speedFactor
+    );
+  }
+
+  private missingTokens(request: Request, start: EngineStart): number {
+    return start.hasImportedCache
+      ? 0
+      : Math.max(0, request.promptTokens - this.cachedTokensOf(request.parts)) +
+          start.producedTokens;
+  }
+
+  private canEverHold(request: Request): boolean {
+    return (
+      request.promptTokens + request.outputTokens <= this.profile.memoryTokens
+    );
+  }
+
+  private hasMemoryFor({request, start}: Run<Request>): boolean {
+    const needed = this.missingTokens(request, start) + request.outputTokens;
+    return this.reservedTokens() + needed <= this.profile.memoryTokens;
+  }
+
+  private reservedTokens(): number {
+    return (
+      sum(this.reading, run => run.reservedTokens) +
+      sum(this.decoding, run => run.reservedTokens)
+    );
+  }
+
+  private runs(): readonly Run<Request>[] {
+    return [...this.queue, ...this.reading, ...this.decoding];
+  }
+
+  private recordReport(now: number): void {
+    this.reports.record(
+      {
+        running: this.running,
+        queued: this.queued,
+        unreadTokens: this.unreadTokens,
+        usedTokens: this.reservedTokens(),
+      },
+      now,
+    );
+  }
+}
+
+function byUrgency(
+  left: Run<EngineRequest>,
+  right: Run<EngineRequest>,
+): number {
+  return (
+    left.request.priority - right.request.priority || left.order - right.order
+  );
+}
+
+function sum<Item>(
+  items: readonly Item[],
+  amountOf: (item: Item) => number,
+): number {
+  return items.reduce((total, item) => total + amountOf(item), 0);
 }
--- a/packages/measurements/src/measure_dispatch.ts
+++ b/packages/measurements/src/measure_dispatch.ts
@@ -4,11 +4,8 @@
  */
 import {figureOf, percentile, renderFigure} from './figures.js';
 import {randomFrom, SEEDS} from './random_numbers.js';
-import {
-  type DispatchPolicy,
-  Simulation,
-  type SimulationResult,
-} from './simulate.js';
+import {Simulation} from './simulate.js';
+import type {DispatchPolicy, SimulationResult} from './simulation_options.js';
 import {makeWorkload, WORKLOAD_SHAPES, type WorkloadShape} from './workload.js';
 
 /** Loads as fractions of the capacity of a fleet. */
--- a/packages/measurements/src/measure_reclaim.ts
+++ b/packages/measurements/src/measure_reclaim.ts
@@ -5,12 +5,12 @@
 import {figureOf, percentile, renderFigure} from './figures.js';
 import {FIRST_TOKEN_TARGET_MILLISECONDS} from './measure_dispatch.js';
 import {randomFrom, SEEDS} from './random_numbers.js';
-import {
-  type MovePolicy,
-  type Reclaim,
-  Simulation,
-  type SimulationResult,
-} from './simulate.js';
+import {Simulation} from './simulate.js';
+import type {
+  MovePolicy,
+  Reclaim,
+  SimulationResult,
+} from './simulation_options.js';
 import {
   makeWorkload,
   upstreamsOf,
--- a/packages/measurements/src/simulate.ts
+++ b/packages/measurements/src/simulate.ts
@@ -7,69 +7,16 @@
   Dispatcher,
   type PermitRequest,
   recomputedTokens,
+  type Upstream,
 } from '@lacewingwinch/decisions';
 
-import {
-  EngineModel,
-  type RunningStream,
-  type WorkloadRequest,
-} from './engine_model.js';
-import {ENGINE_SLOTS, upstreamsOf, type WorkloadShape} from './workload.js';
-
-/** How the engine of a request is chosen. */
-export type DispatchPolicy = 'dispatcher' | 'least-reported-load' | 'random';
-
-/**
- * How streams move away from a leaving engine. `cheapest`: with their cache or
- * by prefill, whichever is cheaper and completes in time. `prefill`: never with
- * their cache. `restart`: from the first token.
- */
-export type MovePolicy = 'cheapest' | 'prefill' | 'restart';
-
-/** Reclaim of engines during a run. */
-export interface Reclaim {
-  /** Virtual time of the notice, in milliseconds. */
-  readonly noticeTime: number;
-  readonly engineIds: readonly string[];
-  readonly noticeMilliseconds: number;
-}
-
-/** Options of a run. */
-export interface SimulationOptions {
-  readonly shape: WorkloadShape;
-  readonly requests: readonly WorkloadRequest[];
-  readonly policy: DispatchPolicy;
-  readonly movePolicy: MovePolicy;
-  readonly reclaims: readonly Reclaim[];
-  readonly random: () => number;
-  /** Milliseconds that a permit request may wait at the dispatcher. */
-  readonly maximumWait: number;
-}
-
-/** An answered request. */
-export interface AnsweredRequest {
-  readonly request: WorkloadRequest;
-  /** Milliseconds from arrival to the first token. */
-  readonly firstTokenMilliseconds: number;
-  /** Mean milliseconds between two tokens. */
-  readonly millisecondsBetweenTokens: number;
-  /** Virtual time of the last token, in milliseconds. */
-  readonly end: number;
-}
-
-/** Result of a run. */
-export interface SimulationResult {
-  readonly answered: readonly AnsweredRequest[];
-  /** New requests that the dispatcher refused. */
-  readonly refused: number;
-  /** Requests whose stream the dispatcher refused to move. */
-  readonly lost: number;
-  /** Cost of all engines, in the unit of their hourly prices. */
-  readonly cost: number;
-  /** Tokens recomputed for streams that moved. */
-  readonly recomputedTokens: number;
-  readonly prefixHitRatio: number;
-}
+import {type EngineEvent, EngineModel} from './engine_model.js';
+import type {
+  AnsweredRequest,
+  SimulationOptions,
+  SimulationResult,
+} from './simulation_options.js';
+import {ENGINE_PROFILE, upstreamsOf, type WorkloadRequest} from './workload.js';
 
 /** Virtual milliseconds between two load reports. */
 const LOAD_REPORT_PERIOD_MILLISECONDS = 1000;
@@ -86,18 +33,24 @@
 /** Milliseconds that a message takes between two hosts of one site. */
 const NETWORK_DELAY_MILLISECONDS = 1.5;
 
+/** An engine of a run. */
+interface SimulatedEngine {
+  readonly upstream: Upstream;
+  readonly model: EngineModel<WorkloadRequest>;
+  /** Running and queued requests at the last load report. */
+  reportedLoad: number;
+}
+
 /** One run of a workload. */
 export class Simulation {
   private readonly dispatcher = new Dispatcher();
-  private readonly engines: Map<string, EngineModel>;
+  private readonly engines: Map<string, SimulatedEngine>;
   /** Requests whose permit request waits at the dispatcher. */
   private readonly waiting = new Map<string, WorkloadRequest>();
   private readonly firstTokenTimes = new Map<string, number>();
   /** Tokens that a moved request had produced before its move. */
   private readonly producedTokensByRequest = new Map<string, number>();
   private readonly requestsWithImportedCache = new Set<string>();
-  /** Requests queued at an engine; only the baselines queue there. */
-  private readonly engineQueues = new Map<string, WorkloadRequest[]>();
   private readonly answered: AnsweredRequest[] = [];
   private refused = 0;
   private lost = 0;
@@ -106,10 +59,17 @@
   constructor(private readonly options: SimulationOptions) {
     const upstreams = upstreamsOf(options.shape);
     this.engines = new Map(
-      upstreams.map(upstream => [upstream.id, new EngineModel(upstream)]),
+      upstreams.map(upstream => [
+        upstream.id,
+        {
+          upstream,
+          model: new EngineModel(ENGINE_PROFILE, options.random, 0),
+          reportedLoad: 0,
+        },
+      ]),
     );
     this.dispatcher.handle(
-      {kind: 'upstreams', upstreams, concurrency: ENGINE_SLOTS},
+      {kind: 'upstreams', upstreams, concurrency: ENGINE_PROFILE.slots},
       0,
     );
   }
@@ -124,23 +84,24 @@
     const {requests} = this.options;
     for (;;) {
       const nextArrivalTime = requests[arrivedCount]?.arrivalTime ?? Infinity;
-      const nextEndTime = this.nextEndTime();
+      const nextEngineTime = this.nextEngineTime();
       const nextReclaimTime = reclaimSteps[0]?.at ?? Infinity;
       const isComplete =
-        Math.min(nextArrivalTime, nextEndTime, nextReclaimTime) === Infinity &&
-        this.waiting.size === 0;
+        Math.min(nextArrivalTime, nextEngineTime, nextReclaimTime) ===
+          Infinity && this.waiting.size === 0;
       if (isComplete) {
         break;
       }
       now = Math.min(
         nextArrivalTime,
-        nextEndTime,
+        nextEngineTime,
         nextReclaimTime,
         nextReportTime,
         nextTickTime,
       );
-      this.engines.forEach(engine => engine.advance(now));
-      this.endStreams(now);
+      for (const {model} of this.engines.values()) {
+        model.advance(now).forEach(event => this.onEngineEvent(event));
+      }
       if (now >= nextReclaimTime) {
         reclaimSteps.shift()?.run(now);
       }
@@ -164,24 +125,29 @@
 
   private result(): SimulationResult {
     const engines = [...this.engines.values()];
-    const sum = (pick: (engine: EngineModel) => number): number =>
+    const sum = (pick: (engine: SimulatedEngine) => number): number =>
       engines.reduce((total, engine) => total + pick(engine), 0);
     return {
       answered: this.answered,
       refused: this.refused,
       lost: this.lost,
-      cost: sum(engine => engine.cost),
+      cost: sum(
+        ({model, upstream}) =>
+          (model.busyMilliseconds * upstream.pricePerHour) / 3_600_000,
+      ),
       recomputedTokens: this.recomputed,
       prefixHitRatio:
-        sum(engine => engine.prefixHitBlocks) /
-        sum(engine => engine.prefixBlocks),
+        sum(({model}) => model.cachedTokens) /
+        sum(({model}) => model.promptTokens),
     };
   }
 
-  private nextEndTime(): number {
-    return Math.min(
-      ...[...this.engines.values()].map(engine => engine.nextEndTime()),
-    );
+  private nextEngineTime(): number {
+    let earliest = Infinity;
+    for (const {model} of this.engines.values()) {
+      earliest = Math.min(earliest, model.nextEventTime());
+    }
+    return earliest;
   }
 
   private reclaimSteps(): {
@@ -221,10 +187,10 @@
         );
         return;
       case 'random':
-        this.enqueue(this.pickRandom(), request, now);
+        this.startStream(this.pickRandom(), request, now);
         return;
       case 'least-reported-load':
-        this.enqueue(this.pickLeastReported(), request, now);
+        this.startStream(this.pickLeastReported(), request, now);
     }
   }
 
@@ -277,10 +243,10 @@
   }
 
   private renew(now: number): void {
-    const permits = [...this.engines.values()].flatMap(engine =>
-      engine.streams.map(({request}) => ({
+    const permits = [...this.engines.values()].flatMap(({model, upstream}) =>
+      model.requests.map(request => ({
         permitId: request.id,
-        upstreamId: engine.upstream.id,
+        upstreamId: upstream.id,
         isAlone: false,
         workspace: request.workspace,
       })),
@@ -295,29 +261,25 @@
     request: WorkloadRequest,
     now: number,
   ): void {
-    const producedBefore = this.producedTokensByRequest.get(request.id) ?? 0;
-    const stream = this.engines
-      .get(engineId)
-      ?.start(
-        request,
-        producedBefore,
-        this.requestsWithImportedCache.delete(request.id),
-        now,
-      );
-    if (stream !== undefined && !this.firstTokenTimes.has(request.id)) {
-      this.firstTokenTimes.set(
-        request.id,
-        stream.firstTokenTime + 4 * NETWORK_DELAY_MILLISECONDS,
-      );
-    }
+    this.engines.get(engineId)?.model.submit(request, now, {
+      producedTokens: this.producedTokensByRequest.get(request.id) ?? 0,
+      hasImportedCache: this.requestsWithImportedCache.delete(request.id),
+    });
   }
 
-  private endStreams(now: number): void {
-    for (const engine of this.engines.values()) {
-      for (const {request} of engine.takeEnded()) {
-        this.end(request, now);
-        this.startQueued(engine, now);
-      }
+  private onEngineEvent(event: EngineEvent<WorkloadRequest>): void {
+    const {request, time} = event;
+    switch (event.kind) {
+      case 'first-token':
+        if (!this.firstTokenTimes.has(request.id)) {
+          this.firstTokenTimes.set(
+            request.id,
+            time + 4 * NETWORK_DELAY_MILLISECONDS,
+          );
+        }
+        return;
+      case 'ended':
+        this.end(request, time);
     }
   }
 
@@ -335,34 +297,9 @@
     }
   }
 
-  private enqueue(
-    engineId: string,
-    request: WorkloadRequest,
-    now: number,
-  ): void {
-    const queue = this.engineQueues.get(engineId) ?? [];
-    queue.push(request);
-    this.engineQueues.set(engineId, queue);
-    const engine = this.engines.get(engineId);
-    if (engine !== undefined) {
-      this.startQueued(engine, now);
-    }
-  }
-
-  private startQueued(engine: EngineModel, now: number): void {
-    const queue = this.engineQueues.get(engine.upstream.id) ?? [];
-    while (engine.streams.length < ENGINE_SLOTS && queue.length > 0) {
-      const next = queue.shift();
-      if (next !== undefined) {
-        this.startStream(engine.upstream.id, next, now);
-      }
-    }
-  }
-
   private reportLoads(): void {
     for (const engine of this.engines.values()) {
-      const queued = this.engineQueues.get(engine.upstream.id)?.length ?? 0;
-      engine.reportedLoad = engine.streams.length + queued;
+      engine.reportedLoad = engine.model.running + engine.model.queued;
     }
   }
 
@@ -388,25 +325,25 @@
     if (engine === undefined) {
       return;
     }
-    const streams = [...engine.streams].sort(
-      (left, right) =>
-        engine.producedTokensOf(right) - engine.producedTokensOf(left),
-    );
-    engine.streams.length = 0;
-    engine.isGone = true;
-    for (const stream of streams) {
-      this.moveStream(engine, stream, reclaimTime, now);
+    const {model} = engine;
+    const produced = model.requests
+      .map(request => ({
+        request,
+        tokens: model.producedTokensOf(request.id) ?? 0,
+      }))
+      .sort((left, right) => right.tokens - left.tokens);
+    produced.forEach(({request}) => model.cancel(request.id, now));
+    for (const {request, tokens} of produced) {
+      this.moveStream(request, tokens, reclaimTime, now);
     }
   }
 
   private moveStream(
-    engine: EngineModel,
-    stream: RunningStream,
+    request: WorkloadRequest,
+    producedTokens: number,
     reclaimTime: number,
     now: number,
   ): void {
-    const {request} = stream;
-    const producedTokens = engine.producedTokensOf(stream);
     const tokenCounts = {promptTokens: request.promptTokens, producedTokens};
     this.handle({kind: 'release', permitId: request.id}, now);
     if (this.options.movePolicy === 'restart') {
--- a/packages/measurements/src/workload.ts
+++ b/packages/measurements/src/workload.ts
@@ -3,16 +3,35 @@
  */
 import type {Upstream} from '@lacewingwinch/decisions';
 
-import {
-  prefillMilliseconds,
-  stepMilliseconds,
-  TOKENS_PER_BLOCK,
-  type WorkloadRequest,
-} from './engine_model.js';
+import type {EngineRequest} from './engine_model.js';
+import type {EngineProfile} from './engine_profile.js';
 import {exponential} from './random_numbers.js';
 
-/** Slots of one engine: the number of streams that it can run at once. */
-export const ENGINE_SLOTS = 20;
+/** The engines of the two operators. */
+export const ENGINE_PROFILE: EngineProfile = {
+  slots: 20,
+  queueCapacity: Infinity,
+  stepMilliseconds: 14,
+  stepMillisecondsPerStream: 1.1,
+  prefillTokensPerMillisecond: 1000 / 60,
+  chunkTokens: 2048,
+  memoryTokens: 100_000,
+  speedFactor: 1,
+  startupMilliseconds: 0,
+  reportLagMilliseconds: 0,
+};
+
+/** Tokens per prefix block. */
+const TOKENS_PER_BLOCK = 64;
+
+/** A request of the workload. */
+export interface WorkloadRequest extends EngineRequest {
+  readonly workspace: string;
+  /** Virtual time in milliseconds. */
+  readonly arrivalTime: number;
+  /** Ids of the prefix blocks of the prompt, in order. */
+  readonly prefixes: readonly string[];
+}
 
 /** Size of a fleet and length of the requests that it gets. */
 export interface WorkloadShape {
@@ -78,10 +97,12 @@
 export function capacityPerMillisecond(shape: WorkloadShape): number {
   const prompt = (shape.prompt[0] + shape.prompt[1]) / 2;
   const output = (shape.output[0] + shape.output[1]) / 2;
+  const {slots, stepMilliseconds, stepMillisecondsPerStream} = ENGINE_PROFILE;
   const slotMilliseconds =
-    prefillMilliseconds(prompt * (1 - TEMPLATE_PROMPT_SHARE)) +
-    output * stepMilliseconds(ENGINE_SLOTS);
-  return (shape.engines * ENGINE_SLOTS) / slotMilliseconds;
+    (prompt * (1 - TEMPLATE_PROMPT_SHARE)) /
+      ENGINE_PROFILE.prefillTokensPerMillisecond +
+    output * (stepMilliseconds + stepMillisecondsPerStream * slots);
+  return (shape.engines * slots) / slotMilliseconds;
 }
 
 /**
@@ -127,6 +148,7 @@
     promptTokens,
     outputTokens: interpolate(shape.output, random()),
     prefixes,
+    parts: prefixes.map(partId => ({partId, tokens: TOKENS_PER_BLOCK})),
     priority: 5,
   };
 }
