Start with V8's code cache, and without the parts of undici that nothing uses

After the loss of all hosts, clients call again while every host starts at the same time. Two thirds of the start are compiling and evaluating the bundle.

The bundle is now a script that V8 compiles from a cache, which the build writes from a process that has served requests; V8 rejects a cache of another source, version or set of flags, and the bundle is compiled as before then. The bundle leaves out fetch, cookies, web sockets, mocks and HTTP/2 of undici. The own interface is a bundle of its own.

--- a/packages/entry-process/src/main.ts
+++ b/packages/entry-process/src/main.ts
@@ -169,17 +169,21 @@
   process.exitCode = EXIT_USAGE;
 }
 
-try {
-  cli.parse(process.argv, {run: false});
-  if (
-    cli.matchedCommand === undefined &&
-    !cli.options['help'] &&
-    !cli.options['version']
-  ) {
-    reportUsageFaults(['a command is missing; see --help']);
+async function main(): Promise<void> {
+  try {
+    cli.parse(process.argv, {run: false});
+    if (
+      cli.matchedCommand === undefined &&
+      !cli.options['help'] &&
+      !cli.options['version']
+    ) {
+      reportUsageFaults(['a command is missing; see --help']);
+    }
+    await cli.runMatchedCommand();
+  } catch (error) {
+    reportUsageFaults([error instanceof Error ? error.message : String(error)]);
+    process.exit();
   }
-  await cli.runMatchedCommand();
-} catch (error) {
-  reportUsageFaults([error instanceof Error ? error.message : String(error)]);
-  process.exit();
 }
+
+void main();
--- a/packages/measurements/src/measure_start.ts
+++ b/packages/measurements/src/measure_start.ts
@@ -83,7 +83,7 @@
   const startedAt = performance.now();
   const child = spawn(
     process.execPath,
-    ['target/lacewingwinch.mjs', 'serve-routes'],
+    ['target/lacewingwinch.cjs', 'serve-routes'],
     {stdio: 'ignore', env: settingsEnvironment(path)},
   );
   try {
--- a/packages/soak/src/soak_host.ts
+++ b/packages/soak/src/soak_host.ts
@@ -17,7 +17,7 @@
 
 /** The bundled entry process, which `scripts/bundle.mjs` builds. */
 const BUNDLED_PROGRAM = new URL(
-  '../../../target/lacewingwinch.mjs',
+  '../../../target/lacewingwinch.cjs',
   import.meta.url,
 );
 
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -15,3 +15,4 @@
 export * from './routed_engine_stand_in.js';
 export * from './settings_file_stand_in.js';
 export * from './store_stand_in.js';
+export * from './warm_up.js';
