Send a pooled request only after a check on its own connection, where one is given

A connection ends with the process at its other end, so that what a check shows of that process holds for the request that follows it on the same connection. Nothing uses a check yet. Tests: the check is met, answered otherwise, refused, lost, not answered, and followed by the end of its connection.

--- a/packages/upstreams/src/connection_pool.ts
+++ b/packages/upstreams/src/connection_pool.ts
@@ -2,18 +2,17 @@
  * A pool of connections to upstreams. Each connection carries one request at a
  * time, and the receiver learns exactly when its first byte is written.
  */
-import {type BodyFraming, bodyFramingOf} from '@lacewingwinch/decisions';
-import {Client, type Dispatcher} from 'undici';
-
-import {
-  endIfExcessive,
-  ResponseWatch,
-  type WatchedResponse,
-} from './response_watch.js';
-import {
-  createUpstreamConnector,
-  type UpstreamSocket,
-} from './upstream_socket.js';
+import {Client} from 'undici';
+
+import {startCheckedExchange} from './checked_exchange.js';
+import type {
+  PooledConnection,
+  PooledExchange,
+  PooledReceiver,
+  PooledRequest,
+} from './pooled_exchange.js';
+import {endIfExcessive, ResponseWatch} from './response_watch.js';
+import {createUpstreamConnector} from './upstream_socket.js';
 
 /** Milliseconds allowed to connect; links have a delay of some milliseconds. */
 const CONNECT_TIMEOUT_MILLISECONDS = 300;
@@ -24,72 +23,9 @@
 /** Milliseconds by which a connection closes before its upstream closes it. */
 const IDLE_MARGIN_MILLISECONDS = 1000;
 
-/** A request to send over a pooled connection. */
-export interface PooledRequest {
-  /** IP address and port of the upstream. */
-  readonly address: string;
-  readonly method: string;
-  readonly path: string;
-  /** Alternating names and values. */
-  readonly headers: readonly string[];
-  readonly body: Buffer | undefined;
-  /** Connections that were idle for this long or longer are not reused. */
-  readonly maximumIdleMilliseconds: number;
-  /** Maximum number of open connections of this host to the upstream. */
-  readonly maximumConnections: number;
-  /** Milliseconds after which an incomplete response is ended. */
-  readonly maximumMilliseconds: number;
-  /** Milliseconds allowed to connect; a default applies if absent. */
-  readonly connectMilliseconds?: number;
-}
-
-/** Status and headers of an answer. */
-export interface AnswerHead {
-  readonly status: number;
-  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
-  /** Alternating names and values, as sent by the upstream. */
-  readonly rawHeaders: readonly string[];
-  readonly framing: BodyFraming;
-}
-
-/**
- * Receiver of the progress of a request. The last call is a single `onEnd` or
- * `onError`.
- */
-export interface PooledReceiver {
-  /**
-   * Called just before the first byte is sent; false cancels the request.
-   * `isNewConnection` says whether it is the first one on its connection.
-   */
-  onSend(isNewConnection: boolean): boolean;
-  onHead(head: AnswerHead): void;
-  onData(chunk: Buffer): void;
-  onEnd(): void;
-  onError(error: Error, wasSent: boolean): void;
-}
-
-/** A request in progress. */
-export interface PooledExchange {
-  /** Closes the connection; the receiver gets no further calls. */
-  cancel(): void;
-  /** Pauses reading until `resume` is called. */
-  pause(): void;
-  resume(): void;
-}
-
-interface Connection {
-  readonly client: Client;
-  socket: UpstreamSocket | undefined;
-  idleSince: number;
-  hasCarriedRequest: boolean;
-  /** The response in progress; undefined while the connection is idle. */
-  response: WatchedResponse | undefined;
-  isClosed: boolean;
-}
-
 interface Upstream {
-  readonly idle: Connection[];
-  readonly open: Set<Connection>;
+  readonly idle: PooledConnection[];
+  readonly open: Set<PooledConnection>;
 }
 
 /** Sends requests to upstreams. */
@@ -122,9 +58,10 @@
     if (connection === undefined) {
       return undefined;
     }
-    const dueAt = this.clock() + request.maximumMilliseconds;
-    const context = {connection, watch: this.watch, dueAt};
-    return startExchange(context, request, receiver, isReusable => {
+    const now = this.clock();
+    const dueAt = now + request.maximumMilliseconds;
+    const context = {connection, watch: this.watch, dueAt, now};
+    return startCheckedExchange(context, request, receiver, isReusable => {
       if (isReusable && !connection.isClosed) {
         connection.idleSince = this.clock();
         this.getOrCreateUpstream(request.address).idle.push(connection);
@@ -165,7 +102,7 @@
     this.watch.close();
   }
 
-  private takeConnection(request: PooledRequest): Connection | undefined {
+  private takeConnection(request: PooledRequest): PooledConnection | undefined {
     const {address, maximumConnections, maximumIdleMilliseconds} = request;
     const upstream = this.getOrCreateUpstream(address);
     const now = this.clock();
@@ -193,7 +130,7 @@
       connectMilliseconds = CONNECT_TIMEOUT_MILLISECONDS,
     }: PooledRequest,
     upstream: Upstream,
-  ): Connection {
+  ): PooledConnection {
     const client = new Client(`http://${address}`, {
       connect: createUpstreamConnector(connectMilliseconds, socket => {
         connection.socket = socket;
@@ -205,7 +142,7 @@
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MILLISECONDS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MILLISECONDS,
     });
-    const connection: Connection = {
+    const connection: PooledConnection = {
       client,
       socket: undefined,
       idleSince: this.clock(),
@@ -246,7 +183,11 @@
  * Ends a response without end, and closes an idle connection that receives
  * bytes, which belong to no request.
  */
-function checkReceivedBytes({response, socket, client}: Connection): void {
+function checkReceivedBytes({
+  response,
+  socket,
+  client,
+}: PooledConnection): void {
   if (response !== undefined) {
     endIfExcessive(response);
     return;
@@ -255,139 +196,3 @@
     void client.destroy();
   }
 }
-
-/** Returns the bytes that the HTTP parser has taken from a connection. */
-function parsedBytesOf({socket}: Connection): number {
-  return socket === undefined ? 0 : socket.bytesRead - socket.readableLength;
-}
-
-interface ExchangeContext {
-  readonly connection: Connection;
-  readonly watch: ResponseWatch;
-  /** Time by which the response must be complete. */
-  readonly dueAt: number;
-}
-
-function startExchange(
-  {connection, watch, dueAt}: ExchangeContext,
-  request: PooledRequest,
-  receiver: PooledReceiver,
-  release: (isReusable: boolean) => void,
-): PooledExchange {
-  let controller: Dispatcher.DispatchController | undefined;
-  let wasSent = false;
-  let isFinished = false;
-  let isReusable = false;
-  let bodyBytes = 0;
-  let parsedBytesBefore = 0;
-  const watched: WatchedResponse = {
-    dueAt,
-    parsedBytes: () => parsedBytesOf(connection) - parsedBytesBefore,
-    bodyBytes: () => bodyBytes,
-    fail: (reason: string) => {
-      controller?.abort(new Error(reason));
-      fail(new Error(reason));
-    },
-  };
-  const stopWatching = (): void => {
-    watch.remove(watched);
-    connection.response = undefined;
-  };
-  const finish = (canReuse: boolean, notifyReceiver: () => void): void => {
-    if (isFinished) {
-      return;
-    }
-    isFinished = true;
-    stopWatching();
-    connection.socket?.resumeReading();
-    release(canReuse);
-    notifyReceiver();
-  };
-  const fail = (error: Error): void =>
-    finish(false, () => receiver.onError(error, wasSent));
-  connection.client.dispatch(
-    {
-      method: request.method,
-      path: request.path,
-      headers: [...request.headers],
-      body: request.body ?? null,
-    },
-    {
-      onRequestStart: started => {
-        controller = started;
-        // undici may start a request a second time, which would send it again
-        // on a new connection.
-        if (
-          isFinished ||
-          wasSent ||
-          !receiver.onSend(!connection.hasCarriedRequest)
-        ) {
-          started.abort(new Error('the request may not be sent'));
-          return;
-        }
-        wasSent = true;
-        connection.hasCarriedRequest = true;
-        parsedBytesBefore = parsedBytesOf(connection);
-        connection.response = watched;
-        watch.add(watched);
-      },
-      onResponseStart: (started, status, headers) => {
-        if (isFinished || status < 200) {
-          return;
-        }
-        const framing = bodyFramingOf(headers);
-        isReusable = framing !== 'connection' && !saysClose(headers);
-        const rawHeaders = rawHeadersOf(started);
-        receiver.onHead({status, headers, rawHeaders, framing});
-      },
-      onResponseData: (_controller, chunk) => {
-        if (!isFinished) {
-          bodyBytes += chunk.length;
-          receiver.onData(chunk);
-        }
-      },
-      onResponseEnd: () => finish(isReusable, () => receiver.onEnd()),
-      onResponseError: (_controller, error) => fail(error),
-    },
-  );
-  return {
-    cancel: () => {
-      if (isFinished) {
-        return;
-      }
-      isFinished = true;
-      stopWatching();
-      controller?.abort(new Error('cancelled'));
-      release(false);
-    },
-    pause: () => {
-      if (!isFinished) {
-        connection.socket?.pauseReading();
-      }
-    },
-    resume: () => {
-      if (!isFinished) {
-        connection.socket?.resumeReading();
-      }
-    },
-  };
-}
-
-/** Returns whether a response with `headers` closes its connection. */
-function saysClose({connection}: AnswerHead['headers']): boolean {
-  const options = [connection ?? []].flat().join(',');
-  return options
-    .split(',')
-    .some(option => option.trim().toLowerCase() === 'close');
-}
-
-function rawHeadersOf(
-  controller: Dispatcher.DispatchController,
-): readonly string[] {
-  const raw = controller.rawHeaders;
-  return Array.isArray(raw)
-    ? raw.map(part =>
-        typeof part === 'string' ? part : part.toString('latin1'),
-      )
-    : [];
-}
