Continue a stream only at the process whose software version is known

An upstream may start again under its id with another software version. An attempt that continues a stream is now preceded by the upstream's report on the same connection, and is sent only if the report states the start that the entry states; otherwise another upstream is tried. An attempt that another host carries is checked there. The call costs one report for each continuation; other requests are sent as before.

The new test of a take-up at a replaced process got 200 before and gets 503 now.

--- a/packages/entry-hosts/src/relay_messages.ts
+++ b/packages/entry-hosts/src/relay_messages.ts
@@ -10,6 +10,11 @@
   /** The host that asks. */
   readonly front: string;
   readonly requestId: string;
+  /**
+   * Start of the only process of the upstream to which the attempt may be sent, in
+   * milliseconds since the epoch; undefined if any may run it.
+   */
+  readonly requiredStart?: number | undefined;
   /** Milliseconds after which an incomplete answer is ended. */
   readonly maximumMilliseconds: number;
   /** Connections that were idle for this long or longer are not used. */
@@ -40,6 +45,7 @@
 const MAXIMUM = `${PREFIX}milliseconds`;
 const MAXIMUM_IDLE = `${PREFIX}idle-milliseconds`;
 const CONNECTIONS = `${PREFIX}connections`;
+const REQUIRED_START = `${PREFIX}required-start`;
 const REFUSAL = `${PREFIX}refusal`;
 const UNREACHABLE = `${PREFIX}unreachable`;
 const CUT_OFF = `${PREFIX}cut-off`;
@@ -74,6 +80,9 @@
     String(Math.round(order.maximumIdleMilliseconds)),
     CONNECTIONS,
     String(order.maximumConnections),
+    ...(order.requiredStart === undefined
+      ? []
+      : [REQUIRED_START, String(order.requiredStart)]),
   ];
 }
 
@@ -87,12 +96,14 @@
   const maximumMilliseconds = Number(valueOf(headers, MAXIMUM));
   const maximumIdleMilliseconds = Number(valueOf(headers, MAXIMUM_IDLE));
   const maximumConnections = Number(valueOf(headers, CONNECTIONS));
+  const requiredStart = valueOf(headers, REQUIRED_START);
   return upstreamId === undefined ||
     front === undefined ||
     requestId === undefined ||
     !(maximumMilliseconds > 0) ||
     !(maximumIdleMilliseconds > 0) ||
-    !(maximumConnections > 0)
+    !(maximumConnections > 0) ||
+    Number.isNaN(Number(requiredStart ?? 0))
     ? undefined
     : {
         upstreamId,
@@ -101,6 +112,9 @@
         maximumMilliseconds,
         maximumIdleMilliseconds,
         maximumConnections,
+        ...(requiredStart !== undefined && {
+          requiredStart: Number(requiredStart),
+        }),
       };
 }
 
--- a/packages/entry-process/src/paths/relay_carrier.ts
+++ b/packages/entry-process/src/paths/relay_carrier.ts
@@ -28,6 +28,7 @@
   type PooledExchange,
 } from '@lacewingwinch/upstreams';
 
+import {createProcessCheck} from './process_check.js';
 import type {UpstreamPaths} from './upstream_paths.js';
 
 /** Status of a response that carries a refusal. */
@@ -163,6 +164,9 @@
           maximumConnections: order.maximumConnections,
           maximumMilliseconds: order.maximumMilliseconds,
           connectMilliseconds: CONNECT_MILLISECONDS,
+          ...(order.requiredStart !== undefined && {
+            check: createProcessCheck(order.requiredStart),
+          }),
         },
         {
           onSend: isNewConnection => {
--- a/packages/entry-process/src/paths/relay_sender.ts
+++ b/packages/entry-process/src/paths/relay_sender.ts
@@ -44,6 +44,8 @@
   readonly front: string;
   readonly upstreamId: string;
   readonly requestId: string;
+  /** Start of the only process to which the attempt may be sent, if it matters. */
+  readonly requiredStart: number | undefined;
   /** Milliseconds allowed to connect to the carrier. */
   readonly connectMilliseconds: number;
 }
@@ -56,24 +58,27 @@
     request: PooledRequest,
     receiver: PooledReceiver,
   ): PooledExchange | undefined {
-    const {pool, carrier, front, upstreamId, requestId, connectMilliseconds} =
+    const {pool, carrier, front, upstreamId, requestId, requiredStart} =
       this.attempt;
     let refusal: RelayRefusal | undefined;
     return pool.send(
       {
         ...request,
+        // The carrier makes the check on its own connection to the upstream.
+        check: undefined,
         address: carrier.addresses.relay ?? '',
         headers: encodeRelayOrder(request.headers, {
           upstreamId,
           front,
           requestId,
+          requiredStart,
           maximumMilliseconds: request.maximumMilliseconds,
           maximumIdleMilliseconds: request.maximumIdleMilliseconds,
           maximumConnections: request.maximumConnections,
         }),
         maximumIdleMilliseconds: CARRIER_IDLE_MILLISECONDS,
         maximumConnections: MAXIMUM_CARRIER_CONNECTIONS,
-        connectMilliseconds,
+        connectMilliseconds: this.attempt.connectMilliseconds,
       },
       {
         onSend: isNewConnection => receiver.onSend(isNewConnection),
--- a/packages/entry-process/src/routed_interface/requests/attempt_runner.ts
+++ b/packages/entry-process/src/routed_interface/requests/attempt_runner.ts
@@ -30,7 +30,7 @@
 } from './attempt_ends.js';
 import {type AttemptOutcome, RoutedAttempt} from './routed_attempt.js';
 import type {StreamRelay} from './stream_relay.js';
-import {createUpstreamRequest} from './upstream_request.js';
+import {createUpstreamRequest, requiredStartOf} from './upstream_request.js';
 import {upstreamResultOf} from './upstream_result.js';
 
 /**
@@ -185,14 +185,20 @@
     const {choice} = placement;
     const {upstream} = choice;
     const {upstreamId} = upstream;
+    const isContinuation =
+      this.request.isContinuation || relay.lastEventId !== undefined;
+    const requiredStart = requiredStartOf(
+      upstream,
+      admission.rule,
+      isContinuation,
+    );
     let stopWatching: () => void = () => undefined;
     const attempt = new RoutedAttempt(
-      this.senderOf(way, upstreamId),
+      this.senderOf(way, upstreamId, requiredStart),
       {
         attemptId,
         isStreamed: admission.rule.isStreamed,
-        isContinuation:
-          this.request.isContinuation || relay.lastEventId !== undefined,
+        isContinuation,
         eventPatienceMilliseconds: eventPatienceMilliseconds(admission.rule),
         request: {
           ...createUpstreamRequest({
@@ -202,6 +208,7 @@
             relay,
             millisecondsLeft,
             sharingHostCount: this.dependencies.sharingHostCount(),
+            requiredStart,
           }),
           ...(paths.hasCarrier(upstreamId) && {
             connectMilliseconds: DIRECT_CONNECT_MILLISECONDS,
@@ -257,7 +264,11 @@
     return outcome;
   }
 
-  private senderOf(way: Way, upstreamId: string): ExchangeSender {
+  private senderOf(
+    way: Way,
+    upstreamId: string,
+    requiredStart: number | undefined,
+  ): ExchangeSender {
     const {pool, hostId, events} = this.dependencies;
     switch (way.kind) {
       case 'direct':
@@ -272,6 +283,7 @@
           front: hostId,
           upstreamId,
           requestId,
+          requiredStart,
           connectMilliseconds: DIRECT_CONNECT_MILLISECONDS,
         });
       }
--- a/packages/entry-process/src/routed_interface/requests/routed_attempt.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_attempt.ts
@@ -17,6 +17,7 @@
 } from '@lacewingwinch/platform';
 import {
   type AnswerHead,
+  CheckNotMetError,
   ConnectFailedError,
   type ExchangeSender,
   type PooledExchange,
@@ -320,6 +321,9 @@
     const result = carrierResultOf(error.refusal);
     return {kind: 'not-carried', result, reason};
   }
+  if (error instanceof CheckNotMetError) {
+    return {kind: 'withheld', reason};
+  }
   const cause =
     error instanceof ConnectFailedError ? 'connect-failed' : 'closed';
   return {kind: 'not-sent', cause, reason};
--- a/packages/entry-process/src/routed_interface/requests/upstream_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/upstream_request.ts
@@ -2,10 +2,15 @@
  * The request that is sent to an upstream for one attempt.
  */
 import type {RoutedCall} from '@lacewingwinch/callers';
-import type {EngineChoice, RoutedAdmission} from '@lacewingwinch/decisions';
+import type {
+  EngineChoice,
+  RoutedAdmission,
+  UsableUpstream,
+} from '@lacewingwinch/decisions';
 import {encodeUpstreamHeaders} from '@lacewingwinch/platform';
 import type {PooledRequest} from '@lacewingwinch/upstreams';
 
+import {createProcessCheck} from '../../paths/process_check.js';
 import type {StreamRelay} from './stream_relay.js';
 
 /** Highest priority value that an engine accepts; 0 is the most urgent. */
@@ -35,6 +40,9 @@
  */
 const ANSWER_GRACE_MILLISECONDS = 1000;
 
+/** Start time of an upstream that reported none. */
+const UNKNOWN_START = 0;
+
 /** Inputs for an upstream request. */
 export interface UpstreamRequestOptions {
   readonly call: RoutedCall;
@@ -45,6 +53,22 @@
   readonly millisecondsLeft: number;
   /** Number of entry hosts that share the connections of an upstream. */
   readonly sharingHostCount: number;
+  /** Start of the only process to which the request may be sent, if it matters. */
+  readonly requiredStart: number | undefined;
+}
+
+/**
+ * Returns the start of the process that an attempt requires: one that continues a
+ * stream requires the process whose software version the upstream listed.
+ */
+export function requiredStartOf(
+  {bornAt}: UsableUpstream,
+  {execution}: RoutedAdmission['rule'],
+  isContinuation: boolean,
+): number | undefined {
+  return isContinuation && execution === 'resumable' && bornAt !== UNKNOWN_START
+    ? bornAt
+    : undefined;
 }
 
 /** Creates the request for the chosen upstream. */
@@ -55,6 +79,7 @@
   relay,
   millisecondsLeft,
   sharingHostCount,
+  requiredStart,
 }: UpstreamRequestOptions): PooledRequest {
   const {upstreamId, address} = choice.upstream;
   const isAtMostOnce = rule.execution === 'at-most-once';
@@ -81,5 +106,8 @@
       : REPEATABLE_IDLE_MILLISECONDS,
     maximumMilliseconds: millisecondsLeft + ANSWER_GRACE_MILLISECONDS,
     maximumConnections: Math.max(MINIMUM_CONNECTIONS, Math.floor(share)),
+    ...(requiredStart !== undefined && {
+      check: createProcessCheck(requiredStart),
+    }),
   };
 }
--- a/packages/entry-process/tests/software_versions_test.ts
+++ b/packages/entry-process/tests/software_versions_test.ts
@@ -168,6 +168,36 @@
     }
   });
 
+  it('is not continued by a process that another one has replaced under its id', async () => {
+    await listEngine('i-2', 'v1');
+    const other = await listEngine('i-3', 'v1');
+    await startHosts(2);
+    const [begun] = installation.engines.filter(
+      ({upstreamId}) => upstreamId === 'i-2',
+    );
+    breakOffFirstAttempts();
+    const attemptIds = Array.from(
+      {length: STREAMS},
+      (_, index) => `stream-${index}`,
+    );
+    for (const attemptId of attemptIds) {
+      await startBrokenStream(attemptId, 0);
+    }
+    const begunThere = attemptIds.filter(attemptId =>
+      begun?.executedAttemptIds().includes(attemptId),
+    );
+    expect(begunThere.length).toBeGreaterThan(0);
+    withdraw('i-2');
+    await settle();
+    other.softwareVersion = 'v2';
+    other.restart();
+    for (const attemptId of begunThere) {
+      const answer = await takeUp(attemptId, '3', 1);
+      expect(answer.status).toBe(503);
+      expect(other.executedAttemptIds()).not.toContain(`${attemptId}-again`);
+    }
+  });
+
   it('goes on if its host told nobody while one version served', async () => {
     await listEngine('i-2', 'v1');
     await listEngine('i-3', 'v1');
--- a/packages/stand-ins/src/http_stand_in.ts
+++ b/packages/stand-ins/src/http_stand_in.ts
@@ -1,6 +1,7 @@
 /**
  * HTTP server and JSON helpers that the stand-ins share.
  */
+import {once} from 'node:events';
 import {
   createServer,
   type IncomingMessage,
@@ -136,3 +137,23 @@
     setTimeout(resolve, milliseconds);
   });
 }
+
+/** Sends `piece` again and again until the connection closes. */
+export async function sendWithoutEnd(
+  response: ServerResponse,
+  piece: Buffer,
+  pauseMilliseconds: number,
+): Promise<void> {
+  const closing = new AbortController();
+  response.once('close', () => closing.abort());
+  while (!closing.signal.aborted) {
+    const canContinue = response.write(piece);
+    if (canContinue) {
+      await delay(pauseMilliseconds);
+      continue;
+    }
+    await once(response, 'drain', {signal: closing.signal}).catch(
+      () => undefined,
+    );
+  }
+}
--- a/packages/stand-ins/src/routed_engine_stand_in.ts
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -2,10 +2,14 @@
  * Stand-in for an upstream on the platform: a plain service or an engine that
  * streams events, with faults that tests switch on.
  */
-import {once} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
-import {delay, ListeningStandIn, readText} from './http_stand_in.js';
+import {
+  delay,
+  ListeningStandIn,
+  readText,
+  sendWithoutEnd,
+} from './http_stand_in.js';
 
 /** How an upstream answers its requests. */
 export type EngineBehavior =
@@ -56,6 +60,9 @@
   readonly softwareVersion: string;
 }
 
+/** Path at which the process reports on itself. */
+const REPORT_PATH = '/api/report';
+
 /** Number of events of a streamed answer. */
 export const STREAM_EVENTS = 6;
 
@@ -197,6 +204,10 @@
   ): Promise<void> {
     const body = await readText(message);
     const {headers} = message;
+    if (message.url === REPORT_PATH) {
+      response.end(JSON.stringify({born: this.bornAt}));
+      return;
+    }
     this.arrivals.push(Date.now());
     if (this.isLeaving) {
       response.setHeader('server-leaving', '1');
@@ -372,23 +383,3 @@
       : '';
   }
 }
-
-/** Sends `piece` again and again until the connection closes. */
-async function sendWithoutEnd(
-  response: ServerResponse,
-  piece: Buffer,
-  pauseMilliseconds: number,
-): Promise<void> {
-  const closing = new AbortController();
-  response.once('close', () => closing.abort());
-  while (!closing.signal.aborted) {
-    const canContinue = response.write(piece);
-    if (canContinue) {
-      await delay(pauseMilliseconds);
-      continue;
-    }
-    await once(response, 'drain', {signal: closing.signal}).catch(
-      () => undefined,
-    );
-  }
-}
