Use no upstream that another writer has listed

An entry with a missing field, a field of another type or bytes that are not UTF-8 was used wherever a default existed: without version, sequence or coldRemainingMs, with a fraction as born (taken for none), with a part of a slot, with an address such as 10.0.0.999:80. Such an entry names no upstream, the others hold, and event 3030 says why, once for each entry and fault and for 256 entries at the most.

A follower that reads faulty entries in its first and in a later read, among sound ones, keeps the sound ones.

--- a/packages/decisions/src/upstreams/listed_upstream.ts
+++ b/packages/decisions/src/upstreams/listed_upstream.ts
@@ -40,8 +40,13 @@
        */
       readonly heartbeat: number | undefined;
     }
-  /** The entry was removed, or its contents describe no usable upstream. */
-  | {readonly kind: 'withdrawn'; readonly upstreamId: string};
+  /** The entry was removed, or it names no upstream to use. */
+  | {
+      readonly kind: 'withdrawn';
+      readonly upstreamId: string;
+      /** Why the entry names no upstream; undefined if it was removed. */
+      readonly fault?: string;
+    };
 
 /** A change that was applied to the list. */
 export interface UpstreamChange {
--- a/packages/entry-process/src/routed_interface/state/upstream_follower.ts
+++ b/packages/entry-process/src/routed_interface/state/upstream_follower.ts
@@ -19,6 +19,7 @@
 import {isAborted} from '../../util/is_aborted.js';
 import {messageOf} from '../../util/message_of.js';
 import {pause} from '../../util/pause.js';
+import {FaultyEntries} from './faulty_entries.js';
 import {StoreReachability} from './store_reachability.js';
 
 /**
@@ -71,10 +72,12 @@
   private lastConfirmedAt = -Infinity;
   private outageEndedAt = -Infinity;
   private readonly reachability: StoreReachability;
+  private readonly faultyEntries: FaultyEntries;
 
   constructor(private readonly dependencies: UpstreamFollowerDependencies) {
     this.list = new UpstreamList(dependencies.isFirstStart);
     this.reachability = new StoreReachability('upstreams', dependencies.events);
+    this.faultyEntries = new FaultyEntries(dependencies.events);
   }
 
   /** Whether the list has been read at least once. */
@@ -162,6 +165,7 @@
       const updates = records.map(({key, value}) =>
         decodeUpstreamEntry(key, value),
       );
+      this.faultyEntries.record(updates);
       const now = clocks.suspensionAware();
       const {relistedBy} = this;
       this.list.replace(updates, {readTo: end, relistedBy}, now);
@@ -191,6 +195,7 @@
         ? []
         : [decodeUpstreamEntry(keyed.key, keyed.value)];
     });
+    this.faultyEntries.record(updates);
     const now = clocks.suspensionAware();
     const {relistedBy} = this;
     this.list.apply(updates, {readTo: page.next, relistedBy}, now);
--- a/packages/observability/src/events/fleet_events.ts
+++ b/packages/observability/src/events/fleet_events.ts
@@ -98,4 +98,11 @@
     message: 'upstream {upstreamId} of {service} is not brittle any more',
     advice: 'No action needed.',
   },
+  3030: {
+    level: 'warn',
+    message:
+      'entry {upstreamId} in the list of upstreams names no upstream to use: {fault}',
+    advice:
+      'Another writer has written it, or an upstream that this version does not understand; the others are used as before.',
+  },
 } as const satisfies Readonly<Record<number, EventRow>>;
--- a/packages/stand-ins/src/store_stand_in.ts
+++ b/packages/stand-ins/src/store_stand_in.ts
@@ -79,13 +79,15 @@
     this.put('keyed.op', 'config', configuration);
   }
 
-  /** Appends a record for `key`; an undefined `value` deletes the key. */
+  /**
+   * Appends a record for `key`; an undefined `value` deletes the key, and bytes are
+   * written as they are.
+   */
   put(topic: string, key: string, value: unknown): void {
     const keyBytes = Buffer.from(key);
-    const content =
-      value === undefined
-        ? Buffer.alloc(0)
-        : Buffer.from(JSON.stringify(value));
+    const content = Buffer.isBuffer(value)
+      ? value
+      : Buffer.from(value === undefined ? '' : JSON.stringify(value));
     this.partitionOf(topic).records.push(
       Buffer.concat([Buffer.from([keyBytes.length]), keyBytes, content]),
     );
