Never promise that a request has not run when it may have

A request that was sent and had no answer by its deadline got 504 with a document that said it had not run. And an error with a status of 408, 421, 429 or 503 kept it when its attempts had reached an upstream: no code path of an at-most-once request did so, but nothing held that. The status of an error now follows from whether the request may have run, for all kinds of the closed list.

--- a/packages/decisions/src/errors/error_kinds.ts
+++ b/packages/decisions/src/errors/error_kinds.ts
@@ -199,6 +199,17 @@
   return ERROR_TABLE[kind];
 }
 
+/** Statuses by which a client is promised that its request has not run. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/**
+ * Returns whether a response with `status` promises that the request has not run and
+ * never will.
+ */
+export function promisesNotRun(status: number): boolean {
+  return NOT_RUN_STATUSES.has(status);
+}
+
 /** All error kinds in alphabetical order. */
 export const ERROR_KINDS: readonly ErrorKind[] = (
   Object.keys(ERROR_TABLE) as ErrorKind[]
--- a/packages/decisions/src/errors/serving_error.ts
+++ b/packages/decisions/src/errors/serving_error.ts
@@ -1,7 +1,12 @@
 /**
  * The error class for failures that are reported to the client.
  */
-import {type ErrorKind, errorRow, type RanStatus} from './error_kinds.js';
+import {
+  type ErrorKind,
+  errorRow,
+  promisesNotRun,
+  type RanStatus,
+} from './error_kinds.js';
 
 /** Values of one error that replace the defaults of the error table. */
 export interface ServingErrorOptions {
@@ -42,9 +47,15 @@
     this.retryAfterSeconds = options.retryAfterSeconds ?? row.retryAfterSeconds;
   }
 
-  /** HTTP status code of the response. */
+  /**
+   * HTTP status code of the response. A request that may have run never gets a
+   * status that promises the opposite.
+   */
   get status(): number {
-    return errorRow(this.kind).status;
+    const {status} = errorRow(this.kind);
+    return promisesNotRun(status) && this.ran !== 'no'
+      ? errorRow('outcome-unknown').status
+      : status;
   }
 
   /** Returns the problem document for the response. */
--- a/packages/entry-process/src/routed_interface/requests/routed_front.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_front.ts
@@ -130,8 +130,8 @@
     );
     this.running.add(request);
     try {
-      const {mayHaveRun} = await request.run();
-      if (!mayHaveRun) {
+      await request.run();
+      if (!request.mayHaveRun) {
         charge.giveBack();
       }
     } finally {
--- a/packages/entry-process/src/routed_interface/requests/routed_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_request.ts
@@ -28,12 +28,6 @@
 import {StreamRelay} from './stream_relay.js';
 import {FIRST_FAILURE_STATUS} from './upstream_result.js';
 
-/** Result of a request. */
-export interface RequestResult {
-  /** Whether an upstream may have run the request. */
-  readonly mayHaveRun: boolean;
-}
-
 type Interruption = 'caller-left' | 'timeout';
 
 /** One admitted request. */
@@ -125,8 +119,13 @@
     };
   }
 
-  /** Runs until the client has its response. */
-  async run(): Promise<RequestResult> {
+  /** Whether an upstream may have run the request. */
+  get mayHaveRun(): boolean {
+    return this.runner.upstreamsReached > 0;
+  }
+
+  /** Runs until the client has its response; throws the refusal of the request. */
+  async run(): Promise<void> {
     const onClientLeft = (): void => this.interrupt('caller-left');
     this.call.clientDisconnected.addEventListener('abort', onClientLeft, {
       once: true,
@@ -139,14 +138,13 @@
       const refusal = await this.continuation.findOrigin();
       if (refusal !== undefined) {
         this.refuse(refusal);
-        return {mayHaveRun: false};
+        return;
       }
       await this.runAttempts();
     } finally {
       clearTimeout(timer);
       this.call.clientDisconnected.removeEventListener('abort', onClientLeft);
     }
-    return {mayHaveRun: this.runner.upstreamsReached > 0};
   }
 
   private recordFirstEvent(): void {
@@ -194,9 +192,7 @@
         this.refuse(next.error);
         return;
       case 'none':
-        this.giveUp(
-          this.runner.upstreamsReached > 0 ? 'outcome-unknown' : 'no-upstream',
-        );
+        this.giveUp(this.mayHaveRun ? 'outcome-unknown' : 'no-upstream');
     }
   }
 
@@ -205,7 +201,7 @@
    * run then.
    */
   private refuse(refusal: ServingError): void {
-    if (this.runner.upstreamsReached > 0 || this.relay.hasBegun) {
+    if (this.mayHaveRun || this.relay.hasBegun) {
       this.giveUp('outcome-unknown');
       return;
     }
@@ -358,7 +354,9 @@
       return;
     }
     this.recordEnd(kind);
-    throw new ServingError(kind);
+    throw this.mayHaveRun
+      ? new ServingError(kind, {ran: 'unknown'})
+      : new ServingError(kind);
   }
 
   private millisecondsLeft(): number {
--- /dev/null
+++ b/packages/entry-process/tests/refusal_promises_test.ts
@@ -0,0 +1,132 @@
+/**
+ * Tests that at-most-once requests run once at the most, and that a client which is
+ * promised that its request has not run is never told so wrongly.
+ */
+import {promisesNotRun} from '@lacewingwinch/decisions';
+import type {
+  EngineBehavior,
+  RoutedEngineStandIn,
+} from '@lacewingwinch/stand-ins';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import {RoutedInstallation} from './routed_fixtures.js';
+
+/** Milliseconds within which a request that was refused would run later. */
+const LATER_MILLISECONDS = 400;
+
+/** Number of plain upstreams, which come first. */
+const PLAIN_UPSTREAMS = 2;
+
+let installation: RoutedInstallation;
+
+beforeEach(async () => {
+  installation = await RoutedInstallation.start();
+  await installation.startProcess();
+});
+
+afterEach(() => installation.stop());
+
+interface EndCase {
+  readonly name: string;
+  readonly prepare: (engine: RoutedEngineStandIn) => Promise<void> | void;
+  readonly status: number;
+  /** What the answer of the host itself states; undefined for an upstream's own. */
+  readonly ran: 'no' | 'unknown' | undefined;
+  readonly executions: number;
+  readonly deadline?: number;
+}
+
+function behaves(behavior: EngineBehavior): EndCase['prepare'] {
+  return engine => {
+    engine.behavior = behavior;
+  };
+}
+
+function failsWith(status: number): EndCase['prepare'] {
+  return engine => {
+    engine.behavior = 'fail';
+    engine.failureStatus = status;
+  };
+}
+
+const CASES: readonly EndCase[] = [
+  {
+    name: 'answered',
+    prepare: behaves('answer'),
+    status: 200,
+    ran: undefined,
+    executions: 1,
+  },
+  ...[500, 502, 504].map((status): EndCase => ({
+    name: `own ${status} of the upstream`,
+    prepare: failsWith(status),
+    status,
+    ran: undefined,
+    executions: 1,
+  })),
+  ...[408, 429, 503].map((status): EndCase => ({
+    name: `${status} of the upstream that does not say "not executed"`,
+    prepare: failsWith(status),
+    status: 502,
+    ran: 'unknown',
+    executions: 1,
+  })),
+  ...(['lose', 'answer-another', 'answer-unsigned'] as const).map(
+    (behavior): EndCase => ({
+      name: behavior,
+      prepare: behaves(behavior),
+      status: 502,
+      ran: 'unknown',
+      executions: 1,
+    }),
+  ),
+  {
+    name: 'turned away without execution',
+    prepare: behaves('shed'),
+    status: 503,
+    ran: 'no',
+    executions: 0,
+  },
+  {
+    name: 'no connection',
+    prepare: engine => engine.close(),
+    status: 503,
+    ran: 'no',
+    executions: 0,
+  },
+  {
+    name: 'no answer in time',
+    prepare: behaves('hang'),
+    status: 504,
+    ran: 'unknown',
+    executions: 1,
+    deadline: 300,
+  },
+];
+
+describe('an at-most-once request', () => {
+  it.each(CASES)(
+    '$name: gets $status and runs $executions times',
+    async ({prepare, status, ran, executions, deadline = 1500}) => {
+      const upstreams = installation.engines.slice(0, PLAIN_UPSTREAMS);
+      for (const engine of upstreams) {
+        await prepare(engine);
+      }
+      const answer = await installation.call({
+        path: '/once/x',
+        attemptId: 'once',
+        deadline,
+      });
+      await new Promise(resolve => setTimeout(resolve, LATER_MILLISECONDS));
+      const ranAt = upstreams.flatMap(engine =>
+        engine.executedAttemptIds().filter(id => id === 'once'),
+      );
+      expect(ranAt).toHaveLength(executions);
+      expect(answer.status).toBe(status);
+      expect(promisesNotRun(answer.status) && executions > 0).toBe(false);
+      if (ran !== undefined) {
+        expect(JSON.parse(answer.body)).toMatchObject({ran});
+      }
+    },
+  );
+});
--- a/packages/stand-ins/src/routed_engine_stand_in.ts
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -15,7 +15,7 @@
 export type EngineBehavior =
   /** Sends the complete answer. */
   | 'answer'
-  /** Answers with status 500 after the request was executed. */
+  /** Answers with `failureStatus` after the request was executed. */
   | 'fail'
   /** Answers with status 503 and `x-not-executed`. */
   | 'shed'
@@ -87,6 +87,7 @@
 /** An upstream that refuses requests meant for another instance. */
 export class RoutedEngineStandIn extends ListeningStandIn {
   behavior: EngineBehavior = 'answer';
+  failureStatus = 500;
   /** Whether answers are event streams. */
   isStreamed = false;
   /** Whether streams break off that continue no other one. */
@@ -275,7 +276,7 @@
         await this.answer(message, response, signedHeaders);
         return;
       case 'fail':
-        response.writeHead(500, signedHeaders).end('failed');
+        response.writeHead(this.failureStatus, signedHeaders).end('failed');
         return;
       case 'lose':
         message.socket.resetAndDestroy();
