Give the charge of a refused request back to its quota

The charge was given back only after a request that ended without an error, and a refusal is one: a workspace whose requests were refused for want of upstreams used up its quota with them, and got 429 for requests within it. The new test gets 503 for each of twelve refused requests and 200 afterwards; before, the fourth got 429.

--- a/packages/entry-process/src/routed_interface/requests/routed_front.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_front.ts
@@ -131,11 +131,11 @@
     this.running.add(request);
     try {
       await request.run();
+    } finally {
+      this.running.delete(request);
       if (!request.mayHaveRun) {
         charge.giveBack();
       }
-    } finally {
-      this.running.delete(request);
     }
   }
 
--- a/packages/entry-process/tests/refusal_promises_test.ts
+++ b/packages/entry-process/tests/refusal_promises_test.ts
@@ -9,7 +9,11 @@
 } from '@lacewingwinch/stand-ins';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
-import {RoutedInstallation} from './routed_fixtures.js';
+import {
+  CONFIGURATION,
+  RoutedInstallation,
+  waitUntil,
+} from './routed_fixtures.js';
 
 /** Milliseconds within which a request that was refused would run later. */
 const LATER_MILLISECONDS = 400;
@@ -130,3 +134,45 @@
     },
   );
 });
+
+describe('a refused request', () => {
+  const QUOTA_REQUESTS = 3;
+
+  it('does not use up the quota of its workspace', async () => {
+    installation.store.publish({
+      ...CONFIGURATION,
+      version: 4,
+      // A host that has just started holds a twelfth of a quota.
+      tenants: [
+        {
+          name: 'limited',
+          apiKeys: ['key-limited'],
+          ratePerS: 0.01,
+          burst: 12 * QUOTA_REQUESTS,
+        },
+      ],
+    });
+    const call = async (): Promise<number> => {
+      const {status} = await installation.call({
+        path: '/once/x',
+        key: 'key-limited',
+      });
+      return status;
+    };
+    installation.engines.forEach(engine => {
+      engine.behavior = 'shed';
+    });
+    await waitUntil(async () => (await call()) !== 401);
+    for (let count = 0; count < 4 * QUOTA_REQUESTS; count += 1) {
+      expect(await call()).toBe(503);
+    }
+    installation.engines.forEach(engine => {
+      engine.behavior = 'answer';
+    });
+    const statuses = [];
+    for (let count = 0; count < QUOTA_REQUESTS; count += 1) {
+      statuses.push(await call());
+    }
+    expect(statuses).toContain(200);
+  });
+});
