Pass on no promise of an upstream that a call has not run

On the own interface, an answer of 408, 421, 429 or 503 of an upstream to a call that may not be repeated went on to the client, who is promised by it that the call has not run and never will. Only this host can promise that: the call now ends as one whose outcome is not known (502). Calls that may be repeated go to another upstream, as they did after 503 before.

--- a/packages/upstreams/src/model_engine.ts
+++ b/packages/upstreams/src/model_engine.ts
@@ -2,7 +2,11 @@
  * Calls to model engines: streamed completions, their resumption, and export of
  * key-value caches.
  */
-import {type BodyFraming, MAXIMUM_EVENT_BYTES} from '@lacewingwinch/decisions';
+import {
+  type BodyFraming,
+  MAXIMUM_EVENT_BYTES,
+  promisesNotRun,
+} from '@lacewingwinch/decisions';
 import {createParser} from 'eventsource-parser';
 import {z} from 'zod';
 
@@ -94,7 +98,7 @@
     },
   );
   const {status} = progress;
-  if (status === 429 || status === 503) {
+  if (promisesNotRun(status)) {
     throw new UpstreamError(
       {kind: 'refused-by-upstream'},
       'the engine is busy',
--- a/packages/upstreams/src/plain_service.ts
+++ b/packages/upstreams/src/plain_service.ts
@@ -4,6 +4,7 @@
 import {
   type BodyFraming,
   MAXIMUM_RESPONSE_BYTES,
+  promisesNotRun,
 } from '@lacewingwinch/decisions';
 
 import type {UpstreamConnections} from './upstream_connections.js';
@@ -32,9 +33,6 @@
   readonly isRepeatable: boolean;
 }
 
-/** Status with which a service states that it did not accept the call. */
-const SERVICE_UNAVAILABLE = 503;
-
 /** Calls a plain service and returns its complete answer. */
 export async function callPlainService(
   connections: UpstreamConnections,
@@ -45,13 +43,14 @@
     const answer = await collectAnswer(call, receiver =>
       exchange(connections.persistent, origin, call.request, receiver),
     );
-    return rejectUnavailable(answer);
+    return rejectPromise(answer);
   }
   const client = connections.openSingleUse(origin);
   try {
-    return await collectAnswer(call, receiver =>
+    const answer = await collectAnswer(call, receiver =>
       exchange(client, origin, call.request, receiver),
     );
+    return rejectPromise(answer);
   } finally {
     void client.destroy();
   }
@@ -83,11 +82,15 @@
   return {status, contentType, body: Buffer.concat(chunks), framing};
 }
 
-function rejectUnavailable(answer: PlainAnswer): PlainAnswer {
-  if (answer.status === SERVICE_UNAVAILABLE) {
+/**
+ * Rejects an answer whose status would promise the client that the call has not run
+ * and never will, which only this host can promise.
+ */
+function rejectPromise(answer: PlainAnswer): PlainAnswer {
+  if (promisesNotRun(answer.status)) {
     throw new UpstreamError(
       {kind: 'refused-by-upstream'},
-      'the upstream is unavailable',
+      `the upstream answered ${answer.status}`,
       true,
     );
   }
--- a/packages/upstreams/tests/plain_service_test.ts
+++ b/packages/upstreams/tests/plain_service_test.ts
@@ -84,6 +84,24 @@
       onConnection: socket => socket.on('data', () => socket.end(ANSWER)),
       expected: {result: 'ok', sendChecks: 1},
     },
+    ...[408, 421, 429, 503].map(status => ({
+      name: `an answer with ${status}, which would promise that it has not run`,
+      onConnection: (socket: Socket) =>
+        socket.on('data', () =>
+          socket.end(`HTTP/1.1 ${status} No\r\ncontent-length: 0\r\n\r\n`),
+        ),
+      expected: {result: 'refused-by-upstream', sendChecks: 1},
+    })),
+    ...[500, 504].map(status => ({
+      name: `an answer with ${status}`,
+      onConnection: (socket: Socket) =>
+        socket.on('data', () =>
+          socket.end(
+            `HTTP/1.1 ${status} No\r\ncontent-length: 5\r\n\r\n${status}!!`,
+          ),
+        ),
+      expected: {result: `${status}!!`, sendChecks: 1},
+    })),
     {
       name: 'a reset at the first byte',
       onConnection: socket =>
