--- a/packages/entry-process/src/routed_interface/requests/routed_front.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_front.ts
@@ -130,12 +130,12 @@
     );
     this.running.add(request);
     try {
-      const {mayHaveRun} = await request.run();
-      if (!mayHaveRun) {
-        charge.giveBack();
-      }
+      await request.run();
     } finally {
       this.running.delete(request);
+      if (!request.mayHaveRun) {
+        charge.giveBack();
+      }
     }
   }
 
--- a/packages/stand-ins/src/routed_engine_stand_in.ts
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -2,16 +2,20 @@
  * Stand-in for an upstream on the platform: a plain service or an engine that
  * streams events, with faults that tests switch on.
  */
-import {once} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
-import {delay, ListeningStandIn, readText} from './http_stand_in.js';
+import {
+  delay,
+  ListeningStandIn,
+  readText,
+  sendWithoutEnd,
+} from './http_stand_in.js';
 
 /** How an upstream answers its requests. */
 export type EngineBehavior =
   /** Sends the complete answer. */
   | 'answer'
-  /** Answers with status 500 after the request was executed. */
+  /** Answers with `failureStatus` after the request was executed. */
   | 'fail'
   /** Answers with status 503 and `x-not-executed`. */
   | 'shed'
@@ -56,6 +60,9 @@
   readonly softwareVersion: string;
 }
 
+/** Path at which the process reports on itself. */
+const REPORT_PATH = '/api/report';
+
 /** Number of events of a streamed answer. */
 export const STREAM_EVENTS = 6;
 
@@ -80,6 +87,7 @@
 /** An upstream that refuses requests meant for another instance. */
 export class RoutedEngineStandIn extends ListeningStandIn {
   behavior: EngineBehavior = 'answer';
+  failureStatus = 500;
   /** Whether answers are event streams. */
   isStreamed = false;
   /** Whether streams break off that continue no other one. */
@@ -197,6 +205,10 @@
   ): Promise<void> {
     const body = await readText(message);
     const {headers} = message;
+    if (message.url === REPORT_PATH) {
+      response.end(JSON.stringify({born: this.bornAt}));
+      return;
+    }
     this.arrivals.push(Date.now());
     if (this.isLeaving) {
       response.setHeader('server-leaving', '1');
@@ -264,7 +276,7 @@
         await this.answer(message, response, signedHeaders);
         return;
       case 'fail':
-        response.writeHead(500, signedHeaders).end('failed');
+        response.writeHead(this.failureStatus, signedHeaders).end('failed');
         return;
       case 'lose':
         message.socket.resetAndDestroy();
@@ -372,23 +384,3 @@
       : '';
   }
 }
-
-/** Sends `piece` again and again until the connection closes. */
-async function sendWithoutEnd(
-  response: ServerResponse,
-  piece: Buffer,
-  pauseMilliseconds: number,
-): Promise<void> {
-  const closing = new AbortController();
-  response.once('close', () => closing.abort());
-  while (!closing.signal.aborted) {
-    const canContinue = response.write(piece);
-    if (canContinue) {
-      await delay(pauseMilliseconds);
-      continue;
-    }
-    await once(response, 'drain', {signal: closing.signal}).catch(
-      () => undefined,
-    );
-  }
-}
