Refuse requests of large model services by rank, at the shard's dispatcher

A wait was tolerated for 2.5 objectives, whatever the rank, so that under overload the requests with the shortest objective were refused first, which are the most urgent ones of many services. Late answers were tolerated while more was requested than could be read, and delayed all others.

The dispatcher of a shard now decides with the placement, by the estimate and its error, the work that each rank asks for and the shortest objective of more urgent ranks; a refusal is an answer of the placement request, and adds no message. A tenth of the capacity is a floor for classes of requests that are refused in a row. It applies where featuresOf says so; other services keep the previous rule. The renewals of placements move to a file of their own.

--- /dev/null
+++ b/packages/decisions/src/admission/rank_arrivals.ts
@@ -0,0 +1,89 @@
+/**
+ * The work that the requests of each rank ask of a shard. Urgent requests that
+ * arrive in the next moment need capacity that less urgent ones would otherwise
+ * fill, because an engine finishes the prompts that it has begun to read.
+ */
+import type {RankPressure} from './admission_terms.js';
+import {DecayingRate} from './decaying_rate.js';
+
+/** Time after which an objective counts no more. */
+const OBJECTIVE_LIFETIME_MILLISECONDS = 5000;
+
+/** A request that asks for capacity. */
+export interface RankedArrival {
+  /** 0 is the most urgent. */
+  readonly rank: number;
+  /** Milliseconds for which one engine reads the prompt. */
+  readonly workMilliseconds: number;
+  readonly objectiveMilliseconds: number;
+}
+
+interface RankRecord {
+  readonly work: DecayingRate;
+  objectiveMilliseconds: number;
+  /** Time of the last arrival with that objective. */
+  objectiveSeenAt: number;
+}
+
+/** The work and the objectives of recent requests by rank. */
+export class RankArrivals {
+  private readonly ranks = new Map<number, RankRecord>();
+
+  /** Counts a request, whether it is admitted or not. */
+  record(arrival: RankedArrival, now: number): void {
+    const {rank, workMilliseconds, objectiveMilliseconds} = arrival;
+    const record = this.ranks.get(rank) ?? {
+      work: new DecayingRate(now),
+      objectiveMilliseconds,
+      objectiveSeenAt: now,
+    };
+    this.ranks.set(rank, record);
+    record.work.add(workMilliseconds, now);
+    if (
+      objectiveMilliseconds <= record.objectiveMilliseconds ||
+      now - record.objectiveSeenAt > OBJECTIVE_LIFETIME_MILLISECONDS
+    ) {
+      record.objectiveMilliseconds = objectiveMilliseconds;
+      record.objectiveSeenAt = now;
+    }
+  }
+
+  /** Returns the most urgent rank of recent requests. */
+  mostUrgentRank(now: number): number {
+    const recent = [...this.ranks].filter(
+      ([, {objectiveSeenAt}]) =>
+        now - objectiveSeenAt <= OBJECTIVE_LIFETIME_MILLISECONDS,
+    );
+    return Math.min(...recent.map(([rank]) => rank));
+  }
+
+  /** Returns the load that requests of `rank` meet at `engineCount` engines. */
+  pressureOn(rank: number, engineCount: number, now: number): RankPressure {
+    let urgentWork = 0;
+    let ownWork = 0;
+    let urgentObjectiveMilliseconds = Infinity;
+    for (const [otherRank, record] of this.ranks) {
+      if (otherRank > rank) {
+        continue;
+      }
+      const work = record.work.perMillisecond(now);
+      if (otherRank === rank) {
+        ownWork = work;
+        continue;
+      }
+      urgentWork += work;
+      if (now - record.objectiveSeenAt <= OBJECTIVE_LIFETIME_MILLISECONDS) {
+        urgentObjectiveMilliseconds = Math.min(
+          urgentObjectiveMilliseconds,
+          record.objectiveMilliseconds,
+        );
+      }
+    }
+    const capacity = Math.max(engineCount, Number.EPSILON);
+    return {
+      urgentShare: urgentWork / capacity,
+      totalShare: (urgentWork + ownWork) / capacity,
+      urgentObjectiveMilliseconds,
+    };
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/admission/refusal_floor.ts
@@ -0,0 +1,67 @@
+/**
+ * Keeps classes of requests from being starved by others: some capacity goes to
+ * those whose requests have been refused several times in a row for the sake of
+ * others, the same part of each class.
+ */
+import {DecayingRate} from './decaying_rate.js';
+
+/** Refusals in a row after which a request of a class is admitted at the soonest. */
+const TOLERATED_REFUSALS = 4;
+
+/** Largest share of the capacity that is given in this way. */
+const FLOOR_SHARE = 0.1;
+
+/** Most classes that are remembered; the one refused longest ago is dropped. */
+const MAXIMUM_CLASSES = 2000;
+
+/** Requests that compete with others in the same way. */
+export interface RequestClass {
+  readonly rank: number;
+  readonly workspace: string;
+  readonly promptTokens: number;
+}
+
+/** The refusals in a row of each class. */
+export class RefusalFloor {
+  /** By class, the one refused longest ago first. */
+  private readonly refusals = new Map<string, number>();
+  /** Engine milliseconds that displaced requests ask for. */
+  private displacedWork: DecayingRate | undefined;
+
+  /**
+   * Returns whether a request that others displace is admitted all the same; it
+   * takes one of `engineCount` engines for `workMilliseconds`.
+   */
+  admitsNext(
+    requestClass: RequestClass,
+    workMilliseconds: number,
+    engineCount: number,
+    now: number,
+  ): boolean {
+    this.displacedWork ??= new DecayingRate(now);
+    this.displacedWork.add(workMilliseconds, now);
+    const capacity = engineCount * FLOOR_SHARE;
+    const tolerated = Math.max(
+      TOLERATED_REFUSALS,
+      this.displacedWork.perMillisecond(now) / capacity,
+    );
+    const key = keyOf(requestClass);
+    const refusals = (this.refusals.get(key) ?? 0) + 1;
+    this.refusals.delete(key);
+    if (refusals > tolerated) {
+      return true;
+    }
+    this.refusals.set(key, refusals);
+    if (this.refusals.size > MAXIMUM_CLASSES) {
+      const [oldest] = this.refusals.keys();
+      this.refusals.delete(oldest ?? key);
+    }
+    return false;
+  }
+}
+
+/** Prompts of a class differ in size by less than a factor of two. */
+function keyOf({rank, workspace, promptTokens}: RequestClass): string {
+  const size = Math.floor(Math.log2(Math.max(1, promptTokens)));
+  return `${rank}/${size}/${workspace}`;
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -2,6 +2,12 @@
  * The decision logic of lacewingwinch: pure functions and in-memory state,
  * without input or output.
  */
+export * from './admission/admission_terms.js';
+export * from './admission/decaying_rate.js';
+export * from './admission/decide_ranked_admission.js';
+export * from './admission/rank_arrivals.js';
+export * from './admission/refusal_floor.js';
+export * from './admission/shard_admission.js';
 export * from './answers/answer_buffer.js';
 export * from './answers/body_framing.js';
 export * from './answers/choose_resumption.js';
--- a/packages/decisions/src/placement/placement_table.ts
+++ b/packages/decisions/src/placement/placement_table.ts
@@ -77,6 +77,7 @@
     ownDomain: string,
     now: number,
     grants: PlacementGrants = NO_GRANTS,
+    isAdmitted: (choice: EngineChoice) => boolean = () => true,
   ): EngineChoice | undefined {
     const loads = this.loads(now);
     const choice = chooseEngine(demand, candidates, ownDomain, {
@@ -86,7 +87,7 @@
         this.prefixes.cachedTokens(upstreamId, parts, now),
       grantWaitOf: upstream => grants.waitOf(upstream),
     });
-    if (choice === undefined) {
+    if (choice === undefined || !isAdmitted(choice)) {
       return undefined;
     }
     // A grant depends on the requests that are in progress besides this one.
@@ -175,6 +176,11 @@
     return this.loads(now).get(upstreamId)?.running ?? 0;
   }
 
+  /** Returns the prompt tokens that an upstream reads per millisecond. */
+  prefillSpeedOf(upstreamId: string): number {
+    return this.speeds.speedOf(upstreamId);
+  }
+
   /** Returns the work in progress by upstream. */
   loads(now: number): ReadonlyMap<string, PlacementLoad> {
     const loads = new Map<string, MutableLoad>();
--- a/packages/entry-hosts/src/messages/placement_messages.ts
+++ b/packages/entry-hosts/src/messages/placement_messages.ts
@@ -2,6 +2,8 @@
  * Messages between fronts and the dispatchers that place requests.
  */
 import type {
+  AdmissionRefusal,
+  AdmissionTerms,
   PlacedRequest,
   PlacementDemand,
   PlacementEstimate,
@@ -23,6 +25,8 @@
   readonly excluded: readonly string[];
   /** What the front knows of rates; sent where the dispatcher knows less. */
   readonly rates?: readonly RateStatement[];
+  /** Absent if the request is placed however long it would wait. */
+  readonly terms?: AdmissionTerms;
 }
 
 /** The upstream chosen for a request, if there is one. */
@@ -31,6 +35,8 @@
       readonly kind: 'chosen';
       readonly upstreamId: string;
       readonly estimate: PlacementEstimate;
+      /** Rank at the upstream; absent if it is that of the request. */
+      readonly promotedRank?: number;
       /** What the dispatcher knows of rates, if the front sent any. */
       readonly rates?: readonly RateStatement[];
     }
@@ -40,6 +46,7 @@
       /** Milliseconds until the first of them takes another request. */
       readonly milliseconds: number;
     }
+  | AdmissionRefusal
   | {readonly kind: 'none'};
 
 /** Report to the dispatcher that a placed request began or ended. */
--- a/packages/entry-process/src/routed_interface/admission/attempt_gate.ts
+++ b/packages/entry-process/src/routed_interface/admission/attempt_gate.ts
@@ -3,15 +3,18 @@
  * and whether it has to wait until an upstream accepts requests.
  */
 import {
+  type AdmissionRefusal,
+  type AdmissionTerms,
   decideLoadShedding,
   decidePausedService,
   type EngineChoice,
+  isDeadlineUnreachable,
   type LatencyBounds,
   type PlacementDemand,
   RETURN_SPREAD_MILLISECONDS,
   ServingError,
 } from '@lacewingwinch/decisions';
-import type {EventLog} from '@lacewingwinch/observability';
+import type {EventLog, Metrics} from '@lacewingwinch/observability';
 
 import type {PartWatch} from '../../tasks/part_watch.js';
 import {pause} from '../../util/pause.js';
@@ -24,9 +27,13 @@
  */
 const MINIMUM_TRIAL_WAIT_MILLISECONDS = 1000;
 
+/** Ranks that a metric tells apart; less urgent ones are counted together. */
+const LEAST_URGENT_LABEL = 9;
+
 /** Dependencies of `AttemptGate`. */
 export interface AttemptGateDependencies {
   readonly events: EventLog;
+  readonly metrics: Pick<Metrics, 'admissionPromotions' | 'admissionRefusals'>;
   readonly crashes: Pick<CrashWatch, 'quarantineMillisecondsLeft'>;
   readonly parts: Pick<PartWatch, 'decide' | 'isRefused'>;
   readonly candidates: Pick<PlacementCandidates, 'pauseMillisecondsLeft'>;
@@ -106,11 +113,56 @@
     );
   }
 
-  /** Returns the refusal of a request that cannot meet its deadline. */
+  /** Returns the refusal of a request that other requests displace. */
+  refusalByRank(
+    {priority}: PlacementDemand,
+    refusal: AdmissionRefusal,
+  ): ServingError {
+    const {events, metrics} = this.dependencies;
+    const {requestId, service} = this.request;
+    const {reason, retryAfterMilliseconds, totalShare} = refusal;
+    const start = Math.round(refusal.startMilliseconds);
+    events.write(4120, {
+      requestId,
+      service,
+      rank: priority,
+      reason,
+      start,
+      error: Math.round(refusal.errorMilliseconds),
+      age: Math.round(refusal.knowledgeAgeMilliseconds),
+      load: Math.round(totalShare * 100),
+      retryAfter: Math.round(retryAfterMilliseconds),
+    });
+    metrics.admissionRefusals.inc({
+      service,
+      rank: rankLabel(priority),
+      reason,
+    });
+    return new ServingError('overloaded', {
+      detail: `the first event would take ${start} ms: ${reason}`,
+      retryAfterSeconds: retryAfterMilliseconds / 1000,
+    });
+  }
+
+  /** Records that a request is admitted so that its class is not starved. */
+  recordPromotion({priority}: PlacementDemand, promotedRank: number): void {
+    const {events, metrics} = this.dependencies;
+    const {requestId, service} = this.request;
+    events.write(4121, {requestId, service, rank: priority, promotedRank});
+    metrics.admissionPromotions.inc({service, rank: rankLabel(priority)});
+  }
+
+  /**
+   * Returns the refusal of a request that cannot meet its deadline. A dispatcher
+   * that knows terms has applied them already.
+   */
   refusalIfDeadlineUnreachable(
     choice: EngineChoice,
-    bounds: LatencyBounds,
+    bounds: AdmissionTerms | LatencyBounds,
   ): ServingError | undefined {
+    if ('patienceMilliseconds' in bounds) {
+      return this.refusalOnTerms(choice, bounds);
+    }
     const verdict = decideLoadShedding(
       choice,
       bounds,
@@ -129,6 +181,20 @@
     }
   }
 
+  private refusalOnTerms(
+    choice: EngineChoice,
+    terms: AdmissionTerms,
+  ): ServingError | undefined {
+    const start = Math.round(choice.estimateMilliseconds);
+    return isDeadlineUnreachable(choice, terms)
+      ? new ServingError('overloaded', {
+          detail: `the first event would take ${start} ms`,
+          retryAfterSeconds:
+            (start * (0.5 + this.dependencies.random())) / 1000,
+        })
+      : undefined;
+  }
+
   /**
    * Waits until an upstream that is not in `tried` accepts requests of this
    * host; returns a refusal if that takes too long. The wait ends early if
@@ -209,3 +275,7 @@
     }
   }
 }
+
+function rankLabel(priority: number): string {
+  return String(Math.min(LEAST_URGENT_LABEL, priority));
+}
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -343,6 +343,7 @@
       isUpstreamListKnown: () => this.upstreams.isKnown,
       isClosing: this.dependencies.isClosing,
       sharingHostCount: () => this.fleet.sharingHostCount(this.clocks.steady()),
+      domainCount: () => this.fleet.domainCount(),
       onRunStarted: workspace =>
         this.usage.add(this.processId, workspace, this.readTrueTime()),
     });
--- a/packages/entry-process/src/routed_interface/placement/placement_result.ts
+++ b/packages/entry-process/src/routed_interface/placement/placement_result.ts
@@ -1,7 +1,11 @@
 /**
  * A request placed at an upstream, and the choice between two of them.
  */
-import type {EngineChoice, UpstreamResult} from '@lacewingwinch/decisions';
+import type {
+  AdmissionRefusal,
+  EngineChoice,
+  UpstreamResult,
+} from '@lacewingwinch/decisions';
 
 /**
  * Estimated milliseconds above which a second shard is tried: a request to its
@@ -14,6 +18,8 @@
 export interface Placement {
   readonly kind: 'placed';
   readonly choice: EngineChoice;
+  /** Rank at the upstream; undefined if it is that of the request. */
+  readonly promotedRank: number | undefined;
   /**
    * Returns whether the request may be sent now. A grant that was not used in
    * time is void.
@@ -33,6 +39,7 @@
   | Placement
   /** Every upstream has as many requests as the limit that it named allows. */
   | {readonly kind: 'limited'; readonly milliseconds: number}
+  | AdmissionRefusal
   | undefined;
 
 /** Returns whether a second shard is tried because the request would wait. */
@@ -56,3 +63,14 @@
   (isFirstBetter ? second : first).reportEnded();
   return isFirstBetter ? first : second;
 }
+
+/** Returns the refusal after which the client may return sooner. */
+export function soonerOf(
+  first: AdmissionRefusal | undefined,
+  second: AdmissionRefusal,
+): AdmissionRefusal {
+  return first !== undefined &&
+    first.retryAfterMilliseconds <= second.retryAfterMilliseconds
+    ? first
+    : second;
+}
--- a/packages/entry-process/src/routed_interface/placement/routed_placement.ts
+++ b/packages/entry-process/src/routed_interface/placement/routed_placement.ts
@@ -3,11 +3,11 @@
  * does not respond, with the state of this host alone.
  */
 import {
-  type EngineChoice,
+  type AdmissionRefusal,
+  type AdmissionTerms,
   GRANT_LIFETIME_MILLISECONDS,
   type Member,
   type NamedRates,
-  type PlacedRequest,
   type PlacementDemand,
   PlacementTable,
   type UpstreamChange,
@@ -22,8 +22,6 @@
 } from '@lacewingwinch/entry-hosts';
 import type {EventLog} from '@lacewingwinch/observability';
 
-import {isAborted} from '../../util/is_aborted.js';
-import {pause} from '../../util/pause.js';
 import {DispatcherCalls} from './dispatcher_calls.js';
 import {
   LimitedUpstreams,
@@ -33,19 +31,16 @@
   PlacementCandidates,
   type PlacementCandidatesDependencies,
 } from './placement_candidates.js';
+import {PlacementRenewals} from './placement_renewals.js';
 import {
   betterOf,
   isCrowded,
   type Placement,
   type PlacementResult,
+  soonerOf,
 } from './placement_result.js';
-import {ShardPlacement} from './shard_placement.js';
-
-/**
- * Milliseconds between two renewals, which correct the effect of lost
- * notifications.
- */
-const RENEW_PERIOD_MILLISECONDS = 1000;
+import {ShardAdmissions} from './shard_admissions.js';
+import {type ShardChosen, ShardPlacement} from './shard_placement.js';
 
 /** Maximum number of shards that are tried for one request. */
 const MAXIMUM_SHARDS_TRIED = 2;
@@ -72,6 +67,8 @@
   private readonly dispatchers: DispatcherCalls;
   private readonly limited: LimitedUpstreams;
   private readonly shards: ShardPlacement;
+  private readonly renewals: PlacementRenewals;
+  private readonly admissions: ShardAdmissions;
 
   constructor(private readonly dependencies: RoutedPlacementDependencies) {
     this.candidates = new PlacementCandidates(dependencies);
@@ -81,41 +78,80 @@
       runningAt: ({service, upstreamId}) =>
         this.tableOf(service).runningAt(upstreamId, dependencies.clock()),
     });
+    this.admissions = new ShardAdmissions({
+      clock: dependencies.clock,
+      random: Math.random,
+      isDispatcher: shardId => this.dispatchers.isDispatcher(shardId),
+      hostCount: () => dependencies.servingHosts().length,
+    });
+    this.renewals = new PlacementRenewals({
+      ...dependencies,
+      tables: this.tables,
+      candidates: this.candidates,
+      dispatchers: this.dispatchers,
+      admissions: this.admissions,
+    });
     this.shards = new ShardPlacement({
       candidates: this.candidates,
       dispatchers: this.dispatchers,
       namedRates: dependencies.namedRates,
       limited: this.limited,
-      choose: ({service, front, demand, failureDomain}, candidates, grants) =>
-        this.tableOf(service).place(
-          front,
-          demand,
-          candidates,
-          failureDomain,
-          dependencies.clock(),
-          grants,
-        ),
+      choose: (request, candidates, grants) => {
+        const {front, failureDomain} = request;
+        const table = this.tableOf(request.service);
+        const now = dependencies.clock();
+        return this.admissions.choose(request, {
+          engineCount: candidates.length,
+          speedOf: upstreamId => table.prefillSpeedOf(upstreamId),
+          place: (demand, isAdmitted) =>
+            table.place(
+              front,
+              demand,
+              candidates,
+              failureDomain,
+              now,
+              grants,
+              isAdmitted,
+            ),
+        });
+      },
     });
   }
 
   /**
    * Places a request at an upstream of `service` that is not in `tried`. If the
-   * request would have to wait there, a second shard is tried as well.
+   * request would have to wait there, a second shard is tried as well. Without
+   * `terms`, the request is placed however long it would wait.
    */
   async place(
     service: string,
     demand: PlacementDemand,
     tried: ReadonlySet<string>,
+    terms?: AdmissionTerms,
   ): Promise<PlacementResult> {
     const shards = this.candidates.shardsFor(service, demand);
     let best: Placement | undefined;
+    let refusal: AdmissionRefusal | undefined;
     let limitedFor = Infinity;
-    for (const {id} of shards.slice(0, MAXIMUM_SHARDS_TRIED)) {
-      const result = await this.placeInShard(service, id, demand, tried);
+    for (const [index, {id}] of shards
+      .slice(0, MAXIMUM_SHARDS_TRIED)
+      .entries()) {
+      const isOverflow = index > 0;
+      const result = await this.placeInShard(
+        service,
+        id,
+        demand,
+        tried,
+        terms === undefined ? undefined : {...terms, isOverflow},
+      );
       if (result?.kind === 'limited') {
         limitedFor = Math.min(limitedFor, result.milliseconds);
         continue;
       }
+      if (result?.kind === 'refused') {
+        refusal = soonerOf(refusal, result);
+        continue;
+      }
       best = betterOf(best, result);
       if (best !== undefined && !isCrowded(best.choice)) {
         break;
@@ -126,6 +162,9 @@
       this.tableOf(service).add(hostId, demand, best.choice, clock());
       return best;
     }
+    if (refusal !== undefined) {
+      return refusal;
+    }
     return limitedFor === Infinity
       ? undefined
       : {kind: 'limited', milliseconds: limitedFor};
@@ -136,25 +175,30 @@
     shardId: string,
     demand: PlacementDemand,
     tried: ReadonlySet<string>,
+    terms: AdmissionTerms | undefined,
   ): Promise<PlacementResult> {
     const {hostId, failureDomain} = this.dependencies;
     const excluded = [...tried, ...this.candidates.locallyExcludedIds(service)];
     const result = await this.shards.place(
-      {service, shardId, front: hostId, failureDomain, demand, excluded},
+      {
+        service,
+        shardId,
+        front: hostId,
+        failureDomain,
+        demand,
+        excluded,
+        ...(terms !== undefined && {terms}),
+      },
       tried,
     );
     switch (result.kind) {
       case 'none':
         return undefined;
       case 'limited':
+      case 'refused':
         return result;
       case 'chosen':
-        return this.placementOf(
-          service,
-          demand,
-          result.choice,
-          result.dispatcher,
-        );
+        return this.placementOf(service, demand, result);
     }
   }
 
@@ -210,24 +254,8 @@
   }
 
   /** Renews this host's requests at the dispatchers until `signal` aborts. */
-  async run(signal: AbortSignal): Promise<void> {
-    const {hostId, peers, clock} = this.dependencies;
-    while (!isAborted(signal)) {
-      await pause(RENEW_PERIOD_MILLISECONDS, signal);
-      for (const [service, table] of this.tables) {
-        this.candidates
-          .shardsOf(service)
-          .forEach(({id}) => this.dispatchers.dispatcherFor(id));
-        table.forgetSilentFronts(hostId, clock());
-        for (const [address, requests] of this.requestsByDispatcher(service)) {
-          peers.notify(address, 'placement.renew', {
-            service,
-            front: hostId,
-            requests,
-          });
-        }
-      }
-    }
+  run(signal: AbortSignal): Promise<void> {
+    return this.renewals.run(signal);
   }
 
   /** Discards what is known of upstreams that were withdrawn or restarted. */
@@ -242,8 +270,7 @@
   private placementOf(
     service: string,
     demand: PlacementDemand,
-    choice: EngineChoice,
-    dispatcher: Member | undefined,
+    {choice, dispatcher, promotedRank}: ShardChosen,
   ): Placement {
     const {hostId, clock, announcements} = this.dependencies;
     const {upstream} = choice;
@@ -257,6 +284,7 @@
     return {
       kind: 'placed',
       choice,
+      promotedRank,
       isSendable: () =>
         grantWaitMilliseconds === undefined ||
         clock() <
@@ -326,30 +354,6 @@
     }
   }
 
-  /**
-   * Returns this host's requests at each other dispatcher of `service`, by the
-   * dispatcher's address.
-   */
-  private requestsByDispatcher(
-    service: string,
-  ): ReadonlyMap<string, readonly PlacedRequest[]> {
-    const requests = this.tableOf(service).requestsOf(this.dependencies.hostId);
-    const byAddress = new Map<string, PlacedRequest[]>();
-    for (const {id, upstreams} of this.candidates.shardsOf(service)) {
-      const dispatcher = this.dispatchers.otherDispatcherOf(id);
-      if (dispatcher === undefined) {
-        continue;
-      }
-      const address = dispatcher.addresses.peers;
-      const members = new Set(upstreams.map(({upstreamId}) => upstreamId));
-      const assigned = requests.filter(({upstreamId}) =>
-        members.has(upstreamId),
-      );
-      byAddress.set(address, [...(byAddress.get(address) ?? []), ...assigned]);
-    }
-    return byAddress;
-  }
-
   private tableOf(service: string): PlacementTable {
     const existing = this.tables.get(service);
     if (existing !== undefined) {
--- a/packages/entry-process/src/routed_interface/placement/shard_placement.ts
+++ b/packages/entry-process/src/routed_interface/placement/shard_placement.ts
@@ -3,6 +3,8 @@
  * the state of this host alone.
  */
 import type {
+  AdmissionRefusal,
+  AdmittedChoice,
   EngineChoice,
   Member,
   NamedRates,
@@ -18,16 +20,18 @@
 import type {LimitedUpstreams} from './limited_upstreams.js';
 import type {PlacementCandidates} from './placement_candidates.js';
 
+/** A choice in one shard. */
+export interface ShardChosen extends AdmittedChoice {
+  /** Host that counts the request; undefined if only this one does. */
+  readonly dispatcher: Member | undefined;
+}
+
 /** Result of a placement in one shard. */
 export type ShardChoice =
-  | {
-      readonly kind: 'chosen';
-      readonly choice: EngineChoice;
-      /** Host that counts the request; undefined if only this one does. */
-      readonly dispatcher: Member | undefined;
-    }
+  | ShardChosen
   /** Every upstream has as many requests as the limit that it named allows. */
   | {readonly kind: 'limited'; readonly milliseconds: number}
+  | AdmissionRefusal
   | {readonly kind: 'none'};
 
 /** Dependencies of `ShardPlacement`. */
@@ -36,12 +40,15 @@
   readonly dispatchers: DispatcherCalls;
   readonly namedRates: NamedRates;
   readonly limited: LimitedUpstreams;
-  /** Chooses one of the candidates and counts the request there. */
+  /**
+   * Chooses one of the candidates and counts the request there, unless it is
+   * refused.
+   */
   readonly choose: (
     request: PlacementRequest,
     candidates: readonly UsableUpstream[],
     grants: PlacementGrants,
-  ) => EngineChoice | undefined;
+  ) => AdmissionRefusal | AdmittedChoice | undefined;
 }
 
 /** Places requests in the shards of services. */
@@ -84,6 +91,7 @@
       case 'none':
         return {kind: 'none'};
       case 'limited':
+      case 'refused':
         return result;
       case 'chosen': {
         const {upstream, ...estimate} = result.choice;
@@ -91,6 +99,7 @@
           kind: 'chosen',
           upstreamId: upstream.upstreamId,
           estimate,
+          ...promotedRankField(result),
           ...(request.rates !== undefined && {
             rates: namedRates.known(
               candidates.accepting(request.service, request.demand),
@@ -112,9 +121,9 @@
     const withRoom = candidates.select(filter, upstream =>
       grants.hasRoom(upstream),
     );
-    const choice = choose(request, withRoom, grants);
-    if (choice !== undefined) {
-      return {kind: 'chosen', choice, dispatcher: undefined};
+    const result = choose(request, withRoom, grants);
+    if (result !== undefined) {
+      return withDispatcher(result, undefined);
     }
     const waits = candidates
       .select(filter)
@@ -135,10 +144,10 @@
       {...request, tried},
       upstream => !limited.isLimited(upstream),
     );
-    const choice = choose(request, withoutLimit, limited.grantsOf(undefined));
-    return choice === undefined
+    const result = choose(request, withoutLimit, limited.grantsOf(undefined));
+    return result === undefined
       ? undefined
-      : {kind: 'chosen', choice, dispatcher};
+      : withDispatcher(result, dispatcher);
   }
 
   /** Requests a grant of the host that would follow a lost dispatcher. */
@@ -198,6 +207,7 @@
       case 'none':
         return undefined;
       case 'limited':
+      case 'refused':
         return answer;
       case 'chosen': {
         // This host has to know the upstream as well.
@@ -209,6 +219,7 @@
           : {
               kind: 'chosen',
               choice: {upstream, ...answer.estimate},
+              ...promotedRankField(answer),
               dispatcher,
             };
       }
@@ -222,3 +233,16 @@
     );
   }
 }
+
+function withDispatcher(
+  result: AdmissionRefusal | AdmittedChoice,
+  dispatcher: Member | undefined,
+): ShardChoice {
+  return result.kind === 'chosen' ? {...result, dispatcher} : result;
+}
+
+function promotedRankField({
+  promotedRank,
+}: Pick<ShardChosen, 'promotedRank'>): Pick<ShardChosen, 'promotedRank'> {
+  return promotedRank === undefined ? {} : {promotedRank};
+}
--- a/packages/entry-process/src/routed_interface/requests/attempt_placement.ts
+++ b/packages/entry-process/src/routed_interface/requests/attempt_placement.ts
@@ -3,6 +3,7 @@
  * attempt is made: quarantine, pauses, limits, retry budget and deadline.
  */
 import type {
+  AdmissionTerms,
   LatencyBounds,
   PlacementDemand,
   ServingError,
@@ -33,6 +34,8 @@
   /** Returns what the next attempt demands of its upstream. */
   readonly demand: () => PlacementDemand;
   readonly latencyBounds: () => LatencyBounds;
+  /** Returns the terms of ranked admission; undefined if it does not apply. */
+  readonly admissionTerms: () => AdmissionTerms | undefined;
   /** Takes a retry from the budget; returns false if there is none. */
   readonly takeRetryBudget: () => boolean;
   /** Returns whether the client has received a part of the answer. */
@@ -53,7 +56,18 @@
     if (refusal !== undefined) {
       return {kind: 'refused', error: refusal};
     }
-    const result = await placement.place(service, demand(), runner.tried);
+    const terms = this.mayBeRefused()
+      ? this.dependencies.admissionTerms()
+      : undefined;
+    const result = await placement.place(
+      service,
+      demand(),
+      runner.tried,
+      terms,
+    );
+    if (result?.kind === 'refused' && !isAborted(interrupted)) {
+      return {kind: 'refused', error: gate.refusalByRank(demand(), result)};
+    }
     if (result?.kind === 'limited' && !isAborted(interrupted)) {
       const error = gate.refusalForLimits(result.milliseconds);
       return {kind: 'refused', error};
@@ -64,6 +78,8 @@
     const next = await this.decide(result, drawsOnBudget);
     if (next.kind !== 'placed') {
       result.reportEnded();
+    } else if (result.promotedRank !== undefined) {
+      gate.recordPromotion(demand(), result.promotedRank);
     }
     return next;
   }
@@ -103,14 +119,20 @@
       : {kind: 'placed', placement};
   }
 
-  /**
-   * Returns the refusal of a request that cannot meet its deadline, unless an
-   * upstream has already received it.
-   */
+  /** Returns the refusal of a request that cannot meet its deadline. */
   private refusalForDeadline({choice}: Placement): ServingError | undefined {
-    const {gate, runner, latencyBounds, hasAnswerBegun} = this.dependencies;
-    return runner.upstreamsReached > 0 || hasAnswerBegun()
-      ? undefined
-      : gate.refusalIfDeadlineUnreachable(choice, latencyBounds());
+    const {gate, latencyBounds, admissionTerms} = this.dependencies;
+    return this.mayBeRefused()
+      ? gate.refusalIfDeadlineUnreachable(
+          choice,
+          admissionTerms() ?? latencyBounds(),
+        )
+      : undefined;
+  }
+
+  /** Returns whether no upstream has received the request so far. */
+  private mayBeRefused(): boolean {
+    const {runner, hasAnswerBegun} = this.dependencies;
+    return runner.upstreamsReached === 0 && !hasAnswerBegun();
   }
 }
--- a/packages/entry-process/src/routed_interface/requests/attempt_runner.ts
+++ b/packages/entry-process/src/routed_interface/requests/attempt_runner.ts
@@ -199,6 +199,7 @@
             call,
             admission,
             choice,
+            priority: placement.promotedRank ?? admission.priority,
             relay,
             millisecondsLeft,
             sharingHostCount: this.dependencies.sharingHostCount(),
--- a/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
+++ b/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
@@ -51,6 +51,8 @@
   readonly isClosing: () => boolean;
   /** Returns the number of entry hosts that share limits and budgets. */
   readonly sharingHostCount: () => number;
+  /** Returns the number of failure domains with entry hosts. */
+  readonly domainCount: () => number;
   /** Called when a request of `workspace` begins to run. */
   readonly onRunStarted: (workspace: string) => void;
 }
--- a/packages/entry-process/src/routed_interface/requests/routed_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_request.ts
@@ -4,8 +4,11 @@
  */
 import type {RoutedCall, RoutedResponder} from '@lacewingwinch/callers';
 import {
+  type AdmissionTerms,
   decideNextAttempt,
   type EngineChoice,
+  eventPatienceMilliseconds,
+  featuresOf,
   type LatencyBounds,
   type PlacementDemand,
   type RoutedAdmission,
@@ -108,6 +111,7 @@
       service,
       demand: () => this.demand(),
       latencyBounds: () => this.latencyBounds(),
+      admissionTerms: () => this.admissionTerms(),
       takeRetryBudget: () => this.takeRetryBudget(),
       hasAnswerBegun: () => this.relay.hasBegun,
       interrupted: this.interrupted.signal,
@@ -220,6 +224,22 @@
     };
   }
 
+  private admissionTerms(): AdmissionTerms | undefined {
+    const {service, rule, workspace} = this.admission;
+    const {domainCount} = this.dependencies;
+    if (!featuresOf(service, domainCount()).hasRankedAdmission) {
+      return undefined;
+    }
+    const bounds = this.latencyBounds();
+    return {
+      ...bounds,
+      patienceMilliseconds: rule.isStreamed
+        ? eventPatienceMilliseconds(rule)
+        : bounds.millisecondsLeft,
+      workspace: workspace?.name ?? '',
+    };
+  }
+
   private takeRetryBudget(): boolean {
     const {retryBudgets, sharingHostCount, clocks} = this.dependencies;
     return retryBudgets
--- a/packages/entry-process/src/routed_interface/requests/upstream_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/upstream_request.ts
@@ -40,6 +40,8 @@
   readonly call: RoutedCall;
   readonly admission: RoutedAdmission;
   readonly choice: EngineChoice;
+  /** Rank at the upstream; 0 is the most urgent. */
+  readonly priority: number;
   /** The part of the response that the client has received so far. */
   readonly relay: StreamRelay;
   readonly millisecondsLeft: number;
@@ -50,8 +52,9 @@
 /** Creates the request for the chosen upstream. */
 export function createUpstreamRequest({
   call,
-  admission: {service, workspace, rule, priority},
+  admission: {service, workspace, rule},
   choice,
+  priority,
   relay,
   millisecondsLeft,
   sharingHostCount,
--- a/packages/entry-process/src/routed_interface/state/fleet_view.ts
+++ b/packages/entry-process/src/routed_interface/state/fleet_view.ts
@@ -30,6 +30,13 @@
       .filter(({hostId}) => hostId !== this.hostId);
   }
 
+  /** Returns the number of failure domains with serving hosts. */
+  domainCount(): number {
+    return new Set(
+      this.membership.serving().map(({failureDomain}) => failureDomain),
+    ).size;
+  }
+
   /** Returns those of the hosts `hostIds` that are known, without this one. */
   othersOf(hostIds: readonly string[]): readonly Member[] {
     return hostIds.flatMap(hostId =>
--- a/packages/entry-process/tests/attempt_gate_test.ts
+++ b/packages/entry-process/tests/attempt_gate_test.ts
@@ -1,5 +1,5 @@
 /** Tests of the checks before each attempt of a request. */
-import {createEventLog} from '@lacewingwinch/observability';
+import {createEventLog, createMetrics} from '@lacewingwinch/observability';
 import {describe, expect, it} from 'vitest';
 
 import {AttemptGate} from '../src/routed_interface/admission/attempt_gate.js';
@@ -35,6 +35,7 @@
     const gate = new AttemptGate(
       {
         events: createEventLog('host-0', 'error'),
+        metrics: createMetrics(),
         crashes: {quarantineMillisecondsLeft: () => 0},
         parts: {decide: () => ({kind: 'clear'}), isRefused: () => false},
         candidates: {pauseMillisecondsLeft: () => pauses.shift() ?? 0},
--- a/packages/entry-process/tests/routed_placement_test.ts
+++ b/packages/entry-process/tests/routed_placement_test.ts
@@ -212,3 +212,55 @@
     expect(Math.max(...counts.values())).toBeLessThan(30);
   });
 });
+
+describe('a dispatcher of more requests than its engines can read in time', () => {
+  const terms = {
+    objectiveMilliseconds: 800,
+    millisecondsLeft: 8000,
+    patienceMilliseconds: 4000,
+    workspace: 'workspace',
+  };
+  const [front = ''] = HOSTS.filter(
+    hostId => hostId !== rendezvousWinner('dispatcher/engines', HOSTS),
+  );
+
+  function placeOnTerms(index: number, priority: number): Promise<unknown> {
+    const request = {...demand(`a-${index}`, `part-${index % 20}`), priority};
+    return (
+      hosts.get(front)?.place('engines', request, new Set(), terms) ??
+      Promise.resolve()
+    );
+  }
+
+  beforeEach(async () => {
+    hosts = new Map(HOSTS.map(hostId => [hostId, startHost(hostId, 4)]));
+    for (let index = 100; index < 118; index += 1) {
+      await placeOnTerms(index, 0);
+    }
+  });
+
+  it('refuses the least urgent request with a reason, and places an urgent one', async () => {
+    expect(await placeOnTerms(20, 2)).toMatchObject({kind: 'refused'});
+    expect(await placeOnTerms(21, 0)).toMatchObject({kind: 'placed'});
+  });
+
+  it('does not count a request that it refused', async () => {
+    const first = await placeOnTerms(20, 2);
+    const second = await placeOnTerms(40, 2);
+    expect(second).toMatchObject({
+      kind: 'refused',
+      startMilliseconds: (first as {startMilliseconds: number})
+        .startMilliseconds,
+    });
+  });
+
+  it('admits one of several refused requests as an urgent one', async () => {
+    const results: unknown[] = [];
+    for (let index = 20; index < 60; index += 1) {
+      results.push(await placeOnTerms(index, 2));
+    }
+    expect(results).toContainEqual(
+      expect.objectContaining({kind: 'placed', promotedRank: 0}),
+    );
+  });
+});
--- a/packages/measurements/src/measure_overload.ts
+++ b/packages/measurements/src/measure_overload.ts
@@ -1,11 +1,13 @@
 /**
  * Measures behaviour under overload: retry amplification while half of the
  * upstreams fail, fairness among workspaces while one of them sends too many
- * requests, and how closely hosts keep a shared limit.
+ * requests, how closely hosts keep a shared limit, and who is served by the rule of
+ * admission.
  */
 import {decideRetry, LimitShares, RetryBudget} from '@lacewingwinch/decisions';
 
 import {figureOf, percentile, renderFigure} from './figures.js';
+import {measureAdmission} from './measure_admission.js';
 import {exponential, randomFrom, SEEDS} from './random_numbers.js';
 import {Simulation} from './simulate.js';
 import {makeWorkload, WORKLOAD_SHAPES, type WorkloadShape} from './workload.js';
@@ -55,7 +57,8 @@
     `requests a second let through of a limit of ${LIMIT_REQUESTS_PER_SECOND}, one host loaded: connected ${renderFigure(limits.connected, 1)}, ` +
       `in a partition ${renderFigure(limits.partitioned, 1)}\n`,
   );
-  return Promise.resolve({amplification, fairness, limits});
+  const admission = measureAdmission();
+  return Promise.resolve({amplification, fairness, limits, admission});
 }
 
 function measureAmplification(seed: number): number {
--- a/packages/observability/src/events/request_events.ts
+++ b/packages/observability/src/events/request_events.ts
@@ -127,4 +127,17 @@
       'request {requestId} of entry host {front} was carried to upstream {upstreamId}: {outcome}',
     advice: 'Look for events 3011 and 3013 at that entry host.',
   },
+  4120: {
+    level: 'info',
+    message:
+      'request {requestId} of rank {rank} is refused by {service} ({reason}): its first event would take {start} ms with an error of {error} ms, on knowledge {age} ms old; the load up to this rank is {load}%; it may return after {retryAfter} ms',
+    advice: 'See "From a refused request to its cause" in OPERATIONS.md.',
+  },
+  4121: {
+    level: 'info',
+    message:
+      'request {requestId} of rank {rank} is sent to {service} with rank {promotedRank}, because requests like it were refused several times in a row',
+    advice:
+      'No action needed; see "From a refused request to its cause" in OPERATIONS.md.',
+  },
 } as const satisfies Readonly<Record<number, EventRow>>;
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -11,6 +11,8 @@
 export interface Metrics {
   readonly registry: Registry;
   readonly requests: Counter<'outcome' | 'service' | 'workspace'>;
+  readonly admissionPromotions: Counter<'rank' | 'service'>;
+  readonly admissionRefusals: Counter<'rank' | 'reason' | 'service'>;
   readonly attempts: Counter<'end' | 'service'>;
   readonly answerEnds: Counter<'end' | 'framing'>;
   readonly lostConnections: Counter<'answer'>;
@@ -46,6 +48,18 @@
       labelNames: ['outcome', 'service', 'workspace'],
       registers,
     }),
+    admissionPromotions: new Counter({
+      name: 'lacewingwinch_admission_promotions_total',
+      help: 'Requests sent as the most urgent ones because requests like them were refused several times in a row, by their own rank.',
+      labelNames: ['rank', 'service'],
+      registers,
+    }),
+    admissionRefusals: new Counter({
+      name: 'lacewingwinch_admission_refusals_total',
+      help: 'Requests refused because a service is overloaded, by rank (0 is the most urgent) and reason: `deadline`, `held-back` or `late`.',
+      labelNames: ['rank', 'reason', 'service'],
+      registers,
+    }),
     attempts: new Counter({
       name: 'lacewingwinch_attempts_total',
       help: 'Attempts at upstreams, by how they ended.',
