--- a/packages/entry-process/src/routed_interface/requests/attempt_runner.ts
+++ b/packages/entry-process/src/routed_interface/requests/attempt_runner.ts
@@ -205,6 +205,7 @@
             call,
             admission,
             choice,
+            priority: placement.promotedRank ?? admission.priority,
             relay,
             millisecondsLeft,
             sharingHostCount: this.dependencies.sharingHostCount(),
