--- a/packages/entry-process/src/routed_interface/admission/quota_exchange.ts
+++ b/packages/entry-process/src/routed_interface/admission/quota_exchange.ts
@@ -8,6 +8,8 @@
   QuotaShare,
   type RandomSource,
   shuffle,
+  SMALL_FLEET_MAXIMUM_HOSTS,
+  UsedUpQuotas,
   type WorkspaceQuota,
 } from '@lacewingwinch/decisions';
 import type {PeerClient, QuotaAnswer} from '@lacewingwinch/entry-hosts';
@@ -19,10 +21,10 @@
 const MAXIMUM_TRANSFER_PEERS = 2;
 
 /**
- * Milliseconds to wait for another host's response; links take a few
- * milliseconds.
+ * Milliseconds to wait for another host's response. Links take a few
+ * milliseconds, and a small host that has just started answers slowly.
  */
-const PEER_TIMEOUT_MILLISECONDS = 60;
+const PEER_TIMEOUT_MILLISECONDS = 150;
 
 /**
  * Milliseconds for which no transfer is requested for a workspace after one
@@ -45,9 +47,21 @@
 /** Maximum number of holders of a quota that are tried for one request. */
 const MAXIMUM_HOLDERS_TRIED = 4;
 
+/**
+ * Number of holders whose refusal is final: holders give each other what they
+ * have left, so that the others have hardly more.
+ */
+const REFUSALS_OF_HOLDERS = 2;
+
 /** Retry delay in milliseconds for a client while no holder responds. */
 const UNREACHABLE_HOLDERS_RETRY_MILLISECONDS = 1000;
 
+/**
+ * Milliseconds for which a holder that did not respond is called after the
+ * others.
+ */
+const HOLDER_BACKOFF_MILLISECONDS = 500;
+
 /** Whether a request may use the quota of its workspace. */
 export type QuotaVerdict =
   | {readonly kind: 'taken'; readonly giveBack: () => void}
@@ -74,7 +88,10 @@
 /** Takes amounts from the quotas of workspaces. */
 export class QuotaExchange {
   private readonly share: QuotaShare;
+  private readonly usedUp = new UsedUpQuotas();
   private readonly backoffUntil = new Map<string, number>();
+  /** Times until which holders are called after the others, by host. */
+  private readonly holderBackoffUntil = new Map<string, number>();
 
   constructor(private readonly dependencies: QuotaExchangeDependencies) {
     this.share = new QuotaShare(
@@ -180,12 +197,13 @@
     amount: number,
     holders: readonly string[],
   ): Promise<QuotaVerdict> {
-    const {peers, random} = this.dependencies;
+    const {peers, clock} = this.dependencies;
+    const knownWait = this.usedUp.waitFor(workspace, amount, clock());
+    if (knownWait > 0) {
+      return {kind: 'used-up', waitMilliseconds: knownWait};
+    }
     const waits: number[] = [];
-    for (const member of shuffle(this.reachableHolders(holders), random).slice(
-      0,
-      MAXIMUM_HOLDERS_TRIED,
-    )) {
+    for (const member of this.holdersToTry(holders)) {
       const address = member.addresses.peers;
       const answer = await callPeer(
         this.dependencies,
@@ -198,26 +216,54 @@
         case 'taken':
           return {
             kind: 'taken',
-            giveBack: () =>
-              peers.notify(address, 'quota.return', {workspace, amount}),
+            giveBack: () => {
+              this.usedUp.forget(workspace);
+              peers.notify(address, 'quota.return', {workspace, amount});
+            },
           };
         case 'used-up':
           waits.push(answer.waitMilliseconds);
           break;
         case 'not-held':
+          break;
         case undefined:
           // An amount taken by a holder that does not respond is lost; the next
           // holder is tried.
-          break;
+          this.backOff(member);
+      }
+      if (waits.length >= REFUSALS_OF_HOLDERS) {
+        break;
       }
     }
-    const waitMilliseconds =
-      waits.length === 0
-        ? UNREACHABLE_HOLDERS_RETRY_MILLISECONDS
-        : Math.min(...waits);
+    if (waits.length === 0) {
+      return {
+        kind: 'used-up',
+        waitMilliseconds: UNREACHABLE_HOLDERS_RETRY_MILLISECONDS,
+      };
+    }
+    const waitMilliseconds = Math.min(...waits);
+    this.usedUp.record(workspace, amount, waitMilliseconds, clock());
     return {kind: 'used-up', waitMilliseconds};
   }
 
+  /** Returns the holders to try, those that did not respond lately last. */
+  private holdersToTry(holders: readonly string[]): readonly Member[] {
+    const {random, clock} = this.dependencies;
+    const now = clock();
+    const isBackedOff = ({hostId}: Member): boolean =>
+      now < (this.holderBackoffUntil.get(hostId) ?? -Infinity);
+    const shuffled = shuffle(this.reachableHolders(holders), random);
+    return [
+      ...shuffled.filter(member => !isBackedOff(member)),
+      ...shuffled.filter(isBackedOff),
+    ].slice(0, MAXIMUM_HOLDERS_TRIED);
+  }
+
+  private backOff({hostId}: Member): void {
+    const until = this.dependencies.clock() + HOLDER_BACKOFF_MILLISECONDS;
+    this.holderBackoffUntil.set(hostId, until);
+  }
+
   private reachableHolders(holders: readonly string[]): readonly Member[] {
     const ids = new Set(holders);
     return this.dependencies.otherHosts().filter(({hostId}) => ids.has(hostId));
@@ -260,11 +306,14 @@
 
   /**
    * Returns the number of parts of a quota; a process that has just started
-   * does not know all holders yet.
+   * does not know all hosts yet. In a large fleet, the number of holders does not
+   * depend on the number of hosts.
    */
   private partCountOf(holders: readonly string[]): number {
-    const {startedAt, clock} = this.dependencies;
-    return countSharingHosts(holders.length, clock() - startedAt);
+    const {startedAt, clock, sharingHostIds} = this.dependencies;
+    return sharingHostIds().length > SMALL_FLEET_MAXIMUM_HOSTS
+      ? holders.length
+      : countSharingHosts(holders.length, clock() - startedAt);
   }
 
   private async requestTransfers(
--- a/packages/entry-process/tests/quota_exchange_test.ts
+++ b/packages/entry-process/tests/quota_exchange_test.ts
@@ -22,6 +22,9 @@
 const events = createEventLog('test', 'error');
 let hosts: Map<string, QuotaExchange>;
 let unreachableHosts: Set<string>;
+let now: number;
+/** Addresses of the hosts that were called. */
+let calls: string[];
 
 /** State of a random generator that yields the same numbers in every run. */
 let randomState = 1;
@@ -36,6 +39,7 @@
     method: string,
     {workspace, amount}: {readonly workspace: string; readonly amount: number},
   ): Promise<QuotaAnswer | {readonly given: number}> => {
+    calls.push(address);
     const host = hosts.get(address);
     if (host === undefined || unreachableHosts.has(address)) {
       return Promise.reject(new Error('cannot be reached'));
@@ -56,6 +60,8 @@
 beforeEach(() => {
   randomState = 1;
   unreachableHosts = new Set();
+  now = 0;
+  calls = [];
   hosts = new Map(
     HOSTS.map(hostId => [
       hostId,
@@ -64,7 +70,7 @@
         events,
         hostId,
         startedAt: -10_000,
-        clock: () => 0,
+        clock: () => now,
         random,
         otherHosts: () =>
           HOSTS.filter(otherId => otherId !== hostId).map(servingMember),
@@ -125,6 +131,30 @@
     expect(verdict).toEqual({kind: 'used-up', waitMilliseconds: 3000});
   });
 
+  it('costs its holders few calls while its workspace sends many times as much', async () => {
+    const [front = ''] = OTHERS;
+    for (const holder of HOLDERS) {
+      hosts.get(holder)?.takeForPeer('large', QUOTA, HOLDER_PART * 3);
+    }
+    for (let request = 0; request < 1000; request += 1) {
+      now += 1;
+      await take(front, HOLDER_PART);
+    }
+    // Two calls in each 200 ms.
+    expect(calls.length).toBeLessThanOrEqual(12);
+  });
+
+  it('is taken from a holder that answered before from one that did not', async () => {
+    const [front = ''] = OTHERS;
+    HOLDERS.slice(0, 4).forEach(hostId => unreachableHosts.add(hostId));
+    for (let request = 0; request < 4; request += 1) {
+      await take(front, 1);
+    }
+    calls = [];
+    expect(await take(front, 1)).toBe('taken');
+    expect(calls).toEqual([HOLDERS[4]]);
+  });
+
   it('is refunded for requests that did not run', async () => {
     const [front = ''] = OTHERS;
     const verdicts = [];
