Show the log lines of failing tests only

`npm test` printed the event logs of all processes inside tests, tens of thousands of lines, among which nobody found a failure. A set-up file of the tests sends these logs to the console of the runner instead of to the file descriptor, and the runner shows the console of failing tests only. 36 tests of three files print 22 lines now; a test that fails on purpose printed its own log line and not that of a passing one.

--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -22,6 +22,9 @@
   },
   test: {
     include: ['{packages/*,platform}/tests/**/*_test.ts'],
+    setupFiles: ['packages/observability/tests/captured_output.ts'],
+    // Output of tests is shown only if they fail.
+    silent: 'passed-only',
     testTimeout: 60_000,
     hookTimeout: 60_000,
     maxWorkers: 4,
