--- a/packages/measurements/src/fuzz.ts
+++ b/packages/measurements/src/fuzz.ts
@@ -3,28 +3,21 @@
  * for N seconds or until the first failure, and prints the number of runs and
  * commands and the failure as JSON.
  */
-import {parseArgs} from 'node:util';
-
+import {settingsOrExit} from '@lacewingwinch/stand-ins';
 import * as fc from 'fast-check';
 
 import {fuzzCommands} from './fuzz_commands.js';
 import {dutySteps, runDutySteps} from './fuzz_duties.js';
 import {FuzzSystem} from './fuzz_system.js';
+import {FUZZ_COMMAND, readFuzzArguments} from './measurement_arguments.js';
 
 /** Runs between two checks of the elapsed time. */
 const RUNS_PER_ROUND = 500;
 
-const {values} = parseArgs({
-  options: {seconds: {type: 'string'}, seed: {type: 'string'}},
-});
-const seconds = Number(values.seconds ?? 10);
-const seed = Number(values.seed ?? 1);
-if (!(seconds > 0) || !Number.isInteger(seed)) {
-  process.stderr.write(
-    'usage: fuzz --seconds N [--seed S]; N is positive, S an integer\n',
-  );
-  process.exit(2);
-}
+const {seconds, seed} = settingsOrExit(
+  FUZZ_COMMAND,
+  readFuzzArguments(process.argv.slice(2)),
+);
 
 let runs = 0;
 let commands = 0;
--- a/packages/measurements/src/index.ts
+++ b/packages/measurements/src/index.ts
@@ -4,3 +4,4 @@
 export * from './fuzz_commands.js';
 export * from './fuzz_duties.js';
 export * from './fuzz_system.js';
+export * from './measurement_arguments.js';
--- a/packages/measurements/src/measure.ts
+++ b/packages/measurements/src/measure.ts
@@ -2,6 +2,8 @@
  * `npm run --silent measure -- <name>`: runs one measurement and prints its
  * figures as text, and all of them as JSON in the last line.
  */
+import {settingsOrExit} from '@lacewingwinch/stand-ins';
+
 import {measureCrashingParts} from './measure_crashing_parts.js';
 import {measureDispatch} from './measure_dispatch.js';
 import {measureLimits} from './measure_limits.js';
@@ -12,10 +14,9 @@
 import {measureRecovery} from './measure_recovery.js';
 import {measureSlopes} from './measure_slopes.js';
 import {measureStart} from './measure_start.js';
+import {measureCommand, readMeasureArguments} from './measurement_arguments.js';
 
-type Measurement = () => Promise<unknown>;
-
-const MEASUREMENTS: Readonly<Record<string, Measurement>> = {
+const MEASUREMENTS = {
   'crashing-parts': measureCrashingParts,
   dispatch: measureDispatch,
   limits: measureLimits,
@@ -26,15 +27,14 @@
   recovery: measureRecovery,
   slopes: measureSlopes,
   start: measureStart,
-};
+} as const satisfies Readonly<Record<string, () => Promise<unknown>>>;
+
+const NAMES = Object.keys(MEASUREMENTS) as (keyof typeof MEASUREMENTS)[];
 
-const name = process.argv[2] ?? '';
-const measurement = MEASUREMENTS[name];
-if (measurement === undefined) {
-  const names = Object.keys(MEASUREMENTS).join(', ');
-  process.stderr.write(`usage: measure <name>, one of ${names}\n`);
-  process.exit(2);
-}
-const figures = await measurement();
+const name = settingsOrExit(
+  measureCommand(NAMES),
+  readMeasureArguments(NAMES, process.argv.slice(2)),
+);
+const figures: unknown = await MEASUREMENTS[name]();
 process.stdout.write(`${JSON.stringify({measure: name, figures})}\n`);
 process.exit(0);
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -6,3 +6,4 @@
 export * from './fault_proxy.js';
 export * from './regression_seeds.js';
 export * from './run_seed.js';
+export * from './soak_arguments.js';
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -2,23 +2,15 @@
  * The program behind `npm run --silent soak -- --seeds A..B [--hosts N]`. Runs
  * the seeds, prints a line for each and a JSON summary at the end.
  */
-import {parseArgs} from 'node:util';
+import {settingsOrExit} from '@lacewingwinch/stand-ins';
 
 import {DEFAULT_SIZE, runSeed, type SeedResult} from './run_seed.js';
+import {readSoakArguments, SOAK_COMMAND} from './soak_arguments.js';
 
-const {values} = parseArgs({
-  options: {seeds: {type: 'string'}, hosts: {type: 'string'}},
-});
-const range = /^(\d+)(?:\.\.(\d+))?$/.exec(values.seeds ?? '');
-const hosts = Number(values.hosts ?? DEFAULT_SIZE.hosts);
-if (range === null || !Number.isInteger(hosts) || hosts < 1) {
-  process.stderr.write(
-    'usage: soak --seeds A..B [--hosts N]; all values are integers\n',
-  );
-  process.exit(2);
-}
-const first = Number(range[1]);
-const last = Number(range[2] ?? range[1]);
+const {first, last, hosts} = settingsOrExit(
+  SOAK_COMMAND,
+  readSoakArguments(process.argv.slice(2)),
+);
 
 const failed: SeedResult[] = [];
 let calls = 0;
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -3,6 +3,7 @@
  */
 
 export * from './child_process_group.js';
+export * from './command_line.js';
 export * from './engine_stand_in.js';
 export * from './fleet.js';
 export * from './http_stand_in.js';
