Ignore or refuse input that is out of its range, and change nothing else for it

Headers of answers that are no numbers of their kind are ignored and named in event 3031, once for each start of an upstream; a request without time is refused as not run; the waits that clients are told are bounded.

--- a/packages/decisions/src/errors/serving_error.ts
+++ b/packages/decisions/src/errors/serving_error.ts
@@ -8,6 +8,9 @@
   type RanStatus,
 } from './error_kinds.js';
 
+/** Longest wait that a client is told. */
+const MAXIMUM_WAIT_SECONDS = 3600;
+
 /** Values of one error that replace the defaults of the error table. */
 export interface ServingErrorOptions {
   /** A sentence for the client; must not contain secrets. */
@@ -44,7 +47,8 @@
     super(options.detail ?? row.title, {cause: options.cause});
     this.ran = options.ran ?? row.ran;
     this.detail = options.detail;
-    this.retryAfterSeconds = options.retryAfterSeconds ?? row.retryAfterSeconds;
+    this.retryAfterSeconds =
+      boundedWait(options.retryAfterSeconds) ?? row.retryAfterSeconds;
   }
 
   /**
@@ -79,3 +83,10 @@
 export function isServingError(value: unknown): value is ServingError {
   return value instanceof ServingError;
 }
+
+/** Returns a wait that a header can state; undefined if it is no number. */
+function boundedWait(seconds: number | undefined): number | undefined {
+  return seconds === undefined || Number.isNaN(seconds)
+    ? undefined
+    : Math.min(MAXIMUM_WAIT_SECONDS, Math.max(0, seconds));
+}
--- a/packages/decisions/src/routing/admit_routed_call.ts
+++ b/packages/decisions/src/routing/admit_routed_call.ts
@@ -56,6 +56,9 @@
       readonly detail: string;
     };
 
+/** Longest time for a request; a timer cannot be much longer. */
+const MAXIMUM_BUDGET_MILLISECONDS = 86_400_000;
+
 /** Hash buckets among which the targets of a rule divide the attempts. */
 const TARGET_BUCKETS = 10_000;
 
@@ -101,6 +104,17 @@
   if (service === undefined) {
     return refuse('no-upstream', `rule ${rule.name} names no known service`);
   }
+  const budgetMilliseconds = Math.min(
+    rule.timeoutMilliseconds,
+    facts.deadlineMilliseconds ?? Infinity,
+    MAXIMUM_BUDGET_MILLISECONDS,
+  );
+  if (budgetMilliseconds <= 0) {
+    return refuse(
+      'deadline-passed',
+      'the request leaves no time for an answer',
+    );
+  }
   return {
     kind: 'admitted',
     admission: {
@@ -108,10 +122,7 @@
       service,
       workspace,
       configurationVersion: value.version,
-      budgetMilliseconds: Math.min(
-        rule.timeoutMilliseconds,
-        facts.deadlineMilliseconds ?? Infinity,
-      ),
+      budgetMilliseconds,
       priority: workspace?.priority ?? rule.priority,
     },
   };
--- a/packages/entry-process/src/routed_interface/evidence/answer_announcements.ts
+++ b/packages/entry-process/src/routed_interface/evidence/answer_announcements.ts
@@ -45,8 +45,14 @@
   readonly sentAt: number;
 }
 
+/** Largest number of upstreams whose unusable headers are logged. */
+const MAXIMUM_LOGGED_UPSTREAMS = 1024;
+
 /** Records what the heads of answers say. */
 export class AnswerAnnouncements {
+  /** Starts of the upstreams whose unusable headers were logged, by id. */
+  private readonly loggedStarts = new Map<string, number>();
+
   constructor(private readonly dependencies: AnswerAnnouncementsDependencies) {}
 
   /** Records the head of an answer; returns the announcements in it. */
@@ -57,6 +63,7 @@
     if (status === MISDIRECTED_REQUEST_STATUS || !isOwn) {
       return [];
     }
+    this.logUnusable(upstream, headers.unusable);
     const announcements = announcementsOf({status, ...headers});
     announcements.forEach(announcement =>
       this.recordAnnouncement(upstream, announcement),
@@ -65,6 +72,23 @@
     return announcements;
   }
 
+  /** Logs headers that cannot be used, once for each start of an upstream. */
+  private logUnusable(
+    {upstreamId, bornAt, service}: AnsweringUpstream,
+    unusable: readonly string[],
+  ): void {
+    const isLogged =
+      unusable.length === 0 ||
+      this.loggedStarts.get(upstreamId) === bornAt ||
+      this.loggedStarts.size >= MAXIMUM_LOGGED_UPSTREAMS;
+    if (isLogged) {
+      return;
+    }
+    this.loggedStarts.set(upstreamId, bornAt);
+    const {events} = this.dependencies;
+    events.write(3031, {upstreamId, service, headers: unusable.join(', ')});
+  }
+
   private recordRates(
     upstream: AnsweringUpstream,
     {requestsPerSecond, refusalsPerSecond}: AnsweredRates,
--- a/packages/entry-process/src/routed_interface/requests/upstream_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/upstream_request.ts
@@ -96,7 +96,7 @@
       priority:
         service.engine === undefined
           ? undefined
-          : Math.min(LEAST_URGENT_PRIORITY, priority),
+          : Math.max(0, Math.min(LEAST_URGENT_PRIORITY, Math.round(priority))),
       resumeAfter: relay.lastEventId,
       weightVersion: relay.weightVersion,
     }),
--- a/packages/entry-process/tests/refusal_promises_test.ts
+++ b/packages/entry-process/tests/refusal_promises_test.ts
@@ -176,3 +176,30 @@
     expect(statuses).toContain(200);
   });
 });
+
+describe('input that cannot be used', () => {
+  it('as a deadline of 0 is refused at once, and nothing runs', async () => {
+    const startedAt = Date.now();
+    const answer = await installation.call({path: '/once/x', deadline: 0});
+    expect(answer.status).toBe(504);
+    expect(JSON.parse(answer.body)).toMatchObject({ran: 'no'});
+    expect(Date.now() - startedAt).toBeLessThan(LATER_MILLISECONDS);
+    await new Promise(resolve => setTimeout(resolve, LATER_MILLISECONDS));
+    expect(installation.engines.flatMap(({ran}) => ran)).toEqual([]);
+  });
+
+  it('as a pause that overflows does not pause the upstream', async () => {
+    const upstreams = installation.engines.slice(0, PLAIN_UPSTREAMS);
+    for (const engine of upstreams) {
+      engine.behavior = 'shed';
+      engine.pauseAnnouncement = '9'.repeat(400);
+    }
+    const refused = await installation.call({path: '/once/x'});
+    expect(refused.status).toBe(503);
+    for (const engine of upstreams) {
+      engine.behavior = 'answer';
+    }
+    const answer = await installation.call({path: '/once/x', deadline: 1000});
+    expect(answer.status).toBe(200);
+  });
+});
--- a/packages/observability/src/events/fleet_events.ts
+++ b/packages/observability/src/events/fleet_events.ts
@@ -105,4 +105,11 @@
     advice:
       'Another writer has written it, or an upstream that this version does not understand; the others are used as before.',
   },
+  3031: {
+    level: 'warn',
+    message:
+      'upstream {upstreamId} of {service} sent headers that cannot be used: {headers}',
+    advice:
+      'They are ignored; logged once for each start of an upstream. Look at the software of the upstream.',
+  },
 } as const satisfies Readonly<Record<number, EventRow>>;
