--- a/scripts/write_catalogues.mjs
+++ b/scripts/write_catalogues.mjs
@@ -46,7 +46,8 @@
 answered. If the same idempotency key was sent before and the answer was lost, send the request again with the key: the
 first submission is found by it, wherever it was accepted.
 
-The column \`ran\` is the default; an answer whose attempts reached an upstream says \`unknown\` instead of \`no\`.
+The column \`ran\` is the default; an answer whose attempts reached an upstream says \`unknown\` instead of \`no\`, and
+its status is 502 where that of its kind would promise the opposite (408, 421, 429 or 503).
 \`Retry-After\` is sent where a retry can help; its default is in the last column.
 
 | kind | status | title | ran | retry | seconds |
