Count no result of a process against the one that has replaced it

Requests of a process that crashed end after its successor under the same id has been listed, and their results ejected the successor at this host and, by the report to the dispatcher, for all hosts.

--- a/packages/entry-hosts/src/messages/placement_messages.ts
+++ b/packages/entry-hosts/src/messages/placement_messages.ts
@@ -66,6 +66,8 @@
       readonly rates?: readonly RateStatement[];
       /** Result; absent if it gives no information about the upstream. */
       readonly result?: UpstreamResult;
+      /** Start time of the upstream's process that the result is about. */
+      readonly bornAt?: number;
       /**
        * Start time of the upstream's process if that process announced that it
        * is leaving, in milliseconds since the epoch.
--- a/packages/entry-process/src/routed_interface/placement/routed_placement.ts
+++ b/packages/entry-process/src/routed_interface/placement/routed_placement.ts
@@ -64,6 +64,14 @@
   readonly cacheRetentionMilliseconds: number;
 }
 
+/** The process of an upstream that a result is about, and the reporting host. */
+interface ReportedProcess {
+  readonly upstreamId: string;
+  readonly front: string;
+  /** Undefined if the host does not report it. */
+  readonly bornAt?: number;
+}
+
 /** Places requests, and serves other hosts as the dispatcher of its shards. */
 export class RoutedPlacement {
   private readonly tables = new Map<string, PlacementTable>();
@@ -277,14 +285,15 @@
       },
       reportEnded: result => {
         table.recordEnd(hostId, placedAttempt);
-        this.recordResult({...placedAttempt, front: hostId}, result);
+        const {bornAt} = upstream;
+        this.recordResult({...placedAttempt, bornAt, front: hostId}, result);
         this.dispatchers.report(dispatcher, {
           kind: 'ended',
           service,
           front: hostId,
           ...placedAttempt,
           ...ratesField(this.dependencies.namedRates, upstream),
-          ...(result === undefined ? {} : {result}),
+          ...(result === undefined ? {} : {result, bornAt}),
           ...(announcements.isLeaving(upstream) && {
             leavingBornAt: upstream.bornAt,
           }),
@@ -294,16 +303,17 @@
   }
 
   private recordResult(
-    {upstreamId, front}: {readonly upstreamId: string; readonly front: string},
+    {upstreamId, front, bornAt}: ReportedProcess,
     result: UpstreamResult | undefined,
   ): void {
-    if (result === undefined) {
+    const upstream = this.dependencies.upstreams.find(upstreamId);
+    // A result of a process that has been replaced says nothing about the new one.
+    const isReplaced = (bornAt ?? Infinity) < (upstream?.bornAt ?? 0);
+    if (result === undefined || isReplaced) {
       return;
     }
-    const {health, fleetHealth, clock, events, hostId, upstreams} =
-      this.dependencies;
+    const {health, fleetHealth, clock, events, hostId} = this.dependencies;
     const now = clock();
-    const upstream = upstreams.find(upstreamId);
     if (result === 'refused' && upstream !== undefined) {
       this.limited.recordRefusal(upstream);
     }
--- a/packages/entry-process/tests/routed_placement_test.ts
+++ b/packages/entry-process/tests/routed_placement_test.ts
@@ -21,6 +21,8 @@
 const HOSTS = ['host-0', 'host-1', 'host-2', 'host-3', 'host-4', 'host-5'];
 const events = createEventLog('test', 'error');
 let hosts: Map<string, RoutedPlacement>;
+/** The lists of upstreams by host. */
+const lists = new Map<string, UpstreamList>();
 /** What upstreams announced, by the host to which they did. */
 const announcements = new Map<string, UpstreamAnnouncements>();
 
@@ -70,6 +72,7 @@
     {readTo: 1, relistedBy: -Infinity},
     0,
   );
+  lists.set(hostId, upstreams);
   const announced = new UpstreamAnnouncements();
   announcements.set(hostId, announced);
   return new RoutedPlacement({
@@ -139,6 +142,40 @@
   });
 });
 
+describe('a result of a process that another one has replaced under its id', () => {
+  it.each(['unreachable', 'failed', 'disconnected', 'errored'] as const)(
+    'does not count for the new one: %s',
+    async result => {
+      hosts = new Map(HOSTS.map(hostId => [hostId, startHost(hostId, 2)]));
+      const placements: Placement[] = [];
+      for (let index = 0; index < 12; index += 1) {
+        const placement = await placementAt('host-0', `before-${index}`, 'a');
+        if (placement !== undefined) {
+          placements.push(placement);
+        }
+      }
+      const restarted = placements[0]?.choice.upstream.upstreamId ?? '';
+      lists.forEach(list => {
+        const update = {
+          kind: 'listed' as const,
+          upstream: {...upstream(restarted), bornAt: 5},
+          heartbeat: 1,
+        };
+        list.apply([update], {readTo: 2, relistedBy: -Infinity}, 0);
+      });
+      hosts.forEach((host, hostId) =>
+        host.onUpstreamChanges(lists.get(hostId)?.takeChanges(0) ?? []),
+      );
+      placements.forEach(placement => placement.reportEnded(result));
+      for (const host of hosts.values()) {
+        expect(host.candidates.locallyExcludedIds('engines')).not.toContain(
+          restarted,
+        );
+      }
+    },
+  );
+});
+
 describe('an upstream that announced', () => {
   const leaving: UpstreamAnnouncement = {kind: 'leaving'};
   const paused: UpstreamAnnouncement = {kind: 'paused', milliseconds: 1000};
