--- a/packages/decisions/src/placement/choose_engine.ts
+++ b/packages/decisions/src/placement/choose_engine.ts
@@ -6,6 +6,7 @@
  */
 import type {UsableUpstream} from '../upstreams/listed_upstream.js';
 import {rendezvousOrder} from '../util/rendezvous_hash.js';
+import type {VersionConstraint} from './version_constraint.js';
 
 /** A part of a prompt. */
 export interface PromptPart {
@@ -21,11 +22,8 @@
   readonly promptTokens: number;
   /** 0 is the most urgent; engines read the most urgent prompts first. */
   readonly priority: number;
-  /**
-   * Software version that began the stream that the request continues; absent if
-   * any version may run it.
-   */
-  readonly softwareVersion?: string;
+  /** Software versions that may run the request; absent if all may. */
+  readonly versions?: VersionConstraint;
 }
 
 /** Work in progress at an upstream, as far as this host knows. */
--- /dev/null
+++ b/packages/decisions/src/placement/version_constraint.ts
@@ -0,0 +1,26 @@
+/**
+ * The software versions at which a request may run. A stream that has begun
+ * goes on at its version only; a request that a roll-out has not assigned to
+ * the new version runs at any other.
+ */
+import type {ListedUpstream} from '../upstreams/listed_upstream.js';
+
+/** The software versions that are allowed. */
+export type VersionConstraint =
+  | {readonly kind: 'only'; readonly softwareVersion: string}
+  | {readonly kind: 'except'; readonly softwareVersion: string};
+
+/** Returns whether `upstream` has an allowed version. */
+export function satisfiesVersion(
+  upstream: Pick<ListedUpstream, 'softwareVersion'>,
+  constraint: VersionConstraint | undefined,
+): boolean {
+  switch (constraint?.kind) {
+    case undefined:
+      return true;
+    case 'only':
+      return upstream.softwareVersion === constraint.softwareVersion;
+    case 'except':
+      return upstream.softwareVersion !== constraint.softwareVersion;
+  }
+}
--- a/packages/entry-process/src/routed_interface/placement/placement_candidates.ts
+++ b/packages/entry-process/src/routed_interface/placement/placement_candidates.ts
@@ -7,6 +7,7 @@
   type PlacementDemand,
   type RoutedShard,
   routedShards,
+  satisfiesVersion,
   shardsInOrder,
   type UpstreamAnnouncements,
   type UpstreamHealth,
@@ -184,13 +185,11 @@
 /** Returns the upstreams at whose software version a request may run. */
 function suitable(
   upstreams: readonly UsableUpstream[],
-  {softwareVersion}: PlacementDemand,
+  {versions}: PlacementDemand,
 ): readonly UsableUpstream[] {
-  return softwareVersion === undefined
+  return versions === undefined
     ? upstreams
-    : upstreams.filter(
-        upstream => upstream.softwareVersion === softwareVersion,
-      );
+    : upstreams.filter(upstream => satisfiesVersion(upstream, versions));
 }
 
 function firstNotEmpty(
--- a/packages/entry-process/src/routed_interface/requests/routed_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_request.ts
@@ -163,7 +163,7 @@
     const {softwareVersion} = this.continuation;
     return softwareVersion === undefined
       ? this.initialDemand
-      : {...this.initialDemand, softwareVersion};
+      : {...this.initialDemand, versions: {kind: 'only', softwareVersion}};
   }
 
   private async runAttempts(): Promise<void> {
