Answer reports in the test of streams that are continued

Since an attempt that continues a stream is preceded by the upstream's report on the same connection. The raw server of this test took the report for the continuation and answered it with events, so that two cases failed (expected 'with-its-connection', got 'broken-off'; the second request was GET /api/report). The server now reports its start, as its entries state it, and each continuation must be preceded by exactly one report; the checks of requests and answers stay.

--- a/packages/entry-process/tests/broken_off_answers_test.ts
+++ b/packages/entry-process/tests/broken_off_answers_test.ts
@@ -30,6 +30,9 @@
 const EVENTS = 'id: 1\ndata: first\n\nid: 2\ndata: second\n\n';
 const CUT_EVENT = 'id: 3\ndata: thi';
 const LAST_EVENT = 'id: 3\ndata: third\n\n';
+/** What the server says of itself; its entries state the same start. */
+const REPORT = JSON.stringify({born: 1});
+const REPORT_HEAD = 'HTTP/1.1 200 OK\r\nContent-Length: ';
 
 let installation: RoutedInstallation;
 let server: Server;
@@ -37,15 +40,23 @@
 /** Behavior of the server for each request, the last one also for others. */
 let behaviors: readonly Behavior[];
 let requests: string[];
+/** Number of reports on itself that the server gave. */
+let reports: number;
 
 beforeEach(async () => {
   installation = await RoutedInstallation.start();
   sockets = [];
   requests = [];
+  reports = 0;
   server = createServer(socket => {
     sockets.push(socket);
     socket.on('error', () => undefined);
     socket.on('data', (request: Buffer) => {
+      if (request.toString().startsWith('GET /api/report ')) {
+        reports += 1;
+        socket.write(`${REPORT_HEAD}${REPORT.length}\r\n\r\n${REPORT}`);
+        return;
+      }
       requests.push(request.toString());
       const attemptId = /x-attempt-id: (\S+)/i.exec(request.toString())?.[1];
       const head = [
@@ -220,6 +231,7 @@
     expect(clientEndOf(answer)).toBe(end);
     expect(requests).toHaveLength(2);
     expect(requests[1]).toMatch(/last-event-id: 2/i);
+    expect(reports).toBe(1);
     expect(answer.body).toBe(`${EVENTS}${LAST_EVENT}`);
   });
 });
