--- a/packages/soak/src/run_seed.ts
+++ b/packages/soak/src/run_seed.ts
@@ -15,7 +15,11 @@
 
 import {checkGuarantees, type Violation} from './check_guarantees.js';
 import {FAULT_WINDOW_MILLISECONDS, planFaults} from './fault_plan.js';
-import {SOAK_CALL_KINDS, SoakClient} from './soak_clients.js';
+import {
+  type ReadingHabit,
+  SOAK_CALL_KINDS,
+  SoakClient,
+} from './soak_clients.js';
 import {REVOCATION_MILLISECONDS} from './soak_host.js';
 import {
   LASTING_KEY,
@@ -41,9 +45,10 @@
 /** One in this many clients uses the key that may be revoked. */
 const CLIENTS_PER_REVOKED_KEY_USER = 4;
 
-/** One in this many clients reads slowly, and which of them. */
+/** One in this many clients reads slowly and one stops, and which of them. */
 const CLIENTS_PER_SLOW_ONE = 8;
 const SLOW_CLIENT = 3;
+const STOPPING_CLIENT = 7;
 
 /** One in this many clients sends the part that crashes, and which of them. */
 const CLIENTS_PER_CRASHING_ONE = 4;
@@ -71,6 +76,17 @@
   readonly folder: string | undefined;
 }
 
+function readingHabitOf(clientIndex: number): ReadingHabit {
+  switch (clientIndex % CLIENTS_PER_SLOW_ONE) {
+    case SLOW_CLIENT:
+      return 'slowly';
+    case STOPPING_CLIENT:
+      return 'not-after-first-piece';
+    default:
+      return 'steadily';
+  }
+}
+
 /** Runs `seed` and checks all guarantees. */
 export async function runSeed(
   seed: number,
@@ -96,7 +112,7 @@
           index,
           clock,
           {
-            readsSlowly: index % CLIENTS_PER_SLOW_ONE === SLOW_CLIENT,
+            reads: readingHabitOf(index),
             sendsCrashingPart: () =>
               installation.isPartCrashing &&
               index % CLIENTS_PER_CRASHING_ONE === CRASHING_CLIENT,
--- a/packages/soak/src/soak_clients.ts
+++ b/packages/soak/src/soak_clients.ts
@@ -8,6 +8,7 @@
   callRouted,
   delay,
   LARGE_STREAM_MARK,
+  type ReadPause,
   type RoutedStandInAnswer,
 } from '@lacewingwinch/stand-ins';
 
@@ -39,13 +40,19 @@
 /** Part of a prompt that crashes engines during a fault. */
 export const CRASHING_PART = 'bad';
 
-/** Milliseconds for which a slow client stops reading after each piece. */
-const READ_PAUSE_MILLISECONDS = 40;
+/** How a client reads its answers. */
+export type ReadingHabit = 'steadily' | 'slowly' | 'not-after-first-piece';
+
+/** A client that stops reading does so for longer than its calls may take. */
+const READ_PAUSES: Readonly<Record<ReadingHabit, ReadPause | undefined>> = {
+  steadily: undefined,
+  slowly: {milliseconds: 40, pieces: Infinity},
+  'not-after-first-piece': {milliseconds: 4000, pieces: 1},
+};
 
 /** What a client does besides sending calls. */
 export interface ClientHabits {
-  /** Whether it reads its answers slowly. */
-  readonly readsSlowly: boolean;
+  readonly reads: ReadingHabit;
   /** Returns whether its prompts have the part that crashes engines. */
   readonly sendsCrashingPart: () => boolean;
 }
@@ -68,7 +75,7 @@
     private hostIndex: number,
     private readonly clock: () => number,
     private readonly habits: ClientHabits = {
-      readsSlowly: false,
+      reads: 'steadily',
       sendsCrashingPart: () => false,
     },
   ) {}
@@ -123,7 +130,8 @@
     attemptId: string,
     isCrashing: boolean,
   ): Promise<RoutedStandInAnswer | undefined> {
-    const isLarge = this.habits.readsSlowly && SOAK_STREAM_KINDS.includes(kind);
+    const readPause = READ_PAUSES[this.habits.reads];
+    const isLarge = readPause !== undefined && SOAK_STREAM_KINDS.includes(kind);
     const parts = ['a1:10', ...(isCrashing ? [`${CRASHING_PART}:10`] : [])];
     try {
       return await callRouted({
@@ -135,7 +143,7 @@
         body: attemptId,
         agent: this.agent,
         promptParts: [...parts, '0:10'].join(','),
-        ...(isLarge && {readPauseMilliseconds: READ_PAUSE_MILLISECONDS}),
+        ...(isLarge && {readPause}),
       });
     } catch {
       return undefined;
--- a/packages/stand-ins/src/routed_client_stand_in.ts
+++ b/packages/stand-ins/src/routed_client_stand_in.ts
@@ -9,6 +9,14 @@
   request as sendHttp,
 } from 'node:http';
 
+/** How a client interrupts reading an answer. */
+export interface ReadPause {
+  /** Milliseconds for which it stops after a piece. */
+  readonly milliseconds: number;
+  /** Number of pieces, from the first one, after which it stops. */
+  readonly pieces: number;
+}
+
 /** A request to an entry host. */
 export interface RoutedStandInCall {
   /** IP address and port of the entry host. */
@@ -25,8 +33,8 @@
   readonly promptParts?: string;
   /** Headers besides those that every request has. */
   readonly headers?: Readonly<Record<string, string>>;
-  /** Milliseconds for which the client stops reading after each piece. */
-  readonly readPauseMilliseconds?: number;
+  /** How the client interrupts reading; it reads steadily if absent. */
+  readonly readPause?: ReadPause;
   /** Receives the HTTP request, so that the client can abort it. */
   readonly onRequest?: (request: ClientRequest) => void;
 }
@@ -83,11 +91,13 @@
         hasAnswer = true;
         const {headers, statusCode = 0} = response;
         let body = '';
+        let pieces = 0;
         response.on('data', (chunk: Buffer) => {
           body += chunk.toString();
-          if (call.readPauseMilliseconds !== undefined) {
+          pieces += 1;
+          if (call.readPause !== undefined && pieces <= call.readPause.pieces) {
             response.pause();
-            setTimeout(() => response.resume(), call.readPauseMilliseconds);
+            setTimeout(() => response.resume(), call.readPause.milliseconds);
           }
         });
         response.on('error', () => undefined);
