Send clients and the work for all hosts to the strong hosts of an unequal fleet

Discovery named the first 64 hosts whatever their capacity, and dispatchers, store readers and holders of quotas were any hosts. In a fleet of hosts of 0.3 and 1.35 cores most of them run code that is never compiled.

Hosts state their capacity in their member records. Where capacities differ, the hosts with at least half of that of the fifth strongest are named to clients and work for the others. Fleets that are small or alike are served as before.

--- a/packages/decisions/src/limits/quota_holders.ts
+++ b/packages/decisions/src/limits/quota_holders.ts
@@ -16,12 +16,16 @@
  */
 const HOLDER_COUNT = 5;
 
-/** Returns the hosts that hold a part of the quota of `workspace`. */
+/**
+ * Returns the hosts that hold a part of the quota of `workspace`. In a large
+ * fleet, they are selected among `candidates`.
+ */
 export function quotaHolders(
   workspace: string,
   sharingHosts: readonly string[],
+  candidates = sharingHosts,
 ): readonly string[] {
   return sharingHosts.length <= SMALL_FLEET_MAXIMUM_HOSTS
     ? sharingHosts
-    : rendezvousOrder(`quota/${workspace}`, sharingHosts, HOLDER_COUNT);
+    : rendezvousOrder(`quota/${workspace}`, candidates, HOLDER_COUNT);
 }
--- a/packages/decisions/src/membership/member.ts
+++ b/packages/decisions/src/membership/member.ts
@@ -20,6 +20,8 @@
   readonly hostId: string;
   readonly failureDomain: string;
   readonly addresses: MemberAddresses;
+  /** What the host can carry, in cores; absent if its settings do not state it. */
+  readonly capacity?: number;
   /** Increased by the host itself each time it announces its status. */
   readonly incarnation: number;
   readonly status: MemberStatus;
--- a/packages/decisions/src/membership/membership.ts
+++ b/packages/decisions/src/membership/membership.ts
@@ -164,18 +164,23 @@
   }
 
   /**
-   * Returns the IDs of the hosts that share the limits, including this one and
-   * those that became gone recently: an unreachable host may still use its
-   * part, and a crashed one is expected to restart.
+   * Returns the hosts that share the limits, including this one and those that
+   * became gone recently: an unreachable host may still use its part, and a
+   * crashed one is expected to restart.
    */
-  sharingHostIds(now: number): readonly string[] {
+  sharingHosts(now: number): readonly Member[] {
     return [...this.entries.values()]
       .filter(
         ({member, since}) =>
           member.status !== 'gone' ||
           now - since < LIMIT_SHARE_RETENTION_MILLISECONDS,
       )
-      .map(({member}) => member.hostId);
+      .map(({member}) => member);
+  }
+
+  /** Returns the IDs of the hosts that share the limits. */
+  sharingHostIds(now: number): readonly string[] {
+    return this.sharingHosts(now).map(({hostId}) => hostId);
   }
 
   private mergeOne(update: Member, now: number): void {
--- a/packages/decisions/src/membership/store_readers.ts
+++ b/packages/decisions/src/membership/store_readers.ts
@@ -13,17 +13,23 @@
  */
 const READERS_IN_LARGE_FLEET = 5;
 
-/** Returns the serving hosts that read the store. */
-export function storeReaders(serving: readonly string[]): readonly string[] {
+/**
+ * Returns the serving hosts that read the store. In a large fleet, they are
+ * selected among `candidates`.
+ */
+export function storeReaders(
+  serving: readonly string[],
+  candidates = serving,
+): readonly string[] {
   return serving.length <= SMALL_FLEET_MAXIMUM_HOSTS
     ? serving
-    : rendezvousOrder('store-readers', serving, READERS_IN_LARGE_FLEET);
+    : rendezvousOrder('store-readers', candidates, READERS_IN_LARGE_FLEET);
 }
 
-/** Returns the readers for `hostId` in order of preference. */
+/** Returns the `readers` for `hostId` in order of preference. */
 export function readersFor(
   hostId: string,
-  serving: readonly string[],
+  readers: readonly string[],
 ): readonly string[] {
-  return rendezvousOrder(`store-readers/${hostId}`, storeReaders(serving));
+  return rendezvousOrder(`store-readers/${hostId}`, readers);
 }
--- a/packages/entry-process/src/routed_interface/admission/quota_exchange.ts
+++ b/packages/entry-process/src/routed_interface/admission/quota_exchange.ts
@@ -79,6 +79,8 @@
   readonly startedAt: number;
   /** Returns the ids of the hosts that share limits, including this one. */
   readonly sharingHostIds: () => readonly string[];
+  /** Returns those of them that may hold quotas in a large fleet. */
+  readonly holderCandidates: () => readonly string[];
   /** Amount that all hosts together may take beyond a quota in one window. */
   readonly slack: number;
   /** Whether no process of the system has run before. */
@@ -147,7 +149,8 @@
   }
 
   private holdersOf(workspace: string): readonly string[] {
-    return quotaHolders(workspace, this.dependencies.sharingHostIds());
+    const {sharingHostIds, holderCandidates} = this.dependencies;
+    return quotaHolders(workspace, sharingHostIds(), holderCandidates());
   }
 
   private async takeAsHolder(
--- a/packages/entry-process/src/routed_interface/lifecycle/directory_answers.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/directory_answers.ts
@@ -2,7 +2,7 @@
  * Responses to service discovery and readiness checks.
  */
 import type {DirectoryAnswer} from '@lacewingwinch/callers';
-import type {Member} from '@lacewingwinch/decisions';
+import {type Member, selectHostsForClients} from '@lacewingwinch/decisions';
 import {type DirectoryCall, encodeDiscovery} from '@lacewingwinch/platform';
 
 /**
@@ -33,9 +33,11 @@
 ): DirectoryAnswer {
   switch (call.kind) {
     case 'discover': {
-      const addresses = view.serving
-        .map(member => member.addresses.callers)
-        .slice(0, DISCOVERY_MAXIMUM_ADDRESSES);
+      const addresses = selectHostsForClients(
+        view.serving,
+        call.clientDomain,
+        DISCOVERY_MAXIMUM_ADDRESSES,
+      ).map(member => member.addresses.callers);
       const seconds = Math.min(
         DISCOVERY_CACHE_SECONDS,
         view.maximumCacheSeconds,
--- a/packages/entry-process/src/routed_interface/placement/dispatcher_calls.ts
+++ b/packages/entry-process/src/routed_interface/placement/dispatcher_calls.ts
@@ -27,7 +27,8 @@
   readonly hostId: string;
   readonly peers: PeerClient;
   readonly events: EventLog;
-  readonly servingHosts: () => readonly Member[];
+  /** Returns the serving hosts that may dispatch shards. */
+  readonly dispatchingHosts: () => readonly Member[];
   /** Returns suspension-aware clock readings in milliseconds. */
   readonly clock: () => number;
 }
@@ -87,14 +88,14 @@
 
   /** Returns the dispatcher of a shard and the host that follows it. */
   private orderOf(shardId: string): readonly Member[] {
-    const serving = this.dependencies.servingHosts();
+    const hosts = this.dependencies.dispatchingHosts();
     const order = dispatcherOrder(
       {id: shardId},
-      serving.map(member => member.hostId),
+      hosts.map(member => member.hostId),
       2,
     );
     return order.flatMap(
-      hostId => serving.find(member => member.hostId === hostId) ?? [],
+      hostId => hosts.find(member => member.hostId === hostId) ?? [],
     );
   }
 
--- a/packages/entry-process/src/routed_interface/placement/routed_placement.ts
+++ b/packages/entry-process/src/routed_interface/placement/routed_placement.ts
@@ -53,6 +53,8 @@
   readonly peers: PeerClient;
   readonly events: EventLog;
   readonly servingHosts: () => readonly Member[];
+  /** Returns the serving hosts that may dispatch shards. */
+  readonly dispatchingHosts: () => readonly Member[];
   /**
    * Milliseconds for which a prompt part stays in a cache after its last use.
    */
--- a/packages/entry-process/src/routed_interface/state/fleet_view.ts
+++ b/packages/entry-process/src/routed_interface/state/fleet_view.ts
@@ -5,12 +5,18 @@
   countSharingHosts,
   type Member,
   storeReaders,
+  strongHosts,
 } from '@lacewingwinch/decisions';
 
 import type {MembershipTask} from '../../tasks/membership_task.js';
 
 /** What this process knows of the fleet. */
 export class FleetView {
+  /** The strong hosts among the serving ones, as last computed. */
+  private strongServing:
+    | {readonly of: readonly Member[]; readonly strong: readonly Member[]}
+    | undefined;
+
   constructor(
     private readonly hostId: string,
     private readonly membership: MembershipTask,
@@ -44,9 +50,36 @@
     );
   }
 
+  /**
+   * Returns the serving hosts that work for others: they dispatch shards and read
+   * the store.
+   */
+  strongServingHosts(): readonly Member[] {
+    const serving = this.membership.serving();
+    if (this.strongServing?.of !== serving) {
+      this.strongServing = {of: serving, strong: strongHosts(serving)};
+    }
+    return this.strongServing.strong;
+  }
+
+  /** Returns the ids of the hosts that hold quotas in a large fleet. */
+  quotaHolderCandidates(): readonly string[] {
+    return strongHosts(this.membership.sharingHosts()).map(
+      ({hostId}) => hostId,
+    );
+  }
+
+  /** Returns the ids of the hosts that read the store. */
+  storeReaders(): readonly string[] {
+    return storeReaders(
+      this.servingIds(),
+      this.strongServingHosts().map(({hostId}) => hostId),
+    );
+  }
+
   /** Returns whether this host reads the store itself. */
   isStoreReader(): boolean {
-    return storeReaders(this.servingIds()).includes(this.hostId);
+    return this.storeReaders().includes(this.hostId);
   }
 
   /** Returns the number of entry hosts that share limits at `now`. */
--- a/packages/entry-process/src/routed_interface/state/routed_membership.ts
+++ b/packages/entry-process/src/routed_interface/state/routed_membership.ts
@@ -1,7 +1,7 @@
 /**
  * The membership of an entry host on the platform.
  */
-import type {Member, TrueTime} from '@lacewingwinch/decisions';
+import {capacityOf, type Member, type TrueTime} from '@lacewingwinch/decisions';
 import type {PeerClient} from '@lacewingwinch/entry-hosts';
 import type {EventLog, Metrics} from '@lacewingwinch/observability';
 import type {PlatformSettings} from '@lacewingwinch/platform';
@@ -45,7 +45,7 @@
     trueTime,
     version,
   } = dependencies;
-  const {hostId, failureDomain, addresses} = settings();
+  const {hostId, failureDomain, addresses, limits} = settings();
   const ownMember: Member = {
     hostId,
     failureDomain,
@@ -55,6 +55,7 @@
       operators: '',
       relay: addresses.relay,
     },
+    ...(limits !== undefined && {capacity: capacityOf(limits)}),
     incarnation: clocks.timeOfDay(),
     status: 'joining',
   };
--- a/packages/entry-process/src/routed_interface/state/state_relay.ts
+++ b/packages/entry-process/src/routed_interface/state/state_relay.ts
@@ -76,8 +76,8 @@
   readonly clocks: Clocks;
   readonly random: RandomSource;
   readonly hostId: string;
-  /** Returns the ids of the serving hosts, including this one. */
-  readonly servingHosts: () => readonly string[];
+  /** Returns the ids of the hosts that read the store, including this one. */
+  readonly storeReaders: () => readonly string[];
   readonly otherHosts: () => readonly Member[];
   /** Returns whether this host reads the store itself. */
   readonly isStoreReader: () => boolean;
@@ -166,13 +166,13 @@
    * store itself or no reader is available.
    */
   private chooseReader(): Member | undefined {
-    const {hostId, servingHosts, otherHosts, isStoreReader, clocks} =
+    const {hostId, storeReaders, otherHosts, isStoreReader, clocks} =
       this.dependencies;
     if (isStoreReader()) {
       return undefined;
     }
     const now = clocks.suspensionAware();
-    const chosen = readersFor(hostId, servingHosts()).find(
+    const chosen = readersFor(hostId, storeReaders()).find(
       reader => now >= (this.backoffUntil.get(reader) ?? -Infinity),
     );
     return otherHosts().find(member => member.hostId === chosen);
--- a/packages/entry-process/src/tasks/membership_task.ts
+++ b/packages/entry-process/src/tasks/membership_task.ts
@@ -66,6 +66,11 @@
     return this.membership.all();
   }
 
+  /** Returns the hosts that share limits, including this one. */
+  sharingHosts(): readonly Member[] {
+    return this.membership.sharingHosts(this.dependencies.clock());
+  }
+
   /** Returns the ids of the hosts that share limits, including this one. */
   sharingHostIds(): readonly string[] {
     return this.membership.sharingHostIds(this.dependencies.clock());
--- a/packages/entry-process/tests/quota_exchange_test.ts
+++ b/packages/entry-process/tests/quota_exchange_test.ts
@@ -75,6 +75,7 @@
         otherHosts: () =>
           HOSTS.filter(otherId => otherId !== hostId).map(servingMember),
         sharingHostIds: () => HOSTS,
+        holderCandidates: () => HOSTS,
         slack: 0,
         isFirstStart: true,
       }),
--- a/packages/entry-process/tests/routed_fixtures.ts
+++ b/packages/entry-process/tests/routed_fixtures.ts
@@ -136,7 +136,7 @@
       duties: ['usage-reporting'],
       upstreamHeartbeatMilliseconds: 1200,
       memoryBytes: 0,
-      fileDescriptors: 1000,
+      limits: undefined,
       bounds: {
         contactMilliseconds: 3000,
         drainMilliseconds: 2000,
--- a/packages/entry-process/tests/routed_placement_test.ts
+++ b/packages/entry-process/tests/routed_placement_test.ts
@@ -87,6 +87,7 @@
     peers,
     events,
     servingHosts: () => HOSTS.map(servingMember),
+    dispatchingHosts: () => HOSTS.map(servingMember),
     clock: () => 0,
     cacheRetentionMilliseconds: 20_000,
   });
