Begin streams only where the upstream's process is known

The log of host-2: the stream began at engines-2 as version v1 at 09.064; the process there had been replaced by one of v2 at about 08.7, whose entry host-2, short of processor time, read at 09.604; the stream broke off and went on at engines-1, v1. Its client got events of two versions with nothing to show it. Where a stream continues was checked, where it begins not.

The end of a process closes all its connections, so that its host sees it before the next entry. The pool now remembers that an upstream closed a connection unannounced; until a check is met there, a stream that may continue is preceded by the upstream's report, as continuations are.

The new test of streams that begin at a replaced process failed before (after-2 ran there) and passes; the checks of the pool cover closes, resets, announced ends and ends by the host.

--- a/packages/entry-process/src/routed_interface/requests/attempt_runner.ts
+++ b/packages/entry-process/src/routed_interface/requests/attempt_runner.ts
@@ -180,7 +180,7 @@
     placement: Placement,
     millisecondsLeft: number,
   ): Promise<AttemptOutcome> {
-    const {announcements, clocks, paths, answers} = this.dependencies;
+    const {announcements, clocks, paths, answers, pool} = this.dependencies;
     const {attemptId, call, admission, relay} = this.request;
     const {choice} = placement;
     const {upstream} = choice;
@@ -190,7 +190,7 @@
     const requiredStart = requiredStartOf(
       upstream,
       admission.rule,
-      isContinuation,
+      isContinuation || pool.mayBeReplaced(upstream.address),
     );
     let stopWatching: () => void = () => undefined;
     const attempt = new RoutedAttempt(
--- a/packages/entry-process/src/routed_interface/requests/upstream_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/upstream_request.ts
@@ -60,15 +60,17 @@
 }
 
 /**
- * Returns the start of the process that an attempt requires: one that continues a
- * stream requires the process whose software version the upstream listed.
+ * Returns the start of the process that an attempt requires. A stream that
+ * continues requires the process whose software version the upstream listed, and
+ * so does one that begins where another process may have replaced it, because it
+ * continues at that version.
  */
 export function requiredStartOf(
   {bornAt}: UsableUpstream,
   {execution}: RoutedAdmission['rule'],
-  isContinuation: boolean,
+  mustBeKnown: boolean,
 ): number | undefined {
-  return isContinuation && execution === 'resumable' && bornAt !== UNKNOWN_START
+  return mustBeKnown && execution === 'resumable' && bornAt !== UNKNOWN_START
     ? bornAt
     : undefined;
 }
--- a/packages/entry-process/tests/software_versions_test.ts
+++ b/packages/entry-process/tests/software_versions_test.ts
@@ -198,6 +198,30 @@
     }
   });
 
+  it('does not begin at a process that another one has replaced under its id', async () => {
+    await listEngine('i-2', 'v1');
+    const other = await listEngine('i-3', 'v1');
+    await startHosts(1);
+    const begin = (attemptId: string): Promise<Answer> =>
+      installation.call({path: '/resumed/1', attemptId});
+    for (let index = 0; index < STREAMS; index += 1) {
+      await begin(`before-${index}`);
+    }
+    expect(other.executedAttemptIds()).not.toEqual([]);
+    other.softwareVersion = 'v2';
+    other.restart();
+    for (let index = 0; index < STREAMS; index += 1) {
+      const answer = await begin(`after-${index}`);
+      expect(answer.status).toBe(200);
+      expect(other.executedAttemptIds()).not.toContain(`after-${index}`);
+    }
+    installation.store.put('keyed.servers', 'i-3', other.entry('engines'));
+    withdraw('i-2');
+    await settle();
+    expect((await begin('listed')).status).toBe(200);
+    expect(other.executedAttemptIds()).toContain('listed');
+  });
+
   it('goes on if its host told nobody while one version served', async () => {
     await listEngine('i-2', 'v1');
     await listEngine('i-3', 'v1');
--- a/packages/upstreams/src/checked_exchange.ts
+++ b/packages/upstreams/src/checked_exchange.ts
@@ -15,6 +15,7 @@
 /** The connection of an exchange, and the present time of the pool's clock. */
 export interface CheckedContext extends ExchangeContext {
   readonly now: number;
+  readonly onCheckMet: () => void;
 }
 
 /** Maximum number of bytes of the answer to a check. */
@@ -75,6 +76,7 @@
           fail('the connection ended after the check', false);
           return;
         }
+        context.onCheckMet();
         current = startExchange(context, request, receiver, release);
       },
       onError: error => {
--- a/packages/upstreams/src/connection_pool.ts
+++ b/packages/upstreams/src/connection_pool.ts
@@ -26,6 +26,11 @@
 interface Upstream {
   readonly idle: PooledConnection[];
   readonly open: Set<PooledConnection>;
+  /**
+   * Whether the upstream closed a connection unannounced since a check on one of
+   * its connections was met.
+   */
+  hasClosedUnannounced: boolean;
 }
 
 /** Sends requests to upstreams. */
@@ -60,22 +65,38 @@
     }
     const now = this.clock();
     const dueAt = now + request.maximumMilliseconds;
-    const context = {connection, watch: this.watch, dueAt, now};
+    const upstream = this.getOrCreateUpstream(request.address);
+    const context = {
+      connection,
+      watch: this.watch,
+      dueAt,
+      now,
+      onCheckMet: () => {
+        upstream.hasClosedUnannounced = false;
+      },
+    };
     return startCheckedExchange(context, request, receiver, isReusable => {
       if (isReusable && !connection.isClosed) {
         connection.idleSince = this.clock();
-        this.getOrCreateUpstream(request.address).idle.push(connection);
+        upstream.idle.push(connection);
         return;
       }
-      void connection.client.destroy();
+      endConnection(connection);
     });
   }
 
   /** Closes the idle connections to `address`. */
   closeIdle(address: string): void {
-    for (const {client} of this.upstreams.get(address)?.idle ?? []) {
-      void client.destroy();
-    }
+    [...(this.upstreams.get(address)?.idle ?? [])].forEach(endConnection);
+  }
+
+  /**
+   * Returns whether another process may have replaced the one at `address`: the
+   * upstream closed a connection unannounced, as the end of a process does, and
+   * no check has been met since.
+   */
+  mayBeReplaced(address: string): boolean {
+    return this.upstreams.get(address)?.hasClosedUnannounced === true;
   }
 
   /**
@@ -117,7 +138,7 @@
       ) {
         return connection;
       }
-      void connection.client.destroy();
+      endConnection(connection);
     }
     return upstream.open.size >= maximumConnections
       ? undefined
@@ -149,6 +170,7 @@
       hasCarriedRequest: false,
       response: undefined,
       isClosed: false,
+      isEndedHere: false,
     };
     upstream.open.add(connection);
     const onClosed = (): void => {
@@ -156,6 +178,9 @@
         return;
       }
       connection.isClosed = true;
+      if (!connection.isEndedHere && connection.socket !== undefined) {
+        upstream.hasClosedUnannounced = true;
+      }
       upstream.open.delete(connection);
       const index = upstream.idle.indexOf(connection);
       if (index >= 0) {
@@ -173,26 +198,32 @@
     if (existing !== undefined) {
       return existing;
     }
-    const created: Upstream = {idle: [], open: new Set()};
+    const created: Upstream = {
+      idle: [],
+      open: new Set(),
+      hasClosedUnannounced: false,
+    };
     this.upstreams.set(address, created);
     return created;
   }
 }
 
+function endConnection(connection: PooledConnection): void {
+  connection.isEndedHere = true;
+  void connection.client.destroy();
+}
+
 /**
  * Ends a response without end, and closes an idle connection that receives
  * bytes, which belong to no request.
  */
-function checkReceivedBytes({
-  response,
-  socket,
-  client,
-}: PooledConnection): void {
+function checkReceivedBytes(connection: PooledConnection): void {
+  const {response, socket} = connection;
   if (response !== undefined) {
     endIfExcessive(response);
     return;
   }
   if (socket !== undefined && socket.readableLength > 0) {
-    void client.destroy();
+    endConnection(connection);
   }
 }
--- a/packages/upstreams/src/pooled_exchange.ts
+++ b/packages/upstreams/src/pooled_exchange.ts
@@ -85,6 +85,8 @@
   /** The response in progress; undefined while the connection is idle. */
   response: WatchedResponse | undefined;
   isClosed: boolean;
+  /** Whether this host ended the connection. */
+  isEndedHere: boolean;
 }
 
 /** Returns the bytes that the HTTP parser has taken from a connection. */
--- a/packages/upstreams/tests/checked_exchange_test.ts
+++ b/packages/upstreams/tests/checked_exchange_test.ts
@@ -5,6 +5,7 @@
 
 import {CheckNotMetError, ConnectionPool} from '../src/index.js';
 
+const SETTLE_MILLISECONDS = 50;
 const ANSWER = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok';
 
 interface Observed {
@@ -50,6 +51,11 @@
   });
 }
 
+/** Waits until the ends of connections have been read. */
+function settle(): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, SETTLE_MILLISECONDS));
+}
+
 function send(address: string): Promise<{readonly error?: Error}> {
   return new Promise(resolve => {
     pool.send(
@@ -134,3 +140,60 @@
     expect(observed.lines).toEqual(['1 /check']);
   });
 });
+
+describe('an upstream', () => {
+  it.each<{
+    readonly name: string;
+    readonly end: (socket: Socket, address: string) => void;
+    readonly mayBeReplaced: boolean;
+  }>([
+    {
+      name: 'that keeps its connections is known',
+      end: () => undefined,
+      mayBeReplaced: false,
+    },
+    {
+      name: 'that closes an idle connection may be replaced',
+      end: socket => socket.end(),
+      mayBeReplaced: true,
+    },
+    {
+      name: 'that resets an idle connection may be replaced',
+      end: socket => socket.resetAndDestroy(),
+      mayBeReplaced: true,
+    },
+    {
+      name: 'whose idle connections its host closes is known',
+      end: (_socket, address) => pool.closeIdle(address),
+      mayBeReplaced: false,
+    },
+  ])('$name', async ({end, mayBeReplaced}) => {
+    const sockets: Socket[] = [];
+    const address = await listen(
+      socket => {
+        sockets.push(socket);
+        socket.write(ANSWER);
+      },
+      {lines: []},
+    );
+    await send(address);
+    sockets.forEach(socket => end(socket, address));
+    await settle();
+    expect(pool.mayBeReplaced(address)).toBe(mayBeReplaced);
+    await send(address);
+    expect(pool.mayBeReplaced(address)).toBe(false);
+  });
+
+  it('that announces the end of a connection is known', async () => {
+    const address = await listen(
+      socket =>
+        socket.end(
+          'HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok',
+        ),
+      {lines: []},
+    );
+    await send(address);
+    await settle();
+    expect(pool.mayBeReplaced(address)).toBe(false);
+  });
+});
