Continue a stream at the version of the process that really began it

When a stream is to be continued, the present entry of the upstream where it began now decides: a process that started before the request was sent began the stream and names its version; one that started between the sending and the first event leaves it unknown, and the stream is broken off; a later one changes nothing, because a connection ends with its process. Stand-ins of engines state their start in time since the epoch, as engines do.

Eight cases in a table; what a client takes up at another host still goes by the version that was recorded, which docs/PLATFORM.md lists.

--- a/packages/decisions/tests/streams_test.ts
+++ b/packages/decisions/tests/streams_test.ts
@@ -4,7 +4,9 @@
 import {
   type Continuation,
   decideContinuation,
+  judgeOriginProcess,
   type OriginKnowledge,
+  type OriginProcess,
   type SeenVersions,
   SoftwareVersions,
   type StreamOrigin,
@@ -176,3 +178,69 @@
     expect(origins.all(NOW)).toHaveLength(20_000);
   });
 });
+
+describe('the process that began a stream', () => {
+  const SENT_AT = NOW;
+  const FIRST_EVENT_AT = NOW + 400;
+  const LISTED_START = NOW - 60_000;
+
+  it.each<{
+    readonly name: string;
+    readonly listedStart?: number;
+    readonly presentStart: number | undefined;
+    readonly origin: OriginProcess['kind'];
+  }>([
+    {
+      name: 'is the listed one while it is still listed',
+      presentStart: LISTED_START,
+      origin: 'as-listed',
+    },
+    {
+      name: 'is the listed one if it has been withdrawn',
+      presentStart: undefined,
+      origin: 'as-listed',
+    },
+    {
+      name: 'is the listed one if another one started after the first event',
+      presentStart: FIRST_EVENT_AT + 300,
+      origin: 'as-listed',
+    },
+    {
+      name: 'is the listed one if an older entry was read again',
+      presentStart: LISTED_START - 1,
+      origin: 'as-listed',
+    },
+    {
+      name: 'is the listed one if it reported no start',
+      listedStart: 0,
+      presentStart: SENT_AT - 1000,
+      origin: 'as-listed',
+    },
+    {
+      name: 'is the one that started before the request was sent',
+      presentStart: SENT_AT - 300,
+      origin: 'replacement',
+    },
+    {
+      name: 'is not known if the other one started as the request was sent',
+      presentStart: SENT_AT - 200,
+      origin: 'unknown',
+    },
+    {
+      name: 'is not known if the other one started before the first event',
+      presentStart: FIRST_EVENT_AT,
+      origin: 'unknown',
+    },
+  ])('$name', ({listedStart = LISTED_START, presentStart, origin}) => {
+    const beginning = {
+      listedStart,
+      sentAt: SENT_AT,
+      firstEventAt: FIRST_EVENT_AT,
+    };
+    const present =
+      presentStart === undefined
+        ? undefined
+        : {bornAt: presentStart, softwareVersion: 'v2'};
+    expect(judgeOriginProcess(beginning, present).kind).toBe(origin);
+  });
+});
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -334,6 +334,8 @@
         this.announcements.isLeaving(upstream) ||
         this.upstreams.list.find(upstream.upstreamId)?.isLeaving !== false,
       streams: this.streams,
+      listedUpstream: upstreamId => this.upstreams.list.find(upstreamId),
+      trueTime: () => this.readTrueTime(),
       retryBudgets: this.retryBudgets,
       configuration: () =>
         this.state.mustBeCompared ? undefined : this.configuration.current,
--- a/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
+++ b/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
@@ -3,6 +3,7 @@
  */
 import type {
   ConfirmedValue,
+  ListedUpstream,
   RoutingConfiguration,
   ServiceRetryBudgets,
   UpstreamAnnouncements,
@@ -37,6 +38,10 @@
   /** Returns whether an upstream ends because it leaves or is reclaimed. */
   readonly isEndExpected: (upstream: UsableUpstream) => boolean;
   readonly streams: StreamOriginExchange;
+  /** Returns the present entry of an upstream. */
+  readonly listedUpstream: (upstreamId: string) => ListedUpstream | undefined;
+  /** Returns true time in milliseconds since the epoch. */
+  readonly trueTime: () => number;
   readonly retryBudgets: ServiceRetryBudgets;
   readonly configuration: () =>
     ConfirmedValue<RoutingConfiguration> | undefined;
--- a/packages/entry-process/src/routed_interface/requests/routed_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_request.ts
@@ -10,6 +10,7 @@
   eventPatienceMilliseconds,
   featuresOf,
   type LatencyBounds,
+  type NextAttempt,
   type PlacementDemand,
   type RoutedAdmission,
   type RoutedAttemptFailure,
@@ -111,7 +112,7 @@
       interrupted: this.interrupted.signal,
     });
     this.continuation = new StreamContinuation(
-      dependencies.streams,
+      dependencies,
       headers,
       admission,
     );
@@ -175,6 +176,7 @@
         return;
       }
       const {placement} = next;
+      this.continuation.recordAttempt();
       const outcome = await this.runner.run(placement, () =>
         this.millisecondsLeft(),
       );
@@ -332,10 +334,9 @@
       this.endInterrupted();
       return 'done';
     }
-    const next = decideNextAttempt(
-      failure,
-      this.runner.history(this.millisecondsLeft()),
-    );
+    const next: NextAttempt = this.continuation.isOriginKnown()
+      ? decideNextAttempt(failure, this.runner.history(this.millisecondsLeft()))
+      : {kind: 'give-up', error: 'stream-unknown'};
     this.log.recordAttemptFailure(
       this.runner.attempts,
       upstreamId,
--- a/packages/entry-process/src/routed_interface/requests/stream_continuation.ts
+++ b/packages/entry-process/src/routed_interface/requests/stream_continuation.ts
@@ -4,23 +4,35 @@
  * attempt.
  */
 import {
+  judgeOriginProcess,
   type RoutedAdmission,
   ServingError,
+  type StreamBeginning,
   streamLifetimeMilliseconds,
   type UsableUpstream,
 } from '@lacewingwinch/decisions';
 import type {CallHeaders} from '@lacewingwinch/platform';
 
-import type {StreamOriginExchange} from '../state/stream_origin_exchange.js';
+import type {FrontDependencies} from './front_dependencies.js';
+
+/** What the streams of one entry host share. */
+export type StreamContinuationDependencies = Pick<
+  FrontDependencies,
+  'listedUpstream' | 'streams' | 'trueTime'
+>;
 
 /** The stream of one request, across the attempts of its client. */
 export class StreamContinuation {
   private boundVersion: string | undefined;
   /** ID of the client's attempt that brought the first event of the stream. */
   private readonly originAttemptId: string;
+  /** Time at which the last attempt was placed. */
+  private sentAt = -Infinity;
+  /** The beginning of a stream that this request began, and its upstream. */
+  private begun: (StreamBeginning & {readonly upstreamId: string}) | undefined;
 
   constructor(
-    private readonly streams: StreamOriginExchange,
+    private readonly dependencies: StreamContinuationDependencies,
     private readonly headers: CallHeaders,
     private readonly admission: RoutedAdmission,
   ) {
@@ -44,7 +56,7 @@
     if (lastEventId === undefined || rule.execution !== 'resumable') {
       return undefined;
     }
-    const continuation = await this.streams.locate({
+    const continuation = await this.dependencies.streams.locate({
       attemptId: resumedAttemptId ?? '',
       service: service.name,
       lifetimeMilliseconds: streamLifetimeMilliseconds(rule),
@@ -62,13 +74,20 @@
    * Binds the stream to the upstream that brings its first event, and records it
    * for the time in which the client may take the stream up.
    */
-  recordFirstEvent({softwareVersion}: UsableUpstream): void {
+  recordFirstEvent({
+    upstreamId,
+    softwareVersion,
+    bornAt,
+  }: UsableUpstream): void {
     const {rule, service} = this.admission;
     if (rule.execution !== 'resumable') {
       return;
     }
+    const {sentAt} = this;
+    const firstEventAt = this.dependencies.trueTime();
+    this.begun ??= {upstreamId, listedStart: bornAt, sentAt, firstEventAt};
     this.boundVersion = softwareVersion;
-    this.streams.recordBegun({
+    this.dependencies.streams.recordBegun({
       attemptId: this.originAttemptId,
       service: service.name,
       softwareVersion,
@@ -76,8 +95,34 @@
     });
   }
 
+  /** Records that an attempt is made. */
+  recordAttempt(): void {
+    this.sentAt = this.dependencies.trueTime();
+  }
+
+  /**
+   * Returns whether it is known which process began the stream, and corrects the
+   * version to which it is bound by what has become known of its upstream.
+   */
+  isOriginKnown(): boolean {
+    if (this.begun === undefined) {
+      return true;
+    }
+    const present = this.dependencies.listedUpstream(this.begun.upstreamId);
+    const origin = judgeOriginProcess(this.begun, present);
+    switch (origin.kind) {
+      case 'as-listed':
+        return true;
+      case 'replacement':
+        this.boundVersion = origin.softwareVersion;
+        return true;
+      case 'unknown':
+        return false;
+    }
+  }
+
   /** Records that the stream is complete. */
   recordComplete(): void {
-    this.streams.recordComplete(this.originAttemptId);
+    this.dependencies.streams.recordComplete(this.originAttemptId);
   }
 }
--- a/packages/entry-process/tests/broken_off_answers_test.ts
+++ b/packages/entry-process/tests/broken_off_answers_test.ts
@@ -30,8 +30,6 @@
 const EVENTS = 'id: 1\ndata: first\n\nid: 2\ndata: second\n\n';
 const CUT_EVENT = 'id: 3\ndata: thi';
 const LAST_EVENT = 'id: 3\ndata: third\n\n';
-/** What the server says of itself; its entries state the same start. */
-const REPORT = JSON.stringify({born: 1});
 const REPORT_HEAD = 'HTTP/1.1 200 OK\r\nContent-Length: ';
 
 let installation: RoutedInstallation;
@@ -54,7 +52,8 @@
     socket.on('data', (request: Buffer) => {
       if (request.toString().startsWith('GET /api/report ')) {
         reports += 1;
-        socket.write(`${REPORT_HEAD}${REPORT.length}\r\n\r\n${REPORT}`);
+        const report = JSON.stringify({born: installation.engines[0]?.bornAt});
+        socket.write(`${REPORT_HEAD}${report.length}\r\n\r\n${report}`);
         return;
       }
       requests.push(request.toString());
--- a/packages/entry-process/tests/upstream_announcements_test.ts
+++ b/packages/entry-process/tests/upstream_announcements_test.ts
@@ -60,7 +60,11 @@
   it('gets requests again after it has restarted under the same id', async () => {
     const executed = first.ran.length;
     first.isLeaving = false;
-    store.put('keyed.servers', 'i-0', first.entry('plain', {born: 2}));
+    store.put(
+      'keyed.servers',
+      'i-0',
+      first.entry('plain', {born: first.bornAt + 1}),
+    );
     await waitUntil(async () => {
       await installation.call({path: '/again/1'});
       return first.ran.length > executed;
--- a/packages/stand-ins/src/routed_engine_stand_in.ts
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -103,7 +103,7 @@
   /** Bytes that each event has besides its text if the path asks for them. */
   readonly largeEventBytes = 400_000;
   /** Start time of the process; increased when it restarts under its id. */
-  bornAt = 1;
+  bornAt = Date.now();
   private isStopped = false;
   /** Whether the process has crashed and not started again. */
   private isDown = false;
@@ -166,7 +166,7 @@
 
   /** Starts again under the same id, without any state of before. */
   restart(): void {
-    this.bornAt += 1;
+    this.bornAt = Math.max(Date.now(), this.bornAt + 1);
     this.heartbeat = 0;
     this.isLeaving = false;
     this.dropConnections();
