Order engines by the load that callers offer

The holder of the duties now plans the number of reclaimable engines from the load that all processes report with their counts of usage: uncached prompt tokens, the measured time to read one, the room that the tightest objective leaves, the trend until an ordered engine serves, and the loss of two failure domains with their caches. The plan is a part of the duty record. On-demand engines replace what is missing only while reclaimable ones cannot be had. Services that one dispatcher places keep the rule before.

An accepted order for no more engines than there are no longer counts as a sign that the domain has capacity again.

--- a/packages/decisions/src/duties/duty_record.ts
+++ b/packages/decisions/src/duties/duty_record.ts
@@ -6,6 +6,7 @@
  */
 import {z} from 'zod';
 
+import {ENGINE_PLAN_SCHEMA} from '../orders/engine_plan.js';
 import {eraOf} from '../store/store_position.js';
 
 const COUNTS_SCHEMA = z.record(z.string(), z.number()).readonly();
@@ -28,6 +29,15 @@
     closedTo: z.number().default(-1),
     /** Highest number of on-demand engines of each service without an order. */
     mostLastingEngines: z.record(z.string(), z.number()).readonly(),
+    /**
+     * Planned engines of the services that are ordered by load. A plan of
+     * another shape is made anew and does not invalidate the record.
+     */
+    enginePlans: z
+      .record(z.string(), ENGINE_PLAN_SCHEMA)
+      .readonly()
+      .optional()
+      .catch(undefined),
   })
   .readonly();
 
--- a/packages/decisions/src/duties/reconcile_duty_record.ts
+++ b/packages/decisions/src/duties/reconcile_duty_record.ts
@@ -79,6 +79,7 @@
   return {
     reportedTo,
     mostLastingEngines: record?.mostLastingEngines ?? {},
+    enginePlans: record?.enginePlans,
     fixedUsage: known.after(reportedTo),
     // Windows are fixed after their end, so the current one cannot have been
     // fixed in an earlier era.
--- a/packages/decisions/src/orders/engine_order_book.ts
+++ b/packages/decisions/src/orders/engine_order_book.ts
@@ -86,7 +86,10 @@
     }
     switch (result) {
       case 'accepted':
-        this.outOfCapacityUntil.delete(domainKeyOf(order));
+        // An order for no more engines than there are says nothing of capacity.
+        if (order.count > countMatchingEngines(order, listed)) {
+          this.outOfCapacityUntil.delete(domainKeyOf(order));
+        }
         return;
       case 'refused':
         this.outOfCapacityUntil.set(
@@ -99,6 +102,11 @@
     }
   }
 
+  /** Returns the number that was ordered last; undefined if none was. */
+  orderedCount(order: Omit<EngineOrder, 'count'>): number | undefined {
+    return this.placedOrders.get(keyOf(order))?.count;
+  }
+
   /** Returns the domains that are out of reclaimable engines of `service`. */
   domainsOutOfCapacity(
     service: string,
@@ -135,7 +143,7 @@
   }
 }
 
-function keyOf(order: EngineOrder): string {
+function keyOf(order: Omit<EngineOrder, 'count'>): string {
   const kind = order.isReclaimable ? 'reclaimable' : 'on-demand';
   return `${domainKeyOf(order)}/${kind}`;
 }
--- a/packages/entry-process/src/routed_interface/duties/duty_task.ts
+++ b/packages/entry-process/src/routed_interface/duties/duty_task.ts
@@ -15,6 +15,7 @@
   isOwnNewestRecord,
   KnownUsage,
   type ListedUpstream,
+  type OfferedLoads,
   reconcileDutyRecord,
   rendezvousOrder,
   type RoutingConfiguration,
@@ -22,7 +23,7 @@
   windowsToReport,
   withFixedWindows,
 } from '@lacewingwinch/decisions';
-import type {EventLog} from '@lacewingwinch/observability';
+import type {EventLog, Metrics} from '@lacewingwinch/observability';
 import {
   type DutyClient,
   type DutyFence,
@@ -36,6 +37,7 @@
 import {isAborted} from '../../util/is_aborted.js';
 import {messageOf} from '../../util/message_of.js';
 import {EngineOrders} from './engine_orders.js';
+import {EnginePlanner} from './engine_planner.js';
 
 /**
  * Milliseconds between two rounds: a lease of 3,000 ms is renewed in time even
@@ -71,6 +73,7 @@
   readonly cloud: DutyClient;
   readonly duties: readonly PlatformDuty[];
   readonly events: EventLog;
+  readonly metrics: Metrics;
   readonly clocks: Clocks;
   /** Whether this process started with the whole system for the first time. */
   readonly isFirstStart: boolean;
@@ -81,6 +84,7 @@
   readonly servingHosts: () => readonly string[];
   readonly configuration: () => RoutingConfiguration | undefined;
   readonly upstreams: () => readonly ListedUpstream[];
+  readonly offeredLoads: OfferedLoads;
 }
 
 /** Performs the duties while this host holds their lease. */
@@ -93,6 +97,7 @@
   private renewalSentAt = -Infinity;
   private isHolder = false;
   private reportedTo = -1;
+  private readonly planner: EnginePlanner;
   private readonly orders: EngineOrders;
   private readonly knownUsage = new KnownUsage();
   /** The record that this host wrote last. */
@@ -103,9 +108,12 @@
 
   constructor(private readonly dependencies: DutyTaskDependencies) {
     this.startedAt = dependencies.clocks.suspensionAware();
+    const clock = dependencies.clocks.suspensionAware;
+    this.planner = new EnginePlanner({...dependencies, clock});
     this.orders = new EngineOrders({
       ...dependencies,
-      clock: dependencies.clocks.suspensionAware,
+      clock,
+      planner: this.planner,
       place: order =>
         this.callAsHolder(fence =>
           dependencies.cloud.orderEngines(order, fence),
@@ -313,13 +321,18 @@
   private nextRecord(previous: ContinuedRecord, era: number): DutyRecord {
     const {hostId, processId, usage, trueTime, configuration, upstreams} =
       this.dependencies;
+    const mostLastingEngines = countLastingEngines(
+      previous.mostLastingEngines,
+      configuration()?.services.values() ?? [],
+      upstreams(),
+    );
     const record: DutyRecord = {
       fixedUsage: previous.fixedUsage,
       reportedTo: Math.max(previous.reportedTo, this.reportedTo),
-      mostLastingEngines: countLastingEngines(
-        previous.mostLastingEngines,
-        configuration()?.services.values() ?? [],
-        upstreams(),
+      mostLastingEngines,
+      enginePlans: this.planner.nextPlans(
+        previous.enginePlans ?? {},
+        mostLastingEngines,
       ),
       closedTo: previous.closedTo,
       holder: hostId,
--- a/packages/entry-process/src/routed_interface/duties/engine_orders.ts
+++ b/packages/entry-process/src/routed_interface/duties/engine_orders.ts
@@ -6,21 +6,33 @@
   type DutyRecord,
   type EngineOrder,
   EngineOrderBook,
+  engineOrdersByLoad,
+  type EnginePlan,
+  featuresOf,
+  isDomainBeingLost,
   type ListedUpstream,
+  neededEngines,
+  type RoutedService,
   type RoutingConfiguration,
+  type ScalingBounds,
   wantedEngines,
 } from '@lacewingwinch/decisions';
-import type {EventLog} from '@lacewingwinch/observability';
+import type {EventLog, Metrics} from '@lacewingwinch/observability';
 import type {DutyResult} from '@lacewingwinch/platform';
 
+import {EngineOrderLog} from './engine_order_log.js';
+import type {EnginePlanner} from './engine_planner.js';
+
 /** Dependencies of `EngineOrders`. */
 export interface EngineOrdersDependencies {
   readonly events: EventLog;
+  readonly metrics: Metrics;
   /** Returns suspension-aware clock readings in milliseconds. */
   readonly clock: () => number;
   readonly failureDomains: readonly string[];
   readonly configuration: () => RoutingConfiguration | undefined;
   readonly upstreams: () => readonly ListedUpstream[];
+  readonly planner: EnginePlanner;
   /** Places an order; returns undefined if this host may not act any more. */
   readonly place: (order: EngineOrder) => Promise<DutyResult | undefined>;
 }
@@ -28,8 +40,11 @@
 /** Places the orders that are due. */
 export class EngineOrders {
   private readonly book = new EngineOrderBook();
+  private readonly log: EngineOrderLog;
 
-  constructor(private readonly dependencies: EngineOrdersDependencies) {}
+  constructor(private readonly dependencies: EngineOrdersDependencies) {
+    this.log = new EngineOrderLog(dependencies);
+  }
 
   /**
    * Places the orders that are due. A refusal changes which engines are wanted,
@@ -49,11 +64,10 @@
     const {clock, upstreams, place} = this.dependencies;
     const listed = upstreams();
     let wasRefused = false;
-    const orders = this.book.dueOrders(
-      this.wantedOrders(record),
-      listed,
-      clock(),
-    );
+    const wanted = this.wantedOrders(record);
+    this.log.recordWanted(wanted, listed);
+    const orders = this.book.dueOrders(wanted, listed, clock());
+    this.logPlans(record, orders);
     for (const order of orders) {
       const result = await place(order);
       if (result === undefined) {
@@ -61,37 +75,77 @@
       }
       wasRefused ||= result.kind === 'refused';
       this.book.recordResult(order, result.kind, listed, clock());
-      this.logOrder(order, result);
+      this.log.recordOrder(order, result.kind);
     }
     return wasRefused;
   }
 
-  private logOrder(order: EngineOrder, result: DutyResult): void {
-    this.dependencies.events.write(5007, {
-      service: order.service,
-      failureDomain: order.failureDomain,
-      count: order.count,
-      hostClass: order.isReclaimable ? 'reclaimable' : 'on-demand',
-      result: result.kind,
-    });
+  /** Logs what the plans behind `orders` rest on. */
+  private logPlans(record: DutyRecord, orders: readonly EngineOrder[]): void {
+    for (const service of new Set(orders.map(order => order.service))) {
+      const plan = record.enginePlans?.[service];
+      if (plan !== undefined) {
+        this.log.recordPlan(service, plan, {
+          load: this.dependencies.planner.loadOf(service),
+          usualEngines: record.mostLastingEngines[service] ?? 0,
+          domainsOutOfCapacity: this.domainsOutOfCapacity(service),
+        });
+      }
+    }
+  }
+
+  private domainsOutOfCapacity(service: string): ReadonlySet<string> {
+    const {failureDomains, clock} = this.dependencies;
+    return this.book.domainsOutOfCapacity(service, failureDomains, clock());
   }
 
   private wantedOrders(record: DutyRecord): readonly EngineOrder[] {
-    const {configuration, failureDomains, upstreams, clock} = this.dependencies;
-    const now = clock();
+    const {configuration, failureDomains, upstreams} = this.dependencies;
     const services = [...(configuration()?.services.values() ?? [])];
     return services.flatMap(service => {
-      const engines = record.mostLastingEngines[service.name];
-      return service.scaling === undefined || engines === undefined
-        ? []
+      const {name, scaling} = service;
+      const engines = record.mostLastingEngines[name];
+      if (scaling === undefined || engines === undefined) {
+        return [];
+      }
+      const plan = record.enginePlans?.[name];
+      return plan !== undefined &&
+        featuresOf(service, failureDomains.length).hasLoadDrivenOrders
+        ? this.ordersByLoad(service, scaling, plan, engines)
         : wantedEngines(
             service,
-            service.scaling,
+            scaling,
             failureDomains,
             upstreams(),
             {engines},
-            this.book.domainsOutOfCapacity(service.name, failureDomains, now),
+            this.domainsOutOfCapacity(name),
           );
     });
   }
+
+  private ordersByLoad(
+    {name: service}: RoutedService,
+    scaling: ScalingBounds,
+    plan: EnginePlan,
+    usualEngines: number,
+  ): readonly EngineOrder[] {
+    const {failureDomains, upstreams} = this.dependencies;
+    const listed = upstreams();
+    return engineOrdersByLoad({
+      service,
+      scaling,
+      domains: failureDomains,
+      listed,
+      plannedEngines: plan.engines,
+      needed: neededEngines(plan, usualEngines),
+      domainsOutOfCapacity: this.domainsOutOfCapacity(service),
+      isLosingDomain: isDomainBeingLost(service, listed),
+      orderedOnDemand: failureDomain =>
+        this.book.orderedCount({
+          service,
+          failureDomain,
+          isReclaimable: false,
+        }) ?? 0,
+    });
+  }
 }
--- a/packages/entry-process/src/routed_interface/duties/routed_duties.ts
+++ b/packages/entry-process/src/routed_interface/duties/routed_duties.ts
@@ -11,6 +11,8 @@
   | 'clocks'
   | 'configuration'
   | 'events'
+  | 'metrics'
+  | 'offeredLoads'
   | 'processId'
   | 'servingHosts'
   | 'store'
--- a/packages/entry-process/src/routed_interface/duties/usage_push.ts
+++ b/packages/entry-process/src/routed_interface/duties/usage_push.ts
@@ -2,7 +2,13 @@
  * The task that sends this host's counts of started requests to the hosts that
  * may have to report them, so that the counts survive the loss of this host.
  */
-import type {Member, UsageWindows} from '@lacewingwinch/decisions';
+import type {
+  Member,
+  OfferedLoads,
+  ServiceLoadCounter,
+  ServiceLoadReport,
+  UsageWindows,
+} from '@lacewingwinch/decisions';
 import type {PeerClient} from '@lacewingwinch/entry-hosts';
 
 import {isAborted} from '../../util/is_aborted.js';
@@ -22,6 +28,13 @@
   /** Returns the hosts that may have to report usage, excluding this one. */
   readonly candidates: () => readonly Member[];
   readonly trueTime: () => number;
+  /** Returns suspension-aware clock readings in milliseconds. */
+  readonly clock: () => number;
+  readonly loads: ServiceLoadCounter;
+  /** The loads that this host has been told, and its own. */
+  readonly offeredLoads: OfferedLoads;
+  /** Returns the services whose engines are ordered by load. */
+  readonly plannedServices: () => readonly string[];
 }
 
 /** Pushes this host's usage counts to the candidates for the duties. */
@@ -40,11 +53,23 @@
     const {usage, peers, candidates, processId, trueTime} = this.dependencies;
     usage.dropOldWindows(trueTime());
     const counts = usage.list(processId);
-    if (counts.length === 0) {
+    const loads = this.countedLoads();
+    if (counts.length === 0 && loads.length === 0) {
       return;
     }
     for (const {addresses} of candidates()) {
-      peers.notify(addresses.peers, 'usage.push', {counts});
+      peers.notify(addresses.peers, 'usage.push', {
+        counts,
+        ...(loads.length > 0 && {loads}),
+      });
     }
   }
+
+  /** Returns what this process counted, which it may need itself. */
+  private countedLoads(): readonly ServiceLoadReport[] {
+    const {loads, plannedServices, offeredLoads, clock} = this.dependencies;
+    const reports = loads.reports(plannedServices());
+    reports.forEach(report => offeredLoads.merge(report, clock()));
+    return reports;
+  }
 }
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_peer_handlers.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_peer_handlers.ts
@@ -1,12 +1,17 @@
 /**
  * The peer methods of a process on the platform, called by other entry hosts.
  */
-import type {UsageWindows, WorkspaceQuota} from '@lacewingwinch/decisions';
+import type {
+  OfferedLoads,
+  UsageWindows,
+  WorkspaceQuota,
+} from '@lacewingwinch/decisions';
 import type {PeerHandlers} from '@lacewingwinch/entry-hosts';
 
 import type {UpstreamPaths} from '../../paths/upstream_paths.js';
 import type {MembershipTask} from '../../tasks/membership_task.js';
 import type {PartWatch} from '../../tasks/part_watch.js';
+import type {Clocks} from '../../util/clocks.js';
 import type {QuotaExchange} from '../admission/quota_exchange.js';
 import type {CrashWatch} from '../evidence/crash_watch.js';
 import type {RoutedPlacement} from '../placement/routed_placement.js';
@@ -19,6 +24,8 @@
   readonly placement: RoutedPlacement;
   readonly relay: StateRelay;
   readonly usage: UsageWindows;
+  readonly offeredLoads: OfferedLoads;
+  readonly clocks: Clocks;
   readonly quotas: QuotaExchange;
   readonly crashes: CrashWatch;
   readonly parts: PartWatch;
@@ -36,6 +43,8 @@
     placement,
     relay,
     usage,
+    offeredLoads,
+    clocks,
     quotas,
     crashes,
     parts,
@@ -57,8 +66,10 @@
       return null;
     },
     'beliefs.fetch': request => relay.answer(request),
-    'usage.push': ({counts}) => {
+    'usage.push': ({counts, loads = []}) => {
       counts.forEach(count => usage.merge(count));
+      const now = clocks.suspensionAware();
+      loads.forEach(report => offeredLoads.merge(report, now));
       return null;
     },
     'suspicion.report': suspicion => {
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -4,7 +4,9 @@
 import {
   FleetHealth,
   NamedRates,
+  OfferedLoads,
   type RoutingConfiguration,
+  ServiceLoadCounter,
   ServiceRetryBudgets,
   TrueTime,
   UpstreamAnnouncements,
@@ -35,6 +37,7 @@
 import {type Clocks, createProcessClocks} from '../../util/clocks.js';
 import {QuotaExchange} from '../admission/quota_exchange.js';
 import type {DutyTask} from '../duties/duty_task.js';
+import {plannedServicesOf} from '../duties/engine_planner.js';
 import {createRoutedDuties} from '../duties/routed_duties.js';
 import {UsagePush} from '../duties/usage_push.js';
 import {AnswerAnnouncements} from '../evidence/answer_announcements.js';
@@ -83,6 +86,7 @@
   readonly front: RoutedFront;
   readonly usage: UsageWindows;
   readonly usagePush: UsagePush;
+  readonly offeredLoads = new OfferedLoads();
   readonly duties: DutyTask | undefined;
   readonly quotas: QuotaExchange;
   readonly relay: StateRelay;
@@ -103,6 +107,7 @@
   private readonly startedAt: number;
   /** Identity of this process, new at each start. */
   private readonly processId = uuidV7();
+  private readonly loads = new ServiceLoadCounter(this.processId);
 
   /** Returns whether this host holds the duties. */
   readonly isHoldingDuties = (): boolean => this.duties?.isHolding === true;
@@ -252,8 +257,10 @@
       processId: this.processId,
       store: this.store,
       events: this.events,
+      metrics: this.metrics,
       clocks,
       usage: this.usage,
+      offeredLoads: this.offeredLoads,
       trueTime: () => this.readTrueTime(),
       servingHosts: () => this.fleet.servingIds(),
       configuration: () => this.configuration.current?.value,
@@ -265,6 +272,14 @@
       peers: this.peers,
       candidates: () => this.fleet.othersOf(this.duties?.candidates() ?? []),
       trueTime: () => this.readTrueTime(),
+      clock: clocks.suspensionAware,
+      loads: this.loads,
+      offeredLoads: this.offeredLoads,
+      plannedServices: () =>
+        plannedServicesOf(
+          this.configuration.current?.value,
+          settings.failureDomains.length,
+        ).map(({service}) => service.name),
     });
     this.front = this.createFront();
   }
@@ -333,6 +348,7 @@
         this.upstreams.list.find(upstream.upstreamId)?.isLeaving !== false,
       streams: this.streams,
       retryBudgets: this.retryBudgets,
+      loads: this.loads,
       configuration: () =>
         this.state.mustBeCompared ? undefined : this.configuration.current,
       maximumKeyAge: () => {
--- a/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
+++ b/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
@@ -4,6 +4,7 @@
 import type {
   ConfirmedValue,
   RoutingConfiguration,
+  ServiceLoadCounter,
   ServiceRetryBudgets,
   UpstreamAnnouncements,
   UsableUpstream,
@@ -38,6 +39,7 @@
   readonly isEndExpected: (upstream: UsableUpstream) => boolean;
   readonly streams: StreamOriginExchange;
   readonly retryBudgets: ServiceRetryBudgets;
+  readonly loads: ServiceLoadCounter;
   readonly configuration: () =>
     ConfirmedValue<RoutingConfiguration> | undefined;
   /**
--- a/packages/entry-process/src/routed_interface/requests/routed_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_request.ts
@@ -25,6 +25,7 @@
 import {AttemptRunner} from './attempt_runner.js';
 import {CrashEvidence} from './crash_evidence.js';
 import type {FrontDependencies} from './front_dependencies.js';
+import {RequestLoad} from './request_load.js';
 import {RequestLog} from './request_log.js';
 import type {AttemptOutcome} from './routed_attempt.js';
 import {StreamContinuation} from './stream_continuation.js';
@@ -51,6 +52,7 @@
   private readonly placing: AttemptPlacement;
   private readonly runner: AttemptRunner;
   private readonly log: RequestLog;
+  private readonly load: RequestLoad;
 
   constructor(
     private readonly dependencies: FrontDependencies,
@@ -70,6 +72,12 @@
     const requestId = headers.attemptId ?? '';
     this.log = new RequestLog(dependencies, requestId, admission);
     this.log.recordContinuation(headers);
+    this.load = new RequestLoad(
+      dependencies.loads,
+      admission,
+      headers.promptTokens,
+      this.startedAt,
+    );
     const sharedParts = sharedPartIds(headers.promptParts);
     const service = admission.service.name;
     this.evidence = new CrashEvidence(dependencies, this.log, {
@@ -175,6 +183,10 @@
         return;
       }
       const {placement} = next;
+      this.load.recordPlaced(
+        placement.choice,
+        this.dependencies.clocks.steady(),
+      );
       const outcome = await this.runner.run(placement, () =>
         this.millisecondsLeft(),
       );
@@ -245,6 +257,7 @@
 
   private recordStart(): void {
     const {onRunStarted, clocks} = this.dependencies;
+    this.load.recordBegan(clocks.steady());
     if (!this.hasBegunToRun) {
       this.log.recordFirstByte(clocks.steady() - this.startedAt);
     }
@@ -384,9 +397,11 @@
   }
 
   private recordEnd(outcome: string): void {
+    const now = this.dependencies.clocks.steady();
+    this.load.recordEnd(outcome, now);
     this.log.recordEnd({
       outcome,
-      durationMilliseconds: this.dependencies.clocks.steady() - this.startedAt,
+      durationMilliseconds: now - this.startedAt,
       attempts: this.runner.attempts,
       upstreamsReached: this.runner.upstreamsReached,
       upstreamId: this.runner.lastUpstream?.upstreamId ?? '',
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -32,6 +32,12 @@
   readonly members: Gauge<'status'>;
   readonly stateAgeSeconds: Gauge<'belief'>;
   readonly dutiesHeld: Gauge;
+  readonly engines: Gauge<
+    'failure_domain' | 'host_class' | 'service' | 'state'
+  >;
+  readonly engineOrders: Counter<
+    'failure_domain' | 'host_class' | 'result' | 'service'
+  >;
   readonly storeCalls: Counter<'call' | 'end'>;
 }
 
@@ -170,6 +176,18 @@
       help: 'Whether this process holds the duties, 0 or 1.',
       registers,
     }),
+    engines: new Gauge({
+      name: 'lacewingwinch_engines',
+      help: 'Engines at the holder of the duties, by service, failure domain, class (`reclaimable` or `on-demand`) and state: `wanted`, `ordered` (last accepted order) or `there`.',
+      labelNames: ['failure_domain', 'host_class', 'service', 'state'],
+      registers,
+    }),
+    engineOrders: new Counter({
+      name: 'lacewingwinch_engine_orders_total',
+      help: 'Orders of engines, by service, failure domain, class and result: `accepted`, `refused` or `unavailable`.',
+      labelNames: ['failure_domain', 'host_class', 'result', 'service'],
+      registers,
+    }),
     storeCalls: new Counter({
       name: 'lacewingwinch_store_calls_total',
       help: 'Calls to the store, by kind and by how they ended.',
