--- a/packages/decisions/src/orders/engine_plan.ts
+++ b/packages/decisions/src/orders/engine_plan.ts
@@ -114,7 +114,8 @@
       afterLossOf: () => usualEngines,
     };
   }
-  const {expectedEngines, calmUtilization, cachedRatio} = plan.load;
+  const {peakEngines, expectedEngines, calmUtilization, cachedRatio} =
+    plan.load;
   // The late share grows with the square of the utilization.
   const utilizationFor = (lateFactor: number): number =>
     Math.min(
@@ -125,7 +126,7 @@
     calm: expectedEngines / calmUtilization,
     shortTerm: expectedEngines / utilizationFor(SHORT_TERM_LATE_FACTOR),
     afterLossOf: share =>
-      (expectedEngines * (1 + cachedRatio * share * REREAD_SHARE)) /
+      (peakEngines * (1 + cachedRatio * share * REREAD_SHARE)) /
       utilizationFor(AFTER_LOSS_LATE_FACTOR),
   };
 }
--- a/packages/entry-process/src/routed_interface/duties/duty_task.ts
+++ b/packages/entry-process/src/routed_interface/duties/duty_task.ts
@@ -49,7 +49,7 @@
 const STORE_TIMEOUT_MILLISECONDS = 600;
 
 /**
- * Milliseconds after its start during which a process places no orders:
+ * Milliseconds after its start during which a process orders no fewer engines:
  * upstreams list themselves every 1,200 ms, and all of them start at the same
  * time.
  */
@@ -357,8 +357,8 @@
     if (duties.includes('usage-reporting')) {
       await this.reportUsage(record);
     }
-    if (duties.includes('scaling') && hasSettled) {
-      await this.orders.placeDueOrders(record);
+    if (duties.includes('scaling')) {
+      await this.orders.placeDueOrders(record, hasSettled);
     }
   }
 
--- a/packages/entry-process/src/routed_interface/duties/engine_orders.ts
+++ b/packages/entry-process/src/routed_interface/duties/engine_orders.ts
@@ -3,6 +3,7 @@
  * duties.
  */
 import {
+  countMatchingEngines,
   type DutyRecord,
   type EngineOrder,
   EngineOrderBook,
@@ -48,23 +49,33 @@
 
   /**
    * Places the orders that are due. A refusal changes which engines are wanted,
-   * so the orders that follow from it are placed in the same round.
+   * so the orders that follow from it are placed in the same round. Before this
+   * host has settled, upstreams may not be listed yet: nothing is ordered but
+   * more engines of the services that are planned by load.
    */
-  async placeDueOrders(record: DutyRecord): Promise<void> {
-    const wasRefused = await this.placeOnce(record);
+  async placeDueOrders(record: DutyRecord, hasSettled: boolean): Promise<void> {
+    const wasRefused = await this.placeOnce(record, hasSettled);
     if (wasRefused) {
-      await this.placeOnce(record);
+      await this.placeOnce(record, hasSettled);
     }
   }
 
   /**
    * Places the orders that are due; returns whether any of them was refused.
    */
-  private async placeOnce(record: DutyRecord): Promise<boolean> {
+  private async placeOnce(
+    record: DutyRecord,
+    hasSettled: boolean,
+  ): Promise<boolean> {
     const {clock, upstreams, place} = this.dependencies;
     const listed = upstreams();
     let wasRefused = false;
-    const wanted = this.wantedOrders(record);
+    const wanted = this.wantedOrders(record).filter(
+      order =>
+        hasSettled ||
+        (record.enginePlans?.[order.service] !== undefined &&
+          order.count > countMatchingEngines(order, listed)),
+    );
     this.log.recordWanted(wanted, listed);
     const orders = this.book.dueOrders(wanted, listed, clock());
     this.logPlans(record, orders);
--- a/packages/measurements/src/engine_model.ts
+++ b/packages/measurements/src/engine_model.ts
@@ -82,6 +82,8 @@
   /** Decoding steps since the start; a fraction within a step. */
   private steps = 0;
   private submittedCount = 0;
+  /** Duration of all work as a multiple of that of a sound engine. */
+  private slowdown = 1;
 
   constructor(
     readonly profile: EngineProfile,
@@ -94,6 +96,14 @@
     this.readyAt = now + profile.startupMilliseconds;
   }
 
+  /**
+   * Lets all work take `factor` times as long from now on, up to which the
+   * engine was advanced.
+   */
+  slowDown(factor: number): void {
+    this.slowdown = factor;
+  }
+
   /** Number of requests that run. */
   get running(): number {
     return this.reading.length + this.decoding.length;
@@ -328,7 +338,8 @@
         : profile.chunkTokens / profile.prefillTokensPerMillisecond;
     const isCrowded =
       crowding !== undefined && this.running >= slots * crowding.fromShare;
-    const slowdown = this.noise.slowdown * (isCrowded ? crowding.slowdown : 1);
+    const slowdown =
+      this.slowdown * this.noise.slowdown * (isCrowded ? crowding.slowdown : 1);
     return (
       ((profile.stepMilliseconds +
         profile.stepMillisecondsPerStream * this.running +
--- a/packages/measurements/src/measure.ts
+++ b/packages/measurements/src/measure.ts
@@ -8,6 +8,7 @@
 import {measureDispatch} from './measure_dispatch.js';
 import {measureLimits} from './measure_limits.js';
 import {measureMembership} from './measure_membership.js';
+import {measureOrders} from './measure_orders.js';
 import {measureOverload} from './measure_overload.js';
 import {measurePath} from './measure_path.js';
 import {measureReclaim} from './measure_reclaim.js';
@@ -21,6 +22,7 @@
   dispatch: measureDispatch,
   limits: measureLimits,
   membership: measureMembership,
+  orders: measureOrders,
   overload: measureOverload,
   path: measurePath,
   reclaim: measureReclaim,
