Take engines away one at a time, and none while a domain fills again

A domain now loses one engine at a time, the next one when the list shows it, and none while another domain has less than three quarters of its share. The utilization for the rest after a loss is at most 0.7.

--- a/packages/decisions/src/orders/engine_orders_by_load.ts
+++ b/packages/decisions/src/orders/engine_orders_by_load.ts
@@ -29,6 +29,9 @@
   readonly orderedOnDemand: (failureDomain: string) => number;
 }
 
+/** Share of its engines from which on a domain counts as filled again. */
+const FILLED_SHARE = 0.75;
+
 interface DomainCounts {
   readonly failureDomain: string;
   readonly price: number;
@@ -105,8 +108,9 @@
 }
 
 /**
- * Spreads the planned engines. While a domain is lost, no other one is given
- * fewer than it has.
+ * Spreads the planned engines. A domain is given one engine less than it has at
+ * most, until it is seen to have that many, because caches go with engines. While
+ * a domain is lost or fills again, no other one is given fewer than it has.
  */
 function spreadPlan(
   domains: readonly DomainCounts[],
@@ -114,17 +118,23 @@
 ): void {
   const {plannedEngines, scaling, domainsOutOfCapacity, isLosingDomain} =
     situation;
-  const keepsAll = isLosingDomain || domainsOutOfCapacity.size > 0;
   let left = Math.ceil(plannedEngines);
   for (const [index, domain] of domains.entries()) {
     const share = Math.ceil(left / (domains.length - index));
     left -= share;
+    domain.reclaimable = Math.max(share, scaling.minimumInDomain);
+  }
+  const keepsAll =
+    isLosingDomain ||
+    domainsOutOfCapacity.size > 0 ||
+    domains.some(
+      ({listedReclaimable, reclaimable}) =>
+        listedReclaimable < reclaimable * FILLED_SHARE,
+    );
+  for (const domain of domains) {
+    const least = domain.listedReclaimable - (keepsAll ? 0 : 1);
     domain.reclaimable = Math.min(
-      Math.max(
-        share,
-        scaling.minimumInDomain,
-        keepsAll ? domain.listedReclaimable : 0,
-      ),
+      Math.max(domain.reclaimable, least),
       scaling.maximumInDomain,
     );
   }
--- a/packages/decisions/src/orders/engine_plan.ts
+++ b/packages/decisions/src/orders/engine_plan.ts
@@ -90,9 +90,8 @@
  */
 const LOSS_MEMORY_MILLISECONDS = 600_000;
 
-/** Late answers for each calm one, for a while and for some seconds. */
+/** Late answers that are borne for a while, for each one in calm times. */
 const SHORT_TERM_LATE_FACTOR = 2;
-const AFTER_LOSS_LATE_FACTOR = 3;
 
 /**
  * Share of the lost prompt parts that is read again before other engines serve.
@@ -100,7 +99,7 @@
 const REREAD_SHARE = 0.5;
 
 /** Utilization above which engines do not keep up with varying work. */
-const MAXIMUM_SHORT_TERM_UTILIZATION = 0.85;
+const MAXIMUM_SHORT_TERM_UTILIZATION = 0.7;
 
 /** Returns the engines that the planned load needs. */
 export function neededEngines(
@@ -117,17 +116,15 @@
   const {peakEngines, expectedEngines, calmUtilization, cachedRatio} =
     plan.load;
   // The late share grows with the square of the utilization.
-  const utilizationFor = (lateFactor: number): number =>
-    Math.min(
-      MAXIMUM_SHORT_TERM_UTILIZATION,
-      calmUtilization * Math.sqrt(lateFactor),
-    );
+  const utilization = Math.min(
+    MAXIMUM_SHORT_TERM_UTILIZATION,
+    calmUtilization * Math.sqrt(SHORT_TERM_LATE_FACTOR),
+  );
   return {
     calm: expectedEngines / calmUtilization,
-    shortTerm: expectedEngines / utilizationFor(SHORT_TERM_LATE_FACTOR),
+    shortTerm: expectedEngines / utilization,
     afterLossOf: share =>
-      (peakEngines * (1 + cachedRatio * share * REREAD_SHARE)) /
-      utilizationFor(AFTER_LOSS_LATE_FACTOR),
+      (peakEngines * (1 + cachedRatio * share * REREAD_SHARE)) / utilization,
   };
 }
 
