--- a/packages/entry-process/src/routed_interface/duties/duty_task.ts
+++ b/packages/entry-process/src/routed_interface/duties/duty_task.ts
@@ -85,6 +85,11 @@
   readonly configuration: () => RoutingConfiguration | undefined;
   readonly upstreams: () => readonly ListedUpstream[];
   readonly offeredLoads: OfferedLoads;
+  /**
+   * Returns whether the platform started an upstream for a roll-out, beside the
+   * ordered ones; absent if there are no roll-outs.
+   */
+  readonly isStartedForRollout?: (upstream: ListedUpstream) => boolean;
 }
 
 /** Performs the duties while this host holds their lease. */
@@ -109,9 +114,11 @@
   constructor(private readonly dependencies: DutyTaskDependencies) {
     this.startedAt = dependencies.clocks.suspensionAware();
     const clock = dependencies.clocks.suspensionAware;
-    this.planner = new EnginePlanner({...dependencies, clock});
+    const upstreams = (): readonly ListedUpstream[] => this.orderedUpstreams();
+    this.planner = new EnginePlanner({...dependencies, upstreams, clock});
     this.orders = new EngineOrders({
       ...dependencies,
+      upstreams,
       clock,
       planner: this.planner,
       place: order =>
@@ -121,6 +128,14 @@
     });
   }
 
+  /** Returns the upstreams that exist by order, or did so at first. */
+  private orderedUpstreams(): readonly ListedUpstream[] {
+    const {upstreams, isStartedForRollout} = this.dependencies;
+    return isStartedForRollout === undefined
+      ? upstreams()
+      : upstreams().filter(upstream => !isStartedForRollout(upstream));
+  }
+
   /** Whether this host is the lease holder, as far as it knows. */
   get isHolding(): boolean {
     return this.isHolder;
@@ -319,12 +334,12 @@
   }
 
   private nextRecord(previous: ContinuedRecord, era: number): DutyRecord {
-    const {hostId, processId, usage, trueTime, configuration, upstreams} =
+    const {hostId, processId, usage, trueTime, configuration} =
       this.dependencies;
     const mostLastingEngines = countLastingEngines(
       previous.mostLastingEngines,
       configuration()?.services.values() ?? [],
-      upstreams(),
+      this.orderedUpstreams(),
     );
     const record: DutyRecord = {
       fixedUsage: previous.fixedUsage,
