Hold the plan while many hosts are not heard, and leave other services' order book as it was

A holder that is cut off from most hosts would have multiplied the load of the others. Below eight tenths of the hosts the plan stays. The sign of capacity of an accepted order is told apart for planned services only, so that services that keep the rule before are ordered exactly as before.

--- a/packages/decisions/src/orders/engine_load.ts
+++ b/packages/decisions/src/orders/engine_load.ts
@@ -51,6 +51,9 @@
 /** Share of the requests that may be late while nothing is wrong. */
 const TOLERATED_LATE_SHARE = 0.05;
 
+/** Share of the hosts below which the load of the others is not estimated. */
+const ESTIMATED_HEARD_SHARE = 0.8;
+
 /** Least room, as a share of the objective, that is planned with. */
 const MINIMUM_ROOM_SHARE = 0.1;
 
@@ -74,7 +77,7 @@
 
 /**
  * Returns the load that was observed; undefined while there is too little to
- * tell how fast engines read.
+ * tell how fast engines read, or what the hosts that are not heard are asked.
  */
 export function engineLoadOf(
   observation: LoadObservation,
@@ -82,13 +85,17 @@
 ): EngineLoad | undefined {
   const {recent, minute, heardProcesses} = observation;
   const millisecondsPerToken = readingTimeOf(observation, terms);
-  if (millisecondsPerToken === undefined || minute.sums.placements === 0) {
-    return undefined;
-  }
   const heardShare = Math.min(
     1,
     heardProcesses / Math.max(1, terms.servingProcesses),
   );
+  if (
+    millisecondsPerToken === undefined ||
+    minute.sums.placements === 0 ||
+    heardShare < ESTIMATED_HEARD_SHARE
+  ) {
+    return undefined;
+  }
   const refusedFactor = 1 + refusedPerPlacement(recent);
   const seconds = recent.milliseconds / 1000;
   const readingEngines =
@@ -100,9 +107,7 @@
     MAXIMUM_STRAIN,
     Math.max(0, strainedShare - USUAL_STRAINED_SHARE) * STRAIN_FACTOR,
   );
-  const servedEngines =
-    Math.max(readingEngines, slotEngines) /
-    Math.max(heardShare, Number.EPSILON);
+  const servedEngines = Math.max(readingEngines, slotEngines) / heardShare;
   const busyEngines =
     Math.min(servedEngines, terms.presentEngines) * refusedFactor;
   return {
--- a/packages/decisions/src/orders/engine_order_book.ts
+++ b/packages/decisions/src/orders/engine_order_book.ts
@@ -10,6 +10,8 @@
 /** The result of placing an order. */
 export type OrderResult =
   | 'accepted'
+  /** Accepted for no more engines than there are: capacity is not known. */
+  | 'already-met'
   /** The failure domain has no capacity at present. */
   | 'refused'
   /** The platform did not process the call; its capacity is not known. */
@@ -76,7 +78,7 @@
       count: order.count,
       nextAt:
         now +
-        (result === 'accepted'
+        (result === 'accepted' || result === 'already-met'
           ? UNMET_ORDER_REPEAT_MILLISECONDS
           : FAILED_ORDER_RETRY_MILLISECONDS),
       seen: countMatchingEngines(order, listed),
@@ -86,10 +88,7 @@
     }
     switch (result) {
       case 'accepted':
-        // An order for no more engines than there are says nothing of capacity.
-        if (order.count > countMatchingEngines(order, listed)) {
-          this.outOfCapacityUntil.delete(domainKeyOf(order));
-        }
+        this.outOfCapacityUntil.delete(domainKeyOf(order));
         return;
       case 'refused':
         this.outOfCapacityUntil.set(
@@ -97,6 +96,7 @@
           now + OUT_OF_CAPACITY_MILLISECONDS,
         );
         return;
+      case 'already-met':
       case 'unavailable':
         return;
     }
--- a/packages/entry-process/src/routed_interface/duties/engine_orders.ts
+++ b/packages/entry-process/src/routed_interface/duties/engine_orders.ts
@@ -85,7 +85,16 @@
         return false;
       }
       wasRefused ||= result.kind === 'refused';
-      this.book.recordResult(order, result.kind, listed, clock());
+      const isPlanned = record.enginePlans?.[order.service] !== undefined;
+      const isMet = order.count <= countMatchingEngines(order, listed);
+      this.book.recordResult(
+        order,
+        result.kind === 'accepted' && isPlanned && isMet
+          ? 'already-met'
+          : result.kind,
+        listed,
+        clock(),
+      );
       this.log.recordOrder(order, result.kind);
     }
     return wasRefused;
