Count answers that come late although they were expected on time

An answer now counts as strained if it was to wait or was expected on time; one whose prompt takes longer to read than its objective does not.

--- a/packages/decisions/src/orders/service_load_counter.ts
+++ b/packages/decisions/src/orders/service_load_counter.ts
@@ -23,7 +23,10 @@
 const MINIMUM_TOKENS_PER_MILLISECOND = 2;
 
 /** What the placement of a request says of the work that it is. */
-export type PlacedWork = Pick<EngineChoice, 'cachedTokens' | 'mustWait'>;
+export type PlacedWork = Pick<
+  EngineChoice,
+  'cachedTokens' | 'estimateMilliseconds' | 'mustWait'
+>;
 
 /** The beginning of an answer. */
 export interface AnswerStart {
@@ -31,8 +34,9 @@
   readonly placed: PlacedWork;
   /** Milliseconds from the placement to the first byte. */
   readonly elapsedMilliseconds: number;
-  /** Whether the first byte came after the objective of the request. */
-  readonly isLate: boolean;
+  /** Milliseconds from the arrival of the request to the first byte. */
+  readonly latencyMilliseconds: number;
+  readonly objectiveMilliseconds: number;
 }
 
 /** The sums of this process by service. */
@@ -68,12 +72,12 @@
 
   /** Counts the beginning of an answer. */
   countStart(service: string, start: AnswerStart): void {
-    const {promptTokens, placed, elapsedMilliseconds, isLate} = start;
+    const {promptTokens, placed, elapsedMilliseconds} = start;
     const tokens = Math.max(0, promptTokens - placed.cachedTokens);
     const isMeasured = !placed.mustWait && tokens >= MINIMUM_MEASURED_TOKENS;
     this.add(service, {
       starts: 1,
-      lateStarts: isLate && placed.mustWait ? 1 : 0,
+      lateStarts: isAvoidablyLate(start) ? 1 : 0,
       ...(isMeasured && {
         measuredSquares: tokens ** 2 / 1e6,
         measuredProducts:
@@ -115,3 +119,20 @@
     this.sums.set(service, addLoadSums(sums, {...NO_LOAD_SUMS, ...amounts}));
   }
 }
+
+/**
+ * Returns whether an answer is late because of other requests: those that it was
+ * known to wait for, or others, as it was expected on time. A prompt that takes
+ * longer than the objective to read is late on any number of engines.
+ */
+function isAvoidablyLate({
+  placed,
+  latencyMilliseconds,
+  objectiveMilliseconds,
+}: AnswerStart): boolean {
+  const isExpectedOnTime = placed.estimateMilliseconds <= objectiveMilliseconds;
+  return (
+    latencyMilliseconds > objectiveMilliseconds &&
+    (placed.mustWait || isExpectedOnTime)
+  );
+}
--- a/packages/decisions/src/orders/service_load_report.ts
+++ b/packages/decisions/src/orders/service_load_report.ts
@@ -21,7 +21,7 @@
   readonly squaredMegatokens: number;
   /** Requests whose answer began. */
   readonly starts: number;
-  /** Answers that began late behind other requests. */
+  /** Answers that began late because of other requests. */
   readonly lateStarts: number;
   /**
    * Sum of the squares of the uncached tokens, in millions, of requests that
--- a/packages/decisions/tests/engine_plan_test.ts
+++ b/packages/decisions/tests/engine_plan_test.ts
@@ -98,28 +98,74 @@
 });
 
 describe('the counter of a process', () => {
-  it('measures only requests that are not known to wait', () => {
-    const counter = new ServiceLoadCounter('p');
-    const start = {promptTokens: 3000, elapsedMilliseconds: 100, isLate: true};
-    const placed = {cachedTokens: 1000, mustWait: false};
-    counter.countStart(SERVICE, {...start, placed});
-    counter.countStart(SERVICE, {
-      ...start,
-      placed: {...placed, mustWait: true},
-    });
-    expect(counter.reports([SERVICE, 'other'])).toMatchObject([
-      {starts: 2, lateStarts: 1, measuredSquares: 4, measuredProducts: 0.2},
-      {service: 'other', starts: 0},
-    ]);
-  });
+  const START = {
+    promptTokens: 3000,
+    placed: {cachedTokens: 1000, mustWait: false, estimateMilliseconds: 50},
+    elapsedMilliseconds: 100,
+    latencyMilliseconds: 100,
+    objectiveMilliseconds: 500,
+  };
+
+  it.each([
+    {name: 'that is known to wait', mustWait: true, squares: 0, products: 0},
+    {name: 'that is not', mustWait: false, squares: 4, products: 0.2},
+  ])(
+    'measures the speed on a request $name: $squares',
+    ({mustWait, squares, products}) => {
+      const counter = new ServiceLoadCounter('p');
+      counter.countStart(SERVICE, {
+        ...START,
+        placed: {...START.placed, mustWait},
+      });
+      expect(counter.reports([SERVICE, 'other'])).toMatchObject([
+        {starts: 1, measuredSquares: squares, measuredProducts: products},
+        {service: 'other', starts: 0},
+      ]);
+    },
+  );
+
+  it.each([
+    {name: 'on time', latency: 500, estimate: 50, mustWait: true, late: 0},
+    {
+      name: 'late unexpectedly',
+      latency: 501,
+      estimate: 50,
+      mustWait: false,
+      late: 1,
+    },
+    {
+      name: 'late behind others',
+      latency: 501,
+      estimate: 900,
+      mustWait: true,
+      late: 1,
+    },
+    {
+      name: 'late by itself',
+      latency: 901,
+      estimate: 900,
+      mustWait: false,
+      late: 0,
+    },
+  ])(
+    'counts answers that are late because of others: $name',
+    ({latency, estimate, mustWait, late}) => {
+      const counter = new ServiceLoadCounter('p');
+      counter.countStart(SERVICE, {
+        ...START,
+        placed: {cachedTokens: 0, estimateMilliseconds: estimate, mustWait},
+        latencyMilliseconds: latency,
+      });
+      expect(counter.reports([SERVICE])[0]?.lateStarts).toBe(late);
+    },
+  );
 
   it('bounds what a frozen host measures', () => {
     const counter = new ServiceLoadCounter('p');
     counter.countStart(SERVICE, {
-      promptTokens: 2000,
-      placed: {cachedTokens: 0, mustWait: false},
+      ...START,
       elapsedMilliseconds: 60_000,
-      isLate: true,
+      latencyMilliseconds: 60_000,
     });
     expect(counter.reports([SERVICE])[0]?.measuredProducts).toBe(2);
   });
--- a/packages/entry-process/src/routed_interface/requests/request_load.ts
+++ b/packages/entry-process/src/routed_interface/requests/request_load.ts
@@ -55,7 +55,8 @@
       promptTokens: this.promptTokens,
       placed: choice,
       elapsedMilliseconds: now - placedAt,
-      isLate: now - this.startedAt > this.admission.rule.objectiveMilliseconds,
+      latencyMilliseconds: now - this.startedAt,
+      objectiveMilliseconds: this.admission.rule.objectiveMilliseconds,
     });
   }
 
--- a/packages/measurements/src/orders_model.ts
+++ b/packages/measurements/src/orders_model.ts
@@ -294,7 +294,8 @@
       promptTokens,
       placed: choice,
       elapsedMilliseconds: now - placedAt,
-      isLate,
+      latencyMilliseconds: now - arrivedAt,
+      objectiveMilliseconds: kind.objective,
     });
     this.counts.onTime += isLate ? 0 : 1;
     this.counts.late += isLate ? 1 : 0;
--- a/packages/observability/src/events/duty_events.ts
+++ b/packages/observability/src/events/duty_events.ts
@@ -50,7 +50,7 @@
   5009: {
     level: 'info',
     message:
-      '{planned} reclaimable engines of {service} are planned: the load needs {calm} (objective kept), {shortTerm} for a while, {afterLoss} after the loss of half of them; busy {busy}, expected {expected}, peak {peak} engines at a utilization of {utilization}, {tokenMicroseconds} us a token, {cached} tokens cached for each one read, {strained}% refused or late behind others; load of {heard}% of the hosts is {loadAge} ms old and was seen for {seen} ms, last lost domain {lossAge} ms ago, first plan {planAge} ms ago; {usual} engines at first; out of capacity: {outOfCapacity}',
+      '{planned} reclaimable engines of {service} are planned: the load needs {calm} (objective kept), {shortTerm} for a while, {afterLoss} after the loss of half of them; busy {busy}, expected {expected}, peak {peak} engines at a utilization of {utilization}, {tokenMicroseconds} us a token, {cached} tokens cached for each one read, {strained}% refused or late because of others; load of {heard}% of the hosts is {loadAge} ms old and was seen for {seen} ms, last lost domain {lossAge} ms ago, first plan {planAge} ms ago; {usual} engines at first; out of capacity: {outOfCapacity}',
     advice: 'See "Why that many engines stand there" in OPERATIONS.md.',
   },
 } as const satisfies Readonly<Record<number, EventRow>>;
