Keep less with on-demand engines for another loss than the plan keeps

While domains were out of capacity, on-demand engines were ordered for the full reserve after another loss. They now keep up with the load after another loss at a utilization of 0.8.

On-demand engines that fill a domain make room for a quarter of the missing reclaimable ones at a time, so that they can be replaced when the plan is at the bounds.

--- a/packages/decisions/src/orders/engine_orders_by_load.ts
+++ b/packages/decisions/src/orders/engine_orders_by_load.ts
@@ -32,6 +32,12 @@
 /** Share of its engines from which on a domain counts as filled again. */
 const FILLED_SHARE = 0.75;
 
+/**
+ * Share of the missing reclaimable engines of a domain for which on-demand ones
+ * make room at a time, if both do not fit.
+ */
+const REPLACED_SHARE = 0.25;
+
 interface DomainCounts {
   readonly failureDomain: string;
   readonly price: number;
@@ -160,10 +166,11 @@
   }
   const standing = domains.map(standingIn);
   const total = standing.reduce((sum, count) => sum + count, 0);
-  const largest = Math.max(...standing);
+  // On-demand engines are dear, so that less is kept for another loss than the
+  // plan keeps.
   const wanted = Math.max(
     needed.shortTerm,
-    needed.afterLossOf(largest / Math.max(1, total)) + largest,
+    needed.least + Math.max(...standing),
   );
   let missing = Math.max(0, Math.ceil(wanted - total));
   const open = domains.filter(({isOutOfCapacity}) => !isOutOfCapacity);
@@ -215,15 +222,16 @@
 
 /**
  * Returns the on-demand engines that fit into a domain beside the reclaimable
- * ones that it has. It keeps room for half of those that are wanted or, while it
- * has no capacity, for one more: an order for it shows when it has some again.
+ * ones that it has. It keeps room for some of those that are missing or, while
+ * it has no capacity, for one: an order for it shows when it has some again.
  */
 function roomIn(
   {isOutOfCapacity, listedReclaimable, reclaimable}: DomainCounts,
   {maximumInDomain}: ScalingBounds,
 ): number {
-  const kept = isOutOfCapacity
-    ? listedReclaimable + 1
-    : Math.max(listedReclaimable, Math.ceil(reclaimable / 2));
+  const missing = Math.max(0, reclaimable - listedReclaimable);
+  const kept =
+    listedReclaimable +
+    (isOutOfCapacity ? 1 : Math.ceil(missing * REPLACED_SHARE));
   return Math.max(0, maximumInDomain - kept);
 }
--- a/packages/decisions/src/orders/engine_plan.ts
+++ b/packages/decisions/src/orders/engine_plan.ts
@@ -59,8 +59,10 @@
   readonly calm: number;
   /** Serves the load for a while, with some late answers. */
   readonly shortTerm: number;
+  /** Keeps up with the load for some seconds. */
+  readonly least: number;
   /**
-   * Returns the engines that serve the load for some seconds, if the caches of a
+   * Returns the engines that serve the load for a while, if the caches of a
    * share of the engines were lost and have to be filled again.
    */
   readonly afterLossOf: (share: number) => number;
@@ -98,7 +100,10 @@
  */
 const REREAD_SHARE = 0.5;
 
-/** Utilization above which engines do not keep up with varying work. */
+/** Utilization above which engines do not keep up with the load at all. */
+const HIGHEST_UTILIZATION = 0.8;
+
+/** Utilization above which engines do not keep up with varying work for long. */
 const MAXIMUM_SHORT_TERM_UTILIZATION = 0.7;
 
 /** Returns the engines that the planned load needs. */
@@ -110,6 +115,7 @@
     return {
       calm: usualEngines,
       shortTerm: usualEngines,
+      least: usualEngines,
       afterLossOf: () => usualEngines,
     };
   }
@@ -123,6 +129,7 @@
   return {
     calm: expectedEngines / calmUtilization,
     shortTerm: expectedEngines / utilization,
+    least: peakEngines / HIGHEST_UTILIZATION,
     afterLossOf: share =>
       (peakEngines * (1 + cachedRatio * share * REREAD_SHARE)) / utilization,
   };
--- a/packages/measurements/src/ordering_rule.ts
+++ b/packages/measurements/src/ordering_rule.ts
@@ -151,7 +151,12 @@
         return this.ordersFor(
           this.policy.engines,
           // On-demand engines stay until the reclaimable ones serve.
-          {calm: this.policy.engines, shortTerm: 0, afterLossOf: () => 0},
+          {
+            calm: this.policy.engines,
+            shortTerm: 0,
+            least: 0,
+            afterLossOf: () => 0,
+          },
           new Set(),
         );
       case 'by-load':
