--- a/packages/decisions/src/placement/placement_table.ts
+++ b/packages/decisions/src/placement/placement_table.ts
@@ -14,6 +14,7 @@
 } from './choose_engine.js';
 import {PrefillSpeeds} from './prefill_speeds.js';
 import {PrefixMemory} from './prefix_memory.js';
+import type {FirstOutput, PlacementTask, ServiceTable} from './service_table.js';
 
 /** An attempt and the upstream to which it was sent. */
 export interface PlacedAttempt {
@@ -57,7 +58,7 @@
 }
 
 /** The requests at the upstreams of a service, by front. */
-export class PlacementTable {
+export class PlacementTable implements ServiceTable {
   private readonly fronts = new Map<string, Front>();
   private readonly prefixes: PrefixMemory;
   private readonly speeds = new PrefillSpeeds();
@@ -98,6 +99,33 @@
       : {...choice, grantWaitMilliseconds};
   }
 
+  placeTask(task: PlacementTask, now: number): EngineChoice | undefined {
+    const {front, demand, candidates, failureDomain, grants, isAdmitted} = task;
+    return this.place(
+      front,
+      demand,
+      candidates,
+      failureDomain,
+      now,
+      grants,
+      isAdmitted,
+    );
+  }
+
+  recordOutput(output: FirstOutput): void {
+    const {front, tokens, elapsed} = output;
+    this.recordFirstOutput(front, output, tokens, elapsed);
+  }
+
+  /** Loads are not stated: other hosts choose by their own requests. */
+  statementsOf(): readonly never[] {
+    return [];
+  }
+
+  recordStatements(): void {
+    // Loads of other hosts are not used.
+  }
+
   /** Counts a request at an upstream that this or another host has chosen. */
   add(
     front: string,
--- a/packages/measurements/src/measure.ts
+++ b/packages/measurements/src/measure.ts
@@ -10,6 +10,7 @@
 import {measureMembership} from './measure_membership.js';
 import {measureOverload} from './measure_overload.js';
 import {measurePath} from './measure_path.js';
+import {measurePlacement} from './measure_placement.js';
 import {measureReclaim} from './measure_reclaim.js';
 import {measureRecovery} from './measure_recovery.js';
 import {measureSlopes} from './measure_slopes.js';
@@ -23,6 +24,7 @@
   membership: measureMembership,
   overload: measureOverload,
   path: measurePath,
+  placement: measurePlacement,
   reclaim: measureReclaim,
   recovery: measureRecovery,
   slopes: measureSlopes,
