Place requests by the load expected when they arrive

Speeds of engines start from those of the others and separate what lasts from what passes; work of an engine is that of the time since its last first token, so that waiting is not taken for slowness. A dispatcher counts what it sent since reports are old, states its loads to hosts once a second in answers that it sends anyway, and hosts that place requests themselves draw engines by the room that they expect. Reading a shared part again costs what it delays others.

--- a/packages/decisions/src/placement/engine_wait.ts
+++ b/packages/decisions/src/placement/engine_wait.ts
@@ -2,7 +2,7 @@
  * The time until an engine begins to read the prompt of a new request, by what
  * was placed there and by the speed of the engine.
  */
-import type {UpstreamWork} from './upstream_work.js';
+import type {UpstreamWork, WaitingPrompt} from './upstream_work.js';
 
 /**
  * Share of the prompts of less urgent requests that is read before an urgent
@@ -49,44 +49,40 @@
   now: number,
 ): EngineWait {
   const {work, millisecondsPerToken, lagMilliseconds, stated} = engine;
-  const {currentPromptSince, waiting} = work;
-  const statedMilliseconds = stated?.waitMilliseconds ?? 0;
-  if (currentPromptSince === undefined && statedMilliseconds === 0) {
-    return {tokens: 0, milliseconds: 0};
-  }
   const knownUntil = stated?.statedAt ?? now - lagMilliseconds;
-  const readingSince = currentPromptSince ?? knownUntil;
-  let milliseconds = statedMilliseconds;
-  let largestPart = 0;
+  const partOf = (prompt: WaitingPrompt): number =>
+    prompt.tokens *
+    millisecondsPerToken *
+    (prompt.priority <= priority ? 1 : LESS_URGENT_SHARE);
+  let milliseconds =
+    stated?.waitMilliseconds ?? waitAtTime(work, knownUntil, partOf);
   let time = knownUntil;
-  let hasAppliedProgress = false;
-  const applyProgress = (): void => {
-    hasAppliedProgress = true;
-    milliseconds -= Math.min(
-      Math.max(0, knownUntil - readingSince),
-      largestPart * MAXIMUM_READ_SHARE,
-    );
-  };
-  for (const prompt of waiting.values()) {
-    const share = prompt.priority <= priority ? 1 : LESS_URGENT_SHARE;
-    const part = prompt.tokens * share * millisecondsPerToken;
-    if (stated !== undefined && prompt.placedAt <= stated.statedAt) {
-      continue;
-    }
+  for (const prompt of work.waiting.values()) {
     if (prompt.placedAt > knownUntil) {
-      if (!hasAppliedProgress) {
-        applyProgress();
-      }
-      milliseconds = Math.max(0, milliseconds - (prompt.placedAt - time));
-      time = prompt.placedAt;
-    } else {
-      largestPart = largestPart === 0 ? part : Math.max(largestPart, part);
+      const elapsed = Math.max(0, prompt.placedAt - time);
+      milliseconds = Math.max(0, milliseconds - elapsed) + partOf(prompt);
+      time += elapsed;
     }
-    milliseconds += part;
-  }
-  if (!hasAppliedProgress) {
-    applyProgress();
   }
   const left = Math.max(0, milliseconds - (now - time));
   return {tokens: left / millisecondsPerToken, milliseconds: left};
 }
+
+/** Returns the wait at `time`, up to which first tokens are known. */
+function waitAtTime(
+  {currentPromptSince, waiting}: KnownEngine['work'],
+  time: number,
+  partOf: (prompt: WaitingPrompt) => number,
+): number {
+  let milliseconds = 0;
+  let largestPart = 0;
+  for (const prompt of waiting.values()) {
+    if (prompt.placedAt <= time) {
+      const part = partOf(prompt);
+      milliseconds += part;
+      largestPart = Math.max(largestPart, part);
+    }
+  }
+  const readingFor = Math.max(0, time - (currentPromptSince ?? time));
+  return milliseconds - Math.min(readingFor, largestPart * MAXIMUM_READ_SHARE);
+}
--- a/packages/decisions/src/placement/placement_table.ts
+++ b/packages/decisions/src/placement/placement_table.ts
@@ -14,7 +14,11 @@
 } from './choose_engine.js';
 import {PrefillSpeeds} from './prefill_speeds.js';
 import {PrefixMemory} from './prefix_memory.js';
-import type {FirstOutput, PlacementTask, ServiceTable} from './service_table.js';
+import type {
+  FirstOutput,
+  PlacementTask,
+  ServiceTable,
+} from './service_table.js';
 
 /** An attempt and the upstream to which it was sent. */
 export interface PlacedAttempt {
--- a/packages/decisions/src/placement/spread_table.ts
+++ b/packages/decisions/src/placement/spread_table.ts
@@ -16,7 +16,11 @@
 import {PlacedWork} from './placed_work.js';
 import type {PlacedAttempt, PlacedRequest} from './placement_table.js';
 import {PrefixMemory} from './prefix_memory.js';
-import type {FirstOutput, PlacementTask, ServiceTable} from './service_table.js';
+import type {
+  FirstOutput,
+  PlacementTask,
+  ServiceTable,
+} from './service_table.js';
 import {chooseSpread, type UnknownLoad} from './spread_choice.js';
 import {
   type LoadStatement,
@@ -200,11 +204,7 @@
     const {upstreamId} = choice.upstream;
     const {attemptId, priority, promptTokens, parts} = demand;
     const waitingTokens = Math.max(0, promptTokens - choice.cachedTokens);
-    this.work.add(
-      front,
-      {attemptId, upstreamId, waitingTokens, priority},
-      now,
-    );
+    this.work.add(front, {attemptId, upstreamId, waitingTokens, priority}, now);
     this.prefixes.recordRead(upstreamId, parts, now);
   }
 
--- a/packages/decisions/src/placement/upstream_work.ts
+++ b/packages/decisions/src/placement/upstream_work.ts
@@ -88,9 +88,9 @@
       this.startMeasurement(this.lastBegunAt, false);
       return undefined;
     }
-    return previous ?? this.takeSample(
-      this.lastBegunAt,
-      this.requiredTokens(this.waitingTokens),
+    return (
+      previous ??
+      this.takeSample(this.lastBegunAt, this.requiredTokens(this.waitingTokens))
     );
   }
 
--- a/packages/decisions/src/placement/work_speeds.ts
+++ b/packages/decisions/src/placement/work_speeds.ts
@@ -149,8 +149,7 @@
     const milliseconds = Math.max(
       1e-3,
       expected * MINIMUM_WORK_SHARE,
-      sample.milliseconds -
-        (sample.isFromIdle ? overheadMilliseconds : 0),
+      sample.milliseconds - (sample.isFromIdle ? overheadMilliseconds : 0),
     );
     const sampleVariance = noise ** 2 + (jitterMilliseconds / expected) ** 2;
     const independence = Math.max(
--- a/packages/entry-hosts/src/messages/placement_messages.ts
+++ b/packages/entry-hosts/src/messages/placement_messages.ts
@@ -4,6 +4,7 @@
 import type {
   AdmissionRefusal,
   AdmissionTerms,
+  LoadStatement,
   PlacedRequest,
   PlacementDemand,
   PlacementEstimate,
@@ -39,6 +40,11 @@
       readonly promotedRank?: number;
       /** What the dispatcher knows of rates, if the front sent any. */
       readonly rates?: readonly RateStatement[];
+      /**
+       * Loads of the shard's engines, so that the front can place requests if the
+       * dispatcher does not answer; at most once a second.
+       */
+      readonly loads?: readonly LoadStatement[];
     }
   /** Every upstream has as many requests as its limit allows. */
   | {
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -2,6 +2,7 @@
  * Construction and wiring of the tasks of an entry process on the platform.
  */
 import {
+  featuresOf,
   FleetHealth,
   NamedRates,
   type RoutingConfiguration,
@@ -180,6 +181,8 @@
         knownHosts: this.membership.sharingHostIds().length,
       }),
       cacheRetentionMilliseconds: settings.bounds.reuseWindowMilliseconds * 2,
+      random: Math.random,
+      hasSpreadPlacement: name => this.hasSpreadPlacement(name),
     });
     this.membership = createRoutedMembership({
       settings: dependencies.settings,
@@ -351,6 +354,14 @@
     });
   }
 
+  private hasSpreadPlacement(name: string): boolean {
+    const service = this.configuration.current?.value.services.get(name);
+    return (
+      service !== undefined &&
+      featuresOf(service, this.fleet.domainCount()).hasSpreadPlacement
+    );
+  }
+
   private onUpstreamChanges(changes: readonly UpstreamChange[]): void {
     this.placement.onUpstreamChanges(changes);
     this.streams.publishAmbiguous();
--- a/packages/entry-process/src/routed_interface/placement/placement_renewals.ts
+++ b/packages/entry-process/src/routed_interface/placement/placement_renewals.ts
@@ -2,13 +2,18 @@
  * Renews the requests of this host at the dispatchers, which corrects the effect
  * of lost notifications.
  */
-import type {PlacedRequest, PlacementTable} from '@lacewingwinch/decisions';
+import type {
+  Member,
+  PlacedRequest,
+  ServiceTable,
+} from '@lacewingwinch/decisions';
 import type {PeerClient} from '@lacewingwinch/entry-hosts';
 
 import {isAborted} from '../../util/is_aborted.js';
 import {pause} from '../../util/pause.js';
 import type {DispatcherCalls} from './dispatcher_calls.js';
 import type {PlacementCandidates} from './placement_candidates.js';
+import type {ServiceTables} from './service_tables.js';
 import type {ShardAdmissions} from './shard_admissions.js';
 
 /** Milliseconds between two renewals. */
@@ -20,8 +25,8 @@
   readonly peers: PeerClient;
   /** Returns suspension-aware clock readings in milliseconds. */
   readonly clock: () => number;
-  /** Tables by service. */
-  readonly tables: ReadonlyMap<string, PlacementTable>;
+  readonly tables: ServiceTables;
+  readonly servingHosts: () => readonly Member[];
   readonly candidates: PlacementCandidates;
   readonly dispatchers: DispatcherCalls;
   readonly admissions: ShardAdmissions;
@@ -33,20 +38,25 @@
 
   /** Renews this host's requests at the dispatchers until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const {tables, candidates, admissions} = this.dependencies;
+    const {tables, candidates, admissions, servingHosts} = this.dependencies;
     while (!isAborted(signal)) {
       await pause(RENEW_PERIOD_MILLISECONDS, signal);
-      for (const [service, table] of tables) {
+      for (const [service, table] of tables.all) {
         this.renew(service, table);
       }
-      const shards = [...tables.keys()].flatMap(service =>
+      const shards = [...tables.all.keys()].flatMap(service =>
         candidates.shardsOf(service),
       );
-      admissions.keepOnly(new Set(shards.map(({id}) => id)));
+      const shardIds = new Set(shards.map(({id}) => id));
+      admissions.keepOnly(shardIds);
+      tables.forgetStatements(
+        shardIds,
+        new Set(servingHosts().map(({hostId}) => hostId)),
+      );
     }
   }
 
-  private renew(service: string, table: PlacementTable): void {
+  private renew(service: string, table: ServiceTable): void {
     const {hostId, peers, clock, candidates, dispatchers} = this.dependencies;
     candidates
       .shardsOf(service)
--- a/packages/entry-process/src/routed_interface/placement/routed_placement.ts
+++ b/packages/entry-process/src/routed_interface/placement/routed_placement.ts
@@ -8,8 +8,8 @@
   GRANT_LIFETIME_MILLISECONDS,
   type Member,
   type NamedRates,
+  type PlacedRequest,
   type PlacementDemand,
-  PlacementTable,
   type UpstreamChange,
   type UpstreamResult,
   type UsableUpstream,
@@ -39,6 +39,10 @@
   type PlacementResult,
   soonerOf,
 } from './placement_result.js';
+import {
+  ServiceTables,
+  type ServiceTablesDependencies,
+} from './service_tables.js';
 import {ShardAdmissions} from './shard_admissions.js';
 import {type ShardChosen, ShardPlacement} from './shard_placement.js';
 
@@ -47,7 +51,10 @@
 
 /** Dependencies of `RoutedPlacement`. */
 export interface RoutedPlacementDependencies
-  extends PlacementCandidatesDependencies, LimitedUpstreamsDependencies {
+  extends
+    PlacementCandidatesDependencies,
+    LimitedUpstreamsDependencies,
+    ServiceTablesDependencies {
   readonly hostId: string;
   readonly failureDomain: string;
   readonly peers: PeerClient;
@@ -55,10 +62,6 @@
   readonly servingHosts: () => readonly Member[];
   /** Returns the serving hosts that may dispatch shards. */
   readonly dispatchingHosts: () => readonly Member[];
-  /**
-   * Milliseconds for which a prompt part stays in a cache after its last use.
-   */
-  readonly cacheRetentionMilliseconds: number;
 }
 
 /** The process of an upstream that a result is about, and the reporting host. */
@@ -71,7 +74,7 @@
 
 /** Places requests, and serves other hosts as the dispatcher of its shards. */
 export class RoutedPlacement {
-  private readonly tables = new Map<string, PlacementTable>();
+  private readonly tables: ServiceTables;
   /** The upstreams at which requests may be placed. */
   readonly candidates: PlacementCandidates;
   private readonly dispatchers: DispatcherCalls;
@@ -81,12 +84,13 @@
   private readonly admissions: ShardAdmissions;
 
   constructor(private readonly dependencies: RoutedPlacementDependencies) {
+    this.tables = new ServiceTables(dependencies);
     this.candidates = new PlacementCandidates(dependencies);
     this.dispatchers = new DispatcherCalls(dependencies);
     this.limited = new LimitedUpstreams({
       ...dependencies,
       runningAt: ({service, upstreamId}) =>
-        this.tableOf(service).runningAt(upstreamId, dependencies.clock()),
+        this.tables.of(service).runningAt(upstreamId, dependencies.clock()),
     });
     this.admissions = new ShardAdmissions({
       clock: dependencies.clock,
@@ -106,22 +110,29 @@
       dispatchers: this.dispatchers,
       namedRates: dependencies.namedRates,
       limited: this.limited,
+      recordLoads: (service, answer) =>
+        this.tables.recordLoads(service, answer),
       choose: (request, candidates, grants) => {
-        const {front, failureDomain} = request;
-        const table = this.tableOf(request.service);
+        const {front, failureDomain, shardId} = request;
+        const table = this.tables.of(request.service);
         const now = dependencies.clock();
+        const dispatcherForMilliseconds =
+          this.dispatchers.dispatcherFor(shardId);
         return this.admissions.choose(request, {
           engineCount: candidates.length,
-          speedOf: upstreamId => table.prefillSpeedOf(upstreamId),
+          speedOf: upstreamId => table.prefillSpeedOf(upstreamId, now),
           place: (demand, isAdmitted) =>
-            table.place(
-              front,
-              demand,
-              candidates,
-              failureDomain,
+            table.placeTask(
+              {
+                front,
+                demand,
+                candidates,
+                failureDomain,
+                grants,
+                isAdmitted,
+                knowledge: {dispatcherForMilliseconds},
+              },
               now,
-              grants,
-              isAdmitted,
             ),
         });
       },
@@ -169,7 +180,7 @@
     }
     if (best !== undefined) {
       const {hostId, clock} = this.dependencies;
-      this.tableOf(service).add(hostId, demand, best.choice, clock());
+      this.tables.of(service).add(hostId, demand, best.choice, clock());
       return best;
     }
     if (refusal !== undefined) {
@@ -208,7 +219,7 @@
       case 'refused':
         return result;
       case 'chosen':
-        return this.placementOf(service, demand, result);
+        return this.placementOf(service, shardId, demand, result);
     }
   }
 
@@ -222,29 +233,26 @@
       ...request.excluded,
       ...this.candidates.excludedIdsForAll(request.service),
     ];
-    return this.shards.onRequest(
+    const answer = this.shards.onRequest(
       {...request, excluded},
       new Set(request.excluded),
     );
+    return this.tables.withLoads(request, answer, this.candidates);
   }
 
   /** Handles a notification from a front that a request started or ended. */
   onNotification(notification: PlacementReport): void {
-    const table = this.tableOf(notification.service);
+    const table = this.tables.of(notification.service);
+    const now = this.dependencies.clock();
     notification.rates?.forEach(rate =>
       this.dependencies.namedRates.merge(rate),
     );
     switch (notification.kind) {
       case 'began':
-        table.recordFirstOutput(
-          notification.front,
-          notification,
-          notification.tokens,
-          notification.elapsed,
-        );
+        table.recordOutput({...notification, isDispatchedHere: true}, now);
         return;
       case 'ended':
-        table.recordEnd(notification.front, notification);
+        table.recordEnd(notification.front, notification, now);
         this.recordResult(notification, notification.result);
         this.recordLeaving(notification.upstreamId, notification.leavingBornAt);
     }
@@ -254,13 +262,11 @@
   onRenewal(
     service: string,
     front: string,
-    requests: Parameters<PlacementTable['replaceRequests']>[1],
+    requests: readonly PlacedRequest[],
   ): void {
-    this.tableOf(service).replaceRequests(
-      front,
-      requests,
-      this.dependencies.clock(),
-    );
+    this.tables
+      .of(service)
+      .replaceRequests(front, requests, this.dependencies.clock());
   }
 
   /** Renews this host's requests at the dispatchers until `signal` aborts. */
@@ -279,12 +285,13 @@
 
   private placementOf(
     service: string,
+    shardId: string,
     demand: PlacementDemand,
     {choice, dispatcher, promotedRank}: ShardChosen,
   ): Placement {
     const {hostId, clock, announcements} = this.dependencies;
     const {upstream} = choice;
-    const table = this.tableOf(service);
+    const table = this.tables.of(service);
     const placedAttempt = {
       attemptId: demand.attemptId,
       upstreamId: upstream.upstreamId,
@@ -301,8 +308,11 @@
           placedAt + grantWaitMilliseconds + GRANT_LIFETIME_MILLISECONDS,
       reportStarted: () => {
         const tokens = choice.tokensToRead;
-        const elapsed = clock() - placedAt;
-        table.recordFirstOutput(hostId, placedAttempt, tokens, elapsed);
+        const now = clock();
+        const elapsed = now - placedAt;
+        const output = {...placedAttempt, front: hostId, tokens, elapsed};
+        const isDispatchedHere = this.dispatchers.isDispatcher(shardId);
+        table.recordOutput({...output, isDispatchedHere}, now);
         this.dispatchers.report(dispatcher, {
           kind: 'began',
           service,
@@ -314,7 +324,7 @@
         });
       },
       reportEnded: result => {
-        table.recordEnd(hostId, placedAttempt);
+        table.recordEnd(hostId, placedAttempt, clock());
         const {bornAt} = upstream;
         this.recordResult({...placedAttempt, bornAt, front: hostId}, result);
         this.dispatchers.report(dispatcher, {
@@ -366,22 +376,8 @@
     }
   }
 
-  private tableOf(service: string): PlacementTable {
-    const existing = this.tables.get(service);
-    if (existing !== undefined) {
-      return existing;
-    }
-    const created = new PlacementTable(
-      this.dependencies.cacheRetentionMilliseconds,
-    );
-    this.tables.set(service, created);
-    return created;
-  }
-
   private forget(upstreamId: string): void {
-    for (const table of this.tables.values()) {
-      table.forgetUpstream(upstreamId);
-    }
+    this.tables.forgetUpstream(upstreamId);
     this.dependencies.health.forget(upstreamId);
     this.dependencies.fleetHealth.forget(upstreamId);
     this.dependencies.announcements.forgetUnidentified(upstreamId);
--- a/packages/entry-process/src/routed_interface/placement/shard_placement.ts
+++ b/packages/entry-process/src/routed_interface/placement/shard_placement.ts
@@ -40,6 +40,11 @@
   readonly dispatchers: DispatcherCalls;
   readonly namedRates: NamedRates;
   readonly limited: LimitedUpstreams;
+  /** Records the loads that an answer of a dispatcher states. */
+  readonly recordLoads: (
+    service: string,
+    answer: PlacementAnswer | undefined,
+  ) => void;
   /**
    * Chooses one of the candidates and counts the request there, unless it is
    * refused.
@@ -177,6 +182,7 @@
   ): Promise<ShardChoice | undefined> {
     const {dispatchers, namedRates, candidates} = this.dependencies;
     const first = await dispatchers.requestChoice(dispatcher, request);
+    this.dependencies.recordLoads(request.service, first);
     const choice = this.choiceFrom(request, first, dispatcher);
     if (choice?.kind !== 'chosen' || !this.lacksGrant(choice.choice)) {
       return choice;
--- a/packages/entry-process/tests/routed_placement_test.ts
+++ b/packages/entry-process/tests/routed_placement_test.ts
@@ -90,6 +90,8 @@
     dispatchingHosts: () => HOSTS.map(servingMember),
     clock: () => 0,
     cacheRetentionMilliseconds: 20_000,
+    random: () => 0.5,
+    hasSpreadPlacement: () => false,
   });
 }
 
--- a/packages/measurements/src/placement_model.ts
+++ b/packages/measurements/src/placement_model.ts
@@ -195,7 +195,8 @@
     const count = Math.ceil(kind.sharedPartsPerEngine * engines);
     // Some parts are asked for much more often than others.
     const part = Math.floor(this.random() ** 1.4 * count);
-    const ownTokens = kind.ownTokens * (0.25 + 0.75 * exponential(this.random, 1));
+    const ownTokens =
+      kind.ownTokens * (0.25 + 0.75 * exponential(this.random, 1));
     return [
       {partId: `${kind.name}/${part}`, tokens: kind.sharedTokens},
       {partId: id, tokens: Math.ceil(ownTokens)},
