Overflow, shards and metrics of spread placement

Another shard is asked only if reading the whole prompt at an idle engine would cost less than the best choice; shards get requests by the speed of their engines; the age of the knowledge, the error of estimates and the spread of load are metrics.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -68,6 +68,7 @@
 export * from './placement/choose_engine.js';
 export * from './placement/decide_load_shedding.js';
 export * from './placement/decide_paused_service.js';
+export * from './placement/engine_expectation.js';
 export * from './placement/engine_wait.js';
 export * from './placement/placed_work.js';
 export * from './placement/placement_table.js';
--- a/packages/decisions/src/placement/choose_engine.ts
+++ b/packages/decisions/src/placement/choose_engine.ts
@@ -63,6 +63,16 @@
   readonly errorMilliseconds?: number;
   /** Age in milliseconds of the oldest load on which the estimate rests. */
   readonly knowledgeAgeMilliseconds?: number;
+  /**
+   * The estimate with the time that others wait longer for the request, by which
+   * choices in several shards are compared; absent where it is not known.
+   */
+  readonly costMilliseconds?: number;
+  /**
+   * Whether reading all of the prompt at an idle engine would cost less; absent
+   * where it is not known.
+   */
+  readonly isCheaperWhenIdle?: boolean;
   /** Prompt tokens that the upstream is expected to have in its cache. */
   readonly cachedTokens: number;
   /**
--- a/packages/decisions/src/placement/placed_work.ts
+++ b/packages/decisions/src/placement/placed_work.ts
@@ -58,11 +58,12 @@
     return this.upstreams.get(upstreamId) ?? NO_WORK;
   }
 
-  /** Counts a request; one that is counted already is counted anew. */
+  /** Counts a request, once however often it is added. */
   add(front: string, request: PlacedRequest, now: number): void {
     this.hear(front, now);
-    this.remove(front, keyOf(request));
-    this.insert(front, request, now);
+    if (this.fronts.get(front)?.requests.has(keyOf(request)) !== true) {
+      this.insert(front, request, now);
+    }
   }
 
   /**
@@ -103,7 +104,7 @@
     now: number,
   ): ReportedRequest | undefined {
     this.hear(front, now);
-    const request = this.remove(front, keyOf(attempt));
+    const request = this.remove(front, keyOf(attempt), now);
     return request === undefined
       ? undefined
       : {
@@ -121,7 +122,7 @@
     const listedKeys = new Set(listed.map(keyOf));
     for (const [key, {placedAt}] of known) {
       if (!listedKeys.has(key) && now - placedAt > CROSSING_MILLISECONDS) {
-        this.remove(front, key);
+        this.remove(front, key, now);
       }
     }
     for (const request of listed) {
@@ -152,7 +153,7 @@
     for (const [front, {heardAt, requests}] of this.fronts) {
       if (front !== ownHostId && now - heardAt > FRONT_TIMEOUT_MILLISECONDS) {
         for (const key of requests.keys()) {
-          this.remove(front, key);
+          this.remove(front, key, now);
         }
         this.fronts.delete(front);
       }
@@ -170,7 +171,11 @@
     work.add(key, tokens > 0 ? {tokens, priority, placedAt: now} : undefined);
   }
 
-  private remove(front: string, key: string): CountedRequest | undefined {
+  private remove(
+    front: string,
+    key: string,
+    now: number,
+  ): CountedRequest | undefined {
     const requests = this.fronts.get(front)?.requests;
     const request = requests?.get(key);
     if (requests === undefined || request === undefined) {
@@ -178,7 +183,7 @@
     }
     requests.delete(key);
     const work = this.upstreams.get(request.upstreamId);
-    work?.end(key);
+    work?.end(key, now);
     if (work?.running === 0) {
       this.upstreams.delete(request.upstreamId);
     }
--- a/packages/decisions/src/placement/placement_table.ts
+++ b/packages/decisions/src/placement/placement_table.ts
@@ -121,6 +121,10 @@
     this.recordFirstOutput(front, output, tokens, elapsed);
   }
 
+  capacityOf(upstreams: readonly UsableUpstream[]): number {
+    return upstreams.length;
+  }
+
   /** Loads are not stated: other hosts choose by their own requests. */
   statementsOf(): readonly never[] {
     return [];
--- a/packages/decisions/src/placement/routed_shards.ts
+++ b/packages/decisions/src/placement/routed_shards.ts
@@ -2,7 +2,7 @@
  * The division of the engines of a service among dispatchers. In a large fleet,
  * one small host cannot place every request of a service. A request is assigned
  * to a shard by its shared prompt part, and shards get requests in proportion
- * to their size. A shard spans all failure domains, so that the reclaim of one
+ * to their size or capacity. A shard spans all failure domains, so that the reclaim of one
  * domain makes every shard smaller but removes none.
  */
 import {
@@ -45,11 +45,12 @@
  * Returns the shards to query for a request, in order of preference. Of several
  * shards, empty ones are left out. Requests that share a prompt part have the
  * same order; the others are spread over the shards in proportion to their
- * size.
+ * weights, by default their sizes.
  */
 export function shardsInOrder(
   demand: PlacementDemand,
   shards: readonly RoutedShard[],
+  weightOf: (shard: RoutedShard) => number = ({upstreams}) => upstreams.length,
 ): readonly RoutedShard[] {
   if (shards.length < 2) {
     return shards;
@@ -58,6 +59,6 @@
     affinityKey(demand),
     shards.filter(({upstreams}) => upstreams.length > 0),
     ({id}) => id,
-    ({upstreams}) => upstreams.length,
+    weightOf,
   );
 }
--- a/packages/decisions/src/placement/service_table.ts
+++ b/packages/decisions/src/placement/service_table.ts
@@ -73,6 +73,11 @@
   runningAt(upstreamId: string, now: number): number;
   /** Returns the prompt tokens that an upstream reads per millisecond. */
   prefillSpeedOf(upstreamId: string, now: number): number;
+  /**
+   * Returns what `upstreams` can do together, as a number of usual upstreams of
+   * the service.
+   */
+  capacityOf(upstreams: readonly UsableUpstream[], now: number): number;
   /** Discards the requests of silent fronts, except those of this host. */
   forgetSilentFronts(ownHostId: string, now: number): void;
   /** Discards what is known of an upstream that left or restarted. */
--- a/packages/decisions/src/placement/spread_table.ts
+++ b/packages/decisions/src/placement/spread_table.ts
@@ -10,8 +10,14 @@
   affinityKey,
   type EngineChoice,
   type PlacementDemand,
-  type PromptPart,
 } from './choose_engine.js';
+import {
+  candidateOf,
+  choiceOf,
+  type EngineFacts,
+  expectAt,
+  PREFERRED_ENGINES,
+} from './engine_expectation.js';
 import {waitAt} from './engine_wait.js';
 import {PlacedWork} from './placed_work.js';
 import type {PlacedAttempt, PlacedRequest} from './placement_table.js';
@@ -38,39 +44,12 @@
 /** Time without a message after which the known loads count as old. */
 const SILENCE_MILLISECONDS = 1500;
 
-/** Milliseconds by which each running request delays a first token. */
-const MILLISECONDS_PER_RUNNING_REQUEST = 0.5;
-
-/** Milliseconds of the round trip to another failure domain. */
-const OTHER_DOMAIN_MILLISECONDS = 6;
-
-/**
- * Milliseconds that the bytes of a prompt token cost between failure domains,
- * where traffic is charged.
- */
-const OTHER_DOMAIN_MILLISECONDS_PER_TOKEN = 0.001;
-
 /**
  * Largest number of milliseconds by which a millisecond of reading delays other
  * requests in total.
  */
 const MAXIMUM_DELAY_OF_OTHERS = 8;
 
-/**
- * Chances that the preferred engines of a shared prompt part have read it, as far
- * as a host knows that does not see all requests.
- */
-const PREFERRED_ENGINE_CHANCES: readonly number[] = [0.9, 0.4];
-
-/**
- * Milliseconds for which a part that no engine has read waits for its preferred
- * engine, at which hosts that see only their own requests look for it.
- */
-const PREFERENCE_MILLISECONDS = 30;
-
-/** Standard deviation of the relative duration of a request. */
-const DURATION_DEVIATION = 0.3;
-
 /** Mean duration of reading a prompt before any was placed. */
 const USUAL_READ_MILLISECONDS = 100;
 
@@ -83,26 +62,6 @@
 /** Weight of the newest report in the age of reports. */
 const NEWEST_LAG_WEIGHT = 0.1;
 
-/** An engine and the request there, as this host expects it. */
-interface Expectation {
-  readonly upstream: UsableUpstream;
-  readonly waitTokens: number;
-  readonly waitMilliseconds: number;
-  /** Less urgent requests there that have to wait longer. */
-  readonly overtakenRequests: number;
-  readonly readTokens: number;
-  readonly readMilliseconds: number;
-  /** Part of the time that does not depend on other prompts. */
-  readonly otherMilliseconds: number;
-  /** Cost of an engine at which other hosts do not look for the prompt. */
-  readonly preferenceMilliseconds: number;
-  readonly costMilliseconds: number;
-  readonly cachedTokens: number;
-  readonly isBlocked: boolean;
-  readonly capacity: number;
-  readonly uncertainty: number;
-}
-
 /** The knowledge on which a choice rests. */
 interface Knowledge {
   /** Whether this host knows all requests. */
@@ -140,14 +99,19 @@
     const preferred = rendezvousOrder(
       affinityKey(demand),
       candidates.map(({upstreamId}) => upstreamId),
-      PREFERRED_ENGINE_CHANCES.length,
+      PREFERRED_ENGINES,
     );
     const expectations = candidates.map(upstream =>
-      this.expect(
+      expectAt(
         upstream,
-        preferred.indexOf(upstream.upstreamId),
+        this.factsOf(
+          upstream,
+          preferred.indexOf(upstream.upstreamId),
+          task,
+          knowledge,
+          now,
+        ),
         task,
-        knowledge,
         now,
       ),
     );
@@ -160,25 +124,21 @@
       meanMilliseconds: this.meanReadMilliseconds,
     };
     const delayOfOthers = this.delayOfOthers();
-    const chosen = chooseSpread(
-      expectations.map(expected => ({
-        waitMilliseconds: expected.waitMilliseconds,
-        ownMilliseconds:
-          expected.otherMilliseconds +
-          expected.readMilliseconds *
-            (1 + delayOfOthers + expected.overtakenRequests) +
-          expected.preferenceMilliseconds +
-          expected.costMilliseconds,
-        capacity: expected.capacity,
-      })),
-      unknown,
-      this.random(),
+    const spreadCandidates = expectations.map(expected =>
+      candidateOf(expected, delayOfOthers),
     );
+    const chosen = chooseSpread(spreadCandidates, unknown, this.random());
     const expected = expectations[chosen?.index ?? -1];
     if (chosen === undefined || expected === undefined) {
       return undefined;
     }
-    const choice = choiceOf(expected, chosen.unknownMilliseconds, knowledge);
+    const usual = this.reading.speedOf('', now).lastingMilliseconds;
+    const choice = choiceOf(expected, {
+      unknownMilliseconds: chosen.unknownMilliseconds,
+      ageMilliseconds: knowledge.ageMilliseconds,
+      delayOfOthers,
+      idleReadMilliseconds: demand.promptTokens * usual,
+    });
     if (!isAdmitted(choice)) {
       return undefined;
     }
@@ -263,6 +223,14 @@
     this.stated.forget(upstreamId);
   }
 
+  capacityOf(upstreams: readonly UsableUpstream[], now: number): number {
+    const usual = this.reading.speedOf('', now).lastingMilliseconds;
+    return upstreams.reduce((sum, {upstreamId}) => {
+      const speed = this.reading.speedOf(upstreamId, now);
+      return sum + usual / speed.lastingMilliseconds;
+    }, 0);
+  }
+
   statementsOf(
     upstreams: readonly UsableUpstream[],
     now: number,
@@ -336,78 +304,32 @@
     };
   }
 
-  /** Returns what this host expects of a request at one engine. */
-  private expect(
-    upstream: UsableUpstream,
+  private factsOf(
+    {upstreamId}: UsableUpstream,
     preferredRank: number,
-    {demand, failureDomain, grants}: PlacementTask,
+    {demand}: PlacementTask,
     {isComplete}: Knowledge,
     now: number,
-  ): Expectation {
-    const {upstreamId, slots} = upstream;
-    const speed = this.reading.speedOf(upstreamId, now);
-    const millisecondsPerToken = speed.millisecondsNow;
-    const work = this.work.at(upstreamId);
+  ): EngineFacts {
     const stated = isComplete ? undefined : this.stated.of(upstreamId, now);
-    const engine = {
-      work,
-      millisecondsPerToken,
+    return {
+      work: this.work.at(upstreamId),
       lagMilliseconds: this.lagMilliseconds,
       ...(stated !== undefined && {stated}),
-    };
-    const wait = waitAt(engine, demand.priority, now);
-    const allWaiting = waitAt(engine, Infinity, now);
-    const running = Math.max(
-      work.running,
-      stated === undefined ? 0 : this.runningSince(upstreamId, stated, now),
-    );
-    const {parts} = demand;
-    const remembered = this.prefixes.cachedTokens(upstreamId, parts, now);
-    const cachedTokens = isComplete
-      ? remembered
-      : Math.max(remembered, guessedTokens(parts, preferredRank));
-    const readTokens = Math.max(0, demand.promptTokens - cachedTokens);
-    const excessRequests = Math.max(0, running + 1 - slots);
-    const grantWait = grants.waitOf(upstream);
-    const held = this.decoding.speedOf(upstreamId, now).lastingMilliseconds;
-    return {
-      upstream,
-      waitTokens: wait.tokens,
-      waitMilliseconds: wait.milliseconds,
-      overtakenRequests:
-        Math.max(0, allWaiting.milliseconds - wait.milliseconds) /
-        Math.max(1, this.meanReadMilliseconds),
-      readTokens,
-      readMilliseconds: readTokens * millisecondsPerToken,
-      otherMilliseconds:
-        grantWait +
-        running * MILLISECONDS_PER_RUNNING_REQUEST +
-        (excessRequests * held) / slots +
-        upstream.coldMilliseconds,
-      preferenceMilliseconds:
-        remembered === 0 && preferredRank !== 0 ? PREFERENCE_MILLISECONDS : 0,
-      costMilliseconds:
-        upstream.failureDomain === failureDomain
-          ? 0
-          : OTHER_DOMAIN_MILLISECONDS +
-            demand.promptTokens * OTHER_DOMAIN_MILLISECONDS_PER_TOKEN,
-      cachedTokens,
-      isBlocked: excessRequests > 0 || grantWait > 0,
-      capacity: 1 / speed.lastingMilliseconds,
-      uncertainty: Math.hypot(speed.uncertainty, DURATION_DEVIATION),
+      speed: this.reading.speedOf(upstreamId, now),
+      answerMilliseconds: this.decoding.speedOf(upstreamId, now)
+        .lastingMilliseconds,
+      meanReadMilliseconds: this.meanReadMilliseconds,
+      rememberedTokens: this.prefixes.cachedTokens(
+        upstreamId,
+        demand.parts,
+        now,
+      ),
+      preferredRank,
+      isComplete,
     };
   }
 
-  /** Returns the requests that still run of those that were stated. */
-  private runningSince(
-    upstreamId: string,
-    {running, statedAt}: {readonly running: number; readonly statedAt: number},
-    now: number,
-  ): number {
-    const {lastingMilliseconds} = this.decoding.speedOf(upstreamId, now);
-    return running * Math.exp(-(now - statedAt) / lastingMilliseconds);
-  }
-
   /**
    * Returns the milliseconds by which others are delayed in total if an engine
    * reads for a millisecond: nobody while engines are idle, more the busier they
@@ -421,44 +343,6 @@
   }
 }
 
-function choiceOf(
-  expected: Expectation,
-  unknownMilliseconds: number,
-  {ageMilliseconds}: Knowledge,
-): EngineChoice {
-  const {upstream, waitTokens, readTokens, cachedTokens} = expected;
-  const work = expected.waitMilliseconds + expected.readMilliseconds;
-  return {
-    upstream,
-    tokensToRead: waitTokens + readTokens,
-    mustWait: waitTokens > 0 || expected.isBlocked,
-    estimateMilliseconds:
-      work + expected.otherMilliseconds + unknownMilliseconds,
-    errorMilliseconds: Math.hypot(
-      work * expected.uncertainty,
-      unknownMilliseconds,
-    ),
-    knowledgeAgeMilliseconds: ageMilliseconds,
-    cachedTokens,
-  };
-}
-
-/**
- * Returns the tokens that the preferred engine of a rank is expected to have
- * cached; -1 is the rank of other engines.
- */
-function guessedTokens(
-  parts: readonly PromptPart[],
-  preferredRank: number,
-): number {
-  const chance = PREFERRED_ENGINE_CHANCES[preferredRank] ?? 0;
-  return chance === 0
-    ? 0
-    : Math.round(
-        chance * parts.slice(0, -1).reduce((sum, {tokens}) => sum + tokens, 0),
-      );
-}
-
 function shareOf<Item>(
   items: readonly Item[],
   test: (item: Item) => boolean,
--- a/packages/decisions/src/placement/upstream_work.ts
+++ b/packages/decisions/src/placement/upstream_work.ts
@@ -26,6 +26,9 @@
  */
 const MEASURED_TOKENS_PER_WAITING_TOKEN = 4;
 
+/** Milliseconds within which a request that ends was placed but not sent. */
+const UNSENT_MILLISECONDS = 40;
+
 /** Work at one upstream. */
 export class UpstreamWork {
   /** Requests in progress. */
@@ -95,13 +98,14 @@
   }
 
   /** Removes a request that is no longer at the upstream. */
-  end(key: string): void {
+  end(key: string, now: number): void {
     this.running = Math.max(0, this.running - 1);
     const prompt = this.waiting.get(key);
     if (prompt !== undefined) {
       this.remove(key, prompt);
-      // An unknown share of the prompt was read before the request ended.
-      this.hasUnknownWork = true;
+      // An unknown share of the prompt was read before the request ended, unless
+      // it was not sent at all.
+      this.hasUnknownWork ||= now - prompt.placedAt > UNSENT_MILLISECONDS;
     }
   }
 
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -183,6 +183,7 @@
       cacheRetentionMilliseconds: settings.bounds.reuseWindowMilliseconds * 2,
       random: Math.random,
       hasSpreadPlacement: name => this.hasSpreadPlacement(name),
+      metrics: this.metrics,
     });
     this.membership = createRoutedMembership({
       settings: dependencies.settings,
--- a/packages/entry-process/src/routed_interface/placement/placement_candidates.ts
+++ b/packages/entry-process/src/routed_interface/placement/placement_candidates.ts
@@ -62,8 +62,12 @@
   }
 
   /** Returns the shards of `service` in the order in which to try them. */
-  shardsFor(service: string, demand: PlacementDemand): readonly RoutedShard[] {
-    return shardsInOrder(demand, this.shardsOf(service));
+  shardsFor(
+    service: string,
+    demand: PlacementDemand,
+    weightOf: (shard: RoutedShard) => number,
+  ): readonly RoutedShard[] {
+    return shardsInOrder(demand, this.shardsOf(service), weightOf);
   }
 
   /**
--- a/packages/entry-process/src/routed_interface/placement/placement_renewals.ts
+++ b/packages/entry-process/src/routed_interface/placement/placement_renewals.ts
@@ -13,6 +13,7 @@
 import {pause} from '../../util/pause.js';
 import type {DispatcherCalls} from './dispatcher_calls.js';
 import type {PlacementCandidates} from './placement_candidates.js';
+import {type PlacementMetrics, recordLoadSpread} from './placement_metrics.js';
 import type {ServiceTables} from './service_tables.js';
 import type {ShardAdmissions} from './shard_admissions.js';
 
@@ -26,6 +27,7 @@
   /** Returns suspension-aware clock readings in milliseconds. */
   readonly clock: () => number;
   readonly tables: ServiceTables;
+  readonly metrics: PlacementMetrics;
   readonly servingHosts: () => readonly Member[];
   readonly candidates: PlacementCandidates;
   readonly dispatchers: DispatcherCalls;
@@ -57,10 +59,14 @@
   }
 
   private renew(service: string, table: ServiceTable): void {
-    const {hostId, peers, clock, candidates, dispatchers} = this.dependencies;
-    candidates
-      .shardsOf(service)
-      .forEach(({id}) => dispatchers.dispatcherFor(id));
+    const {hostId, peers, clock, candidates, dispatchers, metrics} =
+      this.dependencies;
+    for (const {id, upstreams} of candidates.shardsOf(service)) {
+      if (dispatchers.dispatcherFor(id) !== undefined) {
+        const loads = table.statementsOf(upstreams, clock());
+        recordLoadSpread(metrics, service, loads);
+      }
+    }
     table.forgetSilentFronts(hostId, clock());
     const requests = table.requestsOf(hostId);
     for (const [address, assigned] of this.byDispatcher(service, requests)) {
--- a/packages/entry-process/src/routed_interface/placement/placement_result.ts
+++ b/packages/entry-process/src/routed_interface/placement/placement_result.ts
@@ -46,11 +46,15 @@
 export function isCrowded({
   mustWait,
   estimateMilliseconds,
+  isCheaperWhenIdle,
 }: EngineChoice): boolean {
-  return mustWait && estimateMilliseconds > CROWDED_ESTIMATE_MILLISECONDS;
+  return (
+    mustWait &&
+    (isCheaperWhenIdle ?? estimateMilliseconds > CROWDED_ESTIMATE_MILLISECONDS)
+  );
 }
 
-/** Returns the placement with the lower estimate and ends the other one. */
+/** Returns the placement with the lower cost and ends the other one. */
 export function betterOf(
   first: Placement | undefined,
   second: Placement | undefined,
@@ -58,12 +62,18 @@
   if (first === undefined || second === undefined) {
     return first ?? second;
   }
-  const isFirstBetter =
-    first.choice.estimateMilliseconds <= second.choice.estimateMilliseconds;
+  const isFirstBetter = costOf(first.choice) <= costOf(second.choice);
   (isFirstBetter ? second : first).reportEnded();
   return isFirstBetter ? first : second;
 }
 
+function costOf({
+  costMilliseconds,
+  estimateMilliseconds,
+}: EngineChoice): number {
+  return costMilliseconds ?? estimateMilliseconds;
+}
+
 /** Returns the refusal after which the client may return sooner. */
 export function soonerOf(
   first: AdmissionRefusal | undefined,
--- a/packages/entry-process/src/routed_interface/placement/routed_placement.ts
+++ b/packages/entry-process/src/routed_interface/placement/routed_placement.ts
@@ -31,6 +31,11 @@
   PlacementCandidates,
   type PlacementCandidatesDependencies,
 } from './placement_candidates.js';
+import {
+  type PlacementMetrics,
+  recordFirstOutput,
+  recordPlacement,
+} from './placement_metrics.js';
 import {PlacementRenewals} from './placement_renewals.js';
 import {
   betterOf,
@@ -60,6 +65,7 @@
   readonly peers: PeerClient;
   readonly events: EventLog;
   readonly servingHosts: () => readonly Member[];
+  readonly metrics: PlacementMetrics;
   /** Returns the serving hosts that may dispatch shards. */
   readonly dispatchingHosts: () => readonly Member[];
 }
@@ -150,7 +156,9 @@
     tried: ReadonlySet<string>,
     terms?: AdmissionTerms,
   ): Promise<PlacementResult> {
-    const shards = this.candidates.shardsFor(service, demand);
+    const shards = this.candidates.shardsFor(service, demand, shard =>
+      this.tables.weightOf(service, shard),
+    );
     let best: Placement | undefined;
     let refusal: AdmissionRefusal | undefined;
     let limitedFor = Infinity;
@@ -289,7 +297,7 @@
     demand: PlacementDemand,
     {choice, dispatcher, promotedRank}: ShardChosen,
   ): Placement {
-    const {hostId, clock, announcements} = this.dependencies;
+    const {hostId, clock, announcements, metrics} = this.dependencies;
     const {upstream} = choice;
     const table = this.tables.of(service);
     const placedAttempt = {
@@ -298,6 +306,7 @@
     };
     const placedAt = clock();
     const {grantWaitMilliseconds} = choice;
+    recordPlacement(metrics, service, choice);
     return {
       kind: 'placed',
       choice,
@@ -310,6 +319,7 @@
         const tokens = choice.tokensToRead;
         const now = clock();
         const elapsed = now - placedAt;
+        recordFirstOutput(metrics, service, choice, elapsed);
         const output = {...placedAttempt, front: hostId, tokens, elapsed};
         const isDispatchedHere = this.dispatchers.isDispatcher(shardId);
         table.recordOutput({...output, isDispatchedHere}, now);
--- a/packages/entry-process/src/routed_interface/placement/service_tables.ts
+++ b/packages/entry-process/src/routed_interface/placement/service_tables.ts
@@ -4,6 +4,7 @@
  */
 import {
   PlacementTable,
+  type RoutedShard,
   type ServiceTable,
   SpreadTable,
   type UpstreamList,
@@ -21,6 +22,12 @@
 /** Milliseconds between two looks at the features of a service. */
 const CHECK_PERIOD_MILLISECONDS = 500;
 
+/** Milliseconds for which the weight of a shard is kept. */
+const WEIGHT_PERIOD_MILLISECONDS = 2000;
+
+/** Step of the weight of a shard, as a share of its size. */
+const WEIGHT_STEP_SHARE = 0.1;
+
 /** Dependencies of `ServiceTables`. */
 export interface ServiceTablesDependencies {
   readonly hostId: string;
@@ -42,6 +49,10 @@
   private readonly tables = new Map<string, ServiceTable>();
   /** Times at which the features of services were looked at last. */
   private readonly checkedAt = new Map<string, number>();
+  private readonly weights = new WeakMap<
+    RoutedShard,
+    {readonly weight: number; readonly time: number}
+  >();
   /** Times of the last statements, by shard and host. */
   private readonly statedAt = new Map<string, Map<string, number>>();
 
@@ -93,6 +104,26 @@
     return this.of(service) instanceof SpreadTable;
   }
 
+  /**
+   * Returns the weight of a shard: what its upstreams can do, rounded so that
+   * hosts that know the speeds about equally well agree.
+   */
+  weightOf(service: string, shard: RoutedShard): number {
+    const now = this.dependencies.clock();
+    const known = this.weights.get(shard);
+    if (known !== undefined && now - known.time < WEIGHT_PERIOD_MILLISECONDS) {
+      return known.weight;
+    }
+    const {upstreams} = shard;
+    const unit = Math.max(1, upstreams.length * WEIGHT_STEP_SHARE);
+    const capacity = this.of(service).capacityOf(upstreams, now);
+    const weight = this.isSpread(service)
+      ? Math.max(1, Math.round(capacity / unit)) * unit
+      : upstreams.length;
+    this.weights.set(shard, {weight, time: now});
+    return weight;
+  }
+
   /** Discards what is known of an upstream that left or restarted. */
   forgetUpstream(upstreamId: string): void {
     for (const table of this.tables.values()) {
--- a/packages/entry-process/src/routed_interface/requests/attempt_runner.ts
+++ b/packages/entry-process/src/routed_interface/requests/attempt_runner.ts
@@ -141,7 +141,8 @@
     millisecondsLeft: () => number,
   ): Promise<AttemptOutcome> {
     const {pool, announcements, paths, events} = this.dependencies;
-    const {upstream, estimateMilliseconds, cachedTokens} = placement.choice;
+    const {choice} = placement;
+    const {upstream, estimateMilliseconds, cachedTokens} = choice;
     const {upstreamId} = upstream;
     this.triedIds.add(upstreamId);
     this.attemptCount += 1;
@@ -152,6 +153,8 @@
       upstreamId,
       softwareVersion: upstream.softwareVersion,
       estimate: Math.round(estimateMilliseconds),
+      error: Math.round(choice.errorMilliseconds ?? -1),
+      age: Math.round(choice.knowledgeAgeMilliseconds ?? -1),
       cached: cachedTokens,
       prompt: this.request.promptTokens,
     });
--- a/packages/entry-process/tests/routed_placement_test.ts
+++ b/packages/entry-process/tests/routed_placement_test.ts
@@ -11,7 +11,7 @@
   UpstreamList,
 } from '@lacewingwinch/decisions';
 import type {PeerClient} from '@lacewingwinch/entry-hosts';
-import {createEventLog} from '@lacewingwinch/observability';
+import {createEventLog, createMetrics} from '@lacewingwinch/observability';
 import {beforeEach, describe, expect, it} from 'vitest';
 
 import type {Placement} from '../src/routed_interface/placement/placement_result.js';
@@ -92,6 +92,7 @@
     cacheRetentionMilliseconds: 20_000,
     random: () => 0.5,
     hasSpreadPlacement: () => false,
+    metrics: createMetrics(),
   });
 }
 
--- a/packages/observability/src/events/request_events.ts
+++ b/packages/observability/src/events/request_events.ts
@@ -53,7 +53,7 @@
   4104: {
     level: 'info',
     message:
-      'request {requestId} is sent to upstream {upstreamId} with software version {softwareVersion}: first token expected after {estimate} ms, {cached} of {prompt} prompt tokens cached',
+      'request {requestId} is sent to upstream {upstreamId} with software version {softwareVersion}: first token expected after {estimate} ms with an error of {error} ms, from loads that are {age} ms old (-1 if unknown), {cached} of {prompt} prompt tokens cached',
     advice: 'No action needed.',
   },
   4105: {
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -13,6 +13,9 @@
   readonly requests: Counter<'outcome' | 'service' | 'workspace'>;
   readonly admissionPromotions: Counter<'rank' | 'service'>;
   readonly admissionRefusals: Counter<'rank' | 'reason' | 'service'>;
+  readonly placementKnowledgeAgeSeconds: Histogram<'service'>;
+  readonly placementErrorSeconds: Histogram<'service'>;
+  readonly upstreamLoadRatio: Histogram<'service'>;
   readonly attempts: Counter<'end' | 'service'>;
   readonly answerEnds: Counter<'end' | 'framing'>;
   readonly lostConnections: Counter<'answer'>;
@@ -60,6 +63,27 @@
       labelNames: ['rank', 'reason', 'service'],
       registers,
     }),
+    placementKnowledgeAgeSeconds: new Histogram({
+      name: 'lacewingwinch_placement_knowledge_age_seconds',
+      help: 'Age of the loads by which requests of this host were placed, where load is spread by its expected value.',
+      labelNames: ['service'],
+      buckets: [0.05, 0.1, 0.5, 1, 2, 4],
+      registers,
+    }),
+    placementErrorSeconds: new Histogram({
+      name: 'lacewingwinch_placement_error_seconds',
+      help: 'Difference between the first output that was expected at the placement and the real one.',
+      labelNames: ['service'],
+      buckets: DURATION_BUCKETS_SECONDS,
+      registers,
+    }),
+    upstreamLoadRatio: new Histogram({
+      name: 'lacewingwinch_upstream_load_ratio',
+      help: 'Requests in progress at each upstream as a multiple of the mean of its shard, once a second at the dispatcher.',
+      labelNames: ['service'],
+      buckets: [0, 0.25, 0.5, 0.75, 1, 1.25, 1.5, 2, 3, 5],
+      registers,
+    }),
     attempts: new Counter({
       name: 'lacewingwinch_attempts_total',
       help: 'Attempts at upstreams, by how they ended.',
