--- a/packages/decisions/src/placement/engine_expectation.ts
+++ b/packages/decisions/src/placement/engine_expectation.ts
@@ -187,15 +187,13 @@
     delayOfOthers,
   );
   const work = waitMilliseconds + expected.readMilliseconds;
-  const costMilliseconds = waitMilliseconds + ownMilliseconds;
-  const idleCostMilliseconds = basis.idleReadMilliseconds * (1 + delayOfOthers);
   return {
     upstream,
     tokensToRead: waitTokens + readTokens,
     mustWait: waitTokens > 0 || expected.isBlocked,
-    costMilliseconds,
+    costMilliseconds: waitMilliseconds + ownMilliseconds,
     isCheaperWhenIdle:
-      costMilliseconds > idleCostMilliseconds + OTHER_SHARD_MILLISECONDS,
+      work > basis.idleReadMilliseconds + OTHER_SHARD_MILLISECONDS,
     estimateMilliseconds:
       work + expected.otherMilliseconds + unknownMilliseconds,
     errorMilliseconds: Math.hypot(
--- a/packages/decisions/src/placement/upstream_work.ts
+++ b/packages/decisions/src/placement/upstream_work.ts
@@ -44,8 +44,8 @@
   private isFromIdle = false;
   /** Tokens of the prompts that waited at the start of the measurement. */
   private waitingAtStart = 0;
-  /** Tokens of prompts that may have been read without a first token. */
-  private hasUnknownWork = false;
+  /** Time until which prompts may have been read without a first token. */
+  private unknownUntil = -Infinity;
 
   /**
    * Time since which the upstream reads the current prompt; undefined if none
@@ -87,7 +87,7 @@
     this.remove(key, prompt);
     this.measuredTokens += prompt.tokens;
     this.lastBegunAt = Math.max(this.lastBegunAt, begunAt);
-    if (this.hasUnknownWork) {
+    if (this.unknownUntil > this.measuredSince) {
       this.startMeasurement(this.lastBegunAt, false);
       return undefined;
     }
@@ -105,7 +105,9 @@
       this.remove(key, prompt);
       // An unknown share of the prompt was read before the request ended, unless
       // it was not sent at all.
-      this.hasUnknownWork ||= now - prompt.placedAt > UNSENT_MILLISECONDS;
+      if (now - prompt.placedAt > UNSENT_MILLISECONDS) {
+        this.unknownUntil = now;
+      }
     }
   }
 
@@ -140,7 +142,6 @@
     this.isFromIdle = isFromIdle;
     this.waitingAtStart = isFromIdle ? 0 : this.waitingTokens;
     this.measuredTokens = 0;
-    this.hasUnknownWork = false;
   }
 
   private remove(key: string, {tokens}: WaitingPrompt): void {
