--- a/packages/decisions/src/placement/spread_choice.ts
+++ b/packages/decisions/src/placement/spread_choice.ts
@@ -115,7 +115,7 @@
   const total = work * sorted.length;
   let sum = 0;
   for (const [index, wait] of sorted.entries()) {
-    if (wait * index - sum >= total) {
+    if (index > 0 && wait * index - sum >= total) {
       return (total + sum) / index;
     }
     sum += wait;
