--- a/packages/decisions/src/orders/service_load_counter.ts
+++ b/packages/decisions/src/orders/service_load_counter.ts
@@ -23,7 +23,7 @@
 const MINIMUM_TOKENS_PER_MILLISECOND = 2;
 
 /** What the placement of a request says of the work that it is. */
-export type PlacedWork = Pick<
+export type PlacedPrompt = Pick<
   EngineChoice,
   'cachedTokens' | 'estimateMilliseconds' | 'mustWait'
 >;
@@ -31,7 +31,7 @@
 /** The beginning of an answer. */
 export interface AnswerStart {
   readonly promptTokens: number;
-  readonly placed: PlacedWork;
+  readonly placed: PlacedPrompt;
   /** Milliseconds from the placement to the first byte. */
   readonly elapsedMilliseconds: number;
   /** Milliseconds from the arrival of the request to the first byte. */
@@ -59,7 +59,7 @@
   countPlacement(
     service: string,
     promptTokens: number,
-    placed: PlacedWork,
+    placed: PlacedPrompt,
   ): void {
     const uncachedTokens = Math.max(0, promptTokens - placed.cachedTokens);
     this.add(service, {
