--- /dev/null
+++ b/packages/decisions/src/placement/spread_table.ts
@@ -0,0 +1,351 @@
+/**
+ * The requests at the engines of a service that many hosts use at once, and the
+ * choice of engines by the load that is expected when a request arrives. Shared
+ * prompt parts stay at the engines that have read them, as long as waiting there
+ * costs less than the time that reading them again takes from all requests.
+ */
+import type {UsableUpstream} from '../upstreams/listed_upstream.js';
+import {rendezvousOrder} from '../util/rendezvous_hash.js';
+import {
+  affinityKey,
+  type EngineChoice,
+  type PlacementDemand,
+} from './choose_engine.js';
+import {
+  candidateOf,
+  choiceOf,
+  type EngineFacts,
+  expectAt,
+  PREFERRED_ENGINES,
+} from './engine_expectation.js';
+import {waitAt} from './engine_wait.js';
+import {PlacedWork} from './placed_work.js';
+import type {PlacedAttempt, PlacedRequest} from './placement_table.js';
+import {PrefixMemory} from './prefix_memory.js';
+import type {
+  FirstOutput,
+  PlacementTask,
+  ServiceTable,
+} from './service_table.js';
+import {chooseSpread, type UnknownLoad} from './spread_choice.js';
+import {
+  type LoadStatement,
+  MAXIMUM_LOAD_AGE_MILLISECONDS,
+  StatedLoads,
+} from './stated_loads.js';
+import {DECODE_WORK, PROMPT_WORK, WorkSpeeds} from './work_speeds.js';
+
+/**
+ * Milliseconds after which a new dispatcher has placed nearly all requests that
+ * still wait, so that it knows the load.
+ */
+const NEW_DISPATCHER_MILLISECONDS = 500;
+
+/** Time without a message after which the known loads count as old. */
+const SILENCE_MILLISECONDS = 1500;
+
+/**
+ * Largest number of milliseconds by which a millisecond of reading delays other
+ * requests in total.
+ */
+const MAXIMUM_DELAY_OF_OTHERS = 8;
+
+/** Mean duration of reading a prompt before any was placed. */
+const USUAL_READ_MILLISECONDS = 100;
+
+/** Share of the engines that are reading before any load is known. */
+const USUAL_BUSY_SHARE = 0.5;
+
+/** Weight of the newest request in the mean duration of reading. */
+const NEWEST_READ_WEIGHT = 0.05;
+
+/** Weight of the newest report in the age of reports. */
+const NEWEST_LAG_WEIGHT = 0.1;
+
+/** The knowledge on which a choice rests. */
+interface Knowledge {
+  /** Whether this host knows all requests. */
+  readonly isComplete: boolean;
+  /** Whether it knows the load of all engines, however old. */
+  readonly isInformed: boolean;
+  readonly ageMilliseconds: number;
+}
+
+/** The requests at the engines of a service, by front. */
+export class SpreadTable implements ServiceTable {
+  private readonly work = new PlacedWork();
+  private readonly prefixes: PrefixMemory;
+  private readonly reading = new WorkSpeeds(PROMPT_WORK);
+  private readonly decoding = new WorkSpeeds(DECODE_WORK);
+  private readonly stated = new StatedLoads();
+  private meanReadMilliseconds = USUAL_READ_MILLISECONDS;
+  /** Share of the engines that were reading when their loads were known. */
+  private busyShare = USUAL_BUSY_SHARE;
+  /** Time after which reports of other fronts are known here. */
+  private lagMilliseconds = 0;
+
+  constructor(
+    /** Milliseconds for which a prompt part stays cached after its last use. */
+    cacheRetentionMilliseconds: number,
+    /** Returns a number from 0 (inclusive) to 1 (exclusive). */
+    private readonly random: () => number,
+  ) {
+    this.prefixes = new PrefixMemory(cacheRetentionMilliseconds);
+  }
+
+  placeTask(task: PlacementTask, now: number): EngineChoice | undefined {
+    const {front, demand, candidates, grants, isAdmitted} = task;
+    const knowledge = this.knowledgeOf(task, now);
+    const preferred = rendezvousOrder(
+      affinityKey(demand),
+      candidates.map(({upstreamId}) => upstreamId),
+      PREFERRED_ENGINES,
+    );
+    const expectations = candidates.map(upstream =>
+      expectAt(
+        upstream,
+        this.factsOf(
+          upstream,
+          preferred.indexOf(upstream.upstreamId),
+          task,
+          knowledge,
+          now,
+        ),
+        task,
+        now,
+      ),
+    );
+    if (knowledge.isInformed) {
+      this.busyShare = shareOf(expectations, ({waitTokens}) => waitTokens > 0);
+    }
+    const unknown: UnknownLoad = {
+      ageMilliseconds: knowledge.ageMilliseconds,
+      busyShare: this.busyShare,
+      meanMilliseconds: this.meanReadMilliseconds,
+    };
+    const delayOfOthers = this.delayOfOthers();
+    const spreadCandidates = expectations.map(expected =>
+      candidateOf(expected, delayOfOthers),
+    );
+    const chosen = chooseSpread(spreadCandidates, unknown, this.random());
+    const expected = expectations[chosen?.index ?? -1];
+    if (chosen === undefined || expected === undefined) {
+      return undefined;
+    }
+    const usual = this.reading.speedOf('', now).lastingMilliseconds;
+    const choice = choiceOf(expected, {
+      unknownMilliseconds: chosen.unknownMilliseconds,
+      ageMilliseconds: knowledge.ageMilliseconds,
+      delayOfOthers,
+      idleReadMilliseconds: demand.promptTokens * usual,
+    });
+    if (!isAdmitted(choice)) {
+      return undefined;
+    }
+    // A grant depends on the requests that are in progress besides this one.
+    const grantWaitMilliseconds = grants.take(choice.upstream);
+    this.add(front, demand, choice, now);
+    this.meanReadMilliseconds +=
+      (expected.readMilliseconds - this.meanReadMilliseconds) *
+      NEWEST_READ_WEIGHT;
+    return grantWaitMilliseconds === undefined
+      ? choice
+      : {...choice, grantWaitMilliseconds};
+  }
+
+  add(
+    front: string,
+    demand: PlacementDemand,
+    choice: Pick<EngineChoice, 'cachedTokens'> & {
+      readonly upstream: Pick<UsableUpstream, 'upstreamId'>;
+    },
+    now: number,
+  ): void {
+    const {upstreamId} = choice.upstream;
+    const {attemptId, priority, promptTokens, parts} = demand;
+    const waitingTokens = Math.max(0, promptTokens - choice.cachedTokens);
+    this.work.add(front, {attemptId, upstreamId, waitingTokens, priority}, now);
+    this.prefixes.recordRead(upstreamId, parts, now);
+  }
+
+  recordOutput(output: FirstOutput, now: number): void {
+    const {front, elapsed} = output;
+    const reported = this.work.begin(front, output, elapsed, now);
+    if (reported !== undefined) {
+      this.recordLag(reported.milliseconds - elapsed);
+    }
+    if (reported?.promptSample !== undefined && output.isDispatchedHere) {
+      const {promptSample, time} = reported;
+      this.reading.record(output.upstreamId, promptSample, time);
+    }
+  }
+
+  recordEnd(front: string, attempt: PlacedAttempt, now: number): void {
+    const reported = this.work.end(front, attempt, now);
+    if (reported?.hadBegun === true) {
+      const {milliseconds} = reported;
+      this.decoding.record(
+        attempt.upstreamId,
+        {units: 1, milliseconds, isFromIdle: false},
+        now,
+      );
+    }
+  }
+
+  replaceRequests(
+    front: string,
+    requests: readonly PlacedRequest[],
+    now: number,
+  ): void {
+    this.work.replace(front, requests, now);
+  }
+
+  requestsOf(front: string): readonly PlacedRequest[] {
+    return this.work.requestsOf(front);
+  }
+
+  runningAt(upstreamId: string): number {
+    return this.work.at(upstreamId).running;
+  }
+
+  prefillSpeedOf(upstreamId: string, now: number): number {
+    return 1 / this.reading.speedOf(upstreamId, now).lastingMilliseconds;
+  }
+
+  forgetSilentFronts(ownHostId: string, now: number): void {
+    this.work.forgetSilentFronts(ownHostId, now);
+  }
+
+  forgetUpstream(upstreamId: string): void {
+    this.prefixes.forget(upstreamId);
+    this.reading.forget(upstreamId);
+    this.decoding.forget(upstreamId);
+    this.stated.forget(upstreamId);
+  }
+
+  capacityOf(upstreams: readonly UsableUpstream[], now: number): number {
+    const usual = this.reading.speedOf('', now).lastingMilliseconds;
+    return upstreams.reduce((sum, {upstreamId}) => {
+      const speed = this.reading.speedOf(upstreamId, now);
+      return sum + usual / speed.lastingMilliseconds;
+    }, 0);
+  }
+
+  statementsOf(
+    upstreams: readonly UsableUpstream[],
+    now: number,
+  ): readonly LoadStatement[] {
+    return upstreams.map(({upstreamId, bornAt}) => {
+      const work = this.work.at(upstreamId);
+      const {lastingMilliseconds} = this.reading.speedOf(upstreamId, now);
+      const wait = waitAt(
+        {
+          work,
+          millisecondsPerToken: lastingMilliseconds,
+          lagMilliseconds: this.lagMilliseconds,
+        },
+        Infinity,
+        now,
+      );
+      const speed = this.reading.statementOf(upstreamId);
+      return {
+        upstreamId,
+        bornAt,
+        running: work.running,
+        waitMilliseconds: Math.round(wait.milliseconds),
+        ...(speed !== undefined && {speed}),
+      };
+    });
+  }
+
+  recordStatements(statements: readonly LoadStatement[], now: number): void {
+    this.stated.record(statements, now);
+    for (const {upstreamId, speed} of statements) {
+      if (speed !== undefined) {
+        this.reading.merge(upstreamId, speed, now);
+      }
+    }
+  }
+
+  private recordLag(milliseconds: number): void {
+    const bounded = Math.min(
+      MAXIMUM_LOAD_AGE_MILLISECONDS,
+      Math.max(0, milliseconds),
+    );
+    this.lagMilliseconds +=
+      (bounded - this.lagMilliseconds) * NEWEST_LAG_WEIGHT;
+  }
+
+  private knowledgeOf(
+    {candidates, knowledge}: PlacementTask,
+    now: number,
+  ): Knowledge {
+    const dispatcherFor = knowledge.dispatcherForMilliseconds;
+    const silentFor = Math.max(0, now - this.work.lastHeardAt);
+    if (dispatcherFor !== undefined && silentFor < SILENCE_MILLISECONDS) {
+      const isComplete = dispatcherFor >= NEW_DISPATCHER_MILLISECONDS;
+      return {
+        isComplete,
+        isInformed: true,
+        ageMilliseconds: isComplete
+          ? 0
+          : NEW_DISPATCHER_MILLISECONDS - dispatcherFor,
+      };
+    }
+    const ages = candidates.map(({upstreamId}) => {
+      const stated = this.stated.of(upstreamId, now);
+      return stated === undefined ? Infinity : now - stated.statedAt;
+    });
+    const oldest = Math.max(0, ...ages);
+    return {
+      isComplete: false,
+      isInformed: oldest < Infinity,
+      ageMilliseconds: Math.min(MAXIMUM_LOAD_AGE_MILLISECONDS, oldest),
+    };
+  }
+
+  private factsOf(
+    {upstreamId}: UsableUpstream,
+    preferredRank: number,
+    {demand}: PlacementTask,
+    {isComplete}: Knowledge,
+    now: number,
+  ): EngineFacts {
+    const stated = isComplete ? undefined : this.stated.of(upstreamId, now);
+    return {
+      work: this.work.at(upstreamId),
+      lagMilliseconds: this.lagMilliseconds,
+      ...(stated !== undefined && {stated}),
+      speed: this.reading.speedOf(upstreamId, now),
+      answerMilliseconds: this.decoding.speedOf(upstreamId, now)
+        .lastingMilliseconds,
+      meanReadMilliseconds: this.meanReadMilliseconds,
+      rememberedTokens: this.prefixes.cachedTokens(
+        upstreamId,
+        demand.parts,
+        now,
+      ),
+      preferredRank,
+      isComplete,
+    };
+  }
+
+  /**
+   * Returns the milliseconds by which others are delayed in total if an engine
+   * reads for a millisecond: nobody while engines are idle, more the busier they
+   * are.
+   */
+  private delayOfOthers(): number {
+    return Math.min(
+      MAXIMUM_DELAY_OF_OTHERS,
+      this.busyShare / Math.max(1e-3, 1 - this.busyShare),
+    );
+  }
+}
+
+function shareOf<Item>(
+  items: readonly Item[],
+  test: (item: Item) => boolean,
+): number {
+  return items.filter(test).length / Math.max(1, items.length);
+}
