Learn all members at the start, and hold requests until the state is read

A host now fetches all members repeatedly in its first three seconds, and tells only the strong hosts that it serves. Upstreams and members that are learned together are logged in one line, and statuses are reported only after a change.

--- a/packages/decisions/src/limits/quota_share.ts
+++ b/packages/decisions/src/limits/quota_share.ts
@@ -8,6 +8,16 @@
 /** Maximum share of the level that is given for one request of another host. */
 const MAXIMUM_GIVEN_SHARE = 0.6;
 
+/**
+ * Share of its part with which a restarted process begins. The previous process
+ * may have used up its part in the same window: if all hosts are lost at once,
+ * this share of burst and slack is admitted twice, which half of the slack and
+ * the rate of the time in which no host ran cover. With a smaller share, prompts
+ * that are larger than a part wait until it is full, while all clients call
+ * again.
+ */
+export const RESTARTED_SHARE = 0.5;
+
 /** Share of the slack that is used; the rest covers requests in transit. */
 const USED_SLACK_SHARE = 0.5;
 
--- a/packages/decisions/src/membership/membership.ts
+++ b/packages/decisions/src/membership/membership.ts
@@ -48,6 +48,7 @@
   private probeOrder: readonly string[] = [];
   /** Cached result of `serving`; undefined after an entry has changed. */
   private servingMembers: readonly Member[] | undefined;
+  private changes = 0;
 
   constructor(self: Member, now: number) {
     this.self = self;
@@ -59,6 +60,11 @@
     return this.self;
   }
 
+  /** Number of changes of members so far. */
+  get changeCount(): number {
+    return this.changes;
+  }
+
   /** Announces a new status of this host. */
   declare(status: MemberStatus, now: number): void {
     this.self = {
@@ -211,6 +217,7 @@
     );
     this.entries.set(member.hostId, {member, since: now, sendsLeft});
     this.servingMembers = undefined;
+    this.changes += 1;
   }
 
   private probeTargets(): readonly string[] {
--- a/packages/decisions/src/membership/strong_hosts.ts
+++ b/packages/decisions/src/membership/strong_hosts.ts
@@ -4,7 +4,6 @@
  * every request waits for it; such hosts are spares.
  */
 import type {Member} from './member.js';
-import {SMALL_FLEET_MAXIMUM_HOSTS} from './small_fleet.js';
 
 /**
  * Least number of strong hosts. With fewer, the loss of half of the hosts would
@@ -21,15 +20,11 @@
 
 /**
  * Returns the hosts with the most capacity, in the order of `members`. All are
- * returned if the fleet is small, if they are alike, or if a host states no
- * capacity.
+ * returned if they are alike, or if one of them states no capacity.
  */
 export function strongHosts(members: readonly Member[]): readonly Member[] {
   const capacities = members.flatMap(({capacity}) => capacity ?? []);
-  if (
-    members.length <= SMALL_FLEET_MAXIMUM_HOSTS ||
-    capacities.length < members.length
-  ) {
+  if (capacities.length < members.length) {
     return members;
   }
   const descending = capacities.sort((left, right) => right - left);
--- a/packages/entry-hosts/src/messages/membership_messages.ts
+++ b/packages/entry-hosts/src/messages/membership_messages.ts
@@ -21,6 +21,8 @@
   readonly timeOfDay?: number;
   /** Whether the sender reaches no upstream; absent if it does. */
   readonly isCutOff?: boolean;
+  /** Whether the response is to hold every member that the receiver knows. */
+  readonly wantsAllMembers?: boolean;
 }
 
 /** Load of one shard: requests in progress divided by slots. */
--- a/packages/entry-process/src/routed_interface/admission/quota_exchange.ts
+++ b/packages/entry-process/src/routed_interface/admission/quota_exchange.ts
@@ -7,6 +7,7 @@
   quotaHolders,
   QuotaShare,
   type RandomSource,
+  RESTARTED_SHARE,
   shuffle,
   SMALL_FLEET_MAXIMUM_HOSTS,
   UsedUpQuotas,
@@ -38,12 +39,6 @@
  */
 const TRANSFER_FACTOR = 2;
 
-/**
- * Share of its part with which a restarted process begins: the previous process
- * may have used up its own part in the same window.
- */
-const RESTARTED_SHARE = 0.2;
-
 /** Maximum number of holders of a quota that are tried for one request. */
 const MAXIMUM_HOLDERS_TRIED = 4;
 
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_process.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_process.ts
@@ -15,6 +15,7 @@
 import {answerDirectoryCall} from './directory_answers.js';
 import {openListeners, type RoutedListeners} from './routed_listeners.js';
 import {RoutedTasks} from './routed_tasks.js';
+import {StartGate} from './start_gate.js';
 import {waitUntilDrained} from './wait_until_drained.js';
 
 /**
@@ -26,9 +27,13 @@
 /** Milliseconds between two checks of a condition. */
 const POLL_PERIOD_MILLISECONDS = 50;
 
+/** Milliseconds between two checks whether the state has been read. */
+const START_POLL_PERIOD_MILLISECONDS = 10;
+
 /** One entry process on the platform. */
 export class RoutedProcess {
   private readonly tasks: RoutedTasks;
+  private readonly gate: StartGate;
   private readonly stopping = new AbortController();
   private listeners: RoutedListeners | undefined;
   private leaving: Promise<void> | undefined;
@@ -50,6 +55,7 @@
       onConfigurationChange: configuration =>
         this.onConfigurationChange(configuration),
     });
+    this.gate = new StartGate(this.tasks.front);
   }
 
   /**
@@ -75,12 +81,13 @@
       this.monitor('duties', this.tasks.duties.run(this.stopping.signal));
     }
     while (!this.tasks.state.isRead && !this.stopping.signal.aborted) {
-      await pause(POLL_PERIOD_MILLISECONDS, this.stopping.signal);
+      await pause(START_POLL_PERIOD_MILLISECONDS, this.stopping.signal);
     }
     if (this.tasks.state.mustBeCompared) {
       await this.tasks.relay.compareAtStart(this.stopping.signal);
     }
     this.tasks.state.markCurrent();
+    this.gate.open();
     if (this.leaving === undefined) {
       this.tasks.membership.declare('serving');
       this.tasks.events.write(1002, {hostId, address: addresses.callers});
@@ -156,7 +163,7 @@
     return openListeners({
       addresses: this.settings.addresses,
       metricsPort: this.metricsPort,
-      front: tasks.front,
+      front: this.gate,
       carrier: tasks.carrier,
       directory: (method, target) => this.answerDirectory(method, target),
       metrics: tasks,
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -101,6 +101,7 @@
   private readonly fleet: FleetView;
   private readonly trueTime = new TrueTime();
   private readonly startedAt: number;
+  private hasLoggedUpstreams = false;
   /** Identity of this process, new at each start. */
   private readonly processId = uuidV7();
 
@@ -354,8 +355,8 @@
   private onUpstreamChanges(changes: readonly UpstreamChange[]): void {
     this.placement.onUpstreamChanges(changes);
     this.streams.publishAmbiguous();
+    this.logUpstreamChanges(changes);
     for (const change of changes) {
-      this.events.write(3005, {...change});
       if (change.state === 'withdrawn' || change.isRestarted) {
         this.paths.forget(change.upstreamId);
       }
@@ -365,6 +366,30 @@
     }
   }
 
+  /**
+   * Logs the changes of upstreams; those of the first list in one line for each
+   * service, because the hosts of a large fleet start while requests wait.
+   */
+  private logUpstreamChanges(changes: readonly UpstreamChange[]): void {
+    if (this.hasLoggedUpstreams) {
+      changes.forEach(change => this.events.write(3005, {...change}));
+      return;
+    }
+    this.hasLoggedUpstreams = true;
+    const counts = new Map<string, number>();
+    for (const change of changes) {
+      const {service, state} = change;
+      if (state === 'listed') {
+        counts.set(service, (counts.get(service) ?? 0) + 1);
+      } else {
+        this.events.write(3005, {...change});
+      }
+    }
+    counts.forEach((count, service) =>
+      this.events.write(3041, {count, service}),
+    );
+  }
+
   private readTrueTime(): number {
     const {timeOfDay, steady} = this.clocks;
     return this.trueTime.now(timeOfDay(), steady());
--- a/packages/entry-process/src/tasks/membership_task.ts
+++ b/packages/entry-process/src/tasks/membership_task.ts
@@ -7,6 +7,8 @@
   type MemberStatus,
   PROBE_PERIOD_MILLISECONDS,
   PROBE_TIMEOUT_MILLISECONDS,
+  shuffle,
+  strongHosts,
 } from '@lacewingwinch/decisions';
 import type {GossipDigest, PeerClient} from '@lacewingwinch/entry-hosts';
 import type {EventLog, Metrics} from '@lacewingwinch/observability';
@@ -16,8 +18,21 @@
 /** Milliseconds between two attempts to join. */
 const JOIN_PERIOD_MILLISECONDS = 300;
 
+/**
+ * Milliseconds after its start for which a host fetches all members. When many
+ * hosts start at the same time, the seeds do not know the later ones yet, and
+ * updates that pass from host to host take several seconds.
+ */
+const LEARNING_MILLISECONDS = 3000;
+
+/** Milliseconds between two such fetches during the first ones. */
+const FIRST_LEARNING_PERIOD_MILLISECONDS = 100;
+
+/** Number of fetches at the shorter period. */
+const FIRST_FETCHES = 6;
+
 /** The parts of a digest that come from other tasks. */
-export type DigestContent = Omit<GossipDigest, 'members'>;
+export type DigestContent = Omit<GossipDigest, 'members' | 'wantsAllMembers'>;
 
 /** Dependencies of `MembershipTask`. */
 export interface MembershipTaskDependencies {
@@ -38,12 +53,16 @@
 export class MembershipTask {
   private readonly membership: Membership;
   private readonly statuses = new Map<string, MemberStatus>();
+  private readonly startedAt: number;
+  /** Change count of the membership at the last report of statuses. */
+  private reportedChanges = -1;
 
   constructor(
     self: Member,
     private readonly dependencies: MembershipTaskDependencies,
   ) {
-    this.membership = new Membership(self, dependencies.clock());
+    this.startedAt = dependencies.clock();
+    this.membership = new Membership(self, this.startedAt);
   }
 
   /** This host, as it appears in the digests that it sends. */
@@ -81,30 +100,32 @@
     return this.membership.find(hostId);
   }
 
-  /** Sets the status of this host and notifies every live host at once. */
+  /**
+   * Sets the status of this host and notifies other hosts at once: those that
+   * work for all, if it begins to serve, and else every live host. Where many
+   * hosts start at the same time, the others learn it from the former.
+   */
   declare(status: MemberStatus): void {
     this.membership.declare(status, this.dependencies.clock());
     this.reportStatusChanges();
-    this.broadcast();
+    this.notify(status === 'serving' ? strongHosts(this.live()) : this.live());
   }
 
   /** Sends a digest to every live host. */
   broadcast(): void {
-    const digest = this.digest();
-    for (const member of this.live()) {
-      this.dependencies.peers.notify(member.addresses.peers, 'gossip', digest);
-    }
+    this.notify(this.live());
   }
 
   /**
-   * Merges a digest of another host and returns the response. A joining host
-   * receives every member, because updates are gossiped only a limited number
-   * of times and older ones would not reach it.
+   * Merges a digest of another host and returns the response. A host that has
+   * just started receives every member, because updates are gossiped only a
+   * limited number of times and older ones would not reach it.
    */
   onGossip(digest: GossipDigest): GossipDigest {
     const sender = this.mergeDigest(digest);
-    if (sender?.status === 'joining') {
-      return {...this.digest(), members: [this.own, ...this.others()]};
+    if (sender?.status === 'joining' || digest.wantsAllMembers === true) {
+      const members = [this.own, ...this.others()];
+      return {...this.dependencies.content(), members};
     }
     const entry = sender === undefined ? undefined : this.find(sender.hostId);
     return this.digest(entry === undefined ? [] : [entry]);
@@ -121,7 +142,11 @@
 
   /** Runs until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    await Promise.all([this.join(signal), this.probe(signal)]);
+    await Promise.all([
+      this.join(signal),
+      this.learn(signal),
+      this.probe(signal),
+    ]);
   }
 
   private async join(signal: AbortSignal): Promise<void> {
@@ -137,6 +162,28 @@
     }
   }
 
+  /** Fetches all members from one host after the other for a while. */
+  private async learn(signal: AbortSignal): Promise<void> {
+    const {clock, random} = this.dependencies;
+    let fetches = 0;
+    while (
+      !signal.aborted &&
+      clock() - this.startedAt < LEARNING_MILLISECONDS
+    ) {
+      fetches += 1;
+      await pause(
+        fetches <= FIRST_FETCHES
+          ? FIRST_LEARNING_PERIOD_MILLISECONDS
+          : JOIN_PERIOD_MILLISECONDS,
+        signal,
+      );
+      const [source] = shuffle(strongHosts(this.live()), random);
+      if (source !== undefined) {
+        await this.exchangeDigests(source.addresses.peers, true);
+      }
+    }
+  }
+
   private async probe(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const target = this.membership.nextProbe(this.dependencies.random);
@@ -183,12 +230,22 @@
     }
   }
 
-  private async exchangeDigests(address: string): Promise<boolean> {
+  private notify(members: readonly Member[]): void {
+    const digest = this.digest();
+    for (const {addresses} of members) {
+      this.dependencies.peers.notify(addresses.peers, 'gossip', digest);
+    }
+  }
+
+  private async exchangeDigests(
+    address: string,
+    wantsAllMembers = false,
+  ): Promise<boolean> {
     try {
       const answer = await this.dependencies.peers.call(
         address,
         'gossip',
-        this.digest(),
+        {...this.digest(), ...(wantsAllMembers && {wantsAllMembers})},
         PROBE_TIMEOUT_MILLISECONDS,
       );
       this.mergeDigest(answer);
@@ -224,17 +281,32 @@
   }
 
   private reportStatusChanges(): void {
+    const {changeCount} = this.membership;
+    if (changeCount === this.reportedChanges) {
+      return;
+    }
+    this.reportedChanges = changeCount;
+    const {events, metrics} = this.dependencies;
     const counts = new Map<MemberStatus, number>();
+    const changed = new Map<MemberStatus, string[]>();
     for (const {hostId, status} of this.all()) {
       counts.set(status, (counts.get(status) ?? 0) + 1);
       if (this.statuses.get(hostId) !== status) {
         this.statuses.set(hostId, status);
-        this.dependencies.events.write(3001, {hostId, status});
+        changed.set(status, [...(changed.get(status) ?? []), hostId]);
+      }
+    }
+    for (const [status, hostIds] of changed) {
+      const [hostId = '', ...others] = hostIds;
+      if (others.length === 0) {
+        events.write(3001, {hostId, status});
+      } else {
+        events.write(3040, {hostIds: hostIds.join(', '), status});
       }
     }
-    this.dependencies.metrics.members.reset();
+    metrics.members.reset();
     for (const [status, count] of counts) {
-      this.dependencies.metrics.members.set({status}, count);
+      metrics.members.set({status}, count);
     }
   }
 }
--- a/packages/observability/src/events/fleet_events.ts
+++ b/packages/observability/src/events/fleet_events.ts
@@ -112,4 +112,14 @@
     advice:
       'They are ignored; logged once for each start of an upstream. Look at the software of the upstream.',
   },
+  3040: {
+    level: 'info',
+    message: 'entry hosts {hostIds} are {status}',
+    advice: 'No action needed if the change was intended.',
+  },
+  3041: {
+    level: 'info',
+    message: '{count} upstreams of {service} are listed at the start',
+    advice: 'No action needed; later changes are logged one by one.',
+  },
 } as const satisfies Readonly<Record<number, EventRow>>;
