--- a/packages/entry-process/src/tasks/membership_task.ts
+++ b/packages/entry-process/src/tasks/membership_task.ts
@@ -25,11 +25,11 @@
  */
 const LEARNING_MILLISECONDS = 3000;
 
-/** Milliseconds between two such fetches during the first ones. */
-const FIRST_LEARNING_PERIOD_MILLISECONDS = 100;
+/** Milliseconds between two attempts or fetches during the first ones. */
+const FIRST_PERIOD_MILLISECONDS = 100;
 
-/** Number of fetches at the shorter period. */
-const FIRST_FETCHES = 6;
+/** Milliseconds after its start for which a host uses the shorter period. */
+const FIRST_PERIODS_MILLISECONDS = 1000;
 
 /** The parts of a digest that come from other tasks. */
 export type DigestContent = Omit<GossipDigest, 'members' | 'wantsAllMembers'>;
@@ -158,32 +158,34 @@
         .seeds()
         .filter(seed => !knownAddresses.has(seed));
       await Promise.all(unknownSeeds.map(seed => this.exchangeDigests(seed)));
-      await pause(JOIN_PERIOD_MILLISECONDS, signal);
+      await pause(this.joinPeriod(), signal);
     }
   }
 
   /** Fetches all members from one host after the other for a while. */
   private async learn(signal: AbortSignal): Promise<void> {
-    const {clock, random} = this.dependencies;
-    let fetches = 0;
-    while (
-      !signal.aborted &&
-      clock() - this.startedAt < LEARNING_MILLISECONDS
-    ) {
-      fetches += 1;
-      await pause(
-        fetches <= FIRST_FETCHES
-          ? FIRST_LEARNING_PERIOD_MILLISECONDS
-          : JOIN_PERIOD_MILLISECONDS,
-        signal,
+    while (!signal.aborted && this.age() < LEARNING_MILLISECONDS) {
+      await pause(this.joinPeriod(), signal);
+      const [source] = shuffle(
+        strongHosts(this.live()),
+        this.dependencies.random,
       );
-      const [source] = shuffle(strongHosts(this.live()), random);
       if (source !== undefined) {
         await this.exchangeDigests(source.addresses.peers, true);
       }
     }
   }
 
+  private joinPeriod(): number {
+    return this.age() < FIRST_PERIODS_MILLISECONDS
+      ? FIRST_PERIOD_MILLISECONDS
+      : JOIN_PERIOD_MILLISECONDS;
+  }
+
+  private age(): number {
+    return this.dependencies.clock() - this.startedAt;
+  }
+
   private async probe(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const target = this.membership.nextProbe(this.dependencies.random);
--- /dev/null
+++ b/packages/entry-process/tests/membership_start_test.ts
@@ -0,0 +1,128 @@
+/** Replays a start of all hosts of a fleet at nearly the same time. */
+import {setMaxListeners} from 'node:events';
+
+import type {GossipDigest, PeerClient} from '@lacewingwinch/entry-hosts';
+import {createMetrics, type EventLog} from '@lacewingwinch/observability';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
+
+import {MembershipTask} from '../src/tasks/membership_task.js';
+
+const STRONG_HOSTS = 8;
+const SPARES = 50;
+const SEEDS = 3;
+/** Milliseconds by which the spares start later than the strong hosts. */
+const SPARE_DELAY_MILLISECONDS = 420;
+/** Milliseconds from the start of a process until it serves. */
+const STRONG_START_MILLISECONDS = 130;
+const SPARE_START_MILLISECONDS = 500;
+const LINK_DELAY_MILLISECONDS = 3;
+
+const events: EventLog = {write: () => undefined};
+let stopping: AbortController;
+let tasks: Map<string, MembershipTask>;
+let messages: number;
+
+const peers = {
+  call: async (address: string, _method: string, digest: GossipDigest) => {
+    messages += 2;
+    await delay(LINK_DELAY_MILLISECONDS);
+    const answer = tasks.get(address)?.onGossip(digest);
+    await delay(LINK_DELAY_MILLISECONDS);
+    return answer ?? Promise.reject(new Error('cannot be reached'));
+  },
+  notify: (address: string, _method: string, digest: GossipDigest) => {
+    messages += 1;
+    setTimeout(
+      () => tasks.get(address)?.onGossip(digest),
+      LINK_DELAY_MILLISECONDS,
+    );
+  },
+} as unknown as PeerClient;
+
+beforeEach(() => {
+  vi.useFakeTimers();
+  stopping = new AbortController();
+  setMaxListeners(0, stopping.signal);
+  tasks = new Map();
+  messages = 0;
+});
+
+afterEach(() => {
+  stopping.abort();
+  vi.useRealTimers();
+});
+
+function delay(milliseconds: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
+
+function randomFrom(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (state * 48_271) % 2_147_483_647;
+    return state / 2_147_483_647;
+  };
+}
+
+/** Starts a host that serves a short time later. */
+function start(
+  index: number,
+  capacity: number,
+  seeds: readonly string[],
+  startMilliseconds: number,
+): void {
+  const hostId = `host-${index}`;
+  const task = new MembershipTask(
+    {
+      hostId,
+      failureDomain: `domain-${index % 4}`,
+      addresses: {callers: hostId, peers: hostId, operators: ''},
+      capacity,
+      incarnation: 1,
+      status: 'joining',
+    },
+    {
+      peers,
+      events,
+      metrics: createMetrics(),
+      clock: () => Date.now(),
+      random: randomFrom(index + 1),
+      seeds: () => seeds,
+      content: () => ({
+        configurationReadTo: 1,
+        leavingUpstreams: [],
+        suspicions: [],
+        loads: [],
+        demands: [],
+      }),
+      onDigest: () => undefined,
+    },
+  );
+  tasks.set(hostId, task);
+  void task.run(stopping.signal);
+  setTimeout(() => task.declare('serving'), startMilliseconds);
+}
+
+describe('hosts that all start after a loss of power', () => {
+  it.each([
+    {name: 'strong hosts as seeds', firstSeed: 0},
+    {name: 'spares as seeds', firstSeed: STRONG_HOSTS},
+  ])('know all others shortly after with $name', async ({firstSeed}) => {
+    const seeds = Array.from(
+      {length: SEEDS},
+      (_, index) => `host-${firstSeed + index}`,
+    );
+    for (let index = 0; index < STRONG_HOSTS; index += 1) {
+      start(index, 1.35, seeds, STRONG_START_MILLISECONDS);
+    }
+    await vi.advanceTimersByTimeAsync(SPARE_DELAY_MILLISECONDS);
+    for (let index = 0; index < SPARES; index += 1) {
+      start(STRONG_HOSTS + index, 0.3, seeds, SPARE_START_MILLISECONDS);
+    }
+    await vi.advanceTimersByTimeAsync(SPARE_START_MILLISECONDS + 700);
+    const known = [...tasks.values()].map(task => task.serving().length);
+    expect(Math.min(...known)).toBe(STRONG_HOSTS + SPARES);
+    // No host sends more than a few messages to each other one.
+    expect(messages / tasks.size).toBeLessThan(STRONG_HOSTS + SPARES);
+  });
+});
