--- a/packages/decisions/src/membership/membership.ts
+++ b/packages/decisions/src/membership/membership.ts
@@ -39,6 +39,8 @@
   readonly since: number;
   /** Number of messages that will still carry this update. */
   readonly sendsLeft: number;
+  /** Number of the change with which the entry got its member record. */
+  readonly change: number;
 }
 
 /** The entry hosts that one entry host knows. */
@@ -149,6 +151,13 @@
     return [...this.entries.values()].map(({member}) => member);
   }
 
+  /** Returns the hosts that changed after the first `count` changes. */
+  changedSince(count: number): readonly Member[] {
+    return [...this.entries.values()]
+      .filter(({change}) => change > count)
+      .map(({member}) => member);
+  }
+
   /** Returns the host with the ID `hostId`, if it is known. */
   find(hostId: string): Member | undefined {
     return this.entries.get(hostId)?.member;
@@ -215,9 +224,11 @@
     const sendsLeft = Math.ceil(
       RETRANSMIT_FACTOR * Math.log2(this.entries.size + 2),
     );
-    this.entries.set(member.hostId, {member, since: now, sendsLeft});
-    this.servingMembers = undefined;
     this.changes += 1;
+    const {changes} = this;
+    const entry = {member, since: now, sendsLeft, change: changes};
+    this.entries.set(member.hostId, entry);
+    this.servingMembers = undefined;
   }
 
   private probeTargets(): readonly string[] {
--- a/packages/entry-hosts/src/messages/membership_messages.ts
+++ b/packages/entry-hosts/src/messages/membership_messages.ts
@@ -21,8 +21,13 @@
   readonly timeOfDay?: number;
   /** Whether the sender reaches no upstream; absent if it does. */
   readonly isCutOff?: boolean;
-  /** Whether the response is to hold every member that the receiver knows. */
-  readonly wantsAllMembers?: boolean;
+  /**
+   * Change count of the receiver up to which the sender has fetched its members;
+   * the response then holds all later ones. Absent if none are to be fetched.
+   */
+  readonly fetchedTo?: number;
+  /** The sender's change count, in response to `fetchedTo`. */
+  readonly changeCount?: number;
 }
 
 /** Load of one shard: requests in progress divided by slots. */
--- a/packages/entry-process/src/tasks/membership_task.ts
+++ b/packages/entry-process/src/tasks/membership_task.ts
@@ -7,6 +7,7 @@
   type MemberStatus,
   PROBE_PERIOD_MILLISECONDS,
   PROBE_TIMEOUT_MILLISECONDS,
+  rendezvousOrder,
   shuffle,
   strongHosts,
 } from '@lacewingwinch/decisions';
@@ -31,8 +32,17 @@
 /** Milliseconds after its start for which a host uses the shorter period. */
 const FIRST_PERIODS_MILLISECONDS = 1000;
 
+/**
+ * Number of hosts from which a host fetches members. With two or more, groups
+ * that know only each other are unlikely.
+ */
+const SOURCE_COUNT = 3;
+
 /** The parts of a digest that come from other tasks. */
-export type DigestContent = Omit<GossipDigest, 'members' | 'wantsAllMembers'>;
+export type DigestContent = Omit<
+  GossipDigest,
+  'changeCount' | 'fetchedTo' | 'members'
+>;
 
 /** Dependencies of `MembershipTask`. */
 export interface MembershipTaskDependencies {
@@ -123,9 +133,11 @@
    */
   onGossip(digest: GossipDigest): GossipDigest {
     const sender = this.mergeDigest(digest);
-    if (sender?.status === 'joining' || digest.wantsAllMembers === true) {
-      const members = [this.own, ...this.others()];
-      return {...this.dependencies.content(), members};
+    if (digest.fetchedTo !== undefined) {
+      return this.digestSince(digest.fetchedTo);
+    }
+    if (sender?.status === 'joining') {
+      return this.digestSince(0);
     }
     const entry = sender === undefined ? undefined : this.find(sender.hostId);
     return this.digest(entry === undefined ? [] : [entry]);
@@ -162,20 +174,36 @@
     }
   }
 
-  /** Fetches all members from one host after the other for a while. */
+  /**
+   * Fetches all members for a while, and after the first time what has changed,
+   * from hosts to which others announce that they serve.
+   */
   private async learn(signal: AbortSignal): Promise<void> {
+    const fetchedTo = new Map<string, number>();
     while (!signal.aborted && this.age() < LEARNING_MILLISECONDS) {
       await pause(this.joinPeriod(), signal);
-      const [source] = shuffle(
-        strongHosts(this.live()),
-        this.dependencies.random,
-      );
+      const [source] = shuffle(this.sources(), this.dependencies.random);
       if (source !== undefined) {
-        await this.exchangeDigests(source.addresses.peers, true);
+        const answer = await this.exchange(source.addresses.peers, {
+          ...this.digest(),
+          fetchedTo: fetchedTo.get(source.hostId) ?? 0,
+        });
+        fetchedTo.set(source.hostId, answer?.changeCount ?? 0);
       }
     }
   }
 
+  /** Returns the hosts to fetch members from: a few, which differ by host. */
+  private sources(): readonly Member[] {
+    const strong = strongHosts(this.live());
+    const chosen = rendezvousOrder(
+      `members/${this.own.hostId}`,
+      strong.map(({hostId}) => hostId),
+      SOURCE_COUNT,
+    );
+    return strong.filter(({hostId}) => chosen.includes(hostId));
+  }
+
   private joinPeriod(): number {
     return this.age() < FIRST_PERIODS_MILLISECONDS
       ? FIRST_PERIOD_MILLISECONDS
@@ -239,26 +267,40 @@
     }
   }
 
-  private async exchangeDigests(
+  private async exchangeDigests(address: string): Promise<boolean> {
+    return (await this.exchange(address, this.digest())) !== undefined;
+  }
+
+  /** Sends a digest and merges the response; undefined without one. */
+  private async exchange(
     address: string,
-    wantsAllMembers = false,
-  ): Promise<boolean> {
+    digest: GossipDigest,
+  ): Promise<GossipDigest | undefined> {
     try {
       const answer = await this.dependencies.peers.call(
         address,
         'gossip',
-        {...this.digest(), ...(wantsAllMembers && {wantsAllMembers})},
+        digest,
         PROBE_TIMEOUT_MILLISECONDS,
       );
       this.mergeDigest(answer);
-      return true;
+      return answer;
     } catch {
-      return false;
+      return undefined;
     }
   }
 
-  private others(): readonly Member[] {
-    return this.all().filter(({hostId}) => hostId !== this.own.hostId);
+  /** Returns a digest with all members that changed after `fetchedTo` changes. */
+  private digestSince(fetchedTo: number): GossipDigest {
+    const {own, changeCount} = this.membership;
+    const changed = this.membership.changedSince(
+      fetchedTo > changeCount ? 0 : fetchedTo,
+    );
+    return {
+      ...this.dependencies.content(),
+      members: [own, ...changed.filter(({hostId}) => hostId !== own.hostId)],
+      changeCount,
+    };
   }
 
   private digest(extra: readonly Member[] = []): GossipDigest {
--- a/packages/entry-process/tests/membership_start_test.ts
+++ b/packages/entry-process/tests/membership_start_test.ts
@@ -18,6 +18,7 @@
 const LINK_DELAY_MILLISECONDS = 3;
 
 const events: EventLog = {write: () => undefined};
+const metrics = createMetrics();
 let stopping: AbortController;
 let tasks: Map<string, MembershipTask>;
 let messages: number;
@@ -84,7 +85,7 @@
     {
       peers,
       events,
-      metrics: createMetrics(),
+      metrics,
       clock: () => Date.now(),
       random: randomFrom(index + 1),
       seeds: () => seeds,
