Name the spares to clients while half of the strong hosts are busy

A strong host that has less than a fifth of idle time for a second tells all hosts; discovery names the spares too while half of the strong ones are busy. A host stays busy for 30 s, because its idle time afterwards says nothing of the load that would come back.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -49,6 +49,7 @@
 export * from './limits/used_up_quotas.js';
 export * from './membership/discovery.js';
 export * from './membership/host_capacity.js';
+export * from './membership/host_load.js';
 export * from './membership/hosts_for_clients.js';
 export * from './membership/member.js';
 export * from './membership/membership.js';
--- a/packages/decisions/src/membership/hosts_for_clients.ts
+++ b/packages/decisions/src/membership/hosts_for_clients.ts
@@ -5,9 +5,13 @@
 import type {Member} from './member.js';
 import {strongHosts} from './strong_hosts.js';
 
+/** Share of busy hosts from which the spares are named as well. */
+const MAXIMUM_BUSY_SHARE = 0.5;
+
 /**
- * Returns at most `maximumHosts` of the hosts that serve, those in the client's
- * failure domain first.
+ * Returns at most `maximumHosts` of the hosts that serve: the strong ones, and
+ * the others too while half of the strong ones are busy. Those in the client's
+ * failure domain come first.
  */
 export function selectHostsForClients(
   serving: readonly Member[],
@@ -18,10 +22,17 @@
   if (strong.length === serving.length) {
     return serving.slice(0, maximumHosts);
   }
+  const busyCount = strong.filter(({isBusy}) => isBusy === true).length;
+  const spares =
+    busyCount >= strong.length * MAXIMUM_BUSY_SHARE
+      ? serving.filter(member => !strong.includes(member))
+      : [];
   const isNear = ({failureDomain}: Member): boolean =>
     failureDomain === clientDomain;
-  return [
-    ...strong.filter(isNear),
-    ...strong.filter(member => !isNear(member)),
-  ].slice(0, maximumHosts);
+  return [strong, spares]
+    .flatMap(hosts => [
+      ...hosts.filter(isNear),
+      ...hosts.filter(member => !isNear(member)),
+    ])
+    .slice(0, maximumHosts);
 }
--- a/packages/decisions/src/membership/member.ts
+++ b/packages/decisions/src/membership/member.ts
@@ -22,6 +22,8 @@
   readonly addresses: MemberAddresses;
   /** What the host can carry, in cores; absent if its settings do not state it. */
   readonly capacity?: number;
+  /** Whether the host is short of processor time; absent if it is not. */
+  readonly isBusy?: boolean;
   /** Increased by the host itself each time it announces its status. */
   readonly incarnation: number;
   readonly status: MemberStatus;
--- a/packages/decisions/src/membership/membership.ts
+++ b/packages/decisions/src/membership/membership.ts
@@ -77,6 +77,16 @@
     this.set(this.self, now);
   }
 
+  /** Announces whether this host is short of processor time. */
+  setBusy(isBusy: boolean, now: number): void {
+    this.self = {
+      ...this.self,
+      isBusy,
+      incarnation: Math.max(this.self.incarnation + 1, now),
+    };
+    this.set(this.self, now);
+  }
+
   /** Applies the updates from another host. */
   merge(updates: readonly Member[], now: number): void {
     for (const update of updates) {
--- a/packages/decisions/tests/strong_hosts_test.ts
+++ b/packages/decisions/tests/strong_hosts_test.ts
@@ -3,6 +3,7 @@
 
 import {
   capacityOf,
+  HostLoad,
   type Member,
   quotaHolders,
   selectHostsForClients,
@@ -218,6 +219,23 @@
     expect(selected[0]?.hostId).toBe(first);
   });
 
+  it.each([
+    {busy: 0, count: 8},
+    {busy: 3, count: 8},
+    {busy: 4, count: 58},
+    {busy: 8, count: 58},
+  ])('are $count while $busy of 8 strong ones are busy', ({busy, count}) => {
+    const members = membersOf([
+      [8, 1.35],
+      [50, 0.3],
+    ]).map((member, index) => ({...member, isBusy: index < busy}));
+    const selected = selectHostsForClients(members, 'west', MAXIMUM_HOSTS);
+    expect(selected).toHaveLength(count);
+    expect(selected.slice(0, 8).map(({capacity}) => capacity)).toEqual(
+      Array(8).fill(1.35),
+    );
+  });
+
   it.each<{
     readonly name: string;
     readonly isLost: (member: Member) => boolean;
@@ -253,3 +271,43 @@
     },
   );
 });
+
+describe('a host is busy', () => {
+  it.each<{
+    readonly name: string;
+    readonly utilizations: readonly number[];
+    readonly startsAt: number;
+    readonly expected: readonly boolean[];
+  }>([
+    {
+      name: 'after two measurements of little idle time in a row',
+      utilizations: [0.9, 0.9, 0.9],
+      startsAt: 10_000,
+      expected: [false, true, true],
+    },
+    {
+      name: 'not after single ones',
+      utilizations: [0.95, 0.3, 1, 0.7],
+      startsAt: 10_000,
+      expected: [false, false, false, false],
+    },
+    {
+      name: 'not while its code is not compiled yet',
+      utilizations: [1, 1, 1, 1],
+      startsAt: 500,
+      expected: [false, false, false, false],
+    },
+    {
+      name: 'for a while after its clients have moved',
+      utilizations: [1, 1, ...Array<number>(60).fill(0.1), 0.1],
+      startsAt: 10_000,
+      expected: [false, ...Array<boolean>(60).fill(true), false, false],
+    },
+  ])('$name', ({utilizations, startsAt, expected}) => {
+    const load = new HostLoad(0);
+    const states = utilizations.map((utilization, index) =>
+      load.record(utilization, startsAt + index * 500),
+    );
+    expect(states).toEqual(expected);
+  });
+});
--- a/packages/entry-process/src/routed_interface/lifecycle/start_gate.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/start_gate.ts
@@ -17,7 +17,7 @@
  * Longest time for which a request is held: a part of the shortest time that
  * clients wait. Reading the state takes less on a host with one core.
  */
-const MAXIMUM_HOLD_MILLISECONDS = 250;
+export const MAXIMUM_HOLD_MILLISECONDS = 250;
 
 /** Passes requests on to the front once the process can serve. */
 export class StartGate implements RoutedCallHandler {
--- a/packages/entry-process/src/routed_interface/state/routed_membership.ts
+++ b/packages/entry-process/src/routed_interface/state/routed_membership.ts
@@ -1,7 +1,14 @@
 /**
  * The membership of an entry host on the platform.
  */
-import {capacityOf, type Member, type TrueTime} from '@lacewingwinch/decisions';
+import {performance} from 'node:perf_hooks';
+
+import {
+  capacityOf,
+  HostLoad,
+  type Member,
+  type TrueTime,
+} from '@lacewingwinch/decisions';
 import type {PeerClient} from '@lacewingwinch/entry-hosts';
 import type {EventLog, Metrics} from '@lacewingwinch/observability';
 import type {PlatformSettings} from '@lacewingwinch/platform';
@@ -59,6 +66,8 @@
     incarnation: clocks.timeOfDay(),
     status: 'joining',
   };
+  const load = new HostLoad(clocks.steady());
+  let lastUtilization = performance.eventLoopUtilization();
   return new MembershipTask(ownMember, {
     peers,
     events,
@@ -66,6 +75,15 @@
     clock: clocks.steady,
     random: Math.random,
     seeds: () => settings().seeds,
+    measureBusy: () => {
+      const current = performance.eventLoopUtilization();
+      const {utilization} = performance.eventLoopUtilization(
+        current,
+        lastUtilization,
+      );
+      lastUtilization = current;
+      return load.record(utilization, clocks.steady());
+    },
     content: () => ({
       configurationReadTo: version(),
       leavingUpstreams: [],
--- a/packages/entry-process/src/tasks/membership_task.ts
+++ b/packages/entry-process/src/tasks/membership_task.ts
@@ -53,6 +53,8 @@
   readonly random: () => number;
   /** Returns the peer addresses to contact in order to join. */
   readonly seeds: () => readonly string[];
+  /** Measures whether this host is busy; absent if it does not matter. */
+  readonly measureBusy?: () => boolean;
   /** Returns the content of the next digest to send, without its members. */
   readonly content: () => DigestContent;
   /** Called with each digest received, after its members were merged. */
@@ -181,7 +183,6 @@
   private async learn(signal: AbortSignal): Promise<void> {
     const fetchedTo = new Map<string, number>();
     while (!signal.aborted && this.age() < LEARNING_MILLISECONDS) {
-      await pause(this.joinPeriod(), signal);
       const [source] = shuffle(this.sources(), this.dependencies.random);
       if (source !== undefined) {
         const answer = await this.exchange(source.addresses.peers, {
@@ -190,6 +191,7 @@
         });
         fetchedTo.set(source.hostId, answer?.changeCount ?? 0);
       }
+      await pause(this.joinPeriod(), signal);
     }
   }
 
@@ -223,7 +225,28 @@
       await pause(PROBE_PERIOD_MILLISECONDS, signal);
       this.membership.expire(this.dependencies.clock());
       this.reportStatusChanges();
+      this.announceLoad();
+    }
+  }
+
+  /**
+   * Tells every host when this one becomes busy, or is not any more, if it is one
+   * of the strong hosts of a fleet with spares.
+   */
+  private announceLoad(): void {
+    const {measureBusy, clock, events} = this.dependencies;
+    const serving = this.serving();
+    const strong = strongHosts(serving);
+    const hasSpares =
+      strong.length < serving.length &&
+      strong.some(({hostId}) => hostId === this.own.hostId);
+    const isBusy = (measureBusy?.() ?? false) && hasSpares;
+    if (isBusy === (this.own.isBusy ?? false)) {
+      return;
     }
+    this.membership.setBusy(isBusy, clock());
+    events.write(isBusy ? 3042 : 3043, {hostId: this.own.hostId});
+    this.broadcast();
   }
 
   private async probeMember(target: Member): Promise<void> {
--- a/packages/observability/src/events/fleet_events.ts
+++ b/packages/observability/src/events/fleet_events.ts
@@ -122,4 +122,15 @@
     message: '{count} upstreams of {service} are listed at the start',
     advice: 'No action needed; later changes are logged one by one.',
   },
+  3042: {
+    level: 'warn',
+    message: 'entry host {hostId} is short of processor time',
+    advice:
+      'If half of the strong hosts are, clients are sent to the spares as well; add strong hosts if it happens often.',
+  },
+  3043: {
+    level: 'info',
+    message: 'entry host {hostId} has processor time again',
+    advice: 'No action needed.',
+  },
 } as const satisfies Readonly<Record<number, EventRow>>;
