Bound calls to hosts without power, and contact each seed on its own

Strong hosts knew one of eight until 54.4 s, took small hosts for dispatchers and holders of quotas, and 264 calls to these timed out. A call to a host without power waited a second for the connection, whatever its time limit, and a joining host waited for all seeds before it called one of them again.

The connection is now bounded by the time limit of the call and abandoned after 300 ms, and each seed is contacted on its own. Three strong hosts are enough: a host that knows few of them does not take the spares for dispatchers.

--- a/packages/decisions/src/membership/strong_hosts.ts
+++ b/packages/decisions/src/membership/strong_hosts.ts
@@ -6,10 +6,11 @@
 import type {Member} from './member.js';
 
 /**
- * Least number of strong hosts. With fewer, the loss of half of the hosts would
- * often leave none of them.
+ * Least number of strong hosts. A host that has just started knows few of the
+ * others, and many hosts can be lost together for a second; the spares do not
+ * take over the work for all hosts then, and give it back.
  */
-const MINIMUM_STRONG_HOSTS = 5;
+const MINIMUM_STRONG_HOSTS = 3;
 
 /**
  * Share of the capacity of the strongest hosts from which a host counts as
--- a/packages/entry-hosts/src/peer_links.ts
+++ b/packages/entry-hosts/src/peer_links.ts
@@ -14,14 +14,18 @@
 import {PeerError} from './peer_error.js';
 import type {PeerMethod, PeerParams, PeerResult} from './peer_methods.js';
 
-/** Milliseconds after which an attempt to connect is abandoned. */
-const CONNECT_TIMEOUT_MILLISECONDS = 1000;
+/**
+ * Milliseconds after which an attempt to connect is abandoned. A host without
+ * power does not answer; a new attempt reaches it as soon as it is back, while
+ * the system repeats the first packet of the old one after a second.
+ */
+const CONNECT_TIMEOUT_MILLISECONDS = 300;
 
 /** Calls to other entry processes. */
 export interface PeerClient {
   /**
    * Calls `method` at `address` and waits for the result. Rejects with
-   * `PeerError`.
+   * `PeerError`, also if no connection is made within the time for a response.
    */
   call<M extends PeerMethod>(
     address: string,
@@ -67,7 +71,7 @@
   return {
     call: async (address, method, params, timeoutMilliseconds) => {
       const link = getOrOpenLink(address);
-      await link.connected;
+      await connectedWithin(link, address, timeoutMilliseconds);
       return callLink(link, method, params, timeoutMilliseconds);
     },
     notify: (address, method, params) => {
@@ -86,6 +90,20 @@
   };
 }
 
+function connectedWithin(
+  {connected}: Link,
+  address: string,
+  milliseconds: number,
+): Promise<void> {
+  return new Promise((resolve, reject) => {
+    const timer = setTimeout(
+      () => reject(new PeerError('unreachable', `no connection to ${address}`)),
+      milliseconds,
+    );
+    connected.then(resolve, reject).finally(() => clearTimeout(timer));
+  });
+}
+
 async function callLink<M extends PeerMethod>(
   link: Link,
   method: M,
--- a/packages/entry-process/src/tasks/membership_task.ts
+++ b/packages/entry-process/src/tasks/membership_task.ts
@@ -163,15 +163,19 @@
     ]);
   }
 
+  /** Contacts the unknown seeds; one that does not answer delays no other. */
   private async join(signal: AbortSignal): Promise<void> {
+    const pending = new Set<string>();
     while (!signal.aborted) {
       const knownAddresses = new Set(
         this.all().map(({addresses}) => addresses.peers),
       );
-      const unknownSeeds = this.dependencies
-        .seeds()
-        .filter(seed => !knownAddresses.has(seed));
-      await Promise.all(unknownSeeds.map(seed => this.exchangeDigests(seed)));
+      for (const seed of this.dependencies.seeds()) {
+        if (!knownAddresses.has(seed) && !pending.has(seed)) {
+          pending.add(seed);
+          void this.exchangeDigests(seed).then(() => pending.delete(seed));
+        }
+      }
       await pause(this.joinPeriod(), signal);
     }
   }
