--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -258,7 +258,7 @@
       clocks,
       usage: this.usage,
       trueTime: () => this.readTrueTime(),
-      servingHosts: () => this.fleet.servingIds(),
+      servingHosts: () => this.fleet.strongServingIds(),
       configuration: () => this.configuration.current?.value,
       upstreams: () => this.upstreams.list.all(),
     });
--- a/packages/entry-process/src/routed_interface/state/fleet_view.ts
+++ b/packages/entry-process/src/routed_interface/state/fleet_view.ts
@@ -51,8 +51,8 @@
   }
 
   /**
-   * Returns the serving hosts that work for others: they dispatch shards and read
-   * the store.
+   * Returns the serving hosts that work for others: they dispatch shards, read the
+   * store and hold the duties.
    */
   strongServingHosts(): readonly Member[] {
     const serving = this.membership.serving();
@@ -62,6 +62,11 @@
     return this.strongServing.strong;
   }
 
+  /** Returns the ids of these hosts. */
+  strongServingIds(): readonly string[] {
+    return this.strongServingHosts().map(({hostId}) => hostId);
+  }
+
   /** Returns the ids of the hosts that hold quotas in a large fleet. */
   quotaHolderCandidates(): readonly string[] {
     return strongHosts(this.membership.sharingHosts()).map(
@@ -71,10 +76,7 @@
 
   /** Returns the ids of the hosts that read the store. */
   storeReaders(): readonly string[] {
-    return storeReaders(
-      this.servingIds(),
-      this.strongServingHosts().map(({hostId}) => hostId),
-    );
+    return storeReaders(this.servingIds(), this.strongServingIds());
   }
 
   /** Returns whether this host reads the store itself. */
