--- a/packages/decisions/src/membership/membership.ts
+++ b/packages/decisions/src/membership/membership.ts
@@ -39,6 +39,8 @@
   readonly since: number;
   /** Number of messages that will still carry this update. */
   readonly sendsLeft: number;
+  /** Number of the change with which the entry got its member record. */
+  readonly change: number;
 }
 
 /** The entry hosts that one entry host knows. */
@@ -48,6 +50,7 @@
   private probeOrder: readonly string[] = [];
   /** Cached result of `serving`; undefined after an entry has changed. */
   private servingMembers: readonly Member[] | undefined;
+  private changes = 0;
 
   constructor(self: Member, now: number) {
     this.self = self;
@@ -59,6 +62,11 @@
     return this.self;
   }
 
+  /** Number of changes of members so far. */
+  get changeCount(): number {
+    return this.changes;
+  }
+
   /** Announces a new status of this host. */
   declare(status: MemberStatus, now: number): void {
     this.self = {
@@ -69,6 +77,16 @@
     this.set(this.self, now);
   }
 
+  /** Announces whether this host is short of processor time. */
+  setBusy(isBusy: boolean, now: number): void {
+    this.self = {
+      ...this.self,
+      isBusy,
+      incarnation: Math.max(this.self.incarnation + 1, now),
+    };
+    this.set(this.self, now);
+  }
+
   /** Applies the updates from another host. */
   merge(updates: readonly Member[], now: number): void {
     for (const update of updates) {
@@ -143,6 +161,13 @@
     return [...this.entries.values()].map(({member}) => member);
   }
 
+  /** Returns the hosts that changed after the first `count` changes. */
+  changedSince(count: number): readonly Member[] {
+    return [...this.entries.values()]
+      .filter(({change}) => change > count)
+      .map(({member}) => member);
+  }
+
   /** Returns the host with the ID `hostId`, if it is known. */
   find(hostId: string): Member | undefined {
     return this.entries.get(hostId)?.member;
@@ -209,7 +234,10 @@
     const sendsLeft = Math.ceil(
       RETRANSMIT_FACTOR * Math.log2(this.entries.size + 2),
     );
-    this.entries.set(member.hostId, {member, since: now, sendsLeft});
+    this.changes += 1;
+    const {changes} = this;
+    const entry = {member, since: now, sendsLeft, change: changes};
+    this.entries.set(member.hostId, entry);
     this.servingMembers = undefined;
   }
 
--- a/packages/decisions/src/membership/strong_hosts.ts
+++ b/packages/decisions/src/membership/strong_hosts.ts
@@ -4,13 +4,13 @@
  * every request waits for it; such hosts are spares.
  */
 import type {Member} from './member.js';
-import {SMALL_FLEET_MAXIMUM_HOSTS} from './small_fleet.js';
 
 /**
- * Least number of strong hosts. With fewer, the loss of half of the hosts would
- * often leave none of them.
+ * Least number of strong hosts. A host that has just started knows few of the
+ * others, and many hosts can be lost together for a second; the spares do not
+ * take over the work for all hosts then, and give it back.
  */
-const MINIMUM_STRONG_HOSTS = 5;
+const MINIMUM_STRONG_HOSTS = 3;
 
 /**
  * Share of the capacity of the strongest hosts from which a host counts as
@@ -21,15 +21,11 @@
 
 /**
  * Returns the hosts with the most capacity, in the order of `members`. All are
- * returned if the fleet is small, if they are alike, or if a host states no
- * capacity.
+ * returned if they are alike, or if one of them states no capacity.
  */
 export function strongHosts(members: readonly Member[]): readonly Member[] {
   const capacities = members.flatMap(({capacity}) => capacity ?? []);
-  if (
-    members.length <= SMALL_FLEET_MAXIMUM_HOSTS ||
-    capacities.length < members.length
-  ) {
+  if (capacities.length < members.length) {
     return members;
   }
   const descending = capacities.sort((left, right) => right - left);
--- a/packages/entry-process/src/tasks/membership_task.ts
+++ b/packages/entry-process/src/tasks/membership_task.ts
@@ -7,6 +7,9 @@
   type MemberStatus,
   PROBE_PERIOD_MILLISECONDS,
   PROBE_TIMEOUT_MILLISECONDS,
+  rendezvousOrder,
+  shuffle,
+  strongHosts,
 } from '@lacewingwinch/decisions';
 import type {GossipDigest, PeerClient} from '@lacewingwinch/entry-hosts';
 import type {EventLog, Metrics} from '@lacewingwinch/observability';
@@ -16,8 +19,30 @@
 /** Milliseconds between two attempts to join. */
 const JOIN_PERIOD_MILLISECONDS = 300;
 
+/**
+ * Milliseconds after its start for which a host fetches all members. When many
+ * hosts start at the same time, the seeds do not know the later ones yet, and
+ * updates that pass from host to host take several seconds.
+ */
+const LEARNING_MILLISECONDS = 3000;
+
+/** Milliseconds between two attempts or fetches during the first ones. */
+const FIRST_PERIOD_MILLISECONDS = 100;
+
+/** Milliseconds after its start for which a host uses the shorter period. */
+const FIRST_PERIODS_MILLISECONDS = 1000;
+
+/**
+ * Number of hosts from which a host fetches members. With two or more, groups
+ * that know only each other are unlikely.
+ */
+const SOURCE_COUNT = 3;
+
 /** The parts of a digest that come from other tasks. */
-export type DigestContent = Omit<GossipDigest, 'members'>;
+export type DigestContent = Omit<
+  GossipDigest,
+  'changeCount' | 'fetchedTo' | 'members'
+>;
 
 /** Dependencies of `MembershipTask`. */
 export interface MembershipTaskDependencies {
@@ -28,6 +53,8 @@
   readonly random: () => number;
   /** Returns the peer addresses to contact in order to join. */
   readonly seeds: () => readonly string[];
+  /** Measures whether this host is busy; absent if it does not matter. */
+  readonly measureBusy?: () => boolean;
   /** Returns the content of the next digest to send, without its members. */
   readonly content: () => DigestContent;
   /** Called with each digest received, after its members were merged. */
@@ -38,12 +65,16 @@
 export class MembershipTask {
   private readonly membership: Membership;
   private readonly statuses = new Map<string, MemberStatus>();
+  private readonly startedAt: number;
+  /** Change count of the membership at the last report of statuses. */
+  private reportedChanges = -1;
 
   constructor(
     self: Member,
     private readonly dependencies: MembershipTaskDependencies,
   ) {
-    this.membership = new Membership(self, dependencies.clock());
+    this.startedAt = dependencies.clock();
+    this.membership = new Membership(self, this.startedAt);
   }
 
   /** This host, as it appears in the digests that it sends. */
@@ -81,30 +112,34 @@
     return this.membership.find(hostId);
   }
 
-  /** Sets the status of this host and notifies every live host at once. */
+  /**
+   * Sets the status of this host and notifies other hosts at once: those that
+   * work for all, if it begins to serve, and else every live host. Where many
+   * hosts start at the same time, the others learn it from the former.
+   */
   declare(status: MemberStatus): void {
     this.membership.declare(status, this.dependencies.clock());
     this.reportStatusChanges();
-    this.broadcast();
+    this.notify(status === 'serving' ? strongHosts(this.live()) : this.live());
   }
 
   /** Sends a digest to every live host. */
   broadcast(): void {
-    const digest = this.digest();
-    for (const member of this.live()) {
-      this.dependencies.peers.notify(member.addresses.peers, 'gossip', digest);
-    }
+    this.notify(this.live());
   }
 
   /**
-   * Merges a digest of another host and returns the response. A joining host
-   * receives every member, because updates are gossiped only a limited number
-   * of times and older ones would not reach it.
+   * Merges a digest of another host and returns the response. A host that has
+   * just started receives every member, because updates are gossiped only a
+   * limited number of times and older ones would not reach it.
    */
   onGossip(digest: GossipDigest): GossipDigest {
     const sender = this.mergeDigest(digest);
+    if (digest.fetchedTo !== undefined) {
+      return this.digestSince(digest.fetchedTo);
+    }
     if (sender?.status === 'joining') {
-      return {...this.digest(), members: [this.own, ...this.others()]};
+      return this.digestSince(0);
     }
     const entry = sender === undefined ? undefined : this.find(sender.hostId);
     return this.digest(entry === undefined ? [] : [entry]);
@@ -121,22 +156,70 @@
 
   /** Runs until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    await Promise.all([this.join(signal), this.probe(signal)]);
+    await Promise.all([
+      this.join(signal),
+      this.learn(signal),
+      this.probe(signal),
+    ]);
   }
 
+  /** Contacts the unknown seeds; one that does not answer delays no other. */
   private async join(signal: AbortSignal): Promise<void> {
+    const pending = new Set<string>();
     while (!signal.aborted) {
       const knownAddresses = new Set(
         this.all().map(({addresses}) => addresses.peers),
       );
-      const unknownSeeds = this.dependencies
-        .seeds()
-        .filter(seed => !knownAddresses.has(seed));
-      await Promise.all(unknownSeeds.map(seed => this.exchangeDigests(seed)));
-      await pause(JOIN_PERIOD_MILLISECONDS, signal);
+      for (const seed of this.dependencies.seeds()) {
+        if (!knownAddresses.has(seed) && !pending.has(seed)) {
+          pending.add(seed);
+          void this.exchangeDigests(seed).then(() => pending.delete(seed));
+        }
+      }
+      await pause(this.joinPeriod(), signal);
+    }
+  }
+
+  /**
+   * Fetches all members for a while, and after the first time what has changed,
+   * from hosts to which others announce that they serve.
+   */
+  private async learn(signal: AbortSignal): Promise<void> {
+    const fetchedTo = new Map<string, number>();
+    while (!signal.aborted && this.age() < LEARNING_MILLISECONDS) {
+      const [source] = shuffle(this.sources(), this.dependencies.random);
+      if (source !== undefined) {
+        const answer = await this.exchange(source.addresses.peers, {
+          ...this.digest(),
+          fetchedTo: fetchedTo.get(source.hostId) ?? 0,
+        });
+        fetchedTo.set(source.hostId, answer?.changeCount ?? 0);
+      }
+      await pause(this.joinPeriod(), signal);
     }
   }
 
+  /** Returns the hosts to fetch members from: a few, which differ by host. */
+  private sources(): readonly Member[] {
+    const strong = strongHosts(this.live());
+    const chosen = rendezvousOrder(
+      `members/${this.own.hostId}`,
+      strong.map(({hostId}) => hostId),
+      SOURCE_COUNT,
+    );
+    return strong.filter(({hostId}) => chosen.includes(hostId));
+  }
+
+  private joinPeriod(): number {
+    return this.age() < FIRST_PERIODS_MILLISECONDS
+      ? FIRST_PERIOD_MILLISECONDS
+      : JOIN_PERIOD_MILLISECONDS;
+  }
+
+  private age(): number {
+    return this.dependencies.clock() - this.startedAt;
+  }
+
   private async probe(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const target = this.membership.nextProbe(this.dependencies.random);
@@ -146,9 +229,30 @@
       await pause(PROBE_PERIOD_MILLISECONDS, signal);
       this.membership.expire(this.dependencies.clock());
       this.reportStatusChanges();
+      this.announceLoad();
     }
   }
 
+  /**
+   * Tells every host when this one becomes busy, or is not any more, if it is one
+   * of the strong hosts of a fleet with spares.
+   */
+  private announceLoad(): void {
+    const {measureBusy, clock, events} = this.dependencies;
+    const serving = this.serving();
+    const strong = strongHosts(serving);
+    const hasSpares =
+      strong.length < serving.length &&
+      strong.some(({hostId}) => hostId === this.own.hostId);
+    const isBusy = (measureBusy?.() ?? false) && hasSpares;
+    if (isBusy === (this.own.isBusy ?? false)) {
+      return;
+    }
+    this.membership.setBusy(isBusy, clock());
+    events.write(isBusy ? 3042 : 3043, {hostId: this.own.hostId});
+    this.broadcast();
+  }
+
   private async probeMember(target: Member): Promise<void> {
     if (await this.exchangeDigests(target.addresses.peers)) {
       return;
@@ -183,23 +287,47 @@
     }
   }
 
+  private notify(members: readonly Member[]): void {
+    const digest = this.digest();
+    for (const {addresses} of members) {
+      this.dependencies.peers.notify(addresses.peers, 'gossip', digest);
+    }
+  }
+
   private async exchangeDigests(address: string): Promise<boolean> {
+    return (await this.exchange(address, this.digest())) !== undefined;
+  }
+
+  /** Sends a digest and merges the response; undefined without one. */
+  private async exchange(
+    address: string,
+    digest: GossipDigest,
+  ): Promise<GossipDigest | undefined> {
     try {
       const answer = await this.dependencies.peers.call(
         address,
         'gossip',
-        this.digest(),
+        digest,
         PROBE_TIMEOUT_MILLISECONDS,
       );
       this.mergeDigest(answer);
-      return true;
+      return answer;
     } catch {
-      return false;
+      return undefined;
     }
   }
 
-  private others(): readonly Member[] {
-    return this.all().filter(({hostId}) => hostId !== this.own.hostId);
+  /** Returns a digest with all members that changed after `fetchedTo` changes. */
+  private digestSince(fetchedTo: number): GossipDigest {
+    const {own, changeCount} = this.membership;
+    const changed = this.membership.changedSince(
+      fetchedTo > changeCount ? 0 : fetchedTo,
+    );
+    return {
+      ...this.dependencies.content(),
+      members: [own, ...changed.filter(({hostId}) => hostId !== own.hostId)],
+      changeCount,
+    };
   }
 
   private digest(extra: readonly Member[] = []): GossipDigest {
@@ -224,17 +352,32 @@
   }
 
   private reportStatusChanges(): void {
+    const {changeCount} = this.membership;
+    if (changeCount === this.reportedChanges) {
+      return;
+    }
+    this.reportedChanges = changeCount;
+    const {events, metrics} = this.dependencies;
     const counts = new Map<MemberStatus, number>();
+    const changed = new Map<MemberStatus, string[]>();
     for (const {hostId, status} of this.all()) {
       counts.set(status, (counts.get(status) ?? 0) + 1);
       if (this.statuses.get(hostId) !== status) {
         this.statuses.set(hostId, status);
-        this.dependencies.events.write(3001, {hostId, status});
+        changed.set(status, [...(changed.get(status) ?? []), hostId]);
+      }
+    }
+    for (const [status, hostIds] of changed) {
+      const [hostId = '', ...others] = hostIds;
+      if (others.length === 0) {
+        events.write(3001, {hostId, status});
+      } else {
+        events.write(3040, {hostIds: hostIds.join(', '), status});
       }
     }
-    this.dependencies.metrics.members.reset();
+    metrics.members.reset();
     for (const [status, count] of counts) {
-      this.dependencies.metrics.members.set({status}, count);
+      metrics.members.set({status}, count);
     }
   }
 }
