--- a/packages/decisions/src/orders/engine_orders_by_load.ts
+++ b/packages/decisions/src/orders/engine_orders_by_load.ts
@@ -210,9 +210,9 @@
     domain.onDemand = Math.max(0, count);
     left -= domain.onDemand;
   }
-  const dry = domains.filter(({isOutOfCapacity}) => isOutOfCapacity);
-  for (const [index, domain] of dry.entries()) {
-    const share = Math.ceil(left / (dry.length - index));
+  const exhausted = domains.filter(({isOutOfCapacity}) => isOutOfCapacity);
+  for (const [index, domain] of exhausted.entries()) {
+    const share = Math.ceil(left / (exhausted.length - index));
     const room = roomIn(domain, scaling) - domain.onDemand;
     const count = Math.max(0, Math.min(share, room));
     domain.onDemand += count;
--- a/packages/decisions/src/orders/engine_plan.ts
+++ b/packages/decisions/src/orders/engine_plan.ts
@@ -100,10 +100,10 @@
  */
 const REREAD_SHARE = 0.5;
 
-/** Utilization above which engines do not keep up with the load at all. */
+/** Utilization up to which queues stay short for some seconds. */
 const HIGHEST_UTILIZATION = 0.8;
 
-/** Utilization above which engines do not keep up with varying work for long. */
+/** Utilization up to which queues stay short while work varies. */
 const MAXIMUM_SHORT_TERM_UTILIZATION = 0.7;
 
 /** Returns the engines that the planned load needs. */
