Keep the tightest objective on the rest after two lost domains

The rest after two lost domains now keeps the calm utilization (0.55 at most), a peak fades with 90 s, and on-demand engines are ordered for another loss again, with some late answers. None of them leaves while a domain is lost: what is missing varies with the arrivals of seconds, so that they were started and ended in turn.

The load of the model is that of the trials now: at a load of 0.6 a quarter of the usual engines is busy.

The replay compares falls with the time between two plans, because a round after a change of holder is later than others.

--- a/packages/decisions/src/orders/engine_load.ts
+++ b/packages/decisions/src/orders/engine_load.ts
@@ -58,7 +58,7 @@
 const MINIMUM_ROOM_SHARE = 0.1;
 
 const MINIMUM_UTILIZATION = 0.25;
-const MAXIMUM_UTILIZATION = 0.6;
+const MAXIMUM_UTILIZATION = 0.55;
 
 /** Standard errors of the number of arrivals that are not taken for growth. */
 const CHANCE_ERRORS = 2;
--- a/packages/decisions/src/orders/engine_orders_by_load.ts
+++ b/packages/decisions/src/orders/engine_orders_by_load.ts
@@ -166,11 +166,11 @@
   }
   const standing = domains.map(standingIn);
   const total = standing.reduce((sum, count) => sum + count, 0);
-  // On-demand engines are dear, so that less is kept for another loss than the
-  // plan keeps.
+  const largest = Math.max(...standing);
+  // On-demand engines are dear, so that some late answers are borne.
   const wanted = Math.max(
     needed.shortTerm,
-    needed.least + Math.max(...standing),
+    needed.shortTermAfterLossOf(largest / Math.max(1, total)) + largest,
   );
   let missing = Math.max(0, Math.ceil(wanted - total));
   const open = domains.filter(({isOutOfCapacity}) => !isOutOfCapacity);
@@ -185,23 +185,27 @@
 
 /**
  * Sets the on-demand engines: those that are missing, and those that are there
- * until reclaimable ones serve in their place. Those in dear domains leave
- * first.
+ * until reclaimable ones serve in their place. None of these leaves while a
+ * domain is lost, and those in dear domains leave first afterwards.
  */
 function setOnDemand(
   domains: readonly DomainCounts[],
   missing: number,
-  {plannedEngines, needed, scaling}: OrderSituation,
+  {plannedEngines, needed, scaling, isLosingDomain}: OrderSituation,
 ): void {
   const sumOf = (count: (domain: DomainCounts) => number): number =>
     domains.reduce((sum, domain) => sum + count(domain), 0);
   const reclaimable = sumOf(({listedReclaimable}) => listedReclaimable);
+  const isReplacing =
+    isLosingDomain || domains.some(({isOutOfCapacity}) => isOutOfCapacity);
+  const served = isReplacing
+    ? plannedEngines
+    : Math.min(plannedEngines, needed.calm);
   const kept = Math.min(
     sumOf(({presentOnDemand}) => presentOnDemand),
-    Math.max(0, Math.ceil(Math.min(plannedEngines, needed.calm)) - reclaimable),
+    Math.max(0, Math.ceil(served) - reclaimable),
   );
   let left = Math.max(kept, missing);
-  const isReplacing = domains.some(({isOutOfCapacity}) => isOutOfCapacity);
   for (const domain of domains) {
     const room = isReplacing
       ? scaling.maximumInDomain - Math.max(1, domain.listedReclaimable)
--- a/packages/decisions/src/orders/engine_plan.ts
+++ b/packages/decisions/src/orders/engine_plan.ts
@@ -59,20 +59,20 @@
   readonly calm: number;
   /** Serves the load for a while, with some late answers. */
   readonly shortTerm: number;
-  /** Keeps up with the load for some seconds. */
-  readonly least: number;
   /**
-   * Returns the engines that serve the load for a while, if the caches of a
-   * share of the engines were lost and have to be filled again.
+   * Returns the engines that keep the tightest objective if the caches of a share
+   * of them were lost and have to be filled again.
    */
-  readonly afterLossOf: (share: number) => number;
+  readonly calmAfterLossOf: (share: number) => number;
+  /** The same, with some late answers. */
+  readonly shortTermAfterLossOf: (share: number) => number;
 }
 
 /** Engines for each usual one before any load is known, as in other services. */
 const USUAL_SPARE_FACTOR = 2;
 
-/** Time constant with which a peak fades, about that of a swing. */
-const PEAK_FADING_MILLISECONDS = 45_000;
+/** Time constant with which a peak fades: swings of a minute are not followed. */
+const PEAK_FADING_MILLISECONDS = 90_000;
 
 /** Share of the planned engines that may be given up in a second. */
 const LARGEST_FALL_PER_SECOND = 0.04;
@@ -100,9 +100,6 @@
  */
 const REREAD_SHARE = 0.5;
 
-/** Utilization up to which queues stay short for some seconds. */
-const HIGHEST_UTILIZATION = 0.8;
-
 /** Utilization up to which queues stay short while work varies. */
 const MAXIMUM_SHORT_TERM_UTILIZATION = 0.7;
 
@@ -115,8 +112,8 @@
     return {
       calm: usualEngines,
       shortTerm: usualEngines,
-      least: usualEngines,
-      afterLossOf: () => usualEngines,
+      calmAfterLossOf: () => usualEngines,
+      shortTermAfterLossOf: () => usualEngines,
     };
   }
   const {peakEngines, expectedEngines, calmUtilization, cachedRatio} =
@@ -126,12 +123,13 @@
     MAXIMUM_SHORT_TERM_UTILIZATION,
     calmUtilization * Math.sqrt(SHORT_TERM_LATE_FACTOR),
   );
+  const coldEngines = (share: number): number =>
+    peakEngines * (1 + cachedRatio * share * REREAD_SHARE);
   return {
     calm: expectedEngines / calmUtilization,
     shortTerm: expectedEngines / utilization,
-    least: peakEngines / HIGHEST_UTILIZATION,
-    afterLossOf: share =>
-      (peakEngines * (1 + cachedRatio * share * REREAD_SHARE)) / utilization,
+    calmAfterLossOf: share => coldEngines(share) / calmUtilization,
+    shortTermAfterLossOf: share => coldEngines(share) / utilization,
   };
 }
 
@@ -237,13 +235,13 @@
   {domainCount, usualEngines}: PlanSituation,
   now: number,
 ): number {
-  const {calm, afterLossOf} = neededEngines(plan, usualEngines);
+  const {calm, calmAfterLossOf} = neededEngines(plan, usualEngines);
   const mayLoseTwo =
     now - Math.max(plan.since, plan.lostAt) < LOSS_MEMORY_MILLISECONDS;
   // With two domains or fewer, on-demand engines have to replace the rest.
   const lostDomains = Math.min(mayLoseTwo ? 2 : 1, domainCount - 1);
   const lostShare = lostDomains / domainCount;
-  return Math.max(calm, afterLossOf(lostShare) / (1 - lostShare));
+  return Math.max(calm, calmAfterLossOf(lostShare) / (1 - lostShare));
 }
 
 function bounded(
--- a/packages/decisions/tests/engine_plan_test.ts
+++ b/packages/decisions/tests/engine_plan_test.ts
@@ -284,7 +284,7 @@
     {objectiveMilliseconds: 60, utilization: 0.25},
     {objectiveMilliseconds: 100, utilization: 0.32},
     {objectiveMilliseconds: 200, utilization: 0.55},
-    {objectiveMilliseconds: 2000, utilization: 0.6},
+    {objectiveMilliseconds: 2000, utilization: 0.55},
   ])(
     'may use less of the engines the tighter the objective: $objectiveMilliseconds',
     ({objectiveMilliseconds, utilization}) => {
@@ -382,13 +382,13 @@
       name: 'rises at once',
       previous: PLAN,
       situation: {load: {...LOAD, busyEngines: 30, expectedEngines: 30}},
-      engines: 85.7,
+      engines: 120,
     },
     {
       name: 'rises for the caches that two lost domains take along',
       previous: {...PLAN, engines: 24},
       situation: {load: {...LOAD, cachedRatio: 2}},
-      engines: 42.9,
+      engines: 60,
     },
     {
       name: 'stays within the bounds of the domains',
@@ -400,13 +400,13 @@
       name: 'expects one lost domain long after the last one was lost',
       previous: {...PLAN, engines: 10, at: 900_000},
       situation: {},
-      engines: 20,
+      engines: 26.7,
     },
     {
       name: 'expects two lost domains soon after one was lost',
       previous: {...PLAN, engines: 10, at: 900_000, lostAt: 800_000},
       situation: {},
-      engines: 28.6,
+      engines: 40,
     },
   ];
 
@@ -563,7 +563,7 @@
         listed: DOMAINS.slice(1).flatMap(domain => engines(domain, 8)),
         domainsOutOfCapacity: new Set(['north']),
       },
-      reclaimable: [8, 10, 9, 9],
+      reclaimable: [8, 11, 10, 10],
       onDemand: [0, 0, 0, 0],
     },
     {
@@ -574,7 +574,7 @@
         domainsOutOfCapacity: new Set(DOMAINS),
       },
       reclaimable: [8, 8, 8, 8],
-      onDemand: [3, 3, 3, 3],
+      onDemand: [4, 4, 3, 4],
     },
     {
       name: 'keep what was ordered while another try is refused',
@@ -584,7 +584,7 @@
         domainsOutOfCapacity: new Set(['north']),
         orderedOnDemand: domain => (domain === 'north' ? 11 : 0),
       },
-      reclaimable: [8, 10, 9, 9],
+      reclaimable: [8, 11, 10, 10],
       onDemand: [11, 0, 0, 0],
     },
     {
--- a/packages/entry-process/src/routed_interface/duties/engine_order_log.ts
+++ b/packages/entry-process/src/routed_interface/duties/engine_order_log.ts
@@ -75,7 +75,7 @@
       planned: Math.ceil(plan.engines),
       calm: Math.ceil(needed.calm),
       shortTerm: Math.ceil(needed.shortTerm),
-      afterLoss: Math.ceil(needed.afterLossOf(0.5)),
+      afterLoss: Math.ceil(needed.calmAfterLossOf(0.5)),
       usual: usualEngines,
       busy: rounded(load?.busyEngines, 1),
       expected: rounded(plan.load?.expectedEngines, 1),
--- a/packages/measurements/src/ordering_rule.ts
+++ b/packages/measurements/src/ordering_rule.ts
@@ -154,8 +154,8 @@
           {
             calm: this.policy.engines,
             shortTerm: 0,
-            least: 0,
-            afterLossOf: () => 0,
+            calmAfterLossOf: () => 0,
+            shortTermAfterLossOf: () => 0,
           },
           new Set(),
         );
--- a/packages/measurements/src/orders_model.ts
+++ b/packages/measurements/src/orders_model.ts
@@ -5,6 +5,7 @@
 import {
   decideLoadShedding,
   type EngineChoice,
+  type EnginePlan,
   OfferedLoads,
   PlacementTable,
   ServiceLoadCounter,
@@ -40,8 +41,8 @@
   readonly worstWindow: number;
   /** Prompt tokens of shared parts that some engine had read before. */
   readonly rereadTokens: number;
-  /** Planned engines at the end of each round. */
-  readonly plans: readonly number[];
+  /** The plan of each round. */
+  readonly plans: readonly EnginePlan[];
   readonly calls: number;
 }
 
@@ -120,7 +121,7 @@
       cost: this.fleet.cost,
       worstWindow: Math.min(...shares),
       rereadTokens: this.rereadTokens,
-      plans: this.rule.plans.map(({engines}) => engines),
+      plans: this.rule.plans,
       calls: this.rule.calls,
     };
   }
--- a/packages/measurements/src/orders_patterns.ts
+++ b/packages/measurements/src/orders_patterns.ts
@@ -39,7 +39,7 @@
   readonly name: string;
   /**
    * Returns the load at a time: at 1, the engines of the first minute are busy
-   * for 0.6 of their time if three of four shared prompt parts are cached.
+   * for 0.4 of their time if three of four shared prompt parts are cached.
    */
   readonly loadAt: (seconds: number) => number;
   readonly troubles: readonly Trouble[];
--- a/packages/measurements/src/orders_requests.ts
+++ b/packages/measurements/src/orders_requests.ts
@@ -66,8 +66,11 @@
 /** Share of the shared parts that is read although some engine has them. */
 const USUAL_MISS_SHARE = 0.25;
 
-/** Share of the time for which the usual engines are busy at a load of 1. */
-const USUAL_UTILIZATION = 0.6;
+/**
+ * Share of the time for which the usual engines are busy at a load of 1, without
+ * their slow periods.
+ */
+const USUAL_UTILIZATION = 0.4;
 
 /** Largest own part, as a multiple of the mean. */
 const LARGEST_SIZE = 8;
--- a/packages/measurements/tests/orders_replay_test.ts
+++ b/packages/measurements/tests/orders_replay_test.ts
@@ -40,9 +40,12 @@
   it.each(ORDERS_PATTERNS)('do not swing: $name', ({name}) => {
     const {calls, plans} = resultOf(name, 'by-load');
     expect(calls).toBeLessThan(MOST_CALLS_PER_SECOND * 80);
-    // A fall of 4% a second, in rounds of 0.9 s or less.
-    const falls = plans.slice(1).map((plan, index) => plan / plans[index]!);
-    expect(Math.min(...falls)).toBeGreaterThanOrEqual(0.96);
+    for (const [index, {engines, at}] of plans.slice(1).entries()) {
+      const before = plans[index]!;
+      const fall = 1 - engines / before.engines;
+      // Rounding leaves a millionth.
+      expect(fall).toBeLessThanOrEqual((0.04 * (at - before.at)) / 1000 + 1e-6);
+    }
   });
 
   it.each([
@@ -63,7 +66,11 @@
     expect(passedOn.onTime / passedOn.requests).toBeGreaterThan(
       kept.onTime / kept.requests - LARGEST_LOSS,
     );
-    expect(passedOn.plans.at(-1)! / kept.plans.at(-1)!).toBeGreaterThan(0.7);
-    expect(passedOn.plans.at(-1)! / kept.plans.at(-1)!).toBeLessThan(1.4);
+    expect(
+      passedOn.plans.at(-1)!.engines / kept.plans.at(-1)!.engines,
+    ).toBeGreaterThan(0.7);
+    expect(
+      passedOn.plans.at(-1)!.engines / kept.plans.at(-1)!.engines,
+    ).toBeLessThan(1.4);
   });
 });
