--- a/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
+++ b/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
@@ -3,6 +3,7 @@
  */
 import type {
   ConfirmedValue,
+  ListedUpstream,
   RoutingConfiguration,
   ServiceLoadCounter,
   ServiceRetryBudgets,
@@ -38,6 +39,10 @@
   /** Returns whether an upstream ends because it leaves or is reclaimed. */
   readonly isEndExpected: (upstream: UsableUpstream) => boolean;
   readonly streams: StreamOriginExchange;
+  /** Returns the present entry of an upstream. */
+  readonly listedUpstream: (upstreamId: string) => ListedUpstream | undefined;
+  /** Returns true time in milliseconds since the epoch. */
+  readonly trueTime: () => number;
   readonly retryBudgets: ServiceRetryBudgets;
   readonly loads: ServiceLoadCounter;
   readonly configuration: () =>
--- a/packages/measurements/src/measure.ts
+++ b/packages/measurements/src/measure.ts
@@ -11,6 +11,7 @@
 import {measureOrders} from './measure_orders.js';
 import {measureOverload} from './measure_overload.js';
 import {measurePath} from './measure_path.js';
+import {measurePlacement} from './measure_placement.js';
 import {measureReclaim} from './measure_reclaim.js';
 import {measureRecovery} from './measure_recovery.js';
 import {measureSlopes} from './measure_slopes.js';
@@ -25,6 +26,7 @@
   orders: measureOrders,
   overload: measureOverload,
   path: measurePath,
+  placement: measurePlacement,
   reclaim: measureReclaim,
   recovery: measureRecovery,
   slopes: measureSlopes,
