Give refused requests a place to return to, and workspaces a fair share

Retry-After was the excess wait with jitter. A workspace that burst within its quota competed with the others by arrival.

The dispatcher now promises places from the capacity that is left at a rank, or from a fiftieth of it, and knows a returning request by its fingerprint; its work is held back from new requests of the rank. A return that has waited is judged by what is left of its objective, and counts no second time as an arrival. Within a rank, a workspace whose admitted tokens exceed its weighted max-min share is refused before the others. The load of a shard is counted in tokens against the learned speeds of its engines. The floor is a twentieth of the capacity instead of a tenth, because with places a tenth cost goodput.

--- a/packages/decisions/src/admission/admission_terms.ts
+++ b/packages/decisions/src/admission/admission_terms.ts
@@ -1,8 +1,8 @@
 /**
- * The terms on which a request may wait, and the decision to admit or refuse
- * it.
+ * The terms on which a request may wait, and its refusal.
  */
 import type {LatencyBounds} from '../placement/decide_load_shedding.js';
+import type {ReturnKind} from './return_places.js';
 
 /** What a client needs, stated with each placement request. */
 export interface AdmissionTerms extends LatencyBounds {
@@ -10,11 +10,20 @@
   readonly patienceMilliseconds: number;
   /** Workspace of the request; empty if there is none. */
   readonly workspace: string;
+  /**
+   * Weight of the workspace among those of its rank; absent if its quota states
+   * no rate in tokens.
+   */
+  readonly workspaceWeight?: number;
+  /** What the client repeats when it retries; absent from older hosts. */
+  readonly fingerprint?: string;
   /**
    * Whether the request was offered to another shard before, which counts it
    * as an arrival.
    */
   readonly isOverflow?: boolean;
+  /** Whether another shard has promised to serve the request later. */
+  readonly hasPlace?: boolean;
 }
 
 /** Why a request is refused. */
@@ -24,7 +33,9 @@
   /** More urgent requests need the capacity. */
   | 'held-back'
   /** The answer would be late and would delay others. */
-  | 'late';
+  | 'late'
+  /** Other workspaces of the rank get less than their share. */
+  | 'share';
 
 /** The load of a shard, as seen by requests of one rank. */
 export interface RankPressure {
@@ -46,6 +57,13 @@
   readonly kind: 'refused';
   readonly reason: AdmissionRefusalReason;
   readonly retryAfterMilliseconds: number;
+  /**
+   * Whether the request will be served if it returns at that time; absent from
+   * older hosts.
+   */
+  readonly isPlace?: boolean;
+  /** How the request relates to an earlier refusal; absent from older hosts. */
+  readonly returned?: ReturnKind;
   /** Expected milliseconds until the first event. */
   readonly startMilliseconds: number;
   /** Error of the expected start in milliseconds. */
@@ -55,13 +73,3 @@
   /** Share of the capacity that requests up to this rank ask for. */
   readonly totalShare: number;
 }
-
-/** The decision on a request. */
-export type AdmissionVerdict =
-  | {readonly kind: 'admitted'}
-  /**
-   * The request is admitted so that its class is not starved, and is read with
-   * the most urgent ones, because it would be late otherwise.
-   */
-  | {readonly kind: 'promoted'; readonly rank: number}
-  | AdmissionRefusal;
--- a/packages/decisions/src/admission/decide_ranked_admission.ts
+++ b/packages/decisions/src/admission/decide_ranked_admission.ts
@@ -33,6 +33,12 @@
  */
 const BACKLOG_URGENT_OBJECTIVES = 1.5;
 
+/**
+ * Multiple of its fair share that a workspace may get before the wait that is
+ * tolerated for it shrinks. Arrivals are irregular.
+ */
+const TOLERATED_SHARE = 1.2;
+
 /** The start that is expected of a request. */
 export interface ExpectedStart {
   readonly startMilliseconds: number;
@@ -44,6 +50,16 @@
 export interface MetLoad extends RankPressure {
   /** Milliseconds for which an engine reads the prompt itself. */
   readonly readMilliseconds: number;
+  /**
+   * Milliseconds of all engines that are promised to refused requests which
+   * return before this one would start.
+   */
+  readonly reservedMilliseconds: number;
+  /**
+   * What the workspace gets as a multiple of its fair share; 0 if all that its
+   * rank offers fits.
+   */
+  readonly usedShare: number;
 }
 
 /** A request that meets no other. */
@@ -52,6 +68,8 @@
   totalShare: 0,
   urgentObjectiveMilliseconds: Infinity,
   readMilliseconds: 0,
+  reservedMilliseconds: 0,
+  usedShare: 0,
 };
 
 /**
@@ -60,11 +78,11 @@
  */
 export function expectedStart(
   {estimateMilliseconds, errorMilliseconds}: PlacementEstimate,
-  {urgentShare, readMilliseconds}: MetLoad,
+  {urgentShare, readMilliseconds, reservedMilliseconds}: MetLoad,
 ): ExpectedStart {
   const left = Math.max(MINIMUM_SHARE_LEFT, 1 - urgentShare);
   const read = Math.min(readMilliseconds, estimateMilliseconds);
-  const wait = (estimateMilliseconds - read) / left;
+  const wait = (estimateMilliseconds - read + reservedMilliseconds) / left;
   return {
     startMilliseconds: read + wait,
     errorMilliseconds:
@@ -114,12 +132,22 @@
   }
   const backlogLimit =
     load.urgentObjectiveMilliseconds * BACKLOG_URGENT_OBJECTIVES;
-  if (estimate.estimateMilliseconds > backlogLimit) {
+  if (
+    estimate.estimateMilliseconds + load.reservedMilliseconds >
+    backlogLimit
+  ) {
     return 'held-back';
   }
   const {startMilliseconds, errorMilliseconds} = expectedStart(estimate, load);
-  return startMilliseconds + errorMilliseconds > toleratedStart(terms, load)
-    ? 'late'
+  const latestStart = startMilliseconds + errorMilliseconds;
+  const tolerated = toleratedStart(terms, load);
+  if (latestStart > tolerated) {
+    return 'late';
+  }
+  const isOverShare = load.usedShare > TOLERATED_SHARE;
+  return isOverShare &&
+    latestStart > (tolerated * TOLERATED_SHARE) / load.usedShare
+    ? 'share'
     : undefined;
 }
 
--- a/packages/decisions/src/admission/rank_arrivals.ts
+++ b/packages/decisions/src/admission/rank_arrivals.ts
@@ -13,8 +13,8 @@
 export interface RankedArrival {
   /** 0 is the most urgent. */
   readonly rank: number;
-  /** Milliseconds for which one engine reads the prompt. */
-  readonly workMilliseconds: number;
+  /** Prompt tokens that an engine has to read. */
+  readonly tokens: number;
   readonly objectiveMilliseconds: number;
 }
 
@@ -31,14 +31,14 @@
 
   /** Counts a request, whether it is admitted or not. */
   record(arrival: RankedArrival, now: number): void {
-    const {rank, workMilliseconds, objectiveMilliseconds} = arrival;
+    const {rank, tokens, objectiveMilliseconds} = arrival;
     const record = this.ranks.get(rank) ?? {
       work: new DecayingRate(now),
       objectiveMilliseconds,
       objectiveSeenAt: now,
     };
     this.ranks.set(rank, record);
-    record.work.add(workMilliseconds, now);
+    record.work.add(tokens, now);
     if (
       objectiveMilliseconds <= record.objectiveMilliseconds ||
       now - record.objectiveSeenAt > OBJECTIVE_LIFETIME_MILLISECONDS
@@ -57,8 +57,15 @@
     return Math.min(...recent.map(([rank]) => rank));
   }
 
-  /** Returns the load that requests of `rank` meet at `engineCount` engines. */
-  pressureOn(rank: number, engineCount: number, now: number): RankPressure {
+  /**
+   * Returns the load that requests of `rank` meet at engines that together read
+   * `tokensPerMillisecond`.
+   */
+  pressureOn(
+    rank: number,
+    tokensPerMillisecond: number,
+    now: number,
+  ): RankPressure {
     let urgentWork = 0;
     let ownWork = 0;
     let urgentObjectiveMilliseconds = Infinity;
@@ -79,7 +86,7 @@
         );
       }
     }
-    const capacity = Math.max(engineCount, Number.EPSILON);
+    const capacity = Math.max(tokensPerMillisecond, Number.EPSILON);
     return {
       urgentShare: urgentWork / capacity,
       totalShare: (urgentWork + ownWork) / capacity,
--- a/packages/decisions/src/admission/refusal_floor.ts
+++ b/packages/decisions/src/admission/refusal_floor.ts
@@ -9,7 +9,7 @@
 const TOLERATED_REFUSALS = 4;
 
 /** Largest share of the capacity that is given in this way. */
-const FLOOR_SHARE = 0.1;
+const FLOOR_SHARE = 0.05;
 
 /** Most classes that are remembered; the one refused longest ago is dropped. */
 const MAXIMUM_CLASSES = 2000;
@@ -25,22 +25,23 @@
 export class RefusalFloor {
   /** By class, the one refused longest ago first. */
   private readonly refusals = new Map<string, number>();
-  /** Engine milliseconds that displaced requests ask for. */
+  /** Prompt tokens that displaced requests ask for. */
   private displacedWork: DecayingRate | undefined;
 
   /**
-   * Returns whether a request that others displace is admitted all the same; it
-   * takes one of `engineCount` engines for `workMilliseconds`.
+   * Returns whether a request that others displace is admitted all the same. Of
+   * its prompt, `tokens` are read by engines that together read
+   * `tokensPerMillisecond`.
    */
   admitsNext(
     requestClass: RequestClass,
-    workMilliseconds: number,
-    engineCount: number,
+    tokens: number,
+    tokensPerMillisecond: number,
     now: number,
   ): boolean {
     this.displacedWork ??= new DecayingRate(now);
-    this.displacedWork.add(workMilliseconds, now);
-    const capacity = engineCount * FLOOR_SHARE;
+    this.displacedWork.add(tokens, now);
+    const capacity = tokensPerMillisecond * FLOOR_SHARE;
     const tolerated = Math.max(
       TOLERATED_REFUSALS,
       this.displacedWork.perMillisecond(now) / capacity,
--- a/packages/entry-hosts/src/messages/placement_messages.ts
+++ b/packages/entry-hosts/src/messages/placement_messages.ts
@@ -4,6 +4,7 @@
 import type {
   AdmissionRefusal,
   AdmissionTerms,
+  KnownReturn,
   PlacedRequest,
   PlacementDemand,
   PlacementEstimate,
@@ -37,6 +38,8 @@
       readonly estimate: PlacementEstimate;
       /** Rank at the upstream; absent if it is that of the request. */
       readonly promotedRank?: number;
+      /** How the request relates to an earlier refusal; absent if it is new. */
+      readonly returned?: KnownReturn;
       /** What the dispatcher knows of rates, if the front sent any. */
       readonly rates?: readonly RateStatement[];
     }
--- a/packages/entry-process/src/routed_interface/admission/attempt_gate.ts
+++ b/packages/entry-process/src/routed_interface/admission/attempt_gate.ts
@@ -20,6 +20,7 @@
 import {pause} from '../../util/pause.js';
 import type {CrashWatch} from '../evidence/crash_watch.js';
 import type {PlacementCandidates} from '../placement/placement_candidates.js';
+import type {Placement} from '../placement/placement_result.js';
 
 /**
  * Least wait that a client is told whose prompt is refused, while the trial of
@@ -33,7 +34,13 @@
 /** Dependencies of `AttemptGate`. */
 export interface AttemptGateDependencies {
   readonly events: EventLog;
-  readonly metrics: Pick<Metrics, 'admissionPromotions' | 'admissionRefusals'>;
+  readonly metrics: Pick<
+    Metrics,
+    | 'admissionPromotions'
+    | 'admissionRefusals'
+    | 'admissionReturns'
+    | 'admissionStartSeconds'
+  >;
   readonly crashes: Pick<CrashWatch, 'quarantineMillisecondsLeft'>;
   readonly parts: Pick<PartWatch, 'decide' | 'isRefused'>;
   readonly candidates: Pick<PlacementCandidates, 'pauseMillisecondsLeft'>;
@@ -59,6 +66,11 @@
     private readonly request: GatedRequest,
   ) {}
 
+  /** What a client repeats when it retries after a refusal. */
+  get fingerprint(): string {
+    return this.request.fingerprint;
+  }
+
   /**
    * Returns the refusal of content that has crashed too many upstreams, as a
    * whole or by a part of its prompt.
@@ -121,6 +133,7 @@
     const {events, metrics} = this.dependencies;
     const {requestId, service} = this.request;
     const {reason, retryAfterMilliseconds, totalShare} = refusal;
+    const {isPlace = false, returned = 'new'} = refusal;
     const start = Math.round(refusal.startMilliseconds);
     events.write(4120, {
       requestId,
@@ -132,24 +145,47 @@
       age: Math.round(refusal.knowledgeAgeMilliseconds),
       load: Math.round(totalShare * 100),
       retryAfter: Math.round(retryAfterMilliseconds),
+      place: isPlace ? 'promised' : 'none',
+      returned,
     });
-    metrics.admissionRefusals.inc({
-      service,
-      rank: rankLabel(priority),
-      reason,
-    });
+    const rank = rankLabel(priority);
+    metrics.admissionRefusals.inc({service, rank, reason});
+    if (returned !== 'new') {
+      const outcome = 'refused';
+      metrics.admissionReturns.inc({service, rank, returned, outcome});
+    }
     return new ServingError('overloaded', {
       detail: `the first event would take ${start} ms: ${reason}`,
       retryAfterSeconds: retryAfterMilliseconds / 1000,
     });
   }
 
-  /** Records that a request is admitted so that its class is not starved. */
-  recordPromotion({priority}: PlacementDemand, promotedRank: number): void {
+  /** Records the admission of a request under the terms of its client. */
+  recordAdmission({priority}: PlacementDemand, placement: Placement): void {
     const {events, metrics} = this.dependencies;
     const {requestId, service} = this.request;
-    events.write(4121, {requestId, service, rank: priority, promotedRank});
-    metrics.admissionPromotions.inc({service, rank: rankLabel(priority)});
+    const {choice, promotedRank, returned} = placement;
+    const rank = rankLabel(priority);
+    metrics.admissionStartSeconds.observe(
+      {service, rank},
+      choice.estimateMilliseconds / 1000,
+    );
+    if (promotedRank !== undefined) {
+      events.write(4121, {requestId, service, rank: priority, promotedRank});
+      metrics.admissionPromotions.inc({service, rank});
+    }
+    if (returned !== undefined) {
+      const start = Math.round(choice.estimateMilliseconds);
+      events.write(4122, {
+        requestId,
+        service,
+        rank: priority,
+        returned,
+        start,
+      });
+      const outcome = 'admitted';
+      metrics.admissionReturns.inc({service, rank, returned, outcome});
+    }
   }
 
   /**
--- a/packages/entry-process/src/routed_interface/placement/placement_result.ts
+++ b/packages/entry-process/src/routed_interface/placement/placement_result.ts
@@ -4,6 +4,7 @@
 import type {
   AdmissionRefusal,
   EngineChoice,
+  KnownReturn,
   UpstreamResult,
 } from '@lacewingwinch/decisions';
 
@@ -20,6 +21,8 @@
   readonly choice: EngineChoice;
   /** Rank at the upstream; undefined if it is that of the request. */
   readonly promotedRank: number | undefined;
+  /** How the request relates to an earlier refusal; undefined if it is new. */
+  readonly returned: KnownReturn | undefined;
   /**
    * Returns whether the request may be sent now. A grant that was not used in
    * time is void.
@@ -64,13 +67,18 @@
   return isFirstBetter ? first : second;
 }
 
-/** Returns the refusal after which the client may return sooner. */
+/**
+ * Returns the refusal that the client is told: the one that promises a place,
+ * or else the one after which it may return sooner.
+ */
 export function soonerOf(
   first: AdmissionRefusal | undefined,
   second: AdmissionRefusal,
 ): AdmissionRefusal {
-  return first !== undefined &&
-    first.retryAfterMilliseconds <= second.retryAfterMilliseconds
+  const isSooner =
+    first !== undefined &&
+    first.retryAfterMilliseconds <= second.retryAfterMilliseconds;
+  return first?.isPlace === true || (isSooner && second.isPlace !== true)
     ? first
     : second;
 }
--- a/packages/entry-process/src/routed_interface/placement/routed_placement.ts
+++ b/packages/entry-process/src/routed_interface/placement/routed_placement.ts
@@ -109,7 +109,7 @@
         const table = this.tableOf(request.service);
         const now = dependencies.clock();
         return this.admissions.choose(request, {
-          engineCount: candidates.length,
+          upstreamIds: candidates.map(({upstreamId}) => upstreamId),
           speedOf: upstreamId => table.prefillSpeedOf(upstreamId),
           place: (demand, isAdmitted) =>
             table.place(
@@ -150,7 +150,9 @@
         id,
         demand,
         tried,
-        terms === undefined ? undefined : {...terms, isOverflow},
+        terms === undefined
+          ? undefined
+          : {...terms, isOverflow, hasPlace: refusal?.isPlace === true},
       );
       if (result?.kind === 'limited') {
         limitedFor = Math.min(limitedFor, result.milliseconds);
@@ -278,7 +280,7 @@
   private placementOf(
     service: string,
     demand: PlacementDemand,
-    {choice, dispatcher, promotedRank}: ShardChosen,
+    {choice, dispatcher, promotedRank, returned}: ShardChosen,
   ): Placement {
     const {hostId, clock, announcements} = this.dependencies;
     const {upstream} = choice;
@@ -293,6 +295,7 @@
       kind: 'placed',
       choice,
       promotedRank,
+      returned,
       isSendable: () =>
         grantWaitMilliseconds === undefined ||
         clock() <
--- a/packages/entry-process/src/routed_interface/placement/shard_admissions.ts
+++ b/packages/entry-process/src/routed_interface/placement/shard_admissions.ts
@@ -21,6 +21,11 @@
   readonly hostCount: () => number;
 }
 
+/** The upstreams of a shard, and the choice of one of them. */
+export interface PlacedShard extends Pick<AdmittingShard, 'place' | 'speedOf'> {
+  readonly upstreamIds: readonly string[];
+}
+
 /** Admits requests to shards. */
 export class ShardAdmissions {
   private readonly shards = new Map<string, ShardAdmission>();
@@ -33,17 +38,21 @@
    */
   choose(
     {shardId, demand, terms}: PlacementRequest,
-    shard: AdmittingShard,
+    {upstreamIds, ...shard}: PlacedShard,
   ): AdmissionRefusal | AdmittedChoice | undefined {
     const {clock, random, isDispatcher, hostCount} = this.dependencies;
     if (terms === undefined) {
       const choice = shard.place(demand, () => true);
       return choice === undefined ? undefined : {kind: 'chosen', choice};
     }
-    const sharers = isDispatcher(shardId) ? 1 : Math.max(1, hostCount());
+    // A client returns to any host; only the dispatcher is asked by all of them.
+    const keepsPlaces = isDispatcher(shardId);
+    const sharers = keepsPlaces ? 1 : Math.max(1, hostCount());
+    const tokensPerMillisecond =
+      upstreamIds.reduce((sum, id) => sum + shard.speedOf(id), 0) / sharers;
     return this.shardOf(shardId).place(
       {demand, terms},
-      {...shard, engineCount: shard.engineCount / sharers},
+      {...shard, tokensPerMillisecond, keepsPlaces},
       random(),
       clock(),
     );
--- a/packages/entry-process/src/routed_interface/placement/shard_placement.ts
+++ b/packages/entry-process/src/routed_interface/placement/shard_placement.ts
@@ -99,7 +99,7 @@
           kind: 'chosen',
           upstreamId: upstream.upstreamId,
           estimate,
-          ...promotedRankField(result),
+          ...admissionFields(result),
           ...(request.rates !== undefined && {
             rates: namedRates.known(
               candidates.accepting(request.service, request.demand),
@@ -219,7 +219,7 @@
           : {
               kind: 'chosen',
               choice: {upstream, ...answer.estimate},
-              ...promotedRankField(answer),
+              ...admissionFields(answer),
               dispatcher,
             };
       }
@@ -241,8 +241,15 @@
   return result.kind === 'chosen' ? {...result, dispatcher} : result;
 }
 
-function promotedRankField({
+function admissionFields({
   promotedRank,
-}: Pick<ShardChosen, 'promotedRank'>): Pick<ShardChosen, 'promotedRank'> {
-  return promotedRank === undefined ? {} : {promotedRank};
+  returned,
+}: Pick<ShardChosen, 'promotedRank' | 'returned'>): Pick<
+  ShardChosen,
+  'promotedRank' | 'returned'
+> {
+  return {
+    ...(promotedRank !== undefined && {promotedRank}),
+    ...(returned !== undefined && {returned}),
+  };
 }
--- a/packages/entry-process/src/routed_interface/requests/attempt_placement.ts
+++ b/packages/entry-process/src/routed_interface/requests/attempt_placement.ts
@@ -78,8 +78,8 @@
     const next = await this.decide(result, drawsOnBudget);
     if (next.kind !== 'placed') {
       result.reportEnded();
-    } else if (result.promotedRank !== undefined) {
-      gate.recordPromotion(demand(), result.promotedRank);
+    } else if (terms !== undefined) {
+      gate.recordAdmission(demand(), result);
     }
     return next;
   }
--- a/packages/entry-process/src/routed_interface/requests/routed_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_request.ts
@@ -15,6 +15,7 @@
   type RoutedAttemptFailure,
   ServingError,
   sharedPartIds,
+  shareWeightField,
 } from '@lacewingwinch/decisions';
 import {type CallHeaders, encodeAnswerHeaders} from '@lacewingwinch/platform';
 import type {AnswerHead} from '@lacewingwinch/upstreams';
@@ -233,6 +234,8 @@
         ? eventPatienceMilliseconds(rule)
         : bounds.millisecondsLeft,
       workspace: workspace?.name ?? '',
+      ...shareWeightField(workspace?.quota),
+      fingerprint: this.gate.fingerprint,
     };
   }
 
--- a/packages/measurements/src/overload_results.ts
+++ b/packages/measurements/src/overload_results.ts
@@ -14,6 +14,10 @@
   returned: number;
   /** Of these, the ones whose first return was served. */
   servedAtReturn: number;
+  /** Returns at the time that a refusal promised. */
+  returnedToPlace: number;
+  /** Of these, the ones that were served. */
+  servedAtPlace: number;
 }
 
 /** Counts by kind or workspace. */
@@ -34,6 +38,8 @@
       left: 0,
       returned: 0,
       servedAtReturn: 0,
+      returnedToPlace: 0,
+      servedAtPlace: 0,
     };
     this.counts.set(key, created);
     return created;
--- a/packages/measurements/tests/admission_replay_test.ts
+++ b/packages/measurements/tests/admission_replay_test.ts
@@ -2,7 +2,8 @@
 import {describe, expect, it} from 'vitest';
 
 import {type AdmissionRow, admissionRow} from '../src/measure_admission.js';
-import type {AdmissionPolicy} from '../src/overload_model.js';
+import type {AdmissionPolicy} from '../src/overload_admission.js';
+import {OverloadModel} from '../src/overload_model.js';
 import {
   OVERLOAD_PATTERNS,
   type OverloadPattern,
@@ -13,6 +14,28 @@
 
 const SEEDS = 4;
 
+const SEEDS_OF_SHARES: readonly number[] = [1, 2, 3, 4];
+
+const EVERY_KIND_BURSTS = patternNamed('every kind bursts to 2.5');
+
+const ONE_BURSTS: OverloadPattern = {
+  ...patternNamed('one workspace sends 7 times its usual'),
+  factorOf: ({rank}) => (rank === 2 ? 3 : 0.5),
+};
+
+/** The workspaces of `ONE_BURSTS` that send what they usually do. */
+const OTHER_WORKSPACES = [1, 2, 3, 4, 5, 6, 7].map(
+  index => `workspace-${index}`,
+);
+
+function patternNamed(name: string): OverloadPattern {
+  const pattern = OVERLOAD_PATTERNS.find(other => other.name === name);
+  if (pattern === undefined) {
+    throw new Error(`no pattern is named ${name}`);
+  }
+  return pattern;
+}
+
 function rowOf(
   pattern: OverloadPattern,
   policy: AdmissionPolicy = 'by-rank',
@@ -44,6 +67,51 @@
   });
 });
 
+describe('refused clients', () => {
+  it.each([
+    ...OVERLOAD_PATTERNS,
+    steadyPattern(1.2, URGENT_LARGE_KINDS),
+    steadyPattern(2, URGENT_SMALL_KINDS),
+  ])('that return to a promised place are served when $name', pattern => {
+    const {givenPlace, servedAtPlace} = rowOf(pattern);
+    expect(givenPlace > 0).toBe(pattern.clients === 'patient');
+    if (givenPlace > 0) {
+      expect(servedAtPlace).toBeGreaterThanOrEqual(0.9);
+    }
+  });
+
+  it('gain nothing by returning at once and often', () => {
+    const served = (clients: OverloadPattern['clients']): number => {
+      const {kinds} = rowOf({...EVERY_KIND_BURSTS, clients});
+      return Object.values(kinds).reduce(
+        (sum, {onTime, late}) => sum + onTime + late,
+        0,
+      );
+    };
+    expect(served('abusive')).toBeLessThanOrEqual(served('patient'));
+  });
+});
+
+describe('a workspace that sends seven times its usual in an overloaded rank', () => {
+  const othersOf = (policy: AdmissionPolicy): number => {
+    const shares = SEEDS_OF_SHARES.map(seed => {
+      const model = new OverloadModel({policy, pattern: ONE_BURSTS, seed});
+      model.result();
+      const {byWorkspace} = model;
+      const others = OTHER_WORKSPACES.map(name =>
+        byWorkspace.onTimeShare(name),
+      );
+      return others.reduce((sum, share) => sum + share, 0) / others.length;
+    });
+    return shares.reduce((sum, share) => sum + share, 0) / shares.length;
+  };
+
+  it('is refused before the others', () => {
+    expect(othersOf('by-rank')).toBeGreaterThan(0.95);
+    expect(othersOf('by-rank')).toBeGreaterThan(othersOf('by-objective'));
+  });
+});
+
 describe('ranked admission', () => {
   it.each(OVERLOAD_PATTERNS)('serves more on time when $name', pattern => {
     const {goodput, kinds} = rowOf(pattern);
--- a/packages/observability/src/events/request_events.ts
+++ b/packages/observability/src/events/request_events.ts
@@ -130,7 +130,7 @@
   4120: {
     level: 'info',
     message:
-      'request {requestId} of rank {rank} is refused by {service} ({reason}): its first event would take {start} ms with an error of {error} ms, on knowledge {age} ms old; the load up to this rank is {load}%; it may return after {retryAfter} ms',
+      'request {requestId} of rank {rank} is refused by {service} ({reason}): its first event would take {start} ms with an error of {error} ms, on knowledge {age} ms old; the load up to this rank is {load}%; it may return after {retryAfter} ms (place: {place}); relation to an earlier refusal: {returned}',
     advice: 'See "From a refused request to its cause" in OPERATIONS.md.',
   },
   4121: {
@@ -140,4 +140,11 @@
     advice:
       'No action needed; see "From a refused request to its cause" in OPERATIONS.md.',
   },
+  4122: {
+    level: 'info',
+    message:
+      'request {requestId} of rank {rank} is admitted to {service} after an earlier refusal ({returned}); first event expected after {start} ms',
+    advice:
+      'No action needed; see "From a refused request to its cause" in OPERATIONS.md.',
+  },
 } as const satisfies Readonly<Record<number, EventRow>>;
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -13,6 +13,10 @@
   readonly requests: Counter<'outcome' | 'service' | 'workspace'>;
   readonly admissionPromotions: Counter<'rank' | 'service'>;
   readonly admissionRefusals: Counter<'rank' | 'reason' | 'service'>;
+  readonly admissionReturns: Counter<
+    'outcome' | 'rank' | 'returned' | 'service'
+  >;
+  readonly admissionStartSeconds: Histogram<'rank' | 'service'>;
   readonly attempts: Counter<'end' | 'service'>;
   readonly answerEnds: Counter<'end' | 'framing'>;
   readonly lostConnections: Counter<'answer'>;
@@ -56,10 +60,23 @@
     }),
     admissionRefusals: new Counter({
       name: 'lacewingwinch_admission_refusals_total',
-      help: 'Requests refused because a service is overloaded, by rank (0 is the most urgent) and reason: `deadline`, `held-back` or `late`.',
+      help: 'Requests refused because a service is overloaded, by rank (0 is the most urgent) and reason: `deadline`, `held-back`, `late` or `share`.',
       labelNames: ['rank', 'reason', 'service'],
       registers,
     }),
+    admissionReturns: new Counter({
+      name: 'lacewingwinch_admission_returns_total',
+      help: 'Requests that came again after a refusal, by rank, by whether they came `at-place`, `early` or `without-place`, and by whether they were `admitted` or `refused`.',
+      labelNames: ['outcome', 'rank', 'returned', 'service'],
+      registers,
+    }),
+    admissionStartSeconds: new Histogram({
+      name: 'lacewingwinch_admission_start_seconds',
+      help: 'Seconds until the first event that were expected of admitted requests, by rank.',
+      labelNames: ['rank', 'service'],
+      buckets: DURATION_BUCKETS_SECONDS,
+      registers,
+    }),
     attempts: new Counter({
       name: 'lacewingwinch_attempts_total',
       help: 'Attempts at upstreams, by how they ended.',
