--- a/packages/entry-process/tests/routed_placement_test.ts
+++ b/packages/entry-process/tests/routed_placement_test.ts
@@ -89,6 +89,7 @@
     peers,
     events,
     servingHosts: () => HOSTS.map(servingMember),
+    dispatchingHosts: () => HOSTS.map(servingMember),
     clock: () => now,
     cacheRetentionMilliseconds: 20_000,
   });
