--- a/packages/entry-process/tests/routed_placement_test.ts
+++ b/packages/entry-process/tests/routed_placement_test.ts
@@ -12,7 +12,7 @@
 } from '@lacewingwinch/decisions';
 import type {PeerClient} from '@lacewingwinch/entry-hosts';
 import {createEventLog} from '@lacewingwinch/observability';
-import {beforeEach, describe, expect, it} from 'vitest';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import type {Placement} from '../src/routed_interface/placement/placement_result.js';
 import {RoutedPlacement} from '../src/routed_interface/placement/routed_placement.js';
@@ -44,16 +44,21 @@
   };
 }
 
+/** Hosts that no other host reaches. */
+const cutOff = new Set<string>();
+
 /** Calls the host whose id equals the address, without delay. */
 const peers = {
   call: (address: string, _method: string, params: unknown) =>
-    Promise.resolve(
-      hosts
-        .get(address)
-        ?.onPlacementRequest(
-          params as Parameters<RoutedPlacement['onPlacementRequest']>[0],
+    cutOff.has(address)
+      ? Promise.reject(new Error('no answer'))
+      : Promise.resolve(
+          hosts
+            .get(address)
+            ?.onPlacementRequest(
+              params as Parameters<RoutedPlacement['onPlacementRequest']>[0],
+            ),
         ),
-    ),
   notify: (address: string, _method: string, params: unknown) =>
     hosts
       .get(address)
@@ -272,6 +277,10 @@
     );
   }
 
+  afterEach(() => {
+    cutOff.clear();
+  });
+
   beforeEach(async () => {
     now = 0;
     hosts = new Map(HOSTS.map(hostId => [hostId, startHost(hostId, 4)]));
@@ -348,6 +357,31 @@
       });
     });
 
+    it('is a new request while the dispatcher is cut off, and gets no place', async () => {
+      const refusal = await placeFrom(front, 'first');
+      cutOff.add(rendezvousWinner('dispatcher/engines', HOSTS) ?? '');
+      now += (refusal as {retryAfterMilliseconds: number})
+        .retryAfterMilliseconds;
+      const results: unknown[] = [await placeFrom(otherFront, 'second')];
+      for (let index = 20; index < 80; index += 1) {
+        const request = {...demand(`a-${index}`, 'part-1'), priority: 2};
+        results.push(
+          await hosts.get(otherFront)?.place('engines', request, new Set(), {
+            ...terms,
+            fingerprint: `f-${index}`,
+          }),
+        );
+      }
+      expect(results[0]).toMatchObject({kind: 'placed', returned: undefined});
+      const refused = results.filter(
+        result => (result as {kind: string}).kind === 'refused',
+      );
+      expect(refused.length).toBeGreaterThan(results.length / 2);
+      expect(refused).not.toContainEqual(
+        expect.objectContaining({isPlace: true}),
+      );
+    });
+
     it('is a new request for another dispatcher', async () => {
       const refusal = await placeFrom(front, 'first');
       const dispatcher = rendezvousWinner('dispatcher/engines', HOSTS) ?? '';
--- a/packages/measurements/tests/admission_replay_test.ts
+++ b/packages/measurements/tests/admission_replay_test.ts
@@ -36,11 +36,17 @@
   return pattern;
 }
 
+/** Rows by policy and pattern; each takes up to a second to replay. */
+const rows = new Map<AdmissionPolicy, Map<OverloadPattern, AdmissionRow>>();
+
 function rowOf(
   pattern: OverloadPattern,
   policy: AdmissionPolicy = 'by-rank',
 ): AdmissionRow {
-  return admissionRow(pattern, policy, SEEDS);
+  const ofPolicy = rows.get(policy) ?? new Map<OverloadPattern, AdmissionRow>();
+  const row = ofPolicy.get(pattern) ?? admissionRow(pattern, policy, SEEDS);
+  rows.set(policy, ofPolicy.set(pattern, row));
+  return row;
 }
 
 describe.each([
@@ -80,9 +86,14 @@
     }
   });
 
+  const patternWith = (clients: OverloadPattern['clients']): OverloadPattern =>
+    clients === 'patient'
+      ? EVERY_KIND_BURSTS
+      : patternNamed('clients retry at once and often');
+
   it('gain nothing by returning at once and often', () => {
     const served = (clients: OverloadPattern['clients']): number => {
-      const {kinds} = rowOf({...EVERY_KIND_BURSTS, clients});
+      const {kinds} = rowOf(patternWith(clients));
       return Object.values(kinds).reduce(
         (sum, {onTime, late}) => sum + onTime + late,
         0,
