--- a/packages/measurements/tests/admission_replay_test.ts
+++ b/packages/measurements/tests/admission_replay_test.ts
@@ -66,6 +66,14 @@
     expect(doubled.goodput).toBeGreaterThanOrEqual(usual.goodput * 0.97);
   });
 
+  it.each([
+    {percent: 120, load: 1.2},
+    {percent: 150, load: 1.5},
+  ])('leaves the goodput as at the usual load at $percent%', ({load}) => {
+    const {goodput} = rowOf(steadyPattern(load, kinds));
+    expect(goodput).toBeGreaterThanOrEqual(usual.goodput * 0.97);
+  });
+
   it('starves no kind', () => {
     for (const {onTime, late} of Object.values(doubled.kinds)) {
       expect(onTime + late).toBeGreaterThan(0.1);
