--- a/packages/decisions/src/admission/admission_terms.ts
+++ b/packages/decisions/src/admission/admission_terms.ts
@@ -22,8 +22,8 @@
    * as an arrival.
    */
   readonly isOverflow?: boolean;
-  /** Whether another shard has promised to serve the request later. */
-  readonly hasPlace?: boolean;
+  /** Whether the request is offered to another shard if this one refuses it. */
+  readonly hasAnotherShard?: boolean;
 }
 
 /** Why a request is refused. */
--- a/packages/decisions/src/admission/return_places.ts
+++ b/packages/decisions/src/admission/return_places.ts
@@ -107,12 +107,12 @@
 
   /**
    * Records a refusal, and returns when the client may return: at the next place
-   * or, if it is too late for the client, after `otherwise` milliseconds. A
-   * request that returned early keeps the time that it was told.
+   * or, if there is none or it is too late for the client, after `otherwise`
+   * milliseconds. A request that returned early keeps the time that it was told.
    */
   refuse(
     {fingerprint, rank, tokens, millisecondsLeft}: RefusedRequest,
-    {lane, tokensPerMillisecond}: PlaceCapacity,
+    capacity: PlaceCapacity | undefined,
     otherwise: number,
     now: number,
   ): ReturnTime {
@@ -122,16 +122,12 @@
     }
     const firstAt = known?.firstAt ?? now;
     this.release(fingerprint);
-    const placeAt = Math.max(
-      now + MINIMUM_RETURN_MILLISECONDS,
-      this.nextDueAt.get(lane) ?? -Infinity,
-    );
-    const isPlace =
-      placeAt <= now + millisecondsLeft * USEFUL_SHARE_OF_TIME_LEFT;
-    if (isPlace) {
-      this.nextDueAt.set(lane, placeAt + tokens / tokensPerMillisecond);
-    }
-    const dueAt = isPlace ? placeAt : now + otherwise;
+    const placeAt =
+      capacity === undefined
+        ? undefined
+        : this.takePlace(capacity, tokens, millisecondsLeft, now);
+    const isPlace = placeAt !== undefined;
+    const dueAt = placeAt ?? now + otherwise;
     const refusal = {firstAt, rank, tokens, dueAt, isPlace};
     this.refusals.set(fingerprint, refusal);
     if (isPlace) {
@@ -141,6 +137,24 @@
     return {milliseconds: dueAt - now, isPlace};
   }
 
+  /** Returns the time of the next place; undefined if it is too late. */
+  private takePlace(
+    {lane, tokensPerMillisecond}: PlaceCapacity,
+    tokens: number,
+    millisecondsLeft: number,
+    now: number,
+  ): number | undefined {
+    const placeAt = Math.max(
+      now + MINIMUM_RETURN_MILLISECONDS,
+      this.nextDueAt.get(lane) ?? -Infinity,
+    );
+    if (placeAt > now + millisecondsLeft * USEFUL_SHARE_OF_TIME_LEFT) {
+      return undefined;
+    }
+    this.nextDueAt.set(lane, placeAt + tokens / tokensPerMillisecond);
+    return placeAt;
+  }
+
   /** Forgets the refusal of a request that is admitted. */
   release(fingerprint: string): void {
     this.refusals.delete(fingerprint);
--- a/packages/decisions/src/admission/shard_admission.ts
+++ b/packages/decisions/src/admission/shard_admission.ts
@@ -24,6 +24,7 @@
 import {
   type KnownReturn,
   NEW_REQUEST,
+  type PlaceCapacity,
   type Returned,
   type ReturnKind,
   ReturnPlaces,
@@ -289,20 +290,21 @@
     spread: number,
     now: number,
   ): ReturnTime {
-    const {fingerprint, millisecondsLeft, hasPlace} = terms;
-    if (fingerprint === undefined || hasPlace === true || !keepsPlaces) {
+    const {fingerprint, millisecondsLeft, hasAnotherShard} = terms;
+    if (fingerprint === undefined || !keepsPlaces) {
       return {milliseconds: spread, isPlace: false};
     }
     const rank = demand.priority;
     const shareLeft = 1 - load.totalShare;
     const isLeft = shareLeft > MINIMUM_SHARE_OF_PLACES;
     const share = isLeft ? shareLeft : MINIMUM_SHARE_OF_PLACES;
+    const capacity: PlaceCapacity = {
+      lane: isLeft ? rank : 'all',
+      tokensPerMillisecond: share * tokensPerMillisecond,
+    };
     return this.returns.refuse(
       {fingerprint, rank, tokens, millisecondsLeft},
-      {
-        lane: isLeft ? rank : 'all',
-        tokensPerMillisecond: share * tokensPerMillisecond,
-      },
+      hasAnotherShard === true ? undefined : capacity,
       spread,
       now,
     );
--- a/packages/decisions/tests/return_places_test.ts
+++ b/packages/decisions/tests/return_places_test.ts
@@ -53,6 +53,15 @@
     });
   });
 
+  it('are not promised where another shard may promise one', () => {
+    const request = {...REQUEST, millisecondsLeft: 20_000};
+    expect(places.refuse(request, undefined, OTHERWISE, 0)).toEqual({
+      milliseconds: OTHERWISE,
+      isPlace: false,
+    });
+    expect(places.find('a', 800).kind).toBe('without-place');
+  });
+
   it.each([
     {returnsAt: 50, kind: 'early'},
     {returnsAt: 195, kind: 'at-place'},
--- a/packages/entry-process/src/routed_interface/placement/routed_placement.ts
+++ b/packages/entry-process/src/routed_interface/placement/routed_placement.ts
@@ -139,14 +139,15 @@
     tried: ReadonlySet<string>,
     terms?: AdmissionTerms,
   ): Promise<PlacementResult> {
-    const shards = this.candidates.shardsFor(service, demand);
+    const shards = this.candidates
+      .shardsFor(service, demand)
+      .slice(0, MAXIMUM_SHARDS_TRIED);
     let best: Placement | undefined;
     let refusal: AdmissionRefusal | undefined;
     let limitedFor = Infinity;
-    for (const [index, {id}] of shards
-      .slice(0, MAXIMUM_SHARDS_TRIED)
-      .entries()) {
+    for (const [index, {id}] of shards.entries()) {
       const isOverflow = index > 0;
+      const hasAnotherShard = index + 1 < shards.length;
       const result = await this.placeInShard(
         service,
         id,
@@ -154,7 +155,7 @@
         tried,
         terms === undefined
           ? undefined
-          : {...terms, isOverflow, hasPlace: refusal?.isPlace === true},
+          : {...terms, isOverflow, hasAnotherShard},
       );
       if (result?.kind === 'limited') {
         limitedFor = Math.min(limitedFor, result.milliseconds);
