Take back the reserves of quotas that are exceeded

The cause that they answered stands: while a workspace exceeds its quota, large requests are refused before small ones, whatever their rank.

--- a/packages/entry-process/src/routed_interface/admission/quota_exchange.ts
+++ b/packages/entry-process/src/routed_interface/admission/quota_exchange.ts
@@ -90,8 +90,7 @@
 /** Takes amounts from the quotas of workspaces. */
 export class QuotaExchange {
   private readonly share: QuotaShare;
-  /** By rank; undefined for requests without one. */
-  private readonly usedUp = new Map<number | undefined, UsedUpQuotas>();
+  private readonly usedUp = new UsedUpQuotas();
   private readonly backoffUntil = new Map<string, number>();
   /** Times until which holders are called after the others, by host. */
   private readonly holderBackoffUntil = new Map<string, number>();
@@ -106,24 +105,22 @@
   /**
    * Takes `amount` from the part of this host or, if it holds none, from a host
    * that does. A holder whose part is used up requests transfers from the other
-   * holders. Requests with a rank leave what more urgent ones were refused.
+   * holders.
    */
   async take(
     workspace: string,
     quota: WorkspaceQuota,
     amount: number,
-    rank?: number,
   ): Promise<QuotaVerdict> {
     const holders = this.holdersOf(workspace);
     if (!holders.includes(this.dependencies.hostId)) {
-      return this.takeFromHolders(workspace, amount, holders, rank);
+      return this.takeFromHolders(workspace, amount, holders);
     }
     const waitMilliseconds = await this.takeAsHolder(
       workspace,
       quota,
       amount,
       holders,
-      rank,
     );
     return waitMilliseconds > 0
       ? {kind: 'used-up', waitMilliseconds}
@@ -135,7 +132,6 @@
     workspace: string,
     quota: WorkspaceQuota | undefined,
     amount: number,
-    rank?: number,
   ): QuotaAnswer {
     const holders = this.holdersOf(workspace);
     if (quota === undefined || !holders.includes(this.dependencies.hostId)) {
@@ -146,7 +142,6 @@
       quota,
       amount,
       holders,
-      rank,
     );
     return waitMilliseconds > 0
       ? {kind: 'used-up', waitMilliseconds}
@@ -163,24 +158,21 @@
     quota: WorkspaceQuota,
     amount: number,
     holders: readonly string[],
-    rank: number | undefined,
   ): Promise<number> {
     const waitMilliseconds = this.takeLocally(
       workspace,
       quota,
       amount,
       holders,
-      rank,
     );
     const now = this.dependencies.clock();
-    const missingAmount = amount - Math.max(0, this.share.levelOf(workspace));
     if (
       waitMilliseconds === 0 ||
-      missingAmount <= 0 ||
       now < (this.backoffUntil.get(workspace) ?? 0)
     ) {
       return waitMilliseconds;
     }
+    const missingAmount = amount - Math.max(0, this.share.levelOf(workspace));
     const received = await this.requestTransfers(
       workspace,
       missingAmount * TRANSFER_FACTOR,
@@ -192,7 +184,6 @@
       quota,
       amount,
       holders,
-      rank,
     );
     if (waitAfterTransfer > 0) {
       this.backoffUntil.set(
@@ -208,12 +199,9 @@
     workspace: string,
     amount: number,
     holders: readonly string[],
-    rank: number | undefined,
   ): Promise<QuotaVerdict> {
     const {peers, clock} = this.dependencies;
-    // What is held back for one rank is not used up for a more urgent one.
-    const usedUp = this.usedUpFor(rank);
-    const knownWait = usedUp.waitFor(workspace, amount, clock());
+    const knownWait = this.usedUp.waitFor(workspace, amount, clock());
     if (knownWait > 0) {
       return {kind: 'used-up', waitMilliseconds: knownWait};
     }
@@ -224,7 +212,7 @@
         this.dependencies,
         member,
         'quota.take',
-        {workspace, amount, ...(rank !== undefined && {rank})},
+        {workspace, amount},
         PEER_TIMEOUT_MILLISECONDS,
       );
       switch (answer?.kind) {
@@ -232,7 +220,7 @@
           return {
             kind: 'taken',
             giveBack: () => {
-              usedUp.forget(workspace);
+              this.usedUp.forget(workspace);
               peers.notify(address, 'quota.return', {workspace, amount});
             },
           };
@@ -257,7 +245,7 @@
       };
     }
     const waitMilliseconds = Math.min(...waits);
-    usedUp.record(workspace, amount, waitMilliseconds, clock());
+    this.usedUp.record(workspace, amount, waitMilliseconds, clock());
     return {kind: 'used-up', waitMilliseconds};
   }
 
@@ -304,22 +292,11 @@
     return this.share.give(workspace, quota, amount, partCount, now);
   }
 
-  private usedUpFor(rank: number | undefined): UsedUpQuotas {
-    const existing = this.usedUp.get(rank);
-    if (existing !== undefined) {
-      return existing;
-    }
-    const created = new UsedUpQuotas();
-    this.usedUp.set(rank, created);
-    return created;
-  }
-
   private takeLocally(
     workspace: string,
     quota: WorkspaceQuota,
     amount: number,
     holders: readonly string[],
-    rank: number | undefined,
   ): number {
     return this.share.take(
       workspace,
@@ -327,7 +304,6 @@
       amount,
       this.partCountOf(holders),
       this.dependencies.clock(),
-      rank,
     );
   }
 
--- a/packages/entry-process/src/routed_interface/requests/routed_front.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_front.ts
@@ -11,7 +11,6 @@
 } from '@lacewingwinch/callers';
 import {
   admitRoutedCall,
-  featuresOf,
   type RoutedAdmission,
   ServingError,
 } from '@lacewingwinch/decisions';
@@ -142,7 +141,7 @@
 
   private async takeQuota(
     headers: CallHeaders,
-    {workspace, service, priority}: RoutedAdmission,
+    {workspace}: RoutedAdmission,
   ): Promise<{readonly giveBack: () => void}> {
     const quota = workspace?.quota;
     if (workspace === undefined || quota === undefined) {
@@ -152,14 +151,8 @@
       ? headers.promptTokens + headers.maximumAnswerTokens
       : quota.defaultTokens;
     const amount = quota.unit === 'tokens' ? tokens : 1;
-    const {quotas, domainCount} = this.dependencies;
-    const {hasRankedAdmission} = featuresOf(service, domainCount());
-    const verdict = await quotas.take(
-      workspace.name,
-      quota,
-      amount,
-      hasRankedAdmission ? priority : undefined,
-    );
+    const {quotas} = this.dependencies;
+    const verdict = await quotas.take(workspace.name, quota, amount);
     switch (verdict.kind) {
       case 'taken':
         return verdict;
