--- a/packages/entry-process/src/routed_interface/duties/duty_task.ts
+++ b/packages/entry-process/src/routed_interface/duties/duty_task.ts
@@ -15,6 +15,7 @@
   isOwnNewestRecord,
   KnownUsage,
   type ListedUpstream,
+  type OfferedLoads,
   reconcileDutyRecord,
   rendezvousOrder,
   type RoutingConfiguration,
@@ -22,7 +23,7 @@
   windowsToReport,
   withFixedWindows,
 } from '@lacewingwinch/decisions';
-import type {EventLog} from '@lacewingwinch/observability';
+import type {EventLog, Metrics} from '@lacewingwinch/observability';
 import {
   type DutyClient,
   type DutyFence,
@@ -36,6 +37,7 @@
 import {isAborted} from '../../util/is_aborted.js';
 import {messageOf} from '../../util/message_of.js';
 import {EngineOrders} from './engine_orders.js';
+import {EnginePlanner} from './engine_planner.js';
 
 /**
  * Milliseconds between two rounds: a lease of 3,000 ms is renewed in time even
@@ -47,7 +49,7 @@
 const STORE_TIMEOUT_MILLISECONDS = 600;
 
 /**
- * Milliseconds after its start during which a process places no orders:
+ * Milliseconds after its start during which a process orders no fewer engines:
  * upstreams list themselves every 1,200 ms, and all of them start at the same
  * time.
  */
@@ -71,6 +73,7 @@
   readonly cloud: DutyClient;
   readonly duties: readonly PlatformDuty[];
   readonly events: EventLog;
+  readonly metrics: Metrics;
   readonly clocks: Clocks;
   /** Whether this process started with the whole system for the first time. */
   readonly isFirstStart: boolean;
@@ -81,6 +84,12 @@
   readonly servingHosts: () => readonly string[];
   readonly configuration: () => RoutingConfiguration | undefined;
   readonly upstreams: () => readonly ListedUpstream[];
+  readonly offeredLoads: OfferedLoads;
+  /**
+   * Returns whether the platform started an upstream for a roll-out, beside the
+   * ordered ones; absent if there are no roll-outs.
+   */
+  readonly isStartedForRollout?: (upstream: ListedUpstream) => boolean;
 }
 
 /** Performs the duties while this host holds their lease. */
@@ -93,6 +102,7 @@
   private renewalSentAt = -Infinity;
   private isHolder = false;
   private reportedTo = -1;
+  private readonly planner: EnginePlanner;
   private readonly orders: EngineOrders;
   private readonly knownUsage = new KnownUsage();
   /** The record that this host wrote last. */
@@ -103,9 +113,14 @@
 
   constructor(private readonly dependencies: DutyTaskDependencies) {
     this.startedAt = dependencies.clocks.suspensionAware();
+    const clock = dependencies.clocks.suspensionAware;
+    const upstreams = (): readonly ListedUpstream[] => this.orderedUpstreams();
+    this.planner = new EnginePlanner({...dependencies, upstreams, clock});
     this.orders = new EngineOrders({
       ...dependencies,
-      clock: dependencies.clocks.suspensionAware,
+      upstreams,
+      clock,
+      planner: this.planner,
       place: order =>
         this.callAsHolder(fence =>
           dependencies.cloud.orderEngines(order, fence),
@@ -113,6 +128,14 @@
     });
   }
 
+  /** Returns the upstreams that exist by order, or did so at first. */
+  private orderedUpstreams(): readonly ListedUpstream[] {
+    const {upstreams, isStartedForRollout} = this.dependencies;
+    return isStartedForRollout === undefined
+      ? upstreams()
+      : upstreams().filter(upstream => !isStartedForRollout(upstream));
+  }
+
   /** Whether this host is the lease holder, as far as it knows. */
   get isHolding(): boolean {
     return this.isHolder;
@@ -311,15 +334,20 @@
   }
 
   private nextRecord(previous: ContinuedRecord, era: number): DutyRecord {
-    const {hostId, processId, usage, trueTime, configuration, upstreams} =
+    const {hostId, processId, usage, trueTime, configuration} =
       this.dependencies;
+    const mostLastingEngines = countLastingEngines(
+      previous.mostLastingEngines,
+      configuration()?.services.values() ?? [],
+      this.orderedUpstreams(),
+    );
     const record: DutyRecord = {
       fixedUsage: previous.fixedUsage,
       reportedTo: Math.max(previous.reportedTo, this.reportedTo),
-      mostLastingEngines: countLastingEngines(
-        previous.mostLastingEngines,
-        configuration()?.services.values() ?? [],
-        upstreams(),
+      mostLastingEngines,
+      enginePlans: this.planner.nextPlans(
+        previous.enginePlans ?? {},
+        mostLastingEngines,
       ),
       closedTo: previous.closedTo,
       holder: hostId,
@@ -344,8 +372,8 @@
     if (duties.includes('usage-reporting')) {
       await this.reportUsage(record);
     }
-    if (duties.includes('scaling') && hasSettled) {
-      await this.orders.placeDueOrders(record);
+    if (duties.includes('scaling')) {
+      await this.orders.placeDueOrders(record, hasSettled);
     }
   }
 
