--- a/packages/entry-process/src/routed_interface/placement/routed_placement.ts
+++ b/packages/entry-process/src/routed_interface/placement/routed_placement.ts
@@ -125,7 +125,7 @@
         const dispatcherForMilliseconds =
           this.dispatchers.dispatcherFor(shardId);
         return this.admissions.choose(request, {
-          engineCount: candidates.length,
+          upstreamIds: candidates.map(({upstreamId}) => upstreamId),
           speedOf: upstreamId => table.prefillSpeedOf(upstreamId, now),
           place: (demand, isAdmitted) =>
             table.placeTask(
@@ -156,22 +156,23 @@
     tried: ReadonlySet<string>,
     terms?: AdmissionTerms,
   ): Promise<PlacementResult> {
-    const shards = this.candidates.shardsFor(service, demand, shard =>
-      this.tables.weightOf(service, shard),
-    );
+    const shards = this.candidates
+      .shardsFor(service, demand, shard => this.tables.weightOf(service, shard))
+      .slice(0, MAXIMUM_SHARDS_TRIED);
     let best: Placement | undefined;
     let refusal: AdmissionRefusal | undefined;
     let limitedFor = Infinity;
-    for (const [index, {id}] of shards
-      .slice(0, MAXIMUM_SHARDS_TRIED)
-      .entries()) {
+    for (const [index, {id}] of shards.entries()) {
       const isOverflow = index > 0;
+      const hasAnotherShard = index + 1 < shards.length;
       const result = await this.placeInShard(
         service,
         id,
         demand,
         tried,
-        terms === undefined ? undefined : {...terms, isOverflow},
+        terms === undefined
+          ? undefined
+          : {...terms, isOverflow, hasAnotherShard},
       );
       if (result?.kind === 'limited') {
         limitedFor = Math.min(limitedFor, result.milliseconds);
@@ -295,7 +296,7 @@
     service: string,
     shardId: string,
     demand: PlacementDemand,
-    {choice, dispatcher, promotedRank}: ShardChosen,
+    {choice, dispatcher, promotedRank, returned}: ShardChosen,
   ): Placement {
     const {hostId, clock, announcements, metrics} = this.dependencies;
     const {upstream} = choice;
@@ -311,6 +312,7 @@
       kind: 'placed',
       choice,
       promotedRank,
+      returned,
       isSendable: () =>
         grantWaitMilliseconds === undefined ||
         clock() <
--- a/packages/entry-process/tests/routed_placement_test.ts
+++ b/packages/entry-process/tests/routed_placement_test.ts
@@ -12,7 +12,7 @@
 } from '@lacewingwinch/decisions';
 import type {PeerClient} from '@lacewingwinch/entry-hosts';
 import {createEventLog, createMetrics} from '@lacewingwinch/observability';
-import {beforeEach, describe, expect, it} from 'vitest';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import type {Placement} from '../src/routed_interface/placement/placement_result.js';
 import {RoutedPlacement} from '../src/routed_interface/placement/routed_placement.js';
@@ -21,6 +21,8 @@
 const HOSTS = ['host-0', 'host-1', 'host-2', 'host-3', 'host-4', 'host-5'];
 const events = createEventLog('test', 'error');
 let hosts: Map<string, RoutedPlacement>;
+/** The clock reading of all hosts in milliseconds. */
+let now = 0;
 /** The lists of upstreams by host. */
 const lists = new Map<string, UpstreamList>();
 /** What upstreams announced, by the host to which they did. */
@@ -42,16 +44,21 @@
   };
 }
 
+/** Hosts that no other host reaches. */
+const cutOff = new Set<string>();
+
 /** Calls the host whose id equals the address, without delay. */
 const peers = {
   call: (address: string, _method: string, params: unknown) =>
-    Promise.resolve(
-      hosts
-        .get(address)
-        ?.onPlacementRequest(
-          params as Parameters<RoutedPlacement['onPlacementRequest']>[0],
+    cutOff.has(address)
+      ? Promise.reject(new Error('no answer'))
+      : Promise.resolve(
+          hosts
+            .get(address)
+            ?.onPlacementRequest(
+              params as Parameters<RoutedPlacement['onPlacementRequest']>[0],
+            ),
         ),
-    ),
   notify: (address: string, _method: string, params: unknown) =>
     hosts
       .get(address)
@@ -88,7 +95,7 @@
     events,
     servingHosts: () => HOSTS.map(servingMember),
     dispatchingHosts: () => HOSTS.map(servingMember),
-    clock: () => 0,
+    clock: () => now,
     cacheRetentionMilliseconds: 20_000,
     random: () => 0.5,
     hasSpreadPlacement: () => false,
@@ -273,7 +280,12 @@
     );
   }
 
+  afterEach(() => {
+    cutOff.clear();
+  });
+
   beforeEach(async () => {
+    now = 0;
     hosts = new Map(HOSTS.map(hostId => [hostId, startHost(hostId, 4)]));
     for (let index = 100; index < 118; index += 1) {
       await placeOnTerms(index, 0);
@@ -298,10 +310,91 @@
   it('admits one of several refused requests as an urgent one', async () => {
     const results: unknown[] = [];
     for (let index = 20; index < 60; index += 1) {
+      now += 25;
       results.push(await placeOnTerms(index, 2));
     }
     expect(results).toContainEqual(
       expect.objectContaining({kind: 'placed', promotedRank: 0}),
     );
   });
+
+  describe('that returns to another host at its place', () => {
+    const [, otherFront = ''] = HOSTS.filter(
+      hostId => hostId !== rendezvousWinner('dispatcher/engines', HOSTS),
+    );
+
+    function placeFrom(
+      host: string,
+      attemptId: string,
+    ): Promise<unknown> | undefined {
+      const request = {...demand(attemptId, 'part-1'), priority: 2};
+      return hosts
+        .get(host)
+        ?.place('engines', request, new Set(), {...terms, fingerprint: 'f'});
+    }
+
+    it('is placed, however many came meanwhile', async () => {
+      const refusal = await placeFrom(front, 'first');
+      expect(refusal).toMatchObject({kind: 'refused', isPlace: true});
+      now += (refusal as {retryAfterMilliseconds: number})
+        .retryAfterMilliseconds;
+      for (let index = 200; index < 220; index += 1) {
+        await placeOnTerms(index, 0);
+      }
+      expect(await placeOnTerms(21, 2)).toMatchObject({kind: 'refused'});
+      expect(await placeFrom(otherFront, 'second')).toMatchObject({
+        kind: 'placed',
+        returned: 'at-place',
+      });
+    });
+
+    it('is refused again if it returns early, with the time that is left', async () => {
+      const refusal = await placeFrom(front, 'first');
+      now += 50;
+      expect(await placeFrom(otherFront, 'second')).toMatchObject({
+        kind: 'refused',
+        returned: 'early',
+        retryAfterMilliseconds:
+          (refusal as {retryAfterMilliseconds: number}).retryAfterMilliseconds -
+          50,
+      });
+    });
+
+    it('is a new request while the dispatcher is cut off, and gets no place', async () => {
+      const refusal = await placeFrom(front, 'first');
+      cutOff.add(rendezvousWinner('dispatcher/engines', HOSTS) ?? '');
+      now += (refusal as {retryAfterMilliseconds: number})
+        .retryAfterMilliseconds;
+      const results: unknown[] = [await placeFrom(otherFront, 'second')];
+      for (let index = 20; index < 80; index += 1) {
+        const request = {...demand(`a-${index}`, 'part-1'), priority: 2};
+        results.push(
+          await hosts.get(otherFront)?.place('engines', request, new Set(), {
+            ...terms,
+            fingerprint: `f-${index}`,
+          }),
+        );
+      }
+      expect(results[0]).toMatchObject({kind: 'placed', returned: undefined});
+      const refused = results.filter(
+        result => (result as {kind: string}).kind === 'refused',
+      );
+      expect(refused.length).toBeGreaterThan(results.length / 2);
+      expect(refused).not.toContainEqual(
+        expect.objectContaining({isPlace: true}),
+      );
+    });
+
+    it('is a new request for another dispatcher', async () => {
+      const refusal = await placeFrom(front, 'first');
+      const dispatcher = rendezvousWinner('dispatcher/engines', HOSTS) ?? '';
+      hosts.set(dispatcher, startHost(dispatcher, 4));
+      now += (refusal as {retryAfterMilliseconds: number})
+        .retryAfterMilliseconds;
+      expect(await placeFrom(otherFront, 'second')).toMatchObject({
+        kind: 'placed',
+        returned: undefined,
+      });
+    });
+  });
 });
