--- a/packages/decisions/src/placement/engine_expectation.ts
+++ b/packages/decisions/src/placement/engine_expectation.ts
@@ -36,7 +36,7 @@
  * Milliseconds for which a part that no engine has read waits for its preferred
  * engine, at which hosts that see only their own requests look for it.
  */
-const PREFERENCE_MILLISECONDS = 30;
+const PREFERENCE_MILLISECONDS = 60;
 
 /** Standard deviation of the relative duration of a request. */
 const DURATION_DEVIATION = 0.3;
@@ -214,9 +214,10 @@
   preferredRank: number,
 ): number {
   const chance = PREFERRED_ENGINE_CHANCES[preferredRank] ?? 0;
-  return chance === 0
-    ? 0
-    : Math.round(
-        chance * parts.slice(0, -1).reduce((sum, {tokens}) => sum + tokens, 0),
-      );
+  return chance === 0 ? 0 : Math.round(chance * sharedTokensOf(parts));
+}
+
+/** Returns the tokens of the parts that other requests can share. */
+export function sharedTokensOf(parts: readonly PromptPart[]): number {
+  return parts.slice(0, -1).reduce((sum, {tokens}) => sum + tokens, 0);
 }
--- a/packages/decisions/src/placement/placed_work.ts
+++ b/packages/decisions/src/placement/placed_work.ts
@@ -58,11 +58,19 @@
     return this.upstreams.get(upstreamId) ?? NO_WORK;
   }
 
-  /** Counts a request, once however often it is added. */
-  add(front: string, request: PlacedRequest, now: number): void {
+  /**
+   * Counts a request, once however often it is added. `isUncertain` says that
+   * its upstream may have read some of its tokens before.
+   */
+  add(
+    front: string,
+    request: PlacedRequest,
+    now: number,
+    isUncertain = false,
+  ): void {
     this.hear(front, now);
     if (this.fronts.get(front)?.requests.has(keyOf(request)) !== true) {
-      this.insert(front, request, now);
+      this.insert(front, request, now, isUncertain);
     }
   }
 
@@ -128,7 +136,7 @@
     for (const request of listed) {
       const counted = this.fronts.get(front)?.requests.get(keyOf(request));
       if (counted === undefined) {
-        this.insert(front, request, now);
+        this.insert(front, request, now, true);
       } else if (counted.begunAt === undefined && request.waitingTokens === 0) {
         this.begin(front, request, Infinity, now);
       }
@@ -160,7 +168,12 @@
     }
   }
 
-  private insert(front: string, request: PlacedRequest, now: number): void {
+  private insert(
+    front: string,
+    request: PlacedRequest,
+    now: number,
+    isUncertain: boolean,
+  ): void {
     const {upstreamId, waitingTokens: tokens, priority} = request;
     const key = keyOf(request);
     this.fronts
@@ -168,7 +181,10 @@
       ?.requests.set(key, {...request, placedAt: now, begunAt: undefined});
     const work = this.upstreams.get(upstreamId) ?? new UpstreamWork();
     this.upstreams.set(upstreamId, work);
-    work.add(key, tokens > 0 ? {tokens, priority, placedAt: now} : undefined);
+    work.add(
+      key,
+      tokens > 0 ? {tokens, priority, placedAt: now, isUncertain} : undefined,
+    );
   }
 
   private remove(
--- a/packages/decisions/src/placement/spread_table.ts
+++ b/packages/decisions/src/placement/spread_table.ts
@@ -17,6 +17,7 @@
   type EngineFacts,
   expectAt,
   PREFERRED_ENGINES,
+  sharedTokensOf,
 } from './engine_expectation.js';
 import {waitAt} from './engine_wait.js';
 import {PlacedWork} from './placed_work.js';
@@ -71,6 +72,9 @@
   readonly ageMilliseconds: number;
 }
 
+/** An upstream that this or another host has chosen. */
+type ChosenUpstream = Parameters<ServiceTable['add']>[2];
+
 /** The requests at the engines of a service, by front. */
 export class SpreadTable implements ServiceTable {
   private readonly work = new PlacedWork();
@@ -86,7 +90,7 @@
 
   constructor(
     /** Milliseconds for which a prompt part stays cached after its last use. */
-    cacheRetentionMilliseconds: number,
+    private readonly cacheRetentionMilliseconds: number,
     /** Returns a number from 0 (inclusive) to 1 (exclusive). */
     private readonly random: () => number,
   ) {
@@ -144,7 +148,7 @@
     }
     // A grant depends on the requests that are in progress besides this one.
     const grantWaitMilliseconds = grants.take(choice.upstream);
-    this.add(front, demand, choice, now);
+    this.count(front, demand, choice, now, this.mayHaveBeenRead(task, choice));
     this.meanReadMilliseconds +=
       (expected.readMilliseconds - this.meanReadMilliseconds) *
       NEWEST_READ_WEIGHT;
@@ -156,16 +160,10 @@
   add(
     front: string,
     demand: PlacementDemand,
-    choice: Pick<EngineChoice, 'cachedTokens'> & {
-      readonly upstream: Pick<UsableUpstream, 'upstreamId'>;
-    },
+    choice: ChosenUpstream,
     now: number,
   ): void {
-    const {upstreamId} = choice.upstream;
-    const {attemptId, priority, promptTokens, parts} = demand;
-    const waitingTokens = Math.max(0, promptTokens - choice.cachedTokens);
-    this.work.add(front, {attemptId, upstreamId, waitingTokens, priority}, now);
-    this.prefixes.recordRead(upstreamId, parts, now);
+    this.count(front, demand, choice, now, true);
   }
 
   recordOutput(output: FirstOutput, now: number): void {
@@ -267,6 +265,36 @@
     }
   }
 
+  private count(
+    front: string,
+    demand: PlacementDemand,
+    choice: ChosenUpstream,
+    now: number,
+    isUncertain: boolean,
+  ): void {
+    const {upstreamId} = choice.upstream;
+    const {attemptId, priority, promptTokens, parts} = demand;
+    const waitingTokens = Math.max(0, promptTokens - choice.cachedTokens);
+    const request = {attemptId, upstreamId, waitingTokens, priority};
+    this.work.add(front, request, now, isUncertain);
+    this.prefixes.recordRead(upstreamId, parts, now);
+  }
+
+  /**
+   * Returns whether the engine may have read tokens of the prompt before this
+   * host knew of it, so that they are no measure of its speed.
+   */
+  private mayHaveBeenRead(
+    {demand, knowledge}: PlacementTask,
+    {cachedTokens}: EngineChoice,
+  ): boolean {
+    const {dispatcherForMilliseconds = 0} = knowledge;
+    return (
+      dispatcherForMilliseconds < this.cacheRetentionMilliseconds &&
+      cachedTokens < sharedTokensOf(demand.parts)
+    );
+  }
+
   private recordLag(milliseconds: number): void {
     const bounded = Math.min(
       MAXIMUM_LOAD_AGE_MILLISECONDS,
--- a/packages/decisions/src/placement/upstream_work.ts
+++ b/packages/decisions/src/placement/upstream_work.ts
@@ -12,6 +12,8 @@
   /** 0 is the most urgent. */
   readonly priority: number;
   readonly placedAt: number;
+  /** Whether the upstream may have read some of these tokens before. */
+  readonly isUncertain?: boolean;
 }
 
 /** Fewest tokens by which a reading speed is measured. */
@@ -87,6 +89,9 @@
     this.remove(key, prompt);
     this.measuredTokens += prompt.tokens;
     this.lastBegunAt = Math.max(this.lastBegunAt, begunAt);
+    if (prompt.isUncertain === true) {
+      this.unknownUntil = this.lastBegunAt;
+    }
     if (this.unknownUntil > this.measuredSince) {
       this.startMeasurement(this.lastBegunAt, false);
       return undefined;
