--- a/packages/entry-process/tests/routed_placement_test.ts
+++ b/packages/entry-process/tests/routed_placement_test.ts
@@ -61,7 +61,11 @@
   close: () => undefined,
 } as unknown as PeerClient;
 
-function startHost(hostId: string, engines: number): RoutedPlacement {
+function startHost(
+  hostId: string,
+  engines: number,
+  isSpread = false,
+): RoutedPlacement {
   const upstreams = new UpstreamList();
   upstreams.replace(
     Array.from({length: engines}, (_, index) => ({
@@ -91,7 +95,7 @@
     clock: () => 0,
     cacheRetentionMilliseconds: 20_000,
     random: () => 0.5,
-    hasSpreadPlacement: () => false,
+    hasSpreadPlacement: () => isSpread,
     metrics: createMetrics(),
   });
 }
@@ -305,3 +309,47 @@
     );
   });
 });
+
+describe('a dispatcher of a service with spread placement', () => {
+  const dispatcher = rendezvousWinner('dispatcher/engines', HOSTS) ?? '';
+
+  function answerTo(front: string): unknown {
+    return hosts.get(dispatcher)?.onPlacementRequest({
+      service: 'engines',
+      shardId: 'engines',
+      front,
+      failureDomain: 'north',
+      demand: demand(`a-${front}`, 'part'),
+      excluded: [],
+    });
+  }
+
+  beforeEach(() => {
+    hosts = new Map(HOSTS.map(hostId => [hostId, startHost(hostId, 4, true)]));
+  });
+
+  it('states the loads of all engines to each host, once in a second', () => {
+    expect(answerTo('front-1')).toHaveProperty('loads.length', 4);
+    expect(answerTo('front-1')).not.toHaveProperty('loads');
+    expect(answerTo('front-2')).toHaveProperty('loads.length', 4);
+  });
+
+  it('is believed only about processes that still run', async () => {
+    const [front = ''] = HOSTS.filter(hostId => hostId !== dispatcher);
+    for (let index = 0; index < 8; index += 1) {
+      await placementAt(dispatcher, `load-${index}`, `part-${index}`);
+    }
+    const update = {
+      kind: 'listed' as const,
+      upstream: {...upstream('i-0'), bornAt: 5},
+      heartbeat: 1,
+    };
+    lists.get(front)?.apply([update], {readTo: 2, relistedBy: -Infinity}, 0);
+    expect(await placeAt(front, 'a', 'part-a')).not.toBe('');
+    // Without the dispatcher, the engine that restarted counts as idle.
+    const found = hosts.get(dispatcher);
+    hosts.delete(dispatcher);
+    expect(await placeAt(front, 'b', 'part-b')).toBe('i-0');
+    hosts.set(dispatcher, found ?? startHost(dispatcher, 4, true));
+  });
+});
