--- a/packages/decisions/src/membership/host_load.ts
+++ b/packages/decisions/src/membership/host_load.ts
@@ -12,10 +12,10 @@
 const BUSY_MEASUREMENTS = 2;
 
 /**
- * Milliseconds for which a host stays busy. Clients move to other hosts while it
- * is, so that its utilization says nothing of the load that would come back.
+ * Milliseconds for which a host stays busy: longer than clients need to move to
+ * other hosts, which is three times the 2 s for which they cache a response.
  */
-const BUSY_MILLISECONDS = 30_000;
+const BUSY_MILLISECONDS = 10_000;
 
 /**
  * Milliseconds after the start of a process in which utilization does not count:
