--- a/packages/decisions/src/orders/engine_order_book.ts
+++ b/packages/decisions/src/orders/engine_order_book.ts
@@ -10,6 +10,8 @@
 /** The result of placing an order. */
 export type OrderResult =
   | 'accepted'
+  /** Accepted for no more engines than there are: capacity is not known. */
+  | 'already-met'
   /** The failure domain has no capacity at present. */
   | 'refused'
   /** The platform did not process the call; its capacity is not known. */
@@ -76,7 +78,7 @@
       count: order.count,
       nextAt:
         now +
-        (result === 'accepted'
+        (result === 'accepted' || result === 'already-met'
           ? UNMET_ORDER_REPEAT_MILLISECONDS
           : FAILED_ORDER_RETRY_MILLISECONDS),
       seen: countMatchingEngines(order, listed),
@@ -94,11 +96,17 @@
           now + OUT_OF_CAPACITY_MILLISECONDS,
         );
         return;
+      case 'already-met':
       case 'unavailable':
         return;
     }
   }
 
+  /** Returns the number that was ordered last; undefined if none was. */
+  orderedCount(order: Omit<EngineOrder, 'count'>): number | undefined {
+    return this.placedOrders.get(keyOf(order))?.count;
+  }
+
   /** Returns the domains that are out of reclaimable engines of `service`. */
   domainsOutOfCapacity(
     service: string,
@@ -135,7 +143,7 @@
   }
 }
 
-function keyOf(order: EngineOrder): string {
+function keyOf(order: Omit<EngineOrder, 'count'>): string {
   const kind = order.isReclaimable ? 'reclaimable' : 'on-demand';
   return `${domainKeyOf(order)}/${kind}`;
 }
--- a/packages/measurements/src/measure.ts
+++ b/packages/measurements/src/measure.ts
@@ -8,8 +8,10 @@
 import {measureDispatch} from './measure_dispatch.js';
 import {measureLimits} from './measure_limits.js';
 import {measureMembership} from './measure_membership.js';
+import {measureOrders} from './measure_orders.js';
 import {measureOverload} from './measure_overload.js';
 import {measurePath} from './measure_path.js';
+import {measurePlacement} from './measure_placement.js';
 import {measureReclaim} from './measure_reclaim.js';
 import {measureRecovery} from './measure_recovery.js';
 import {measureSlopes} from './measure_slopes.js';
@@ -21,8 +23,10 @@
   dispatch: measureDispatch,
   limits: measureLimits,
   membership: measureMembership,
+  orders: measureOrders,
   overload: measureOverload,
   path: measurePath,
+  placement: measurePlacement,
   reclaim: measureReclaim,
   recovery: measureRecovery,
   slopes: measureSlopes,
