--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -52,6 +52,7 @@
 import {createRoutedMembership} from '../state/routed_membership.js';
 import {StateRelay} from '../state/state_relay.js';
 import {StreamOriginExchange} from '../state/stream_origin_exchange.js';
+import {UpstreamChangeLog} from '../state/upstream_change_log.js';
 import {UpstreamFollower} from '../state/upstream_follower.js';
 
 /**
@@ -106,7 +107,7 @@
   private readonly fleet: FleetView;
   private readonly trueTime = new TrueTime();
   private readonly startedAt: number;
-  private hasLoggedUpstreams = false;
+  private readonly upstreamChangeLog: UpstreamChangeLog;
   /** Identity of this process, new at each start. */
   private readonly processId = uuidV7();
   private readonly loads = new ServiceLoadCounter(this.processId);
@@ -125,6 +126,7 @@
     const {clocks} = this;
     this.startedAt = clocks.steady();
     this.events = createEventLog(settings.hostId, 'info');
+    this.upstreamChangeLog = new UpstreamChangeLog(this.events);
     this.metrics = createMetrics();
     this.store = new StoreClient(settings.storeAddress, (call, end) =>
       this.metrics.storeCalls.inc({call, end: String(end)}),
@@ -385,7 +387,7 @@
   private onUpstreamChanges(changes: readonly UpstreamChange[]): void {
     this.placement.onUpstreamChanges(changes);
     this.streams.publishAmbiguous();
-    this.logUpstreamChanges(changes);
+    this.upstreamChangeLog.write(changes);
     for (const change of changes) {
       if (change.state === 'withdrawn' || change.isRestarted) {
         this.paths.forget(change.upstreamId);
@@ -396,30 +398,6 @@
     }
   }
 
-  /**
-   * Logs the changes of upstreams; those of the first list in one line for each
-   * service, because the hosts of a large fleet start while requests wait.
-   */
-  private logUpstreamChanges(changes: readonly UpstreamChange[]): void {
-    if (this.hasLoggedUpstreams) {
-      changes.forEach(change => this.events.write(3005, {...change}));
-      return;
-    }
-    this.hasLoggedUpstreams = true;
-    const counts = new Map<string, number>();
-    for (const change of changes) {
-      const {service, state} = change;
-      if (state === 'listed') {
-        counts.set(service, (counts.get(service) ?? 0) + 1);
-      } else {
-        this.events.write(3005, {...change});
-      }
-    }
-    counts.forEach((count, service) =>
-      this.events.write(3041, {count, service}),
-    );
-  }
-
   private readTrueTime(): number {
     const {timeOfDay, steady} = this.clocks;
     return this.trueTime.now(timeOfDay(), steady());
