--- a/packages/decisions/src/placement/engine_expectation.ts
+++ b/packages/decisions/src/placement/engine_expectation.ts
@@ -49,8 +49,8 @@
   readonly work: Readonly<UpstreamWork>;
   /** Age in milliseconds of the newest report of a first token. */
   readonly lagMilliseconds: number;
-  /** Load that another host stated; absent if this host knows it itself. */
-  readonly stated?: StatedLoad;
+  /** Load that another host stated; undefined if this host knows it itself. */
+  readonly stated: StatedLoad | undefined;
   readonly speed: WorkSpeed;
   /** Milliseconds from the first token of an answer to its end. */
   readonly answerMilliseconds: number;
@@ -97,10 +97,11 @@
     work,
     millisecondsPerToken,
     lagMilliseconds: facts.lagMilliseconds,
-    ...(stated !== undefined && {stated}),
+    stated,
   };
   const wait = waitAt(engine, demand.priority, now);
-  const allWaiting = waitAt(engine, Infinity, now);
+  const allWaiting =
+    wait.milliseconds === 0 ? wait : waitAt(engine, Infinity, now);
   const running = Math.max(
     work.running,
     stated === undefined
@@ -142,7 +143,7 @@
     cachedTokens,
     isBlocked: excessRequests > 0 || grantWait > 0,
     capacity: 1 / speed.lastingMilliseconds,
-    uncertainty: Math.hypot(speed.uncertainty, DURATION_DEVIATION),
+    uncertainty: speed.uncertainty,
   };
 }
 
@@ -197,7 +198,7 @@
     estimateMilliseconds:
       work + expected.otherMilliseconds + unknownMilliseconds,
     errorMilliseconds: Math.hypot(
-      work * expected.uncertainty,
+      work * Math.hypot(expected.uncertainty, DURATION_DEVIATION),
       unknownMilliseconds,
     ),
     knowledgeAgeMilliseconds: ageMilliseconds,
--- a/packages/decisions/src/placement/engine_wait.ts
+++ b/packages/decisions/src/placement/engine_wait.ts
@@ -23,6 +23,8 @@
   readonly milliseconds: number;
 }
 
+const NO_WAIT: EngineWait = {tokens: 0, milliseconds: 0};
+
 /** An engine, and what is known of it. */
 export interface KnownEngine {
   readonly work: Pick<UpstreamWork, 'currentPromptSince' | 'waiting'>;
@@ -30,12 +32,15 @@
   /** Age in milliseconds of the newest report of a first token. */
   readonly lagMilliseconds: number;
   /**
-   * Wait of the requests placed before `statedAt`, if another host stated it.
+   * Wait of the requests placed before `statedAt`; undefined if no other host
+   * stated it.
    */
-  readonly stated?: {
-    readonly statedAt: number;
-    readonly waitMilliseconds: number;
-  };
+  readonly stated:
+    | {
+        readonly statedAt: number;
+        readonly waitMilliseconds: number;
+      }
+    | undefined;
 }
 
 /**
@@ -49,6 +54,9 @@
   now: number,
 ): EngineWait {
   const {work, millisecondsPerToken, lagMilliseconds, stated} = engine;
+  if (work.waiting.size === 0 && stated === undefined) {
+    return NO_WAIT;
+  }
   const knownUntil = stated?.statedAt ?? now - lagMilliseconds;
   const partOf = (prompt: WaitingPrompt): number =>
     prompt.tokens *
--- a/packages/decisions/src/placement/spread_table.ts
+++ b/packages/decisions/src/placement/spread_table.ts
@@ -241,6 +241,7 @@
           work,
           millisecondsPerToken: lastingMilliseconds,
           lagMilliseconds: this.lagMilliseconds,
+          stated: undefined,
         },
         Infinity,
         now,
@@ -343,7 +344,7 @@
     return {
       work: this.work.at(upstreamId),
       lagMilliseconds: this.lagMilliseconds,
-      ...(stated !== undefined && {stated}),
+      stated,
       speed: this.reading.speedOf(upstreamId, now),
       answerMilliseconds: this.decoding.speedOf(upstreamId, now)
         .lastingMilliseconds,
--- a/packages/decisions/src/placement/work_speeds.ts
+++ b/packages/decisions/src/placement/work_speeds.ts
@@ -107,6 +107,12 @@
 /** Smallest standard deviation assumed between the upstreams of a service. */
 const MINIMUM_SPREAD = 0.2;
 
+/**
+ * Milliseconds for which a computed speed is kept. A dispatcher asks for the
+ * speeds of all engines some hundred times a second.
+ */
+const COMPUTED_MILLISECONDS = 25;
+
 interface Learned {
   /** Logarithm of the lasting milliseconds for a unit. */
   mean: number;
@@ -119,12 +125,30 @@
 /** The speeds of the upstreams of one service. */
 export class WorkSpeeds {
   private readonly learned = new Map<string, Learned>();
+  /** Speeds that were computed a moment ago, by upstream. */
+  private readonly computed = new Map<
+    string,
+    {readonly speed: WorkSpeed; readonly time: number}
+  >();
   private prior: Pick<Learned, 'mean' | 'variance'> | undefined;
 
   constructor(private readonly kind: WorkKind) {}
 
   /** Returns the speed of an upstream at `now`. */
   speedOf(upstreamId: string, now: number): WorkSpeed {
+    const computed = this.computed.get(upstreamId);
+    if (
+      computed !== undefined &&
+      Math.abs(now - computed.time) < COMPUTED_MILLISECONDS
+    ) {
+      return computed.speed;
+    }
+    const speed = this.computeSpeed(upstreamId, now);
+    this.computed.set(upstreamId, {speed, time: now});
+    return speed;
+  }
+
+  private computeSpeed(upstreamId: string, now: number): WorkSpeed {
     const learned = this.learned.get(upstreamId);
     const {mean, variance} = this.lastingAt(learned, now);
     const lastingMilliseconds = Math.exp(mean);
@@ -132,7 +156,7 @@
       millisecondsNow:
         learned === undefined
           ? lastingMilliseconds
-          : Math.exp(mean + passingAt(learned, now)),
+          : lastingMilliseconds * Math.exp(passingAt(learned, now)),
       lastingMilliseconds,
       uncertainty: Math.sqrt(variance),
     };
@@ -169,6 +193,7 @@
         passingBefore + (passing - passingBefore) * NEWEST_PASSING_WEIGHT,
       sampledAt: now,
     });
+    this.computed.delete(upstreamId);
     this.prior = undefined;
   }
 
@@ -186,6 +211,7 @@
       passing: own?.passing ?? 0,
       sampledAt: own?.sampledAt ?? now,
     });
+    this.computed.delete(upstreamId);
     this.prior = undefined;
   }
 
@@ -203,6 +229,7 @@
   /** Discards what is known of an upstream that left or restarted. */
   forget(upstreamId: string): void {
     this.learned.delete(upstreamId);
+    this.computed.delete(upstreamId);
     this.prior = undefined;
   }
 
--- a/packages/decisions/tests/spread_placement_test.ts
+++ b/packages/decisions/tests/spread_placement_test.ts
@@ -138,6 +138,12 @@
   });
 });
 
+const USUAL_ENGINE = {
+  millisecondsPerToken: 0.025,
+  lagMilliseconds: 0,
+  stated: undefined,
+};
+
 describe('the wait at an engine', () => {
   it.each([
     {name: 'is all that was placed', now: 0, lag: 0, wait: 300},
@@ -154,14 +160,14 @@
     for (const key of ['a', 'b', 'c']) {
       work.add(key, {tokens: 4000, priority: 1, placedAt: 0});
     }
-    const known = {work, millisecondsPerToken: 0.025, lagMilliseconds: lag};
+    const known = {...USUAL_ENGINE, work, lagMilliseconds: lag};
     expect(waitAt(known, 1, now).milliseconds).toBeCloseTo(wait);
   });
 
   it('of an urgent request is shorter', () => {
     const work = new UpstreamWork();
     work.add('a', {tokens: 40_000, priority: 2, placedAt: 0});
-    const known = {work, millisecondsPerToken: 0.025, lagMilliseconds: 0};
+    const known = {...USUAL_ENGINE, work};
     expect(waitAt(known, 0, 0).milliseconds).toBeLessThan(
       waitAt(known, 2, 0).milliseconds / 2,
     );
