--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -5,7 +5,9 @@
   featuresOf,
   FleetHealth,
   NamedRates,
+  OfferedLoads,
   type RoutingConfiguration,
+  ServiceLoadCounter,
   ServiceRetryBudgets,
   TrueTime,
   UpstreamAnnouncements,
@@ -36,6 +38,7 @@
 import {type Clocks, createProcessClocks} from '../../util/clocks.js';
 import {QuotaExchange} from '../admission/quota_exchange.js';
 import type {DutyTask} from '../duties/duty_task.js';
+import {plannedServicesOf} from '../duties/engine_planner.js';
 import {createRoutedDuties} from '../duties/routed_duties.js';
 import {UsagePush} from '../duties/usage_push.js';
 import {AnswerAnnouncements} from '../evidence/answer_announcements.js';
@@ -84,6 +87,7 @@
   readonly front: RoutedFront;
   readonly usage: UsageWindows;
   readonly usagePush: UsagePush;
+  readonly offeredLoads = new OfferedLoads();
   readonly duties: DutyTask | undefined;
   readonly quotas: QuotaExchange;
   readonly relay: StateRelay;
@@ -104,6 +108,7 @@
   private readonly startedAt: number;
   /** Identity of this process, new at each start. */
   private readonly processId = uuidV7();
+  private readonly loads = new ServiceLoadCounter(this.processId);
 
   /** Returns whether this host holds the duties. */
   readonly isHoldingDuties = (): boolean => this.duties?.isHolding === true;
@@ -258,8 +263,10 @@
       processId: this.processId,
       store: this.store,
       events: this.events,
+      metrics: this.metrics,
       clocks,
       usage: this.usage,
+      offeredLoads: this.offeredLoads,
       trueTime: () => this.readTrueTime(),
       servingHosts: () => this.fleet.servingIds(),
       configuration: () => this.configuration.current?.value,
@@ -271,6 +278,14 @@
       peers: this.peers,
       candidates: () => this.fleet.othersOf(this.duties?.candidates() ?? []),
       trueTime: () => this.readTrueTime(),
+      clock: clocks.suspensionAware,
+      loads: this.loads,
+      offeredLoads: this.offeredLoads,
+      plannedServices: () =>
+        plannedServicesOf(
+          this.configuration.current?.value,
+          settings.failureDomains.length,
+        ).map(({service}) => service.name),
     });
     this.front = this.createFront();
   }
@@ -341,6 +356,7 @@
       listedUpstream: upstreamId => this.upstreams.list.find(upstreamId),
       trueTime: () => this.readTrueTime(),
       retryBudgets: this.retryBudgets,
+      loads: this.loads,
       configuration: () =>
         this.state.mustBeCompared ? undefined : this.configuration.current,
       maximumKeyAge: () => {
--- a/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
+++ b/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
@@ -5,6 +5,7 @@
   ConfirmedValue,
   ListedUpstream,
   RoutingConfiguration,
+  ServiceLoadCounter,
   ServiceRetryBudgets,
   UpstreamAnnouncements,
   UsableUpstream,
@@ -43,6 +44,7 @@
   /** Returns true time in milliseconds since the epoch. */
   readonly trueTime: () => number;
   readonly retryBudgets: ServiceRetryBudgets;
+  readonly loads: ServiceLoadCounter;
   readonly configuration: () =>
     ConfirmedValue<RoutingConfiguration> | undefined;
   /**
