--- /dev/null
+++ b/packages/decisions/src/rollouts/rollout_front.ts
@@ -0,0 +1,297 @@
+/**
+ * The part that one host takes in roll-outs: it assigns its requests to software
+ * versions and counts their results.
+ */
+import type {VersionConstraint} from '../placement/version_constraint.js';
+import type {UsableUpstream} from '../upstreams/listed_upstream.js';
+import type {RolloutBounds} from './rollout_order.js';
+import {isExposureLeft} from './rollout_plan.js';
+import {
+  constraintExcept,
+  constraintToNew,
+  isInShare,
+  type RolloutSteps,
+} from './rollout_steps.js';
+import {addTime, timeWithoutReading} from './time_histogram.js';
+import type {
+  VersionResultCounts,
+  VersionResultReport,
+} from './version_result_report.js';
+
+/** A request, as roll-outs see it. */
+export interface VersionedRequest {
+  readonly service: string;
+  readonly attemptId: string;
+  /** Whether it was assigned to the new version of a roll-out. */
+  readonly isAssigned: boolean;
+  /** Whether it continues a stream, which goes on at its own version. */
+  readonly isBound: boolean;
+}
+
+/** The state of the host on which an assignment depends. */
+export interface VersionContext {
+  /** Usable upstreams of the service, of all versions. */
+  readonly upstreams: readonly UsableUpstream[];
+  /** Time at which the orders were last confirmed as the newest. */
+  readonly ordersReadAt: number;
+  readonly now: number;
+}
+
+/** The result of one attempt at an upstream. */
+export interface VersionResult {
+  readonly service: string;
+  readonly route: string;
+  readonly upstream: Pick<UsableUpstream, 'softwareVersion' | 'upstreamId'>;
+  readonly isFailed: boolean;
+  /** Time to the beginning of the answer; undefined if it did not begin. */
+  readonly startMilliseconds: number | undefined;
+  readonly tokensToRead: number;
+  /** Time between two events of the answer; undefined without two events. */
+  readonly gapMilliseconds: number | undefined;
+}
+
+/** Identity of the host and its bounds. */
+export interface RolloutFrontOptions {
+  readonly processId: string;
+  readonly hostId: string;
+  readonly steps: RolloutSteps;
+  /** Returns the bounds; undefined if the deployment has none. */
+  readonly bounds: () => RolloutBounds | undefined;
+  /** Returns the number of hosts that share what a bad version may get. */
+  readonly hostCount: () => number;
+}
+
+interface Counts {
+  route: string;
+  upstreamId: string | undefined;
+  answered: number;
+  failed: number;
+  readonly starts: number[];
+  readonly gaps: number[];
+}
+
+/** What was counted for one order. */
+interface OrderCounts {
+  readonly orderId: string;
+  requests: number;
+  assigned: number;
+  readonly results: Map<string, Counts>;
+}
+
+/** Assigns the requests of one host to software versions. */
+export class RolloutFront {
+  private readonly countsByService = new Map<string, OrderCounts>();
+  /** Requests in progress by service and version. */
+  private readonly running = new Map<string, Map<string, number>>();
+
+  constructor(private readonly options: RolloutFrontOptions) {}
+
+  /** Returns whether a new request runs at the new version, and counts it. */
+  assign(
+    service: string,
+    attemptId: string,
+    {upstreams, now}: VersionContext,
+  ): boolean {
+    const {steps, bounds, hostCount} = this.options;
+    const limits = bounds();
+    const counts = this.countsOf(service);
+    if (counts === undefined || limits === undefined) {
+      return false;
+    }
+    counts.requests += 1;
+    const use = steps.useOf(service, now);
+    if (use.kind !== 'shared' || !isInShare(use, attemptId)) {
+      return false;
+    }
+    const isTest = use.upstreamIds !== undefined;
+    const isAssigned =
+      upstreams.some(
+        ({softwareVersion, upstreamId}) =>
+          softwareVersion === use.softwareVersion &&
+          (use.upstreamIds?.includes(upstreamId) ?? true),
+      ) &&
+      (!isTest || isExposureLeft(limits, counts, hostCount()));
+    counts.assigned += isAssigned ? 1 : 0;
+    return isAssigned;
+  }
+
+  /** Returns the versions at which a request that is not bound may be placed. */
+  constraintOf(
+    {service, isAssigned}: VersionedRequest,
+    {upstreams, ordersReadAt, now}: VersionContext,
+  ): VersionConstraint | undefined {
+    const {steps, bounds} = this.options;
+    if (bounds() === undefined) {
+      return undefined;
+    }
+    steps.recordListed(service, upstreams, now);
+    const barred = steps.barredVersions(service, ordersReadAt);
+    const use = steps.useOf(service, now);
+    switch (use.kind) {
+      case 'free':
+        return constraintExcept(barred);
+      case 'withheld':
+        return constraintExcept([use.softwareVersion, ...barred]);
+      case 'shared':
+        return isAssigned
+          ? constraintToNew(use)
+          : constraintExcept([use.softwareVersion, ...barred]);
+      case 'replaced': {
+        const {softwareVersion, replacedVersions} = use;
+        const isLeft = upstreams.some(upstream =>
+          replacedVersions.includes(upstream.softwareVersion),
+        );
+        return isLeft
+          ? {kind: 'only', softwareVersion}
+          : constraintExcept(barred);
+      }
+    }
+  }
+
+  /** Returns whether a request may be sent to a version at this moment. */
+  mayBeSent(
+    request: VersionedRequest,
+    softwareVersion: string,
+    {ordersReadAt, now}: Pick<VersionContext, 'now' | 'ordersReadAt'>,
+  ): boolean {
+    const {steps, bounds} = this.options;
+    const {service, attemptId, isAssigned, isBound} = request;
+    if (bounds() === undefined) {
+      return true;
+    }
+    if (steps.barredVersions(service, ordersReadAt).includes(softwareVersion)) {
+      return false;
+    }
+    const use = steps.useOf(service, now);
+    switch (use.kind) {
+      case 'free':
+        return true;
+      case 'withheld':
+        return softwareVersion !== use.softwareVersion;
+      case 'shared': {
+        const isNew = softwareVersion === use.softwareVersion;
+        const isMoved = use.share === 1 && isInShare(use, attemptId);
+        return isBound || (isNew ? isAssigned : !isMoved || !isAssigned);
+      }
+      case 'replaced':
+        return isBound || !use.replacedVersions.includes(softwareVersion);
+    }
+  }
+
+  /** Records that a request is placed at a version. */
+  recordBegun(service: string, softwareVersion: string): void {
+    const versions = this.running.get(service) ?? new Map<string, number>();
+    versions.set(softwareVersion, (versions.get(softwareVersion) ?? 0) + 1);
+    this.running.set(service, versions);
+  }
+
+  /** Records that a request has ended at a version. */
+  recordEnded(service: string, softwareVersion: string): void {
+    const versions = this.running.get(service);
+    const left = (versions?.get(softwareVersion) ?? 0) - 1;
+    if (left > 0) {
+      versions?.set(softwareVersion, left);
+    } else {
+      versions?.delete(softwareVersion);
+    }
+  }
+
+  /** Counts a result while both versions have a share of the requests. */
+  recordResult(result: VersionResult, now: number): void {
+    const {service, route, upstream} = result;
+    const counts = this.countsOf(service);
+    const use = this.options.steps.useOf(service, now);
+    if (counts === undefined || use.kind !== 'shared') {
+      return;
+    }
+    const isNew = upstream.softwareVersion === use.softwareVersion;
+    const upstreamId = isNew ? upstream.upstreamId : undefined;
+    const key = JSON.stringify([route, upstreamId]);
+    const sums = counts.results.get(key) ?? {
+      route,
+      upstreamId,
+      answered: 0,
+      failed: 0,
+      starts: [],
+      gaps: [],
+    };
+    counts.results.set(key, sums);
+    if (result.isFailed) {
+      sums.failed += 1;
+    } else {
+      sums.answered += 1;
+    }
+    if (result.startMilliseconds !== undefined) {
+      const {startMilliseconds, tokensToRead} = result;
+      addTime(sums.starts, timeWithoutReading(startMilliseconds, tokensToRead));
+    }
+    if (result.gapMilliseconds !== undefined) {
+      addTime(sums.gaps, result.gapMilliseconds);
+    }
+  }
+
+  /** Returns what this host reports on the roll-outs that are in progress. */
+  reports(now: number): readonly VersionResultReport[] {
+    const {steps, processId, hostId, bounds} = this.options;
+    if (bounds() === undefined || !steps.hasOpenOrder) {
+      return [];
+    }
+    return steps.allOrders.flatMap(({service, orderId, softwareVersion}) => {
+      const counts = this.countsOf(service);
+      if (counts === undefined) {
+        return [];
+      }
+      const use = steps.useOf(service, now);
+      const isFollowing = use.kind === 'shared' || use.kind === 'replaced';
+      const sequence = steps.recordOf(service)?.record.sequence ?? 0;
+      return [
+        {
+          processId,
+          hostId,
+          service,
+          orderId,
+          sequence: isFollowing ? sequence : 0,
+          runningElsewhere: this.runningBeside(service, softwareVersion),
+          requests: counts.requests,
+          assigned: counts.assigned,
+          results: [...counts.results.values()].map(toReported),
+        },
+      ];
+    });
+  }
+
+  /**
+   * Returns the counts for the newest order of a service; undefined if the order
+   * has been carried out or there is none.
+   */
+  private countsOf(service: string): OrderCounts | undefined {
+    const {steps} = this.options;
+    const order = steps.orderOf(service);
+    if (order === undefined || !steps.isOpen(order)) {
+      this.countsByService.delete(service);
+      return undefined;
+    }
+    const known = this.countsByService.get(service);
+    if (known?.orderId === order.orderId) {
+      return known;
+    }
+    const created = {
+      orderId: order.orderId,
+      requests: 0,
+      assigned: 0,
+      results: new Map<string, Counts>(),
+    };
+    this.countsByService.set(service, created);
+    return created;
+  }
+
+  private runningBeside(service: string, softwareVersion: string): number {
+    return [...(this.running.get(service) ?? [])]
+      .filter(([version]) => version !== softwareVersion)
+      .reduce((sum, [, count]) => sum + count, 0);
+  }
+}
+
+function toReported({upstreamId, ...counts}: Counts): VersionResultCounts {
+  return upstreamId === undefined ? counts : {...counts, upstreamId};
+}
--- /dev/null
+++ b/packages/decisions/src/rollouts/rollout_plan.ts
@@ -0,0 +1,114 @@
+/**
+ * The shares of a roll-out and the times by which its steps must be taken, by
+ * its time limit and by how much of the traffic a bad version may get.
+ */
+import type {RolloutBounds} from './rollout_order.js';
+
+/**
+ * Milliseconds for which a share is permitted after its record was first seen.
+ * Together with the longest time between two renewals, it is well below the time
+ * within which a bad version must get no more requests.
+ */
+export const PERMIT_MILLISECONDS = 2500;
+
+/** Milliseconds after which the holder renews a permit. */
+export const RENEWAL_MILLISECONDS = 1000;
+
+/** Share of the test, as a part of the fraction that a bad version may get. */
+const TEST_SHARE_PART = 0.75;
+
+/** Share of the first requests, as a part of the share of the test. */
+const FIRST_SHARE_PART = 0.35;
+
+/** Part of the time limit for which the test lasts at least. */
+const EARLIEST_MOVE_PART = 0.45;
+
+/** Part of the time limit after which the test may end it. */
+const LATEST_MOVE_PART = 0.6;
+
+/**
+ * Milliseconds from the end of the test to the time limit, for the steps to all
+ * traffic and for the requests that run at the old version to end.
+ */
+const MOVE_MILLISECONDS = 6000;
+
+/** Milliseconds from the first wider step to all traffic. */
+export const WIDER_STEP_MILLISECONDS = 1500;
+
+/** Milliseconds within which results of a step lead to its end. */
+const REACTION_MILLISECONDS = 2500;
+
+/** Share of the traffic at the first wider step, at most. */
+const WIDER_SHARE = 0.5;
+
+/** Part of the bound that is used, as hosts count late and some requests twice. */
+const USED_BOUND_PART = 0.85;
+
+/** Milliseconds before the time limit at which the result must be known. */
+export const COMPLETION_MARGIN_MILLISECONDS = 1000;
+
+/** What has been sent to a service since the order. */
+export interface RolloutTraffic {
+  /** Requests that reached the service. */
+  readonly requests: number;
+  /** Those that were assigned to the new version. */
+  readonly assigned: number;
+  readonly requestsPerSecond: number;
+}
+
+/** Returns the share of the test. */
+export function testShare({exposureFraction}: RolloutBounds): number {
+  return exposureFraction * TEST_SHARE_PART;
+}
+
+/** Returns the share before the first results. */
+export function firstShare(bounds: RolloutBounds): number {
+  return testShare(bounds) * FIRST_SHARE_PART;
+}
+
+/** Returns the time after the order before which the test does not end. */
+export function earliestMove(durationMilliseconds: number): number {
+  return durationMilliseconds * EARLIEST_MOVE_PART;
+}
+
+/** Returns the time after the order at which a version must be accepted. */
+export function latestMove(durationMilliseconds: number): number {
+  return Math.max(
+    durationMilliseconds * LATEST_MOVE_PART,
+    durationMilliseconds - MOVE_MILLISECONDS,
+  );
+}
+
+/**
+ * Returns the share of the first wider step: what is left of the bound until its
+ * results are known, if the version turned bad then.
+ */
+export function widerShare(
+  bounds: RolloutBounds,
+  traffic: RolloutTraffic,
+  millisecondsLeft: number,
+): number {
+  const {requests, assigned, requestsPerSecond} = traffic;
+  const expected = requests + (requestsPerSecond * millisecondsLeft) / 1000;
+  const bound =
+    expected * bounds.exposureFraction * USED_BOUND_PART +
+    bounds.exposureSlack * USED_BOUND_PART;
+  const inReaction = (requestsPerSecond * REACTION_MILLISECONDS) / 1000;
+  const share = inReaction === 0 ? 0 : (bound - assigned) / inReaction;
+  return Math.max(testShare(bounds), Math.min(WIDER_SHARE, share));
+}
+
+/**
+ * Returns whether one host may send one more request to a new version during its
+ * test. The sum over all hosts stays within the bound.
+ */
+export function isExposureLeft(
+  {exposureFraction, exposureSlack}: RolloutBounds,
+  sent: {readonly requests: number; readonly assigned: number},
+  hostCount: number,
+): boolean {
+  const allowed =
+    sent.requests * exposureFraction * USED_BOUND_PART +
+    (exposureSlack * USED_BOUND_PART) / Math.max(1, hostCount) / 2;
+  return sent.assigned + 1 <= allowed;
+}
