--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -86,6 +86,7 @@
 export * from './rollouts/rollout_record.js';
 export * from './rollouts/rollout_steps.js';
 export * from './rollouts/sequential_test.js';
+export * from './rollouts/summarize_reports.js';
 export * from './rollouts/time_histogram.js';
 export * from './rollouts/version_result_report.js';
 export * from './routing/admit_routed_call.js';
--- a/packages/decisions/src/rollouts/decide_rollout_step.ts
+++ b/packages/decisions/src/rollouts/decide_rollout_step.ts
@@ -4,7 +4,7 @@
  */
 import type {UsableUpstream} from '../upstreams/listed_upstream.js';
 import {chooseTestUpstreams} from './choose_test_upstreams.js';
-import type {VersionVerdict} from './judge_version.js';
+import {describeVerdict, type VersionVerdict} from './judge_version.js';
 import type {RolloutBounds, RolloutOrder} from './rollout_order.js';
 import {
   COMPLETION_MARGIN_MILLISECONDS,
@@ -156,7 +156,7 @@
   const {bounds, upstreams, verdict, resultCount, trueTime} = situation;
   const elapsed = elapsedOf(record, trueTime);
   if (verdict.kind === 'rejected') {
-    return rollBack(record, describeRejection(verdict));
+    return rollBack(record, describeVerdict(verdict));
   }
   if (
     verdict.kind === 'accepted' &&
@@ -167,7 +167,7 @@
     return stepTo(record, share, trueTime, 'accepted');
   }
   if (elapsed >= latestMove(durationOf(record))) {
-    return rollBack(record, 'not proven in time');
+    return rollBack(record, `not proven in time: ${describeVerdict(verdict)}`);
   }
   const candidates = upstreams.filter(
     upstream => upstream.softwareVersion === record.softwareVersion,
@@ -200,7 +200,7 @@
 ): RolloutStep | undefined {
   const {verdict, followers, upstreams, trueTime} = situation;
   if (verdict.kind === 'rejected') {
-    return rollBack(record, describeRejection(verdict));
+    return rollBack(record, describeVerdict(verdict));
   }
   const hasCandidate = upstreams.some(
     upstream => upstream.softwareVersion === record.softwareVersion,
@@ -309,14 +309,6 @@
   return durationOf(record) - (record.deadline - trueTime);
 }
 
-function describeRejection(
-  verdict: Extract<VersionVerdict, {kind: 'rejected'}>,
-): string {
-  const {measure, route, candidate, old} = verdict;
-  const where = route === '' ? 'all routes' : `route ${route}`;
-  return `${measure} on ${where}: ${candidate.bad} of ${candidate.trials} beside ${old.bad} of ${old.trials}`;
-}
-
 function haveSameMembers(
   left: readonly string[],
   right: readonly string[],
--- a/packages/decisions/src/rollouts/rollout_front.ts
+++ b/packages/decisions/src/rollouts/rollout_front.ts
@@ -9,8 +9,10 @@
 import {
   constraintExcept,
   constraintToNew,
+  elapsedPartOf,
   isInShare,
   type RolloutSteps,
+  type VersionUse,
 } from './rollout_steps.js';
 import {addTime, timeWithoutReading} from './time_histogram.js';
 import type {
@@ -21,7 +23,6 @@
 /** A request, as roll-outs see it. */
 export interface VersionedRequest {
   readonly service: string;
-  readonly attemptId: string;
   /** Whether it was assigned to the new version of a roll-out. */
   readonly isAssigned: boolean;
   /** Whether it continues a stream, which goes on at its own version. */
@@ -34,7 +35,10 @@
   readonly upstreams: readonly UsableUpstream[];
   /** Time at which the orders were last confirmed as the newest. */
   readonly ordersReadAt: number;
+  /** By the suspension-aware clock. */
   readonly now: number;
+  /** In milliseconds since the epoch. */
+  readonly trueTime: number;
 }
 
 /** The result of one attempt at an upstream. */
@@ -42,7 +46,8 @@
   readonly service: string;
   readonly route: string;
   readonly upstream: Pick<UsableUpstream, 'softwareVersion' | 'upstreamId'>;
-  readonly isFailed: boolean;
+  /** An unfinished attempt has waited at least for the objective. */
+  readonly outcome: 'answered' | 'failed' | 'unfinished';
   /** Time to the beginning of the answer; undefined if it did not begin. */
   readonly startMilliseconds: number | undefined;
   readonly tokensToRead: number;
@@ -90,7 +95,7 @@
   assign(
     service: string,
     attemptId: string,
-    {upstreams, now}: VersionContext,
+    {upstreams, now, trueTime}: VersionContext,
   ): boolean {
     const {steps, bounds, hostCount} = this.options;
     const limits = bounds();
@@ -105,12 +110,13 @@
     }
     const isTest = use.upstreamIds !== undefined;
     const isAssigned =
-      upstreams.some(
-        ({softwareVersion, upstreamId}) =>
-          softwareVersion === use.softwareVersion &&
-          (use.upstreamIds?.includes(upstreamId) ?? true),
-      ) &&
-      (!isTest || isExposureLeft(limits, counts, hostCount()));
+      hasEngines(use, upstreams) &&
+      (!isTest ||
+        isExposureLeft(
+          limits,
+          {...counts, elapsedPart: elapsedPartOf(use, trueTime)},
+          hostCount(),
+        ));
     counts.assigned += isAssigned ? 1 : 0;
     return isAssigned;
   }
@@ -133,7 +139,7 @@
       case 'withheld':
         return constraintExcept([use.softwareVersion, ...barred]);
       case 'shared':
-        return isAssigned
+        return (isAssigned || use.share === 1) && hasEngines(use, upstreams)
           ? constraintToNew(use)
           : constraintExcept([use.softwareVersion, ...barred]);
       case 'replaced': {
@@ -152,10 +158,10 @@
   mayBeSent(
     request: VersionedRequest,
     softwareVersion: string,
-    {ordersReadAt, now}: Pick<VersionContext, 'now' | 'ordersReadAt'>,
+    {upstreams, ordersReadAt, now}: VersionContext,
   ): boolean {
     const {steps, bounds} = this.options;
-    const {service, attemptId, isAssigned, isBound} = request;
+    const {service, isAssigned, isBound} = request;
     if (bounds() === undefined) {
       return true;
     }
@@ -169,9 +175,12 @@
       case 'withheld':
         return softwareVersion !== use.softwareVersion;
       case 'shared': {
-        const isNew = softwareVersion === use.softwareVersion;
-        const isMoved = use.share === 1 && isInShare(use, attemptId);
-        return isBound || (isNew ? isAssigned : !isMoved || !isAssigned);
+        if (isBound) {
+          return true;
+        }
+        return softwareVersion === use.softwareVersion
+          ? isAssigned || use.share === 1
+          : use.share < 1 || !hasEngines(use, upstreams);
       }
       case 'replaced':
         return isBound || !use.replacedVersions.includes(softwareVersion);
@@ -196,13 +205,16 @@
     }
   }
 
-  /** Counts a result while both versions have a share of the requests. */
-  recordResult(result: VersionResult, now: number): void {
+  /**
+   * Counts a result while both versions have a share of the requests; returns
+   * whether it was counted.
+   */
+  recordResult(result: VersionResult, now: number): boolean {
     const {service, route, upstream} = result;
     const counts = this.countsOf(service);
     const use = this.options.steps.useOf(service, now);
     if (counts === undefined || use.kind !== 'shared') {
-      return;
+      return false;
     }
     const isNew = upstream.softwareVersion === use.softwareVersion;
     const upstreamId = isNew ? upstream.upstreamId : undefined;
@@ -216,10 +228,14 @@
       gaps: [],
     };
     counts.results.set(key, sums);
-    if (result.isFailed) {
-      sums.failed += 1;
-    } else {
-      sums.answered += 1;
+    switch (result.outcome) {
+      case 'failed':
+        sums.failed += 1;
+        break;
+      case 'answered':
+        sums.answered += 1;
+        break;
+      case 'unfinished':
     }
     if (result.startMilliseconds !== undefined) {
       const {startMilliseconds, tokensToRead} = result;
@@ -228,6 +244,7 @@
     if (result.gapMilliseconds !== undefined) {
       addTime(sums.gaps, result.gapMilliseconds);
     }
+    return true;
   }
 
   /** Returns what this host reports on the roll-outs that are in progress. */
@@ -292,6 +309,18 @@
   }
 }
 
+/** Returns whether an engine is listed that gets a share of the requests. */
+function hasEngines(
+  {softwareVersion, upstreamIds}: Extract<VersionUse, {kind: 'shared'}>,
+  upstreams: readonly UsableUpstream[],
+): boolean {
+  return upstreams.some(
+    upstream =>
+      upstream.softwareVersion === softwareVersion &&
+      (upstreamIds?.includes(upstream.upstreamId) ?? true),
+  );
+}
+
 function toReported({upstreamId, ...counts}: Counts): VersionResultCounts {
   return upstreamId === undefined ? counts : {...counts, upstreamId};
 }
--- a/packages/decisions/src/rollouts/rollout_order.ts
+++ b/packages/decisions/src/rollouts/rollout_order.ts
@@ -10,6 +10,8 @@
    * older copy that contains the order.
    */
   readonly orderId: string;
+  /** Position in the store's log; of two orders, the later one is in force. */
+  readonly position: number;
   readonly service: string;
   /** The new version. */
   readonly softwareVersion: string;
--- a/packages/decisions/src/rollouts/rollout_plan.ts
+++ b/packages/decisions/src/rollouts/rollout_plan.ts
@@ -14,11 +14,20 @@
 /** Milliseconds after which the holder renews a permit. */
 export const RENEWAL_MILLISECONDS = 1000;
 
-/** Share of the test, as a part of the fraction that a bad version may get. */
-const TEST_SHARE_PART = 0.75;
+/**
+ * Share of the test, as a multiple of the fraction of all requests until the time
+ * limit that a bad version may get. The test takes a part of that time only.
+ */
+const TEST_SHARE_FACTOR = 1.4;
 
 /** Share of the first requests, as a part of the share of the test. */
-const FIRST_SHARE_PART = 0.35;
+const FIRST_SHARE_PART = 0.25;
+
+/** Part of the present traffic that is expected until the time limit at least. */
+const EXPECTED_TRAFFIC_PART = 0.7;
+
+/** Largest multiple of the requests so far that is expected in total. */
+const MAXIMUM_GROWTH = 2;
 
 /** Part of the time limit for which the test lasts at least. */
 const EARLIEST_MOVE_PART = 0.45;
@@ -30,10 +39,10 @@
  * Milliseconds from the end of the test to the time limit, for the steps to all
  * traffic and for the requests that run at the old version to end.
  */
-const MOVE_MILLISECONDS = 6000;
+const MOVE_MILLISECONDS = 5500;
 
 /** Milliseconds from the first wider step to all traffic. */
-export const WIDER_STEP_MILLISECONDS = 1500;
+export const WIDER_STEP_MILLISECONDS = 1200;
 
 /** Milliseconds within which results of a step lead to its end. */
 const REACTION_MILLISECONDS = 2500;
@@ -58,7 +67,7 @@
 
 /** Returns the share of the test. */
 export function testShare({exposureFraction}: RolloutBounds): number {
-  return exposureFraction * TEST_SHARE_PART;
+  return Math.min(1, exposureFraction * TEST_SHARE_FACTOR);
 }
 
 /** Returns the share before the first results. */
@@ -89,7 +98,10 @@
   millisecondsLeft: number,
 ): number {
   const {requests, assigned, requestsPerSecond} = traffic;
-  const expected = requests + (requestsPerSecond * millisecondsLeft) / 1000;
+  const expected =
+    requests +
+    ((requestsPerSecond * Math.max(0, millisecondsLeft)) / 1000) *
+      EXPECTED_TRAFFIC_PART;
   const bound =
     expected * bounds.exposureFraction * USED_BOUND_PART +
     bounds.exposureSlack * USED_BOUND_PART;
@@ -98,17 +110,29 @@
   return Math.max(testShare(bounds), Math.min(WIDER_SHARE, share));
 }
 
+/** What one host has sent to a service since the order. */
+export interface HostTraffic {
+  readonly requests: number;
+  readonly assigned: number;
+  /** Part of the time until the time limit that has passed, from 0 to 1. */
+  readonly elapsedPart: number;
+}
+
 /**
  * Returns whether one host may send one more request to a new version during its
  * test. The sum over all hosts stays within the bound.
  */
 export function isExposureLeft(
   {exposureFraction, exposureSlack}: RolloutBounds,
-  sent: {readonly requests: number; readonly assigned: number},
+  {requests, assigned, elapsedPart}: HostTraffic,
   hostCount: number,
 ): boolean {
+  const growth = Math.min(
+    MAXIMUM_GROWTH,
+    Math.max(1, EXPECTED_TRAFFIC_PART / Math.max(elapsedPart, 0.01)),
+  );
   const allowed =
-    sent.requests * exposureFraction * USED_BOUND_PART +
+    requests * growth * exposureFraction * USED_BOUND_PART +
     (exposureSlack * USED_BOUND_PART) / Math.max(1, hostCount) / 2;
-  return sent.assigned + 1 <= allowed;
+  return assigned + 1 <= allowed;
 }
--- a/packages/decisions/src/rollouts/rollout_steps.ts
+++ b/packages/decisions/src/rollouts/rollout_steps.ts
@@ -34,6 +34,9 @@
       readonly share: number;
       /** Engines that get them; undefined for all of the version. */
       readonly upstreamIds: readonly string[] | undefined;
+      /** True time of the time limit. */
+      readonly deadline: number;
+      readonly durationMilliseconds: number;
     }
   /** Versions that were replaced get nothing. */
   | {
@@ -48,12 +51,17 @@
   private readonly records = new Map<string, SeenRecord>();
   /** Time at which each version was first seen, by service. */
   private readonly firstSeen = new Map<string, Map<string, number>>();
+  /** The lists whose versions have been recorded. */
+  private readonly recordedLists = new WeakSet<readonly UsableUpstream[]>();
 
-  /** Accepts the newest order of a service; returns whether it is new. */
+  /** Accepts an order unless a later one is known; returns whether it is new. */
   acceptOrder(order: RolloutOrder): boolean {
-    const isNew = this.orders.get(order.service)?.orderId !== order.orderId;
+    const known = this.orders.get(order.service);
+    if (known !== undefined && known.position >= order.position) {
+      return false;
+    }
     this.orders.set(order.service, order);
-    return isNew;
+    return known?.orderId !== order.orderId;
   }
 
   /**
@@ -103,6 +111,21 @@
     return record?.orderId !== orderId || isOpenRollout(record);
   }
 
+  /**
+   * Returns whether the engines of a version exist for the sake of a roll-out
+   * that has not been completed.
+   */
+  isOnTrial(service: string, softwareVersion: string): boolean {
+    const order = this.orders.get(service);
+    const record = this.records.get(service)?.record;
+    if (record?.barredVersions.includes(softwareVersion) === true) {
+      return true;
+    }
+    const isCompleted =
+      record?.phase === 'completed' && record.orderId === order?.orderId;
+    return order?.softwareVersion === softwareVersion && !isCompleted;
+  }
+
   /** Returns how the versions of `service` may be used at `now`. */
   useOf(service: string, now: number): VersionUse {
     const order = this.orders.get(service);
@@ -130,6 +153,10 @@
     upstreams: readonly UsableUpstream[],
     now: number,
   ): void {
+    if (this.recordedLists.has(upstreams)) {
+      return;
+    }
+    this.recordedLists.add(upstreams);
     const known = this.firstSeen.get(service);
     const versions = known ?? new Map<string, number>();
     for (const {softwareVersion} of upstreams) {
@@ -173,7 +200,16 @@
       }
       const upstreamIds =
         record.phase === 'testing' ? record.upstreamIds : undefined;
-      return {kind: 'shared', softwareVersion, orderId, share, upstreamIds};
+      const {deadline, durationMilliseconds} = record;
+      return {
+        kind: 'shared',
+        softwareVersion,
+        orderId,
+        share,
+        upstreamIds,
+        deadline,
+        durationMilliseconds,
+      };
     }
   }
 }
@@ -187,6 +223,14 @@
   return bucket < share * SHARE_BUCKETS;
 }
 
+/** Returns the part of the time until the time limit that has passed. */
+export function elapsedPartOf(
+  {deadline, durationMilliseconds}: Extract<VersionUse, {kind: 'shared'}>,
+  trueTime: number,
+): number {
+  return 1 - (deadline - trueTime) / durationMilliseconds;
+}
+
 /** Returns the constraint of a request that runs at the new version. */
 export function constraintToNew(
   use: Extract<VersionUse, {kind: 'shared'}>,
--- a/packages/entry-hosts/src/messages/state_messages.ts
+++ b/packages/entry-hosts/src/messages/state_messages.ts
@@ -1,7 +1,22 @@
 /**
  * Messages that relay the configuration and the list of upstreams.
  */
-import type {RelayedList, SnapshotRecord} from '@lacewingwinch/decisions';
+import type {
+  RelayedList,
+  RolloutOrder,
+  RolloutRecord,
+  SnapshotRecord,
+} from '@lacewingwinch/decisions';
+
+/** Orders of roll-outs, and the newest record of each service. */
+export interface RelayedRollouts {
+  readonly orders: readonly RolloutOrder[];
+  readonly records: readonly {
+    readonly record: RolloutRecord;
+    /** Milliseconds since a host that reads the store first saw it. */
+    readonly age: number;
+  }[];
+}
 
 /** State that a host has confirmed, with its age in milliseconds. */
 export interface RelayedState {
@@ -20,6 +35,8 @@
     readonly readTo: number;
     readonly list: RelayedList;
   };
+  /** Absent if there is no order, or the receiver knows everything already. */
+  readonly rollouts?: RelayedRollouts;
 }
 
 /** Request for the state of another host, with the versions already known. */
@@ -33,6 +50,8 @@
   readonly wantsDocument: boolean;
   /** Offset up to which the sender has read the list of upstreams. */
   readonly upstreamsReadTo?: number;
+  /** What the sender knows of roll-outs, in short; absent without an order. */
+  readonly knownRollouts?: string;
 }
 
 /** Parameters and result of each of these methods. */
--- a/packages/entry-process/src/routed_interface/duties/duty_task.ts
+++ b/packages/entry-process/src/routed_interface/duties/duty_task.ts
@@ -11,6 +11,7 @@
   decodeDutyRecord,
   type DutyRecord,
   type DutyView,
+  type EngineOrder,
   eraOf,
   isOwnNewestRecord,
   KnownUsage,
@@ -81,6 +82,11 @@
   readonly servingHosts: () => readonly string[];
   readonly configuration: () => RoutingConfiguration | undefined;
   readonly upstreams: () => readonly ListedUpstream[];
+  /**
+   * Returns the number of engines that are not among `upstreams` and that the
+   * platform counts towards `order`.
+   */
+  readonly enginesBesideOrder: (order: EngineOrder) => number;
 }
 
 /** Performs the duties while this host holds their lease. */
@@ -108,7 +114,13 @@
       clock: dependencies.clocks.suspensionAware,
       place: order =>
         this.callAsHolder(fence =>
-          dependencies.cloud.orderEngines(order, fence),
+          dependencies.cloud.orderEngines(
+            {
+              ...order,
+              count: order.count + dependencies.enginesBesideOrder(order),
+            },
+            fence,
+          ),
         ),
     });
   }
@@ -118,6 +130,19 @@
     return this.isHolder;
   }
 
+  /** Whether this host may act as the holder of the duties at this moment. */
+  get mayAct(): boolean {
+    const {clocks, leaseMilliseconds} = this.dependencies;
+    return (
+      this.isHolder &&
+      canActOnDuties(
+        this.renewalSentAt,
+        leaseMilliseconds,
+        clocks.suspensionAware(),
+      )
+    );
+  }
+
   /** Returns the hosts that may hold the duties, in order of preference. */
   candidates(): readonly string[] {
     return rendezvousOrder(
@@ -293,15 +318,8 @@
    * lost it.
    */
   private previousRecord(view: DutyView): ContinuedRecord {
-    const {clocks, leaseMilliseconds, usage, trueTime} = this.dependencies;
-    const isLeaseValid =
-      this.isHolder &&
-      canActOnDuties(
-        this.renewalSentAt,
-        leaseMilliseconds,
-        clocks.suspensionAware(),
-      );
-    if (isLeaseValid && this.ownRecord !== undefined) {
+    const {usage, trueTime} = this.dependencies;
+    if (this.mayAct && this.ownRecord !== undefined) {
       return this.ownRecord;
     }
     return reconcileDutyRecord(view, {
@@ -375,16 +393,9 @@
   private async callAsHolder(
     call: (fence: DutyFence) => Promise<DutyResult>,
   ): Promise<DutyResult | undefined> {
-    const {clocks, hostId, leaseMilliseconds} = this.dependencies;
+    const {hostId} = this.dependencies;
     const position = this.view?.position;
-    const isValid =
-      this.isHolder &&
-      canActOnDuties(
-        this.renewalSentAt,
-        leaseMilliseconds,
-        clocks.suspensionAware(),
-      );
-    if (position === undefined || !isValid) {
+    if (position === undefined || !this.mayAct) {
       return undefined;
     }
     const result = await call({holder: hostId, fencingNumber: position});
--- a/packages/entry-process/src/routed_interface/duties/routed_duties.ts
+++ b/packages/entry-process/src/routed_interface/duties/routed_duties.ts
@@ -10,6 +10,7 @@
   DutyTaskDependencies,
   | 'clocks'
   | 'configuration'
+  | 'enginesBesideOrder'
   | 'events'
   | 'processId'
   | 'servingHosts'
--- a/packages/entry-process/src/routed_interface/duties/usage_push.ts
+++ b/packages/entry-process/src/routed_interface/duties/usage_push.ts
@@ -2,7 +2,11 @@
  * The task that sends this host's counts of started requests to the hosts that
  * may have to report them, so that the counts survive the loss of this host.
  */
-import type {Member, UsageWindows} from '@lacewingwinch/decisions';
+import type {
+  Member,
+  UsageWindows,
+  VersionResultReport,
+} from '@lacewingwinch/decisions';
 import type {PeerClient} from '@lacewingwinch/entry-hosts';
 
 import {isAborted} from '../../util/is_aborted.js';
@@ -22,6 +26,8 @@
   /** Returns the hosts that may have to report usage, excluding this one. */
   readonly candidates: () => readonly Member[];
   readonly trueTime: () => number;
+  /** Returns what this host reports on roll-outs that are in progress. */
+  readonly versionResults: () => readonly VersionResultReport[];
 }
 
 /** Pushes this host's usage counts to the candidates for the duties. */
@@ -40,11 +46,15 @@
     const {usage, peers, candidates, processId, trueTime} = this.dependencies;
     usage.dropOldWindows(trueTime());
     const counts = usage.list(processId);
-    if (counts.length === 0) {
+    const versionResults = this.dependencies.versionResults();
+    if (counts.length === 0 && versionResults.length === 0) {
       return;
     }
     for (const {addresses} of candidates()) {
-      peers.notify(addresses.peers, 'usage.push', {counts});
+      peers.notify(addresses.peers, 'usage.push', {
+        counts,
+        ...(versionResults.length > 0 && {versionResults}),
+      });
     }
   }
 }
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_peer_handlers.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_peer_handlers.ts
@@ -10,6 +10,7 @@
 import type {QuotaExchange} from '../admission/quota_exchange.js';
 import type {CrashWatch} from '../evidence/crash_watch.js';
 import type {RoutedPlacement} from '../placement/routed_placement.js';
+import type {RolloutTask} from '../rollouts/rollout_task.js';
 import type {StateRelay} from '../state/state_relay.js';
 import type {StreamOriginExchange} from '../state/stream_origin_exchange.js';
 
@@ -19,6 +20,7 @@
   readonly placement: RoutedPlacement;
   readonly relay: StateRelay;
   readonly usage: UsageWindows;
+  readonly rollouts: RolloutTask;
   readonly quotas: QuotaExchange;
   readonly crashes: CrashWatch;
   readonly parts: PartWatch;
@@ -36,6 +38,7 @@
     placement,
     relay,
     usage,
+    rollouts,
     quotas,
     crashes,
     parts,
@@ -57,8 +60,9 @@
       return null;
     },
     'beliefs.fetch': request => relay.answer(request),
-    'usage.push': ({counts}) => {
+    'usage.push': ({counts, versionResults = []}) => {
       counts.forEach(count => usage.merge(count));
+      rollouts.onReports(versionResults);
       return null;
     },
     'suspicion.report': suspicion => {
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_process.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_process.ts
@@ -71,6 +71,14 @@
     this.monitor('placement', this.tasks.placement.run(this.stopping.signal));
     this.monitor('quarantine', this.tasks.parts.run(this.stopping.signal));
     this.monitor('usage', this.tasks.usagePush.run(this.stopping.signal));
+    this.monitor(
+      'rollouts',
+      this.tasks.rolloutFollower.run(this.stopping.signal),
+    );
+    this.monitor(
+      'rollout steps',
+      this.tasks.rollouts.run(this.stopping.signal),
+    );
     if (this.tasks.duties !== undefined) {
       this.monitor('duties', this.tasks.duties.run(this.stopping.signal));
     }
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -4,6 +4,7 @@
 import {
   FleetHealth,
   NamedRates,
+  RolloutFront,
   type RoutingConfiguration,
   ServiceRetryBudgets,
   TrueTime,
@@ -42,6 +43,8 @@
 import {PartVerdictStore} from '../evidence/part_verdict_store.js';
 import {RoutedPlacement} from '../placement/routed_placement.js';
 import {RoutedFront} from '../requests/routed_front.js';
+import {RolloutFollower} from '../rollouts/rollout_follower.js';
+import {RolloutTask} from '../rollouts/rollout_task.js';
 import {ConfigurationFollower} from '../state/configuration_follower.js';
 import {FleetView} from '../state/fleet_view.js';
 import {RequiredState} from '../state/required_state.js';
@@ -86,6 +89,8 @@
   readonly duties: DutyTask | undefined;
   readonly quotas: QuotaExchange;
   readonly relay: StateRelay;
+  readonly rolloutFollower: RolloutFollower;
+  readonly rollouts: RolloutTask;
   readonly crashes: CrashWatch;
   readonly parts: PartWatch;
   readonly streams: StreamOriginExchange;
@@ -93,6 +98,7 @@
   readonly paths: UpstreamPaths;
   readonly carrier: RelayCarrier;
   private readonly answers: AnswerAnnouncements;
+  private readonly rolloutFront: RolloutFront;
   private readonly health = new UpstreamHealth();
   private readonly fleetHealth = new FleetHealth();
   private readonly announcements = new UpstreamAnnouncements();
@@ -123,12 +129,20 @@
       this.metrics.storeCalls.inc({call, end: String(end)}),
     );
     this.pool = new ConnectionPool(clocks.steady);
+    this.rolloutFollower = new RolloutFollower({
+      store: this.store,
+      events: this.events,
+      clocks,
+      bounds: () => dependencies.settings().bounds.rollouts,
+      isStoreReader: () => this.fleet.isStoreReader(),
+    });
     this.configuration = new ConfigurationFollower({
       store: this.store,
       events: this.events,
       clocks,
       isStoreReader: () => this.fleet.isStoreReader(),
       onChange: dependencies.onConfigurationChange,
+      onOtherRecord: record => this.rolloutFollower.onOperatorRecord(record),
     });
     this.upstreams = new UpstreamFollower({
       store: this.store,
@@ -225,6 +239,7 @@
       isStoreReader: () => this.fleet.isStoreReader(),
       configuration: this.configuration,
       upstreams: this.upstreams,
+      rollouts: this.rolloutFollower,
     });
     this.crashes = new CrashWatch({
       hostId: settings.hostId,
@@ -257,14 +272,23 @@
       trueTime: () => this.readTrueTime(),
       servingHosts: () => this.fleet.servingIds(),
       configuration: () => this.configuration.current?.value,
-      upstreams: () => this.upstreams.list.all(),
+      ...this.rolloutFollower.engineCounts(this.upstreams.list),
     });
+    this.rolloutFront = new RolloutFront({
+      processId: this.processId,
+      hostId: settings.hostId,
+      steps: this.rolloutFollower.steps,
+      bounds: () => dependencies.settings().bounds.rollouts,
+      hostCount: () => this.fleet.servingIds().length,
+    });
+    this.rollouts = this.createRolloutTask();
     this.usagePush = new UsagePush({
       processId: this.processId,
       usage: this.usage,
       peers: this.peers,
       candidates: () => this.fleet.othersOf(this.duties?.candidates() ?? []),
       trueTime: () => this.readTrueTime(),
+      versionResults: () => this.rolloutFront.reports(clocks.suspensionAware()),
     });
     this.front = this.createFront();
   }
@@ -314,6 +338,24 @@
     });
   }
 
+  private createRolloutTask(): RolloutTask {
+    return new RolloutTask({
+      store: this.store,
+      events: this.events,
+      metrics: this.metrics,
+      clocks: this.clocks,
+      follower: this.rolloutFollower,
+      bounds: () => this.dependencies.settings().bounds.rollouts,
+      mayAct: () => this.duties?.mayAct === true,
+      ownReports: () =>
+        this.rolloutFront.reports(this.clocks.suspensionAware()),
+      servingHosts: () => this.fleet.servingIds(),
+      configuration: () => this.configuration.current?.value,
+      upstreams: this.upstreams.list,
+      trueTime: () => this.readTrueTime(),
+    });
+  }
+
   private createFront(): RoutedFront {
     return new RoutedFront({
       hostId: this.dependencies.settings().hostId,
@@ -333,6 +375,16 @@
         this.upstreams.list.find(upstream.upstreamId)?.isLeaving !== false,
       streams: this.streams,
       retryBudgets: this.retryBudgets,
+      rollouts: this.rolloutFront,
+      versionContext: service => {
+        const now = this.clocks.suspensionAware();
+        return {
+          upstreams: this.upstreams.list.usable(service, now),
+          ordersReadAt: this.configuration.current?.confirmedAt ?? -Infinity,
+          now,
+          trueTime: this.readTrueTime(),
+        };
+      },
       configuration: () =>
         this.state.mustBeCompared ? undefined : this.configuration.current,
       maximumKeyAge: () => {
--- a/packages/entry-process/src/routed_interface/requests/attempt_runner.ts
+++ b/packages/entry-process/src/routed_interface/requests/attempt_runner.ts
@@ -63,12 +63,18 @@
   readonly admission: RoutedAdmission;
   /** The part of the response that the client has received so far. */
   readonly relay: StreamRelay;
-  /** Returns whether the request may be sent just before its first byte. */
-  readonly mayBeSent: () => boolean;
+  /** Returns whether it may be sent to `upstream` just before its first byte. */
+  readonly mayBeSent: (upstream: UsableUpstream) => boolean;
   /** Called at the first sign that an upstream is working on the request. */
   readonly onFirstAnswerByte: (upstream: UsableUpstream) => void;
 }
 
+/** Steady clock readings of an attempt; undefined for what did not happen. */
+export interface AttemptTimes {
+  readonly sentAt: number | undefined;
+  readonly answerBegunAt: number | undefined;
+}
+
 /** Runs the attempts of one request. */
 export class AttemptRunner {
   private readonly triedIds = new Set<string>();
@@ -83,6 +89,7 @@
   private answerBegunAt: number | undefined;
   /** Steady clock reading at the first byte of the last attempt. */
   private sentAt = 0;
+  private wasSent = false;
 
   constructor(
     private readonly dependencies: AttemptRunnerDependencies,
@@ -119,6 +126,14 @@
       : now - this.answerBegunAt;
   }
 
+  /** Steady clock readings of the last attempt. */
+  get times(): AttemptTimes {
+    return {
+      sentAt: this.wasSent ? this.sentAt : undefined,
+      answerBegunAt: this.answerBegunAt,
+    };
+  }
+
   /** Returns the state of the request, which has `millisecondsLeft`. */
   history(millisecondsLeft: number): AttemptHistory {
     const {admission, relay} = this.request;
@@ -147,6 +162,7 @@
     this.attemptCount += 1;
     this.last = upstream;
     this.answerBegunAt = undefined;
+    this.wasSent = false;
     events.write(4104, {
       requestId: this.request.attemptId,
       upstreamId,
@@ -219,7 +235,7 @@
         isAccepting: () =>
           announcements.accepts(upstream, clocks.suspensionAware()) &&
           placement.isSendable() &&
-          this.request.mayBeSent(),
+          this.request.mayBeSent(upstream),
         onHead: (status, headers, isOwn) => {
           const said = answers.record(upstream, {
             status,
@@ -235,6 +251,7 @@
         },
         onSend: isNewConnection => {
           this.isSent = true;
+          this.wasSent = true;
           this.reachedCount += 1;
           this.sentAt = clocks.steady();
           if (way.kind === 'direct') {
--- a/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
+++ b/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
@@ -3,10 +3,12 @@
  */
 import type {
   ConfirmedValue,
+  RolloutFront,
   RoutingConfiguration,
   ServiceRetryBudgets,
   UpstreamAnnouncements,
   UsableUpstream,
+  VersionContext,
 } from '@lacewingwinch/decisions';
 import type {EventLog, Metrics} from '@lacewingwinch/observability';
 import type {ConnectionPool} from '@lacewingwinch/upstreams';
@@ -38,6 +40,9 @@
   readonly isEndExpected: (upstream: UsableUpstream) => boolean;
   readonly streams: StreamOriginExchange;
   readonly retryBudgets: ServiceRetryBudgets;
+  readonly rollouts: RolloutFront;
+  /** Returns the state of this host on which software versions depend. */
+  readonly versionContext: (service: string) => VersionContext;
   readonly configuration: () =>
     ConfirmedValue<RoutingConfiguration> | undefined;
   /**
--- a/packages/entry-process/src/routed_interface/requests/routed_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_request.ts
@@ -26,6 +26,7 @@
 import {CrashEvidence} from './crash_evidence.js';
 import type {FrontDependencies} from './front_dependencies.js';
 import {RequestLog} from './request_log.js';
+import {RequestVersions} from './request_versions.js';
 import type {AttemptOutcome} from './routed_attempt.js';
 import {StreamContinuation} from './stream_continuation.js';
 import {StreamRelay} from './stream_relay.js';
@@ -51,6 +52,7 @@
   private readonly placing: AttemptPlacement;
   private readonly runner: AttemptRunner;
   private readonly log: RequestLog;
+  private readonly versions: RequestVersions;
 
   constructor(
     private readonly dependencies: FrontDependencies,
@@ -72,6 +74,12 @@
     this.log.recordContinuation(headers);
     const sharedParts = sharedPartIds(headers.promptParts);
     const service = admission.service.name;
+    this.versions = new RequestVersions(dependencies, {
+      service,
+      route: admission.rule.name,
+      attemptId: requestId,
+      objectiveMilliseconds: admission.rule.objectiveMilliseconds,
+    });
     this.evidence = new CrashEvidence(dependencies, this.log, {
       service,
       fingerprint,
@@ -92,7 +100,9 @@
       call,
       admission,
       relay: this.relay,
-      mayBeSent: () => this.gate.mayBeSent(),
+      mayBeSent: upstream =>
+        this.gate.mayBeSent() &&
+        this.versions.mayBeSent(upstream, this.continuation.softwareVersion),
       onFirstAnswerByte: upstream => {
         this.evidence.recordBegan(upstream);
         this.recordStart();
@@ -152,6 +162,7 @@
   }
 
   private recordFirstEvent(): void {
+    this.versions.recordFirstEvent();
     const upstream = this.runner.lastUpstream;
     if (upstream !== undefined) {
       this.continuation.recordFirstEvent(upstream);
@@ -160,10 +171,12 @@
 
   /** Returns what the next attempt demands of its upstream. */
   private demand(): PlacementDemand {
-    const {softwareVersion} = this.continuation;
-    return softwareVersion === undefined
+    const versions = this.versions.constraint(
+      this.continuation.softwareVersion,
+    );
+    return versions === undefined
       ? this.initialDemand
-      : {...this.initialDemand, versions: {kind: 'only', softwareVersion}};
+      : {...this.initialDemand, versions};
   }
 
   private async runAttempts(): Promise<void> {
@@ -171,13 +184,22 @@
     for (;;) {
       const next = await this.placing.next(drawsOnBudget);
       if (next.kind !== 'placed') {
+        const isRefused = next.kind !== 'interrupted' && !this.mayHaveRun;
+        if (isRefused && this.versions.unassign()) {
+          continue;
+        }
         this.endUnplaced(next);
         return;
       }
       const {placement} = next;
+      this.versions.recordBegun(placement.choice.upstream);
       const outcome = await this.runner.run(placement, () =>
         this.millisecondsLeft(),
       );
+      this.versions.recordEnded(placement.choice, outcome, {
+        ...this.runner.times,
+        eventCount: this.relay.events,
+      });
       const settled = this.settle(placement.choice, outcome);
       if (settled === 'done') {
         return;
--- a/packages/entry-process/src/routed_interface/requests/upstream_result.ts
+++ b/packages/entry-process/src/routed_interface/requests/upstream_result.ts
@@ -1,7 +1,7 @@
 /**
  * What the outcome of an attempt indicates about its upstream.
  */
-import type {UpstreamResult} from '@lacewingwinch/decisions';
+import type {UpstreamResult, VersionResult} from '@lacewingwinch/decisions';
 
 import type {AttemptOutcome} from './routed_attempt.js';
 
@@ -61,3 +61,29 @@
       return undefined;
   }
 }
+
+/**
+ * Returns what an outcome says of the software version of its upstream; undefined
+ * if it says nothing. `hasWaited` states whether the request has waited for its
+ * objective.
+ */
+export function versionOutcomeOf(
+  outcome: AttemptOutcome,
+  hasWaited: boolean,
+): VersionResult['outcome'] | undefined {
+  if (outcome.kind === 'cancelled') {
+    return hasWaited ? 'unfinished' : undefined;
+  }
+  switch (upstreamResultOf(outcome)) {
+    case 'answered':
+      return 'answered';
+    case 'errored':
+    case 'failed':
+    case 'disconnected':
+      return 'failed';
+    case 'refused':
+    case 'unreachable':
+    case undefined:
+      return undefined;
+  }
+}
--- /dev/null
+++ b/packages/entry-process/src/routed_interface/rollouts/rollout_follower.ts
@@ -0,0 +1,238 @@
+/**
+ * The task that keeps the orders and records of roll-outs up to date: from the
+ * store at the hosts that read it, from other hosts at the others. The log of
+ * records is read only while there is an order.
+ */
+import {
+  countMatchingEngines,
+  decodeRolloutRecord,
+  type ListedUpstream,
+  type RolloutBounds,
+  RolloutSteps,
+  type SeenRecord,
+  type UpstreamList,
+} from '@lacewingwinch/decisions';
+import type {RelayedRollouts} from '@lacewingwinch/entry-hosts';
+import type {EventLog} from '@lacewingwinch/observability';
+import {
+  decodeKeyedRecord,
+  decodeRolloutDocument,
+  type KeyedRecord,
+  type StoreClient,
+} from '@lacewingwinch/platform';
+
+import {ChangeNotifier} from '../../util/change_notifier.js';
+import type {Clocks} from '../../util/clocks.js';
+import {isAborted} from '../../util/is_aborted.js';
+import {messageOf} from '../../util/message_of.js';
+import {pause} from '../../util/pause.js';
+import type {DutyTaskDependencies} from '../duties/duty_task.js';
+
+/** Milliseconds that a read waits at the store for a record. */
+const READ_WAIT_MILLISECONDS = 800;
+
+/** Milliseconds to wait for the store's response beyond the read wait. */
+const STORE_TIMEOUT_MILLISECONDS = 600;
+
+/** Milliseconds between a failed read and the next one. */
+const RETRY_DELAY_MILLISECONDS = 200;
+
+/** Milliseconds between two checks whether to read, while there is an order. */
+const CHECK_PERIOD_MILLISECONDS = 300;
+
+/** Milliseconds between two checks without an order; an order ends the wait. */
+const IDLE_PERIOD_MILLISECONDS = 60_000;
+
+/** Dependencies of `RolloutFollower`. */
+export interface RolloutFollowerDependencies {
+  readonly store: StoreClient;
+  readonly events: EventLog;
+  readonly clocks: Clocks;
+  /** Returns the bounds; undefined if the deployment knows no roll-outs. */
+  readonly bounds: () => RolloutBounds | undefined;
+  /** Returns whether this host reads the store itself. */
+  readonly isStoreReader: () => boolean;
+}
+
+/** Follows the orders and records of roll-outs. */
+export class RolloutFollower {
+  readonly steps = new RolloutSteps();
+  private next: number | undefined;
+  private hasRead = false;
+  private readonly orderNotifier = new ChangeNotifier();
+
+  constructor(private readonly dependencies: RolloutFollowerDependencies) {}
+
+  /** Accepts a record of the operator's log. */
+  onOperatorRecord(record: KeyedRecord): void {
+    const {events, bounds} = this.dependencies;
+    const document = decodeRolloutDocument(record);
+    switch (document.kind) {
+      case 'none':
+        return;
+      case 'faulty':
+        events.write(5024, {
+          service: document.service,
+          reason: document.fault,
+        });
+        return;
+      case 'order': {
+        const {order} = document;
+        const {service} = order;
+        if (bounds() === undefined) {
+          const reason = 'the settings state no bounds of roll-outs';
+          events.write(5024, {service, reason});
+          return;
+        }
+        if (this.steps.acceptOrder(order)) {
+          events.write(5020, {
+            service,
+            softwareVersion: order.softwareVersion,
+            duration: order.durationMilliseconds,
+            orderId: order.orderId,
+          });
+          this.orderNotifier.notify();
+        }
+      }
+    }
+  }
+
+  /**
+   * Returns the engines that orders of engines count: all except those that the
+   * platform has started for a roll-out that is not completed.
+   */
+  engineCounts(
+    list: UpstreamList,
+  ): Pick<DutyTaskDependencies, 'enginesBesideOrder' | 'upstreams'> {
+    const isOnTrial = ({service, softwareVersion}: ListedUpstream): boolean =>
+      this.steps.isOnTrial(service, softwareVersion);
+    return {
+      upstreams: () => list.all().filter(upstream => !isOnTrial(upstream)),
+      enginesBesideOrder: order =>
+        countMatchingEngines(order, list.all().filter(isOnTrial)),
+    };
+  }
+
+  /** What this host knows, in short; undefined without any order. */
+  digest(): string | undefined {
+    const {allOrders, allRecords} = this.steps;
+    return allOrders.length === 0
+      ? undefined
+      : [
+          ...allOrders.map(({service, orderId}) => `${service}/${orderId}`),
+          ...allRecords.map(
+            ({record}) => `${record.service}/${record.sequence}`,
+          ),
+        ]
+          .sort()
+          .join(' ');
+  }
+
+  /** Returns what another host with the digest `known` lacks. */
+  relay(known: string | undefined): RelayedRollouts | undefined {
+    const digest = this.digest();
+    if (digest === undefined || digest === known) {
+      return undefined;
+    }
+    const now = this.dependencies.clocks.suspensionAware();
+    return {
+      orders: this.steps.allOrders,
+      records: this.steps.allRecords.map(({record, seenAt}) => ({
+        record,
+        age: now - seenAt,
+      })),
+    };
+  }
+
+  /** Accepts what another host sent after `sentAt`. */
+  accept({orders, records}: RelayedRollouts, sentAt: number): void {
+    if (this.dependencies.bounds() === undefined) {
+      return;
+    }
+    let hasNewOrder = false;
+    for (const order of orders) {
+      hasNewOrder = this.steps.acceptOrder(order) || hasNewOrder;
+    }
+    for (const {record, age} of records) {
+      this.acceptRecord({record, seenAt: sentAt - age});
+    }
+    if (hasNewOrder) {
+      this.orderNotifier.notify();
+    }
+  }
+
+  /** Accepts a record that this host has read or written. */
+  acceptRecord({record, seenAt}: SeenRecord): void {
+    this.steps.acceptRecord(record, seenAt);
+  }
+
+  /** Follows the log of records until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!isAborted(signal)) {
+      if (!this.mustReadStore()) {
+        await this.orderNotifier.nextWithin(
+          this.steps.hasOpenOrder
+            ? CHECK_PERIOD_MILLISECONDS
+            : IDLE_PERIOD_MILLISECONDS,
+          signal,
+        );
+        continue;
+      }
+      try {
+        await this.readOnce();
+      } catch (error) {
+        this.dependencies.events.write(5025, {error: messageOf(error)});
+        await pause(RETRY_DELAY_MILLISECONDS, signal);
+      }
+    }
+  }
+
+  private mustReadStore(): boolean {
+    return (
+      this.dependencies.isStoreReader() &&
+      this.steps.allOrders.length > 0 &&
+      (this.steps.hasOpenOrder || !this.hasRead)
+    );
+  }
+
+  private async readOnce(): Promise<void> {
+    const {store} = this.dependencies;
+    if (this.next === undefined) {
+      const {records, end} = await store.newest('rollouts', {
+        timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS,
+      });
+      records.forEach(record => this.applyRecord(record));
+      this.next = end;
+      this.hasRead = true;
+      return;
+    }
+    const page = await store.read('rollouts', this.next, {
+      waitMilliseconds: READ_WAIT_MILLISECONDS,
+      timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS,
+    });
+    switch (page.kind) {
+      case 'expired':
+        this.next = undefined;
+        return;
+      case 'records':
+        for (const content of page.records) {
+          const record = decodeKeyedRecord(content);
+          if (record !== undefined) {
+            this.applyRecord(record);
+          }
+        }
+        this.next = page.next;
+    }
+  }
+
+  private applyRecord({key, value}: KeyedRecord): void {
+    const record = value === undefined ? undefined : decodeRolloutRecord(value);
+    if (record === undefined) {
+      const reason = 'its record cannot be read';
+      this.dependencies.events.write(5024, {service: key, reason});
+      return;
+    }
+    const seenAt = this.dependencies.clocks.suspensionAware();
+    this.acceptRecord({record, seenAt});
+  }
+}
--- a/packages/entry-process/src/routed_interface/state/configuration_follower.ts
+++ b/packages/entry-process/src/routed_interface/state/configuration_follower.ts
@@ -61,6 +61,8 @@
    */
   readonly isStoreReader: () => boolean;
   readonly onChange: (configuration: RoutingConfiguration) => void;
+  /** Called with each record that is not the configuration. */
+  readonly onOtherRecord?: (record: KeyedRecord) => void;
 }
 
 /** Follows the configuration; never returns to an older version. */
@@ -183,8 +185,11 @@
     );
   }
 
-  private applyRecord({key, value}: KeyedRecord): void {
-    if (key === CONFIGURATION_KEY && value !== undefined) {
+  private applyRecord(record: KeyedRecord): void {
+    const {key, value} = record;
+    if (key !== CONFIGURATION_KEY) {
+      this.dependencies.onOtherRecord?.(record);
+    } else if (value !== undefined) {
       this.applyDocument(value);
     }
   }
--- a/packages/entry-process/src/routed_interface/state/state_relay.ts
+++ b/packages/entry-process/src/routed_interface/state/state_relay.ts
@@ -12,6 +12,7 @@
 } from '@lacewingwinch/decisions';
 import type {
   PeerClient,
+  RelayedRollouts,
   RelayedState,
   StateRequest,
 } from '@lacewingwinch/entry-hosts';
@@ -69,6 +70,16 @@
 /** Milliseconds between two attempts to compare. */
 const COMPARISON_PERIOD_MILLISECONDS = 25;
 
+/** The part of the relayed state that is about roll-outs. */
+export interface RolloutRelay {
+  /** What this host knows, in short; undefined without any order. */
+  digest(): string | undefined;
+  /** Returns what a host with the digest `known` lacks. */
+  relay(known: string | undefined): RelayedRollouts | undefined;
+  /** Accepts what another host sent after `sentAt`. */
+  accept(relayed: RelayedRollouts, sentAt: number): void;
+}
+
 /** Dependencies of `StateRelay`. */
 export interface StateRelayDependencies {
   readonly peers: PeerClient;
@@ -83,6 +94,7 @@
   readonly isStoreReader: () => boolean;
   readonly configuration: ConfigurationFollower;
   readonly upstreams: UpstreamFollower;
+  readonly rollouts: RolloutRelay;
 }
 
 /** Fetches state from other hosts and serves this host's state to them. */
@@ -93,8 +105,9 @@
 
   /** Returns this host's state for another host. */
   answer(request: StateRequest): RelayedState {
-    const {configuration, upstreams, clocks} = this.dependencies;
+    const {configuration, upstreams, rollouts, clocks} = this.dependencies;
     const now = clocks.suspensionAware();
+    const relayedRollouts = rollouts.relay(request.knownRollouts);
     const confirmed = configuration.current;
     const document = configuration.publishedDocument;
     const version = confirmed?.value.version;
@@ -122,6 +135,7 @@
               list: upstreams.list.relay(request.upstreamsReadTo, now),
             },
           }),
+      ...(relayedRollouts !== undefined && {rollouts: relayedRollouts}),
     };
   }
 
@@ -204,8 +218,9 @@
     member: Member,
     wantsDocument: boolean,
   ): Promise<boolean> {
-    const {clocks, configuration, upstreams} = this.dependencies;
+    const {clocks, configuration, upstreams, rollouts} = this.dependencies;
     const sentAt = clocks.suspensionAware();
+    const knownRollouts = rollouts.digest();
     const state = await callPeer(
       this.dependencies,
       member,
@@ -216,6 +231,7 @@
         ...(upstreams.readTo === undefined
           ? {}
           : {upstreamsReadTo: upstreams.readTo}),
+        ...(knownRollouts !== undefined && {knownRollouts}),
       },
       PEER_TIMEOUT_MILLISECONDS,
     );
@@ -226,6 +242,10 @@
     if (isStaleState(state)) {
       this.backOff(member);
     }
+    // Orders come first: the age of the configuration is that of the orders too.
+    if (state.rollouts !== undefined) {
+      rollouts.accept(state.rollouts, sentAt);
+    }
     if (state.configuration !== undefined) {
       const {version, age, document} = state.configuration;
       configuration.acceptRelayed(
--- a/packages/entry-process/tests/rooms_test.ts
+++ b/packages/entry-process/tests/rooms_test.ts
@@ -15,6 +15,7 @@
   admission: ['placement', 'evidence'],
   requests: ['admission', 'placement', 'evidence', 'state'],
   duties: ['state'],
+  rollouts: ['duties'],
   lifecycle: [
     'requests',
     'admission',
@@ -22,6 +23,7 @@
     'evidence',
     'state',
     'duties',
+    'rollouts',
   ],
 };
 
--- a/packages/measurements/src/measure.ts
+++ b/packages/measurements/src/measure.ts
@@ -12,6 +12,7 @@
 import {measurePath} from './measure_path.js';
 import {measureReclaim} from './measure_reclaim.js';
 import {measureRecovery} from './measure_recovery.js';
+import {measureRollouts} from './measure_rollouts.js';
 import {measureSlopes} from './measure_slopes.js';
 import {measureStart} from './measure_start.js';
 import {measureCommand, readMeasureArguments} from './measurement_arguments.js';
@@ -25,6 +26,7 @@
   path: measurePath,
   reclaim: measureReclaim,
   recovery: measureRecovery,
+  rollouts: measureRollouts,
   slopes: measureSlopes,
   start: measureStart,
 } as const satisfies Readonly<Record<string, () => Promise<unknown>>>;
--- /dev/null
+++ b/packages/measurements/src/rollout_model.ts
@@ -0,0 +1,496 @@
+/**
+ * A model in virtual time of a roll-out: hosts that send requests to engines of
+ * two versions, and the holder that decides. The decisions are the real ones;
+ * hosts, engines and messages are fakes.
+ */
+import {
+  decideRolloutStep,
+  judgeVersion,
+  type RolloutBounds,
+  RolloutEvidence,
+  RolloutFront,
+  type RolloutOrder,
+  RolloutSteps,
+  satisfiesVersion,
+  type UsableUpstream,
+} from '@lacewingwinch/decisions';
+
+import {exponential, randomFrom} from './random_numbers.js';
+import {
+  drawTroubles,
+  type RolloutTrouble,
+  type VersionForm,
+} from './rollout_troubles.js';
+
+/** The parameters of one case. */
+export interface RolloutCase {
+  readonly form: VersionForm;
+  readonly hasTrouble: boolean;
+  readonly seed: number;
+}
+
+/** What one case showed. */
+export interface RolloutOutcome {
+  readonly phase: string;
+  readonly reason: string;
+  /** Requests at the new version, as a part of what a bad one may get. */
+  readonly exposure: number;
+  /** Requests that were sent to it too late after its 50th bad answer. */
+  readonly sentLate: number;
+  /** Time from the order to the result. */
+  readonly settledAfter: number;
+}
+
+const TICK_MILLISECONDS = 50;
+const DURATION_MILLISECONDS = 16_000;
+const DECISION_MILLISECONDS = 500;
+const REPORT_MILLISECONDS = 1000;
+const HOSTS = 12;
+const OLD_ENGINES = 24;
+const DOMAINS = 4;
+const SERVICE = 'service';
+
+const BOUNDS: RolloutBounds = {
+  exposureFraction: 0.1,
+  exposureSlack: 50,
+  rollbackMilliseconds: 5000,
+};
+
+/** Requests by route: part of the traffic, tokens to read and events. */
+const ROUTES = [
+  {name: 'large', part: 0.36, tokens: 3700, events: 30},
+  {name: 'middle', part: 0.24, tokens: 2900, events: 13},
+  {name: 'small', part: 0.4, tokens: 1100, events: 40},
+] as const;
+
+/** Tokens that an engine without a cache reads in addition. */
+const COLD_TOKENS = 9000;
+
+const TOKENS_PER_MILLISECOND = 37;
+const FIXED_MILLISECONDS = 30;
+const GAP_MILLISECONDS = 9;
+
+/** Failures of a sound engine. */
+const NATURAL_FAILURES = 0.005;
+
+/** Time after which engines that have crashed are not listed. */
+const DETECTION_MILLISECONDS = 600;
+
+/** Failures in a row after which an engine is not used for a while. */
+const FAILURES_TO_EJECTION = 3;
+const EJECTION_MILLISECONDS = 2000;
+
+interface Host {
+  readonly steps: RolloutSteps;
+  readonly front: RolloutFront;
+  readonly reportPhase: number;
+}
+
+interface Running {
+  readonly endsAt: number;
+  readonly finish: () => void;
+}
+
+interface Delivery {
+  readonly at: number;
+  readonly deliver: () => void;
+}
+
+/** One roll-out. */
+export class RolloutModel {
+  private readonly random: () => number;
+  private readonly troubles: readonly RolloutTrouble[];
+  private readonly hosts: readonly Host[];
+  private readonly evidence = new RolloutEvidence();
+  private readonly upstreams: readonly UsableUpstream[];
+  private readonly load = new Map<string, number>();
+  private readonly failuresInRow = new Map<string, number>();
+  private readonly ejectedUntil = new Map<string, number>();
+  private running: Running[] = [];
+  private deliveries: Delivery[] = [];
+  private readonly requestsPerSecond: number;
+  private readonly newEnginesAt: number;
+  private readonly badShare: number;
+  private readonly slowFactor: number;
+  private readonly badFrom: number;
+  private readonly badLoad: number;
+  private requests = 0;
+  private atNew = 0;
+  private badAnswers = 0;
+  private fiftiethAt = Infinity;
+  private sentLate = 0;
+  private recordWrittenAt = 0;
+  private readonly holder = new RolloutSteps();
+  private readonly order: RolloutOrder;
+
+  constructor(private readonly parameters: RolloutCase) {
+    this.random = randomFrom(parameters.seed);
+    // The first numbers of neighbouring seeds are alike.
+    Array.from({length: 32}, () => this.random());
+    const {random} = this;
+    this.requestsPerSecond = 120 + random() * 240;
+    this.newEnginesAt = 300 + random() * 3700;
+    this.badShare = 0.35 + random() * 0.4;
+    this.slowFactor = 6 + random() * 4;
+    this.badFrom = this.newEnginesAt + 1000 + random() * 2500;
+    this.badLoad = 0.8 + random() * 0.2;
+    this.order = {
+      orderId: `order-${parameters.seed}`,
+      position: 1,
+      service: SERVICE,
+      softwareVersion: 'v2',
+      durationMilliseconds: DURATION_MILLISECONDS,
+    };
+    this.upstreams = ['v1', 'v2'].flatMap(version =>
+      Array.from({length: OLD_ENGINES}, (_, index) => engineOf(version, index)),
+    );
+    this.troubles = parameters.hasTrouble
+      ? drawTroubles(random, this.upstreams)
+      : [];
+    this.holder.acceptOrder(this.order);
+    this.hosts = Array.from({length: HOSTS}, (_, index) => {
+      const steps = new RolloutSteps();
+      steps.acceptOrder(this.order);
+      const front = new RolloutFront({
+        processId: `process-${index}`,
+        hostId: `host-${index}`,
+        steps,
+        bounds: () => BOUNDS,
+        hostCount: () => HOSTS,
+      });
+      const reportPhase = Math.floor(random() * 20) * TICK_MILLISECONDS;
+      return {steps, front, reportPhase};
+    });
+  }
+
+  /** Plays the roll-out until its time limit. */
+  result(): RolloutOutcome {
+    let settledAfter = Infinity;
+    for (let now = 0; now <= DURATION_MILLISECONDS; now += TICK_MILLISECONDS) {
+      this.deliver(now);
+      this.finish(now);
+      this.arrive(now);
+      this.report(now);
+      if (now % DECISION_MILLISECONDS === 0 && !this.isHolderAway(now)) {
+        this.decide(now);
+      }
+      const phase = this.holder.recordOf(SERVICE)?.record.phase;
+      if (phase === 'completed' || phase === 'rolled-back') {
+        settledAfter = Math.min(settledAfter, now);
+      }
+    }
+    const record = this.holder.recordOf(SERVICE)?.record;
+    const allowed =
+      this.requests * BOUNDS.exposureFraction + BOUNDS.exposureSlack;
+    return {
+      phase: record?.phase ?? 'none',
+      reason: record?.phase === 'rolled-back' ? record.reason : '',
+      exposure: this.atNew / allowed,
+      sentLate: this.sentLate,
+      settledAfter,
+    };
+  }
+
+  private listed(now: number): readonly UsableUpstream[] {
+    return this.upstreams.filter(
+      ({upstreamId, softwareVersion}) =>
+        (softwareVersion === 'v1' || now >= this.newEnginesAt) &&
+        !this.troubles.some(
+          trouble =>
+            trouble.kind === 'crash' &&
+            trouble.upstreamIds.has(upstreamId) &&
+            now > trouble.from + DETECTION_MILLISECONDS &&
+            now < trouble.to + DETECTION_MILLISECONDS,
+        ),
+    );
+  }
+
+  private arrive(now: number): void {
+    const burst = this.activeTroubles(now).some(({kind}) => kind === 'burst');
+    const rate = (this.requestsPerSecond * (burst ? 2.2 : 1)) / 1000;
+    const upstreams = this.listed(now);
+    for (
+      let at = exponential(this.random, rate);
+      at < TICK_MILLISECONDS;
+      at += exponential(this.random, rate)
+    ) {
+      this.send(now, upstreams);
+    }
+  }
+
+  private send(now: number, upstreams: readonly UsableUpstream[]): void {
+    const host = this.hosts[Math.floor(this.random() * HOSTS)];
+    const route = this.drawRoute();
+    if (host === undefined) {
+      return;
+    }
+    this.requests += 1;
+    const context = {upstreams, ordersReadAt: now, now, trueTime: now};
+    const attemptId = `attempt-${this.parameters.seed}-${this.requests}`;
+    const isAssigned = host.front.assign(SERVICE, attemptId, context);
+    const request = {service: SERVICE, isAssigned, isBound: false};
+    const constraint = host.front.constraintOf(request, context);
+    const allowed = upstreams.filter(candidate =>
+      satisfiesVersion(candidate, constraint),
+    );
+    const sound = allowed.filter(
+      ({upstreamId}) => now >= (this.ejectedUntil.get(upstreamId) ?? 0),
+    );
+    const upstream = this.place(sound.length > 0 ? sound : allowed);
+    if (
+      upstream === undefined ||
+      !host.front.mayBeSent(request, upstream.softwareVersion, context)
+    ) {
+      return;
+    }
+    this.run(host, route, upstream, now);
+  }
+
+  private run(
+    host: Host,
+    route: (typeof ROUTES)[number],
+    upstream: UsableUpstream,
+    now: number,
+  ): void {
+    const {upstreamId, softwareVersion} = upstream;
+    const isNew = softwareVersion === 'v2';
+    const load = this.loadOf(upstreamId);
+    const isBad = isNew && this.isBad(route.name, load, now);
+    if (isNew) {
+      this.atNew += 1;
+      const late = this.fiftiethAt + BOUNDS.rollbackMilliseconds;
+      this.sentLate += now > late ? 1 : 0;
+    }
+    this.load.set(upstreamId, load + 1);
+    host.front.recordBegun(SERVICE, softwareVersion);
+    const isCold = isNew && this.random() < 0.7;
+    const tokensToRead = route.tokens + (isCold ? COLD_TOKENS : 0);
+    const slowness =
+      (this.parameters.form === 'slow' && isBad ? this.slowFactor : 1) *
+      this.troubleFactor(upstreamId, now);
+    const start =
+      slowness *
+      (FIXED_MILLISECONDS + tokensToRead / TOKENS_PER_MILLISECOND) *
+      this.lognormal(0.45) *
+      (1 + load * 0.08);
+    const gap =
+      slowness * GAP_MILLISECONDS * this.lognormal(0.25) * (1 + load * 0.02);
+    const isFailed =
+      (isBad && this.parameters.form !== 'slow') ||
+      this.random() < NATURAL_FAILURES ||
+      this.isTroubled(upstreamId, now);
+    const endsAt = now + (isFailed ? start * 0.4 : start + gap * route.events);
+    const finish = (): void => {
+      this.load.set(upstreamId, this.loadOf(upstreamId) - 1);
+      host.front.recordEnded(SERVICE, softwareVersion);
+      host.front.recordResult(
+        {
+          service: SERVICE,
+          route: route.name,
+          upstream,
+          outcome: isFailed ? 'failed' : 'answered',
+          startMilliseconds: isFailed ? undefined : start,
+          tokensToRead,
+          gapMilliseconds: isFailed ? undefined : gap,
+        },
+        endsAt,
+      );
+      this.recordHealth(upstreamId, isFailed, endsAt);
+      if (isBad) {
+        this.badAnswers += 1;
+        if (this.badAnswers === 50) {
+          this.fiftiethAt = endsAt;
+        }
+      }
+    };
+    this.running.push({endsAt, finish});
+  }
+
+  private recordHealth(
+    upstreamId: string,
+    isFailed: boolean,
+    now: number,
+  ): void {
+    const failures = isFailed
+      ? (this.failuresInRow.get(upstreamId) ?? 0) + 1
+      : 0;
+    this.failuresInRow.set(upstreamId, failures);
+    if (failures >= FAILURES_TO_EJECTION) {
+      this.ejectedUntil.set(upstreamId, now + EJECTION_MILLISECONDS);
+    }
+  }
+
+  /** Takes the less loaded one of two engines. */
+  private place(
+    upstreams: readonly UsableUpstream[],
+  ): UsableUpstream | undefined {
+    const draw = (): UsableUpstream | undefined =>
+      upstreams[Math.floor(this.random() * upstreams.length)];
+    const [left, right] = [draw(), draw()];
+    return this.loadOf(left?.upstreamId ?? '') <=
+      this.loadOf(right?.upstreamId ?? '')
+      ? left
+      : right;
+  }
+
+  private isBad(route: string, load: number, now: number): boolean {
+    const isDrawn = this.random() < this.badShare;
+    switch (this.parameters.form) {
+      case 'good':
+        return false;
+      case 'failing':
+      case 'slow':
+        return isDrawn;
+      case 'late':
+        return isDrawn && now >= this.badFrom;
+      case 'under-load':
+        return isDrawn && load >= this.badLoad * this.laterLoad();
+      case 'one-route':
+        return isDrawn && route === 'middle';
+    }
+  }
+
+  /** Requests in progress at an engine once all traffic has moved. */
+  private laterLoad(): number {
+    return (this.requestsPerSecond * 0.45) / OLD_ENGINES;
+  }
+
+  private finish(now: number): void {
+    const ended = this.running.filter(({endsAt}) => endsAt <= now);
+    this.running = this.running.filter(({endsAt}) => endsAt > now);
+    ended.forEach(({finish}) => finish());
+  }
+
+  private report(now: number): void {
+    for (const {front, reportPhase} of this.hosts) {
+      if ((now + reportPhase) % REPORT_MILLISECONDS === 0) {
+        for (const report of front.reports(now)) {
+          this.evidence.merge(report, now);
+        }
+      }
+    }
+  }
+
+  private decide(now: number): void {
+    const {orderId} = this.order;
+    const reports = this.evidence
+      .reportsOn(SERVICE, orderId)
+      .map(({report}) => report);
+    const routes = this.evidence.routesOf(SERVICE, orderId);
+    const domains = new Map(
+      this.upstreams.map(upstream => [
+        upstream.upstreamId,
+        upstream.failureDomain,
+      ]),
+    );
+    const sum = (values: readonly number[]): number =>
+      values.reduce((total, value) => total + value, 0);
+    const requests = sum(reports.map(report => report.requests));
+    const step = decideRolloutStep({
+      bounds: BOUNDS,
+      order: this.order,
+      record: this.holder.recordOf(SERVICE)?.record,
+      upstreams: this.listed(now),
+      verdict: judgeVersion(routes, id => domains.get(id) ?? ''),
+      resultCount: sum(
+        routes.flatMap(({byUpstream}) =>
+          [...byUpstream.values()].map(
+            ({answered, failed}) => answered + failed,
+          ),
+        ),
+      ),
+      traffic: {
+        requests,
+        assigned: sum(reports.map(report => report.assigned)),
+        requestsPerSecond: (requests * 1000) / Math.max(1000, now),
+      },
+      followers: {
+        lowestSequence:
+          reports.length < HOSTS
+            ? 0
+            : Math.min(...reports.map(report => report.sequence)),
+        runningElsewhere: sum(reports.map(report => report.runningElsewhere)),
+      },
+      recordAge: now - this.recordWrittenAt,
+      trueTime: now,
+    });
+    if (step === undefined) {
+      return;
+    }
+    this.recordWrittenAt = now;
+    this.holder.acceptRecord(step.record, now);
+    for (const {steps} of this.hosts) {
+      this.deliveries.push({
+        at: now + 5 + this.random() * 350,
+        deliver: () => steps.acceptRecord(step.record, now),
+      });
+    }
+  }
+
+  private deliver(now: number): void {
+    const due = this.deliveries.filter(({at}) => at <= now);
+    this.deliveries = this.deliveries.filter(({at}) => at > now);
+    due.forEach(({deliver}) => deliver());
+  }
+
+  private activeTroubles(now: number): readonly RolloutTrouble[] {
+    return this.troubles.filter(({from, to}) => now >= from && now < to);
+  }
+
+  private isHolderAway(now: number): boolean {
+    return this.activeTroubles(now).some(({kind}) => kind === 'holder-away');
+  }
+
+  private isTroubled(upstreamId: string, now: number): boolean {
+    return this.activeTroubles(now).some(
+      trouble =>
+        trouble.upstreamIds.has(upstreamId) &&
+        this.random() < trouble.failureRate,
+    );
+  }
+
+  private troubleFactor(upstreamId: string, now: number): number {
+    return this.activeTroubles(now)
+      .filter(({upstreamIds}) => upstreamIds.has(upstreamId))
+      .reduce((factor, {slowness}) => factor * slowness, 1);
+  }
+
+  private drawRoute(): (typeof ROUTES)[number] {
+    let left = this.random();
+    for (const route of ROUTES) {
+      left -= route.part;
+      if (left < 0) {
+        return route;
+      }
+    }
+    return ROUTES[0];
+  }
+
+  private loadOf(upstreamId: string): number {
+    return this.load.get(upstreamId) ?? 0;
+  }
+
+  private lognormal(deviation: number): number {
+    const [left, right] = [1 - this.random(), this.random()];
+    const normal =
+      Math.sqrt(-2 * Math.log(left)) * Math.cos(2 * Math.PI * right);
+    return Math.exp(normal * deviation);
+  }
+}
+
+function engineOf(softwareVersion: string, index: number): UsableUpstream {
+  return {
+    upstreamId: `${softwareVersion}-${index}`,
+    service: SERVICE,
+    softwareVersion,
+    address: '',
+    failureDomain: `domain-${index % DOMAINS}`,
+    slots: 64,
+    isLeaving: false,
+    leavesInMilliseconds: undefined,
+    bornAt: 0,
+    isReclaimable: false,
+    coldMilliseconds: 0,
+    knownSince: 0,
+  };
+}
--- a/packages/observability/src/events/duty_events.ts
+++ b/packages/observability/src/events/duty_events.ts
@@ -47,4 +47,43 @@
     advice:
       'See "When the store comes back from an older copy" in OPERATIONS.md.',
   },
+  5020: {
+    level: 'info',
+    message:
+      'the traffic of {service} is to move to software version {softwareVersion} within {duration} ms (order {orderId})',
+    advice: 'No action needed.',
+  },
+  5021: {
+    level: 'info',
+    message:
+      'the roll-out of {service} to software version {softwareVersion} is {phase} with a share of {share} of the requests ({kind}, record {sequence}): {verdict}',
+    advice: 'No action needed.',
+  },
+  5022: {
+    level: 'warn',
+    message:
+      'the roll-out of {service} to software version {softwareVersion} was rolled back: {reason}',
+    advice: 'See "Roll-outs" in OPERATIONS.md.',
+  },
+  5023: {
+    level: 'info',
+    message:
+      'the roll-out of {service} to software version {softwareVersion} is completed: {verdict}',
+    advice: 'No action needed.',
+  },
+  5024: {
+    level: 'warn',
+    message: 'a roll-out of {service} is not carried out: {reason}',
+    advice: 'Correct the order and publish it again.',
+  },
+  5025: {
+    level: 'warn',
+    message: 'a round of the roll-out task failed: {error}',
+    advice: 'See "When the platform is down" in OPERATIONS.md.',
+  },
+  5026: {
+    level: 'info',
+    message: 'the status of the roll-out of {service} was published: {phase}',
+    advice: 'No action needed.',
+  },
 } as const satisfies Readonly<Record<number, EventRow>>;
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -33,6 +33,8 @@
   readonly stateAgeSeconds: Gauge<'belief'>;
   readonly dutiesHeld: Gauge;
   readonly storeCalls: Counter<'call' | 'end'>;
+  readonly rolloutShare: Gauge<'service' | 'version'>;
+  readonly versionResults: Counter<'result' | 'service' | 'version'>;
 }
 
 /** Creates the metrics of one entry process in a registry of their own. */
@@ -176,6 +178,18 @@
       labelNames: ['call', 'end'],
       registers,
     }),
+    rolloutShare: new Gauge({
+      name: 'lacewingwinch_rollout_share',
+      help: 'Share of the requests of a service that a roll-out assigns to the new software version, at the host that decides.',
+      labelNames: ['service', 'version'],
+      registers,
+    }),
+    versionResults: new Counter({
+      name: 'lacewingwinch_version_results_total',
+      help: 'Results of attempts during a roll-out, by software version.',
+      labelNames: ['result', 'service', 'version'],
+      registers,
+    }),
   };
 }
 
