Give versions on trial shards of their own, and count slow starts at once

Engines of a roll-out joined the shards of their service, so that requests moved to other engines and read shared prompt parts again. Their shards are separate now. An answer that begins late ends late: its beginning is counted when it begins.

--- a/packages/decisions/src/placement/routed_shards.ts
+++ b/packages/decisions/src/placement/routed_shards.ts
@@ -18,24 +18,52 @@
 export interface RoutedShard {
   /** Equal at all hosts that know the same number of shards. */
   readonly id: string;
+  /** Name by which requests are assigned to the shard. */
+  readonly name: string;
   readonly upstreams: readonly UsableUpstream[];
 }
 
+/** Ending of the service in the ids of shards of versions on trial. */
+const TRIAL_SUFFIX = '@trial';
+
 /**
  * Returns the shards of a service. Hosts that know the same upstreams get the
- * same shards.
+ * same shards. Upstreams of the versions `trialVersions` have shards of their own,
+ * so that those of the others stay as they are during a roll-out.
  */
 export function routedShards(
   service: string,
   upstreams: readonly UsableUpstream[],
+  trialVersions: readonly string[] = [],
+): readonly RoutedShard[] {
+  const isOnTrial = ({softwareVersion}: UsableUpstream): boolean =>
+    trialVersions.includes(softwareVersion);
+  const tried = upstreams.filter(isOnTrial);
+  return tried.length === 0
+    ? divideIntoShards(service, '', upstreams)
+    : [
+        ...divideIntoShards(
+          service,
+          '',
+          upstreams.filter(upstream => !isOnTrial(upstream)),
+        ),
+        ...divideIntoShards(service, TRIAL_SUFFIX, tried),
+      ];
+}
+
+function divideIntoShards(
+  service: string,
+  suffix: string,
+  upstreams: readonly UsableUpstream[],
 ): readonly RoutedShard[] {
   const count = shardCount(upstreams.length, MAXIMUM_SHARD_SIZE);
   if (count === 1) {
-    return [{id: service, upstreams}];
+    return [{id: `${service}${suffix}`, name: service, upstreams}];
   }
   return divideByHash(upstreams, ({upstreamId}) => upstreamId, count).map(
     (members, index) => ({
-      id: `${service}/${index}of${count}`,
+      id: `${service}${suffix}/${index}of${count}`,
+      name: `${service}/${index}of${count}`,
       upstreams: members,
     }),
   );
@@ -57,7 +85,7 @@
   return weightedRendezvousOrder(
     affinityKey(demand),
     shards.filter(({upstreams}) => upstreams.length > 0),
-    ({id}) => id,
+    ({name}) => name,
     ({upstreams}) => upstreams.length,
   );
 }
--- a/packages/decisions/src/rollouts/decide_rollout_step.ts
+++ b/packages/decisions/src/rollouts/decide_rollout_step.ts
@@ -12,6 +12,7 @@
   firstShare,
   latestMove,
   RENEWAL_MILLISECONDS,
+  type RolloutTimes,
   type RolloutTraffic,
   testShare,
   WIDER_STEP_MILLISECONDS,
@@ -153,34 +154,27 @@
   situation: RolloutSituation,
   record: Extract<RolloutRecord, {phase: 'testing'}>,
 ): RolloutStep | undefined {
-  const {bounds, upstreams, verdict, resultCount, trueTime} = situation;
-  const elapsed = elapsedOf(record, trueTime);
+  const {bounds, upstreams, verdict, traffic, trueTime} = situation;
+  const times = timesOf(record, trueTime);
+  const elapsed = times.elapsedMilliseconds;
+  const duration = times.durationMilliseconds;
   if (verdict.kind === 'rejected') {
     return rollBack(record, describeVerdict(verdict));
   }
-  if (
-    verdict.kind === 'accepted' &&
-    elapsed >= earliestMove(durationOf(record))
-  ) {
-    const millisecondsLeft = record.deadline - trueTime;
-    const share = widerShare(bounds, situation.traffic, millisecondsLeft);
+  if (verdict.kind === 'accepted' && elapsed >= earliestMove(duration)) {
+    const share = widerShare(bounds, traffic, times);
     return stepTo(record, share, trueTime, 'accepted');
   }
-  if (elapsed >= latestMove(durationOf(record))) {
+  if (elapsed >= latestMove(duration)) {
     return rollBack(record, `not proven in time: ${describeVerdict(verdict)}`);
   }
   const candidates = upstreams.filter(
     upstream => upstream.softwareVersion === record.softwareVersion,
   );
-  const share =
-    candidates.length === 0
-      ? 0
-      : resultCount < FIRST_RESULTS
-        ? Math.max(record.share, firstShare(bounds))
-        : testShare(bounds);
+  const share = shareInTest(situation, record, candidates.length);
   const upstreamIds = chooseTestUpstreams(
     candidates,
-    testShare(bounds),
+    share,
     record.orderId,
     record.upstreamIds,
   );
@@ -194,6 +188,21 @@
   return share > 0 ? renewal(situation, next) : undefined;
 }
 
+function shareInTest(
+  {bounds, traffic, resultCount, trueTime}: RolloutSituation,
+  record: Extract<RolloutRecord, {phase: 'testing'}>,
+  candidateCount: number,
+): number {
+  if (candidateCount === 0) {
+    return 0;
+  }
+  const first = firstShare(bounds);
+  if (resultCount < FIRST_RESULTS) {
+    return first;
+  }
+  return testShare(bounds, traffic, timesOf(record, trueTime), record.share);
+}
+
 function decideMoveStep(
   situation: RolloutSituation,
   record: Extract<RolloutRecord, {phase: 'moving'}>,
@@ -301,12 +310,12 @@
   };
 }
 
-function durationOf({durationMilliseconds}: RolloutRecord): number {
-  return durationMilliseconds;
-}
-
-function elapsedOf(record: RolloutRecord, trueTime: number): number {
-  return durationOf(record) - (record.deadline - trueTime);
+function timesOf(
+  {deadline, durationMilliseconds}: RolloutRecord,
+  trueTime: number,
+): RolloutTimes {
+  const elapsedMilliseconds = durationMilliseconds - (deadline - trueTime);
+  return {durationMilliseconds, elapsedMilliseconds};
 }
 
 function haveSameMembers(
--- a/packages/decisions/src/rollouts/judge_version.ts
+++ b/packages/decisions/src/rollouts/judge_version.ts
@@ -35,7 +35,26 @@
 
 /** Quantile of the old version's times, and the multiple of it that is slow. */
 const SLOW_QUANTILE = 0.9;
-const SLOW_FACTOR = 2;
+const SLOW_FACTOR = Math.SQRT2;
+
+/**
+ * Increase of the rate of bad results that has to be found in a whole service. A
+ * version that is slow for a part of its requests shows it in fewer of them.
+ */
+const SERVICE_INCREASE: Readonly<Record<VersionMeasure, number>> = {
+  failures: 0.2,
+  starts: 0.12,
+  gaps: 0.12,
+};
+
+/** Increase that has to be found on a single route. */
+const ROUTE_INCREASE = 0.25;
+
+/**
+ * Part of the results that must be left without the engine or failure domain
+ * that is bad by itself.
+ */
+const MINIMUM_REST_PART = 0.6;
 
 /** Fewest results of the old version with which a route is judged by itself. */
 const MINIMUM_ROUTE_RESULTS = 30;
@@ -149,13 +168,15 @@
   results: MeasuredResults,
   domainOf: (upstreamId: string) => string,
 ): boolean {
-  const testScope = scope.route === '' ? 'service' : 'route';
-  if (isHarmless(results.candidate, results.old, testScope)) {
+  const increase =
+    scope.route === '' ? SERVICE_INCREASE[results.measure] : ROUTE_INCREASE;
+  if (isHarmless(results.candidate, results.old, increase)) {
     return true;
   }
   return resultsWithoutOne(scope, results.measure, domainOf).some(
     ({candidate, old}) =>
-      isHarmless(candidate, old, testScope) &&
+      candidate.trials >= results.candidate.trials * MINIMUM_REST_PART &&
+      isHarmless(candidate, old, increase) &&
       isWorse(difference(results.candidate, candidate), old),
   );
 }
--- a/packages/decisions/src/rollouts/rollout_front.ts
+++ b/packages/decisions/src/rollouts/rollout_front.ts
@@ -41,16 +41,23 @@
   readonly trueTime: number;
 }
 
-/** The result of one attempt at an upstream. */
-export interface VersionResult {
+/** An attempt at an upstream. */
+export interface VersionAttempt {
   readonly service: string;
   readonly route: string;
   readonly upstream: Pick<UsableUpstream, 'softwareVersion' | 'upstreamId'>;
+}
+
+/** The beginning of an answer. */
+export interface VersionStart extends VersionAttempt {
+  readonly milliseconds: number;
+  readonly tokensToRead: number;
+}
+
+/** The result of an attempt. */
+export interface VersionResult extends VersionAttempt {
   /** An unfinished attempt has waited at least for the objective. */
   readonly outcome: 'answered' | 'failed' | 'unfinished';
-  /** Time to the beginning of the answer; undefined if it did not begin. */
-  readonly startMilliseconds: number | undefined;
-  readonly tokensToRead: number;
   /** Time between two events of the answer; undefined without two events. */
   readonly gapMilliseconds: number | undefined;
 }
@@ -205,16 +212,51 @@
     }
   }
 
+  /**
+   * Counts the beginning of an answer, at once: answers that begin late end late
+   * as well.
+   */
+  recordStart(start: VersionStart, now: number): void {
+    const {milliseconds, tokensToRead} = start;
+    const sums = this.sumsOf(start, now);
+    if (sums !== undefined) {
+      addTime(sums.starts, timeWithoutReading(milliseconds, tokensToRead));
+    }
+  }
+
   /**
    * Counts a result while both versions have a share of the requests; returns
    * whether it was counted.
    */
   recordResult(result: VersionResult, now: number): boolean {
-    const {service, route, upstream} = result;
+    const sums = this.sumsOf(result, now);
+    if (sums === undefined) {
+      return false;
+    }
+    switch (result.outcome) {
+      case 'failed':
+        sums.failed += 1;
+        break;
+      case 'answered':
+        sums.answered += 1;
+        break;
+      case 'unfinished':
+    }
+    if (result.gapMilliseconds !== undefined) {
+      addTime(sums.gaps, result.gapMilliseconds);
+    }
+    return true;
+  }
+
+  /** Returns the counts for an attempt; undefined if it does not count. */
+  private sumsOf(
+    {service, route, upstream}: VersionAttempt,
+    now: number,
+  ): Counts | undefined {
     const counts = this.countsOf(service);
     const use = this.options.steps.useOf(service, now);
     if (counts === undefined || use.kind !== 'shared') {
-      return false;
+      return undefined;
     }
     const isNew = upstream.softwareVersion === use.softwareVersion;
     const upstreamId = isNew ? upstream.upstreamId : undefined;
@@ -228,23 +270,7 @@
       gaps: [],
     };
     counts.results.set(key, sums);
-    switch (result.outcome) {
-      case 'failed':
-        sums.failed += 1;
-        break;
-      case 'answered':
-        sums.answered += 1;
-        break;
-      case 'unfinished':
-    }
-    if (result.startMilliseconds !== undefined) {
-      const {startMilliseconds, tokensToRead} = result;
-      addTime(sums.starts, timeWithoutReading(startMilliseconds, tokensToRead));
-    }
-    if (result.gapMilliseconds !== undefined) {
-      addTime(sums.gaps, result.gapMilliseconds);
-    }
-    return true;
+    return sums;
   }
 
   /** Returns what this host reports on the roll-outs that are in progress. */
--- a/packages/decisions/src/rollouts/rollout_plan.ts
+++ b/packages/decisions/src/rollouts/rollout_plan.ts
@@ -15,13 +15,19 @@
 export const RENEWAL_MILLISECONDS = 1000;
 
 /**
- * Share of the test, as a multiple of the fraction of all requests until the time
- * limit that a bad version may get. The test takes a part of that time only.
+ * Share of the first requests, as a part of the fraction of all requests that a
+ * bad version may get.
  */
-const TEST_SHARE_FACTOR = 1.4;
+const FIRST_SHARE_PART = 0.8;
 
-/** Share of the first requests, as a part of the share of the test. */
-const FIRST_SHARE_PART = 0.25;
+/**
+ * Largest share of the test, as a multiple of that fraction. The test takes a
+ * part of the time until the time limit only.
+ */
+const LARGEST_SHARE_FACTOR = 2.5;
+
+/** Change of the share, as a part of it, below which the share stays. */
+const SHARE_TOLERANCE = 0.25;
 
 /** Part of the present traffic that is expected until the time limit at least. */
 const EXPECTED_TRAFFIC_PART = 0.7;
@@ -65,14 +71,58 @@
   readonly requestsPerSecond: number;
 }
 
-/** Returns the share of the test. */
-export function testShare({exposureFraction}: RolloutBounds): number {
-  return Math.min(1, exposureFraction * TEST_SHARE_FACTOR);
+/** Returns the share before the first results. */
+export function firstShare({exposureFraction}: RolloutBounds): number {
+  return exposureFraction * FIRST_SHARE_PART;
 }
 
-/** Returns the share before the first results. */
-export function firstShare(bounds: RolloutBounds): number {
-  return testShare(bounds) * FIRST_SHARE_PART;
+/** The times of a roll-out at one moment. */
+export interface RolloutTimes {
+  readonly elapsedMilliseconds: number;
+  readonly durationMilliseconds: number;
+}
+
+/**
+ * Returns the share of the test: what is left of the bound, spread over the rest
+ * of the test and the time in which its results are acted on.
+ */
+export function testShare(
+  bounds: RolloutBounds,
+  traffic: RolloutTraffic,
+  times: RolloutTimes,
+  present: number,
+): number {
+  const restMilliseconds =
+    latestMove(times.durationMilliseconds) -
+    times.elapsedMilliseconds +
+    REACTION_MILLISECONDS;
+  const share = Math.min(
+    shareWithin(bounds, traffic, times, restMilliseconds),
+    bounds.exposureFraction * LARGEST_SHARE_FACTOR,
+    1,
+  );
+  return Math.abs(share - present) <= present * SHARE_TOLERANCE
+    ? present
+    : share;
+}
+
+/** Returns the share that uses up what is left of the bound in `milliseconds`. */
+function shareWithin(
+  {exposureFraction, exposureSlack}: RolloutBounds,
+  {requests, assigned, requestsPerSecond}: RolloutTraffic,
+  {durationMilliseconds, elapsedMilliseconds}: RolloutTimes,
+  milliseconds: number,
+): number {
+  const millisecondsLeft = Math.max(
+    0,
+    durationMilliseconds - elapsedMilliseconds,
+  );
+  const expected =
+    requests +
+    ((requestsPerSecond * millisecondsLeft) / 1000) * EXPECTED_TRAFFIC_PART;
+  const bound = (expected * exposureFraction + exposureSlack) * USED_BOUND_PART;
+  const coming = (requestsPerSecond * milliseconds) / 1000;
+  return coming > 0 ? Math.max(0, (bound - assigned) / coming) : 0;
 }
 
 /** Returns the time after the order before which the test does not end. */
@@ -95,19 +145,10 @@
 export function widerShare(
   bounds: RolloutBounds,
   traffic: RolloutTraffic,
-  millisecondsLeft: number,
+  times: RolloutTimes,
 ): number {
-  const {requests, assigned, requestsPerSecond} = traffic;
-  const expected =
-    requests +
-    ((requestsPerSecond * Math.max(0, millisecondsLeft)) / 1000) *
-      EXPECTED_TRAFFIC_PART;
-  const bound =
-    expected * bounds.exposureFraction * USED_BOUND_PART +
-    bounds.exposureSlack * USED_BOUND_PART;
-  const inReaction = (requestsPerSecond * REACTION_MILLISECONDS) / 1000;
-  const share = inReaction === 0 ? 0 : (bound - assigned) / inReaction;
-  return Math.max(testShare(bounds), Math.min(WIDER_SHARE, share));
+  const share = shareWithin(bounds, traffic, times, REACTION_MILLISECONDS);
+  return Math.max(bounds.exposureFraction, Math.min(WIDER_SHARE, share));
 }
 
 /** What one host has sent to a service since the order. */
--- a/packages/decisions/src/rollouts/rollout_steps.ts
+++ b/packages/decisions/src/rollouts/rollout_steps.ts
@@ -112,18 +112,18 @@
   }
 
   /**
-   * Returns whether the engines of a version exist for the sake of a roll-out
-   * that has not been completed.
+   * Returns the versions of `service` whose engines exist for the sake of a
+   * roll-out that has not been completed.
    */
-  isOnTrial(service: string, softwareVersion: string): boolean {
+  trialVersions(service: string): readonly string[] {
     const order = this.orders.get(service);
     const record = this.records.get(service)?.record;
-    if (record?.barredVersions.includes(softwareVersion) === true) {
-      return true;
-    }
+    const barred = record?.barredVersions ?? [];
     const isCompleted =
       record?.phase === 'completed' && record.orderId === order?.orderId;
-    return order?.softwareVersion === softwareVersion && !isCompleted;
+    return order === undefined || isCompleted
+      ? barred
+      : [...barred, order.softwareVersion];
   }
 
   /** Returns how the versions of `service` may be used at `now`. */
--- a/packages/decisions/src/rollouts/sequential_test.ts
+++ b/packages/decisions/src/rollouts/sequential_test.ts
@@ -25,12 +25,6 @@
 const TOLERATED_FACTOR = 1.5;
 const TOLERATED_ADDITION = 0.04;
 
-/**
- * Increase over the tolerated rate that has to be found, for a whole service and
- * for one of its routes.
- */
-const HARMFUL_INCREASE = {service: 0.12, route: 0.25} as const;
-
 /** Rate of bad results that is expected of any version. */
 const NATURAL_RATE = 0.02;
 
@@ -89,16 +83,16 @@
   return mean > 1 / REJECTION_ERROR;
 }
 
-/** What results are about. */
-export type TestScope = keyof typeof HARMFUL_INCREASE;
-
-/** Returns whether a harmful rate of the new version is excluded. */
+/**
+ * Returns whether a rate of the new version that is higher than the tolerable one
+ * by `increase` is excluded.
+ */
 export function isHarmless(
   candidate: Trials,
   old: Trials,
-  scope: TestScope,
+  increase: number,
 ): boolean {
-  const harmful = tolerableRate(old) + HARMFUL_INCREASE[scope];
+  const harmful = tolerableRate(old) + increase;
   const expected = Math.max(NATURAL_RATE, (old.bad + 0.5) / (old.trials + 1));
   return (
     harmful < MAXIMUM_HARMFUL_RATE &&
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -188,6 +188,8 @@
       fleetHealth: this.fleetHealth,
       announcements: this.announcements,
       namedRates: this.namedRates,
+      trialVersions: service =>
+        this.rolloutFollower.steps.trialVersions(service),
       hostCounts: () => ({
         servingHosts: this.membership.serving().length,
         knownHosts: this.membership.sharingHostIds().length,
--- a/packages/entry-process/src/routed_interface/placement/placement_candidates.ts
+++ b/packages/entry-process/src/routed_interface/placement/placement_candidates.ts
@@ -25,6 +25,8 @@
   readonly announcements: UpstreamAnnouncements;
   /** Returns suspension-aware clock readings in milliseconds. */
   readonly clock: () => number;
+  /** Returns the versions of a service that a roll-out tries. */
+  readonly trialVersions: (service: string) => readonly string[];
 }
 
 /** Which upstreams are excluded from a choice. */
@@ -44,7 +46,7 @@
   /** Shards, by the list of upstreams that they partition. */
   private readonly shards = new WeakMap<
     readonly UsableUpstream[],
-    readonly RoutedShard[]
+    {readonly key: string; readonly shards: readonly RoutedShard[]}
   >();
 
   constructor(private readonly dependencies: PlacementCandidatesDependencies) {}
@@ -52,18 +54,30 @@
   /** Returns the shards of `service`. */
   shardsOf(service: string): readonly RoutedShard[] {
     const usable = this.usable(service);
+    const trialVersions = this.dependencies.trialVersions(service);
+    const key = trialVersions.join('/');
     const cached = this.shards.get(usable);
-    if (cached !== undefined) {
-      return cached;
+    if (cached?.key === key) {
+      return cached.shards;
     }
-    const computed = routedShards(service, usable);
-    this.shards.set(usable, computed);
-    return computed;
+    const shards = routedShards(service, usable, trialVersions);
+    this.shards.set(usable, {key, shards});
+    return shards;
   }
 
   /** Returns the shards of `service` in the order in which to try them. */
   shardsFor(service: string, demand: PlacementDemand): readonly RoutedShard[] {
-    return shardsInOrder(demand, this.shardsOf(service));
+    const shards = this.shardsOf(service);
+    const {versions} = demand;
+    const hasTrial = this.dependencies.trialVersions(service).length > 0;
+    return shardsInOrder(
+      demand,
+      versions === undefined || !hasTrial
+        ? shards
+        : shards.filter(({upstreams}) =>
+            upstreams.some(upstream => satisfiesVersion(upstream, versions)),
+          ),
+    );
   }
 
   /**
--- a/packages/entry-process/src/routed_interface/requests/request_versions.ts
+++ b/packages/entry-process/src/routed_interface/requests/request_versions.ts
@@ -43,6 +43,9 @@
   private isAssigned: boolean | undefined;
   /** Steady clock reading; undefined before the first event of an attempt. */
   private firstEventAt: number | undefined;
+  /** The present attempt, and whether its answer has begun. */
+  private choice: EngineChoice | undefined;
+  private hasStarted = false;
 
   constructor(
     private readonly dependencies: RequestVersionsDependencies,
@@ -93,47 +96,50 @@
     return wasAssigned;
   }
 
-  /** Records that an attempt at `upstream` begins. */
-  recordBegun({softwareVersion}: UsableUpstream): void {
+  /** Records that an attempt begins. */
+  recordBegun(choice: EngineChoice): void {
+    const {softwareVersion} = choice.upstream;
+    this.choice = choice;
+    this.hasStarted = false;
     this.dependencies.rollouts.recordBegun(this.call.service, softwareVersion);
   }
 
-  /** Records the first event of a stream. */
-  recordFirstEvent(): void {
+  /** Records the first event of a stream, sent at `sentAt`. */
+  recordFirstEvent({sentAt}: AttemptTimes): void {
     this.firstEventAt = this.dependencies.clocks.steady();
+    this.recordStart(sentAt, this.firstEventAt);
   }
 
-  /** Records the end of an attempt. */
+  /** Records the end of the attempt. */
   recordEnded(
-    {upstream, tokensToRead}: EngineChoice,
     outcome: AttemptOutcome,
     {sentAt, answerBegunAt, eventCount}: AttemptCourse,
   ): void {
     const {rollouts, metrics, clocks, versionContext} = this.dependencies;
     const {service, route, objectiveMilliseconds} = this.call;
+    const upstream = this.choice?.upstream;
+    if (upstream === undefined) {
+      return;
+    }
     const {softwareVersion} = upstream;
     rollouts.recordEnded(service, softwareVersion);
     this.unassign();
-    if (sentAt === undefined) {
-      return;
-    }
     const endedAt = clocks.steady();
-    const hasWaited = endedAt - sentAt >= objectiveMilliseconds;
+    const hasWaited = endedAt - (sentAt ?? endedAt) >= objectiveMilliseconds;
     const result = versionOutcomeOf(outcome, hasWaited);
-    if (result === undefined) {
+    if (sentAt === undefined || result === undefined) {
       return;
     }
-    const beganAt = this.firstEventAt ?? answerBegunAt;
-    const startedAt = result === 'unfinished' ? (beganAt ?? endedAt) : beganAt;
+    if (result !== 'failed') {
+      this.recordStart(sentAt, answerBegunAt ?? endedAt);
+    }
+    const beganAt = this.firstEventAt;
     const isCounted = rollouts.recordResult(
       {
         service,
         route,
         upstream,
         outcome: result,
-        startMilliseconds:
-          startedAt === undefined ? undefined : startedAt - sentAt,
-        tokensToRead,
         gapMilliseconds:
           beganAt === undefined || eventCount < 2
             ? undefined
@@ -145,4 +151,25 @@
       metrics.versionResults.inc({service, version: softwareVersion, result});
     }
   }
+
+  private recordStart(sentAt: number | undefined, startedAt: number): void {
+    const {choice} = this;
+    if (this.hasStarted || sentAt === undefined || choice === undefined) {
+      return;
+    }
+    this.hasStarted = true;
+    const {rollouts, versionContext} = this.dependencies;
+    const {service, route} = this.call;
+    const {upstream, tokensToRead} = choice;
+    rollouts.recordStart(
+      {
+        service,
+        route,
+        upstream,
+        milliseconds: startedAt - sentAt,
+        tokensToRead,
+      },
+      versionContext(service).now,
+    );
+  }
 }
--- a/packages/entry-process/src/routed_interface/requests/routed_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_request.ts
@@ -162,7 +162,7 @@
   }
 
   private recordFirstEvent(): void {
-    this.versions.recordFirstEvent();
+    this.versions.recordFirstEvent(this.runner.times);
     const upstream = this.runner.lastUpstream;
     if (upstream !== undefined) {
       this.continuation.recordFirstEvent(upstream);
@@ -192,11 +192,11 @@
         return;
       }
       const {placement} = next;
-      this.versions.recordBegun(placement.choice.upstream);
+      this.versions.recordBegun(placement.choice);
       const outcome = await this.runner.run(placement, () =>
         this.millisecondsLeft(),
       );
-      this.versions.recordEnded(placement.choice, outcome, {
+      this.versions.recordEnded(outcome, {
         ...this.runner.times,
         eventCount: this.relay.events,
       });
--- a/packages/entry-process/src/routed_interface/rollouts/rollout_follower.ts
+++ b/packages/entry-process/src/routed_interface/rollouts/rollout_follower.ts
@@ -105,7 +105,7 @@
     list: UpstreamList,
   ): Pick<DutyTaskDependencies, 'enginesBesideOrder' | 'upstreams'> {
     const isOnTrial = ({service, softwareVersion}: ListedUpstream): boolean =>
-      this.steps.isOnTrial(service, softwareVersion);
+      this.steps.trialVersions(service).includes(softwareVersion);
     return {
       upstreams: () => list.all().filter(upstream => !isOnTrial(upstream)),
       enginesBesideOrder: order =>
--- a/packages/entry-process/tests/routed_placement_test.ts
+++ b/packages/entry-process/tests/routed_placement_test.ts
@@ -76,6 +76,7 @@
   const announced = new UpstreamAnnouncements();
   announcements.set(hostId, announced);
   return new RoutedPlacement({
+    trialVersions: () => [],
     hostId,
     failureDomain: 'north',
     upstreams,
--- a/packages/measurements/src/rollout_model.ts
+++ b/packages/measurements/src/rollout_model.ts
@@ -12,10 +12,12 @@
   type RolloutOrder,
   RolloutSteps,
   satisfiesVersion,
+  summarizeReports,
   type UsableUpstream,
 } from '@lacewingwinch/decisions';
 
 import {exponential, randomFrom} from './random_numbers.js';
+import {engineOf, RolloutEngines} from './rollout_engines.js';
 import {
   drawTroubles,
   type RolloutTrouble,
@@ -47,7 +49,6 @@
 const REPORT_MILLISECONDS = 1000;
 const HOSTS = 12;
 const OLD_ENGINES = 24;
-const DOMAINS = 4;
 const SERVICE = 'service';
 
 const BOUNDS: RolloutBounds = {
@@ -76,10 +77,6 @@
 /** Time after which engines that have crashed are not listed. */
 const DETECTION_MILLISECONDS = 600;
 
-/** Failures in a row after which an engine is not used for a while. */
-const FAILURES_TO_EJECTION = 3;
-const EJECTION_MILLISECONDS = 2000;
-
 interface Host {
   readonly steps: RolloutSteps;
   readonly front: RolloutFront;
@@ -101,11 +98,13 @@
   private readonly random: () => number;
   private readonly troubles: readonly RolloutTrouble[];
   private readonly hosts: readonly Host[];
+  private readonly hostIds = Array.from(
+    {length: HOSTS},
+    (_, index) => `host-${index}`,
+  );
   private readonly evidence = new RolloutEvidence();
   private readonly upstreams: readonly UsableUpstream[];
-  private readonly load = new Map<string, number>();
-  private readonly failuresInRow = new Map<string, number>();
-  private readonly ejectedUntil = new Map<string, number>();
+  private readonly engines = new RolloutEngines();
   private running: Running[] = [];
   private deliveries: Delivery[] = [];
   private readonly requestsPerSecond: number;
@@ -142,18 +141,20 @@
       durationMilliseconds: DURATION_MILLISECONDS,
     };
     this.upstreams = ['v1', 'v2'].flatMap(version =>
-      Array.from({length: OLD_ENGINES}, (_, index) => engineOf(version, index)),
+      Array.from({length: OLD_ENGINES}, (_, index) =>
+        engineOf(SERVICE, version, index),
+      ),
     );
     this.troubles = parameters.hasTrouble
       ? drawTroubles(random, this.upstreams)
       : [];
     this.holder.acceptOrder(this.order);
-    this.hosts = Array.from({length: HOSTS}, (_, index) => {
+    this.hosts = this.hostIds.map(hostId => {
       const steps = new RolloutSteps();
       steps.acceptOrder(this.order);
       const front = new RolloutFront({
-        processId: `process-${index}`,
-        hostId: `host-${index}`,
+        processId: hostId,
+        hostId,
         steps,
         bounds: () => BOUNDS,
         hostCount: () => HOSTS,
@@ -233,10 +234,7 @@
     const allowed = upstreams.filter(candidate =>
       satisfiesVersion(candidate, constraint),
     );
-    const sound = allowed.filter(
-      ({upstreamId}) => now >= (this.ejectedUntil.get(upstreamId) ?? 0),
-    );
-    const upstream = this.place(sound.length > 0 ? sound : allowed);
+    const upstream = this.engines.place(allowed, now, this.random);
     if (
       upstream === undefined ||
       !host.front.mayBeSent(request, upstream.softwareVersion, context)
@@ -254,14 +252,14 @@
   ): void {
     const {upstreamId, softwareVersion} = upstream;
     const isNew = softwareVersion === 'v2';
-    const load = this.loadOf(upstreamId);
+    const load = this.engines.loadOf(upstreamId);
     const isBad = isNew && this.isBad(route.name, load, now);
     if (isNew) {
       this.atNew += 1;
       const late = this.fiftiethAt + BOUNDS.rollbackMilliseconds;
       this.sentLate += now > late ? 1 : 0;
     }
-    this.load.set(upstreamId, load + 1);
+    this.engines.recordStart(upstreamId);
     host.front.recordBegun(SERVICE, softwareVersion);
     const isCold = isNew && this.random() < 0.7;
     const tokensToRead = route.tokens + (isCold ? COLD_TOKENS : 0);
@@ -280,22 +278,25 @@
       this.random() < NATURAL_FAILURES ||
       this.isTroubled(upstreamId, now);
     const endsAt = now + (isFailed ? start * 0.4 : start + gap * route.events);
+    const attempt = {service: SERVICE, route: route.name, upstream};
+    if (!isFailed) {
+      const beginning = {...attempt, milliseconds: start, tokensToRead};
+      this.running.push({
+        endsAt: now + start,
+        finish: () => host.front.recordStart(beginning, now + start),
+      });
+    }
     const finish = (): void => {
-      this.load.set(upstreamId, this.loadOf(upstreamId) - 1);
       host.front.recordEnded(SERVICE, softwareVersion);
       host.front.recordResult(
         {
-          service: SERVICE,
-          route: route.name,
-          upstream,
+          ...attempt,
           outcome: isFailed ? 'failed' : 'answered',
-          startMilliseconds: isFailed ? undefined : start,
-          tokensToRead,
           gapMilliseconds: isFailed ? undefined : gap,
         },
         endsAt,
       );
-      this.recordHealth(upstreamId, isFailed, endsAt);
+      this.engines.recordEnd(upstreamId, isFailed, endsAt);
       if (isBad) {
         this.badAnswers += 1;
         if (this.badAnswers === 50) {
@@ -306,33 +307,6 @@
     this.running.push({endsAt, finish});
   }
 
-  private recordHealth(
-    upstreamId: string,
-    isFailed: boolean,
-    now: number,
-  ): void {
-    const failures = isFailed
-      ? (this.failuresInRow.get(upstreamId) ?? 0) + 1
-      : 0;
-    this.failuresInRow.set(upstreamId, failures);
-    if (failures >= FAILURES_TO_EJECTION) {
-      this.ejectedUntil.set(upstreamId, now + EJECTION_MILLISECONDS);
-    }
-  }
-
-  /** Takes the less loaded one of two engines. */
-  private place(
-    upstreams: readonly UsableUpstream[],
-  ): UsableUpstream | undefined {
-    const draw = (): UsableUpstream | undefined =>
-      upstreams[Math.floor(this.random() * upstreams.length)];
-    const [left, right] = [draw(), draw()];
-    return this.loadOf(left?.upstreamId ?? '') <=
-      this.loadOf(right?.upstreamId ?? '')
-      ? left
-      : right;
-  }
-
   private isBad(route: string, load: number, now: number): boolean {
     const isDrawn = this.random() < this.badShare;
     switch (this.parameters.form) {
@@ -373,9 +347,6 @@
 
   private decide(now: number): void {
     const {orderId} = this.order;
-    const reports = this.evidence
-      .reportsOn(SERVICE, orderId)
-      .map(({report}) => report);
     const routes = this.evidence.routesOf(SERVICE, orderId);
     const domains = new Map(
       this.upstreams.map(upstream => [
@@ -383,34 +354,18 @@
         upstream.failureDomain,
       ]),
     );
-    const sum = (values: readonly number[]): number =>
-      values.reduce((total, value) => total + value, 0);
-    const requests = sum(reports.map(report => report.requests));
+    const summary = summarizeReports(
+      this.evidence.reportsOn(SERVICE, orderId),
+      this.hostIds,
+      {now, millisecondsSinceOrder: now},
+    );
     const step = decideRolloutStep({
       bounds: BOUNDS,
       order: this.order,
       record: this.holder.recordOf(SERVICE)?.record,
       upstreams: this.listed(now),
       verdict: judgeVersion(routes, id => domains.get(id) ?? ''),
-      resultCount: sum(
-        routes.flatMap(({byUpstream}) =>
-          [...byUpstream.values()].map(
-            ({answered, failed}) => answered + failed,
-          ),
-        ),
-      ),
-      traffic: {
-        requests,
-        assigned: sum(reports.map(report => report.assigned)),
-        requestsPerSecond: (requests * 1000) / Math.max(1000, now),
-      },
-      followers: {
-        lowestSequence:
-          reports.length < HOSTS
-            ? 0
-            : Math.min(...reports.map(report => report.sequence)),
-        runningElsewhere: sum(reports.map(report => report.runningElsewhere)),
-      },
+      ...summary,
       recordAge: now - this.recordWrittenAt,
       trueTime: now,
     });
@@ -466,10 +421,6 @@
     return ROUTES[0];
   }
 
-  private loadOf(upstreamId: string): number {
-    return this.load.get(upstreamId) ?? 0;
-  }
-
   private lognormal(deviation: number): number {
     const [left, right] = [1 - this.random(), this.random()];
     const normal =
@@ -477,20 +428,3 @@
     return Math.exp(normal * deviation);
   }
 }
-
-function engineOf(softwareVersion: string, index: number): UsableUpstream {
-  return {
-    upstreamId: `${softwareVersion}-${index}`,
-    service: SERVICE,
-    softwareVersion,
-    address: '',
-    failureDomain: `domain-${index % DOMAINS}`,
-    slots: 64,
-    isLeaving: false,
-    leavesInMilliseconds: undefined,
-    bornAt: 0,
-    isReclaimable: false,
-    coldMilliseconds: 0,
-    knownSince: 0,
-  };
-}
