--- /dev/null
+++ b/packages/decisions/tests/rollout_front_test.ts
@@ -0,0 +1,347 @@
+/** Tests of the part that one host takes in a roll-out. */
+import {beforeEach, describe, expect, it} from 'vitest';
+
+import {
+  RolloutFront,
+  type RolloutOrder,
+  type RolloutRecord,
+  RolloutSteps,
+  type UsableUpstream,
+} from '../src/index.js';
+
+const ORDER: RolloutOrder = {
+  orderId: 'order-1',
+  position: 10,
+  service: 'service',
+  softwareVersion: 'v2',
+  durationMilliseconds: 16_000,
+};
+
+const BOUNDS = {
+  exposureFraction: 0.1,
+  exposureSlack: 50,
+  rollbackMilliseconds: 5000,
+};
+
+const REQUESTS = 1000;
+
+function engine(upstreamId: string, softwareVersion: string): UsableUpstream {
+  return {
+    upstreamId,
+    service: 'service',
+    softwareVersion,
+    address: '',
+    failureDomain: 'north',
+    slots: 8,
+    isLeaving: false,
+    leavesInMilliseconds: undefined,
+    bornAt: 0,
+    isReclaimable: false,
+    coldMilliseconds: 0,
+    knownSince: 0,
+  };
+}
+
+const OLD: readonly UsableUpstream[] = [engine('old', 'v1')];
+const BOTH: readonly UsableUpstream[] = [...OLD, engine('new', 'v2')];
+
+const COMMON = {
+  orderId: 'order-1',
+  service: 'service',
+  softwareVersion: 'v2',
+  durationMilliseconds: 16_000,
+  sequence: 4,
+  deadline: 16_000,
+  barredVersions: [],
+} as const;
+
+function testing(overrides: object = {}): RolloutRecord {
+  return {
+    ...COMMON,
+    phase: 'testing',
+    share: 0.1,
+    upstreamIds: ['new'],
+    ...overrides,
+  };
+}
+
+function moving(share: number): RolloutRecord {
+  return {...COMMON, phase: 'moving', share, steppedAt: 0, stepSequence: 4};
+}
+
+let steps: RolloutSteps;
+let front: RolloutFront;
+
+beforeEach(() => {
+  steps = new RolloutSteps();
+  front = createFront();
+});
+
+function createFront(
+  bounds: () => typeof BOUNDS | undefined = () => BOUNDS,
+): RolloutFront {
+  return new RolloutFront({
+    processId: 'process',
+    hostId: 'host',
+    steps,
+    bounds,
+    hostCount: () => 1,
+  });
+}
+
+/** Returns the requests that may be sent to each version at `now`. */
+function sentTo(
+  upstreams: readonly UsableUpstream[],
+  now: number,
+): Readonly<Record<string, number>> {
+  const context = {upstreams, ordersReadAt: 0, now, trueTime: 8000};
+  const sent: Record<string, number> = {v1: 0, v2: 0};
+  for (let index = 0; index < REQUESTS; index += 1) {
+    const isAssigned = front.assign('service', `attempt-${index}`, context);
+    const request = {service: 'service', isAssigned, isBound: false};
+    const constraint = front.constraintOf(request, context);
+    for (const {softwareVersion} of upstreams) {
+      const isExcepted =
+        constraint?.kind === 'except' &&
+        [
+          constraint.softwareVersion,
+          ...(constraint.furtherVersions ?? []),
+        ].includes(softwareVersion);
+      const isOther =
+        constraint?.kind === 'only' &&
+        constraint.softwareVersion !== softwareVersion;
+      if (isExcepted || isOther) {
+        expect(
+          front.mayBeSent(request, softwareVersion, context) &&
+            softwareVersion === 'v2',
+        ).toBe(false);
+        continue;
+      }
+      if (front.mayBeSent(request, softwareVersion, context)) {
+        sent[softwareVersion] = (sent[softwareVersion] ?? 0) + 1;
+      }
+    }
+  }
+  return sent;
+}
+
+describe('a host sends to the new version', () => {
+  const nothing = {v1: REQUESTS, v2: 0};
+  const all = {v1: 0, v2: REQUESTS};
+  it.each([
+    {
+      name: 'as to any other without an order',
+      records: [],
+      hasOrder: false,
+      now: 1,
+      sent: {v1: REQUESTS, v2: REQUESTS},
+    },
+    {
+      name: 'nothing before the order is taken up',
+      records: [],
+      now: 1,
+      sent: nothing,
+    },
+    {
+      name: 'nothing without a share',
+      records: [testing({share: 0})],
+      now: 1,
+      sent: nothing,
+    },
+    {
+      name: 'nothing after the permit has lapsed',
+      records: [testing()],
+      now: 2501,
+      sent: nothing,
+    },
+    {
+      name: 'nothing of another order',
+      records: [testing({orderId: 'order-0'})],
+      now: 1,
+      sent: nothing,
+    },
+    {
+      name: 'everything after the move',
+      records: [moving(1)],
+      now: 1,
+      sent: all,
+    },
+    {
+      name: 'nothing after a move whose permit has lapsed',
+      records: [moving(1)],
+      now: 2501,
+      sent: nothing,
+    },
+    {
+      name: 'everything after the completion',
+      records: [
+        {...COMMON, phase: 'completed', replacedVersions: ['v1']} as const,
+      ],
+      now: 90_000,
+      sent: all,
+    },
+    {
+      name: 'nothing after it was rolled back',
+      records: [{...COMMON, phase: 'rolled-back', reason: ''} as const],
+      now: 90_000,
+      sent: nothing,
+    },
+    {
+      name: 'nothing if an older record arrives after it was rolled back',
+      records: [
+        {...COMMON, sequence: 5, phase: 'rolled-back', reason: ''} as const,
+        testing(),
+      ],
+      now: 1,
+      sent: nothing,
+    },
+  ])('$name', ({records, hasOrder = true, now, sent}) => {
+    if (hasOrder) {
+      steps.acceptOrder(ORDER);
+    }
+    records.forEach(record => steps.acceptRecord(record, 0));
+    expect(sentTo(BOTH, now)).toEqual(sent);
+  });
+
+  it('the share of the test, and no more than the bound allows', () => {
+    steps.acceptOrder(ORDER);
+    steps.acceptRecord(testing({share: 0.5}), 0);
+    const {v2 = 0} = sentTo(BOTH, 1);
+    expect(v2).toBeGreaterThan(100);
+    expect(v2).toBeLessThanOrEqual(REQUESTS * 0.1 * 1.4 + 50);
+  });
+
+  it('nothing while no engine of it is listed, at any step', () => {
+    steps.acceptOrder(ORDER);
+    steps.acceptRecord(moving(1), 0);
+    expect(sentTo(OLD, 1)).toEqual(nothing);
+  });
+
+  it('nothing of a version that an earlier roll-out gave up', () => {
+    const order = {...ORDER, softwareVersion: 'v3', orderId: 'order-2'};
+    steps.acceptOrder(order);
+    steps.acceptRecord(
+      testing({...order, share: 0, barredVersions: ['v2']}),
+      0,
+    );
+    expect(sentTo(BOTH, 1)).toEqual(nothing);
+  });
+
+  it('as to any other if the deployment knows no roll-outs', () => {
+    front = createFront(() => undefined);
+    steps.acceptOrder(ORDER);
+    expect(sentTo(BOTH, 1)).toEqual({v1: REQUESTS, v2: REQUESTS});
+  });
+});
+
+describe('a version that appears while another one serves', () => {
+  const isFree = (ordersReadAt: number): boolean => {
+    const request = {service: 'service', isAssigned: false, isBound: false};
+    const context = {upstreams: BOTH, ordersReadAt, now: 6000, trueTime: 0};
+    return (
+      front.constraintOf(request, context) === undefined &&
+      front.mayBeSent(request, 'v2', context)
+    );
+  };
+
+  it.each([
+    {
+      name: 'gets nothing until the orders have been read again',
+      readAt: 4900,
+      free: false,
+    },
+    {
+      name: 'serves once the orders have been read since',
+      readAt: 5100,
+      free: true,
+    },
+  ])('$name', ({readAt, free}) => {
+    steps.recordListed('service', OLD, 1000);
+    steps.recordListed('service', BOTH, 5000);
+    expect(isFree(readAt)).toBe(free);
+  });
+
+  it('serves at once if it is in the first list', () => {
+    steps.recordListed('service', BOTH, 5000);
+    expect(isFree(0)).toBe(true);
+  });
+});
+
+describe('a request that is bound to its stream', () => {
+  it.each([
+    {
+      name: 'goes on at the new version during the test',
+      record: testing(),
+      version: 'v2',
+      may: true,
+    },
+    {
+      name: 'goes on at the old version after the move',
+      record: moving(1),
+      version: 'v1',
+      may: true,
+    },
+    {
+      name: 'does not go on at a version that was rolled back',
+      record: {...COMMON, phase: 'rolled-back', reason: ''} as const,
+      version: 'v2',
+      may: false,
+    },
+  ])('$name', ({record, version, may}) => {
+    steps.acceptOrder(ORDER);
+    steps.acceptRecord(record, 0);
+    const request = {service: 'service', isAssigned: false, isBound: true};
+    const context = {upstreams: BOTH, ordersReadAt: 0, now: 1, trueTime: 0};
+    expect(front.mayBeSent(request, version, context)).toBe(may);
+  });
+});
+
+describe('the report of a host', () => {
+  beforeEach(() => {
+    steps.acceptOrder(ORDER);
+  });
+
+  it('states results, work left elsewhere and the step that it follows', () => {
+    steps.acceptRecord(testing(), 0);
+    front.recordBegun('service', 'v1');
+    front.recordBegun('service', 'v2');
+    for (const upstream of BOTH) {
+      const attempt = {service: 'service', route: 'a', upstream};
+      front.recordStart({...attempt, milliseconds: 8, tokensToRead: 0}, 1);
+      front.recordResult(
+        {...attempt, outcome: 'failed', gapMilliseconds: undefined},
+        1,
+      );
+    }
+    expect(front.reports(1)).toMatchObject([
+      {
+        orderId: 'order-1',
+        sequence: 4,
+        runningElsewhere: 1,
+        results: [
+          {route: 'a', failed: 1},
+          {route: 'a', upstreamId: 'new', failed: 1},
+        ],
+      },
+    ]);
+  });
+
+  it.each([
+    {
+      name: 'whose permit has lapsed',
+      records: [testing()],
+      now: 2501,
+      sequences: [0],
+    },
+    {name: 'without a record', records: [], now: 1, sequences: [0]},
+    {
+      name: 'after the end',
+      records: [{...COMMON, phase: 'rolled-back', reason: ''} as const],
+      now: 1,
+      sequences: [],
+    },
+  ])('$name follows $sequences', ({records, now, sequences}) => {
+    records.forEach(record => steps.acceptRecord(record, 0));
+    expect(front.reports(now).map(({sequence}) => sequence)).toEqual(sequences);
+  });
+});
--- a/packages/entry-process/tests/routed_fixtures.ts
+++ b/packages/entry-process/tests/routed_fixtures.ts
@@ -38,6 +38,24 @@
   readonly body?: string;
 }
 
+/** The bounds of the installation, unless a test states others. */
+export const BOUNDS: PlatformSettings['bounds'] = {
+  contactMilliseconds: 3000,
+  drainMilliseconds: 2000,
+  gracePeriodMilliseconds: 8000,
+  revocationMilliseconds: 2500,
+  failsClosed: true,
+  retryRatio: 0.2,
+  retrySlack: 500,
+  retryWindowMilliseconds: 10_000,
+  quotaSlack: 0,
+  leaseMilliseconds: 1500,
+  usageWindowMilliseconds: 1000,
+  usageDelayMilliseconds: 10_000,
+  reuseWindowMilliseconds: 10_000,
+  discoverySeconds: 5,
+};
+
 /** The configuration that is published at the start. */
 export const CONFIGURATION = {
   version: 3,
@@ -137,22 +155,7 @@
       upstreamHeartbeatMilliseconds: 1200,
       memoryBytes: 0,
       fileDescriptors: 1000,
-      bounds: {
-        contactMilliseconds: 3000,
-        drainMilliseconds: 2000,
-        gracePeriodMilliseconds: 8000,
-        revocationMilliseconds: 2500,
-        failsClosed: true,
-        retryRatio: 0.2,
-        retrySlack: 500,
-        retryWindowMilliseconds: 10_000,
-        quotaSlack: 0,
-        leaseMilliseconds: 1500,
-        usageWindowMilliseconds: 1000,
-        usageDelayMilliseconds: 10_000,
-        reuseWindowMilliseconds: 10_000,
-        discoverySeconds: 5,
-      },
+      bounds: BOUNDS,
       ...overrides,
     });
     this.processes.push(routedProcess);
--- a/packages/stand-ins/src/store_stand_in.ts
+++ b/packages/stand-ins/src/store_stand_in.ts
@@ -93,6 +93,16 @@
     );
   }
 
+  /** Returns the values that were written for `key`, oldest first. */
+  recordsOf(topic: string, key: string): readonly Buffer[] {
+    return this.partitionOf(topic).records.flatMap(record => {
+      const keyEnd = 1 + (record[0] ?? 0);
+      return record.toString('utf8', 1, keyEnd) === key
+        ? [record.subarray(keyEnd)]
+        : [];
+    });
+  }
+
   /** Writes the entry of an upstream, as the upstream itself does. */
   putUpstreamEntry(upstreamId: string, entry: unknown): void {
     this.put('keyed.servers', upstreamId, entry);
