--- a/packages/entry-process/tests/routed_fixtures.ts
+++ b/packages/entry-process/tests/routed_fixtures.ts
@@ -154,7 +154,7 @@
       duties: ['usage-reporting'],
       upstreamHeartbeatMilliseconds: 1200,
       memoryBytes: 0,
-      fileDescriptors: 1000,
+      limits: undefined,
       bounds: BOUNDS,
       ...overrides,
     });
