Use an ordered version that serves alone, and see new versions without a request

A host that knew an order for the version that serves already would have sent nothing until the order was taken up. A host without requests recorded a new version as one of its first list.

--- a/packages/decisions/src/rollouts/rollout_front.ts
+++ b/packages/decisions/src/rollouts/rollout_front.ts
@@ -143,6 +143,10 @@
     switch (use.kind) {
       case 'free':
         return constraintExcept(barred);
+      case 'ordered':
+        return constraintExcept(
+          isAlone(use, upstreams) ? barred : [use.softwareVersion, ...barred],
+        );
       case 'withheld':
         return constraintExcept([use.softwareVersion, ...barred]);
       case 'shared':
@@ -179,6 +183,10 @@
     switch (use.kind) {
       case 'free':
         return true;
+      case 'ordered':
+        return (
+          softwareVersion !== use.softwareVersion || isAlone(use, upstreams)
+        );
       case 'withheld':
         return softwareVersion !== use.softwareVersion;
       case 'shared': {
@@ -335,6 +343,16 @@
   }
 }
 
+/** Returns whether no engine of another version is listed. */
+function isAlone(
+  {softwareVersion}: Extract<VersionUse, {kind: 'ordered'}>,
+  upstreams: readonly UsableUpstream[],
+): boolean {
+  return upstreams.every(
+    upstream => upstream.softwareVersion === softwareVersion,
+  );
+}
+
 /** Returns whether an engine is listed that gets a share of the requests. */
 function hasEngines(
   {softwareVersion, upstreamIds}: Extract<VersionUse, {kind: 'shared'}>,
--- a/packages/decisions/src/rollouts/rollout_steps.ts
+++ b/packages/decisions/src/rollouts/rollout_steps.ts
@@ -24,6 +24,8 @@
 export type VersionUse =
   /** No order is known. */
   | {readonly kind: 'free'}
+  /** An order is known, but not whether its version serves already. */
+  | {readonly kind: 'ordered'; readonly softwareVersion: string}
   /** The new version gets nothing. */
   | {readonly kind: 'withheld'; readonly softwareVersion: string}
   /** A share of the requests runs at the new version. */
@@ -137,9 +139,8 @@
       seen === undefined ||
       (order !== undefined && order.orderId !== seen.record.orderId)
     ) {
-      // The order has not been taken up.
       const softwareVersion = order?.softwareVersion ?? '';
-      return {kind: 'withheld', softwareVersion};
+      return {kind: 'ordered', softwareVersion};
     }
     return useByRecord(seen, now);
   }
--- a/packages/decisions/tests/rollout_front_test.ts
+++ b/packages/decisions/tests/rollout_front_test.ts
@@ -211,6 +211,11 @@
     expect(v2).toBeLessThanOrEqual(REQUESTS * 0.1 * 1.4 + 50);
   });
 
+  it('everything before the order is taken up if it serves alone', () => {
+    steps.acceptOrder({...ORDER, softwareVersion: 'v1'});
+    expect(sentTo(OLD, 1)).toEqual({v1: REQUESTS, v2: 0});
+  });
+
   it('nothing while no engine of it is listed, at any step', () => {
     steps.acceptOrder(ORDER);
     steps.acceptRecord(moving(1), 0);
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -408,6 +408,7 @@
   private onUpstreamChanges(changes: readonly UpstreamChange[]): void {
     this.placement.onUpstreamChanges(changes);
     this.streams.publishAmbiguous();
+    this.rolloutFollower.onUpstreamChanges(changes, this.upstreams.list);
     for (const change of changes) {
       this.events.write(3005, {...change});
       if (change.state === 'withdrawn' || change.isRestarted) {
--- a/packages/entry-process/src/routed_interface/rollouts/rollout_follower.ts
+++ b/packages/entry-process/src/routed_interface/rollouts/rollout_follower.ts
@@ -10,6 +10,7 @@
   type RolloutBounds,
   RolloutSteps,
   type SeenRecord,
+  type UpstreamChange,
   type UpstreamList,
 } from '@lacewingwinch/decisions';
 import type {RelayedRollouts} from '@lacewingwinch/entry-hosts';
@@ -27,6 +28,7 @@
 import {messageOf} from '../../util/message_of.js';
 import {pause} from '../../util/pause.js';
 import type {DutyTaskDependencies} from '../duties/duty_task.js';
+import {StoreReachability} from '../state/store_reachability.js';
 
 /** Milliseconds that a read waits at the store for a record. */
 const READ_WAIT_MILLISECONDS = 800;
@@ -60,8 +62,22 @@
   private next: number | undefined;
   private hasRead = false;
   private readonly orderNotifier = new ChangeNotifier();
+  private readonly reachability: StoreReachability;
 
-  constructor(private readonly dependencies: RolloutFollowerDependencies) {}
+  constructor(private readonly dependencies: RolloutFollowerDependencies) {
+    this.reachability = new StoreReachability('rollouts', dependencies.events);
+  }
+
+  /** Records which versions are listed after `changes`. */
+  onUpstreamChanges(
+    changes: readonly UpstreamChange[],
+    list: UpstreamList,
+  ): void {
+    const now = this.dependencies.clocks.suspensionAware();
+    for (const service of new Set(changes.map(change => change.service))) {
+      this.steps.recordListed(service, list.usable(service, now), now);
+    }
+  }
 
   /** Accepts a record of the operator's log. */
   onOperatorRecord(record: KeyedRecord): void {
@@ -180,8 +196,9 @@
       }
       try {
         await this.readOnce();
+        this.reachability.recordRead(undefined);
       } catch (error) {
-        this.dependencies.events.write(5025, {error: messageOf(error)});
+        this.reachability.recordRead(messageOf(error));
         await pause(RETRY_DELAY_MILLISECONDS, signal);
       }
     }
--- a/packages/entry-process/tests/rooms_test.ts
+++ b/packages/entry-process/tests/rooms_test.ts
@@ -15,7 +15,7 @@
   admission: ['placement', 'evidence'],
   requests: ['admission', 'placement', 'evidence', 'state'],
   duties: ['state'],
-  rollouts: ['duties'],
+  rollouts: ['duties', 'state'],
   lifecycle: [
     'requests',
     'admission',
