--- a/packages/entry-process/tests/rollouts_test.ts
+++ b/packages/entry-process/tests/rollouts_test.ts
@@ -78,14 +78,22 @@
   return new Promise(resolve => setTimeout(resolve, milliseconds));
 }
 
-/** Orders the new version and starts its engines. */
-async function order(behavior: EngineBehavior = 'answer'): Promise<void> {
-  const {store} = installation;
-  store.put('keyed.op', 'rollout/engines', {
+function publishOrder(version: string): void {
+  installation.store.put('keyed.op', 'rollout/engines', {
     service: 'engines',
-    to: 'v2',
+    to: version,
     durationS: DURATION_MILLISECONDS / 1000,
   });
+}
+
+/** Orders the new version and starts its engines. */
+async function order(behavior: EngineBehavior = 'answer'): Promise<void> {
+  publishOrder('v2');
+  await startNewEngines(behavior);
+}
+
+async function startNewEngines(behavior: EngineBehavior): Promise<void> {
+  const {store} = installation;
   for (let index = 0; index < NEW_ENGINES; index += 1) {
     const engine = new RoutedEngineStandIn(`new-${index}`);
     engine.isStreamed = true;
@@ -178,6 +186,32 @@
     expect(await settled()).toMatch(/completed|rolled_back/u);
   });
 
+  it('is not needed for a release of another version', async () => {
+    await startNewEngines('answer');
+    await waitUntil(() => arrivalsAtNew() > 10);
+    expect(statuses()).toEqual([]);
+    expect([...answers.keys()]).toEqual([200]);
+  });
+
+  it('to the version that serves is completed without a refusal', async () => {
+    publishOrder('v1');
+    expect(await settled()).toBe('completed');
+    await pause(500);
+    expect(statuses()).toEqual(['completed']);
+    expect([...answers.keys()]).toEqual([200]);
+  });
+
+  it('to another version gives the first one up', async () => {
+    await order();
+    await waitUntil(() => arrivalsAtNew() > 10);
+    publishOrder('v3');
+    await pause(1500);
+    const later = Date.now();
+    await pause(1500);
+    expect(arrivalsAtNew(later)).toBe(0);
+    expect(arrivalsAtOld(later)).toBeGreaterThan(0);
+  });
+
   it('goes on when its holder is stopped midway', async () => {
     await order();
     await waitUntil(() => arrivalsAtNew() > 10);
