--- a/packages/entry-process/src/routed_interface/duties/usage_push.ts
+++ b/packages/entry-process/src/routed_interface/duties/usage_push.ts
@@ -4,6 +4,9 @@
  */
 import type {
   Member,
+  OfferedLoads,
+  ServiceLoadCounter,
+  ServiceLoadReport,
   UsageWindows,
   VersionResultReport,
 } from '@lacewingwinch/decisions';
@@ -26,6 +29,13 @@
   /** Returns the hosts that may have to report usage, excluding this one. */
   readonly candidates: () => readonly Member[];
   readonly trueTime: () => number;
+  /** Returns suspension-aware clock readings in milliseconds. */
+  readonly clock: () => number;
+  readonly loads: ServiceLoadCounter;
+  /** The loads that this host has been told, and its own. */
+  readonly offeredLoads: OfferedLoads;
+  /** Returns the services whose engines are ordered by load. */
+  readonly plannedServices: () => readonly string[];
   /** Returns what this host reports on roll-outs that are in progress. */
   readonly versionResults: () => readonly VersionResultReport[];
 }
@@ -46,15 +56,29 @@
     const {usage, peers, candidates, processId, trueTime} = this.dependencies;
     usage.dropOldWindows(trueTime());
     const counts = usage.list(processId);
+    const loads = this.countedLoads();
     const versionResults = this.dependencies.versionResults();
-    if (counts.length === 0 && versionResults.length === 0) {
+    if (
+      counts.length === 0 &&
+      loads.length === 0 &&
+      versionResults.length === 0
+    ) {
       return;
     }
     for (const {addresses} of candidates()) {
       peers.notify(addresses.peers, 'usage.push', {
         counts,
+        ...(loads.length > 0 && {loads}),
         ...(versionResults.length > 0 && {versionResults}),
       });
     }
   }
+
+  /** Returns what this process counted, which it may need itself. */
+  private countedLoads(): readonly ServiceLoadReport[] {
+    const {loads, plannedServices, offeredLoads, clock} = this.dependencies;
+    const reports = loads.reports(plannedServices());
+    reports.forEach(report => offeredLoads.merge(report, clock()));
+    return reports;
+  }
 }
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_peer_handlers.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_peer_handlers.ts
@@ -1,18 +1,23 @@
 /**
  * The peer methods of a process on the platform, called by other entry hosts.
  */
-import type {UsageWindows, WorkspaceQuota} from '@lacewingwinch/decisions';
+import type {
+  OfferedLoads,
+  UsageWindows,
+  WorkspaceQuota,
+} from '@lacewingwinch/decisions';
 import type {PeerHandlers} from '@lacewingwinch/entry-hosts';
 
 import type {UpstreamPaths} from '../../paths/upstream_paths.js';
 import type {MembershipTask} from '../../tasks/membership_task.js';
 import type {PartWatch} from '../../tasks/part_watch.js';
+import type {Clocks} from '../../util/clocks.js';
 import type {QuotaExchange} from '../admission/quota_exchange.js';
 import type {CrashWatch} from '../evidence/crash_watch.js';
 import type {RoutedPlacement} from '../placement/routed_placement.js';
-import type {RolloutTask} from '../rollouts/rollout_task.js';
 import type {StateRelay} from '../state/state_relay.js';
 import type {StreamOriginExchange} from '../state/stream_origin_exchange.js';
+import type {RoutedRollouts} from './routed_rollouts.js';
 
 /** Dependencies of the peer methods. */
 export interface RoutedPeerDependencies {
@@ -20,7 +25,9 @@
   readonly placement: RoutedPlacement;
   readonly relay: StateRelay;
   readonly usage: UsageWindows;
-  readonly rollouts: RolloutTask;
+  readonly rollouts: RoutedRollouts;
+  readonly offeredLoads: OfferedLoads;
+  readonly clocks: Clocks;
   readonly quotas: QuotaExchange;
   readonly crashes: CrashWatch;
   readonly parts: PartWatch;
@@ -39,6 +46,8 @@
     relay,
     usage,
     rollouts,
+    offeredLoads,
+    clocks,
     quotas,
     crashes,
     parts,
@@ -60,9 +69,11 @@
       return null;
     },
     'beliefs.fetch': request => relay.answer(request),
-    'usage.push': ({counts, versionResults = []}) => {
+    'usage.push': ({counts, loads = [], versionResults = []}) => {
       counts.forEach(count => usage.merge(count));
-      rollouts.onReports(versionResults);
+      const now = clocks.suspensionAware();
+      loads.forEach(report => offeredLoads.merge(report, now));
+      rollouts.task.onReports(versionResults);
       return null;
     },
     'suspicion.report': suspicion => {
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_process.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_process.ts
@@ -73,11 +73,11 @@
     this.monitor('usage', this.tasks.usagePush.run(this.stopping.signal));
     this.monitor(
       'rollouts',
-      this.tasks.rolloutFollower.run(this.stopping.signal),
+      this.tasks.rollouts.follower.run(this.stopping.signal),
     );
     this.monitor(
       'rollout steps',
-      this.tasks.rollouts.run(this.stopping.signal),
+      this.tasks.rollouts.task.run(this.stopping.signal),
     );
     if (this.tasks.duties !== undefined) {
       this.monitor('duties', this.tasks.duties.run(this.stopping.signal));
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -2,10 +2,12 @@
  * Construction and wiring of the tasks of an entry process on the platform.
  */
 import {
+  featuresOf,
   FleetHealth,
   NamedRates,
-  RolloutFront,
+  OfferedLoads,
   type RoutingConfiguration,
+  ServiceLoadCounter,
   ServiceRetryBudgets,
   TrueTime,
   UpstreamAnnouncements,
@@ -36,6 +38,7 @@
 import {type Clocks, createProcessClocks} from '../../util/clocks.js';
 import {QuotaExchange} from '../admission/quota_exchange.js';
 import type {DutyTask} from '../duties/duty_task.js';
+import {plannedServicesOf} from '../duties/engine_planner.js';
 import {createRoutedDuties} from '../duties/routed_duties.js';
 import {UsagePush} from '../duties/usage_push.js';
 import {AnswerAnnouncements} from '../evidence/answer_announcements.js';
@@ -43,8 +46,6 @@
 import {PartVerdictStore} from '../evidence/part_verdict_store.js';
 import {RoutedPlacement} from '../placement/routed_placement.js';
 import {RoutedFront} from '../requests/routed_front.js';
-import {RolloutFollower} from '../rollouts/rollout_follower.js';
-import {RolloutTask} from '../rollouts/rollout_task.js';
 import {ConfigurationFollower} from '../state/configuration_follower.js';
 import {FleetView} from '../state/fleet_view.js';
 import {RequiredState} from '../state/required_state.js';
@@ -52,6 +53,7 @@
 import {StateRelay} from '../state/state_relay.js';
 import {StreamOriginExchange} from '../state/stream_origin_exchange.js';
 import {UpstreamFollower} from '../state/upstream_follower.js';
+import {RoutedRollouts} from './routed_rollouts.js';
 
 /**
  * Maximum age of the keys, as a share of the time within which a revocation
@@ -86,11 +88,11 @@
   readonly front: RoutedFront;
   readonly usage: UsageWindows;
   readonly usagePush: UsagePush;
+  readonly offeredLoads = new OfferedLoads();
   readonly duties: DutyTask | undefined;
   readonly quotas: QuotaExchange;
   readonly relay: StateRelay;
-  readonly rolloutFollower: RolloutFollower;
-  readonly rollouts: RolloutTask;
+  readonly rollouts: RoutedRollouts;
   readonly crashes: CrashWatch;
   readonly parts: PartWatch;
   readonly streams: StreamOriginExchange;
@@ -98,7 +100,6 @@
   readonly paths: UpstreamPaths;
   readonly carrier: RelayCarrier;
   private readonly answers: AnswerAnnouncements;
-  private readonly rolloutFront: RolloutFront;
   private readonly health = new UpstreamHealth();
   private readonly fleetHealth = new FleetHealth();
   private readonly announcements = new UpstreamAnnouncements();
@@ -109,6 +110,7 @@
   private readonly startedAt: number;
   /** Identity of this process, new at each start. */
   private readonly processId = uuidV7();
+  private readonly loads = new ServiceLoadCounter(this.processId);
 
   /** Returns whether this host holds the duties. */
   readonly isHoldingDuties = (): boolean => this.duties?.isHolding === true;
@@ -129,20 +131,14 @@
       this.metrics.storeCalls.inc({call, end: String(end)}),
     );
     this.pool = new ConnectionPool(clocks.steady);
-    this.rolloutFollower = new RolloutFollower({
-      store: this.store,
-      events: this.events,
-      clocks,
-      bounds: () => dependencies.settings().bounds.rollouts,
-      isStoreReader: () => this.fleet.isStoreReader(),
-    });
+    this.rollouts = this.createRollouts(settings.hostId);
     this.configuration = new ConfigurationFollower({
       store: this.store,
       events: this.events,
       clocks,
       isStoreReader: () => this.fleet.isStoreReader(),
       onChange: dependencies.onConfigurationChange,
-      onOtherRecord: record => this.rolloutFollower.onOperatorRecord(record),
+      onOtherRecord: record => this.rollouts.follower.onOperatorRecord(record),
     });
     this.upstreams = new UpstreamFollower({
       store: this.store,
@@ -190,12 +186,15 @@
       announcements: this.announcements,
       namedRates: this.namedRates,
       trialVersions: service =>
-        this.rolloutFollower.steps.trialVersions(service),
+        this.rollouts.follower.steps.trialVersions(service),
       hostCounts: () => ({
         servingHosts: this.membership.serving().length,
         knownHosts: this.membership.sharingHostIds().length,
       }),
       cacheRetentionMilliseconds: settings.bounds.reuseWindowMilliseconds * 2,
+      random: Math.random,
+      hasSpreadPlacement: name => this.hasSpreadPlacement(name),
+      metrics: this.metrics,
     });
     this.membership = createRoutedMembership({
       settings: dependencies.settings,
@@ -243,7 +242,7 @@
       isStoreReader: () => this.fleet.isStoreReader(),
       configuration: this.configuration,
       upstreams: this.upstreams,
-      rollouts: this.rolloutFollower,
+      rollouts: this.rollouts.follower,
     });
     this.crashes = new CrashWatch({
       hostId: settings.hostId,
@@ -271,28 +270,31 @@
       processId: this.processId,
       store: this.store,
       events: this.events,
+      metrics: this.metrics,
       clocks,
       usage: this.usage,
+      offeredLoads: this.offeredLoads,
       trueTime: () => this.readTrueTime(),
       servingHosts: () => this.fleet.servingIds(),
       configuration: () => this.configuration.current?.value,
-      ...this.rolloutFollower.engineCounts(this.upstreams.list),
-    });
-    this.rolloutFront = new RolloutFront({
-      processId: this.processId,
-      hostId: settings.hostId,
-      steps: this.rolloutFollower.steps,
-      bounds: () => dependencies.settings().bounds.rollouts,
-      hostCount: () => this.fleet.servingIds().length,
+      upstreams: () => this.upstreams.list.all(),
+      ...this.rollouts.follower.engineCounts(this.upstreams.list),
     });
-    this.rollouts = this.createRolloutTask();
     this.usagePush = new UsagePush({
       processId: this.processId,
       usage: this.usage,
       peers: this.peers,
       candidates: () => this.fleet.othersOf(this.duties?.candidates() ?? []),
       trueTime: () => this.readTrueTime(),
-      versionResults: () => this.rolloutFront.reports(clocks.suspensionAware()),
+      clock: clocks.suspensionAware,
+      loads: this.loads,
+      offeredLoads: this.offeredLoads,
+      plannedServices: () =>
+        plannedServicesOf(
+          this.configuration.current?.value,
+          settings.failureDomains.length,
+        ).map(({service}) => service.name),
+      versionResults: () => this.rollouts.reports(),
     });
     this.front = this.createFront();
   }
@@ -342,20 +344,22 @@
     });
   }
 
-  private createRolloutTask(): RolloutTask {
-    return new RolloutTask({
+  private createRollouts(hostId: string): RoutedRollouts {
+    return new RoutedRollouts({
+      processId: this.processId,
+      hostId,
       store: this.store,
       events: this.events,
       metrics: this.metrics,
       clocks: this.clocks,
-      follower: this.rolloutFollower,
       bounds: () => this.dependencies.settings().bounds.rollouts,
+      isStoreReader: () => this.fleet.isStoreReader(),
       mayAct: () => this.duties?.mayAct === true,
-      ownReports: () =>
-        this.rolloutFront.reports(this.clocks.suspensionAware()),
       servingHosts: () => this.fleet.servingIds(),
       configuration: () => this.configuration.current?.value,
-      upstreams: this.upstreams.list,
+      configurationReadAt: () =>
+        this.configuration.current?.confirmedAt ?? -Infinity,
+      upstreams: () => this.upstreams.list,
       trueTime: () => this.readTrueTime(),
     });
   }
@@ -378,17 +382,12 @@
         this.announcements.isLeaving(upstream) ||
         this.upstreams.list.find(upstream.upstreamId)?.isLeaving !== false,
       streams: this.streams,
+      listedUpstream: upstreamId => this.upstreams.list.find(upstreamId),
+      trueTime: () => this.readTrueTime(),
       retryBudgets: this.retryBudgets,
-      rollouts: this.rolloutFront,
-      versionContext: service => {
-        const now = this.clocks.suspensionAware();
-        return {
-          upstreams: this.upstreams.list.usable(service, now),
-          ordersReadAt: this.configuration.current?.confirmedAt ?? -Infinity,
-          now,
-          trueTime: this.readTrueTime(),
-        };
-      },
+      loads: this.loads,
+      rollouts: this.rollouts.front,
+      versionContext: service => this.rollouts.versionContext(service),
       configuration: () =>
         this.state.mustBeCompared ? undefined : this.configuration.current,
       maximumKeyAge: () => {
@@ -405,10 +404,18 @@
     });
   }
 
+  private hasSpreadPlacement(name: string): boolean {
+    const service = this.configuration.current?.value.services.get(name);
+    return (
+      service !== undefined &&
+      featuresOf(service, this.fleet.domainCount()).hasSpreadPlacement
+    );
+  }
+
   private onUpstreamChanges(changes: readonly UpstreamChange[]): void {
     this.placement.onUpstreamChanges(changes);
     this.streams.publishAmbiguous();
-    this.rolloutFollower.onUpstreamChanges(changes, this.upstreams.list);
+    this.rollouts.onUpstreamChanges(changes, this.upstreams.list);
     for (const change of changes) {
       this.events.write(3005, {...change});
       if (change.state === 'withdrawn' || change.isRestarted) {
--- a/packages/entry-process/src/routed_interface/placement/placement_candidates.ts
+++ b/packages/entry-process/src/routed_interface/placement/placement_candidates.ts
@@ -66,7 +66,11 @@
   }
 
   /** Returns the shards of `service` in the order in which to try them. */
-  shardsFor(service: string, demand: PlacementDemand): readonly RoutedShard[] {
+  shardsFor(
+    service: string,
+    demand: PlacementDemand,
+    weightOf: (shard: RoutedShard) => number,
+  ): readonly RoutedShard[] {
     const shards = this.shardsOf(service);
     const {versions} = demand;
     const hasTrial = this.dependencies.trialVersions(service).length > 0;
@@ -77,6 +81,7 @@
         : shards.filter(({upstreams}) =>
             upstreams.some(upstream => satisfiesVersion(upstream, versions)),
           ),
+      weightOf,
     );
   }
 
--- a/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
+++ b/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
@@ -3,8 +3,10 @@
  */
 import type {
   ConfirmedValue,
+  ListedUpstream,
   RolloutFront,
   RoutingConfiguration,
+  ServiceLoadCounter,
   ServiceRetryBudgets,
   UpstreamAnnouncements,
   UsableUpstream,
@@ -39,7 +41,12 @@
   /** Returns whether an upstream ends because it leaves or is reclaimed. */
   readonly isEndExpected: (upstream: UsableUpstream) => boolean;
   readonly streams: StreamOriginExchange;
+  /** Returns the present entry of an upstream. */
+  readonly listedUpstream: (upstreamId: string) => ListedUpstream | undefined;
+  /** Returns true time in milliseconds since the epoch. */
+  readonly trueTime: () => number;
   readonly retryBudgets: ServiceRetryBudgets;
+  readonly loads: ServiceLoadCounter;
   readonly rollouts: RolloutFront;
   /** Returns the state of this host on which software versions depend. */
   readonly versionContext: (service: string) => VersionContext;
--- a/packages/entry-process/src/routed_interface/requests/routed_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_request.ts
@@ -10,6 +10,7 @@
   eventPatienceMilliseconds,
   featuresOf,
   type LatencyBounds,
+  type NextAttempt,
   type PlacementDemand,
   type RoutedAdmission,
   type RoutedAttemptFailure,
@@ -25,6 +26,7 @@
 import {AttemptRunner} from './attempt_runner.js';
 import {CrashEvidence} from './crash_evidence.js';
 import type {FrontDependencies} from './front_dependencies.js';
+import {RequestLoad} from './request_load.js';
 import {RequestLog} from './request_log.js';
 import {RequestVersions} from './request_versions.js';
 import type {AttemptOutcome} from './routed_attempt.js';
@@ -53,6 +55,7 @@
   private readonly runner: AttemptRunner;
   private readonly log: RequestLog;
   private readonly versions: RequestVersions;
+  private readonly load: RequestLoad;
 
   constructor(
     private readonly dependencies: FrontDependencies,
@@ -72,6 +75,12 @@
     const requestId = headers.attemptId ?? '';
     this.log = new RequestLog(dependencies, requestId, admission);
     this.log.recordContinuation(headers);
+    this.load = new RequestLoad(
+      dependencies.loads,
+      admission,
+      headers.promptTokens,
+      this.startedAt,
+    );
     const sharedParts = sharedPartIds(headers.promptParts);
     const service = admission.service.name;
     this.versions = new RequestVersions(dependencies, {
@@ -121,7 +130,7 @@
       interrupted: this.interrupted.signal,
     });
     this.continuation = new StreamContinuation(
-      dependencies.streams,
+      dependencies,
       headers,
       admission,
     );
@@ -193,6 +202,11 @@
       }
       const {placement} = next;
       this.versions.recordBegun(placement.choice);
+      this.continuation.recordAttempt();
+      this.load.recordPlaced(
+        placement.choice,
+        this.dependencies.clocks.steady(),
+      );
       const outcome = await this.runner.run(placement, () =>
         this.millisecondsLeft(),
       );
@@ -267,6 +281,7 @@
 
   private recordStart(): void {
     const {onRunStarted, clocks} = this.dependencies;
+    this.load.recordBegan(clocks.steady());
     if (!this.hasBegunToRun) {
       this.log.recordFirstByte(clocks.steady() - this.startedAt);
     }
@@ -354,10 +369,9 @@
       this.endInterrupted();
       return 'done';
     }
-    const next = decideNextAttempt(
-      failure,
-      this.runner.history(this.millisecondsLeft()),
-    );
+    const next: NextAttempt = this.continuation.isOriginKnown()
+      ? decideNextAttempt(failure, this.runner.history(this.millisecondsLeft()))
+      : {kind: 'give-up', error: 'stream-unknown'};
     this.log.recordAttemptFailure(
       this.runner.attempts,
       upstreamId,
@@ -406,9 +420,11 @@
   }
 
   private recordEnd(outcome: string): void {
+    const now = this.dependencies.clocks.steady();
+    this.load.recordEnd(outcome, now);
     this.log.recordEnd({
       outcome,
-      durationMilliseconds: this.dependencies.clocks.steady() - this.startedAt,
+      durationMilliseconds: now - this.startedAt,
       attempts: this.runner.attempts,
       upstreamsReached: this.runner.upstreamsReached,
       upstreamId: this.runner.lastUpstream?.upstreamId ?? '',
--- a/packages/entry-process/src/routed_interface/rollouts/rollout_follower.ts
+++ b/packages/entry-process/src/routed_interface/rollouts/rollout_follower.ts
@@ -114,16 +114,16 @@
   }
 
   /**
-   * Returns the engines that orders of engines count: all except those that the
-   * platform has started for a roll-out that is not completed.
+   * Tells orders of engines which engines the platform has started for a roll-out
+   * that is not completed.
    */
   engineCounts(
     list: UpstreamList,
-  ): Pick<DutyTaskDependencies, 'enginesBesideOrder' | 'upstreams'> {
+  ): Pick<DutyTaskDependencies, 'enginesBesideOrder' | 'isStartedForRollout'> {
     const isOnTrial = ({service, softwareVersion}: ListedUpstream): boolean =>
       this.steps.trialVersions(service).includes(softwareVersion);
     return {
-      upstreams: () => list.all().filter(upstream => !isOnTrial(upstream)),
+      isStartedForRollout: isOnTrial,
       enginesBesideOrder: order =>
         countMatchingEngines(order, list.all().filter(isOnTrial)),
     };
--- a/packages/entry-process/src/routed_interface/rollouts/rollout_task.ts
+++ b/packages/entry-process/src/routed_interface/rollouts/rollout_task.ts
@@ -54,7 +54,7 @@
   readonly ownReports: () => readonly VersionResultReport[];
   readonly servingHosts: () => readonly string[];
   readonly configuration: () => RoutingConfiguration | undefined;
-  readonly upstreams: UpstreamList;
+  readonly upstreams: () => UpstreamList;
   readonly trueTime: () => number;
 }
 
@@ -174,7 +174,7 @@
     const {upstreams} = this.dependencies;
     return judgeVersion(
       this.evidence.routesOf(service, orderId),
-      upstreamId => upstreams.find(upstreamId)?.failureDomain ?? '',
+      upstreamId => upstreams().find(upstreamId)?.failureDomain ?? '',
     );
   }
 
@@ -202,7 +202,7 @@
       bounds,
       order,
       record: seen?.record,
-      upstreams: upstreams.usable(service, now),
+      upstreams: upstreams().usable(service, now),
       verdict,
       ...summary,
       recordAge: now - (seen?.seenAt ?? -Infinity),
