--- a/packages/entry-process/src/routed_interface/lifecycle/routed_rollouts.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_rollouts.ts
@@ -70,6 +70,16 @@
     };
   }
 
+  /** Tells orders of engines which engines belong to roll-outs. */
+  engineCounts(
+    list: UpstreamList,
+  ): ReturnType<RolloutFollower['engineCounts']> {
+    return this.follower.engineCounts(
+      list,
+      this.dependencies.configurationReadAt,
+    );
+  }
+
   /** Records which versions are listed after `changes`. */
   onUpstreamChanges(
     changes: readonly UpstreamChange[],
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -278,7 +278,7 @@
       servingHosts: () => this.fleet.servingIds(),
       configuration: () => this.configuration.current?.value,
       upstreams: () => this.upstreams.list.all(),
-      ...this.rollouts.follower.engineCounts(this.upstreams.list),
+      ...this.rollouts.engineCounts(this.upstreams.list),
     });
     this.usagePush = new UsagePush({
       processId: this.processId,
--- a/packages/entry-process/src/routed_interface/rollouts/rollout_follower.ts
+++ b/packages/entry-process/src/routed_interface/rollouts/rollout_follower.ts
@@ -115,13 +115,19 @@
 
   /**
    * Tells orders of engines which engines the platform has started for a roll-out
-   * that is not completed.
+   * that is not completed. A version that has appeared since the orders were last
+   * read, at `ordersReadAt`, may be that of an order.
    */
   engineCounts(
     list: UpstreamList,
+    ordersReadAt: () => number,
   ): Pick<DutyTaskDependencies, 'enginesBesideOrder' | 'isStartedForRollout'> {
     const isOnTrial = ({service, softwareVersion}: ListedUpstream): boolean =>
-      this.steps.trialVersions(service).includes(softwareVersion);
+      this.dependencies.bounds() !== undefined &&
+      (this.steps.trialVersions(service).includes(softwareVersion) ||
+        this.steps
+          .barredVersions(service, ordersReadAt())
+          .includes(softwareVersion));
     return {
       isStartedForRollout: isOnTrial,
       enginesBesideOrder: order =>
