--- a/packages/entry-process/src/routed_interface/duties/usage_push.ts
+++ b/packages/entry-process/src/routed_interface/duties/usage_push.ts
@@ -8,6 +8,7 @@
   ServiceLoadCounter,
   ServiceLoadReport,
   UsageWindows,
+  VersionResultReport,
 } from '@lacewingwinch/decisions';
 import type {PeerClient} from '@lacewingwinch/entry-hosts';
 
@@ -35,6 +36,8 @@
   readonly offeredLoads: OfferedLoads;
   /** Returns the services whose engines are ordered by load. */
   readonly plannedServices: () => readonly string[];
+  /** Returns what this host reports on roll-outs that are in progress. */
+  readonly versionResults: () => readonly VersionResultReport[];
 }
 
 /** Pushes this host's usage counts to the candidates for the duties. */
@@ -54,13 +57,19 @@
     usage.dropOldWindows(trueTime());
     const counts = usage.list(processId);
     const loads = this.countedLoads();
-    if (counts.length === 0 && loads.length === 0) {
+    const versionResults = this.dependencies.versionResults();
+    if (
+      counts.length === 0 &&
+      loads.length === 0 &&
+      versionResults.length === 0
+    ) {
       return;
     }
     for (const {addresses} of candidates()) {
       peers.notify(addresses.peers, 'usage.push', {
         counts,
         ...(loads.length > 0 && {loads}),
+        ...(versionResults.length > 0 && {versionResults}),
       });
     }
   }
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_peer_handlers.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_peer_handlers.ts
@@ -17,6 +17,7 @@
 import type {RoutedPlacement} from '../placement/routed_placement.js';
 import type {StateRelay} from '../state/state_relay.js';
 import type {StreamOriginExchange} from '../state/stream_origin_exchange.js';
+import type {RoutedRollouts} from './routed_rollouts.js';
 
 /** Dependencies of the peer methods. */
 export interface RoutedPeerDependencies {
@@ -24,6 +25,7 @@
   readonly placement: RoutedPlacement;
   readonly relay: StateRelay;
   readonly usage: UsageWindows;
+  readonly rollouts: RoutedRollouts;
   readonly offeredLoads: OfferedLoads;
   readonly clocks: Clocks;
   readonly quotas: QuotaExchange;
@@ -43,6 +45,7 @@
     placement,
     relay,
     usage,
+    rollouts,
     offeredLoads,
     clocks,
     quotas,
@@ -66,10 +69,11 @@
       return null;
     },
     'beliefs.fetch': request => relay.answer(request),
-    'usage.push': ({counts, loads = []}) => {
+    'usage.push': ({counts, loads = [], versionResults = []}) => {
       counts.forEach(count => usage.merge(count));
       const now = clocks.suspensionAware();
       loads.forEach(report => offeredLoads.merge(report, now));
+      rollouts.task.onReports(versionResults);
       return null;
     },
     'suspicion.report': suspicion => {
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -23,15 +23,11 @@
   type EventLog,
   type Metrics,
 } from '@lacewingwinch/observability';
-import {
-  decodeAnswerHeaders,
-  type PlatformSettings,
-  StoreClient,
-} from '@lacewingwinch/platform';
+import {type PlatformSettings, StoreClient} from '@lacewingwinch/platform';
 import {canConnect, ConnectionPool} from '@lacewingwinch/upstreams';
 import {v7 as uuidV7} from 'uuid';
 
-import {RelayCarrier} from '../../paths/relay_carrier.js';
+import type {RelayCarrier} from '../../paths/relay_carrier.js';
 import {UpstreamPaths} from '../../paths/upstream_paths.js';
 import type {MembershipTask} from '../../tasks/membership_task.js';
 import {PartWatch} from '../../tasks/part_watch.js';
@@ -54,6 +50,8 @@
 import {StreamOriginExchange} from '../state/stream_origin_exchange.js';
 import {UpstreamChangeLog} from '../state/upstream_change_log.js';
 import {UpstreamFollower} from '../state/upstream_follower.js';
+import {createRelayCarrier} from './create_relay_carrier.js';
+import {RoutedRollouts} from './routed_rollouts.js';
 
 /**
  * Maximum age of the keys, as a share of the time within which a revocation
@@ -92,6 +90,7 @@
   readonly duties: DutyTask | undefined;
   readonly quotas: QuotaExchange;
   readonly relay: StateRelay;
+  readonly rollouts: RoutedRollouts;
   readonly crashes: CrashWatch;
   readonly parts: PartWatch;
   readonly streams: StreamOriginExchange;
@@ -132,12 +131,14 @@
       this.metrics.storeCalls.inc({call, end: String(end)}),
     );
     this.pool = new ConnectionPool(clocks.steady);
+    this.rollouts = this.createRollouts(settings.hostId);
     this.configuration = new ConfigurationFollower({
       store: this.store,
       events: this.events,
       clocks,
       isStoreReader: () => this.fleet.isStoreReader(),
       onChange: dependencies.onConfigurationChange,
+      onOtherRecord: record => this.rollouts.follower.onOperatorRecord(record),
     });
     this.upstreams = new UpstreamFollower({
       store: this.store,
@@ -162,7 +163,16 @@
       trueTime: () => this.readTrueTime(),
     });
     this.paths = this.createPaths(settings.failureDomain);
-    this.carrier = this.createCarrier();
+    this.carrier = createRelayCarrier({
+      pool: this.pool,
+      events: this.events,
+      metrics: this.metrics,
+      paths: this.paths,
+      clocks,
+      upstreams: this.upstreams.list,
+      announcements: this.announcements,
+      answers: this.answers,
+    });
     this.streams = new StreamOriginExchange({
       hostId: settings.hostId,
       peers: this.peers,
@@ -184,6 +194,8 @@
       fleetHealth: this.fleetHealth,
       announcements: this.announcements,
       namedRates: this.namedRates,
+      trialVersions: service =>
+        this.rollouts.follower.steps.trialVersions(service),
       hostCounts: () => ({
         servingHosts: this.membership.serving().length,
         knownHosts: this.membership.sharingHostIds().length,
@@ -239,6 +251,7 @@
       isStoreReader: () => this.fleet.isStoreReader(),
       configuration: this.configuration,
       upstreams: this.upstreams,
+      rollouts: this.rollouts.follower,
     });
     this.crashes = new CrashWatch({
       hostId: settings.hostId,
@@ -274,6 +287,7 @@
       servingHosts: () => this.fleet.strongServingIds(),
       configuration: () => this.configuration.current?.value,
       upstreams: () => this.upstreams.list.all(),
+      ...this.rollouts.engineCounts(this.upstreams.list),
     });
     this.usagePush = new UsagePush({
       processId: this.processId,
@@ -289,6 +303,7 @@
           this.configuration.current?.value,
           settings.failureDomains.length,
         ).map(({service}) => service.name),
+      versionResults: () => this.rollouts.reports(),
     });
     this.front = this.createFront();
   }
@@ -312,29 +327,23 @@
     });
   }
 
-  private createCarrier(): RelayCarrier {
-    return new RelayCarrier({
-      pool: this.pool,
+  private createRollouts(hostId: string): RoutedRollouts {
+    return new RoutedRollouts({
+      processId: this.processId,
+      hostId,
+      store: this.store,
       events: this.events,
       metrics: this.metrics,
-      paths: this.paths,
-      clock: this.clocks.steady,
-      acceptingUpstream: upstreamId => {
-        const upstream = this.upstreams.list.find(upstreamId);
-        const now = this.clocks.suspensionAware();
-        return upstream !== undefined &&
-          !upstream.isLeaving &&
-          this.announcements.accepts(upstream, now)
-          ? upstream
-          : undefined;
-      },
-      onHead: (upstream, {requestId}, head, sentAt) => {
-        const headers = decodeAnswerHeaders(head.headers);
-        const isOwn =
-          headers.attemptId === undefined || headers.attemptId === requestId;
-        const {status} = head;
-        this.answers.record(upstream, {status, headers, isOwn, sentAt});
-      },
+      clocks: this.clocks,
+      bounds: () => this.dependencies.settings().bounds.rollouts,
+      isStoreReader: () => this.fleet.isStoreReader(),
+      mayAct: () => this.duties?.mayAct === true,
+      servingHosts: () => this.fleet.servingIds(),
+      configuration: () => this.configuration.current?.value,
+      configurationReadAt: () =>
+        this.configuration.current?.confirmedAt ?? -Infinity,
+      upstreams: () => this.upstreams.list,
+      trueTime: () => this.readTrueTime(),
     });
   }
 
@@ -360,6 +369,8 @@
       trueTime: () => this.readTrueTime(),
       retryBudgets: this.retryBudgets,
       loads: this.loads,
+      rollouts: this.rollouts.front,
+      versionContext: service => this.rollouts.versionContext(service),
       configuration: () =>
         this.state.mustBeCompared ? undefined : this.configuration.current,
       maximumKeyAge: () => {
@@ -388,6 +399,7 @@
     this.placement.onUpstreamChanges(changes);
     this.streams.publishAmbiguous();
     this.upstreamChangeLog.write(changes);
+    this.rollouts.onUpstreamChanges(changes, this.upstreams.list);
     for (const change of changes) {
       if (change.state === 'withdrawn' || change.isRestarted) {
         this.paths.forget(change.upstreamId);
--- a/packages/entry-process/src/routed_interface/requests/routed_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_request.ts
@@ -4,19 +4,14 @@
  */
 import type {RoutedCall, RoutedResponder} from '@lacewingwinch/callers';
 import {
-  type AdmissionTerms,
   decideNextAttempt,
   type EngineChoice,
-  eventPatienceMilliseconds,
-  featuresOf,
-  type LatencyBounds,
   type NextAttempt,
   type PlacementDemand,
   type RoutedAdmission,
   type RoutedAttemptFailure,
   ServingError,
   sharedPartIds,
-  shareWeightField,
 } from '@lacewingwinch/decisions';
 import {type CallHeaders, encodeAnswerHeaders} from '@lacewingwinch/platform';
 import type {AnswerHead} from '@lacewingwinch/upstreams';
@@ -29,6 +24,8 @@
 import type {FrontDependencies} from './front_dependencies.js';
 import {RequestLoad} from './request_load.js';
 import {RequestLog} from './request_log.js';
+import {RequestTime} from './request_time.js';
+import {RequestVersions} from './request_versions.js';
 import type {AttemptOutcome} from './routed_attempt.js';
 import {StreamContinuation} from './stream_continuation.js';
 import {StreamRelay} from './stream_relay.js';
@@ -41,11 +38,7 @@
   private readonly relay: StreamRelay;
   private readonly initialDemand: PlacementDemand;
   private readonly continuation: StreamContinuation;
-  private readonly startedAt: number;
-  /**
-   * Steady clock reading in milliseconds at which the complete response is due.
-   */
-  private readonly deadline: number;
+  private readonly time: RequestTime;
   private hasBegunToRun = false;
   private interruption: Interruption | undefined;
   private readonly interrupted = new AbortController();
@@ -54,6 +47,7 @@
   private readonly placing: AttemptPlacement;
   private readonly runner: AttemptRunner;
   private readonly log: RequestLog;
+  private readonly versions: RequestVersions;
   private readonly load: RequestLoad;
 
   constructor(
@@ -64,13 +58,12 @@
     private readonly responder: RoutedResponder,
   ) {
     this.relay = new StreamRelay(responder, () => this.recordFirstEvent());
-    this.startedAt = dependencies.clocks.steady();
-    this.deadline = this.startedAt + admission.budgetMilliseconds;
     const fingerprint = fingerprintOf({
       workspace: admission.workspace?.name ?? '',
       target: call.target,
       body: call.body,
     });
+    this.time = new RequestTime(dependencies, admission, fingerprint);
     const requestId = headers.attemptId ?? '';
     this.log = new RequestLog(dependencies, requestId, admission);
     this.log.recordContinuation(headers);
@@ -78,10 +71,16 @@
       dependencies.loads,
       admission,
       headers.promptTokens,
-      this.startedAt,
+      this.time.startedAt,
     );
     const sharedParts = sharedPartIds(headers.promptParts);
     const service = admission.service.name;
+    this.versions = new RequestVersions(dependencies, {
+      service,
+      route: admission.rule.name,
+      attemptId: requestId,
+      objectiveMilliseconds: admission.rule.objectiveMilliseconds,
+    });
     this.evidence = new CrashEvidence(dependencies, this.log, {
       service,
       fingerprint,
@@ -102,7 +101,9 @@
       call,
       admission,
       relay: this.relay,
-      mayBeSent: () => this.gate.mayBeSent(),
+      mayBeSent: upstream =>
+        this.gate.mayBeSent() &&
+        this.versions.mayBeSent(upstream, this.continuation.softwareVersion),
       onFirstAnswerByte: upstream => {
         this.evidence.recordBegan(upstream);
         this.recordStart();
@@ -114,8 +115,8 @@
       runner: this.runner,
       service,
       demand: () => this.demand(),
-      latencyBounds: () => this.latencyBounds(),
-      admissionTerms: () => this.admissionTerms(),
+      latencyBounds: () => this.time.latencyBounds(),
+      admissionTerms: () => this.time.admissionTerms(),
       takeRetryBudget: () => this.takeRetryBudget(),
       hasAnswerBegun: () => this.relay.hasBegun,
       interrupted: this.interrupted.signal,
@@ -162,6 +163,7 @@
   }
 
   private recordFirstEvent(): void {
+    this.versions.recordFirstEvent(this.runner.times);
     const upstream = this.runner.lastUpstream;
     if (upstream !== undefined) {
       this.continuation.recordFirstEvent(upstream);
@@ -170,10 +172,12 @@
 
   /** Returns what the next attempt demands of its upstream. */
   private demand(): PlacementDemand {
-    const {softwareVersion} = this.continuation;
-    return softwareVersion === undefined
+    const versions = this.versions.constraint(
+      this.continuation.softwareVersion,
+    );
+    return versions === undefined
       ? this.initialDemand
-      : {...this.initialDemand, versions: {kind: 'only', softwareVersion}};
+      : {...this.initialDemand, versions};
   }
 
   private async runAttempts(): Promise<void> {
@@ -181,18 +185,27 @@
     for (;;) {
       const next = await this.placing.next(drawsOnBudget);
       if (next.kind !== 'placed') {
+        const isRefused = next.kind !== 'interrupted' && !this.mayHaveRun;
+        if (isRefused && this.versions.unassign()) {
+          continue;
+        }
         this.endUnplaced(next);
         return;
       }
       const {placement} = next;
+      this.versions.recordBegun(placement.choice);
       this.continuation.recordAttempt();
       this.load.recordPlaced(
         placement.choice,
         this.dependencies.clocks.steady(),
       );
       const outcome = await this.runner.run(placement, () =>
-        this.millisecondsLeft(),
+        this.time.millisecondsLeft(),
       );
+      this.versions.recordEnded(outcome, {
+        ...this.runner.times,
+        eventCount: this.relay.events,
+      });
       const settled = this.settle(placement.choice, outcome);
       if (settled === 'done') {
         return;
@@ -228,31 +241,6 @@
     throw refusal;
   }
 
-  private latencyBounds(): LatencyBounds {
-    return {
-      objectiveMilliseconds: this.admission.rule.objectiveMilliseconds,
-      millisecondsLeft: this.millisecondsLeft(),
-    };
-  }
-
-  private admissionTerms(): AdmissionTerms | undefined {
-    const {service, rule, workspace} = this.admission;
-    const {domainCount} = this.dependencies;
-    if (!featuresOf(service, domainCount()).hasRankedAdmission) {
-      return undefined;
-    }
-    const bounds = this.latencyBounds();
-    return {
-      ...bounds,
-      patienceMilliseconds: rule.isStreamed
-        ? eventPatienceMilliseconds(rule)
-        : bounds.millisecondsLeft,
-      workspace: workspace?.name ?? '',
-      ...shareWeightField(workspace?.quota),
-      fingerprint: this.gate.fingerprint,
-    };
-  }
-
   private takeRetryBudget(): boolean {
     const {retryBudgets, sharingHostCount, clocks} = this.dependencies;
     return retryBudgets
@@ -264,7 +252,7 @@
     const {onRunStarted, clocks} = this.dependencies;
     this.load.recordBegan(clocks.steady());
     if (!this.hasBegunToRun) {
-      this.log.recordFirstByte(clocks.steady() - this.startedAt);
+      this.log.recordFirstByte(this.time.millisecondsSinceStart());
     }
     const workspace = this.admission.workspace?.name;
     if (!this.hasBegunToRun && workspace !== undefined) {
@@ -310,7 +298,7 @@
       const failure: RoutedAttemptFailure = {kind: 'failed-after-run', status};
       const next = decideNextAttempt(
         failure,
-        this.runner.history(this.millisecondsLeft()),
+        this.runner.history(this.time.millisecondsLeft()),
       );
       const hasAnotherUpstream =
         this.dependencies.placement.candidates.hasUntried(
@@ -351,7 +339,10 @@
       return 'done';
     }
     const next: NextAttempt = this.continuation.isOriginKnown()
-      ? decideNextAttempt(failure, this.runner.history(this.millisecondsLeft()))
+      ? decideNextAttempt(
+          failure,
+          this.runner.history(this.time.millisecondsLeft()),
+        )
       : {kind: 'give-up', error: 'stream-unknown'};
     this.log.recordAttemptFailure(
       this.runner.attempts,
@@ -396,16 +387,12 @@
       : new ServingError(kind);
   }
 
-  private millisecondsLeft(): number {
-    return this.deadline - this.dependencies.clocks.steady();
-  }
-
   private recordEnd(outcome: string): void {
     const now = this.dependencies.clocks.steady();
     this.load.recordEnd(outcome, now);
     this.log.recordEnd({
       outcome,
-      durationMilliseconds: now - this.startedAt,
+      durationMilliseconds: now - this.time.startedAt,
       attempts: this.runner.attempts,
       upstreamsReached: this.runner.upstreamsReached,
       upstreamId: this.runner.lastUpstream?.upstreamId ?? '',
--- a/packages/entry-process/tests/routed_placement_test.ts
+++ b/packages/entry-process/tests/routed_placement_test.ts
@@ -87,6 +87,7 @@
   const announced = new UpstreamAnnouncements();
   announcements.set(hostId, announced);
   return new RoutedPlacement({
+    trialVersions: () => [],
     hostId,
     failureDomain: 'north',
     upstreams,
--- a/packages/measurements/src/measure.ts
+++ b/packages/measurements/src/measure.ts
@@ -14,6 +14,7 @@
 import {measurePlacement} from './measure_placement.js';
 import {measureReclaim} from './measure_reclaim.js';
 import {measureRecovery} from './measure_recovery.js';
+import {measureRollouts} from './measure_rollouts.js';
 import {measureSlopes} from './measure_slopes.js';
 import {measureStart} from './measure_start.js';
 import {measureCommand, readMeasureArguments} from './measurement_arguments.js';
@@ -29,6 +30,7 @@
   placement: measurePlacement,
   reclaim: measureReclaim,
   recovery: measureRecovery,
+  rollouts: measureRollouts,
   slopes: measureSlopes,
   start: measureStart,
 } as const satisfies Readonly<Record<string, () => Promise<unknown>>>;
