Keep the log lines of a test, and print them only if it fails

Lines of all tests went to the runner, which showed those of failing ones; lines that a process wrote after its test file had ended failed the run (four errors outside tests, 'Closing rpc while "onUserConsoleLog" was pending', in a run of 2,274 tests of which none failed but listed ones). They are now kept in the worker, at most 5,000, and printed after a test that failed.

--- a/packages/observability/tests/captured_output.ts
+++ b/packages/observability/tests/captured_output.ts
@@ -1,10 +1,15 @@
 /**
- * Set-up of all tests: the event logs of processes that run inside a test go to the
- * console, so that the test runner shows them for failing tests only.
+ * Set-up of all tests: the event logs of processes that run inside a test are kept,
+ * and go to the console if the test fails.
  */
 import {Writable} from 'node:stream';
 
-import {vi} from 'vitest';
+import {beforeEach, vi} from 'vitest';
+
+/** Largest number of lines that are kept; the oldest one is dropped. */
+const MAXIMUM_LINES = 5000;
+
+const lines: string[] = [];
 
 vi.mock(import('../src/bounded_output.js'), async importOriginal => {
   const original = await importOriginal();
@@ -15,10 +20,18 @@
         new Writable({
           decodeStrings: false,
           write: (line: Buffer | string, _encoding, callback) => {
-            console.log(line.toString().trimEnd());
+            lines.push(line.toString().trimEnd());
+            if (lines.length > MAXIMUM_LINES) {
+              lines.shift();
+            }
             callback();
           },
         }),
       ),
   };
 });
+
+beforeEach(({onTestFailed}) => {
+  lines.length = 0;
+  onTestFailed(() => console.log(lines.join('\n')));
+});
