--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -46,6 +46,7 @@
 export * from './limits/limit_shares.js';
 export * from './limits/named_rates.js';
 export * from './limits/quota_holders.js';
+export * from './limits/quota_reserve.js';
 export * from './limits/quota_share.js';
 export * from './limits/upstream_grants.js';
 export * from './limits/used_up_quotas.js';
--- a/packages/decisions/src/limits/quota_share.ts
+++ b/packages/decisions/src/limits/quota_share.ts
@@ -4,6 +4,7 @@
  * limited even while hosts cannot reach each other.
  */
 import type {WorkspaceQuota} from '../routing/routing_configuration.js';
+import {QuotaReserve} from './quota_reserve.js';
 
 /** Maximum share of the level that is given for one request of another host. */
 const MAXIMUM_GIVEN_SHARE = 0.6;
@@ -25,6 +26,7 @@
   /** Amount that can still be taken; below 0 after one large request. */
   level: number;
   updatedAt: number;
+  readonly reserve: QuotaReserve;
 }
 
 /** One host's part of a quota. */
@@ -53,7 +55,8 @@
    * Takes `amount` from this host's part of the quota of `workspace`, which is
    * one of `hosts` equal parts. An amount larger than the capacity is admitted
    * when the bucket is full and leaves a negative level. Returns 0 if the
-   * amount was taken, otherwise the milliseconds after which to retry.
+   * amount was taken, otherwise the milliseconds after which to retry. A request
+   * with a rank leaves what a larger one that is as urgent was refused.
    */
   take(
     workspace: string,
@@ -61,15 +64,26 @@
     amount: number,
     hosts: number,
     now: number,
+    rank?: number,
   ): number {
     const part = this.partOf(quota, hosts);
     const {perMillisecond, capacity} = part;
     const bucket = this.refill(workspace, part, now);
-    const needed = Math.min(amount, capacity);
+    const {reserve} = bucket;
+    const needed = Math.min(
+      rank === undefined ? amount : reserve.neededBy(amount, rank, now),
+      capacity,
+    );
     if (bucket.level >= needed) {
       bucket.level -= amount;
+      if (rank !== undefined) {
+        reserve.recordTaken(amount, rank);
+      }
       return 0;
     }
+    if (rank !== undefined) {
+      reserve.recordRefusal(amount, rank, now);
+    }
     return (needed - bucket.level) / Math.max(perMillisecond, Number.EPSILON);
   }
 
@@ -121,7 +135,11 @@
   ): Bucket {
     const bucket = this.buckets.get(workspace);
     if (bucket === undefined) {
-      const newBucket = {level: capacity * this.initialShare, updatedAt: now};
+      const newBucket = {
+        level: capacity * this.initialShare,
+        updatedAt: now,
+        reserve: new QuotaReserve(),
+      };
       this.buckets.set(workspace, newBucket);
       return newBucket;
     }
--- a/packages/entry-hosts/src/messages/quota_messages.ts
+++ b/packages/entry-hosts/src/messages/quota_messages.ts
@@ -21,7 +21,12 @@
   };
   /** Takes an amount from another host's share of a workspace's quota. */
   readonly 'quota.take': {
-    readonly params: {readonly workspace: string; readonly amount: number};
+    readonly params: {
+      readonly workspace: string;
+      readonly amount: number;
+      /** Present if more urgent requests go first; 0 is the most urgent. */
+      readonly rank?: number;
+    };
     readonly result: QuotaAnswer;
   };
   /**
--- a/packages/entry-process/src/routed_interface/admission/quota_exchange.ts
+++ b/packages/entry-process/src/routed_interface/admission/quota_exchange.ts
@@ -85,7 +85,8 @@
 /** Takes amounts from the quotas of workspaces. */
 export class QuotaExchange {
   private readonly share: QuotaShare;
-  private readonly usedUp = new UsedUpQuotas();
+  /** By rank; undefined for requests without one. */
+  private readonly usedUp = new Map<number | undefined, UsedUpQuotas>();
   private readonly backoffUntil = new Map<string, number>();
   /** Times until which holders are called after the others, by host. */
   private readonly holderBackoffUntil = new Map<string, number>();
@@ -100,22 +101,24 @@
   /**
    * Takes `amount` from the part of this host or, if it holds none, from a host
    * that does. A holder whose part is used up requests transfers from the other
-   * holders.
+   * holders. Requests with a rank leave what more urgent ones were refused.
    */
   async take(
     workspace: string,
     quota: WorkspaceQuota,
     amount: number,
+    rank?: number,
   ): Promise<QuotaVerdict> {
     const holders = this.holdersOf(workspace);
     if (!holders.includes(this.dependencies.hostId)) {
-      return this.takeFromHolders(workspace, amount, holders);
+      return this.takeFromHolders(workspace, amount, holders, rank);
     }
     const waitMilliseconds = await this.takeAsHolder(
       workspace,
       quota,
       amount,
       holders,
+      rank,
     );
     return waitMilliseconds > 0
       ? {kind: 'used-up', waitMilliseconds}
@@ -127,6 +130,7 @@
     workspace: string,
     quota: WorkspaceQuota | undefined,
     amount: number,
+    rank?: number,
   ): QuotaAnswer {
     const holders = this.holdersOf(workspace);
     if (quota === undefined || !holders.includes(this.dependencies.hostId)) {
@@ -137,6 +141,7 @@
       quota,
       amount,
       holders,
+      rank,
     );
     return waitMilliseconds > 0
       ? {kind: 'used-up', waitMilliseconds}
@@ -153,21 +158,24 @@
     quota: WorkspaceQuota,
     amount: number,
     holders: readonly string[],
+    rank: number | undefined,
   ): Promise<number> {
     const waitMilliseconds = this.takeLocally(
       workspace,
       quota,
       amount,
       holders,
+      rank,
     );
     const now = this.dependencies.clock();
+    const missingAmount = amount - Math.max(0, this.share.levelOf(workspace));
     if (
       waitMilliseconds === 0 ||
+      missingAmount <= 0 ||
       now < (this.backoffUntil.get(workspace) ?? 0)
     ) {
       return waitMilliseconds;
     }
-    const missingAmount = amount - Math.max(0, this.share.levelOf(workspace));
     const received = await this.requestTransfers(
       workspace,
       missingAmount * TRANSFER_FACTOR,
@@ -179,6 +187,7 @@
       quota,
       amount,
       holders,
+      rank,
     );
     if (waitAfterTransfer > 0) {
       this.backoffUntil.set(
@@ -194,9 +203,12 @@
     workspace: string,
     amount: number,
     holders: readonly string[],
+    rank: number | undefined,
   ): Promise<QuotaVerdict> {
     const {peers, clock} = this.dependencies;
-    const knownWait = this.usedUp.waitFor(workspace, amount, clock());
+    // What is held back for one rank is not used up for a more urgent one.
+    const usedUp = this.usedUpFor(rank);
+    const knownWait = usedUp.waitFor(workspace, amount, clock());
     if (knownWait > 0) {
       return {kind: 'used-up', waitMilliseconds: knownWait};
     }
@@ -207,7 +219,7 @@
         this.dependencies,
         member,
         'quota.take',
-        {workspace, amount},
+        {workspace, amount, ...(rank !== undefined && {rank})},
         PEER_TIMEOUT_MILLISECONDS,
       );
       switch (answer?.kind) {
@@ -215,7 +227,7 @@
           return {
             kind: 'taken',
             giveBack: () => {
-              this.usedUp.forget(workspace);
+              usedUp.forget(workspace);
               peers.notify(address, 'quota.return', {workspace, amount});
             },
           };
@@ -240,7 +252,7 @@
       };
     }
     const waitMilliseconds = Math.min(...waits);
-    this.usedUp.record(workspace, amount, waitMilliseconds, clock());
+    usedUp.record(workspace, amount, waitMilliseconds, clock());
     return {kind: 'used-up', waitMilliseconds};
   }
 
@@ -287,11 +299,22 @@
     return this.share.give(workspace, quota, amount, partCount, now);
   }
 
+  private usedUpFor(rank: number | undefined): UsedUpQuotas {
+    const existing = this.usedUp.get(rank);
+    if (existing !== undefined) {
+      return existing;
+    }
+    const created = new UsedUpQuotas();
+    this.usedUp.set(rank, created);
+    return created;
+  }
+
   private takeLocally(
     workspace: string,
     quota: WorkspaceQuota,
     amount: number,
     holders: readonly string[],
+    rank: number | undefined,
   ): number {
     return this.share.take(
       workspace,
@@ -299,6 +322,7 @@
       amount,
       this.partCountOf(holders),
       this.dependencies.clock(),
+      rank,
     );
   }
 
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_peer_handlers.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_peer_handlers.ts
@@ -92,8 +92,8 @@
     'quota.request': ({workspace, amount}) => ({
       given: quotas.give(workspace, quotaOf(workspace), amount),
     }),
-    'quota.take': ({workspace, amount}) =>
-      quotas.takeForPeer(workspace, quotaOf(workspace), amount),
+    'quota.take': ({workspace, amount, rank}) =>
+      quotas.takeForPeer(workspace, quotaOf(workspace), amount, rank),
     'quota.return': ({workspace, amount}) => {
       quotas.giveBack(workspace, amount);
       return null;
--- a/packages/entry-process/src/routed_interface/requests/routed_front.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_front.ts
@@ -11,6 +11,7 @@
 } from '@lacewingwinch/callers';
 import {
   admitRoutedCall,
+  featuresOf,
   type RoutedAdmission,
   ServingError,
 } from '@lacewingwinch/decisions';
@@ -141,7 +142,7 @@
 
   private async takeQuota(
     headers: CallHeaders,
-    {workspace}: RoutedAdmission,
+    {workspace, service, priority}: RoutedAdmission,
   ): Promise<{readonly giveBack: () => void}> {
     const quota = workspace?.quota;
     if (workspace === undefined || quota === undefined) {
@@ -151,8 +152,14 @@
       ? headers.promptTokens + headers.maximumAnswerTokens
       : quota.defaultTokens;
     const amount = quota.unit === 'tokens' ? tokens : 1;
-    const {quotas} = this.dependencies;
-    const verdict = await quotas.take(workspace.name, quota, amount);
+    const {quotas, domainCount} = this.dependencies;
+    const {hasRankedAdmission} = featuresOf(service, domainCount());
+    const verdict = await quotas.take(
+      workspace.name,
+      quota,
+      amount,
+      hasRankedAdmission ? priority : undefined,
+    );
     switch (verdict.kind) {
       case 'taken':
         return verdict;
