--- a/packages/entry-process/src/routed_interface/duties/routed_duties.ts
+++ b/packages/entry-process/src/routed_interface/duties/routed_duties.ts
@@ -10,6 +10,8 @@
   DutyTaskDependencies,
   | 'clocks'
   | 'configuration'
+  | 'enginesBesideOrder'
+  | 'isStartedForRollout'
   | 'events'
   | 'metrics'
   | 'offeredLoads'
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_process.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_process.ts
@@ -77,6 +77,14 @@
     this.monitor('placement', this.tasks.placement.run(this.stopping.signal));
     this.monitor('quarantine', this.tasks.parts.run(this.stopping.signal));
     this.monitor('usage', this.tasks.usagePush.run(this.stopping.signal));
+    this.monitor(
+      'rollouts',
+      this.tasks.rollouts.follower.run(this.stopping.signal),
+    );
+    this.monitor(
+      'rollout steps',
+      this.tasks.rollouts.task.run(this.stopping.signal),
+    );
     if (this.tasks.duties !== undefined) {
       this.monitor('duties', this.tasks.duties.run(this.stopping.signal));
     }
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -23,15 +23,11 @@
   type EventLog,
   type Metrics,
 } from '@lacewingwinch/observability';
-import {
-  decodeAnswerHeaders,
-  type PlatformSettings,
-  StoreClient,
-} from '@lacewingwinch/platform';
+import {type PlatformSettings, StoreClient} from '@lacewingwinch/platform';
 import {canConnect, ConnectionPool} from '@lacewingwinch/upstreams';
 import {v7 as uuidV7} from 'uuid';
 
-import {RelayCarrier} from '../../paths/relay_carrier.js';
+import type {RelayCarrier} from '../../paths/relay_carrier.js';
 import {UpstreamPaths} from '../../paths/upstream_paths.js';
 import type {MembershipTask} from '../../tasks/membership_task.js';
 import {PartWatch} from '../../tasks/part_watch.js';
@@ -52,7 +48,10 @@
 import {createRoutedMembership} from '../state/routed_membership.js';
 import {StateRelay} from '../state/state_relay.js';
 import {StreamOriginExchange} from '../state/stream_origin_exchange.js';
+import {UpstreamChangeLog} from '../state/upstream_change_log.js';
 import {UpstreamFollower} from '../state/upstream_follower.js';
+import {createRelayCarrier} from './create_relay_carrier.js';
+import {RoutedRollouts} from './routed_rollouts.js';
 
 /**
  * Maximum age of the keys, as a share of the time within which a revocation
@@ -91,6 +90,7 @@
   readonly duties: DutyTask | undefined;
   readonly quotas: QuotaExchange;
   readonly relay: StateRelay;
+  readonly rollouts: RoutedRollouts;
   readonly crashes: CrashWatch;
   readonly parts: PartWatch;
   readonly streams: StreamOriginExchange;
@@ -106,7 +106,7 @@
   private readonly fleet: FleetView;
   private readonly trueTime = new TrueTime();
   private readonly startedAt: number;
-  private hasLoggedUpstreams = false;
+  private readonly upstreamChangeLog: UpstreamChangeLog;
   /** Identity of this process, new at each start. */
   private readonly processId = uuidV7();
   private readonly loads = new ServiceLoadCounter(this.processId);
@@ -125,17 +125,20 @@
     const {clocks} = this;
     this.startedAt = clocks.steady();
     this.events = createEventLog(settings.hostId, 'info');
+    this.upstreamChangeLog = new UpstreamChangeLog(this.events);
     this.metrics = createMetrics();
     this.store = new StoreClient(settings.storeAddress, (call, end) =>
       this.metrics.storeCalls.inc({call, end: String(end)}),
     );
     this.pool = new ConnectionPool(clocks.steady);
+    this.rollouts = this.createRollouts(settings.hostId);
     this.configuration = new ConfigurationFollower({
       store: this.store,
       events: this.events,
       clocks,
       isStoreReader: () => this.fleet.isStoreReader(),
       onChange: dependencies.onConfigurationChange,
+      onOtherRecord: record => this.rollouts.follower.onOperatorRecord(record),
     });
     this.upstreams = new UpstreamFollower({
       store: this.store,
@@ -160,7 +163,16 @@
       trueTime: () => this.readTrueTime(),
     });
     this.paths = this.createPaths(settings.failureDomain);
-    this.carrier = this.createCarrier();
+    this.carrier = createRelayCarrier({
+      pool: this.pool,
+      events: this.events,
+      metrics: this.metrics,
+      paths: this.paths,
+      clocks,
+      upstreams: this.upstreams.list,
+      announcements: this.announcements,
+      answers: this.answers,
+    });
     this.streams = new StreamOriginExchange({
       hostId: settings.hostId,
       peers: this.peers,
@@ -182,6 +194,8 @@
       fleetHealth: this.fleetHealth,
       announcements: this.announcements,
       namedRates: this.namedRates,
+      trialVersions: service =>
+        this.rollouts.follower.steps.trialVersions(service),
       hostCounts: () => ({
         servingHosts: this.membership.serving().length,
         knownHosts: this.membership.sharingHostIds().length,
@@ -237,6 +251,7 @@
       isStoreReader: () => this.fleet.isStoreReader(),
       configuration: this.configuration,
       upstreams: this.upstreams,
+      rollouts: this.rollouts.follower,
     });
     this.crashes = new CrashWatch({
       hostId: settings.hostId,
@@ -272,6 +287,7 @@
       servingHosts: () => this.fleet.strongServingIds(),
       configuration: () => this.configuration.current?.value,
       upstreams: () => this.upstreams.list.all(),
+      ...this.rollouts.engineCounts(this.upstreams.list),
     });
     this.usagePush = new UsagePush({
       processId: this.processId,
@@ -287,6 +303,7 @@
           this.configuration.current?.value,
           settings.failureDomains.length,
         ).map(({service}) => service.name),
+      versionResults: () => this.rollouts.reports(),
     });
     this.front = this.createFront();
   }
@@ -310,29 +327,23 @@
     });
   }
 
-  private createCarrier(): RelayCarrier {
-    return new RelayCarrier({
-      pool: this.pool,
+  private createRollouts(hostId: string): RoutedRollouts {
+    return new RoutedRollouts({
+      processId: this.processId,
+      hostId,
+      store: this.store,
       events: this.events,
       metrics: this.metrics,
-      paths: this.paths,
-      clock: this.clocks.steady,
-      acceptingUpstream: upstreamId => {
-        const upstream = this.upstreams.list.find(upstreamId);
-        const now = this.clocks.suspensionAware();
-        return upstream !== undefined &&
-          !upstream.isLeaving &&
-          this.announcements.accepts(upstream, now)
-          ? upstream
-          : undefined;
-      },
-      onHead: (upstream, {requestId}, head, sentAt) => {
-        const headers = decodeAnswerHeaders(head.headers);
-        const isOwn =
-          headers.attemptId === undefined || headers.attemptId === requestId;
-        const {status} = head;
-        this.answers.record(upstream, {status, headers, isOwn, sentAt});
-      },
+      clocks: this.clocks,
+      bounds: () => this.dependencies.settings().bounds.rollouts,
+      isStoreReader: () => this.fleet.isStoreReader(),
+      mayAct: () => this.duties?.mayAct === true,
+      servingHosts: () => this.fleet.servingIds(),
+      configuration: () => this.configuration.current?.value,
+      configurationReadAt: () =>
+        this.configuration.current?.confirmedAt ?? -Infinity,
+      upstreams: () => this.upstreams.list,
+      trueTime: () => this.readTrueTime(),
     });
   }
 
@@ -358,6 +369,8 @@
       trueTime: () => this.readTrueTime(),
       retryBudgets: this.retryBudgets,
       loads: this.loads,
+      rollouts: this.rollouts.front,
+      versionContext: service => this.rollouts.versionContext(service),
       configuration: () =>
         this.state.mustBeCompared ? undefined : this.configuration.current,
       maximumKeyAge: () => {
@@ -385,7 +398,8 @@
   private onUpstreamChanges(changes: readonly UpstreamChange[]): void {
     this.placement.onUpstreamChanges(changes);
     this.streams.publishAmbiguous();
-    this.logUpstreamChanges(changes);
+    this.upstreamChangeLog.write(changes);
+    this.rollouts.onUpstreamChanges(changes, this.upstreams.list);
     for (const change of changes) {
       if (change.state === 'withdrawn' || change.isRestarted) {
         this.paths.forget(change.upstreamId);
@@ -396,30 +410,6 @@
     }
   }
 
-  /**
-   * Logs the changes of upstreams; those of the first list in one line for each
-   * service, because the hosts of a large fleet start while requests wait.
-   */
-  private logUpstreamChanges(changes: readonly UpstreamChange[]): void {
-    if (this.hasLoggedUpstreams) {
-      changes.forEach(change => this.events.write(3005, {...change}));
-      return;
-    }
-    this.hasLoggedUpstreams = true;
-    const counts = new Map<string, number>();
-    for (const change of changes) {
-      const {service, state} = change;
-      if (state === 'listed') {
-        counts.set(service, (counts.get(service) ?? 0) + 1);
-      } else {
-        this.events.write(3005, {...change});
-      }
-    }
-    counts.forEach((count, service) =>
-      this.events.write(3041, {count, service}),
-    );
-  }
-
   private readTrueTime(): number {
     const {timeOfDay, steady} = this.clocks;
     return this.trueTime.now(timeOfDay(), steady());
--- a/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
+++ b/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
@@ -4,11 +4,13 @@
 import type {
   ConfirmedValue,
   ListedUpstream,
+  RolloutFront,
   RoutingConfiguration,
   ServiceLoadCounter,
   ServiceRetryBudgets,
   UpstreamAnnouncements,
   UsableUpstream,
+  VersionContext,
 } from '@lacewingwinch/decisions';
 import type {EventLog, Metrics} from '@lacewingwinch/observability';
 import type {ConnectionPool} from '@lacewingwinch/upstreams';
@@ -45,6 +47,9 @@
   readonly trueTime: () => number;
   readonly retryBudgets: ServiceRetryBudgets;
   readonly loads: ServiceLoadCounter;
+  readonly rollouts: RolloutFront;
+  /** Returns the state of this host on which software versions depend. */
+  readonly versionContext: (service: string) => VersionContext;
   readonly configuration: () =>
     ConfirmedValue<RoutingConfiguration> | undefined;
   /**
