Test the loss of a dispatcher with the program that npm run build makes

The test started target/lacewingwinch.cjs, which only scripts/bundle.mjs writes: measurements, the soak and the set-up of soak_test.ts, which may run later. Developers' trees hold a bundle of an earlier run, so it passed there.

The checks are the same. A process that exits before it is ready now fails the test at once with its error output, and the clean-up no longer hides the failure with one of its own.

--- a/packages/entry-process/tests/dispatcher_loss_test.ts
+++ b/packages/entry-process/tests/dispatcher_loss_test.ts
@@ -15,7 +15,7 @@
   settingsFileText,
   type StartedProcess,
   startProcess,
-  waitUntilReadyAt,
+  waitUntilReady,
 } from '@lacewingwinch/stand-ins';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
@@ -26,10 +26,8 @@
   RoutedInstallation,
 } from './routed_fixtures.js';
 
-/** The bundled entry process, which `scripts/bundle.mjs` builds. */
-const PROGRAM = fileURLToPath(
-  new URL('../../../target/lacewingwinch.cjs', import.meta.url),
-);
+/** The built program, as `npm run build` leaves it. */
+const PROGRAM = fileURLToPath(new URL('../dist/main.js', import.meta.url));
 
 const FRONTS = 2;
 
@@ -68,7 +66,7 @@
 }
 
 let installation: RoutedInstallation;
-let dispatcher: StartedProcess;
+let dispatcher: StartedProcess | undefined;
 let folder: string;
 let tries: Try[];
 
@@ -84,7 +82,7 @@
   }
 }
 
-async function startDispatcher(): Promise<StartedProcess> {
+async function startDispatcher(): Promise<void> {
   const addresses = await freeLoopbackAddresses();
   const settings = join(folder, 'settings.toml');
   writeFileSync(
@@ -93,12 +91,11 @@
       seeds: installation.peers,
     }),
   );
-  const started = startProcess('dispatcher', PROGRAM, ['serve-routes'], {
+  dispatcher = startProcess('dispatcher', PROGRAM, ['serve-routes'], {
     ...settingsEnvironment(settings),
   });
-  started.child.stdout?.resume();
-  await waitUntilReadyAt(addresses);
-  return started;
+  dispatcher.child.stdout?.resume();
+  await waitUntilReady(dispatcher, addresses);
 }
 
 async function send(index: number): Promise<void> {
@@ -150,13 +147,14 @@
       duties: [],
     });
   }
-  dispatcher = await startDispatcher();
+  await startDispatcher();
   await pause(1500);
 });
 
 afterEach(async () => {
-  dispatcher.child.kill('SIGKILL');
-  await dispatcher.exited;
+  dispatcher?.child.kill('SIGKILL');
+  await dispatcher?.exited;
+  dispatcher = undefined;
   await installation.stop();
   rmSync(folder, {recursive: true});
 });
@@ -169,7 +167,7 @@
     let lostAt = Infinity;
     await sendLoad(() => {
       lostAt = Date.now();
-      dispatcher.child.kill(signal);
+      dispatcher?.child.kill(signal);
     });
     const ran = new Set(
       installation.engines.flatMap(engine => engine.executedAttemptIds()),
--- a/packages/stand-ins/src/settings_file_stand_in.ts
+++ b/packages/stand-ins/src/settings_file_stand_in.ts
@@ -1,7 +1,11 @@
 /**
  * Settings files in the platform's format, for processes on loopback.
  */
-import {findFreePorts, waitFor} from './child_process_group.js';
+import {
+  findFreePorts,
+  type StartedProcess,
+  waitFor,
+} from './child_process_group.js';
 
 /** Path of the platform's readiness check. */
 export const READINESS_PATH = '/api/readiness';
@@ -58,6 +62,26 @@
   );
 }
 
+/**
+ * Waits until `started`, which listens at `addresses`, is ready; rejects with its
+ * error output if it exits.
+ */
+export async function waitUntilReady(
+  started: StartedProcess,
+  addresses: LoopbackAddresses,
+): Promise<void> {
+  const hasExited = (): boolean =>
+    started.child.exitCode !== null || started.child.signalCode !== null;
+  await waitFor(
+    `${started.name} is ready`,
+    async () => hasExited() || (await isReadyAt(addresses)),
+    READY_TIMEOUT_MILLISECONDS,
+  );
+  if (hasExited()) {
+    throw new Error(`${started.name} exited: ${started.errorOutput()}`);
+  }
+}
+
 /** Settings that replace the defaults of a settings file. */
 export interface SettingsFileOptions {
   /** Peer addresses through which the process joins the others. */
