Place no order of engines that takes engines away during a roll-out

The platform counts both versions: it took 48 of the 49 old engines away, and they were back 12 s later, after the burst. An order that exceeds the bound of the domain has the same effect, because the platform cuts it.

While a version is on trial or its order is open, orders are placed only if they add engines and fit into the bound, and none before the new engines can be listed. Their number is counted in one place, where orders are placed.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -66,6 +66,7 @@
 export * from './orders/engine_plan.js';
 export * from './orders/lease_records.js';
 export * from './orders/offered_loads.js';
+export * from './orders/order_beside_rollout.js';
 export * from './orders/service_load_counter.js';
 export * from './orders/service_load_report.js';
 export * from './orders/wanted_engines.js';
--- a/packages/decisions/src/rollouts/rollout_steps.ts
+++ b/packages/decisions/src/rollouts/rollout_steps.ts
@@ -170,6 +170,14 @@
     }
   }
 
+  /**
+   * Returns the time at which a version was first listed; -Infinity for those of
+   * the first list.
+   */
+  firstSeenAt(service: string, softwareVersion: string): number {
+    return this.firstSeen.get(service)?.get(softwareVersion) ?? -Infinity;
+  }
+
   /**
    * Returns the versions of `service` that get no request, besides the new one of
    * a roll-out: those of earlier roll-outs, and those that were listed after the
--- a/packages/entry-process/src/routed_interface/duties/duty_task.ts
+++ b/packages/entry-process/src/routed_interface/duties/duty_task.ts
@@ -11,7 +11,6 @@
   decodeDutyRecord,
   type DutyRecord,
   type DutyView,
-  type EngineOrder,
   eraOf,
   isOwnNewestRecord,
   KnownUsage,
@@ -19,6 +18,7 @@
   type OfferedLoads,
   reconcileDutyRecord,
   rendezvousOrder,
+  type RolloutEngines,
   type RoutingConfiguration,
   type UsageWindows,
   windowsToReport,
@@ -91,11 +91,8 @@
    * ordered ones; absent if there are no roll-outs.
    */
   readonly isStartedForRollout?: (upstream: ListedUpstream) => boolean;
-  /**
-   * Returns the number of engines that are not among `upstreams` and that the
-   * platform counts towards `order`.
-   */
-  readonly enginesBesideOrder: (order: EngineOrder) => number;
+  /** Returns those upstreams of a service; undefined if there are none. */
+  readonly rolloutEngines: (service: string) => RolloutEngines | undefined;
 }
 
 /** Performs the duties while this host holds their lease. */
@@ -129,13 +126,7 @@
       planner: this.planner,
       place: order =>
         this.callAsHolder(fence =>
-          dependencies.cloud.orderEngines(
-            {
-              ...order,
-              count: order.count + dependencies.enginesBesideOrder(order),
-            },
-            fence,
-          ),
+          dependencies.cloud.orderEngines(order, fence),
         ),
     });
   }
--- a/packages/entry-process/src/routed_interface/duties/engine_orders.ts
+++ b/packages/entry-process/src/routed_interface/duties/engine_orders.ts
@@ -13,6 +13,8 @@
   isDomainBeingLost,
   type ListedUpstream,
   neededEngines,
+  orderBesideRollout,
+  type RolloutEngines,
   type RoutedService,
   type RoutingConfiguration,
   type ScalingBounds,
@@ -33,6 +35,11 @@
   readonly failureDomains: readonly string[];
   readonly configuration: () => RoutingConfiguration | undefined;
   readonly upstreams: () => readonly ListedUpstream[];
+  /**
+   * Returns the engines that the platform runs for a roll-out of a service;
+   * undefined if there are none.
+   */
+  readonly rolloutEngines: (service: string) => RolloutEngines | undefined;
   readonly planner: EnginePlanner;
   /** Places an order; returns undefined if this host may not act any more. */
   readonly place: (order: EngineOrder) => Promise<DutyResult | undefined>;
@@ -77,10 +84,18 @@
           order.count > countMatchingEngines(order, listed)),
     );
     this.log.recordWanted(wanted, listed);
-    const orders = this.book.dueOrders(wanted, listed, clock());
+    const orders = this.book.dueOrders(
+      wanted.filter(order => this.placedAs(order, listed) !== undefined),
+      listed,
+      clock(),
+    );
     this.logPlans(record, orders);
     for (const order of orders) {
-      const result = await place(order);
+      const placed = this.placedAs(order, listed);
+      if (placed === undefined) {
+        continue;
+      }
+      const result = await place(placed);
       if (result === undefined) {
         return false;
       }
@@ -100,6 +115,22 @@
     return wasRefused;
   }
 
+  /**
+   * Returns the order to send to the platform for `order`; undefined if a
+   * roll-out leaves none.
+   */
+  private placedAs(
+    order: EngineOrder,
+    listed: readonly ListedUpstream[],
+  ): EngineOrder | undefined {
+    const {configuration, rolloutEngines} = this.dependencies;
+    const rollout = rolloutEngines(order.service);
+    const scaling = configuration()?.services.get(order.service)?.scaling;
+    return rollout === undefined || scaling === undefined
+      ? order
+      : orderBesideRollout(order, scaling, listed, rollout);
+  }
+
   /** Logs what the plans behind `orders` rest on. */
   private logPlans(record: DutyRecord, orders: readonly EngineOrder[]): void {
     for (const service of new Set(orders.map(order => order.service))) {
--- a/packages/entry-process/src/routed_interface/duties/routed_duties.ts
+++ b/packages/entry-process/src/routed_interface/duties/routed_duties.ts
@@ -10,12 +10,12 @@
   DutyTaskDependencies,
   | 'clocks'
   | 'configuration'
-  | 'enginesBesideOrder'
   | 'isStartedForRollout'
   | 'events'
   | 'metrics'
   | 'offeredLoads'
   | 'processId'
+  | 'rolloutEngines'
   | 'servingHosts'
   | 'store'
   | 'trueTime'
--- a/packages/entry-process/src/routed_interface/rollouts/rollout_follower.ts
+++ b/packages/entry-process/src/routed_interface/rollouts/rollout_follower.ts
@@ -4,10 +4,11 @@
  * records is read only while there is an order.
  */
 import {
-  countMatchingEngines,
   decodeRolloutRecord,
   type ListedUpstream,
   type RolloutBounds,
+  type RolloutEngines,
+  type RolloutOrder,
   RolloutSteps,
   type SeenRecord,
   type UpstreamChange,
@@ -59,6 +60,8 @@
 /** Follows the orders and records of roll-outs. */
 export class RolloutFollower {
   readonly steps = new RolloutSteps();
+  /** Time at which the newest order of each service was first seen. */
+  private readonly orderSeenAt = new Map<string, number>();
   private next: number | undefined;
   private hasRead = false;
   private readonly orderNotifier = new ChangeNotifier();
@@ -100,7 +103,7 @@
           events.write(5024, {service, reason});
           return;
         }
-        if (this.steps.acceptOrder(order)) {
+        if (this.acceptOrder(order)) {
           events.write(5020, {
             service,
             softwareVersion: order.softwareVersion,
@@ -121,7 +124,7 @@
   engineCounts(
     list: UpstreamList,
     ordersReadAt: () => number,
-  ): Pick<DutyTaskDependencies, 'enginesBesideOrder' | 'isStartedForRollout'> {
+  ): Pick<DutyTaskDependencies, 'isStartedForRollout' | 'rolloutEngines'> {
     const isOnTrial = ({service, softwareVersion}: ListedUpstream): boolean =>
       this.dependencies.bounds() !== undefined &&
       (this.steps.trialVersions(service).includes(softwareVersion) ||
@@ -130,11 +133,40 @@
           .includes(softwareVersion));
     return {
       isStartedForRollout: isOnTrial,
-      enginesBesideOrder: order =>
-        countMatchingEngines(order, list.all().filter(isOnTrial)),
+      rolloutEngines: service =>
+        this.rolloutEngines(
+          service,
+          list
+            .all()
+            .filter(
+              upstream =>
+                upstream.service === service &&
+                !upstream.isLeaving &&
+                isOnTrial(upstream),
+            ),
+        ),
     };
   }
 
+  private rolloutEngines(
+    service: string,
+    listed: readonly ListedUpstream[],
+  ): RolloutEngines | undefined {
+    const order = this.steps.orderOf(service);
+    const isOpen = order !== undefined && this.steps.isOpen(order);
+    if (listed.length === 0 && !isOpen) {
+      return undefined;
+    }
+    const knownSince = Math.max(
+      this.orderSeenAt.get(service) ?? -Infinity,
+      ...listed.map(({softwareVersion}) =>
+        this.steps.firstSeenAt(service, softwareVersion),
+      ),
+    );
+    const now = this.dependencies.clocks.suspensionAware();
+    return {listed, age: now - knownSince};
+  }
+
   /** What this host knows, in short; undefined without any order. */
   digest(): string | undefined {
     const {allOrders, allRecords} = this.steps;
@@ -173,7 +205,7 @@
     }
     let hasNewOrder = false;
     for (const order of orders) {
-      hasNewOrder = this.steps.acceptOrder(order) || hasNewOrder;
+      hasNewOrder = this.acceptOrder(order) || hasNewOrder;
     }
     for (const {record, age} of records) {
       this.acceptRecord({record, seenAt: sentAt - age});
@@ -183,6 +215,15 @@
     }
   }
 
+  private acceptOrder(order: RolloutOrder): boolean {
+    const isNew = this.steps.acceptOrder(order);
+    if (isNew) {
+      const now = this.dependencies.clocks.suspensionAware();
+      this.orderSeenAt.set(order.service, now);
+    }
+    return isNew;
+  }
+
   /** Accepts a record that this host has read or written. */
   acceptRecord({record, seenAt}: SeenRecord): void {
     this.steps.acceptRecord(record, seenAt);
--- a/packages/entry-process/tests/engine_orders_test.ts
+++ b/packages/entry-process/tests/engine_orders_test.ts
@@ -5,6 +5,7 @@
   type EnginePlan,
   type ListedUpstream,
   OfferedLoads,
+  type RolloutEngines,
   type RoutedService,
 } from '@lacewingwinch/decisions';
 import {createMetrics, type EventLog} from '@lacewingwinch/observability';
@@ -90,6 +91,7 @@
   upstreams: readonly ListedUpstream[],
   hasSettled: boolean,
   refuses: (order: EngineOrder) => boolean,
+  rollout?: RolloutEngines,
 ): Promise<Round> {
   const orders: string[] = [];
   const written: number[] = [];
@@ -115,6 +117,8 @@
       },
     }),
     upstreams: () => upstreams,
+    rolloutEngines: (service: string) =>
+      service === 'large' ? rollout : undefined,
     offeredLoads: new OfferedLoads(),
   };
   const engineOrders = new EngineOrders({
@@ -180,3 +184,57 @@
     expect(events).toEqual([5009, 5007, 5007, 5007, 5007]);
   });
 });
+
+describe('the orders while the platform runs engines of a roll-out', () => {
+  const settledAge = 60_000;
+  const lacking = (domain: string): number => (domain === 'north' ? 9 : 10);
+
+  it.each([
+    {
+      name: 'replace nothing before the new engines can be listed',
+      ordered: lacking,
+      beside: 2,
+      age: 300,
+      expected: [],
+    },
+    {
+      name: 'count the new engines where another one fits',
+      ordered: lacking,
+      beside: 10,
+      age: settledAge,
+      expected: ['large north reclaimable 20'],
+    },
+    {
+      name: 'stay below the bound of the failure domain',
+      ordered: (domain: string) => (domain === 'north' ? 4 : 10),
+      beside: 35,
+      age: settledAge,
+      expected: ['large north reclaimable 40'],
+    },
+    {
+      name: 'are not placed if the domain is full',
+      ordered: lacking,
+      beside: 31,
+      age: settledAge,
+      expected: [],
+    },
+    {
+      name: 'take no engine away',
+      ordered: (domain: string) => (domain === 'north' ? 15 : 10),
+      beside: 10,
+      age: settledAge,
+      expected: [],
+    },
+  ])('$name', async ({ordered, beside, age, expected}) => {
+    const upstreams = [
+      ...engines('large', ordered, true),
+      ...engines('small', () => 2, true),
+    ];
+    const listed = engines('large', () => beside, true);
+    const {orders} = await runRound(upstreams, true, () => false, {
+      listed,
+      age,
+    });
+    expect(orders).toEqual(expected);
+  });
+});
