Bar the version of an earlier roll-out as soon as another version is ordered

A host that knows a new order but not yet its record applied the new order's version only: what had been rolled back, or was under test without a permit any more, could get requests like an ordinary version until the holder wrote the next record. Its engines were also counted as ordinary ones by placement and by orders of engines. `versionsGivenUp` states the rule that the holder applies, and hosts use it as well.

Found by reading; the two new cases of rollout_front_test fail without the change. 122 tests of two files pass.

--- a/packages/decisions/src/rollouts/decide_rollout_step.ts
+++ b/packages/decisions/src/rollouts/decide_rollout_step.ts
@@ -22,6 +22,7 @@
   isOpenRollout,
   type OpenRolloutRecord,
   type RolloutRecord,
+  versionsGivenUp,
 } from './rollout_record.js';
 
 /** Results of the new version after which the share of the test is taken. */
@@ -107,7 +108,7 @@
     durationMilliseconds,
     sequence: (record?.sequence ?? 0) + 1,
     deadline: trueTime + durationMilliseconds,
-    barredVersions: barredBeside(order, record),
+    barredVersions: versionsGivenUp(order, record),
   };
   const isAlone =
     upstreams.length > 0 &&
@@ -131,25 +132,6 @@
   };
 }
 
-/** Returns the versions that get nothing while `order` is carried out. */
-function barredBeside(
-  {softwareVersion}: RolloutOrder,
-  record: RolloutRecord | undefined,
-): readonly string[] {
-  const barred = new Set(record?.barredVersions ?? []);
-  switch (record?.phase) {
-    case 'testing':
-    case 'moving':
-    case 'rolled-back':
-      barred.add(record.softwareVersion);
-      break;
-    case 'completed':
-    case undefined:
-  }
-  barred.delete(softwareVersion);
-  return [...barred];
-}
-
 function decideTestStep(
   situation: RolloutSituation,
   record: Extract<RolloutRecord, {phase: 'testing'}>,
--- a/packages/decisions/src/rollouts/rollout_record.ts
+++ b/packages/decisions/src/rollouts/rollout_record.ts
@@ -5,6 +5,8 @@
  */
 import {z} from 'zod';
 
+import type {RolloutOrder} from './rollout_order.js';
+
 const COMMON_FIELDS = {
   orderId: z.string(),
   service: z.string(),
@@ -85,3 +87,30 @@
       return false;
   }
 }
+
+/**
+ * Returns the versions that were given up before `order`, of which `record` may
+ * know nothing yet. They get no request while the order is carried out.
+ */
+export function versionsGivenUp(
+  order: RolloutOrder,
+  record: RolloutRecord | undefined,
+): readonly string[] {
+  if (record === undefined) {
+    return [];
+  }
+  if (record.orderId === order.orderId) {
+    return record.barredVersions;
+  }
+  const versions = new Set(record.barredVersions);
+  switch (record.phase) {
+    case 'testing':
+    case 'moving':
+    case 'rolled-back':
+      versions.add(record.softwareVersion);
+      break;
+    case 'completed':
+  }
+  versions.delete(order.softwareVersion);
+  return [...versions];
+}
--- a/packages/decisions/src/rollouts/rollout_steps.ts
+++ b/packages/decisions/src/rollouts/rollout_steps.ts
@@ -8,7 +8,11 @@
 import {hashBucket} from '../util/rendezvous_hash.js';
 import type {RolloutOrder} from './rollout_order.js';
 import {PERMIT_MILLISECONDS} from './rollout_plan.js';
-import {isOpenRollout, type RolloutRecord} from './rollout_record.js';
+import {
+  isOpenRollout,
+  type RolloutRecord,
+  versionsGivenUp,
+} from './rollout_record.js';
 
 /** Hash buckets by which requests are assigned to versions. */
 const SHARE_BUCKETS = 10_000;
@@ -120,7 +124,7 @@
   trialVersions(service: string): readonly string[] {
     const order = this.orders.get(service);
     const record = this.records.get(service)?.record;
-    const barred = record?.barredVersions ?? [];
+    const barred = this.givenUpVersions(service);
     const isCompleted =
       record?.phase === 'completed' && record.orderId === order?.orderId;
     return order === undefined || isCompleted
@@ -187,8 +191,15 @@
     const unconfirmed = [...(this.firstSeen.get(service) ?? [])]
       .filter(([, seenAt]) => seenAt > ordersReadAt)
       .map(([version]) => version);
-    const barred = this.records.get(service)?.record.barredVersions ?? [];
-    return [...new Set([...barred, ...unconfirmed])];
+    return [...new Set([...this.givenUpVersions(service), ...unconfirmed])];
+  }
+
+  private givenUpVersions(service: string): readonly string[] {
+    const order = this.orders.get(service);
+    const record = this.records.get(service)?.record;
+    return order === undefined
+      ? (record?.barredVersions ?? [])
+      : versionsGivenUp(order, record);
   }
 }
 
--- a/packages/decisions/tests/rollout_front_test.ts
+++ b/packages/decisions/tests/rollout_front_test.ts
@@ -69,6 +69,10 @@
   return {...COMMON, phase: 'moving', share, steppedAt: 0, stepSequence: 4};
 }
 
+function rolledBack(softwareVersion: string): RolloutRecord {
+  return {...COMMON, softwareVersion, phase: 'rolled-back', reason: ''};
+}
+
 let steps: RolloutSteps;
 let front: RolloutFront;
 
@@ -222,6 +226,16 @@
     expect(sentTo(OLD, 1)).toEqual(nothing);
   });
 
+  it.each([
+    {name: 'that was rolled back', record: rolledBack('v2')},
+    {name: 'that was tested', record: testing()},
+  ])('nothing of a version $name, once another is ordered', ({record}) => {
+    steps.acceptRecord(record, 0);
+    steps.acceptOrder({...ORDER, softwareVersion: 'v3', orderId: 'order-2'});
+    expect(sentTo(BOTH, 1)).toEqual(nothing);
+    expect(steps.trialVersions('service')).toEqual(['v2', 'v3']);
+  });
+
   it('nothing of a version that an earlier roll-out gave up', () => {
     const order = {...ORDER, softwareVersion: 'v3', orderId: 'order-2'};
     steps.acceptOrder(order);
