Send its share to a new version before the orders have been read again

A version that the known order names is used as the roll-out says.

The new case of rollout_front_test fails without the change; 123 tests of two files pass.

--- a/packages/decisions/src/rollouts/rollout_steps.ts
+++ b/packages/decisions/src/rollouts/rollout_steps.ts
@@ -184,12 +184,15 @@
 
   /**
    * Returns the versions of `service` that get no request, besides the new one of
-   * a roll-out: those of earlier roll-outs, and those that were listed after the
-   * orders were last read, at `ordersReadAt`.
+   * a roll-out: those of earlier roll-outs, and those that no known order names
+   * and that were listed after the orders were last read, at `ordersReadAt`.
    */
   barredVersions(service: string, ordersReadAt: number): readonly string[] {
+    const ordered = this.orders.get(service)?.softwareVersion;
     const unconfirmed = [...(this.firstSeen.get(service) ?? [])]
-      .filter(([, seenAt]) => seenAt > ordersReadAt)
+      .filter(
+        ([version, seenAt]) => seenAt > ordersReadAt && version !== ordered,
+      )
       .map(([version]) => version);
     return [...new Set([...this.givenUpVersions(service), ...unconfirmed])];
   }
--- a/packages/decisions/tests/rollout_front_test.ts
+++ b/packages/decisions/tests/rollout_front_test.ts
@@ -280,6 +280,25 @@
     expect(isFree(readAt)).toBe(free);
   });
 
+  it('has its share of a roll-out whose order is known already', () => {
+    steps.acceptOrder(ORDER);
+    steps.acceptRecord(testing(), 5000);
+    steps.recordListed('service', OLD, 1000);
+    steps.recordListed('service', BOTH, 5000);
+    const request = {service: 'service', isAssigned: true, isBound: false};
+    const context = {
+      upstreams: BOTH,
+      ordersReadAt: 4900,
+      now: 6000,
+      trueTime: 0,
+    };
+    expect(front.constraintOf(request, context)).toMatchObject({
+      kind: 'only',
+      softwareVersion: 'v2',
+    });
+    expect(front.mayBeSent(request, 'v2', context)).toBe(true);
+  });
+
   it('serves at once if it is in the first list', () => {
     steps.recordListed('service', BOTH, 5000);
     expect(isFree(0)).toBe(true);
