--- a/packages/decisions/tests/rollout_front_test.ts
+++ b/packages/decisions/tests/rollout_front_test.ts
@@ -69,6 +69,10 @@
   return {...COMMON, phase: 'moving', share, steppedAt: 0, stepSequence: 4};
 }
 
+function rolledBack(softwareVersion: string): RolloutRecord {
+  return {...COMMON, softwareVersion, phase: 'rolled-back', reason: ''};
+}
+
 let steps: RolloutSteps;
 let front: RolloutFront;
 
@@ -222,6 +226,16 @@
     expect(sentTo(OLD, 1)).toEqual(nothing);
   });
 
+  it.each([
+    {name: 'that was rolled back', record: rolledBack('v2')},
+    {name: 'that was tested', record: testing()},
+  ])('nothing of a version $name, once another is ordered', ({record}) => {
+    steps.acceptRecord(record, 0);
+    steps.acceptOrder({...ORDER, softwareVersion: 'v3', orderId: 'order-2'});
+    expect(sentTo(BOTH, 1)).toEqual(nothing);
+    expect(steps.trialVersions('service')).toEqual(['v2', 'v3']);
+  });
+
   it('nothing of a version that an earlier roll-out gave up', () => {
     const order = {...ORDER, softwareVersion: 'v3', orderId: 'order-2'};
     steps.acceptOrder(order);
@@ -266,6 +280,25 @@
     expect(isFree(readAt)).toBe(free);
   });
 
+  it('has its share of a roll-out whose order is known already', () => {
+    steps.acceptOrder(ORDER);
+    steps.acceptRecord(testing(), 5000);
+    steps.recordListed('service', OLD, 1000);
+    steps.recordListed('service', BOTH, 5000);
+    const request = {service: 'service', isAssigned: true, isBound: false};
+    const context = {
+      upstreams: BOTH,
+      ordersReadAt: 4900,
+      now: 6000,
+      trueTime: 0,
+    };
+    expect(front.constraintOf(request, context)).toMatchObject({
+      kind: 'only',
+      softwareVersion: 'v2',
+    });
+    expect(front.mayBeSent(request, 'v2', context)).toBe(true);
+  });
+
   it('serves at once if it is in the first list', () => {
     steps.recordListed('service', BOTH, 5000);
     expect(isFree(0)).toBe(true);
