Continue a stream only after its upstream's list of that time has been read

The log of host-2: engines-0 and engines-2 had started again with version v2; the host, without a connection that could show it, began the stream at engines-0 at 28.227 as v1, lost it at 28.281 after one event and continued it at engines-3 (v1) at 28.287; it read the entries of the new processes at 28.334. Its client got events of two versions with nothing to show it. That the origin is judged by the present entry helps only if that entry has been read.

A process lists itself when it starts, so that a list which is confirmed after the first event names the process that began the stream. A request that is to continue a stream now waits for such a list, at most while the list is less than a second old; streams that broke off later than one reading period after their first event wait for nothing.

--- a/packages/decisions/src/streams/judge_origin_process.ts
+++ b/packages/decisions/src/streams/judge_origin_process.ts
@@ -8,6 +8,12 @@
 /** Largest difference between the clock of an upstream and true time. */
 const CLOCK_DIFFERENCE_MILLISECONDS = 250;
 
+/**
+ * Age of the list of upstreams above which no newer one is expected soon, because
+ * the store is out of reach.
+ */
+const STALE_LIST_MILLISECONDS = 1000;
+
 /** Start of a process that did not report one. */
 const UNKNOWN_START = 0;
 
@@ -47,3 +53,24 @@
     ? {kind: 'replacement', softwareVersion: present.softwareVersion}
     : {kind: 'unknown'};
 }
+
+/** When a host first saw a stream, and when its list of upstreams was valid. */
+export interface OriginEvidence {
+  readonly firstEventAt: number;
+  /** Time at which the list was last confirmed as the newest. */
+  readonly listConfirmedAt: number;
+}
+
+/**
+ * Returns whether the list may still lack the process that began a stream, and is
+ * likely to be confirmed again soon.
+ */
+export function mustAwaitList(
+  {firstEventAt, listConfirmedAt}: OriginEvidence,
+  now: number,
+): boolean {
+  return (
+    listConfirmedAt < firstEventAt &&
+    now - listConfirmedAt <= STALE_LIST_MILLISECONDS
+  );
+}
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -366,6 +366,7 @@
         this.upstreams.list.find(upstream.upstreamId)?.isLeaving !== false,
       streams: this.streams,
       listedUpstream: upstreamId => this.upstreams.list.find(upstreamId),
+      upstreamsConfirmedAt: () => this.upstreams.confirmedAt,
       trueTime: () => this.readTrueTime(),
       retryBudgets: this.retryBudgets,
       loads: this.loads,
--- a/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
+++ b/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
@@ -43,6 +43,8 @@
   readonly streams: StreamOriginExchange;
   /** Returns the present entry of an upstream. */
   readonly listedUpstream: (upstreamId: string) => ListedUpstream | undefined;
+  /** Returns the time at which the list of upstreams was last confirmed. */
+  readonly upstreamsConfirmedAt: () => number;
   /** Returns true time in milliseconds since the epoch. */
   readonly trueTime: () => number;
   readonly retryBudgets: ServiceRetryBudgets;
--- a/packages/entry-process/src/routed_interface/requests/routed_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_request.ts
@@ -33,6 +33,9 @@
 
 type Interruption = 'caller-left' | 'timeout';
 
+/** Whether a request has ended, or how it makes another attempt. */
+type Settled = 'done' | {readonly drawsOnBudget: boolean};
+
 /** One admitted request. */
 export class RoutedRequest {
   private readonly relay: StreamRelay;
@@ -206,7 +209,7 @@
         ...this.runner.times,
         eventCount: this.relay.events,
       });
-      const settled = this.settle(placement.choice, outcome);
+      const settled = await this.settle(placement.choice, outcome);
       if (settled === 'done') {
         return;
       }
@@ -261,10 +264,10 @@
     this.hasBegunToRun = true;
   }
 
-  private settle(
+  private async settle(
     choice: EngineChoice,
     outcome: AttemptOutcome,
-  ): 'done' | {readonly drawsOnBudget: boolean} {
+  ): Promise<Settled> {
     const {upstreamId} = choice.upstream;
     this.evidence.recordOutcome(choice.upstream, outcome, {
       millisecondsSinceAnswerBegan: this.runner.millisecondsSinceAnswerBegan(
@@ -292,7 +295,7 @@
     upstreamId: string,
     head: AnswerHead,
     body: Buffer,
-  ): 'done' | {readonly drawsOnBudget: boolean} {
+  ): Settled {
     const {status, framing} = head;
     if (status >= FIRST_FAILURE_STATUS) {
       const failure: RoutedAttemptFailure = {kind: 'failed-after-run', status};
@@ -330,19 +333,23 @@
     return 'done';
   }
 
-  private continueAfterFailure(
+  private async continueAfterFailure(
     upstreamId: string,
     failure: RoutedAttemptFailure,
-  ): 'done' | {readonly drawsOnBudget: boolean} {
+  ): Promise<Settled> {
+    const decided = decideNextAttempt(
+      failure,
+      this.runner.history(this.time.millisecondsLeft()),
+    );
+    const mayContinue =
+      decided.kind !== 'attempt' ||
+      (await this.continuation.isOriginKnown(this.interrupted.signal));
     if (this.interruption !== undefined) {
       this.endInterrupted();
       return 'done';
     }
-    const next: NextAttempt = this.continuation.isOriginKnown()
-      ? decideNextAttempt(
-          failure,
-          this.runner.history(this.time.millisecondsLeft()),
-        )
+    const next: NextAttempt = mayContinue
+      ? decided
       : {kind: 'give-up', error: 'stream-unknown'};
     this.log.recordAttemptFailure(
       this.runner.attempts,
--- a/packages/entry-process/src/routed_interface/requests/stream_continuation.ts
+++ b/packages/entry-process/src/routed_interface/requests/stream_continuation.ts
@@ -5,6 +5,7 @@
  */
 import {
   judgeOriginProcess,
+  mustAwaitList,
   type RoutedAdmission,
   ServingError,
   type StreamBeginning,
@@ -13,12 +14,16 @@
 } from '@lacewingwinch/decisions';
 import type {CallHeaders} from '@lacewingwinch/platform';
 
+import {pause} from '../../util/pause.js';
 import type {FrontDependencies} from './front_dependencies.js';
 
+/** Milliseconds between two looks at the time of the list of upstreams. */
+const LIST_CHECK_PERIOD_MILLISECONDS = 20;
+
 /** What the streams of one entry host share. */
 export type StreamContinuationDependencies = Pick<
   FrontDependencies,
-  'listedUpstream' | 'streams' | 'trueTime'
+  'clocks' | 'listedUpstream' | 'streams' | 'trueTime' | 'upstreamsConfirmedAt'
 >;
 
 /** The stream of one request, across the attempts of its client. */
@@ -29,7 +34,13 @@
   /** Time at which the last attempt was placed. */
   private sentAt = -Infinity;
   /** The beginning of a stream that this request began, and its upstream. */
-  private begun: (StreamBeginning & {readonly upstreamId: string}) | undefined;
+  private begun:
+    | (StreamBeginning & {
+        readonly upstreamId: string;
+        /** Suspension-aware clock reading at the first event. */
+        readonly seenAt: number;
+      })
+    | undefined;
 
   constructor(
     private readonly dependencies: StreamContinuationDependencies,
@@ -85,7 +96,14 @@
     }
     const {sentAt} = this;
     const firstEventAt = this.dependencies.trueTime();
-    this.begun ??= {upstreamId, listedStart: bornAt, sentAt, firstEventAt};
+    const seenAt = this.dependencies.clocks.suspensionAware();
+    this.begun ??= {
+      upstreamId,
+      listedStart: bornAt,
+      sentAt,
+      firstEventAt,
+      seenAt,
+    };
     this.boundVersion = softwareVersion;
     this.dependencies.streams.recordBegun({
       attemptId: this.originAttemptId,
@@ -102,12 +120,15 @@
 
   /**
    * Returns whether it is known which process began the stream, and corrects the
-   * version to which it is bound by what has become known of its upstream.
+   * version to which it is bound by what has become known of its upstream. A
+   * process lists itself when it starts; the list that shows it may not have been
+   * read yet.
    */
-  isOriginKnown(): boolean {
+  async isOriginKnown(signal: AbortSignal): Promise<boolean> {
     if (this.begun === undefined) {
       return true;
     }
+    await this.awaitList(this.begun.seenAt, signal);
     const present = this.dependencies.listedUpstream(this.begun.upstreamId);
     const origin = judgeOriginProcess(this.begun, present);
     switch (origin.kind) {
@@ -121,6 +142,21 @@
     }
   }
 
+  private async awaitList(
+    firstEventAt: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {clocks, upstreamsConfirmedAt} = this.dependencies;
+    const isLacking = (): boolean =>
+      mustAwaitList(
+        {firstEventAt, listConfirmedAt: upstreamsConfirmedAt()},
+        clocks.suspensionAware(),
+      );
+    while (!signal.aborted && isLacking()) {
+      await pause(LIST_CHECK_PERIOD_MILLISECONDS, signal);
+    }
+  }
+
   /** Records that the stream is complete. */
   recordComplete(): void {
     this.dependencies.streams.recordComplete(this.originAttemptId);
--- a/packages/entry-process/tests/software_versions_test.ts
+++ b/packages/entry-process/tests/software_versions_test.ts
@@ -139,6 +139,44 @@
   });
 });
 
+describe('a stream that begins at a process which has just replaced another one', () => {
+  it('is not continued at the software version listed before', async () => {
+    await listEngine('i-2', 'v1');
+    const replaced: RoutedEngineStandIn[] = [];
+    for (const upstreamId of ['i-3', 'i-4', 'i-5', 'i-6']) {
+      replaced.push(await listEngine(upstreamId, 'v1'));
+    }
+    await startHosts(1);
+    breakOffFirstAttempts();
+    for (const engine of replaced) {
+      engine.softwareVersion = 'v2';
+      engine.restart();
+    }
+    await settle();
+    const attemptIds = Array.from(
+      {length: STREAMS},
+      (_, index) => `stream-${index}`,
+    );
+    const answers = Promise.all(
+      attemptIds.map((attemptId, index) =>
+        installation.call({path: `/resumed/${index}`, attemptId}),
+      ),
+    );
+    for (const engine of replaced) {
+      const entry = engine.entry('engines');
+      installation.store.put('keyed.servers', engine.upstreamId, entry);
+    }
+    expect((await answers).some(({isBroken}) => !isBroken)).toBe(true);
+    const ran = installation.engines.flatMap(engine => engine.ran);
+    for (const attemptId of attemptIds) {
+      const ofStream = ran.filter(request => request.attemptId === attemptId);
+      expect(
+        new Set(ofStream.map(({softwareVersion}) => softwareVersion)).size,
+      ).toBe(1);
+    }
+  });
+});
+
 describe('a stream that its client takes up at another host', () => {
   beforeEach(() => {
     installation.store.publish(withSingleAttempts());
