Judge the start of answers only where the work before them was known

For 1.1 s hosts placed requests at its engines without a dispatcher, and assumed that the preferred engine had read the shared prompt parts (for the first request, 12,384 of 16,250 tokens). New engines have read nothing, and neither was the work that other hosts had sent there known. Such times are not counted for the new version; failures and times between events are.

--- a/packages/decisions/src/rollouts/rollout_front.ts
+++ b/packages/decisions/src/rollouts/rollout_front.ts
@@ -52,6 +52,8 @@
 export interface VersionStart extends VersionAttempt {
   readonly milliseconds: number;
   readonly tokensToRead: number;
+  /** Whether the host that placed it did not know all work at the engine. */
+  readonly isGuess: boolean;
 }
 
 /** The result of an attempt. */
@@ -222,14 +224,16 @@
 
   /**
    * Counts the beginning of an answer, at once: answers that begin late end late
-   * as well.
+   * as well. A guess at the work before it assumes cached prompts, which engines
+   * of the new version do not have at first.
    */
   recordStart(start: VersionStart, now: number): void {
-    const {milliseconds, tokensToRead} = start;
+    const {milliseconds, tokensToRead, isGuess} = start;
     const sums = this.sumsOf(start, now);
-    if (sums !== undefined) {
-      addTime(sums.starts, timeWithoutReading(milliseconds, tokensToRead));
+    if (sums === undefined || (isGuess && sums.upstreamId !== undefined)) {
+      return;
     }
+    addTime(sums.starts, timeWithoutReading(milliseconds, tokensToRead));
   }
 
   /**
--- a/packages/entry-process/src/routed_interface/requests/request_versions.ts
+++ b/packages/entry-process/src/routed_interface/requests/request_versions.ts
@@ -160,7 +160,7 @@
     this.hasStarted = true;
     const {rollouts, versionContext} = this.dependencies;
     const {service, route} = this.call;
-    const {upstream, tokensToRead} = choice;
+    const {upstream, tokensToRead, knowledgeAgeMilliseconds = 0} = choice;
     rollouts.recordStart(
       {
         service,
@@ -168,6 +168,7 @@
         upstream,
         milliseconds: startedAt - sentAt,
         tokensToRead,
+        isGuess: knowledgeAgeMilliseconds > 0,
       },
       versionContext(service).now,
     );
--- a/packages/measurements/src/rollout_model.ts
+++ b/packages/measurements/src/rollout_model.ts
@@ -280,7 +280,12 @@
     const endsAt = now + (isFailed ? start * 0.4 : start + gap * route.events);
     const attempt = {service: SERVICE, route: route.name, upstream};
     if (!isFailed) {
-      const beginning = {...attempt, milliseconds: start, tokensToRead};
+      const beginning = {
+        ...attempt,
+        milliseconds: start,
+        tokensToRead,
+        isGuess: false,
+      };
       this.running.push({
         endsAt: now + start,
         finish: () => host.front.recordStart(beginning, now + start),
