Leave engines of a replaced version out of the orders of engines

The platform starts the engines of a new version on demand. Engines of a replaced version are beside the ordered ones now until they have left the list, like those of a version on trial. The versions are looked up once for each service instead of for each engine.

--- a/packages/decisions/src/rollouts/rollout_steps.ts
+++ b/packages/decisions/src/rollouts/rollout_steps.ts
@@ -132,6 +132,12 @@
       : [...barred, order.softwareVersion];
   }
 
+  /** Returns the versions of `service` whose engines stop, as all has moved. */
+  replacedVersions(service: string): readonly string[] {
+    const record = this.records.get(service)?.record;
+    return record?.phase === 'completed' ? record.replacedVersions : [];
+  }
+
   /** Returns how the versions of `service` may be used at `now`. */
   useOf(service: string, now: number): VersionUse {
     const order = this.orders.get(service);
--- a/packages/entry-process/src/routed_interface/duties/duty_task.ts
+++ b/packages/entry-process/src/routed_interface/duties/duty_task.ts
@@ -87,10 +87,10 @@
   readonly upstreams: () => readonly ListedUpstream[];
   readonly offeredLoads: OfferedLoads;
   /**
-   * Returns whether the platform started an upstream for a roll-out, beside the
-   * ordered ones; absent if there are no roll-outs.
+   * Returns the software versions of a service whose upstreams run for a roll-out,
+   * beside the ordered ones.
    */
-  readonly isStartedForRollout?: (upstream: ListedUpstream) => boolean;
+  readonly versionsBesideOrders: (service: string) => readonly string[];
   /** Returns those upstreams of a service; undefined if there are none. */
   readonly rolloutEngines: (service: string) => RolloutEngines | undefined;
 }
@@ -133,10 +133,13 @@
 
   /** Returns the upstreams that exist by order, or did so at first. */
   private orderedUpstreams(): readonly ListedUpstream[] {
-    const {upstreams, isStartedForRollout} = this.dependencies;
-    return isStartedForRollout === undefined
-      ? upstreams()
-      : upstreams().filter(upstream => !isStartedForRollout(upstream));
+    const {upstreams, versionsBesideOrders} = this.dependencies;
+    const versions = new Map<string, readonly string[]>();
+    return upstreams().filter(({service, softwareVersion}) => {
+      const known = versions.get(service) ?? versionsBesideOrders(service);
+      versions.set(service, known);
+      return !known.includes(softwareVersion);
+    });
   }
 
   /** Whether this host is the lease holder, as far as it knows. */
--- a/packages/entry-process/src/routed_interface/duties/routed_duties.ts
+++ b/packages/entry-process/src/routed_interface/duties/routed_duties.ts
@@ -10,7 +10,6 @@
   DutyTaskDependencies,
   | 'clocks'
   | 'configuration'
-  | 'isStartedForRollout'
   | 'events'
   | 'metrics'
   | 'offeredLoads'
@@ -21,6 +20,7 @@
   | 'trueTime'
   | 'upstreams'
   | 'usage'
+  | 'versionsBesideOrders'
 >;
 
 /** Creates the duty task; undefined if the settings name no duty. */
--- a/packages/entry-process/src/routed_interface/rollouts/rollout_follower.ts
+++ b/packages/entry-process/src/routed_interface/rollouts/rollout_follower.ts
@@ -117,34 +117,39 @@
   }
 
   /**
-   * Tells orders of engines which engines the platform has started for a roll-out
-   * that is not completed. A version that has appeared since the orders were last
-   * read, at `ordersReadAt`, may be that of an order.
+   * Tells orders of engines which engines exist for a roll-out that is not
+   * completed, or stop because it is. A version that has appeared since the orders
+   * were last read, at `ordersReadAt`, may be that of an order.
    */
   engineCounts(
     list: UpstreamList,
     ordersReadAt: () => number,
-  ): Pick<DutyTaskDependencies, 'isStartedForRollout' | 'rolloutEngines'> {
-    const isOnTrial = ({service, softwareVersion}: ListedUpstream): boolean =>
-      this.dependencies.bounds() !== undefined &&
-      (this.steps.trialVersions(service).includes(softwareVersion) ||
-        this.steps
-          .barredVersions(service, ordersReadAt())
-          .includes(softwareVersion));
+  ): Pick<DutyTaskDependencies, 'rolloutEngines' | 'versionsBesideOrders'> {
+    const {steps} = this;
+    const versionsBesideOrders = (service: string): readonly string[] =>
+      this.dependencies.bounds() === undefined
+        ? []
+        : [
+            ...steps.trialVersions(service),
+            ...steps.replacedVersions(service),
+            ...steps.barredVersions(service, ordersReadAt()),
+          ];
     return {
-      isStartedForRollout: isOnTrial,
-      rolloutEngines: service =>
-        this.rolloutEngines(
+      versionsBesideOrders,
+      rolloutEngines: service => {
+        const versions = versionsBesideOrders(service);
+        return this.rolloutEngines(
           service,
           list
             .all()
             .filter(
               upstream =>
                 upstream.service === service &&
-                !upstream.isLeaving &&
-                isOnTrial(upstream),
+                versions.includes(upstream.softwareVersion) &&
+                !upstream.isLeaving,
             ),
-        ),
+        );
+      },
     };
   }
 
--- a/packages/entry-process/tests/rollout_follower_test.ts
+++ b/packages/entry-process/tests/rollout_follower_test.ts
@@ -1,7 +1,6 @@
 /** Tests of what a host that follows roll-outs tells orders of engines. */
 import {
   type ListedUpstream,
-  type RolloutEngines,
   type RolloutRecord,
   UpstreamList,
 } from '@lacewingwinch/decisions';
@@ -48,13 +47,13 @@
   readonly elapsed: number;
 }
 
-function rolloutEngines({
+function engineCounts({
   added = [],
   isOrderRead = false,
   isConfirmed = false,
   record,
   elapsed,
-}: Given): RolloutEngines | undefined {
+}: Given): ReturnType<RolloutFollower['engineCounts']> {
   let now = KNOWN_AT;
   const follower = new RolloutFollower({
     store: new StoreClient('127.0.0.1:1'),
@@ -100,7 +99,7 @@
   }
   const readAt = isConfirmed ? now : now - 1;
   now += elapsed;
-  return follower.engineCounts(list, () => readAt).rolloutEngines('service');
+  return follower.engineCounts(list, () => readAt);
 }
 
 describe('the engines that the platform runs for a roll-out', () => {
@@ -166,18 +165,47 @@
       count: undefined,
     },
     {
-      name: 'none once all has moved',
+      name: 'those that are replaced, until they have left',
       added: trial,
       isOrderRead: true,
       isConfirmed: true,
       record: completed,
       elapsed: 9000,
+      count: 1,
+    },
+    {
+      name: 'none once those that are replaced have left',
+      added: [...trial, {...engine('old', 'v1'), isLeaving: true}],
+      isOrderRead: true,
+      isConfirmed: true,
+      record: completed,
+      elapsed: 9000,
       count: undefined,
     },
   ];
   it.each(cases)('are $name', ({count, ...given}) => {
-    const engines = rolloutEngines(given);
+    const engines = engineCounts(given).rolloutEngines('service');
     expect(engines?.listed.length).toBe(count);
     expect(engines?.age).toBe(count === undefined ? undefined : given.elapsed);
   });
 });
+
+describe('orders of engines leave out', () => {
+  it.each([
+    {name: 'the new version during the test', phase: 'testing', left: ['v2']},
+    {name: 'the new version after it', phase: 'rolled-back', left: ['v2']},
+    {name: 'the replaced version', phase: 'completed', left: ['v1']},
+  ] as const)('$name', ({phase, left}) => {
+    const records = {
+      testing: {...RECORD, phase: 'testing', share: 0.1, upstreamIds: []},
+      'rolled-back': {...RECORD, phase: 'rolled-back', reason: ''},
+      completed: {...RECORD, phase: 'completed', replacedVersions: ['v1']},
+    } as const;
+    const {versionsBesideOrders} = engineCounts({
+      isOrderRead: true,
+      record: records[phase],
+      elapsed: 9000,
+    });
+    expect(versionsBesideOrders('service')).toEqual(left);
+  });
+});
