Remove the code cache of the earlier bundle when a new one is written

Cause: scripts/bundle.mjs left target/program.cache of the earlier bundle in place, and V8 compares only the length of the source, its flags and its version. Seen: a cache of '(function(){return 11})' is accepted for '(function(){return 22})', which then returns 11; a bundle in which one digit was changed is accepted with the cache of the earlier one. So soak_test.ts, which bundles without writing a cache, could run functions of older code in a tree where a measurement or the soak had run, and a change that keeps the length could pass or fail by the code before it.

Change: bundle.mjs removes the cache first; the comment on runCachedProgram states what V8 checks.

Measured: after bundle.mjs no cache is left, after write_code_cache.mjs there is a new one. Of the tests only soak_test.ts uses target/ now, and it writes the bundle itself.

--- a/packages/entry-process/src/cached_program.ts
+++ b/packages/entry-process/src/cached_program.ts
@@ -28,8 +28,9 @@
 
 /**
  * Runs the CommonJS bundle `file` in this process. V8 rejects a cache of another
- * source, version or set of flags; the program is compiled then, as without a
- * cache.
+ * version, set of flags or length of the source; the program is compiled then, as
+ * without a cache. It accepts the cache of another source of the same length, so
+ * whoever writes the bundle removes the cache of the earlier one.
  */
 export function runCachedProgram(
   file: string,
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,6 +1,8 @@
 // Bundles the entry process. The bundle needs a third of the processor time of
 // the separate modules to start. The own interface is a bundle of its own,
 // because loading it takes time that the other one does not need.
+import {rmSync} from 'node:fs';
+
 import {build} from 'esbuild';
 
 const OWN_INTERFACE = './entry_process.js';
@@ -47,6 +49,9 @@
   },
 };
 
+// V8 would accept the code cache of an earlier bundle of the same length, and run
+// the functions of that bundle.
+rmSync('target/program.cache', {force: true});
 await build({
   entryPoints: {
     lacewingwinch: 'packages/entry-process/src/launcher.ts',
