Do not count engines of a roll-out as what a service needs

The platform starts as many on-demand engines of a new version as serve, reclaimable ones included. Once the roll-out is completed they were counted as engines that exist without an order, so that the number that a service needs without a known load rose to that of its spare engines, and twice as many were ordered for services that are not planned by load. The number does not rise any more after the first roll-out.

--- a/packages/entry-process/src/routed_interface/duties/duty_task.ts
+++ b/packages/entry-process/src/routed_interface/duties/duty_task.ts
@@ -86,6 +86,8 @@
   readonly configuration: () => RoutingConfiguration | undefined;
   readonly upstreams: () => readonly ListedUpstream[];
   readonly offeredLoads: OfferedLoads;
+  /** Returns whether a roll-out of a service has been ordered. */
+  readonly hasRollout: (service: string) => boolean;
   /**
    * Returns the software versions of a service whose upstreams run for a roll-out,
    * beside the ordered ones.
@@ -346,12 +348,13 @@
   }
 
   private nextRecord(previous: ContinuedRecord, era: number): DutyRecord {
-    const {hostId, processId, usage, trueTime, configuration} =
+    const {hostId, processId, usage, trueTime, configuration, hasRollout} =
       this.dependencies;
     const mostLastingEngines = countLastingEngines(
       previous.mostLastingEngines,
       configuration()?.services.values() ?? [],
       this.orderedUpstreams(),
+      hasRollout,
     );
     const record: DutyRecord = {
       fixedUsage: previous.fixedUsage,
--- a/packages/entry-process/src/routed_interface/duties/routed_duties.ts
+++ b/packages/entry-process/src/routed_interface/duties/routed_duties.ts
@@ -11,6 +11,7 @@
   | 'clocks'
   | 'configuration'
   | 'events'
+  | 'hasRollout'
   | 'metrics'
   | 'offeredLoads'
   | 'processId'
--- a/packages/entry-process/src/routed_interface/rollouts/rollout_follower.ts
+++ b/packages/entry-process/src/routed_interface/rollouts/rollout_follower.ts
@@ -124,7 +124,10 @@
   engineCounts(
     list: UpstreamList,
     ordersReadAt: () => number,
-  ): Pick<DutyTaskDependencies, 'rolloutEngines' | 'versionsBesideOrders'> {
+  ): Pick<
+    DutyTaskDependencies,
+    'hasRollout' | 'rolloutEngines' | 'versionsBesideOrders'
+  > {
     const {steps} = this;
     const versionsBesideOrders = (service: string): readonly string[] =>
       this.dependencies.bounds() === undefined
@@ -135,6 +138,7 @@
             ...steps.barredVersions(service, ordersReadAt()),
           ];
     return {
+      hasRollout: service => steps.orderOf(service) !== undefined,
       versionsBesideOrders,
       rolloutEngines: service => {
         const versions = versionsBesideOrders(service);
--- a/packages/measurements/src/ordering_rule.ts
+++ b/packages/measurements/src/ordering_rule.ts
@@ -87,6 +87,7 @@
       {[SERVICE]: this.usualEngines},
       [ROUTED_SERVICE],
       listed,
+      () => false,
     );
     this.usualEngines = counts[SERVICE] ?? 0;
     this.load = engineLoadOf(this.offered.observe(SERVICE, now), {
