Count the time of an order from when it was first seen

The time limit of a roll-out began when a holder took the order up. If the holder is killed or the store turns it away then, the next one takes it up about 5 s later, so that the result came as late after the limit. Hosts that read the store have seen the order before; the holder subtracts the time since then.

Found by reading. One new case of rollouts_test fails without the change; 108 tests of two files pass.

--- a/packages/decisions/src/rollouts/decide_rollout_step.ts
+++ b/packages/decisions/src/rollouts/decide_rollout_step.ts
@@ -52,6 +52,8 @@
   readonly followers: RolloutFollowers;
   /** Milliseconds since the newest record was written or read. */
   readonly recordAge: number;
+  /** Milliseconds for which this host has known the order. */
+  readonly orderAge: number;
   /** True time, in milliseconds since the epoch. */
   readonly trueTime: number;
 }
@@ -98,6 +100,7 @@
   order,
   record,
   upstreams,
+  orderAge,
   trueTime,
 }: RolloutSituation): RolloutStep {
   const {orderId, service, softwareVersion, durationMilliseconds} = order;
@@ -107,7 +110,7 @@
     softwareVersion,
     durationMilliseconds,
     sequence: (record?.sequence ?? 0) + 1,
-    deadline: trueTime + durationMilliseconds,
+    deadline: trueTime - orderAge + durationMilliseconds,
     barredVersions: versionsGivenUp(order, record),
   };
   const isAlone =
--- a/packages/decisions/tests/rollouts_test.ts
+++ b/packages/decisions/tests/rollouts_test.ts
@@ -313,6 +313,7 @@
     traffic: {requests: 1000, assigned: 80, requestsPerSecond: 250},
     followers: {lowestSequence: 0, runningElsewhere: 5},
     recordAge: 100,
+    orderAge: 0,
     trueTime: 4000,
     ...overrides,
   };
@@ -332,6 +333,12 @@
       kind: 'started',
       record: {phase: 'testing', share: 0, sequence: 1, deadline: 20_000},
     },
+    {
+      name: 'an order that was known before its holder',
+      given: {orderAge: 1500},
+      kind: 'started',
+      record: {phase: 'testing', deadline: 18_500},
+    },
     {
       name: 'an order for the version that serves',
       given: {upstreams: NEW},
--- a/packages/entry-process/src/routed_interface/rollouts/rollout_follower.ts
+++ b/packages/entry-process/src/routed_interface/rollouts/rollout_follower.ts
@@ -61,7 +61,7 @@
 export class RolloutFollower {
   readonly steps = new RolloutSteps();
   /** Time at which the newest order of each service was first seen. */
-  private readonly orderSeenAt = new Map<string, number>();
+  private readonly ordersSeenAt = new Map<string, number>();
   private next: number | undefined;
   private hasRead = false;
   private readonly orderNotifier = new ChangeNotifier();
@@ -167,7 +167,7 @@
       return undefined;
     }
     const knownSince = Math.max(
-      this.orderSeenAt.get(service) ?? -Infinity,
+      this.ordersSeenAt.get(service) ?? -Infinity,
       ...listed.map(({softwareVersion}) =>
         this.steps.firstSeenAt(service, softwareVersion),
       ),
@@ -224,11 +224,19 @@
     }
   }
 
+  /**
+   * Returns the time at which this host first saw the newest order of a service,
+   * by its suspension-aware clock.
+   */
+  orderSeenAt(service: string): number | undefined {
+    return this.ordersSeenAt.get(service);
+  }
+
   private acceptOrder(order: RolloutOrder): boolean {
     const isNew = this.steps.acceptOrder(order);
     if (isNew) {
       const now = this.dependencies.clocks.suspensionAware();
-      this.orderSeenAt.set(order.service, now);
+      this.ordersSeenAt.set(order.service, now);
     }
     return isNew;
   }
--- a/packages/entry-process/src/routed_interface/rollouts/rollout_task.ts
+++ b/packages/entry-process/src/routed_interface/rollouts/rollout_task.ts
@@ -206,6 +206,7 @@
       verdict,
       ...summary,
       recordAge: now - (seen?.seenAt ?? -Infinity),
+      orderAge: now - (follower.orderSeenAt(service) ?? now),
       trueTime: trueNow,
     });
   }
--- a/packages/measurements/src/rollout_model.ts
+++ b/packages/measurements/src/rollout_model.ts
@@ -372,6 +372,7 @@
       verdict: judgeVersion(routes, id => domains.get(id) ?? ''),
       ...summary,
       recordAge: now - this.recordWrittenAt,
+      orderAge: 0,
       trueTime: now,
     });
     if (step === undefined) {
