Use the field's terms in names, comments, log events and test titles

Change: they report, notify, request, query, receive, continue or are restored instead. The message of a permit request to a dispatcher is of the kind `request` within a process; the parameter `ask` of `permit.request` between hosts stays, as do the field `heard` of event 5009 and two details of answers. No behaviour changes.

--- a/packages/decisions/src/crashes/part_quarantine.ts
+++ b/packages/decisions/src/crashes/part_quarantine.ts
@@ -1,6 +1,6 @@
 /**
  * The suspicions that one host knows, and what it makes of them. Every host keeps
- * all of them, so that none has to be asked and none can be lost alone.
+ * all of them, so that none has to be queried and none can be lost alone.
  */
 import {blameParts} from './blame_parts.js';
 import {countedCrashes, isLapsed, nextTrialAt} from './judge_part.js';
@@ -32,8 +32,8 @@
 
 interface Entry {
   readonly suspicion: PartSuspicion;
-  /** Latest sound run that this host has told others or been told. */
-  readonly soundAtTold: number;
+  /** Latest sound run that this host has sent or received. */
+  readonly reportedSoundAt: number;
   /** Time of this host's last trial; undefined without one. */
   readonly triedAt?: number;
 }
@@ -51,7 +51,7 @@
     return this.entries.size === 0;
   }
 
-  /** Records a crash under `parts` of `service`; returns what to tell others. */
+  /** Records a crash under `parts` of `service`; returns what to report. */
   recordCrash(
     service: string,
     parts: readonly string[],
@@ -67,7 +67,7 @@
       if (suspicion === undefined) {
         return [];
       }
-      this.markTold(suspicion);
+      this.markReported(suspicion);
       return [suspicion];
     });
   }
@@ -99,8 +99,11 @@
       const key = keyOf(suspicion);
       const entry = this.entries.get(key);
       if (entry !== undefined) {
-        const soundAtTold = Math.max(entry.soundAtTold, suspicion.soundAt);
-        this.entries.set(key, {...entry, soundAtTold});
+        const reportedSoundAt = Math.max(
+          entry.reportedSoundAt,
+          suspicion.soundAt,
+        );
+        this.entries.set(key, {...entry, reportedSoundAt});
       }
     }
     this.judge(now);
@@ -108,13 +111,13 @@
 
   /**
    * Returns the suspicions that look different with the sound runs that only
-   * this host knows, and counts them as told.
+   * this host knows, and marks them as reported.
    */
   takeRefutations(now: number): readonly PartSuspicion[] {
     return [...this.entries.values()]
       .filter(entry => isNews(entry, now))
       .map(({suspicion}) => {
-        this.markTold(suspicion);
+        this.markReported(suspicion);
         return suspicion;
       });
   }
@@ -263,7 +266,7 @@
     this.entries.set(key, {
       ...existing,
       suspicion: merged,
-      soundAtTold: existing?.soundAtTold ?? NEVER_SOUND,
+      reportedSoundAt: existing?.reportedSoundAt ?? NEVER_SOUND,
     });
   }
 
@@ -279,11 +282,11 @@
     }
   }
 
-  private markTold(suspicion: PartSuspicion): void {
+  private markReported(suspicion: PartSuspicion): void {
     const key = keyOf(suspicion);
     const entry = this.entries.get(key);
     if (entry !== undefined) {
-      this.entries.set(key, {...entry, soundAtTold: suspicion.soundAt});
+      this.entries.set(key, {...entry, reportedSoundAt: suspicion.soundAt});
     }
   }
 
@@ -337,17 +340,18 @@
 }
 
 /** Returns whether the others would judge without this host's sound runs. */
-function isNews({suspicion, soundAtTold}: Entry, now: number): boolean {
-  if (suspicion.soundAt <= soundAtTold) {
+function isNews({suspicion, reportedSoundAt}: Entry, now: number): boolean {
+  if (suspicion.soundAt <= reportedSoundAt) {
     return false;
   }
-  const told: PartSuspicion = {...suspicion, soundAt: soundAtTold};
+  const reported: PartSuspicion = {...suspicion, soundAt: reportedSoundAt};
   return (
-    countedCrashes(told, now).length !==
+    countedCrashes(reported, now).length !==
       countedCrashes(suspicion, now).length ||
-    (verdictInForce(told) === undefined) !==
+    (verdictInForce(reported) === undefined) !==
       (verdictInForce(suspicion) === undefined) ||
-    (countedCrashes(suspicion, now).length > 0 && soundAtTold === NEVER_SOUND)
+    (countedCrashes(suspicion, now).length > 0 &&
+      reportedSoundAt === NEVER_SOUND)
   );
 }
 
--- a/packages/decisions/src/dispatch/dispatch_messages.ts
+++ b/packages/decisions/src/dispatch/dispatch_messages.ts
@@ -58,7 +58,7 @@
       readonly concurrency: number;
     }
   | {readonly kind: 'leaving'; readonly upstreamId: string}
-  | {readonly kind: 'ask'; readonly ask: PermitRequest}
+  | {readonly kind: 'request'; readonly request: PermitRequest}
   | {readonly kind: 'release'; readonly permitId: string}
   | {
       readonly kind: 'renew';
--- a/packages/decisions/src/dispatch/dispatcher.ts
+++ b/packages/decisions/src/dispatch/dispatcher.ts
@@ -80,8 +80,8 @@
       case 'leaving':
         this.leavingIds.add(message.upstreamId);
         return this.drainQueue(now);
-      case 'ask':
-        return this.handleRequest(message.ask, now);
+      case 'request':
+        return this.handleRequest(message.request, now);
       case 'release':
         this.release(message.permitId, now);
         return this.drainQueue(now);
--- a/packages/decisions/src/errors/serving_error.ts
+++ b/packages/decisions/src/errors/serving_error.ts
@@ -8,7 +8,7 @@
   type RanStatus,
 } from './error_kinds.js';
 
-/** Longest wait that a client is told. */
+/** Longest wait that an answer states. */
 const MAXIMUM_WAIT_SECONDS = 3600;
 
 /** Values of one error that replace the defaults of the error table. */
--- a/packages/decisions/src/limits/named_rates.ts
+++ b/packages/decisions/src/limits/named_rates.ts
@@ -44,7 +44,7 @@
  */
 const MINIMUM_PER_SECOND = 0.1;
 
-/** Rate above which nobody is bound. */
+/** Rate above which no host is bound. */
 const MAXIMUM_PER_SECOND = 100_000;
 
 /** Largest number of statements that are remembered. */
--- a/packages/decisions/src/membership/discovery.ts
+++ b/packages/decisions/src/membership/discovery.ts
@@ -43,7 +43,7 @@
 const MAXIMUM_OMITTED_SHARE = 0.5;
 
 /**
- * Returns the hosts that clients are told to use: those that reach upstreams over
+ * Returns the hosts that are named to clients: those that reach upstreams over
  * their own links, unless too few do so.
  */
 export function withoutCutOff(
--- a/packages/decisions/src/membership/host_capacity.ts
+++ b/packages/decisions/src/membership/host_capacity.ts
@@ -1,6 +1,6 @@
 /**
- * How much work an entry host can carry, as a single figure that hosts tell each
- * other.
+ * How much work an entry host can carry, as a single figure that hosts report to
+ * each other.
  */
 
 /** What the operator's settings allow an entry host to use. */
--- a/packages/decisions/src/membership/hosts_for_clients.ts
+++ b/packages/decisions/src/membership/hosts_for_clients.ts
@@ -1,5 +1,5 @@
 /**
- * The hosts to which clients are told to connect. A client selects one of them
+ * The hosts that are named to clients. A client selects one of them
  * at random for each connection, so that each host gets the same share.
  */
 import type {Member} from './member.js';
--- a/packages/decisions/src/paths/carriers.ts
+++ b/packages/decisions/src/paths/carriers.ts
@@ -4,7 +4,7 @@
  */
 import type {Member} from '../membership/member.js';
 
-/** What a host did with an attempt that it was asked to carry. */
+/** What a host did with an attempt that it was requested to relay. */
 export type CarrierResult =
   /** It sent the attempt to the upstream. */
   | 'carried'
@@ -21,14 +21,14 @@
 export interface CarriedAttempt {
   readonly upstreamId: string;
   readonly failureDomain: string;
-  /** Hosts that are not asked again. */
+  /** Hosts that get no second request. */
   readonly triedHosts: ReadonlySet<string>;
 }
 
-/** Time for which a host is not asked for an upstream that it did not reach. */
+/** Time for which a host gets no request for an upstream that it did not reach. */
 const FAILED_PAIR_MILLISECONDS = 1000;
 
-/** Time for which a host that did not accept a connection is not asked. */
+/** Time for which a host that did not accept a connection gets no request. */
 const UNREACHABLE_MILLISECONDS = 1000;
 
 /** Time for which a host counts as cut off after it said so. */
@@ -44,7 +44,7 @@
 
 /** The entry hosts as carriers, from the point of view of this host. */
 export class Carriers {
-  /** Times until which hosts are not asked. */
+  /** Times until which hosts get no request. */
   private readonly cutOffUntil = new Map<string, number>();
   private readonly unreachableUntil = new Map<string, number>();
   private readonly failedPairs = new Map<string, FailedPair>();
--- a/packages/decisions/src/paths/choose_way.ts
+++ b/packages/decisions/src/paths/choose_way.ts
@@ -30,8 +30,8 @@
   triedHosts: new Set(),
 };
 
-/** Largest number of hosts that are asked to carry one attempt. */
-const MAXIMUM_CARRIERS_ASKED = 3;
+/** Largest number of hosts that are requested to relay one attempt. */
+const MAXIMUM_CARRIERS = 3;
 
 /** Returns the next way of an attempt; undefined if none is left. */
 export function chooseWay(
@@ -41,7 +41,7 @@
   if (isDirect && !isDirectTried) {
     return {kind: 'direct'};
   }
-  if (carrier !== undefined && triedHosts.size < MAXIMUM_CARRIERS_ASKED) {
+  if (carrier !== undefined && triedHosts.size < MAXIMUM_CARRIERS) {
     return {kind: 'carried', carrier};
   }
   return isDirectTried ? undefined : {kind: 'direct'};
--- a/packages/decisions/tests/admission_test.ts
+++ b/packages/decisions/tests/admission_test.ts
@@ -82,7 +82,7 @@
       reason: 'late',
     },
     {
-      name: 'is refused if it would be late and all capacity is asked for',
+      name: 'is refused if it would be late and all capacity is requested',
       wait: 1100,
       pressure: {totalShare: 1},
       reason: 'late',
--- a/packages/decisions/tests/dispatch_fairness_test.ts
+++ b/packages/decisions/tests/dispatch_fairness_test.ts
@@ -39,7 +39,10 @@
 ): number {
   const effects = Array.from({length: count}, (_, index) =>
     dispatcher.handle(
-      {kind: 'ask', ask: permitRequest(`${workspace}-${index}`, workspace)},
+      {
+        kind: 'request',
+        request: permitRequest(`${workspace}-${index}`, workspace),
+      },
       0,
     ),
   ).flat();
@@ -69,7 +72,7 @@
     expect(countGrants(dispatcher, 'quiet', quiet)).toBe(quiet);
     expect(countGrants(dispatcher, 'flood', flood)).toBe(grantedToFlood);
     const lateEffects = dispatcher.handle(
-      {kind: 'ask', ask: permitRequest('late', 'late')},
+      {kind: 'request', request: permitRequest('late', 'late')},
       1,
     );
     expect(lateEffects.length).toBe(quiet);
--- a/packages/decisions/tests/dispatch_test.ts
+++ b/packages/decisions/tests/dispatch_test.ts
@@ -107,7 +107,7 @@
   ] as const)('takes $name', ({upstreams, changes, to}) => {
     const dispatcher = dispatcherOf(upstreams, 4);
     const effects = dispatcher.handle(
-      {kind: 'ask', ask: permitRequest('p', changes)},
+      {kind: 'request', request: permitRequest('p', changes)},
       0,
     );
     expect(describeEffects(effects)).toEqual([`p to ${to}`]);
@@ -117,11 +117,14 @@
     const dispatcher = dispatcherOf([upstream('a'), upstream('b')], 8);
     const prefixes = ['x', 'y'];
     dispatcher.handle(
-      {kind: 'ask', ask: permitRequest('p0', {excluded: ['a'], prefixes})},
+      {
+        kind: 'request',
+        request: permitRequest('p0', {excluded: ['a'], prefixes}),
+      },
       0,
     );
     const effects = dispatcher.handle(
-      {kind: 'ask', ask: permitRequest('p1', {prefixes})},
+      {kind: 'request', request: permitRequest('p1', {prefixes})},
       0,
     );
     expect(describeEffects(effects)).toEqual(['p1 to b']);
@@ -132,7 +135,7 @@
   it('never exceeds the slots of an upstream', () => {
     const dispatcher = dispatcherOf([upstream('a')], 2);
     const effects = ['p0', 'p1', 'p2'].flatMap(id =>
-      dispatcher.handle({kind: 'ask', ask: permitRequest(id)}, 0),
+      dispatcher.handle({kind: 'request', request: permitRequest(id)}, 0),
     );
     expect(describeEffects(effects)).toEqual(['p0 to a', 'p1 to a']);
     const released = dispatcher.handle({kind: 'release', permitId: 'p0'}, 10);
@@ -143,7 +146,10 @@
     const dispatcher = dispatcherOf([upstream('a')], 1);
     const submit = (id: string, priority: number, now: number) =>
       dispatcher.handle(
-        {kind: 'ask', ask: permitRequest(id, {priority, maximumWait: 60_000})},
+        {
+          kind: 'request',
+          request: permitRequest(id, {priority, maximumWait: 60_000}),
+        },
         now,
       );
     submit('running', 5, 0);
@@ -168,7 +174,7 @@
     const dispatcher = dispatcherOf([upstream('a')], 2);
     const submit = (id: string, workspace: string, now: number) =>
       dispatcher.handle(
-        {kind: 'ask', ask: permitRequest(id, {workspace})},
+        {kind: 'request', request: permitRequest(id, {workspace})},
         now,
       );
     submit('f0', 'flood', 0);
@@ -196,7 +202,7 @@
   ] as const)('refuses immediately when $name', ({changes, now, error}) => {
     const dispatcher = dispatcherOf([upstream('a')], 1);
     const effects = dispatcher.handle(
-      {kind: 'ask', ask: permitRequest('p', changes)},
+      {kind: 'request', request: permitRequest('p', changes)},
       now,
     );
     expect(describeEffects(effects)).toEqual([`p refused: ${error}`]);
@@ -204,12 +210,12 @@
 
   it('refuses immediately a request that it cannot start in time', () => {
     const dispatcher = dispatcherOf([upstream('a')], 1);
-    dispatcher.handle({kind: 'ask', ask: permitRequest('p0')}, 0);
+    dispatcher.handle({kind: 'request', request: permitRequest('p0')}, 0);
     dispatcher.handle({kind: 'release', permitId: 'p0'}, 2000);
-    dispatcher.handle({kind: 'ask', ask: permitRequest('p1')}, 2000);
-    dispatcher.handle({kind: 'ask', ask: permitRequest('p2')}, 2000);
+    dispatcher.handle({kind: 'request', request: permitRequest('p1')}, 2000);
+    dispatcher.handle({kind: 'request', request: permitRequest('p2')}, 2000);
     const effects = dispatcher.handle(
-      {kind: 'ask', ask: permitRequest('p3')},
+      {kind: 'request', request: permitRequest('p3')},
       2000,
     );
     expect(describeEffects(effects)).toEqual(['p3 refused: overloaded']);
@@ -217,8 +223,8 @@
 
   it('refuses a request that has waited too long', () => {
     const dispatcher = dispatcherOf([upstream('a')], 1);
-    dispatcher.handle({kind: 'ask', ask: permitRequest('p0')}, 0);
-    dispatcher.handle({kind: 'ask', ask: permitRequest('p1')}, 0);
+    dispatcher.handle({kind: 'request', request: permitRequest('p0')}, 0);
+    dispatcher.handle({kind: 'request', request: permitRequest('p1')}, 0);
     expect(dispatcher.handle({kind: 'tick'}, 999)).toEqual([]);
     expect(describeEffects(dispatcher.handle({kind: 'tick'}, 1000))).toEqual([
       'p1 refused: overloaded',
@@ -227,8 +233,8 @@
 
   it('sends nothing to a leaving upstream, not even waiting requests', () => {
     const dispatcher = dispatcherOf([upstream('a')], 1);
-    dispatcher.handle({kind: 'ask', ask: permitRequest('p0')}, 0);
-    dispatcher.handle({kind: 'ask', ask: permitRequest('p1')}, 0);
+    dispatcher.handle({kind: 'request', request: permitRequest('p0')}, 0);
+    dispatcher.handle({kind: 'request', request: permitRequest('p1')}, 0);
     const leavingEffects = dispatcher.handle(
       {kind: 'leaving', upstreamId: 'a'},
       1,
@@ -242,7 +248,7 @@
       2,
     );
     const effects = dispatcher.handle(
-      {kind: 'ask', ask: permitRequest('p2')},
+      {kind: 'request', request: permitRequest('p2')},
       3,
     );
     expect(describeEffects(effects)).toEqual(['p2 refused: no-upstream']);
@@ -252,7 +258,10 @@
     const dispatcher = dispatcherOf([upstream('a'), upstream('b')], 2);
     const submit = (id: string, changes: Partial<PermitRequest>) =>
       describeEffects(
-        dispatcher.handle({kind: 'ask', ask: permitRequest(id, changes)}, 0),
+        dispatcher.handle(
+          {kind: 'request', request: permitRequest(id, changes)},
+          0,
+        ),
       );
     submit('a0', {excluded: ['b']});
     submit('b0', {excluded: ['a']});
@@ -266,9 +275,9 @@
 
   it('expires the permits of a front that does not renew them', () => {
     const dispatcher = dispatcherOf([upstream('a')], 1);
-    dispatcher.handle({kind: 'ask', ask: permitRequest('p0')}, 0);
+    dispatcher.handle({kind: 'request', request: permitRequest('p0')}, 0);
     dispatcher.handle(
-      {kind: 'ask', ask: permitRequest('p1', {maximumWait: 60_000})},
+      {kind: 'request', request: permitRequest('p1', {maximumWait: 60_000})},
       1,
     );
     const effects = dispatcher.handle(
@@ -288,7 +297,7 @@
     };
     dispatcher.handle({kind: 'renew', front: 'f', permits: [held]}, 0);
     const effects = dispatcher.handle(
-      {kind: 'ask', ask: permitRequest('p')},
+      {kind: 'request', request: permitRequest('p')},
       1,
     );
     expect(effects).toEqual([]);
--- a/packages/decisions/tests/engine_plan_test.ts
+++ b/packages/decisions/tests/engine_plan_test.ts
@@ -89,7 +89,7 @@
     );
   });
 
-  it('names the processes that were heard in the last seconds', () => {
+  it('names the processes that reported in the last seconds', () => {
     const loads = new OfferedLoads();
     loads.merge({processId: 'a', service: SERVICE, ...SECOND}, 1000);
     loads.merge({processId: 'b', service: SERVICE, ...SECOND}, 4500);
@@ -223,7 +223,7 @@
       expected: {busyEngines: 3},
     },
     {
-      name: 'with hosts that are not heard',
+      name: 'with hosts that do not report',
       sumsAt: () => SECOND,
       terms: {servingProcesses: 10},
       heardProcesses: 8,
@@ -251,7 +251,7 @@
     }
   });
 
-  it('is not known while many hosts are not heard', () => {
+  it('is not known while many hosts do not report', () => {
     const terms = {...TERMS, servingProcesses: 2};
     expect(
       engineLoadOf(
@@ -373,7 +373,7 @@
       engines: 60,
     },
     {
-      name: 'does not fall while hosts are not heard',
+      name: 'does not fall while hosts do not report',
       previous: PLAN,
       situation: {load: {...LOAD, heardShare: 0.5}},
       engines: 60,
--- a/packages/decisions/tests/store_era_test.ts
+++ b/packages/decisions/tests/store_era_test.ts
@@ -153,7 +153,7 @@
       expected: {10: {a: 1}, 11: {a: 2}},
     },
     {
-      name: 'that nobody read are left out',
+      name: 'that no host read are left out',
       read: [],
       expected: {},
     },
--- a/packages/decisions/tests/streams_test.ts
+++ b/packages/decisions/tests/streams_test.ts
@@ -30,7 +30,7 @@
   };
 }
 
-describe('a stream goes on', () => {
+describe('a stream is continued', () => {
   it.each<{
     readonly name: string;
     readonly knowledge: readonly OriginKnowledge[];
--- a/packages/decisions/tests/upstream_limits_test.ts
+++ b/packages/decisions/tests/upstream_limits_test.ts
@@ -54,7 +54,7 @@
       limit: 2,
     },
     {
-      name: 'comes back when it is named again',
+      name: 'returns when it is named again',
       answers: [answer(0, 2), answer(100), answer(200, 3)],
       limit: 3,
     },
--- a/packages/entry-hosts/src/messages/path_messages.ts
+++ b/packages/entry-hosts/src/messages/path_messages.ts
@@ -5,13 +5,13 @@
 export interface ReachAnswer {
   /** Those of the upstreams to which it could connect. */
   readonly reached: readonly string[];
-  /** Whether it reaches no upstream at all, so that it cannot tell. */
+  /** Whether it reaches no upstream at all, so that its answer means nothing. */
   readonly isCutOff: boolean;
 }
 
 /** Parameters and result of each of these methods. */
 export interface PathMethods {
-  /** Asks a host to connect to upstreams that the sender does not reach. */
+  /** Requests that a host connects to upstreams that the sender does not reach. */
   readonly 'reach.query': {
     readonly params: {readonly upstreamIds: readonly string[]};
     readonly result: ReachAnswer;
--- a/packages/entry-hosts/src/messages/quota_messages.ts
+++ b/packages/entry-hosts/src/messages/quota_messages.ts
@@ -1,7 +1,7 @@
 /**
  * Messages that move shares of limits and quotas between hosts.
  */
-/** Response of a host that was asked to take from its share of a quota. */
+/** Response of a host that was requested to take from its share of a quota. */
 export type QuotaAnswer =
   | {readonly kind: 'taken'}
   /** The share is used up; a retry can succeed after this time. */
--- a/packages/entry-hosts/src/relay_messages.ts
+++ b/packages/entry-hosts/src/relay_messages.ts
@@ -4,10 +4,10 @@
  */
 import type {BodyFraming} from '@lacewingwinch/decisions';
 
-/** What a host asks another one to carry. */
+/** An attempt that a host requests another one to relay. */
 export interface RelayOrder {
   readonly upstreamId: string;
-  /** The host that asks. */
+  /** The host that sends this order. */
   readonly front: string;
   readonly requestId: string;
   /**
--- a/packages/entry-process/src/end_on_uncaught_error.ts
+++ b/packages/entry-process/src/end_on_uncaught_error.ts
@@ -1,6 +1,6 @@
 /**
  * The end of a process after an error that nothing caught. What the error left
- * behind is unknown, so the process never goes on; it leaves in order, because
+ * behind is unknown, so the process never continues; it leaves in order, because
  * its other requests are sound.
  */
 
--- a/packages/entry-process/src/front/attempt_evidence.ts
+++ b/packages/entry-process/src/front/attempt_evidence.ts
@@ -14,7 +14,7 @@
  */
 const ACCUSATION_MILLISECONDS = 500;
 
-/** Least wait that a client is told whose prompt has a refused part. */
+/** Least wait that the refusal of a prompt with a refused part states. */
 const MINIMUM_WAIT_MILLISECONDS = 1000;
 
 /** Passes what attempts show to the quarantine. */
--- a/packages/entry-process/src/front/message_parts.ts
+++ b/packages/entry-process/src/front/message_parts.ts
@@ -6,7 +6,7 @@
 
 import {isRecord} from '@lacewingwinch/decisions';
 
-/** Largest number of messages that are told apart. */
+/** Largest number of messages that are distinguished. */
 const MAXIMUM_MESSAGES = 32;
 
 /** Characters of the hash that identifies a message. */
--- a/packages/entry-process/src/paths/upstream_paths.ts
+++ b/packages/entry-process/src/paths/upstream_paths.ts
@@ -27,16 +27,16 @@
 /** Failed paths that are tried at once. */
 const TRIALS_AT_ONCE = 4;
 
-/** Other hosts that are asked whether they reach an upstream. */
-const HOSTS_ASKED = 2;
+/** Other hosts that are queried whether they reach an upstream. */
+const QUERIED_HOSTS = 2;
 
 /** Milliseconds for another host to connect to an upstream and answer. */
-const ASK_TIMEOUT_MILLISECONDS = 500;
+const QUERY_TIMEOUT_MILLISECONDS = 500;
 
-/** Upstreams to which a host connects for one question of another host. */
-const MAXIMUM_UPSTREAMS_ASKED = 4;
+/** Upstreams to which a host connects for one query of another host. */
+const MAXIMUM_QUERIED_UPSTREAMS = 4;
 
-/** An upstream whose path is asked for. */
+/** An upstream whose path is queried. */
 export interface PathTarget {
   readonly upstreamId: string;
   /** IP address and port. */
@@ -91,7 +91,7 @@
     return this.reach.isCutOff(this.dependencies.clock());
   }
 
-  /** Returns those of `serving` that clients are told to use. */
+  /** Returns those of `serving` that are named to clients. */
   hostsForClients(
     serving: readonly Member[],
     ownId: string,
@@ -180,13 +180,13 @@
   async isAlive({upstreamId, address}: PathTarget): Promise<boolean> {
     return (
       (await this.dependencies.canConnect(address)) ||
-      (await this.askOthers([upstreamId])).reached.has(upstreamId)
+      (await this.queryOthers([upstreamId])).reached.has(upstreamId)
     );
   }
 
   /**
    * Returns whether a lost connection to an upstream may be the fault of this
-   * host's links, and another host could tell.
+   * host's links, and another host may know.
    */
   private isPathSuspect(upstreamId: string): boolean {
     const {clock, otherHosts} = this.dependencies;
@@ -205,15 +205,15 @@
     if (!this.isPathSuspect(upstreamId) || (await canConnect(address))) {
       return true;
     }
-    const {reached, canTell} = await this.askOthers([upstreamId]);
-    return canTell && !reached.has(upstreamId);
+    const {reached, isConclusive} = await this.queryOthers([upstreamId]);
+    return isConclusive && !reached.has(upstreamId);
   }
 
   /** Answers another host that does not reach some upstreams. */
   async answer(upstreamIds: readonly string[]): Promise<ReachAnswer> {
     const {addressOf, canConnect} = this.dependencies;
     const reached = await Promise.all(
-      upstreamIds.slice(0, MAXIMUM_UPSTREAMS_ASKED).map(async upstreamId => {
+      upstreamIds.slice(0, MAXIMUM_QUERIED_UPSTREAMS).map(async upstreamId => {
         const address = addressOf(upstreamId);
         const isReached = address !== undefined && (await canConnect(address));
         return isReached ? [upstreamId] : [];
@@ -315,7 +315,7 @@
     if (failed.length === 0) {
       return;
     }
-    const {reached} = await this.askOthers(failed);
+    const {reached} = await this.queryOthers(failed);
     const now = this.dependencies.clock();
     for (const request of this.requests) {
       if (
@@ -352,28 +352,30 @@
     return true;
   }
 
-  /** Asks other hosts which upstreams they reach. */
-  private async askOthers(upstreamIds: readonly string[]): Promise<{
+  /** Queries other hosts which upstreams they reach. */
+  private async queryOthers(upstreamIds: readonly string[]): Promise<{
     readonly reached: ReadonlySet<string>;
-    readonly canTell: boolean;
+    readonly isConclusive: boolean;
   }> {
     const triedHosts = new Set<string>();
     const answers: Promise<ReachAnswer | undefined>[] = [];
-    for (let count = 0; count < HOSTS_ASKED; count += 1) {
+    for (let count = 0; count < QUERIED_HOSTS; count += 1) {
       const host = this.chooseCarrier(upstreamIds[0] ?? '', triedHosts);
       if (host !== undefined) {
         triedHosts.add(host.hostId);
-        answers.push(this.ask(host, upstreamIds));
+        answers.push(this.query(host, upstreamIds));
       }
     }
-    const told = (await Promise.all(answers)).flatMap(answer => answer ?? []);
+    const received = (await Promise.all(answers)).flatMap(
+      answer => answer ?? [],
+    );
     return {
-      reached: new Set(told.flatMap(({reached}) => reached)),
-      canTell: told.some(({isCutOff}) => !isCutOff),
+      reached: new Set(received.flatMap(({reached}) => reached)),
+      isConclusive: received.some(({isCutOff}) => !isCutOff),
     };
   }
 
-  private async ask(
+  private async query(
     {hostId, addresses}: Member,
     upstreamIds: readonly string[],
   ): Promise<ReachAnswer | undefined> {
@@ -383,7 +385,7 @@
         addresses.peers,
         'reach.query',
         {upstreamIds},
-        ASK_TIMEOUT_MILLISECONDS,
+        QUERY_TIMEOUT_MILLISECONDS,
       );
       this.recordHostCutOff(hostId, answer.isCutOff);
       return answer;
--- a/packages/entry-process/src/routed_interface/admission/attempt_gate.ts
+++ b/packages/entry-process/src/routed_interface/admission/attempt_gate.ts
@@ -23,12 +23,12 @@
 import type {Placement} from '../placement/placement_result.js';
 
 /**
- * Least wait that a client is told whose prompt is refused, while the trial of
- * another request shows whether its part still crashes upstreams.
+ * Least wait that the refusal of a prompt states, while the trial of another
+ * request shows whether its part still crashes upstreams.
  */
 const MINIMUM_TRIAL_WAIT_MILLISECONDS = 1000;
 
-/** Ranks that a metric tells apart; less urgent ones are counted together. */
+/** Ranks that a metric distinguishes; less urgent ones are counted together. */
 const LEAST_URGENT_LABEL = 9;
 
 /** Dependencies of `AttemptGate`. */
--- a/packages/entry-process/src/routed_interface/state/required_state.ts
+++ b/packages/entry-process/src/routed_interface/state/required_state.ts
@@ -20,7 +20,7 @@
 export class RequiredState {
   /**
    * Whether the state that was read at the start is known to be current. It
-   * stays so when the store comes back from a copy later.
+   * stays so when the store is restored from a copy later.
    */
   private isCurrent = false;
 
--- a/packages/entry-process/src/routed_interface/state/stream_origin_exchange.ts
+++ b/packages/entry-process/src/routed_interface/state/stream_origin_exchange.ts
@@ -20,14 +20,14 @@
 /** Number of hosts that keep the origin of a stream besides its own. */
 const KEEPING_HOSTS = 3;
 
-/** Number of hosts that are asked, because some may have gone since. */
-const ASKED_HOSTS = KEEPING_HOSTS + 1;
+/** Number of hosts that are queried, because some may have gone since. */
+const QUERIED_HOSTS = KEEPING_HOSTS + 1;
 
 /** Milliseconds for which origins are collected into one message. */
 const COLLECTION_MILLISECONDS = 50;
 
 /**
- * Milliseconds to wait for the hosts that are asked; a response takes a few
+ * Milliseconds to wait for the hosts that are queried; a response takes a few
  * milliseconds.
  */
 const ANSWER_TIMEOUT_MILLISECONDS = 150;
@@ -107,20 +107,22 @@
     };
   }
 
-  /** Decides at which software version a stream may go on. */
+  /** Decides at which software version a stream may continue. */
   async locate(query: OriginQuery): Promise<Continuation> {
     const own = this.answer(query);
     const knowledge =
-      own.origin === undefined ? [own, ...(await this.ask(query))] : [own];
+      own.origin === undefined
+        ? [own, ...(await this.queryHosts(query))]
+        : [own];
     return decideContinuation(query.service, knowledge);
   }
 
   /** Queries other hosts until one returns the origin or the timeout expires. */
-  private ask(query: OriginQuery): Promise<readonly OriginKnowledge[]> {
-    const asked = this.hostsOf(query.attemptId, ASKED_HOSTS);
+  private queryHosts(query: OriginQuery): Promise<readonly OriginKnowledge[]> {
+    const queried = this.hostsOf(query.attemptId, QUERIED_HOSTS);
     const answers: OriginKnowledge[] = [];
     return new Promise(resolve => {
-      let unanswered = asked.length;
+      let unanswered = queried.length;
       const finish = (): void => {
         clearTimeout(timer);
         resolve(answers);
@@ -133,10 +135,10 @@
           finish();
         }
       };
-      if (asked.length === 0) {
+      if (queried.length === 0) {
         finish();
       }
-      for (const member of asked) {
+      for (const member of queried) {
         void callPeer(
           this.dependencies,
           member,
--- a/packages/entry-process/src/tasks/dispatcher_task.ts
+++ b/packages/entry-process/src/tasks/dispatcher_task.ts
@@ -58,7 +58,7 @@
     const dispatched = this.shardFor(shardId);
     return new Promise(resolve => {
       dispatched.pendingRequests.set(request.permitId, resolve);
-      this.handleMessage(dispatched, {kind: 'ask', ask: request});
+      this.handleMessage(dispatched, {kind: 'request', request});
     });
   }
 
--- a/packages/entry-process/src/tasks/membership_task.ts
+++ b/packages/entry-process/src/tasks/membership_task.ts
@@ -234,7 +234,7 @@
   }
 
   /**
-   * Tells every host when this one becomes busy, or is not any more, if it is one
+   * Notifies every host when this one becomes busy, or is not any more, if it is one
    * of the strong hosts of a fleet with spares.
    */
   private announceLoad(): void {
--- a/packages/entry-process/src/tasks/unconfirmed_runs.ts
+++ b/packages/entry-process/src/tasks/unconfirmed_runs.ts
@@ -1,5 +1,5 @@
 /**
- * Runs whose end does not tell whether their upstream lives on, because their
+ * Runs whose end does not show whether their upstream lives on, because their
  * answers end with the connection. Such a run was sound if the upstream lives some
  * time after it began to answer.
  */
@@ -44,7 +44,7 @@
   constructor(private readonly dependencies: UnconfirmedRunsDependencies) {}
 
   /**
-   * Adds a run. If `isUrgent`, the upstream is asked for a sign of life as soon
+   * Adds a run. If `isUrgent`, a sign of life of the upstream is requested as soon
    * as one counts.
    */
   add(run: UnconfirmedRun, isUrgent: boolean): void {
--- a/packages/entry-process/tests/attempt_gate_test.ts
+++ b/packages/entry-process/tests/attempt_gate_test.ts
@@ -14,13 +14,13 @@
     readonly isRefused: boolean;
   }>([
     {
-      name: 'that ends a fraction of a millisecond early goes on',
+      name: 'that ends a fraction of a millisecond early continues',
       pauses: [20, 0.4],
       millisecondsLeft: 1000,
       isRefused: false,
     },
     {
-      name: 'that is extended by another answer goes on while there is time',
+      name: 'that is extended by another answer continues while there is time',
       pauses: [20, 30],
       millisecondsLeft: 1000,
       isRefused: false,
--- a/packages/entry-process/tests/dispatcher_loss_test.ts
+++ b/packages/entry-process/tests/dispatcher_loss_test.ts
@@ -31,7 +31,7 @@
 
 const FRONTS = 2;
 
-/** Milliseconds between two requests, which ask for twice the capacity. */
+/** Milliseconds between two requests, which need twice the capacity. */
 const REQUEST_PERIOD_MILLISECONDS = 25;
 
 /** Milliseconds for which the load lasts before and after the loss. */
--- a/packages/entry-process/tests/orders_test.ts
+++ b/packages/entry-process/tests/orders_test.ts
@@ -38,7 +38,7 @@
 
 /**
  * Returns the lease after all records of the stream. The last record alone does
- * not tell the holder: when two hosts request the lease at the same time, the
+ * not show the holder: when two hosts request the lease at the same time, the
  * first record is granted and the last one names a host without the lease.
  */
 function currentLease(): Lease {
@@ -125,7 +125,7 @@
     expect(Date.now() - granted).toBeGreaterThanOrEqual(2900);
   });
 
-  it('back off while starts are refused, and serving goes on', async () => {
+  it('back off while starts are refused, and serving continues', async () => {
     fleet = await startFleet(WRITER);
     fleet.platform.isRefusingStarts = true;
     fleet.platform.started.clear();
--- a/packages/entry-process/tests/refusal_promises_test.ts
+++ b/packages/entry-process/tests/refusal_promises_test.ts
@@ -1,6 +1,6 @@
 /**
  * Tests that at-most-once requests run once at the most, and that a client which is
- * promised that its request has not run is never told so wrongly.
+ * promised that its request has not run never gets that promise wrongly.
  */
 import {promisesNotRun} from '@lacewingwinch/decisions';
 import type {
--- a/packages/entry-process/tests/slow_clients_test.ts
+++ b/packages/entry-process/tests/slow_clients_test.ts
@@ -227,7 +227,7 @@
   },
 ];
 
-/** A stream that does not end while nobody reads it. */
+/** A stream that does not end while no client reads it. */
 const NEVER_ENDING: SlowCase = {
   name: 'without end',
   header: '',
--- a/packages/entry-process/tests/software_versions_test.ts
+++ b/packages/entry-process/tests/software_versions_test.ts
@@ -182,7 +182,7 @@
     installation.store.publish(withSingleAttempts());
   });
 
-  it('goes on at its software version after its host has died', async () => {
+  it('is continued at its software version after its host has died', async () => {
     await listEngine('i-2', 'v1');
     await listEngine('i-3', 'v2');
     await listEngine('i-4', 'v1');
@@ -260,7 +260,7 @@
     expect(other.executedAttemptIds()).toContain('listed');
   });
 
-  it('goes on if its host told nobody while one version served', async () => {
+  it('is continued if its host notified no host while one version served', async () => {
     await listEngine('i-2', 'v1');
     await listEngine('i-3', 'v1');
     await startHosts(3);
@@ -271,7 +271,7 @@
     expect(answer).toMatchObject({status: 200, isBroken: false});
   });
 
-  it('goes on if another version has come since it broke off', async () => {
+  it('is continued if another version has come since it broke off', async () => {
     await listEngine('i-2', 'v1');
     await startHosts(3);
     withdraw('i-3');
@@ -286,7 +286,7 @@
   });
 
   it.each([
-    {name: 'is refused if nobody knows where it began', resumes: 'unknown'},
+    {name: 'is refused if no host knows where it began', resumes: 'unknown'},
     {name: 'is refused if its client names no attempt', resumes: undefined},
   ])('$name and two versions serve', async ({resumes}) => {
     await listEngine('i-2', 'v1');
--- a/packages/entry-process/tests/store_era_test.ts
+++ b/packages/entry-process/tests/store_era_test.ts
@@ -1,4 +1,4 @@
-/** Tests of a store that comes back from an older copy of itself. */
+/** Tests of a store that is restored from an older copy of itself. */
 import {
   type FencedCall,
   type RoutedEngineStandIn,
--- a/packages/entry-process/tests/upstream_announcements_test.ts
+++ b/packages/entry-process/tests/upstream_announcements_test.ts
@@ -1,4 +1,4 @@
-/** Tests of upstreams that leave or ask for a pause in their answers. */
+/** Tests of upstreams that leave or request a pause in their answers. */
 import type {RoutedEngineStandIn, StoreStandIn} from '@lacewingwinch/stand-ins';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
--- a/packages/measurements/src/crashing_parts_model.ts
+++ b/packages/measurements/src/crashing_parts_model.ts
@@ -260,8 +260,13 @@
     );
     this.events.at(now + DETECTION_MILLISECONDS, next => {
       for (const {host, parts} of accused) {
-        const told = this.hosts[host]?.recordCrash(SERVICE, parts, crash, next);
-        this.tell(host, told ?? [], next);
+        const reported = this.hosts[host]?.recordCrash(
+          SERVICE,
+          parts,
+          crash,
+          next,
+        );
+        this.report(host, reported ?? [], next);
       }
     });
   }
@@ -310,11 +315,11 @@
     const delay = this.random() * MAXIMUM_REFUTATION_DELAY_MILLISECONDS;
     this.events.at(now + delay, next => {
       this.isRefutationScheduled[host] = false;
-      this.tell(host, quarantine.takeRefutations(next), next);
+      this.report(host, quarantine.takeRefutations(next), next);
     });
   }
 
-  private tell(
+  private report(
     from: number,
     suspicions: readonly PartSuspicion[],
     now: number,
--- a/packages/measurements/src/fuzz_duties.ts
+++ b/packages/measurements/src/fuzz_duties.ts
@@ -1,6 +1,6 @@
 /**
  * Fuzzing of the duties: hosts take, renew and lose their lease in virtual time
- * while the store comes back from older copies, executes writes late and loses
+ * while the store is restored from older copies, executes writes late and loses
  * answers, and hosts restart or stand still.
  */
 import {
--- a/packages/measurements/src/measure_slopes.ts
+++ b/packages/measurements/src/measure_slopes.ts
@@ -99,8 +99,8 @@
   for (let index = 0; index < operations; index += 1) {
     dispatcher.handle(
       {
-        kind: 'ask',
-        ask: {
+        kind: 'request',
+        request: {
           permitId: `p${index}`,
           front: 'f',
           service: 's',
--- a/packages/measurements/src/ordering_rule.ts
+++ b/packages/measurements/src/ordering_rule.ts
@@ -61,7 +61,7 @@
 
   /**
    * Lets another host take over at `at`. It knows the plan, which is in the
-   * record, and the loads, which it was told, but not the orders.
+   * record, and the loads, which it received, but not the orders.
    */
   passOn(at: number): void {
     this.heldFrom = at;
--- a/packages/measurements/src/overload_model.ts
+++ b/packages/measurements/src/overload_model.ts
@@ -51,7 +51,7 @@
 /** Milliseconds between the retries of such a client. */
 const ABUSIVE_RETRY_MILLISECONDS = 50;
 
-/** Milliseconds by which a patient client returns after the time it was told. */
+/** Milliseconds by which a patient client returns after the time that it received. */
 const RETURN_DELAY_MILLISECONDS = 15;
 
 interface QueuedPrompt {
--- a/packages/measurements/src/overload_patterns.ts
+++ b/packages/measurements/src/overload_patterns.ts
@@ -59,7 +59,7 @@
 ];
 
 /**
- * Returns a kind that asks for a third of the capacity of 12 engines which read
+ * Returns a kind that needs a third of the capacity of 12 engines which read
  * 40 tokens in a millisecond.
  */
 function kindOf(
--- a/packages/measurements/src/placement_model.ts
+++ b/packages/measurements/src/placement_model.ts
@@ -193,7 +193,7 @@
     engines: number,
   ): readonly PromptPart[] {
     const count = Math.ceil(kind.sharedPartsPerEngine * engines);
-    // Some parts are asked for much more often than others.
+    // Some parts are requested much more often than others.
     const part = Math.floor(this.random() ** 1.4 * count);
     const ownTokens =
       kind.ownTokens * (0.25 + 0.75 * exponential(this.random, 1));
--- a/packages/measurements/src/simulate.ts
+++ b/packages/measurements/src/simulate.ts
@@ -182,7 +182,7 @@
       case 'dispatcher':
         this.waiting.set(request.id, request);
         this.handle(
-          {kind: 'ask', ask: this.permitRequestFor(request, now)},
+          {kind: 'request', request: this.permitRequestFor(request, now)},
           now,
         );
         return;
--- a/packages/observability/src/events/fleet_events.ts
+++ b/packages/observability/src/events/fleet_events.ts
@@ -40,7 +40,7 @@
   3007: {
     level: 'info',
     message:
-      'upstream {upstreamId} of {service} asked this host to pause for {milliseconds} ms',
+      'upstream {upstreamId} of {service} requested that this host pauses for {milliseconds} ms',
     advice:
       'No action needed unless it happens often: then the service has too few upstreams.',
   },
@@ -77,9 +77,9 @@
   3013: {
     level: 'warn',
     message:
-      'this host reaches no upstream; the last one was heard {silence} ms ago',
+      'this host reaches no upstream; the last one was reached {silence} ms ago',
     advice:
-      'Other hosts carry its requests meanwhile. Look at its links; -1 means that none was heard since its start.',
+      'Other hosts carry its requests meanwhile. Look at its links; -1 means that none was reached since its start.',
   },
   3014: {
     level: 'info',
--- a/packages/observability/src/events/request_events.ts
+++ b/packages/observability/src/events/request_events.ts
@@ -30,7 +30,7 @@
   4005: {
     level: 'warn',
     message: 'request {requestId} could not be handed over: {error}',
-    advice: 'No action needed; the client was told whether the request ran.',
+    advice: 'No action needed; the answer states whether the request ran.',
   },
   4101: {
     level: 'info',
--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -77,7 +77,7 @@
   /** The store drops the history of the upstream list. */
   | {readonly kind: 'store-expires'}
   /**
-   * The store is down and comes back from a copy of the start of the fault;
+   * The store is down and is restored from a copy of the start of the fault;
    * what operators and upstreams wrote since is written again.
    */
   | {readonly kind: 'store-comes-back'}
@@ -104,7 +104,7 @@
       readonly host: number;
       readonly form: LinkCut;
     }
-  /** The upstream refuses every request and asks for a pause. */
+  /** The upstream refuses every request and requests a pause. */
   | {readonly kind: 'engine-pauses'; readonly engine: number}
   /** A key is revoked permanently. */
   | {readonly kind: 'revoke'};
--- a/packages/stand-ins/src/routed_engine_stand_in.ts
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -66,7 +66,7 @@
 /** Number of events of a streamed answer. */
 export const STREAM_EVENTS = 6;
 
-/** A path that contains this asks for large events. */
+/** A path that contains this requests large events. */
 export const LARGE_STREAM_MARK = '-large-';
 
 /** Milliseconds between two events of a stream. */
@@ -100,7 +100,7 @@
   weightVersion = 0;
   /** Version of its software, which its entries state. */
   softwareVersion = 'v1';
-  /** Bytes that each event has besides its text if the path asks for them. */
+  /** Bytes that each event has besides its text if the path requests them. */
   readonly largeEventBytes = 400_000;
   /** Start time of the process; increased when it restarts under its id. */
   bornAt = Date.now();
--- a/packages/stand-ins/src/store_stand_in.ts
+++ b/packages/stand-ins/src/store_stand_in.ts
@@ -115,7 +115,7 @@
     );
   }
 
-  /** Comes back from an older copy and starts a new era. */
+  /** Restores an older copy and starts a new era. */
   restore(copy: StoreCopy): void {
     this.era += 1;
     this.partitions.clear();
--- a/packages/upstreams/src/connection_pool.ts
+++ b/packages/upstreams/src/connection_pool.ts
@@ -100,7 +100,7 @@
   }
 
   /**
-   * Returns a function that tells whether all connections to `address` that are
+   * Returns a function that returns whether all connections to `address` that are
    * open now have closed by the time it is called. A crash of the upstream
    * closes all of them, whereas the loss of one connection leaves the others
    * open.
