--- a/packages/measurements/src/rollout_model.ts
+++ b/packages/measurements/src/rollout_model.ts
@@ -285,11 +285,7 @@
       isGuess: false,
     };
     if (!isFailed) {
-      const beginning = {
-        ...attempt,
-        milliseconds: start,
-        tokensToRead,
-      };
+      const beginning = {...attempt, milliseconds: start, tokensToRead};
       this.running.push({
         endsAt: now + start,
         finish: () => host.front.recordStart(beginning, now + start),
