Part the objects and the calls of a fleet from the fleet

Change: fleet_objects.ts holds the configuration objects and keys, fleet_calls.ts the requests of clients.

--- a/packages/stand-ins/src/fleet.ts
+++ b/packages/stand-ins/src/fleet.ts
@@ -2,7 +2,6 @@
  * A small fleet for tests and measurements. The stand-ins run in this process,
  * each entry host in its own.
  */
-import {createHash} from 'node:crypto';
 import {fileURLToPath} from 'node:url';
 
 import {
@@ -12,6 +11,8 @@
   waitFor,
 } from './child_process_group.js';
 import {type EngineOptions, EngineStandIn} from './engine_stand_in.js';
+import {callCompletion, callPlain} from './fleet_calls.js';
+import {DEFAULT_OBJECTS, type FleetObject, KEY_ONE} from './fleet_objects.js';
 import {LinkProcess} from './link_process.js';
 import {PlainServiceStandIn} from './plain_service_stand_in.js';
 import {PlatformStandIn, type StandInHost} from './platform_stand_in.js';
@@ -20,12 +21,6 @@
   new URL('../../entry-process/dist/main.js', import.meta.url),
 );
 
-/** The key of workspace `one`. */
-export const KEY_ONE = 'key-of-workspace-one';
-
-/** The key of workspace `two`. */
-export const KEY_TWO = 'key-of-workspace-two';
-
 /** Composition of a fleet. */
 export interface FleetOptions {
   /** Failure domain of each entry host. */
@@ -47,13 +42,6 @@
   readonly entryFlags?: readonly string[];
 }
 
-/** A configuration object as operators publish it. */
-export interface FleetObject {
-  readonly kind: string;
-  readonly name: string;
-  readonly [field: string]: unknown;
-}
-
 /** An entry host of a fleet. */
 export interface FleetEntry {
   readonly hostId: string;
@@ -87,40 +75,6 @@
   }[];
 }
 
-/** Returns the hash of a workspace key that a configuration contains. */
-export function keyHash(key: string): string {
-  return createHash('sha256').update(key).digest('hex');
-}
-
-const DEFAULT_OBJECTS: readonly FleetObject[] = [
-  {
-    kind: 'service',
-    name: 'writer',
-    upstreamKind: 'model',
-    upstreamConcurrency: 16,
-  },
-  {
-    kind: 'service',
-    name: 'lookup',
-    upstreamKind: 'plain',
-    upstreamConcurrency: 64,
-  },
-  {
-    kind: 'service',
-    name: 'booking',
-    upstreamKind: 'plain',
-    repetition: 'non-idempotent',
-    upstreamConcurrency: 64,
-  },
-  {kind: 'workspace', name: 'one', keyHashes: [keyHash(KEY_ONE)]},
-  {kind: 'workspace', name: 'two', keyHashes: [keyHash(KEY_TWO)]},
-  {
-    kind: 'rules',
-    name: 'rules',
-    rules: [{name: 'everything', then: {kind: 'send', holdAlone: true}}],
-  },
-];
-
 const UPSTREAM_DOMAINS = ['east', 'west', 'north', 'south'] as const;
 
 /** Thrown when an entry host exits before it serves requests. */
@@ -361,54 +315,6 @@
   }
 }
 
-/** Sends a completion request to `entry`. */
-export function callCompletion(
-  entry: Pick<FleetEntry, 'callers'>,
-  key: string,
-  prompt: string,
-  tokens: number,
-  options: {
-    readonly isStreamed?: boolean;
-    readonly headers?: Readonly<Record<string, string>>;
-  } = {},
-): Promise<Response> {
-  return fetch(`http://${entry.callers}/v1/completions`, {
-    method: 'POST',
-    redirect: 'manual',
-    headers: {
-      authorization: `Bearer ${key}`,
-      'content-type': 'application/json',
-      ...options.headers,
-    },
-    body: JSON.stringify({
-      model: 'writer',
-      prompt,
-      max_tokens: tokens,
-      stream: options.isStreamed ?? false,
-    }),
-  });
-}
-
-/** Sends a request for a plain service to `entry`. */
-export function callPlain(
-  entry: Pick<FleetEntry, 'callers'>,
-  key: string,
-  service: string,
-  body: string,
-  headers: Readonly<Record<string, string>> = {},
-): Promise<Response> {
-  return fetch(`http://${entry.callers}/v1/services/${service}/call`, {
-    method: 'POST',
-    redirect: 'manual',
-    headers: {
-      authorization: `Bearer ${key}`,
-      'content-type': 'text/plain',
-      ...headers,
-    },
-    body,
-  });
-}
-
 function assertRunning(entries: readonly FleetEntry[]): void {
   const ended = entries.find(entry => !isProcessRunning(entry));
   if (ended !== undefined) {
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -6,6 +6,8 @@
 export * from './command_line.js';
 export * from './engine_stand_in.js';
 export * from './fleet.js';
+export * from './fleet_calls.js';
+export * from './fleet_objects.js';
 export * from './http_stand_in.js';
 export * from './link_process.js';
 export * from './link_stand_in.js';
