Split the admission of a shard into a decision and its counting

Cause: a request cannot be explained without counting it, because the decision on it counts its arrival, share, floor and place as it goes.

The parts without state are in admission_decision.ts. DecayingRate and ReturnPlaces no longer change when they are read.

The tests of admission, shares, places, promises and placement pass.

--- a/packages/decisions/src/admission/decaying_rate.ts
+++ b/packages/decisions/src/admission/decaying_rate.ts
@@ -22,26 +22,31 @@
 
   /** Adds `amount` at `now`. */
   add(amount: number, now: number): void {
-    this.decay(now);
-    this.shortSum += amount;
-    this.longSum += amount;
+    const {shortSum, longSum} = this.sumsAt(now);
+    this.shortSum = shortSum + amount;
+    this.longSum = longSum + amount;
+    this.updatedAt = Math.max(now, this.updatedAt);
   }
 
-  /** Returns the amount per millisecond. */
-  perMillisecond(now: number): number {
-    this.decay(now);
+  /** Returns the amount per millisecond, as if `added` had been added now. */
+  perMillisecond(now: number, added = 0): number {
     const age = Math.max(1, now - this.startedAt);
+    const {shortSum, longSum} = this.sumsAt(now);
     return Math.max(
-      rateOf(this.shortSum, RISE_MILLISECONDS, age),
-      rateOf(this.longSum, FALL_MILLISECONDS, age),
+      rateOf(shortSum + added, RISE_MILLISECONDS, age),
+      rateOf(longSum + added, FALL_MILLISECONDS, age),
     );
   }
 
-  private decay(now: number): void {
+  private sumsAt(now: number): {
+    readonly shortSum: number;
+    readonly longSum: number;
+  } {
     const elapsed = Math.max(0, now - this.updatedAt);
-    this.shortSum *= Math.exp(-elapsed / RISE_MILLISECONDS);
-    this.longSum *= Math.exp(-elapsed / FALL_MILLISECONDS);
-    this.updatedAt = Math.max(now, this.updatedAt);
+    return {
+      shortSum: this.shortSum * Math.exp(-elapsed / RISE_MILLISECONDS),
+      longSum: this.longSum * Math.exp(-elapsed / FALL_MILLISECONDS),
+    };
   }
 }
 
--- a/packages/decisions/src/admission/rank_arrivals.ts
+++ b/packages/decisions/src/admission/rank_arrivals.ts
@@ -48,37 +48,38 @@
     }
   }
 
-  /** Returns the most urgent rank of recent requests. */
-  mostUrgentRank(now: number): number {
+  /**
+   * Returns the most urgent rank of recent requests and of one that is not
+   * counted yet, if any.
+   */
+  mostUrgentRank(now: number, uncountedRank = Infinity): number {
     const recent = [...this.ranks].filter(
       ([, {objectiveSeenAt}]) =>
         now - objectiveSeenAt <= OBJECTIVE_LIFETIME_MILLISECONDS,
     );
-    return Math.min(...recent.map(([rank]) => rank));
+    return Math.min(uncountedRank, ...recent.map(([rank]) => rank));
   }
 
   /**
    * Returns the load that requests of `rank` meet at engines that together read
-   * `tokensPerMillisecond`.
+   * `tokensPerMillisecond`, as if a request of the rank for `uncountedTokens`
+   * had been recorded now.
    */
   pressureOn(
     rank: number,
     tokensPerMillisecond: number,
     now: number,
+    uncountedTokens = 0,
   ): RankPressure {
     let urgentWork = 0;
-    let ownWork = 0;
+    const own = this.ranks.get(rank)?.work ?? new DecayingRate(now);
+    const ownWork = own.perMillisecond(now, uncountedTokens);
     let urgentObjectiveMilliseconds = Infinity;
     for (const [otherRank, record] of this.ranks) {
-      if (otherRank > rank) {
-        continue;
-      }
-      const work = record.work.perMillisecond(now);
-      if (otherRank === rank) {
-        ownWork = work;
+      if (otherRank >= rank) {
         continue;
       }
-      urgentWork += work;
+      urgentWork += record.work.perMillisecond(now);
       if (now - record.objectiveSeenAt <= OBJECTIVE_LIFETIME_MILLISECONDS) {
         urgentObjectiveMilliseconds = Math.min(
           urgentObjectiveMilliseconds,
--- a/packages/decisions/src/admission/refusal_floor.ts
+++ b/packages/decisions/src/admission/refusal_floor.ts
@@ -39,17 +39,18 @@
     tokensPerMillisecond: number,
     now: number,
   ): boolean {
+    const isAdmitted = this.wouldAdmit(
+      requestClass,
+      tokens,
+      tokensPerMillisecond,
+      now,
+    );
     this.displacedWork ??= new DecayingRate(now);
     this.displacedWork.add(tokens, now);
-    const capacity = tokensPerMillisecond * FLOOR_SHARE;
-    const tolerated = Math.max(
-      TOLERATED_REFUSALS,
-      this.displacedWork.perMillisecond(now) / capacity,
-    );
     const key = keyOf(requestClass);
-    const refusals = (this.refusals.get(key) ?? 0) + 1;
+    const refusals = this.nextRefusalOf(key);
     this.refusals.delete(key);
-    if (refusals > tolerated) {
+    if (isAdmitted) {
       return true;
     }
     this.refusals.set(key, refusals);
@@ -59,6 +60,26 @@
     }
     return false;
   }
+
+  /** Returns what `admitsNext` would return, and counts nothing. */
+  wouldAdmit(
+    requestClass: RequestClass,
+    tokens: number,
+    tokensPerMillisecond: number,
+    now: number,
+  ): boolean {
+    const displacedWork = this.displacedWork ?? new DecayingRate(now);
+    const capacity = tokensPerMillisecond * FLOOR_SHARE;
+    const tolerated = Math.max(
+      TOLERATED_REFUSALS,
+      displacedWork.perMillisecond(now, tokens) / capacity,
+    );
+    return this.nextRefusalOf(keyOf(requestClass)) > tolerated;
+  }
+
+  private nextRefusalOf(key: string): number {
+    return (this.refusals.get(key) ?? 0) + 1;
+  }
 }
 
 /** Prompts of a class differ in size by less than a factor of two. */
--- a/packages/decisions/src/admission/return_places.ts
+++ b/packages/decisions/src/admission/return_places.ts
@@ -111,48 +111,65 @@
    * milliseconds. A request that returned early keeps the time that it was told.
    */
   refuse(
-    {fingerprint, rank, tokens, millisecondsLeft}: RefusedRequest,
+    request: RefusedRequest,
     capacity: PlaceCapacity | undefined,
     otherwise: number,
     now: number,
   ): ReturnTime {
+    const {fingerprint, rank, tokens} = request;
+    const time = this.timeOf(request, capacity, otherwise, now);
     const known = this.refusals.get(fingerprint);
     if (known !== undefined && returnKindOf(known, now) === 'early') {
-      return {milliseconds: known.dueAt - now, isPlace: known.isPlace};
+      return time;
     }
     const firstAt = known?.firstAt ?? now;
+    const {milliseconds, isPlace} = time;
+    const dueAt = now + milliseconds;
     this.release(fingerprint);
-    const placeAt =
-      capacity === undefined
-        ? undefined
-        : this.takePlace(capacity, tokens, millisecondsLeft, now);
-    const isPlace = placeAt !== undefined;
-    const dueAt = placeAt ?? now + otherwise;
     const refusal = {firstAt, rank, tokens, dueAt, isPlace};
     this.refusals.set(fingerprint, refusal);
-    if (isPlace) {
+    if (isPlace && capacity !== undefined) {
+      const {lane, tokensPerMillisecond} = capacity;
+      this.nextDueAt.set(lane, dueAt + tokens / tokensPerMillisecond);
       this.places.set(fingerprint, refusal);
     }
+    this.forgetLapsedPlaces(now);
     this.forgetOldest(now);
-    return {milliseconds: dueAt - now, isPlace};
+    return time;
+  }
+
+  /** Returns what `refuse` would return, and records nothing. */
+  timeOf(
+    {fingerprint, millisecondsLeft}: RefusedRequest,
+    capacity: PlaceCapacity | undefined,
+    otherwise: number,
+    now: number,
+  ): ReturnTime {
+    const known = this.refusals.get(fingerprint);
+    if (known !== undefined && returnKindOf(known, now) === 'early') {
+      return {milliseconds: known.dueAt - now, isPlace: known.isPlace};
+    }
+    const milliseconds =
+      capacity === undefined
+        ? undefined
+        : this.nextPlace(capacity, millisecondsLeft, now);
+    return {
+      milliseconds: milliseconds ?? otherwise,
+      isPlace: milliseconds !== undefined,
+    };
   }
 
-  /** Returns the time of the next place; undefined if it is too late. */
-  private takePlace(
-    {lane, tokensPerMillisecond}: PlaceCapacity,
-    tokens: number,
+  /** Returns the milliseconds to the next place; undefined if it is too late. */
+  private nextPlace(
+    {lane}: PlaceCapacity,
     millisecondsLeft: number,
     now: number,
   ): number | undefined {
-    const placeAt = Math.max(
-      now + MINIMUM_RETURN_MILLISECONDS,
-      this.nextDueAt.get(lane) ?? -Infinity,
-    );
-    if (placeAt > now + millisecondsLeft * USEFUL_SHARE_OF_TIME_LEFT) {
-      return undefined;
-    }
-    this.nextDueAt.set(lane, placeAt + tokens / tokensPerMillisecond);
-    return placeAt;
+    const nextDueAt = this.nextDueAt.get(lane) ?? -Infinity;
+    const milliseconds = Math.max(MINIMUM_RETURN_MILLISECONDS, nextDueAt - now);
+    return milliseconds > millisecondsLeft * USEFUL_SHARE_OF_TIME_LEFT
+      ? undefined
+      : milliseconds;
   }
 
   /** Forgets the refusal of a request that is admitted. */
@@ -167,14 +184,21 @@
    */
   reservedTokens(rank: number, until: number, now: number): number {
     let tokens = 0;
+    for (const place of this.places.values()) {
+      const isBefore = place.rank <= rank && place.dueAt <= until;
+      if (isBefore && !isLapsed(place, now)) {
+        tokens += place.tokens;
+      }
+    }
+    return tokens;
+  }
+
+  private forgetLapsedPlaces(now: number): void {
     for (const [fingerprint, place] of this.places) {
       if (isLapsed(place, now)) {
         this.places.delete(fingerprint);
-      } else if (place.rank <= rank && place.dueAt <= until) {
-        tokens += place.tokens;
       }
     }
-    return tokens;
   }
 
   private forgetOldest(now: number): void {
--- a/packages/decisions/src/admission/workspace_shares.ts
+++ b/packages/decisions/src/admission/workspace_shares.ts
@@ -29,15 +29,40 @@
   seenAt: number;
 }
 
+/** Prompt tokens that a workspace offers with one request. */
+export interface WorkspaceOffer {
+  readonly workspace: string;
+  /** Undefined if the workspace states none. */
+  readonly weight: number | undefined;
+  readonly tokens: number;
+}
+
+/** The level to which the capacity is divided. */
+export interface ShareLevel {
+  /** Tokens per millisecond that a weight of 1 may use. */
+  readonly rate: number;
+  /** Weight of a workspace that states none. */
+  readonly meanWeight: number;
+  readonly at: number;
+}
+
+/** What a workspace gets, and the level on which that rests. */
+export interface AssessedShare {
+  readonly usedShare: number;
+  readonly level: ShareLevel;
+}
+
+interface OfferedRate {
+  readonly rate: number;
+  readonly weight: number | undefined;
+  readonly seenAt: number;
+}
+
 /** The prompt tokens that workspaces offer and get at one rank. */
 export class WorkspaceShares {
   /** By workspace, the one seen longest ago first. */
   private readonly workspaces = new Map<string, WorkspaceRecord>();
-  /** Tokens per millisecond that a weight of 1 may use. */
-  private level = Infinity;
-  private levelAt = -Infinity;
-  /** Weight of a workspace that states none. */
-  private meanWeight = 1;
+  private level: ShareLevel = {rate: Infinity, meanWeight: 1, at: -Infinity};
 
   /** Counts a request, whether it is admitted or not. */
   recordOffered(
@@ -73,46 +98,89 @@
    * in tokens per millisecond; 0 if all that is offered fits.
    */
   usedShareOf(workspace: string, capacity: number, now: number): number {
+    const {usedShare, level} = this.assess(workspace, capacity, now);
+    this.keepLevel(level);
+    return usedShare;
+  }
+
+  /**
+   * Returns what `usedShareOf` would return as if `uncounted` had been recorded
+   * now, and the level on which that rests; keeps neither.
+   */
+  assess(
+    workspace: string,
+    capacity: number,
+    now: number,
+    uncounted?: WorkspaceOffer,
+  ): AssessedShare {
     const record = this.workspaces.get(workspace);
-    if (record === undefined) {
-      return 0;
+    if (record === undefined && uncounted === undefined) {
+      return {usedShare: 0, level: this.level};
     }
-    if (now >= this.levelAt + SHARES_LIFETIME_MILLISECONDS) {
-      this.updateLevel(capacity, now);
-    }
-    const fairRate = this.level * (record.weight ?? this.meanWeight);
-    return record.admitted.perMillisecond(now) / fairRate;
+    const isOld = now >= this.level.at + SHARES_LIFETIME_MILLISECONDS;
+    const level = isOld ? this.levelOf(capacity, now, uncounted) : this.level;
+    const weight = uncounted === undefined ? record?.weight : uncounted.weight;
+    const fairRate = level.rate * (weight ?? level.meanWeight);
+    const admittedRate = record?.admitted.perMillisecond(now) ?? 0;
+    return {usedShare: admittedRate / fairRate, level};
+  }
+
+  /** Keeps a level, so that it need not be computed for each request. */
+  keepLevel(level: ShareLevel): void {
+    this.level = level;
   }
 
   /**
    * Divides the capacity: those that offer less than their share get what they
    * offer, and the rest is divided by weight.
    */
-  private updateLevel(capacity: number, now: number): void {
-    const meanWeight = meanOf(
-      [...this.workspaces.values()].flatMap(({weight}) => weight ?? []),
-    );
-    const offers = [...this.workspaces.values()]
+  private levelOf(
+    capacity: number,
+    now: number,
+    uncounted: WorkspaceOffer | undefined,
+  ): ShareLevel {
+    const offered = this.offersWith(uncounted, now);
+    const meanWeight = meanOf(offered.flatMap(({weight}) => weight ?? []));
+    const offers = offered
       .filter(({seenAt}) => now - seenAt <= IDLE_MILLISECONDS)
-      .map(({offered, weight = meanWeight}) => {
-        const rate = offered.perMillisecond(now);
+      .map(({rate, weight = meanWeight}) => {
         return {rate, weight, level: rate / weight};
       })
       .sort((left, right) => left.level - right.level);
     let capacityLeft = capacity;
     let weightLeft = offers.reduce((sum, {weight}) => sum + weight, 0);
-    this.levelAt = now;
-    this.level = Infinity;
-    this.meanWeight = meanWeight;
     for (const {rate, weight, level} of offers) {
       if (level * weightLeft > capacityLeft) {
-        this.level = capacityLeft / weightLeft;
-        return;
+        return {rate: capacityLeft / weightLeft, meanWeight, at: now};
       }
       capacityLeft -= rate;
       weightLeft -= weight;
     }
+    return {rate: Infinity, meanWeight, at: now};
   }
+
+  private offersWith(
+    uncounted: WorkspaceOffer | undefined,
+    now: number,
+  ): readonly OfferedRate[] {
+    const offers = [...this.workspaces].map(
+      ([workspace, {offered, weight, seenAt}]): OfferedRate =>
+        workspace === uncounted?.workspace
+          ? offerOf(uncounted, offered, now)
+          : {rate: offered.perMillisecond(now), weight, seenAt},
+    );
+    return uncounted === undefined || this.workspaces.has(uncounted.workspace)
+      ? offers
+      : [...offers, offerOf(uncounted, new DecayingRate(now), now)];
+  }
+}
+
+function offerOf(
+  {weight, tokens}: WorkspaceOffer,
+  offered: DecayingRate,
+  now: number,
+): OfferedRate {
+  return {rate: offered.perMillisecond(now, tokens), weight, seenAt: now};
 }
 
 /** Returns the mean of `weights`; 1 if there are none. */
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -2,6 +2,11 @@
  * The decision logic of lacewingwinch: pure functions and in-memory state,
  * without input or output.
  */
+export type {
+  AdmissionRequest,
+  AdmittedChoice,
+  AdmittingShard,
+} from './admission/admission_decision.js';
 export * from './admission/admission_terms.js';
 export * from './admission/decaying_rate.js';
 export * from './admission/decide_ranked_admission.js';
