Weigh the engines of a request apart from choosing one

Cause: the engines that a choice considers, and the shares in which it draws them, exist only inside of placing, which counts the request.

Change: both tables weigh the engines without a change of their state, and placing chooses from the same evaluation. Speeds can be read without being kept; loads of the small table no longer drop silent hosts, which the renewals do. placement_test.ts no longer passes a time that is not used.

Measured: the tests of placement pass.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -96,6 +96,7 @@
 export * from './placement/stated_loads.js';
 export * from './placement/upstream_work.js';
 export * from './placement/version_constraint.js';
+export * from './placement/weighed_engines.js';
 export * from './placement/work_speeds.js';
 export * from './retries/decide_next_attempt.js';
 export * from './retries/decide_retry.js';
--- a/packages/decisions/src/placement/choose_engine.ts
+++ b/packages/decisions/src/placement/choose_engine.ts
@@ -108,23 +108,52 @@
 /** Ranks that differ in cost; upstreams beyond them are treated alike. */
 const COUNTED_RANKS = 4;
 
-/**
- * Returns the candidate with the lowest cost: the estimated time to the first
- * token plus the penalties for its failure domain and its rendezvous rank.
- */
+/** An upstream, and what a request there would cost. */
+export interface CostedChoice {
+  readonly choice: EngineChoice;
+  /**
+   * The estimated time to the first token plus the penalties for the failure
+   * domain of the upstream and its rendezvous rank.
+   */
+  readonly cost: number;
+}
+
+/** Returns the candidate with the lowest cost. */
 export function chooseEngine(
   demand: PlacementDemand,
   candidates: readonly UsableUpstream[],
   ownDomain: string,
   view: PlacementView,
 ): EngineChoice | undefined {
+  return leastCost(costEngines(demand, candidates, ownDomain, view))?.choice;
+}
+
+/** Returns the choice with the lowest cost, the first one of several. */
+export function leastCost(
+  choices: readonly CostedChoice[],
+): CostedChoice | undefined {
+  let best: CostedChoice | undefined;
+  for (const costed of choices) {
+    if (best === undefined || costed.cost < best.cost) {
+      best = costed;
+    }
+  }
+  return best;
+}
+
+/** Returns the cost of a request at each of the candidates. */
+export function costEngines(
+  demand: PlacementDemand,
+  candidates: readonly UsableUpstream[],
+  ownDomain: string,
+  view: PlacementView,
+): readonly CostedChoice[] {
   const order = rendezvousOrder(
     affinityKey(demand),
     candidates.map(({upstreamId}) => upstreamId),
     COUNTED_RANKS,
   );
-  let best: {readonly choice: EngineChoice; readonly cost: number} | undefined;
-  for (const upstream of candidates) {
+  return candidates.map(upstream => {
     const rank = order.indexOf(upstream.upstreamId);
     const choice = estimateAt(upstream, rank === 0, demand, view);
     const domainPenalty =
@@ -134,11 +163,8 @@
     const rankPenalty =
       (rank < 0 ? COUNTED_RANKS : rank) * RANK_PENALTY_MILLISECONDS;
     const cost = choice.estimateMilliseconds + domainPenalty + rankPenalty;
-    if (best === undefined || cost < best.cost) {
-      best = {choice, cost};
-    }
-  }
-  return best?.choice;
+    return {choice, cost};
+  });
 }
 
 /**
--- a/packages/decisions/src/placement/engine_expectation.ts
+++ b/packages/decisions/src/placement/engine_expectation.ts
@@ -67,6 +67,9 @@
 /** An engine and the request there, as this host expects it. */
 export interface Expectation {
   readonly upstream: UsableUpstream;
+  /** Requests in progress. */
+  readonly running: number;
+  readonly tokensPerMillisecond: number;
   readonly waitTokens: number;
   readonly waitMilliseconds: number;
   /** Less urgent requests there that have to wait longer. */
@@ -119,6 +122,8 @@
   const grantWait = grants.waitOf(upstream);
   return {
     upstream,
+    running,
+    tokensPerMillisecond: 1 / millisecondsPerToken,
     waitTokens: wait.tokens,
     waitMilliseconds: wait.milliseconds,
     overtakenRequests:
--- a/packages/decisions/src/placement/placement_table.ts
+++ b/packages/decisions/src/placement/placement_table.ts
@@ -8,9 +8,12 @@
 import type {UsableUpstream} from '../upstreams/listed_upstream.js';
 import {
   chooseEngine,
+  costEngines,
   type EngineChoice,
+  leastCost,
   type PlacementDemand,
   type PlacementLoad,
+  type PlacementView,
 } from './choose_engine.js';
 import {PrefillSpeeds} from './prefill_speeds.js';
 import {PrefixMemory} from './prefix_memory.js';
@@ -19,6 +22,7 @@
   PlacementTask,
   ServiceTable,
 } from './service_table.js';
+import type {WeighedEngine, WeighedEngines} from './weighed_engines.js';
 
 /** An attempt and the upstream to which it was sent. */
 export interface PlacedAttempt {
@@ -84,14 +88,8 @@
     grants: PlacementGrants = NO_GRANTS,
     isAdmitted: (choice: EngineChoice) => boolean = () => true,
   ): EngineChoice | undefined {
-    const loads = this.loads(now);
-    const choice = chooseEngine(demand, candidates, ownDomain, {
-      loadOf: upstreamId => loads.get(upstreamId) ?? NO_LOAD,
-      prefillSpeedOf: upstreamId => this.speeds.speedOf(upstreamId),
-      cachedTokens: (upstreamId, parts) =>
-        this.prefixes.cachedTokens(upstreamId, parts, now),
-      grantWaitOf: upstream => grants.waitOf(upstream),
-    });
+    const view = this.viewOf(grants, now);
+    const choice = chooseEngine(demand, candidates, ownDomain, view);
     if (choice === undefined || !isAdmitted(choice)) {
       return undefined;
     }
@@ -103,6 +101,48 @@
       : {...choice, grantWaitMilliseconds};
   }
 
+  weigh(task: PlacementTask, now: number): WeighedEngines {
+    const {demand, candidates, failureDomain, grants} = task;
+    const view = this.viewOf(grants, now);
+    const costed = costEngines(demand, candidates, failureDomain, view);
+    const best = leastCost(costed);
+    return {
+      engines: costed.map(({choice, cost}): WeighedEngine => {
+        const {upstreamId} = choice.upstream;
+        const tokensPerMillisecond = this.speeds.speedOf(upstreamId);
+        const ownTokens = Math.max(
+          0,
+          demand.promptTokens - choice.cachedTokens,
+        );
+        return {
+          choice,
+          running: view.loadOf(upstreamId).running,
+          waitMilliseconds:
+            (choice.tokensToRead - ownTokens) / tokensPerMillisecond,
+          readMilliseconds: ownTokens / tokensPerMillisecond,
+          tokensPerMillisecond,
+          costMilliseconds: cost,
+          share: choice === best?.choice ? 1 : 0,
+        };
+      }),
+      weighing: {
+        kind: 'least-cost',
+        index: costed.findIndex(candidate => candidate === best),
+      },
+    };
+  }
+
+  private viewOf(grants: PlacementGrants, now: number): PlacementView {
+    const loads = this.loads();
+    return {
+      loadOf: upstreamId => loads.get(upstreamId) ?? NO_LOAD,
+      prefillSpeedOf: upstreamId => this.speeds.speedOf(upstreamId),
+      cachedTokens: (upstreamId, parts) =>
+        this.prefixes.cachedTokens(upstreamId, parts, now),
+      grantWaitOf: upstream => grants.waitOf(upstream),
+    };
+  }
+
   placeTask(task: PlacementTask, now: number): EngineChoice | undefined {
     const {front, demand, candidates, failureDomain, grants, isAdmitted} = task;
     return this.place(
@@ -208,8 +248,8 @@
   }
 
   /** Returns the number of requests in progress at an upstream. */
-  runningAt(upstreamId: string, now: number): number {
-    return this.loads(now).get(upstreamId)?.running ?? 0;
+  runningAt(upstreamId: string): number {
+    return this.loads().get(upstreamId)?.running ?? 0;
   }
 
   /** Returns the prompt tokens that an upstream reads per millisecond. */
@@ -217,14 +257,14 @@
     return this.speeds.speedOf(upstreamId);
   }
 
+  peekPrefillSpeedOf(upstreamId: string): number {
+    return this.speeds.speedOf(upstreamId);
+  }
+
   /** Returns the work in progress by upstream. */
-  loads(now: number): ReadonlyMap<string, PlacementLoad> {
+  loads(): ReadonlyMap<string, PlacementLoad> {
     const loads = new Map<string, MutableLoad>();
-    for (const [front, {requests, heardAt}] of this.fronts) {
-      if (now - heardAt > FRONT_TIMEOUT_MILLISECONDS && requests.size === 0) {
-        this.fronts.delete(front);
-        continue;
-      }
+    for (const {requests} of this.fronts.values()) {
       for (const request of requests.values()) {
         addToLoad(loads, request);
       }
--- a/packages/decisions/src/placement/service_table.ts
+++ b/packages/decisions/src/placement/service_table.ts
@@ -10,6 +10,7 @@
   PlacementGrants,
 } from './placement_table.js';
 import type {LoadStatement} from './stated_loads.js';
+import type {WeighedEngines} from './weighed_engines.js';
 
 /** How much of the requests of a shard a host knows. */
 export interface ShardKnowledge {
@@ -48,6 +49,13 @@
 export interface ServiceTable {
   /** Chooses an upstream and counts the request there. */
   placeTask(task: PlacementTask, now: number): EngineChoice | undefined;
+  /**
+   * Returns the engines among which `placeTask` would choose; neither chooses nor
+   * counts, and keeps nothing.
+   */
+  weigh(task: PlacementTask, now: number): WeighedEngines;
+  /** Returns what `prefillSpeedOf` would return, and keeps nothing. */
+  peekPrefillSpeedOf(upstreamId: string, now: number): number;
   /** Counts a request at an upstream that this or another host has chosen. */
   add(
     front: string,
--- a/packages/decisions/src/placement/spread_choice.ts
+++ b/packages/decisions/src/placement/spread_choice.ts
@@ -66,6 +66,18 @@
   );
 }
 
+/** How candidates are chosen from. */
+export type SpreadWeighing =
+  /** The candidate of least cost is taken; -1 if there is none. */
+  | {readonly kind: 'least-cost'; readonly index: number}
+  /** One is drawn in proportion to the weights. */
+  | {
+      readonly kind: 'drawn';
+      readonly weights: readonly number[];
+      /** Wait up to which work that is not known fills the engines. */
+      readonly level: number;
+    };
+
 /**
  * Chooses a candidate; `random` is from 0 (inclusive) to 1 (exclusive). Returns
  * undefined if there is none.
@@ -75,9 +87,18 @@
   unknown: UnknownLoad,
   random: number,
 ): SpreadChoice | undefined {
+  const weighing = weighSpread(candidates, unknown);
+  return spreadChoiceAt(candidates, weighing, drawIndex(weighing, random));
+}
+
+/** Weighs the candidates of a choice. */
+export function weighSpread(
+  candidates: readonly SpreadCandidate[],
+  unknown: UnknownLoad,
+): SpreadWeighing {
   const work = expectedUnknownWork(unknown);
   if (work < NEGLIGIBLE_MILLISECONDS) {
-    return leastCost(candidates);
+    return {kind: 'least-cost', index: leastCostIndex(candidates)};
   }
   const level = fillLevel(
     candidates.map(({waitMilliseconds}) => waitMilliseconds),
@@ -96,14 +117,49 @@
       softRoom((level - waitMilliseconds) / work) *
       Math.exp((leastOwn - ownMilliseconds) / tolerance),
   );
-  const index = draw(weights, random);
+  return {kind: 'drawn', weights, level};
+}
+
+/** Returns the index of the candidate that `random` draws; -1 for none. */
+export function drawIndex(weighing: SpreadWeighing, random: number): number {
+  switch (weighing.kind) {
+    case 'least-cost':
+      return weighing.index;
+    case 'drawn':
+      return draw(weighing.weights, random);
+  }
+}
+
+/** Returns the share of the draws in which a candidate is chosen, 0 to 1. */
+export function drawnShareOf(weighing: SpreadWeighing, index: number): number {
+  switch (weighing.kind) {
+    case 'least-cost':
+      return weighing.index === index ? 1 : 0;
+    case 'drawn': {
+      const total = weighing.weights.reduce((sum, weight) => sum + weight, 0);
+      return (weighing.weights[index] ?? 0) / Math.max(Number.MIN_VALUE, total);
+    }
+  }
+}
+
+/** Returns the choice of a candidate; undefined if there is none of `index`. */
+export function spreadChoiceAt(
+  candidates: readonly SpreadCandidate[],
+  weighing: SpreadWeighing,
+  index: number,
+): SpreadChoice | undefined {
   const chosen = candidates[index];
-  return chosen === undefined
-    ? undefined
-    : {
-        index,
-        unknownMilliseconds: Math.max(0, level - chosen.waitMilliseconds) / 2,
-      };
+  if (chosen === undefined) {
+    return undefined;
+  }
+  switch (weighing.kind) {
+    case 'least-cost':
+      return {index, unknownMilliseconds: 0};
+    case 'drawn': {
+      const room = Math.max(0, weighing.level - chosen.waitMilliseconds);
+      return {index, unknownMilliseconds: room / 2};
+    }
+  }
 }
 
 /**
@@ -128,9 +184,7 @@
   return room > 30 ? room : Math.log1p(Math.exp(room));
 }
 
-function leastCost(
-  candidates: readonly SpreadCandidate[],
-): SpreadChoice | undefined {
+function leastCostIndex(candidates: readonly SpreadCandidate[]): number {
   let best = -1;
   let leastCost = Infinity;
   for (const [index, candidate] of candidates.entries()) {
@@ -140,7 +194,7 @@
       best = index;
     }
   }
-  return best < 0 ? undefined : {index: best, unknownMilliseconds: 0};
+  return best;
 }
 
 /** Returns an index in proportion to the weights. */
--- a/packages/decisions/src/placement/spread_table.ts
+++ b/packages/decisions/src/placement/spread_table.ts
@@ -12,8 +12,6 @@
   type PlacementDemand,
 } from './choose_engine.js';
 import {
-  candidateOf,
-  choiceOf,
   type EngineFacts,
   expectAt,
   PREFERRED_ENGINES,
@@ -28,13 +26,26 @@
   PlacementTask,
   ServiceTable,
 } from './service_table.js';
-import {chooseSpread, type UnknownLoad} from './spread_choice.js';
+import {chooseSpread} from './spread_choice.js';
+import {
+  evaluatedChoice,
+  evaluateSpread,
+  type SpreadEvaluation,
+  type SpreadKnowledge,
+  weighedEngines,
+} from './spread_evaluation.js';
 import {
   type LoadStatement,
   MAXIMUM_LOAD_AGE_MILLISECONDS,
   StatedLoads,
 } from './stated_loads.js';
-import {DECODE_WORK, PROMPT_WORK, WorkSpeeds} from './work_speeds.js';
+import type {WeighedEngines} from './weighed_engines.js';
+import {
+  DECODE_WORK,
+  PROMPT_WORK,
+  type WorkSpeed,
+  WorkSpeeds,
+} from './work_speeds.js';
 
 /**
  * Milliseconds after which a new dispatcher has placed nearly all requests that
@@ -45,12 +56,6 @@
 /** Time without a message after which the known loads count as old. */
 const SILENCE_MILLISECONDS = 1500;
 
-/**
- * Largest number of milliseconds by which a millisecond of reading delays other
- * requests in total.
- */
-const MAXIMUM_DELAY_OF_OTHERS = 8;
-
 /** Mean duration of reading a prompt before any was placed. */
 const USUAL_READ_MILLISECONDS = 100;
 
@@ -63,14 +68,8 @@
 /** Weight of the newest report in the age of reports. */
 const NEWEST_LAG_WEIGHT = 0.1;
 
-/** The knowledge on which a choice rests. */
-interface Knowledge {
-  /** Whether this host knows all requests. */
-  readonly isComplete: boolean;
-  /** Whether it knows the load of all engines, however old. */
-  readonly isInformed: boolean;
-  readonly ageMilliseconds: number;
-}
+/** Returns the speed of an upstream; may keep it. */
+type SpeedReader = (speeds: WorkSpeeds, upstreamId: string) => WorkSpeed;
 
 /** An upstream that this or another host has chosen. */
 type ChosenUpstream = Parameters<ServiceTable['add']>[2];
@@ -98,52 +97,16 @@
   }
 
   placeTask(task: PlacementTask, now: number): EngineChoice | undefined {
-    const {front, demand, candidates, grants, isAdmitted} = task;
-    const knowledge = this.knowledgeOf(task, now);
-    const preferred = rendezvousOrder(
-      affinityKey(demand),
-      candidates.map(({upstreamId}) => upstreamId),
-      PREFERRED_ENGINES,
+    const {front, demand, grants, isAdmitted} = task;
+    const evaluation = this.evaluate(task, now, (speeds, upstreamId) =>
+      speeds.speedOf(upstreamId, now),
     );
-    const expectations = candidates.map(upstream =>
-      expectAt(
-        upstream,
-        this.factsOf(
-          upstream,
-          preferred.indexOf(upstream.upstreamId),
-          task,
-          knowledge,
-          now,
-        ),
-        task,
-        now,
-      ),
-    );
-    if (knowledge.isInformed) {
-      this.busyShare = shareOf(expectations, ({waitTokens}) => waitTokens > 0);
-    }
-    const unknown: UnknownLoad = {
-      ageMilliseconds: knowledge.ageMilliseconds,
-      busyShare: this.busyShare,
-      meanMilliseconds: this.meanReadMilliseconds,
-    };
-    const delayOfOthers = this.delayOfOthers();
-    const spreadCandidates = expectations.map(expected =>
-      candidateOf(expected, delayOfOthers),
-    );
-    const chosen = chooseSpread(spreadCandidates, unknown, this.random());
+    this.busyShare = evaluation.busyShare;
+    const {candidates, unknown, expectations} = evaluation;
+    const chosen = chooseSpread(candidates, unknown, this.random());
     const expected = expectations[chosen?.index ?? -1];
-    if (chosen === undefined || expected === undefined) {
-      return undefined;
-    }
-    const usual = this.reading.speedOf('', now).lastingMilliseconds;
-    const choice = choiceOf(expected, {
-      unknownMilliseconds: chosen.unknownMilliseconds,
-      ageMilliseconds: knowledge.ageMilliseconds,
-      delayOfOthers,
-      idleReadMilliseconds: demand.promptTokens * usual,
-    });
-    if (!isAdmitted(choice)) {
+    const choice = evaluatedChoice(evaluation, chosen);
+    if (expected === undefined || choice === undefined || !isAdmitted(choice)) {
       return undefined;
     }
     // A grant depends on the requests that are in progress besides this one.
@@ -157,6 +120,14 @@
       : {...choice, grantWaitMilliseconds};
   }
 
+  weigh(task: PlacementTask, now: number): WeighedEngines {
+    return weighedEngines(
+      this.evaluate(task, now, (speeds, upstreamId) =>
+        speeds.peekSpeedOf(upstreamId, now),
+      ),
+    );
+  }
+
   add(
     front: string,
     demand: PlacementDemand,
@@ -210,6 +181,10 @@
     return 1 / this.reading.speedOf(upstreamId, now).lastingMilliseconds;
   }
 
+  peekPrefillSpeedOf(upstreamId: string, now: number): number {
+    return 1 / this.reading.peekSpeedOf(upstreamId, now).lastingMilliseconds;
+  }
+
   forgetSilentFronts(ownHostId: string, now: number): void {
     this.work.forgetSilentFronts(ownHostId, now);
   }
@@ -305,10 +280,37 @@
       (bounded - this.lagMilliseconds) * NEWEST_LAG_WEIGHT;
   }
 
+  /** Evaluates the engines for a request; changes nothing itself. */
+  private evaluate(
+    task: PlacementTask,
+    now: number,
+    speedIn: SpeedReader,
+  ): SpreadEvaluation {
+    const {demand, candidates} = task;
+    const knowledge = this.knowledgeOf(task, now);
+    const preferred = rendezvousOrder(
+      affinityKey(demand),
+      candidates.map(({upstreamId}) => upstreamId),
+      PREFERRED_ENGINES,
+    );
+    const expectations = candidates.map(upstream => {
+      const rank = preferred.indexOf(upstream.upstreamId);
+      const facts = this.factsOf(upstream, rank, task, knowledge, now, speedIn);
+      return expectAt(upstream, facts, task, now);
+    });
+    const usual = speedIn(this.reading, '').lastingMilliseconds;
+    return evaluateSpread(expectations, {
+      knowledge,
+      busyShare: this.busyShare,
+      meanReadMilliseconds: this.meanReadMilliseconds,
+      idleReadMilliseconds: demand.promptTokens * usual,
+    });
+  }
+
   private knowledgeOf(
     {candidates, knowledge}: PlacementTask,
     now: number,
-  ): Knowledge {
+  ): SpreadKnowledge {
     const dispatcherFor = knowledge.dispatcherForMilliseconds;
     const silentFor = Math.max(0, now - this.work.lastHeardAt);
     if (dispatcherFor !== undefined && silentFor < SILENCE_MILLISECONDS) {
@@ -337,16 +339,17 @@
     {upstreamId}: UsableUpstream,
     preferredRank: number,
     {demand}: PlacementTask,
-    {isComplete}: Knowledge,
+    {isComplete}: SpreadKnowledge,
     now: number,
+    speedIn: SpeedReader,
   ): EngineFacts {
     const stated = isComplete ? undefined : this.stated.of(upstreamId, now);
     return {
       work: this.work.at(upstreamId),
       lagMilliseconds: this.lagMilliseconds,
       stated,
-      speed: this.reading.speedOf(upstreamId, now),
-      answerMilliseconds: this.decoding.speedOf(upstreamId, now)
+      speed: speedIn(this.reading, upstreamId),
+      answerMilliseconds: speedIn(this.decoding, upstreamId)
         .lastingMilliseconds,
       meanReadMilliseconds: this.meanReadMilliseconds,
       rememberedTokens: this.prefixes.cachedTokens(
@@ -358,23 +361,4 @@
       isComplete,
     };
   }
-
-  /**
-   * Returns the milliseconds by which others are delayed in total if an engine
-   * reads for a millisecond: nobody while engines are idle, more the busier they
-   * are.
-   */
-  private delayOfOthers(): number {
-    return Math.min(
-      MAXIMUM_DELAY_OF_OTHERS,
-      this.busyShare / Math.max(1e-3, 1 - this.busyShare),
-    );
-  }
-}
-
-function shareOf<Item>(
-  items: readonly Item[],
-  test: (item: Item) => boolean,
-): number {
-  return items.filter(test).length / Math.max(1, items.length);
 }
--- a/packages/decisions/src/placement/work_speeds.ts
+++ b/packages/decisions/src/placement/work_speeds.ts
@@ -136,18 +136,35 @@
 
   /** Returns the speed of an upstream at `now`. */
   speedOf(upstreamId: string, now: number): WorkSpeed {
-    const computed = this.computed.get(upstreamId);
-    if (
-      computed !== undefined &&
-      Math.abs(now - computed.time) < COMPUTED_MILLISECONDS
-    ) {
-      return computed.speed;
+    const computed = this.recentlyComputed(upstreamId, now);
+    if (computed !== undefined) {
+      return computed;
     }
+    this.prior ??= this.currentPrior();
     const speed = this.computeSpeed(upstreamId, now);
     this.computed.set(upstreamId, {speed, time: now});
     return speed;
   }
 
+  /** Returns what `speedOf` would return, and does not keep it. */
+  peekSpeedOf(upstreamId: string, now: number): WorkSpeed {
+    return (
+      this.recentlyComputed(upstreamId, now) ??
+      this.computeSpeed(upstreamId, now)
+    );
+  }
+
+  private recentlyComputed(
+    upstreamId: string,
+    now: number,
+  ): WorkSpeed | undefined {
+    const computed = this.computed.get(upstreamId);
+    return computed !== undefined &&
+      Math.abs(now - computed.time) < COMPUTED_MILLISECONDS
+      ? computed.speed
+      : undefined;
+  }
+
   private computeSpeed(upstreamId: string, now: number): WorkSpeed {
     const learned = this.learned.get(upstreamId);
     const {mean, variance} = this.lastingAt(learned, now);
@@ -251,8 +268,7 @@
 
   /** Returns what to expect of an upstream, by the others of the service. */
   private currentPrior(): Pick<Learned, 'mean' | 'variance'> {
-    this.prior ??= priorOf([...this.learned.values()], this.kind);
-    return this.prior;
+    return this.prior ?? priorOf([...this.learned.values()], this.kind);
   }
 }
 
--- a/packages/decisions/tests/placement_test.ts
+++ b/packages/decisions/tests/placement_test.ts
@@ -174,10 +174,10 @@
   const table = new PlacementTable(20_000);
   place(table, demand('lost', 'part'));
   table.replaceRequests('front', [], 10);
-  expect(table.loads(10).size).toBe(0);
+  expect(table.loads().size).toBe(0);
   place(table, demand('kept', 'part'), 20);
   table.forgetSilentFronts('other', 10_000);
-  expect(table.loads(10_000).size).toBe(0);
+  expect(table.loads().size).toBe(0);
 });
 
 it('no engine is chosen without candidates', () => {
