Read quotas, trials, versions and the list without a change

Cause: what a request would get of a quota, of a trial, of a roll-out and of the list of upstreams is known only by taking it.

--- a/packages/decisions/src/crashes/part_quarantine.ts
+++ b/packages/decisions/src/crashes/part_quarantine.ts
@@ -152,19 +152,26 @@
   takeTrial(refused: PartAtService, now: number): boolean {
     const key = keyOf(refused);
     const entry = this.entries.get(key);
+    const isDue = this.isTrialDue(refused, now);
+    if (isDue && entry !== undefined) {
+      this.entries.set(key, {...entry, triedAt: now});
+    }
+    return isDue;
+  }
+
+  /** Returns what `takeTrial` would return, and counts nothing as tried. */
+  isTrialDue(refused: PartAtService, now: number): boolean {
+    const entry = this.entries.get(keyOf(refused));
     const verdict =
       entry === undefined ? undefined : verdictInForce(entry.suspicion);
     if (entry === undefined || verdict === undefined) {
       return false;
     }
     const {suspicion, triedAt = -Infinity} = entry;
-    const isDue =
+    return (
       now >= nextTrialAt(suspicion, verdict) &&
-      now - triedAt >= verdict.trialMilliseconds;
-    if (isDue) {
-      this.entries.set(key, {...entry, triedAt: now});
-    }
-    return isDue;
+      now - triedAt >= verdict.trialMilliseconds
+    );
   }
 
   /** Returns whether a crash counts against one of `parts` at `now`. */
--- a/packages/decisions/src/limits/quota_share.ts
+++ b/packages/decisions/src/limits/quota_share.ts
@@ -29,6 +29,15 @@
   readonly reserve: QuotaReserve;
 }
 
+/** What one host's part of a quota has for a request. */
+export interface QuotaOutlook {
+  /** Amount that is left. */
+  readonly level: number;
+  readonly capacity: number;
+  /** Milliseconds after which a retry can succeed; 0 if the amount is there. */
+  readonly wait: number;
+}
+
 /** One host's part of a quota. */
 interface QuotaPart {
   readonly perMillisecond: number;
@@ -67,24 +76,46 @@
     rank?: number,
   ): number {
     const part = this.partOf(quota, hosts);
-    const {perMillisecond, capacity} = part;
+    const {wait} = this.outlook(workspace, quota, amount, hosts, now, rank);
     const bucket = this.refill(workspace, part, now);
     const {reserve} = bucket;
-    const needed = Math.min(
-      rank === undefined ? amount : reserve.neededBy(amount, rank, now),
-      capacity,
-    );
-    if (bucket.level >= needed) {
-      bucket.level -= amount;
+    if (wait > 0) {
       if (rank !== undefined) {
-        reserve.recordTaken(amount, rank);
+        reserve.recordRefusal(amount, rank, now);
       }
-      return 0;
+      return wait;
     }
+    bucket.level -= amount;
     if (rank !== undefined) {
-      reserve.recordRefusal(amount, rank, now);
+      reserve.recordTaken(amount, rank);
     }
-    return (needed - bucket.level) / Math.max(perMillisecond, Number.EPSILON);
+    return 0;
+  }
+
+  /** Returns what `take` would find and return; takes and records nothing. */
+  outlook(
+    workspace: string,
+    quota: WorkspaceQuota,
+    amount: number,
+    hosts: number,
+    now: number,
+    rank?: number,
+  ): QuotaOutlook {
+    const part = this.partOf(quota, hosts);
+    const {perMillisecond, capacity} = part;
+    const reserve = this.buckets.get(workspace)?.reserve;
+    const neededLevel =
+      rank === undefined || reserve === undefined
+        ? amount
+        : reserve.neededBy(amount, rank, now);
+    const needed = Math.min(neededLevel, capacity);
+    const level = this.levelAt(workspace, part, now);
+    const missing = Math.max(0, needed - level);
+    return {
+      level,
+      capacity,
+      wait: missing / Math.max(perMillisecond, Number.EPSILON),
+    };
   }
 
   /**
@@ -128,29 +159,31 @@
     };
   }
 
-  private refill(
-    workspace: string,
-    {perMillisecond, capacity}: QuotaPart,
-    now: number,
-  ): Bucket {
+  private refill(workspace: string, part: QuotaPart, now: number): Bucket {
+    const level = this.levelAt(workspace, part, now);
     const bucket = this.buckets.get(workspace);
     if (bucket === undefined) {
-      const newBucket = {
-        level: capacity * this.initialShare,
-        updatedAt: now,
-        reserve: new QuotaReserve(),
-      };
+      const newBucket = {level, updatedAt: now, reserve: new QuotaReserve()};
       this.buckets.set(workspace, newBucket);
       return newBucket;
     }
-    const accrued = Math.max(0, now - bucket.updatedAt) * perMillisecond;
-    bucket.level = Math.max(
-      bucket.level,
-      Math.min(capacity, bucket.level + accrued),
-    );
+    bucket.level = level;
     bucket.updatedAt = now;
     return bucket;
   }
+
+  private levelAt(
+    workspace: string,
+    {perMillisecond, capacity}: QuotaPart,
+    now: number,
+  ): number {
+    const bucket = this.buckets.get(workspace);
+    if (bucket === undefined) {
+      return capacity * this.initialShare;
+    }
+    const accrued = Math.max(0, now - bucket.updatedAt) * perMillisecond;
+    return Math.max(bucket.level, Math.min(capacity, bucket.level + accrued));
+  }
 }
 
 /** Number of hosts that a process assumes until it knows the membership. */
--- a/packages/decisions/src/limits/used_up_quotas.ts
+++ b/packages/decisions/src/limits/used_up_quotas.ts
@@ -44,14 +44,18 @@
    */
   waitFor(workspace: string, amount: number, now: number): number {
     const quota = this.quotas.get(workspace);
-    if (quota === undefined) {
-      return 0;
-    }
-    if (now >= quota.until) {
+    if (quota !== undefined && now >= quota.until) {
       this.quotas.delete(workspace);
-      return 0;
     }
-    return amount < quota.amount ? 0 : Math.max(0, quota.retryAt - now);
+    return this.peekWaitFor(workspace, amount, now);
+  }
+
+  /** Returns what `waitFor` would return, and forgets nothing. */
+  peekWaitFor(workspace: string, amount: number, now: number): number {
+    const quota = this.quotas.get(workspace);
+    return quota === undefined || now >= quota.until || amount < quota.amount
+      ? 0
+      : Math.max(0, quota.retryAt - now);
   }
 
   /** Discards what is known of a quota to which an amount was given back. */
--- a/packages/decisions/src/rollouts/rollout_front.ts
+++ b/packages/decisions/src/rollouts/rollout_front.ts
@@ -4,15 +4,16 @@
  */
 import type {VersionConstraint} from '../placement/version_constraint.js';
 import type {UsableUpstream} from '../upstreams/listed_upstream.js';
-import type {RolloutBounds} from './rollout_order.js';
+import type {RolloutBounds, RolloutOrder} from './rollout_order.js';
 import {isExposureLeft} from './rollout_plan.js';
 import {
   constraintExcept,
   constraintToNew,
   elapsedPartOf,
+  hasEngines,
+  isAlone,
   isInShare,
   type RolloutSteps,
-  type VersionUse,
 } from './rollout_steps.js';
 import {addTime, timeWithoutReading} from './time_histogram.js';
 import type {
@@ -99,37 +100,67 @@
   constructor(private readonly options: RolloutFrontOptions) {}
 
   /** Returns whether a new request runs at the new version, and counts it. */
-  assign(
+  assign(service: string, attemptId: string, context: VersionContext): boolean {
+    const counts = this.countsOf(service);
+    if (counts === undefined || this.options.bounds() === undefined) {
+      return false;
+    }
+    const isAssigned = this.wouldAssign(service, attemptId, context);
+    counts.requests += 1;
+    counts.assigned += isAssigned ? 1 : 0;
+    return isAssigned;
+  }
+
+  /** Returns what `assign` would return, and counts nothing. */
+  wouldAssign(
     service: string,
     attemptId: string,
     {upstreams, now, trueTime}: VersionContext,
   ): boolean {
     const {steps, bounds, hostCount} = this.options;
     const limits = bounds();
-    const counts = this.countsOf(service);
-    if (counts === undefined || limits === undefined) {
-      return false;
-    }
-    counts.requests += 1;
+    const order = this.openOrderOf(service);
     const use = steps.useOf(service, now);
-    if (use.kind !== 'shared' || !isInShare(use, attemptId)) {
+    if (
+      limits === undefined ||
+      order === undefined ||
+      use.kind !== 'shared' ||
+      !isInShare(use, attemptId) ||
+      !hasEngines(use, upstreams)
+    ) {
       return false;
     }
-    const isTest = use.upstreamIds !== undefined;
-    const isAssigned =
-      hasEngines(use, upstreams) &&
-      (!isTest ||
-        isExposureLeft(
-          limits,
-          {...counts, elapsedPart: elapsedPartOf(use, trueTime)},
-          hostCount(),
-        ));
-    counts.assigned += isAssigned ? 1 : 0;
-    return isAssigned;
+    const known = this.countsByService.get(service);
+    const counts =
+      known?.orderId === order.orderId ? known : {requests: 0, assigned: 0};
+    return (
+      use.upstreamIds === undefined ||
+      isExposureLeft(
+        limits,
+        {
+          ...counts,
+          requests: counts.requests + 1,
+          elapsedPart: elapsedPartOf(use, trueTime),
+        },
+        hostCount(),
+      )
+    );
   }
 
   /** Returns the versions at which a request that is not bound may be placed. */
   constraintOf(
+    request: VersionedRequest,
+    context: VersionContext,
+  ): VersionConstraint | undefined {
+    const {steps, bounds} = this.options;
+    if (bounds() !== undefined) {
+      steps.recordListed(request.service, context.upstreams, context.now);
+    }
+    return this.peekConstraintOf(request, context);
+  }
+
+  /** Returns what `constraintOf` would return, and records no version. */
+  peekConstraintOf(
     {service, isAssigned}: VersionedRequest,
     {upstreams, ordersReadAt, now}: VersionContext,
   ): VersionConstraint | undefined {
@@ -137,8 +168,7 @@
     if (bounds() === undefined) {
       return undefined;
     }
-    steps.recordListed(service, upstreams, now);
-    const barred = steps.barredVersions(service, ordersReadAt);
+    const barred = steps.barredVersions(service, ordersReadAt, upstreams, now);
     const use = steps.useOf(service, now);
     switch (use.kind) {
       case 'free':
@@ -316,9 +346,8 @@
    * has been carried out or there is none.
    */
   private countsOf(service: string): OrderCounts | undefined {
-    const {steps} = this.options;
-    const order = steps.orderOf(service);
-    if (order === undefined || !steps.isOpen(order)) {
+    const order = this.openOrderOf(service);
+    if (order === undefined) {
       this.countsByService.delete(service);
       return undefined;
     }
@@ -336,6 +365,12 @@
     return created;
   }
 
+  private openOrderOf(service: string): RolloutOrder | undefined {
+    const {steps} = this.options;
+    const order = steps.orderOf(service);
+    return order !== undefined && steps.isOpen(order) ? order : undefined;
+  }
+
   private runningBeside(service: string, softwareVersion: string): number {
     return [...(this.running.get(service) ?? [])]
       .filter(([version]) => version !== softwareVersion)
@@ -343,28 +378,6 @@
   }
 }
 
-/** Returns whether no engine of another version is listed. */
-function isAlone(
-  {softwareVersion}: Extract<VersionUse, {kind: 'ordered'}>,
-  upstreams: readonly UsableUpstream[],
-): boolean {
-  return upstreams.every(
-    upstream => upstream.softwareVersion === softwareVersion,
-  );
-}
-
-/** Returns whether an engine is listed that gets a share of the requests. */
-function hasEngines(
-  {softwareVersion, upstreamIds}: Extract<VersionUse, {kind: 'shared'}>,
-  upstreams: readonly UsableUpstream[],
-): boolean {
-  return upstreams.some(
-    upstream =>
-      upstream.softwareVersion === softwareVersion &&
-      (upstreamIds?.includes(upstream.upstreamId) ?? true),
-  );
-}
-
 function toReported({upstreamId, ...counts}: Counts): VersionResultCounts {
   return upstreamId === undefined ? counts : {...counts, upstreamId};
 }
--- a/packages/decisions/src/rollouts/rollout_steps.ts
+++ b/packages/decisions/src/rollouts/rollout_steps.ts
@@ -173,12 +173,28 @@
   /**
    * Returns the versions of `service` that get no request, besides the new one of
    * a roll-out: those of earlier roll-outs, and those that were listed after the
-   * orders were last read, at `ordersReadAt`.
+   * orders were last read, at `ordersReadAt`. Versions of `unrecorded` upstreams
+   * are regarded as if they were recorded at `now`.
    */
-  barredVersions(service: string, ordersReadAt: number): readonly string[] {
-    const unconfirmed = [...(this.firstSeen.get(service) ?? [])]
-      .filter(([, seenAt]) => seenAt > ordersReadAt)
-      .map(([version]) => version);
+  barredVersions(
+    service: string,
+    ordersReadAt: number,
+    unrecorded: readonly UsableUpstream[] = [],
+    now = ordersReadAt,
+  ): readonly string[] {
+    const known = this.firstSeen.get(service);
+    const added =
+      known === undefined || now <= ordersReadAt
+        ? []
+        : unrecorded
+            .map(({softwareVersion}) => softwareVersion)
+            .filter(version => !known.has(version));
+    const unconfirmed = [
+      ...[...(known ?? [])]
+        .filter(([, seenAt]) => seenAt > ordersReadAt)
+        .map(([version]) => version),
+      ...added,
+    ];
     const barred = this.records.get(service)?.record.barredVersions ?? [];
     return [...new Set([...barred, ...unconfirmed])];
   }
@@ -260,3 +276,25 @@
         ...(furtherVersions.length > 0 && {furtherVersions}),
       };
 }
+
+/** Returns whether no engine of another version is listed. */
+export function isAlone(
+  {softwareVersion}: Extract<VersionUse, {kind: 'ordered'}>,
+  upstreams: readonly UsableUpstream[],
+): boolean {
+  return upstreams.every(
+    upstream => upstream.softwareVersion === softwareVersion,
+  );
+}
+
+/** Returns whether an engine is listed that gets a share of the requests. */
+export function hasEngines(
+  {softwareVersion, upstreamIds}: Extract<VersionUse, {kind: 'shared'}>,
+  upstreams: readonly UsableUpstream[],
+): boolean {
+  return upstreams.some(
+    upstream =>
+      upstream.softwareVersion === softwareVersion &&
+      (upstreamIds?.includes(upstream.upstreamId) ?? true),
+  );
+}
--- a/packages/decisions/src/routing/admit_routed_call.ts
+++ b/packages/decisions/src/routing/admit_routed_call.ts
@@ -128,6 +128,27 @@
   };
 }
 
+/** A rule that was compared with a request. */
+export interface TriedRule {
+  readonly rule: RoutingRule;
+  readonly isMatch: boolean;
+}
+
+/**
+ * Returns the rules of `host` in the order in which they are tried for `path`,
+ * up to the first one that matches.
+ */
+export function triedRules(
+  configuration: RoutingConfiguration,
+  host: string,
+  path: string,
+): readonly TriedRule[] {
+  const match = findRoutingRule(configuration, host, path);
+  const rules = configuration.rulesByHost.get(host) ?? [];
+  const count = match === undefined ? rules.length : rules.indexOf(match) + 1;
+  return rules.slice(0, count).map(rule => ({rule, isMatch: rule === match}));
+}
+
 /** Returns the first rule of `host` whose path prefix matches `path`. */
 export function findRoutingRule(
   configuration: RoutingConfiguration,
--- a/packages/decisions/src/upstreams/upstream_list.ts
+++ b/packages/decisions/src/upstreams/upstream_list.ts
@@ -207,14 +207,28 @@
     if (cached !== undefined) {
       return cached;
     }
-    const usable = [...this.entries.values()]
+    const usable = this.usableAt(service, now);
+    this.usableByService.set(service, usable);
+    return usable;
+  }
+
+  /** Returns what `usable` would return, and drops and keeps nothing. */
+  peekUsable(service: string, now: number): readonly UsableUpstream[] {
+    const entries = [...this.entries.values()];
+    const cached = entries.some(({lapsesAt}) => now >= lapsesAt)
+      ? undefined
+      : this.usableByService.get(service);
+    return cached ?? this.usableAt(service, now);
+  }
+
+  private usableAt(service: string, now: number): readonly UsableUpstream[] {
+    return [...this.entries.values()]
       .filter(
-        ({upstream}) => upstream.service === service && !upstream.isLeaving,
+        ({upstream, lapsesAt}) =>
+          upstream.service === service && !upstream.isLeaving && now < lapsesAt,
       )
       .map(({upstream, knownSince}) => ({...upstream, knownSince}))
       .sort((left, right) => (left.upstreamId < right.upstreamId ? -1 : 1));
-    this.usableByService.set(service, usable);
-    return usable;
   }
 
   /** Returns the upstream with the ID `upstreamId`, even if it is leaving. */
--- a/packages/entry-process/src/tasks/part_watch.ts
+++ b/packages/entry-process/src/tasks/part_watch.ts
@@ -111,6 +111,15 @@
 
   /** Decides how a request of `service` with `parts` is treated now. */
   decide(service: string, parts: readonly string[]): PartDecision {
+    const decision = this.peekDecision(service, parts);
+    if (decision.kind === 'trial') {
+      this.quarantine.takeTrial(decision.part, this.dependencies.trueTime());
+    }
+    return decision;
+  }
+
+  /** Returns what `decide` would return, and counts no trial. */
+  peekDecision(service: string, parts: readonly string[]): PartDecision {
     const refusal = this.findRefusal(service, parts);
     if (refusal === undefined) {
       return {kind: 'clear'};
@@ -118,7 +127,7 @@
     const {partId, until} = refusal;
     const part = {service: refusal.service, partId};
     const now = this.dependencies.trueTime();
-    if (this.isTrialHost(part) && this.quarantine.takeTrial(part, now)) {
+    if (this.isTrialHost(part) && this.quarantine.isTrialDue(part, now)) {
       return {kind: 'trial', part};
     }
     return {kind: 'refused', part, milliseconds: Math.max(0, until - now)};
