Explain where a host would place a request, without a change

Cause: operators cannot ask a host where a request would go now; only placing it tells, and counts it.

Change: PlacementExplainer runs the choice of a shard that placing runs (shard_choice.ts, shard_results.ts) on tables, candidates, dispatchers and admissions that are only read, and describes the upstreams considered, those left out and the result. If another host dispatches the shard, it names that host and says what this one would do without it. The jitter of refusals comes from the random source of the placement, so that a test can state it.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -46,6 +46,8 @@
 export * from './duties/usage_windows.js';
 export * from './errors/error_kinds.js';
 export * from './errors/serving_error.js';
+export * from './explanations/placement_explanation.js';
+export * from './explanations/request_explanation.js';
 export * from './features/service_features.js';
 export * from './limits/brittle_rooms.js';
 export * from './limits/limit_shares.js';
--- a/packages/decisions/src/placement/spread_table.ts
+++ b/packages/decisions/src/placement/spread_table.ts
@@ -197,9 +197,9 @@
   }
 
   capacityOf(upstreams: readonly UsableUpstream[], now: number): number {
-    const usual = this.reading.speedOf('', now).lastingMilliseconds;
+    const usual = this.reading.peekSpeedOf('', now).lastingMilliseconds;
     return upstreams.reduce((sum, {upstreamId}) => {
-      const speed = this.reading.speedOf(upstreamId, now);
+      const speed = this.reading.peekSpeedOf(upstreamId, now);
       return sum + usual / speed.lastingMilliseconds;
     }, 0);
   }
--- a/packages/entry-process/src/routed_interface/placement/dispatcher_calls.ts
+++ b/packages/entry-process/src/routed_interface/placement/dispatcher_calls.ts
@@ -61,6 +61,19 @@
     return now - since;
   }
 
+  /** Returns what `dispatcherFor` would return, and keeps no time. */
+  peekDispatcherFor(shardId: string): number | undefined {
+    const now = this.dependencies.clock();
+    return this.isDispatcher(shardId)
+      ? now - (this.dispatcherSince.get(shardId) ?? now)
+      : undefined;
+  }
+
+  /** Returns the host that dispatches the shard, however it has responded. */
+  dispatcherOf(shardId: string): Member | undefined {
+    return this.orderOf(shardId)[0];
+  }
+
   /**
    * Returns the other host that dispatches the shard; undefined if this host
    * does or if the dispatcher did not respond a moment ago.
--- a/packages/entry-process/src/routed_interface/placement/placement_candidates.ts
+++ b/packages/entry-process/src/routed_interface/placement/placement_candidates.ts
@@ -17,7 +17,7 @@
 
 /** Dependencies of `PlacementCandidates`. */
 export interface PlacementCandidatesDependencies {
-  readonly upstreams: UpstreamList;
+  readonly upstreams: Pick<UpstreamList, 'peekUsable' | 'usable'>;
   /** Health by the results of this host. */
   readonly health: UpstreamHealth;
   /** Health by the results of all hosts that this one knows. */
@@ -43,13 +43,34 @@
 
 /** Selects the upstreams at which a request may be placed. */
 export class PlacementCandidates {
-  /** Shards, by the list of upstreams that they partition. */
-  private readonly shards = new WeakMap<
-    readonly UsableUpstream[],
-    {readonly key: string; readonly shards: readonly RoutedShard[]}
-  >();
+  constructor(
+    private readonly dependencies: PlacementCandidatesDependencies,
+    /** Shards, by the list of upstreams that they partition. */
+    private readonly shards = new WeakMap<
+      readonly UsableUpstream[],
+      {readonly key: string; readonly shards: readonly RoutedShard[]}
+    >(),
+  ) {}
+
+  /** Returns the same candidates without a change of the list by their use. */
+  reading(): PlacementCandidates {
+    const {upstreams} = this.dependencies;
+    return new PlacementCandidates(
+      {
+        ...this.dependencies,
+        upstreams: {
+          usable: (service, now) => upstreams.peekUsable(service, now),
+          peekUsable: (service, now) => upstreams.peekUsable(service, now),
+        },
+      },
+      this.shards,
+    );
+  }
 
-  constructor(private readonly dependencies: PlacementCandidatesDependencies) {}
+  /** Returns the upstreams of `service` that are listed and not leaving. */
+  usableOf(service: string): readonly UsableUpstream[] {
+    return this.usable(service);
+  }
 
   /** Returns the shards of `service`. */
   shardsOf(service: string): readonly RoutedShard[] {
--- a/packages/entry-process/src/routed_interface/placement/placement_result.ts
+++ b/packages/entry-process/src/routed_interface/placement/placement_result.ts
@@ -15,6 +15,9 @@
  */
 const CROWDED_ESTIMATE_MILLISECONDS = 250;
 
+/** Maximum number of shards that are tried for one request. */
+export const MAXIMUM_SHARDS_TRIED = 2;
+
 /** A request placed at an upstream. */
 export interface Placement {
   readonly kind: 'placed';
@@ -57,17 +60,12 @@
   );
 }
 
-/** Returns the placement with the lower cost and ends the other one. */
-export function betterOf(
-  first: Placement | undefined,
-  second: Placement | undefined,
-): Placement | undefined {
-  if (first === undefined || second === undefined) {
-    return first ?? second;
-  }
-  const isFirstBetter = costOf(first.choice) <= costOf(second.choice);
-  (isFirstBetter ? second : first).reportEnded();
-  return isFirstBetter ? first : second;
+/** Returns whether the first one of two choices is kept, by its cost. */
+export function isBetterChoice(
+  first: EngineChoice,
+  second: EngineChoice,
+): boolean {
+  return costOf(first) <= costOf(second);
 }
 
 function costOf({
--- a/packages/entry-process/src/routed_interface/placement/routed_placement.ts
+++ b/packages/entry-process/src/routed_interface/placement/routed_placement.ts
@@ -3,7 +3,6 @@
  * does not respond, with the state of this host alone.
  */
 import {
-  type AdmissionRefusal,
   type AdmissionTerms,
   GRANT_LIFETIME_MILLISECONDS,
   type Member,
@@ -11,6 +10,7 @@
   type PlacedRequest,
   type PlacementDemand,
   type UpstreamChange,
+  type UpstreamList,
   type UpstreamResult,
   type UsableUpstream,
 } from '@lacewingwinch/decisions';
@@ -31,6 +31,7 @@
   PlacementCandidates,
   type PlacementCandidatesDependencies,
 } from './placement_candidates.js';
+import {PlacementExplainer} from './placement_explainer.js';
 import {
   type PlacementMetrics,
   recordFirstOutput,
@@ -38,21 +39,18 @@
 } from './placement_metrics.js';
 import {PlacementRenewals} from './placement_renewals.js';
 import {
-  betterOf,
-  isCrowded,
+  MAXIMUM_SHARDS_TRIED,
   type Placement,
   type PlacementResult,
-  soonerOf,
 } from './placement_result.js';
 import {
   ServiceTables,
   type ServiceTablesDependencies,
 } from './service_tables.js';
 import {ShardAdmissions} from './shard_admissions.js';
+import {ownPlacementRequest} from './shard_choice.js';
 import {type ShardChosen, ShardPlacement} from './shard_placement.js';
-
-/** Maximum number of shards that are tried for one request. */
-const MAXIMUM_SHARDS_TRIED = 2;
+import {ShardResults} from './shard_results.js';
 
 /** Dependencies of `RoutedPlacement`. */
 export interface RoutedPlacementDependencies
@@ -60,6 +58,7 @@
     PlacementCandidatesDependencies,
     LimitedUpstreamsDependencies,
     ServiceTablesDependencies {
+  readonly upstreams: UpstreamList;
   readonly hostId: string;
   readonly failureDomain: string;
   readonly peers: PeerClient;
@@ -88,6 +87,8 @@
   private readonly shards: ShardPlacement;
   private readonly renewals: PlacementRenewals;
   private readonly admissions: ShardAdmissions;
+  /** Explains where requests would be placed. */
+  readonly explainer: PlacementExplainer;
 
   constructor(private readonly dependencies: RoutedPlacementDependencies) {
     this.tables = new ServiceTables(dependencies);
@@ -96,21 +97,23 @@
     this.limited = new LimitedUpstreams({
       ...dependencies,
       runningAt: ({service, upstreamId}) =>
-        this.tables.of(service).runningAt(upstreamId, dependencies.clock()),
+        this.tables.peek(service).runningAt(upstreamId, dependencies.clock()),
     });
     this.admissions = new ShardAdmissions({
       clock: dependencies.clock,
-      random: Math.random,
+      random: dependencies.random,
       isDispatcher: shardId => this.dispatchers.isDispatcher(shardId),
       hostCount: () => dependencies.servingHosts().length,
     });
-    this.renewals = new PlacementRenewals({
-      ...dependencies,
+    const parts = {
       tables: this.tables,
       candidates: this.candidates,
       dispatchers: this.dispatchers,
+      limited: this.limited,
       admissions: this.admissions,
-    });
+    };
+    this.renewals = new PlacementRenewals({...dependencies, ...parts});
+    this.explainer = new PlacementExplainer({...dependencies, ...parts});
     this.shards = new ShardPlacement({
       candidates: this.candidates,
       dispatchers: this.dispatchers,
@@ -159,9 +162,7 @@
     const shards = this.candidates
       .shardsFor(service, demand, shard => this.tables.weightOf(service, shard))
       .slice(0, MAXIMUM_SHARDS_TRIED);
-    let best: Placement | undefined;
-    let refusal: AdmissionRefusal | undefined;
-    let limitedFor = Infinity;
+    const results = new ShardResults<Placement>();
     for (const [index, {id}] of shards.entries()) {
       const isOverflow = index > 0;
       const hasAnotherShard = index + 1 < shards.length;
@@ -174,30 +175,17 @@
           ? undefined
           : {...terms, isOverflow, hasAnotherShard},
       );
-      if (result?.kind === 'limited') {
-        limitedFor = Math.min(limitedFor, result.milliseconds);
-        continue;
-      }
-      if (result?.kind === 'refused') {
-        refusal = soonerOf(refusal, result);
-        continue;
-      }
-      best = betterOf(best, result);
-      if (best !== undefined && !isCrowded(best.choice)) {
+      results.add(result)?.reportEnded();
+      if (results.isSettled) {
         break;
       }
     }
-    if (best !== undefined) {
+    const {result} = results;
+    if (result?.kind === 'placed') {
       const {hostId, clock} = this.dependencies;
-      this.tables.of(service).add(hostId, demand, best.choice, clock());
-      return best;
-    }
-    if (refusal !== undefined) {
-      return refusal;
+      this.tables.of(service).add(hostId, demand, result.choice, clock());
     }
-    return limitedFor === Infinity
-      ? undefined
-      : {kind: 'limited', milliseconds: limitedFor};
+    return result;
   }
 
   private async placeInShard(
@@ -208,19 +196,11 @@
     terms: AdmissionTerms | undefined,
   ): Promise<PlacementResult> {
     const {hostId, failureDomain} = this.dependencies;
-    const excluded = [...tried, ...this.candidates.locallyExcludedIds(service)];
-    const result = await this.shards.place(
-      {
-        service,
-        shardId,
-        front: hostId,
-        failureDomain,
-        demand,
-        excluded,
-        ...(terms !== undefined && {terms}),
-      },
-      tried,
+    const request = ownPlacementRequest(
+      {service, shardId, hostId, failureDomain, demand, tried, terms},
+      this.candidates,
     );
+    const result = await this.shards.place(request, tried);
     switch (result.kind) {
       case 'none':
         return undefined;
--- a/packages/entry-process/src/routed_interface/placement/service_tables.ts
+++ b/packages/entry-process/src/routed_interface/placement/service_tables.ts
@@ -71,13 +71,24 @@
       return existing;
     }
     this.checkedAt.set(service, now);
-    const created = this.create(service);
-    const {hostId} = this.dependencies;
-    created.replaceRequests(hostId, existing?.requestsOf(hostId) ?? [], now);
+    const created = this.createFrom(service, existing, now);
     this.tables.set(service, created);
     return created;
   }
 
+  /** Returns the table that `of` would return, and keeps no new one. */
+  peek(service: string): ServiceTable {
+    const existing = this.tables.get(service);
+    const now = this.dependencies.clock();
+    const isKept =
+      existing !== undefined &&
+      !(
+        this.isCheckDue(service, existing, now) &&
+        this.dependencies.hasSpreadPlacement(service)
+      );
+    return isKept ? existing : this.createFrom(service, existing, now);
+  }
+
   /**
    * Returns whether a table was created before the service was found large. The
    * number of failure domains is not known at first. A service that was found
@@ -88,17 +99,25 @@
     existing: ServiceTable,
     now: number,
   ): boolean {
-    const checkedAt = this.checkedAt.get(service) ?? -Infinity;
-    if (
-      existing instanceof SpreadTable ||
-      now - checkedAt < CHECK_PERIOD_MILLISECONDS
-    ) {
+    if (!this.isCheckDue(service, existing, now)) {
       return false;
     }
     this.checkedAt.set(service, now);
     return this.dependencies.hasSpreadPlacement(service);
   }
 
+  private isCheckDue(
+    service: string,
+    existing: ServiceTable,
+    now: number,
+  ): boolean {
+    const checkedAt = this.checkedAt.get(service) ?? -Infinity;
+    return (
+      !(existing instanceof SpreadTable) &&
+      now - checkedAt >= CHECK_PERIOD_MILLISECONDS
+    );
+  }
+
   /** Returns whether the load of `service` is spread by its expected value. */
   isSpread(service: string): boolean {
     return this.of(service) instanceof SpreadTable;
@@ -110,20 +129,31 @@
    */
   weightOf(service: string, shard: RoutedShard): number {
     const now = this.dependencies.clock();
-    const known = this.weights.get(shard);
-    if (known !== undefined && now - known.time < WEIGHT_PERIOD_MILLISECONDS) {
-      return known.weight;
+    const known = this.knownWeightOf(shard, now);
+    if (known !== undefined) {
+      return known;
     }
-    const {upstreams} = shard;
-    const unit = Math.max(1, upstreams.length * WEIGHT_STEP_SHARE);
-    const capacity = this.of(service).capacityOf(upstreams, now);
-    const weight = this.isSpread(service)
-      ? Math.max(1, Math.round(capacity / unit)) * unit
-      : upstreams.length;
+    const weight = computeWeight(this.of(service), shard, now);
     this.weights.set(shard, {weight, time: now});
     return weight;
   }
 
+  /** Returns the weight that `weightOf` would return, and keeps none. */
+  peekWeightOf(service: string, shard: RoutedShard): number {
+    const now = this.dependencies.clock();
+    return (
+      this.knownWeightOf(shard, now) ??
+      computeWeight(this.peek(service), shard, now)
+    );
+  }
+
+  private knownWeightOf(shard: RoutedShard, now: number): number | undefined {
+    const known = this.weights.get(shard);
+    return known !== undefined && now - known.time < WEIGHT_PERIOD_MILLISECONDS
+      ? known.weight
+      : undefined;
+  }
+
   /** Discards what is known of an upstream that left or restarted. */
   forgetUpstream(upstreamId: string): void {
     for (const table of this.tables.values()) {
@@ -185,6 +215,17 @@
     }
   }
 
+  private createFrom(
+    service: string,
+    existing: ServiceTable | undefined,
+    now: number,
+  ): ServiceTable {
+    const created = this.create(service);
+    const {hostId} = this.dependencies;
+    created.replaceRequests(hostId, existing?.requestsOf(hostId) ?? [], now);
+    return created;
+  }
+
   private create(service: string): ServiceTable {
     const {cacheRetentionMilliseconds, random, hasSpreadPlacement} =
       this.dependencies;
@@ -193,3 +234,16 @@
       : new PlacementTable(cacheRetentionMilliseconds);
   }
 }
+
+function computeWeight(
+  table: ServiceTable,
+  {upstreams}: RoutedShard,
+  now: number,
+): number {
+  if (!(table instanceof SpreadTable)) {
+    return upstreams.length;
+  }
+  const unit = Math.max(1, upstreams.length * WEIGHT_STEP_SHARE);
+  const capacity = table.capacityOf(upstreams, now);
+  return Math.max(1, Math.round(capacity / unit)) * unit;
+}
--- a/packages/entry-process/src/routed_interface/placement/shard_admissions.ts
+++ b/packages/entry-process/src/routed_interface/placement/shard_admissions.ts
@@ -37,25 +37,52 @@
    * never refused.
    */
   choose(
-    {shardId, demand, terms}: PlacementRequest,
-    {upstreamIds, ...shard}: PlacedShard,
+    request: PlacementRequest,
+    shard: PlacedShard,
   ): AdmissionRefusal | AdmittedChoice | undefined {
-    const {clock, random, isDispatcher, hostCount} = this.dependencies;
-    if (terms === undefined) {
-      const choice = shard.place(demand, () => true);
-      return choice === undefined ? undefined : {kind: 'chosen', choice};
-    }
+    const {clock, random} = this.dependencies;
+    const {shardId, demand, terms} = request;
+    return terms === undefined
+      ? chooseWithoutTerms(request, shard)
+      : this.createdAdmissionOf(shardId).place(
+          {demand, terms},
+          this.admittingShard(shardId, shard),
+          random(),
+          clock(),
+        );
+  }
+
+  /**
+   * Returns what `choose` would return, and records nothing; `shard` must not
+   * count the request either.
+   */
+  explain(
+    request: PlacementRequest,
+    shard: PlacedShard,
+    jitter: number,
+  ): AdmissionRefusal | AdmittedChoice | undefined {
+    const {shardId, demand, terms} = request;
+    return terms === undefined
+      ? chooseWithoutTerms(request, shard)
+      : this.admissionOf(shardId).explain(
+          {demand, terms},
+          this.admittingShard(shardId, shard),
+          jitter,
+          this.dependencies.clock(),
+        );
+  }
+
+  private admittingShard(
+    shardId: string,
+    {upstreamIds, ...shard}: PlacedShard,
+  ): AdmittingShard {
+    const {isDispatcher, hostCount} = this.dependencies;
     // A client returns to any host; only the dispatcher is asked by all of them.
     const keepsPlaces = isDispatcher(shardId);
     const sharers = keepsPlaces ? 1 : Math.max(1, hostCount());
     const tokensPerMillisecond =
       upstreamIds.reduce((sum, id) => sum + shard.speedOf(id), 0) / sharers;
-    return this.shardOf(shardId).place(
-      {demand, terms},
-      {...shard, tokensPerMillisecond, keepsPlaces},
-      random(),
-      clock(),
-    );
+    return {...shard, tokensPerMillisecond, keepsPlaces};
   }
 
   /** Discards what is known of shards that are not in `shardIds`. */
@@ -67,13 +94,22 @@
     }
   }
 
-  private shardOf(shardId: string): ShardAdmission {
-    const existing = this.shards.get(shardId);
-    if (existing !== undefined) {
-      return existing;
-    }
-    const created = new ShardAdmission();
-    this.shards.set(shardId, created);
-    return created;
+  private admissionOf(shardId: string): ShardAdmission {
+    return this.shards.get(shardId) ?? new ShardAdmission();
   }
+
+  private createdAdmissionOf(shardId: string): ShardAdmission {
+    const admission = this.admissionOf(shardId);
+    this.shards.set(shardId, admission);
+    return admission;
+  }
+}
+
+/** Places a request that is not refused however long it waits. */
+function chooseWithoutTerms(
+  {demand}: PlacementRequest,
+  {place}: PlacedShard,
+): AdmittedChoice | undefined {
+  const choice = place(demand, () => true);
+  return choice === undefined ? undefined : {kind: 'chosen', choice};
 }
--- a/packages/entry-process/src/routed_interface/placement/shard_placement.ts
+++ b/packages/entry-process/src/routed_interface/placement/shard_placement.ts
@@ -8,8 +8,6 @@
   EngineChoice,
   Member,
   NamedRates,
-  PlacementGrants,
-  UsableUpstream,
 } from '@lacewingwinch/decisions';
 import type {
   PlacementAnswer,
@@ -19,6 +17,12 @@
 import type {DispatcherCalls} from './dispatcher_calls.js';
 import type {LimitedUpstreams} from './limited_upstreams.js';
 import type {PlacementCandidates} from './placement_candidates.js';
+import {
+  type CandidateChooser,
+  chooseWithGrants,
+  chooseWithoutGrants,
+  type OwnChoice,
+} from './shard_choice.js';
 
 /** A choice in one shard. */
 export interface ShardChosen extends AdmittedChoice {
@@ -49,11 +53,7 @@
    * Chooses one of the candidates and counts the request there, unless it is
    * refused.
    */
-  readonly choose: (
-    request: PlacementRequest,
-    candidates: readonly UsableUpstream[],
-    grants: PlacementGrants,
-  ) => AdmissionRefusal | AdmittedChoice | undefined;
+  readonly choose: CandidateChooser;
 }
 
 /** Places requests in the shards of services. */
@@ -121,21 +121,11 @@
     tried: ReadonlySet<string>,
   ): ShardChoice {
     const {candidates, dispatchers, limited, choose} = this.dependencies;
-    const filter = {...request, tried};
     const grants = limited.grantsOf(dispatchers.dispatcherFor(request.shardId));
-    const withRoom = candidates.select(filter, upstream =>
-      grants.hasRoom(upstream),
+    return withDispatcher(
+      chooseWithGrants(request, tried, candidates, grants, choose),
+      undefined,
     );
-    const result = choose(request, withRoom, grants);
-    if (result !== undefined) {
-      return withDispatcher(result, undefined);
-    }
-    const waits = candidates
-      .select(filter)
-      .map(upstream => grants.waitOf(upstream));
-    return waits.length === 0
-      ? {kind: 'none'}
-      : {kind: 'limited', milliseconds: Math.min(...waits)};
   }
 
   /** Places a request at upstreams that need no grant. */
@@ -145,11 +135,13 @@
     dispatcher: Member | undefined,
   ): ShardChoice | undefined {
     const {candidates, limited, choose} = this.dependencies;
-    const withoutLimit = candidates.select(
-      {...request, tried},
-      upstream => !limited.isLimited(upstream),
+    const result = chooseWithoutGrants(
+      request,
+      tried,
+      candidates,
+      limited,
+      choose,
     );
-    const result = choose(request, withoutLimit, limited.grantsOf(undefined));
     return result === undefined
       ? undefined
       : withDispatcher(result, dispatcher);
@@ -241,7 +233,7 @@
 }
 
 function withDispatcher(
-  result: AdmissionRefusal | AdmittedChoice,
+  result: OwnChoice,
   dispatcher: Member | undefined,
 ): ShardChoice {
   return result.kind === 'chosen' ? {...result, dispatcher} : result;
