Answer other hosts what would become of a request, without a change

Cause: an explanation of the placement alone does not say which rule, quota, quarantine, pause or version a request meets.

Change: RequestExplainer goes the way of a request up to its sending, with the front's own admission (front_admission.ts), gate and times, and a quota that is only looked at. The peer method request.explain answers with it; clients reach nothing new. A refusal states between which times clients return.

--- a/packages/decisions/src/rollouts/rollout_front.ts
+++ b/packages/decisions/src/rollouts/rollout_front.ts
@@ -14,6 +14,7 @@
   isAlone,
   isInShare,
   type RolloutSteps,
+  type VersionUse,
 } from './rollout_steps.js';
 import {addTime, timeWithoutReading} from './time_histogram.js';
 import type {
@@ -159,6 +160,11 @@
     return this.peekConstraintOf(request, context);
   }
 
+  /** Returns how the versions of a service may be used at `now`. */
+  useOf(service: string, now: number): VersionUse {
+    return this.options.steps.useOf(service, now);
+  }
+
   /** Returns what `constraintOf` would return, and records no version. */
   peekConstraintOf(
     {service, isAssigned}: VersionedRequest,
--- a/packages/entry-hosts/src/index.ts
+++ b/packages/entry-hosts/src/index.ts
@@ -3,6 +3,7 @@
  */
 export * from './messages/backup_messages.js';
 export * from './messages/claim_messages.js';
+export * from './messages/explanation_messages.js';
 export * from './messages/membership_messages.js';
 export * from './messages/path_messages.js';
 export * from './messages/permit_messages.js';
--- a/packages/entry-hosts/src/peer_methods.ts
+++ b/packages/entry-hosts/src/peer_methods.ts
@@ -4,6 +4,7 @@
  */
 import type {BackupMethods} from './messages/backup_messages.js';
 import type {ClaimMethods} from './messages/claim_messages.js';
+import type {ExplanationMethods} from './messages/explanation_messages.js';
 import type {MembershipMethods} from './messages/membership_messages.js';
 import type {PathMethods} from './messages/path_messages.js';
 import type {PermitMethods} from './messages/permit_messages.js';
@@ -24,6 +25,7 @@
   PlacementMethods &
   PathMethods &
   StreamMethods &
+  ExplanationMethods &
   SuspicionMethods &
   UsageMethods;
 
--- a/packages/entry-process/src/routed_interface/admission/attempt_gate.ts
+++ b/packages/entry-process/src/routed_interface/admission/attempt_gate.ts
@@ -10,11 +10,12 @@
   type EngineChoice,
   isDeadlineUnreachable,
   type LatencyBounds,
+  type PausedServiceVerdict,
   type PlacementDemand,
   RETURN_SPREAD_MILLISECONDS,
   ServingError,
 } from '@lacewingwinch/decisions';
-import type {EventLog, Metrics} from '@lacewingwinch/observability';
+import type {EventLog} from '@lacewingwinch/observability';
 
 import type {PartWatch} from '../../tasks/part_watch.js';
 import {pause} from '../../util/pause.js';
@@ -31,16 +32,25 @@
 /** Ranks that a metric tells apart; less urgent ones are counted together. */
 const LEAST_URGENT_LABEL = 9;
 
+/** A counter of decisions of the gate. */
+interface GateCounter {
+  inc(labels: Readonly<Record<string, string>>): void;
+}
+
+/** The metrics of the gate. */
+export interface GateMetrics {
+  readonly admissionPromotions: GateCounter;
+  readonly admissionRefusals: GateCounter;
+  readonly admissionReturns: GateCounter;
+  readonly admissionStartSeconds: {
+    observe(labels: Readonly<Record<string, string>>, value: number): void;
+  };
+}
+
 /** Dependencies of `AttemptGate`. */
 export interface AttemptGateDependencies {
-  readonly events: EventLog;
-  readonly metrics: Pick<
-    Metrics,
-    | 'admissionPromotions'
-    | 'admissionRefusals'
-    | 'admissionReturns'
-    | 'admissionStartSeconds'
-  >;
+  readonly events: Pick<EventLog, 'write'>;
+  readonly metrics: GateMetrics;
   readonly crashes: Pick<CrashWatch, 'quarantineMillisecondsLeft'>;
   readonly parts: Pick<PartWatch, 'decide' | 'isRefused'>;
   readonly candidates: Pick<PlacementCandidates, 'pauseMillisecondsLeft'>;
@@ -290,25 +300,41 @@
     bounds: LatencyBounds,
     signal: AbortSignal,
   ): Promise<ServingError | undefined> {
-    const {events, random} = this.dependencies;
+    const {events} = this.dependencies;
     const {requestId, service} = this.request;
-    const verdict = decidePausedService(milliseconds, bounds, random());
+    const {verdict, refusal} = this.decidePaused(milliseconds, bounds);
     events.write(4105, {
       requestId,
       service,
       milliseconds: Math.round(milliseconds),
       decision: verdict.kind,
     });
-    switch (verdict.kind) {
-      case 'wait':
-        await pause(Math.ceil(verdict.milliseconds), signal);
-        return undefined;
-      case 'refuse':
-        return new ServingError('overloaded', {
-          detail: `every upstream of ${service} has asked for a pause`,
-          retryAfterSeconds: verdict.retryAfterMilliseconds / 1000,
-        });
+    if (verdict.kind === 'wait') {
+      await pause(Math.ceil(verdict.milliseconds), signal);
     }
+    return refusal;
+  }
+
+  /** Decides on a request while all upstreams want none for some time. */
+  decidePaused(
+    milliseconds: number,
+    bounds: LatencyBounds,
+  ): {
+    readonly verdict: PausedServiceVerdict;
+    readonly refusal: ServingError | undefined;
+  } {
+    const {random} = this.dependencies;
+    const verdict = decidePausedService(milliseconds, bounds, random());
+    return {
+      verdict,
+      refusal:
+        verdict.kind === 'wait'
+          ? undefined
+          : new ServingError('overloaded', {
+              detail: `every upstream of ${this.request.service} has asked for a pause`,
+              retryAfterSeconds: verdict.retryAfterMilliseconds / 1000,
+            }),
+    };
   }
 }
 
--- a/packages/entry-process/src/routed_interface/admission/quota_exchange.ts
+++ b/packages/entry-process/src/routed_interface/admission/quota_exchange.ts
@@ -3,6 +3,7 @@
  */
 import {
   countSharingHosts,
+  type ExplainedQuota,
   type Member,
   quotaHolders,
   QuotaShare,
@@ -125,6 +126,33 @@
       : {kind: 'taken', giveBack: () => this.giveBack(workspace, amount)};
   }
 
+  /** Returns what this host knows of a quota; takes and asks nothing. */
+  peek(
+    workspace: string,
+    quota: WorkspaceQuota,
+    amount: number,
+    rank?: number,
+  ): ExplainedQuota {
+    const {hostId, clock} = this.dependencies;
+    const holders = this.holdersOf(workspace);
+    const otherHolders = holders.filter(holder => holder !== hostId);
+    const {unit} = quota;
+    const now = clock();
+    if (!holders.includes(hostId)) {
+      const usedUp = this.usedUp.get(rank);
+      const wait = usedUp?.peekWaitFor(workspace, amount, now) ?? 0;
+      return {kind: 'held-elsewhere', unit, amount, otherHolders, wait};
+    }
+    const parts = this.partCountOf(holders);
+    return {
+      kind: 'held',
+      unit,
+      amount,
+      otherHolders,
+      ...this.share.outlook(workspace, quota, amount, parts, now, rank),
+    };
+  }
+
   /** Takes `amount` on behalf of another host, if this host holds a part. */
   takeForPeer(
     workspace: string,
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_peer_handlers.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_peer_handlers.ts
@@ -15,6 +15,7 @@
 import type {QuotaExchange} from '../admission/quota_exchange.js';
 import type {CrashWatch} from '../evidence/crash_watch.js';
 import type {RoutedPlacement} from '../placement/routed_placement.js';
+import type {RequestExplainer} from '../requests/request_explainer.js';
 import type {StateRelay} from '../state/state_relay.js';
 import type {StreamOriginExchange} from '../state/stream_origin_exchange.js';
 import type {RoutedRollouts} from './routed_rollouts.js';
@@ -33,6 +34,7 @@
   readonly parts: PartWatch;
   readonly streams: StreamOriginExchange;
   readonly paths: UpstreamPaths;
+  readonly explainer: RequestExplainer;
   readonly quotaOf: (workspace: string) => WorkspaceQuota | undefined;
 }
 
@@ -53,6 +55,7 @@
     parts,
     streams,
     paths,
+    explainer,
     quotaOf,
   } = dependencies;
   return {
@@ -89,6 +92,7 @@
       return null;
     },
     'stream.locate': query => streams.answer(query),
+    'request.explain': request => explainer.explain(request),
     'quota.request': ({workspace, amount}) => ({
       given: quotas.give(workspace, quotaOf(workspace), amount),
     }),
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_rollouts.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_rollouts.ts
@@ -59,11 +59,25 @@
 
   /** Returns the state of this host on which the versions of requests depend. */
   versionContext(service: string): VersionContext {
-    const {clocks, upstreams, configurationReadAt, trueTime} =
-      this.dependencies;
+    const {clocks, upstreams} = this.dependencies;
     const now = clocks.suspensionAware();
+    return this.contextAt(upstreams().usable(service, now), now);
+  }
+
+  /** Returns what `versionContext` would return; the list stays as it is. */
+  peekVersionContext(service: string): VersionContext {
+    const {clocks, upstreams} = this.dependencies;
+    const now = clocks.suspensionAware();
+    return this.contextAt(upstreams().peekUsable(service, now), now);
+  }
+
+  private contextAt(
+    upstreams: VersionContext['upstreams'],
+    now: number,
+  ): VersionContext {
+    const {configurationReadAt, trueTime} = this.dependencies;
     return {
-      upstreams: upstreams().usable(service, now),
+      upstreams,
       ordersReadAt: configurationReadAt(),
       now,
       trueTime: trueTime(),
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -41,6 +41,8 @@
 import {CrashWatch} from '../evidence/crash_watch.js';
 import {PartVerdictStore} from '../evidence/part_verdict_store.js';
 import {RoutedPlacement} from '../placement/routed_placement.js';
+import type {FrontDependencies} from '../requests/front_dependencies.js';
+import type {RequestExplainer} from '../requests/request_explainer.js';
 import {RoutedFront} from '../requests/routed_front.js';
 import {ConfigurationFollower} from '../state/configuration_follower.js';
 import {FleetView} from '../state/fleet_view.js';
@@ -51,6 +53,7 @@
 import {UpstreamChangeLog} from '../state/upstream_change_log.js';
 import {UpstreamFollower} from '../state/upstream_follower.js';
 import {createRelayCarrier} from './create_relay_carrier.js';
+import {createRequestExplainer} from './create_request_explainer.js';
 import {RoutedRollouts} from './routed_rollouts.js';
 
 /**
@@ -84,6 +87,7 @@
   readonly placement: RoutedPlacement;
   readonly membership: MembershipTask;
   readonly front: RoutedFront;
+  readonly explainer: RequestExplainer;
   readonly usage: UsageWindows;
   readonly usagePush: UsagePush;
   readonly offeredLoads = new OfferedLoads();
@@ -305,7 +309,9 @@
         ).map(({service}) => service.name),
       versionResults: () => this.rollouts.reports(),
     });
-    this.front = this.createFront();
+    const front = this.frontDependencies();
+    this.front = new RoutedFront(front);
+    this.explainer = createRequestExplainer(front, this.rollouts, this.fleet);
   }
 
   private createPaths(failureDomain: string): UpstreamPaths {
@@ -347,8 +353,8 @@
     });
   }
 
-  private createFront(): RoutedFront {
-    return new RoutedFront({
+  private frontDependencies(): FrontDependencies {
+    return {
       hostId: this.dependencies.settings().hostId,
       clocks: this.clocks,
       events: this.events,
@@ -384,7 +390,7 @@
       domainCount: () => this.fleet.domainCount(),
       onRunStarted: workspace =>
         this.usage.add(this.processId, workspace, this.readTrueTime()),
-    });
+    };
   }
 
   private hasSpreadPlacement(name: string): boolean {
--- a/packages/entry-process/src/routed_interface/requests/routed_front.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_front.ts
@@ -9,18 +9,19 @@
   RoutedCallHandler,
   RoutedResponder,
 } from '@lacewingwinch/callers';
-import {
-  admitRoutedCall,
-  featuresOf,
-  type RoutedAdmission,
-  ServingError,
-} from '@lacewingwinch/decisions';
+import {type RoutedAdmission, ServingError} from '@lacewingwinch/decisions';
 import {
   type CallHeaders,
   decodeCallHeaders,
   encodeAttemptIdHeader,
 } from '@lacewingwinch/platform';
 
+import {
+  admitAtFront,
+  quotaAmountOf,
+  quotaRankOf,
+  refusalForQuota,
+} from './front_admission.js';
 import type {FrontDependencies} from './front_dependencies.js';
 import {RoutedRequest} from './routed_request.js';
 
@@ -30,9 +31,6 @@
 /** Maximum number of bytes of the headers before a configuration is known. */
 const DEFAULT_MAXIMUM_HEADER_BYTES = 16 * 1024;
 
-/** Seconds after which a client may try another host. */
-const RETRY_ELSEWHERE_SECONDS = 0.05;
-
 /** The front of one entry host. */
 export class RoutedFront implements RoutedCallHandler {
   private readonly running = new Set<RoutedRequest>();
@@ -78,38 +76,15 @@
         detail: 'the request carries no attempt id',
       });
     }
-    if (this.dependencies.isClosing()) {
-      throw new ServingError('not-ready', {
-        detail: 'this host is stopping',
-        retryAfterSeconds: RETRY_ELSEWHERE_SECONDS,
-      });
-    }
-    const now = this.dependencies.clocks.suspensionAware();
-    const verdict = admitRoutedCall(
-      {
-        // A stream that is taken up stays at the service that began it.
-        attemptId: headers.resumedAttemptId ?? headers.attemptId,
-        host: call.host,
-        path: call.path,
-        workspaceKey: headers.workspaceKey,
-        deadlineMilliseconds: headers.deadlineMilliseconds,
-        bodyBytes: call.body.length,
-      },
-      this.dependencies.configuration(),
-      this.dependencies.maximumKeyAge(),
-      now,
-    );
-    switch (verdict.kind) {
-      case 'refused':
-        throw new ServingError(verdict.error, {detail: verdict.detail});
-      case 'admitted':
-        if (!this.dependencies.isUpstreamListKnown()) {
-          throw new ServingError('not-ready', {
-            detail: 'the list of upstreams is not known yet',
-          });
-        }
-        return verdict.admission;
-    }
+    return admitAtFront(this.dependencies, {
+      // A stream that is taken up stays at the service that began it.
+      attemptId: headers.resumedAttemptId ?? headers.attemptId,
+      host: call.host,
+      path: call.path,
+      workspaceKey: headers.workspaceKey,
+      deadlineMilliseconds: headers.deadlineMilliseconds,
+      bodyBytes: call.body.length,
+    });
   }
 
   private async run(
@@ -142,32 +117,25 @@
 
   private async takeQuota(
     headers: CallHeaders,
-    {workspace, service, priority}: RoutedAdmission,
+    admission: RoutedAdmission,
   ): Promise<{readonly giveBack: () => void}> {
+    const {workspace} = admission;
     const quota = workspace?.quota;
     if (workspace === undefined || quota === undefined) {
       return {giveBack: () => undefined};
     }
-    const tokens = headers.hasTokenCounts
-      ? headers.promptTokens + headers.maximumAnswerTokens
-      : quota.defaultTokens;
-    const amount = quota.unit === 'tokens' ? tokens : 1;
-    const {quotas, domainCount} = this.dependencies;
-    const {hasRankedAdmission} = featuresOf(service, domainCount());
+    const {quotas} = this.dependencies;
     const verdict = await quotas.take(
       workspace.name,
       quota,
-      amount,
-      hasRankedAdmission ? priority : undefined,
+      quotaAmountOf(headers, quota),
+      quotaRankOf(this.dependencies, admission),
     );
     switch (verdict.kind) {
       case 'taken':
         return verdict;
       case 'used-up':
-        throw new ServingError('limit-exceeded', {
-          detail: `the quota of ${workspace.name} is used up`,
-          retryAfterSeconds: verdict.waitMilliseconds / 1000,
-        });
+        throw refusalForQuota(workspace.name, verdict.waitMilliseconds);
     }
   }
 
--- a/packages/entry-process/tests/placement_explainer_test.ts
+++ b/packages/entry-process/tests/placement_explainer_test.ts
@@ -178,6 +178,8 @@
   const incarnation = {upstreamId: `i-${part}`, bornAt: 5};
   const oldest = placements[0];
   switch (kind) {
+    case 'request':
+      return;
     case 'started':
       oldest?.reportStarted();
       return;
@@ -209,8 +211,8 @@
     return result;
   }
   const {choice, promotedRank, returned} = result as Placement;
-  // Counting a grant adds when it may be used.
-  const {grantWaitMilliseconds: _, ...estimate} = choice;
+  // Only counting a grant says when it may be used.
+  const estimate = {...choice, grantWaitMilliseconds: undefined};
   return {estimate, promotedRank, returned};
 }
 
@@ -334,7 +336,7 @@
     {
       name: 'it is listed as leaving',
       arrange: ({upstreams}: RoutedPlacementDependencies) =>
-        (upstreams as UpstreamList).apply(
+        upstreams.apply(
           [
             {
               kind: 'listed',
