Add lacewingctl where

Cause: operators have to send a request to see where it goes.

Change: lacewingctl where HOST PATH asks an entry host on the platform by its address for other hosts what would become of a request, which is described by arguments; a key is read from a file. It ends with 0 if the request would be served, 1 if it would be refused or a host gives no explanation, and 2 for faulty arguments.

--- a/packages/control-command/src/command_settings.ts
+++ b/packages/control-command/src/command_settings.ts
@@ -15,6 +15,11 @@
     variable: 'LACEWINGWINCH_OPERATOR_ADDRESS',
     help: 'Operator address of any entry host, as IP:port',
   },
+  peerAddress: {
+    flag: '--peer-address <address>',
+    variable: 'LACEWINGWINCH_PEER_ADDRESS',
+    help: 'Address of any entry host on the platform for other hosts, as IP:port',
+  },
   output: {
     flag: '--output <format>',
     variable: 'LACEWINGWINCH_OUTPUT',
@@ -27,13 +32,15 @@
   },
 } as const;
 
+const ADDRESS = z
+  .string()
+  .regex(/^\S+:\d{1,5}$/, 'must be an IP address and a port');
+
 const SCHEMA = z
   .object({
     logUrl: z.url({protocol: /^https?$/}).optional(),
-    operatorAddress: z
-      .string()
-      .regex(/^\S+:\d+$/, 'must be an IP address and a port')
-      .optional(),
+    operatorAddress: ADDRESS.optional(),
+    peerAddress: ADDRESS.optional(),
     output: z.enum(['text', 'json']).default('text'),
     waitSeconds: z.coerce.number().positive().default(10),
   })
@@ -98,3 +105,13 @@
   }
   return settings.operatorAddress;
 }
+
+/** Returns the peer address, or throws a `UsageError` if it is not set. */
+export function requirePeerAddress(settings: CommandSettings): string {
+  if (settings.peerAddress === undefined) {
+    throw new UsageError([
+      '--peer-address (LACEWINGWINCH_PEER_ADDRESS): is missing',
+    ]);
+  }
+  return settings.peerAddress;
+}
--- a/packages/control-command/src/main.ts
+++ b/packages/control-command/src/main.ts
@@ -2,6 +2,7 @@
 /**
  * The entry point of `lacewingctl`.
  */
+import {createPeerClient} from '@lacewingwinch/entry-hosts';
 import {
   describeExplanation,
   fetchStatus,
@@ -14,13 +15,20 @@
   COMMON_FLAGS,
   readCommandSettings,
   requireOperatorAddress,
+  requirePeerAddress,
   UsageError,
 } from './command_settings.js';
 import {explainFromLogs, renderLoggedExplanation} from './explain_logs.js';
 import {readObjectFile} from './object_file.js';
 import {publish} from './publish_command.js';
 import {explain, show, status} from './read_commands.js';
+import {
+  renderExplanation,
+  renderFleetExplanation,
+} from './render_explanation.js';
 import {renderObjects, renderPublish, renderStatuses} from './render_text.js';
+import {readExplainedRequest, WHERE_OPTIONS} from './where_arguments.js';
+import {explainAt, explainAtAll, wouldBeServed} from './where_command.js';
 
 /** Exit code of a command that failed. */
 const EXIT_FAILED = 1;
@@ -121,6 +129,39 @@
     print(settings, {objects: objects.length, warnings}, text);
   });
 
+const where = cli.command(
+  'where <host> <path>',
+  'Show where a request would go now and why, without sending it',
+);
+for (const [flag, help] of WHERE_OPTIONS) {
+  where.option(flag, help);
+}
+where.action(async (host: string, path: string, flags: Flags) => {
+  const settings = readSettings(
+    flags['json'] === true ? {...flags, output: 'json'} : flags,
+  );
+  const address = requirePeerAddress(settings);
+  const request = await readExplainedRequest(host, path, flags);
+  const peers = createPeerClient();
+  try {
+    if (flags['all'] === true) {
+      const fleet = await explainAtAll(peers, address, request);
+      print(settings, fleet, renderFleetExplanation(fleet));
+      const isServedEverywhere = fleet.hosts.every(
+        answer =>
+          answer.kind === 'explained' && wouldBeServed(answer.explanation),
+      );
+      process.exitCode = isServedEverywhere ? 0 : EXIT_FAILED;
+      return;
+    }
+    const {explanation} = await explainAt(peers, address, request);
+    print(settings, explanation, renderExplanation(explanation));
+    process.exitCode = wouldBeServed(explanation) ? 0 : EXIT_FAILED;
+  } finally {
+    peers.close();
+  }
+});
+
 cli.help();
 cli.version('0.1.0');
 
