Name carriers, brittle upstreams and other deciding hosts

Cause: an explanation did not say by way of which host an upstream is reached, nor tell a limit from a brittle upstream, and its first line named an upstream as certain where another host decides.

Change: considered upstreams name the host that would carry the request; the reason brittle; the text says if the host answers by what it knows itself.

--- a/packages/control-command/src/render_explanation.ts
+++ b/packages/control-command/src/render_explanation.ts
@@ -47,8 +47,11 @@
       `${name} (${pathPrefix}) ${isMatch ? 'matches' : 'does not match'}`,
   );
   const shards = placement?.shards ?? [];
+  const isDecidedElsewhere = shards.some(
+    ({decidedBy}) => decidedBy.kind === 'other-host' && decidedBy.isCalled,
+  );
   return [
-    `${hostId}: ${renderOutcome(explanation.outcome)}`,
+    `${hostId}${isDecidedElsewhere ? ', by what it knows itself' : ''}: ${renderOutcome(explanation.outcome)}`,
     `  configuration ${configurationVersion}, confirmed ${whole(configurationAgeMilliseconds)} ms ago`,
     `  rules: ${triedRules.length === 0 ? 'none for this host' : triedRules.join(', ')}`,
     ...(terms === undefined ? [] : [`  ${renderTerms(terms)}`]),
@@ -162,7 +165,7 @@
 
 function renderConsidered(upstream: ConsideredUpstream): string {
   const {upstreamId, failureDomain, softwareVersion, running} = upstream;
-  const {loadAgeMilliseconds: age, cachedTokens} = upstream;
+  const {loadAgeMilliseconds: age, cachedTokens, carriedBy} = upstream;
   return [
     `${upstreamId} (${failureDomain}, ${softwareVersion}): ${percent(upstream.share)}`,
     `cost ${whole(upstream.costMilliseconds)} ms`,
@@ -171,7 +174,10 @@
     `read ${whole(upstream.readMilliseconds)} ms at ${upstream.tokensPerMillisecond.toFixed(1)} tokens/ms`,
     `${cachedTokens} tokens cached`,
     `${whole(running)} running`,
-    age === undefined ? 'load as of now' : `load ${whole(age)} ms old`,
+    age === undefined
+      ? 'load as this host counts it'
+      : `load ${whole(age)} ms old`,
+    ...(carriedBy === undefined ? [] : [`by way of ${carriedBy}`]),
   ].join(', ');
 }
 
--- a/packages/control-command/tests/where_command_test.ts
+++ b/packages/control-command/tests/where_command_test.ts
@@ -231,6 +231,30 @@
     ]);
   });
 
+  it('says that another host decides, and by way of which host', () => {
+    const [shard] = EXPLANATION.placement?.shards ?? [];
+    const [upstream] = shard?.considered ?? [];
+    if (shard === undefined || upstream === undefined) {
+      throw new Error('the explanation has no upstream');
+    }
+    const text = renderExplanation({
+      ...EXPLANATION,
+      placement: {
+        shards: [
+          {
+            ...shard,
+            decidedBy: {kind: 'other-host', hostId: 'host-2', isCalled: true},
+            considered: [{...upstream, carriedBy: 'host-7'}],
+          },
+        ],
+        result: shard.result,
+      },
+    });
+    expect(text).toMatch(/^host-0, by what it knows itself: would be sent/);
+    expect(text).toContain('dispatched by host-2; without it, this host says');
+    expect(text).toContain('by way of host-7');
+  });
+
   it('has the times between which refused clients return', () => {
     expect(renderExplanation(REFUSED)).toContain(
       'would be refused with overloaded (503): the first event would take 900 ms; Retry-After 0.35 to 1.05 s',
--- a/packages/decisions/src/explanations/placement_explanation.ts
+++ b/packages/decisions/src/explanations/placement_explanation.ts
@@ -25,6 +25,11 @@
   readonly costMilliseconds: number;
   /** Share of such requests that are placed here, 0 to 1. */
   readonly share: number;
+  /**
+   * Host that would carry the request, because the explaining one does not reach
+   * the upstream; absent if it does.
+   */
+  readonly carriedBy?: string;
 }
 
 /** Why an upstream is left out. */
@@ -39,8 +44,10 @@
   | 'ejected-for-all'
   /** The results of this host eject it. */
   | 'ejected-here'
-  /** It has no grant left by the limit that it named, or by its brittleness. */
+  /** It has no grant left by the limit that it named. */
   | 'limit'
+  /** It is brittle and has no room. */
+  | 'brittle'
   /** Another shard has it. */
   | 'other-shard';
 
@@ -140,6 +147,7 @@
   readonly isEjectedHere: (upstream: UsableUpstream) => boolean;
   /** Returns the milliseconds until it has a grant. */
   readonly grantWaitOf: (upstream: UsableUpstream) => number;
+  readonly isBrittle: (upstream: UsableUpstream) => boolean;
   /** Whether the shard that is explained has it. */
   readonly isInShard: (upstream: UsableUpstream) => boolean;
 }
@@ -171,5 +179,6 @@
     return {upstreamId, reason: 'ejected-here'};
   }
   const milliseconds = facts.grantWaitOf(upstream);
-  return {upstreamId, reason: 'limit', milliseconds};
+  const reason = facts.isBrittle(upstream) ? 'brittle' : 'limit';
+  return {upstreamId, reason, milliseconds};
 }
--- a/packages/entry-process/src/routed_interface/placement/limited_upstreams.ts
+++ b/packages/entry-process/src/routed_interface/placement/limited_upstreams.ts
@@ -53,10 +53,16 @@
     const {namedRates} = this.dependencies;
     return (
       namedRates.rateOf('requests', upstream) !== undefined ||
-      namedRates.rateOf('refusals', upstream) !== undefined
+      this.isBrittle(upstream)
     );
   }
 
+  /** Returns whether an upstream tolerates few refusals. */
+  isBrittle(upstream: UpstreamIncarnation): boolean {
+    const {namedRates} = this.dependencies;
+    return namedRates.rateOf('refusals', upstream) !== undefined;
+  }
+
   /** Records that an upstream turned a request away. */
   recordRefusal(upstream: GrantedUpstream): void {
     const brittle = this.brittle(upstream, 1);
--- a/packages/entry-process/src/routed_interface/placement/placement_explainer.ts
+++ b/packages/entry-process/src/routed_interface/placement/placement_explainer.ts
@@ -260,6 +260,8 @@
       isEjectedHere: ({upstreamId}: UsableUpstream) =>
         health.isEjected(upstreamId, now),
       grantWaitOf: (upstream: UsableUpstream) => grants.waitOf(upstream),
+      isBrittle: (upstream: UsableUpstream) =>
+        this.dependencies.limited.isBrittle(upstream),
       isInShard: ({upstreamId}: UsableUpstream) => shardIds.has(upstreamId),
     };
     const leaving = this.dependencies.upstreams
--- a/packages/entry-process/src/routed_interface/requests/request_explainer.ts
+++ b/packages/entry-process/src/routed_interface/requests/request_explainer.ts
@@ -6,7 +6,9 @@
 import {
   type ExplainedQuota,
   type ExplainedRequest,
+  NO_WAYS_TRIED,
   type PlacementDemand,
+  type PlacementExplanation,
   type RequestExplanation,
   type RoutedAdmission,
   ServingError,
@@ -44,6 +46,7 @@
       | 'domainCount'
       | 'hostId'
       | 'parts'
+      | 'paths'
       | 'placement'
       | 'quotas'
       | 'rollouts'
@@ -266,6 +269,23 @@
     return {version, ...this.explainPlacement(call, demand)};
   }
 
+  /** Adds the hosts that carry requests to upstreams out of reach. */
+  private withCarriers(
+    explanation: PlacementExplanation,
+  ): PlacementExplanation {
+    const {paths} = this.dependencies;
+    const shards = explanation.shards.map(shard => ({
+      ...shard,
+      considered: shard.considered.map(upstream => {
+        const way = paths.nextWay(upstream.upstreamId, NO_WAYS_TRIED);
+        return way?.kind === 'carried'
+          ? {...upstream, carriedBy: way.carrier.hostId}
+          : upstream;
+      }),
+    }));
+    return {...explanation, shards};
+  }
+
   private explainPlacement(
     {admission, gate, time, jitter}: AdmittedCall,
     demand: PlacementDemand,
@@ -288,12 +308,13 @@
     }
     const terms = time.admissionTerms();
     const draws = {upstream: undefined, jitter};
-    const {explanation: placement, result} = explainer.explain(
+    const {explanation, result} = explainer.explain(
       service,
       demand,
       terms,
       draws,
     );
+    const placement = this.withCarriers(explanation);
     switch (result?.kind) {
       case undefined:
         return {placement, outcome: refusedBy(new ServingError('no-upstream'))};
--- a/packages/entry-process/tests/placement_explainer_test.ts
+++ b/packages/entry-process/tests/placement_explainer_test.ts
@@ -357,23 +357,29 @@
     expect(shard?.considered.length).toBe(3);
   });
 
-  it('has its reason: the limit that it named leaves no grant', async () => {
-    host = new ExplainingHost(1, {});
-    host.dependencies.namedRates.merge({
-      kind: 'requests',
-      upstreamId: 'i-0',
-      bornAt: 5,
-      perSecond: 0.5,
-      at: 1000,
-    });
-    await host.placement.place(SERVICE, demand('first', 'p'), new Set());
-    const {explanation} = host.explain(demand('second', 'p'));
-    const milliseconds: unknown = expect.closeTo(5000, 0);
-    expect(explanation.result).toEqual({kind: 'limited', milliseconds});
-    expect(explanation.shards[0]?.excluded).toEqual([
-      {upstreamId: 'i-0', reason: 'limit', milliseconds},
-    ]);
-  });
+  it.each([
+    {kind: 'requests', reason: 'limit', perSecond: 0.5, milliseconds: 5000},
+    {kind: 'refusals', reason: 'brittle', perSecond: 1, milliseconds: 1000},
+  ] as const)(
+    'has its reason: $reason',
+    async ({kind, reason, perSecond, milliseconds}) => {
+      host = new ExplainingHost(1, {});
+      host.dependencies.namedRates.merge({
+        kind,
+        upstreamId: 'i-0',
+        bornAt: 5,
+        perSecond,
+        at: 1000,
+      });
+      await host.placement.place(SERVICE, demand('first', 'p'), new Set());
+      const {explanation} = host.explain(demand('second', 'p'));
+      const time: unknown = expect.closeTo(milliseconds, 0);
+      expect(explanation.result).toEqual({kind: 'limited', milliseconds: time});
+      expect(explanation.shards[0]?.excluded).toEqual([
+        {upstreamId: 'i-0', reason, milliseconds: time},
+      ]);
+    },
+  );
 
   it('has its reason: its software version may not run the request', () => {
     const {explanation} = host.explain({
--- a/packages/entry-process/tests/request_explainer_test.ts
+++ b/packages/entry-process/tests/request_explainer_test.ts
@@ -8,9 +8,10 @@
 } from '@lacewingwinch/decisions';
 import {createPeerClient} from '@lacewingwinch/entry-hosts';
 import {callRouted} from '@lacewingwinch/stand-ins';
-import {beforeEach, describe, expect, it} from 'vitest';
+import {beforeEach, describe, expect, it, vi} from 'vitest';
 
 import {RoutedTasks} from '../src/routed_interface/lifecycle/routed_tasks.js';
+import {servingMember} from './host_fixtures.js';
 import {BOUNDS, CONFIGURATION, RoutedInstallation} from './routed_fixtures.js';
 import {snapshotOf} from './state_snapshot.js';
 
@@ -296,6 +297,16 @@
     ]);
   });
 
+  it('names the host that carries requests to an upstream out of reach', () => {
+    const carrier = servingMember('host-7');
+    vi.spyOn(tasks.paths, 'nextWay').mockReturnValue({
+      kind: 'carried',
+      carrier,
+    });
+    const {placement} = explain(tasks, {});
+    expect(placement?.shards[0]?.considered[0]?.carriedBy).toBe('host-7');
+  });
+
   it('says what is left of a quota', () => {
     const {quota} = explain(tasks, {
       workspace: {kind: 'name', name: 'limited'},
