--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -2,6 +2,11 @@
  * The decision logic of lacewingwinch: pure functions and in-memory state,
  * without input or output.
  */
+export type {
+  AdmissionRequest,
+  AdmittedChoice,
+  AdmittingShard,
+} from './admission/admission_decision.js';
 export * from './admission/admission_terms.js';
 export * from './admission/decaying_rate.js';
 export * from './admission/decide_ranked_admission.js';
@@ -42,6 +47,8 @@
 export * from './duties/usage_windows.js';
 export * from './errors/error_kinds.js';
 export * from './errors/serving_error.js';
+export * from './explanations/placement_explanation.js';
+export * from './explanations/request_explanation.js';
 export * from './features/service_features.js';
 export * from './limits/brittle_rooms.js';
 export * from './limits/limit_shares.js';
@@ -93,6 +100,7 @@
 export * from './placement/stated_loads.js';
 export * from './placement/upstream_work.js';
 export * from './placement/version_constraint.js';
+export * from './placement/weighed_engines.js';
 export * from './placement/work_speeds.js';
 export * from './retries/decide_next_attempt.js';
 export * from './retries/decide_retry.js';
