--- a/packages/entry-process/src/paths/upstream_paths.ts
+++ b/packages/entry-process/src/paths/upstream_paths.ts
@@ -366,12 +366,10 @@
         answers.push(this.query(host, upstreamIds));
       }
     }
-    const received = (await Promise.all(answers)).flatMap(
-      answer => answer ?? [],
-    );
+    const known = (await Promise.all(answers)).flatMap(answer => answer ?? []);
     return {
-      reached: new Set(received.flatMap(({reached}) => reached)),
-      isConclusive: received.some(({isCutOff}) => !isCutOff),
+      reached: new Set(known.flatMap(({reached}) => reached)),
+      isConclusive: known.some(({isCutOff}) => !isCutOff),
     };
   }
 
