Test the explanation of a quarantined prompt part

Cause: the quarantine was the one check of the gate without a case.

Change: a case with a part that crashed three upstreams, compared with what the front answers, and with the state before and after.

--- a/packages/entry-process/tests/request_explainer_test.ts
+++ b/packages/entry-process/tests/request_explainer_test.ts
@@ -226,6 +226,24 @@
       },
       error: 'overloaded',
     },
+    {
+      name: 'a prompt part that crashed three upstreams',
+      request: {
+        parts: [
+          {partId: 'hot', tokens: 10},
+          {partId: 'own', tokens: 1},
+        ],
+        promptTokens: 11,
+      },
+      arrange: () => {
+        for (const millisecondsAgo of [5000, 3000, 1000]) {
+          const upstreamId = `i-${millisecondsAgo}`;
+          const crashed = {service: 'plain', upstreamId, bornAt: 5};
+          tasks.parts.recordCrash(crashed, ['hot'], millisecondsAgo);
+        }
+      },
+      error: 'prompt-part-quarantined',
+    },
     {
       name: 'a service without upstreams',
       request: {path: '/stream/1'},
