--- a/packages/control-command/src/where_command.ts
+++ b/packages/control-command/src/where_command.ts
@@ -37,7 +37,7 @@
 
 type Caller = Pick<PeerClient, 'call'>;
 
-/** Asks the host at `address`; throws if it gives no explanation. */
+/** Queries the host at `address`; throws if it gives no explanation. */
 export async function explainAt(
   peers: Caller,
   address: string,
@@ -56,7 +56,7 @@
   }
 }
 
-/** Asks the host at `address` and all other hosts that it knows. */
+/** Queries the host at `address` and all other hosts that it knows. */
 export async function explainAtAll(
   peers: Caller,
   address: string,
--- a/packages/decisions/src/admission/admission_decision.ts
+++ b/packages/decisions/src/admission/admission_decision.ts
@@ -76,7 +76,7 @@
   /** Whether the request counts as an arrival. */
   readonly isArrival: boolean;
   readonly load: MetLoad;
-  /** Level of the shares of its rank; undefined if it was not asked for. */
+  /** Level of the shares of its rank; undefined if it was not computed. */
   readonly shareLevel: ShareLevel | undefined;
   readonly returned: ReturnKind;
   /** Undefined if the request is admitted. */
--- a/packages/decisions/src/explanations/placement_explanation.ts
+++ b/packages/decisions/src/explanations/placement_explanation.ts
@@ -36,7 +36,7 @@
 export type ExclusionReason =
   /** It is leaving, or the list says so. */
   | 'leaving'
-  /** It has asked this host for a pause. */
+  /** It has announced a pause to this host. */
   | 'paused'
   /** Its software version may not run the request. */
   | 'version'
--- a/packages/decisions/src/explanations/request_explanation.ts
+++ b/packages/decisions/src/explanations/request_explanation.ts
@@ -56,7 +56,7 @@
       /** Other hosts that hold parts. */
       readonly otherHolders: readonly string[];
     } & QuotaOutlook)
-  /** Other hosts hold it; this one asks them for each request. */
+  /** Other hosts hold it; this one queries them for each request. */
   | {
       readonly kind: 'held-elsewhere';
       readonly unit: 'requests' | 'tokens';
@@ -75,7 +75,7 @@
   readonly constraint?: VersionConstraint;
 }
 
-/** The time that a refused client is told, which is spread. */
+/** The time stated to a refused client, which is spread. */
 export interface ExplainedRetry {
   readonly leastSeconds: number;
   readonly mostSeconds: number;
@@ -91,7 +91,7 @@
       readonly error: ErrorKind;
       readonly status: number;
       readonly detail: string;
-      /** Absent if the client is told none. */
+      /** Absent if none is stated. */
       readonly retryAfter?: ExplainedRetry;
     };
 
--- a/packages/decisions/src/placement/spread_evaluation.ts
+++ b/packages/decisions/src/placement/spread_evaluation.ts
@@ -118,7 +118,7 @@
 
 /**
  * Returns the milliseconds by which others are delayed in total if an engine
- * reads for a millisecond: nobody while engines are idle, more the busier they
+ * reads for a millisecond: none while engines are idle, more the busier they
  * are.
  */
 function delayOfOthersAt(busyShare: number): number {
--- a/packages/entry-hosts/src/messages/explanation_messages.ts
+++ b/packages/entry-hosts/src/messages/explanation_messages.ts
@@ -6,7 +6,7 @@
   RequestExplanation,
 } from '@lacewingwinch/decisions';
 
-/** Another host that can be asked. */
+/** Another host that can be queried. */
 export interface ExplainingHost {
   readonly hostId: string;
   /** Address for other entry hosts, as IP:port. */
--- a/packages/entry-process/src/routed_interface/admission/quota_exchange.ts
+++ b/packages/entry-process/src/routed_interface/admission/quota_exchange.ts
@@ -126,7 +126,7 @@
       : {kind: 'taken', giveBack: () => this.giveBack(workspace, amount)};
   }
 
-  /** Returns what this host knows of a quota; takes and asks nothing. */
+  /** Returns what this host knows of a quota; takes and requests nothing. */
   peek(
     workspace: string,
     quota: WorkspaceQuota,
--- a/packages/entry-process/src/routed_interface/requests/explained_outcome.ts
+++ b/packages/entry-process/src/routed_interface/requests/explained_outcome.ts
@@ -75,7 +75,7 @@
   };
 }
 
-/** Returns an outcome with all times that refused clients are told. */
+/** Returns an outcome with all times stated to refused clients. */
 export function withLatestRetry(
   soonest: ExplainedOutcome,
   latest: ExplainedOutcome,
--- a/packages/entry-process/src/routed_interface/requests/request_explainer.ts
+++ b/packages/entry-process/src/routed_interface/requests/request_explainer.ts
@@ -101,7 +101,7 @@
     if (key.kind === 'unknown') {
       return {kind: 'invalid', fault: key.fault};
     }
-    // Refused clients are told times between these two.
+    // The times stated to refused clients are between these two.
     const soonest = this.explainWith(request, key.key, 0);
     const latest = this.explainWith(request, key.key, 1);
     return {
