Send nothing for a client that left while its quota was awaited

A request waits for a part of its quota for up to 0.6 s before it listens for the end of its client's connection. The signal of a client that left meanwhile was already aborted, so that its listener was never called: the request waited on, was sent and run in full for a client that was gone, and was charged.

The signal is now checked when the request begins to run.

--- a/packages/entry-process/src/routed_interface/requests/routed_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_request.ts
@@ -148,6 +148,10 @@
     this.call.clientDisconnected.addEventListener('abort', onClientLeft, {
       once: true,
     });
+    // The client may have left while its quota was awaited.
+    if (this.call.clientDisconnected.aborted) {
+      onClientLeft();
+    }
     const timer = setTimeout(
       () => this.interrupt('timeout'),
       this.admission.budgetMilliseconds,
--- a/packages/entry-process/tests/placement_explainer_test.ts
+++ b/packages/entry-process/tests/placement_explainer_test.ts
@@ -42,7 +42,7 @@
   };
 }
 
-/** Nobody answers, and nothing may be sent while a request is explained. */
+/** No host answers, and nothing may be sent while a request is explained. */
 const peers = {
   call: () => Promise.reject(new Error('no answer')),
   notify: () => undefined,
--- a/packages/entry-process/tests/request_explainer_test.ts
+++ b/packages/entry-process/tests/request_explainer_test.ts
@@ -2,7 +2,6 @@
 import type {RoutedResponder} from '@lacewingwinch/callers';
 import type {
   ExplainedRequest,
-  ListedUpstream,
   RequestExplanation,
   UpstreamAnnouncements,
 } from '@lacewingwinch/decisions';
@@ -10,9 +9,10 @@
 import {callRouted} from '@lacewingwinch/stand-ins';
 import {beforeEach, describe, expect, it, vi} from 'vitest';
 
-import {RoutedTasks} from '../src/routed_interface/lifecycle/routed_tasks.js';
+import type {RoutedTasks} from '../src/routed_interface/lifecycle/routed_tasks.js';
 import {servingMember} from './host_fixtures.js';
-import {BOUNDS, CONFIGURATION, RoutedInstallation} from './routed_fixtures.js';
+import {RoutedInstallation} from './routed_fixtures.js';
+import {createIdleTasks, IDLE_UPSTREAM} from './routed_tasks_fixture.js';
 import {snapshotOf} from './state_snapshot.js';
 
 const HOST = 'host.example';
@@ -28,80 +28,6 @@
   answerTokens: 0,
 };
 
-const DOCUMENT = {
-  ...CONFIGURATION,
-  tenants: [
-    ...CONFIGURATION.tenants,
-    {
-      name: 'limited',
-      apiKeys: ['key-3'],
-      unit: 'tokens',
-      ratePerS: 10,
-      burst: 120,
-    },
-    {name: 'keyless'},
-  ],
-};
-
-const UPSTREAM: ListedUpstream = {
-  upstreamId: 'i-0',
-  service: 'plain',
-  address: '127.0.0.1:1',
-  failureDomain: 'north',
-  slots: 4,
-  isLeaving: false,
-  leavesInMilliseconds: undefined,
-  softwareVersion: 'v1',
-  bornAt: 5,
-  isReclaimable: false,
-  coldMilliseconds: 0,
-};
-
-/** Starts the tasks of a host that knows its state and runs none of them. */
-function createTasks(): RoutedTasks {
-  const address = '127.0.0.1:1';
-  const tasks = new RoutedTasks({
-    settings: () => ({
-      hostId: 'host-0',
-      failureDomain: 'north',
-      region: '',
-      listenAddress: '127.0.0.1',
-      failureDomains: ['north'],
-      addresses: {
-        callers: address,
-        peers: address,
-        discovery: address,
-        readiness: address,
-        relay: address,
-      },
-      freePorts: {first: 0, last: 0},
-      seeds: [],
-      isFirstStart: true,
-      storeAddress: address,
-      cloudAddress: undefined,
-      duties: [],
-      upstreamHeartbeatMilliseconds: 1200,
-      memoryBytes: 0,
-      limits: undefined,
-      bounds: BOUNDS,
-    }),
-    isClosing: () => false,
-    onConfigurationChange: () => undefined,
-  });
-  const now = tasks.clocks.suspensionAware();
-  tasks.membership.declare('serving');
-  tasks.configuration.acceptRelayed(
-    DOCUMENT.version,
-    Buffer.from(JSON.stringify(DOCUMENT)),
-    now,
-  );
-  const listed = ['i-0', 'i-1'].map(upstreamId => ({
-    upstream: {...UPSTREAM, upstreamId},
-  }));
-  tasks.upstreams.acceptRelayed({kind: 'whole', listed}, 1, now);
-  return tasks;
-}
-
 function explain(
   tasks: RoutedTasks,
   request: Partial<ExplainedRequest>,
@@ -169,7 +95,7 @@
     readonly announcements: UpstreamAnnouncements;
   };
   announcements.record(
-    {...UPSTREAM, upstreamId},
+    {...IDLE_UPSTREAM, upstreamId},
     {kind: 'paused', milliseconds: seconds * 1000},
     tasks.clocks.suspensionAware(),
   );
@@ -179,7 +105,7 @@
   let tasks: RoutedTasks;
 
   beforeEach(() => {
-    tasks = createTasks();
+    tasks = createIdleTasks();
   });
 
   const cases: readonly {
