Permit nothing by a roll-out record of unknown age

A share of the requests is a permit for 2.5 s from when a host first saw its record. A host that started anew, or read the store again after an outage, took the time of its read for that, and relayed the record as fresh: a version under test, or one that got all requests, got them again after its permit had lapsed everywhere. Found by reading.

The records of a first read, and of a read more than 2.5 s after the last one, now count as lapsed. The holder renews a record within a second, so that a sound roll-out waits at most for that.

--- a/packages/decisions/src/rollouts/rollout_plan.ts
+++ b/packages/decisions/src/rollouts/rollout_plan.ts
@@ -177,3 +177,11 @@
     (exposureSlack * USED_BOUND_PART) / Math.max(1, hostCount) / 2;
   return assigned + 1 <= allowed;
 }
+
+/**
+ * Returns the time at which a record counts as seen if its age is not known at
+ * `now`, so that it permits nothing.
+ */
+export function lapsedPermitTime(now: number): number {
+  return now - PERMIT_MILLISECONDS - 1;
+}
--- a/packages/entry-process/src/routed_interface/rollouts/rollout_follower.ts
+++ b/packages/entry-process/src/routed_interface/rollouts/rollout_follower.ts
@@ -5,7 +5,9 @@
  */
 import {
   decodeRolloutRecord,
+  lapsedPermitTime,
   type ListedUpstream,
+  PERMIT_MILLISECONDS,
   type RolloutBounds,
   type RolloutEngines,
   type RolloutOrder,
@@ -64,6 +66,8 @@
   private readonly ordersSeenAt = new Map<string, number>();
   private next: number | undefined;
   private hasRead = false;
+  /** Time of the last answered read of records. */
+  private readAt = -Infinity;
   private readonly orderNotifier = new ChangeNotifier();
   private readonly reachability: StoreReachability;
 
@@ -277,12 +281,15 @@
   }
 
   private async readOnce(): Promise<void> {
-    const {store} = this.dependencies;
+    const {store, clocks} = this.dependencies;
+    const readBefore = this.readAt;
     if (this.next === undefined) {
       const {records, end} = await store.newest('rollouts', {
         timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS,
       });
-      records.forEach(record => this.applyRecord(record));
+      this.readAt = clocks.suspensionAware();
+      const seenAt = lapsedPermitTime(this.readAt);
+      records.forEach(record => this.applyRecord(record, seenAt));
       this.next = end;
       this.hasRead = true;
       return;
@@ -291,6 +298,9 @@
       waitMilliseconds: READ_WAIT_MILLISECONDS,
       timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS,
     });
+    const now = clocks.suspensionAware();
+    this.readAt = now;
+    const isLate = now - readBefore > PERMIT_MILLISECONDS;
     switch (page.kind) {
       case 'expired':
         this.next = undefined;
@@ -299,21 +309,24 @@
         for (const content of page.records) {
           const record = decodeKeyedRecord(content);
           if (record !== undefined) {
-            this.applyRecord(record);
+            this.applyRecord(record, isLate ? lapsedPermitTime(now) : now);
           }
         }
         this.next = page.next;
     }
   }
 
-  private applyRecord({key, value}: KeyedRecord): void {
+  /**
+   * Applies a record of the store. One that may have been written long ago is no
+   * permit; the holder writes the next one within a second.
+   */
+  private applyRecord({key, value}: KeyedRecord, seenAt: number): void {
     const record = value === undefined ? undefined : decodeRolloutRecord(value);
     if (record === undefined) {
       const reason = 'its record cannot be read';
       this.dependencies.events.write(5024, {service: key, reason});
       return;
     }
-    const seenAt = this.dependencies.clocks.suspensionAware();
     this.acceptRecord({record, seenAt});
   }
 }
--- a/packages/entry-process/src/routed_interface/rollouts/rollout_task.ts
+++ b/packages/entry-process/src/routed_interface/rollouts/rollout_task.ts
@@ -8,6 +8,7 @@
   decodeRolloutRecord,
   describeVerdict,
   judgeVersion,
+  lapsedPermitTime,
   type RolloutBounds,
   RolloutEvidence,
   type RolloutOrder,
@@ -124,7 +125,7 @@
       const record =
         value === undefined ? undefined : decodeRolloutRecord(value);
       if (record !== undefined) {
-        const seenAt = clocks.suspensionAware();
+        const seenAt = lapsedPermitTime(clocks.suspensionAware());
         follower.acceptRecord({record, seenAt});
       }
     }
