Complete no roll-out without knowing a serving host

The least sequence that hosts report was infinite for a holder that knows no serving host, as one that is leaving or cut off from the others: all requests had moved, as it seemed, and it would have written that the roll-out is completed, which stops the engines of the other version at once. Found by reading. The new case got infinity before.

--- a/packages/decisions/src/rollouts/summarize_reports.ts
+++ b/packages/decisions/src/rollouts/summarize_reports.ts
@@ -44,9 +44,15 @@
       requestsPerSecond: requests / seconds,
     },
     followers: {
-      lowestSequence: Math.min(
-        ...hostIds.map(hostId => current.get(hostId)?.report.sequence ?? 0),
-      ),
+      // A holder that knows no serving host does not know that all have moved.
+      lowestSequence:
+        hostIds.length === 0
+          ? 0
+          : Math.min(
+              ...hostIds.map(
+                hostId => current.get(hostId)?.report.sequence ?? 0,
+              ),
+            ),
       runningElsewhere: sumOf(
         [...current.values()].map(({report}) => report.runningElsewhere),
       ),
--- a/packages/entry-process/tests/rollout_permits_test.ts
+++ b/packages/entry-process/tests/rollout_permits_test.ts
@@ -1,5 +1,5 @@
 /** Tests of permits for a share of the requests, by the age of their record. */
-import type {RolloutRecord} from '@lacewingwinch/decisions';
+import {type RolloutRecord, summarizeReports} from '@lacewingwinch/decisions';
 import type {StoreClient} from '@lacewingwinch/platform';
 import {expect, it} from 'vitest';
 
@@ -95,3 +95,9 @@
   await follower.run(controller.signal);
   expect(follower.steps.useOf('service', now).kind).toBe(given.expected);
 });
+
+it('a holder that knows no serving host does not see that all have moved', () => {
+  const times = {now: 10_000, millisecondsSinceOrder: 5000};
+  const {followers} = summarizeReports([], [], times);
+  expect(followers.lowestSequence).toBe(0);
+});
