Count the time of a dispatcher anew when its shard was gone

A host kept since when it dispatched a shard while the shard did not exist, because the number of shards of a service had changed. When the shard came back, the host took itself for a dispatcher of long standing: it granted the whole limit of an upstream that another dispatcher had just granted, and took its knowledge of the loads for complete. Found by reading. Shards that are gone are now forgotten with each renewal, once a second.

--- a/packages/entry-process/src/routed_interface/placement/dispatcher_calls.ts
+++ b/packages/entry-process/src/routed_interface/placement/dispatcher_calls.ts
@@ -41,6 +41,15 @@
 
   constructor(private readonly dependencies: DispatcherCallsDependencies) {}
 
+  /** Discards since when this host has dispatched shards that are gone. */
+  keepOnly(shardIds: ReadonlySet<string>): void {
+    for (const shardId of this.dispatcherSince.keys()) {
+      if (!shardIds.has(shardId)) {
+        this.dispatcherSince.delete(shardId);
+      }
+    }
+  }
+
   /** Returns whether this host dispatches the shard. */
   isDispatcher(shardId: string): boolean {
     return this.orderOf(shardId)[0]?.hostId === this.dependencies.hostId;
--- a/packages/entry-process/src/routed_interface/placement/placement_renewals.ts
+++ b/packages/entry-process/src/routed_interface/placement/placement_renewals.ts
@@ -40,7 +40,8 @@
 
   /** Renews this host's requests at the dispatchers until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const {tables, candidates, admissions, servingHosts} = this.dependencies;
+    const {tables, candidates, dispatchers, admissions, servingHosts} =
+      this.dependencies;
     while (!isAborted(signal)) {
       await pause(RENEW_PERIOD_MILLISECONDS, signal);
       for (const [service, table] of tables.all) {
@@ -51,6 +52,7 @@
       );
       const shardIds = new Set(shards.map(({id}) => id));
       admissions.keepOnly(shardIds);
+      dispatchers.keepOnly(shardIds);
       tables.forgetStatements(
         shardIds,
         new Set(servingHosts().map(({hostId}) => hostId)),
