--- a/packages/decisions/tests/rollout_front_test.ts
+++ b/packages/decisions/tests/rollout_front_test.ts
@@ -2,70 +2,22 @@
 import {beforeEach, describe, expect, it} from 'vitest';
 
 import {
-  countTimes,
-  RolloutFront,
-  type RolloutOrder,
+  type RolloutFront,
   type RolloutRecord,
   RolloutSteps,
   type UsableUpstream,
 } from '../src/index.js';
-
-const ORDER: RolloutOrder = {
-  orderId: 'order-1',
-  position: 10,
-  service: 'service',
-  softwareVersion: 'v2',
-  durationMilliseconds: 16_000,
-};
-
-const BOUNDS = {
-  exposureFraction: 0.1,
-  exposureSlack: 50,
-  rollbackMilliseconds: 5000,
-};
+import {
+  BOTH,
+  COMMON,
+  createFront,
+  OLD,
+  ORDER,
+  testing,
+} from './rollout_front_fixtures.js';
 
 const REQUESTS = 1000;
 
-function engine(upstreamId: string, softwareVersion: string): UsableUpstream {
-  return {
-    upstreamId,
-    service: 'service',
-    softwareVersion,
-    address: '',
-    failureDomain: 'north',
-    slots: 8,
-    isLeaving: false,
-    leavesInMilliseconds: undefined,
-    bornAt: 0,
-    isReclaimable: false,
-    coldMilliseconds: 0,
-    knownSince: 0,
-  };
-}
-
-const OLD: readonly UsableUpstream[] = [engine('old', 'v1')];
-const BOTH: readonly UsableUpstream[] = [...OLD, engine('new', 'v2')];
-
-const COMMON = {
-  orderId: 'order-1',
-  service: 'service',
-  softwareVersion: 'v2',
-  durationMilliseconds: 16_000,
-  sequence: 4,
-  deadline: 16_000,
-  barredVersions: [],
-} as const;
-
-function testing(overrides: object = {}): RolloutRecord {
-  return {
-    ...COMMON,
-    phase: 'testing',
-    share: 0.1,
-    upstreamIds: ['new'],
-    ...overrides,
-  };
-}
-
 function moving(share: number): RolloutRecord {
   return {...COMMON, phase: 'moving', share, steppedAt: 0, stepSequence: 4};
 }
@@ -79,21 +31,9 @@
 
 beforeEach(() => {
   steps = new RolloutSteps();
-  front = createFront();
+  front = createFront(steps);
 });
 
-function createFront(
-  bounds: () => typeof BOUNDS | undefined = () => BOUNDS,
-): RolloutFront {
-  return new RolloutFront({
-    processId: 'process',
-    hostId: 'host',
-    steps,
-    bounds,
-    hostCount: () => 1,
-  });
-}
-
 /** Returns the requests that may be sent to each version at `now`. */
 function sentTo(
   upstreams: readonly UsableUpstream[],
@@ -248,7 +188,7 @@
   });
 
   it('as to any other if the deployment knows no roll-outs', () => {
-    front = createFront(() => undefined);
+    front = createFront(steps, () => undefined);
     steps.acceptOrder(ORDER);
     expect(sentTo(BOTH, 1)).toEqual({v1: REQUESTS, v2: REQUESTS});
   });
@@ -334,83 +274,3 @@
     expect(front.mayBeSent(request, version, context)).toBe(may);
   });
 });
-
-describe('the report of a host', () => {
-  beforeEach(() => {
-    steps.acceptOrder(ORDER);
-  });
-
-  it('states results, work left elsewhere and the step that it follows', () => {
-    steps.acceptRecord(testing(), 0);
-    front.recordBegun('service', 'v1');
-    front.recordBegun('service', 'v2');
-    for (const upstream of BOTH) {
-      const attempt = {
-        service: 'service',
-        route: 'a',
-        upstream,
-        isGuess: false,
-      };
-      front.recordStart({...attempt, milliseconds: 8, tokensToRead: 0}, 1);
-      front.recordResult(
-        {...attempt, outcome: 'failed', gapMilliseconds: undefined},
-        1,
-      );
-    }
-    expect(front.reports(1)).toMatchObject([
-      {
-        orderId: 'order-1',
-        sequence: 4,
-        runningElsewhere: 1,
-        results: [
-          {route: 'a', failed: 1},
-          {route: 'a', upstreamId: 'new', failed: 1},
-        ],
-      },
-    ]);
-  });
-
-  it.each([
-    {name: 'known', isGuess: false, counted: [1, 1]},
-    {name: 'guessed', isGuess: true, counted: [1, 0]},
-  ])(
-    'states times of answers with $name work before them, and all results',
-    ({isGuess, counted}) => {
-      steps.acceptRecord(testing(), 0);
-      for (const upstream of BOTH) {
-        const attempt = {service: 'service', route: 'a', upstream, isGuess};
-        front.recordStart(
-          {...attempt, milliseconds: 900, tokensToRead: 100},
-          1,
-        );
-        front.recordResult(
-          {...attempt, outcome: 'answered', gapMilliseconds: 300},
-          1,
-        );
-      }
-      const results = front.reports(1).flatMap(report => report.results);
-      expect(results.map(({starts}) => countTimes(starts))).toEqual(counted);
-      expect(results.map(({gaps}) => countTimes(gaps))).toEqual(counted);
-      expect(results.map(({answered}) => answered)).toEqual([1, 1]);
-    },
-  );
-
-  it.each([
-    {
-      name: 'whose permit has lapsed',
-      records: [testing()],
-      now: 2501,
-      sequences: [0],
-    },
-    {name: 'without a record', records: [], now: 1, sequences: [0]},
-    {
-      name: 'after the end',
-      records: [{...COMMON, phase: 'rolled-back', reason: ''} as const],
-      now: 1,
-      sequences: [],
-    },
-  ])('$name follows $sequences', ({records, now, sequences}) => {
-    records.forEach(record => steps.acceptRecord(record, 0));
-    expect(front.reports(now).map(({sequence}) => sequence)).toEqual(sequences);
-  });
-});
