Part the models of a roll-out and of an engine by concept

Change: the faults of a version are in version_faults.ts, the routes in rollout_routes.ts, the course of other faults is beside their kinds in rollout_troubles.ts; the requests of an engine are in engine_request.ts. Random numbers are drawn in the same order.

--- a/packages/measurements/src/engine_model.ts
+++ b/packages/measurements/src/engine_model.ts
@@ -12,53 +12,16 @@
   LaggingReports,
   NoisePeriods,
 } from './engine_profile.js';
+import {
+  byUrgency,
+  type EngineEvent,
+  type EngineRequest,
+  type EngineRun,
+  type EngineStart,
+  NEW_REQUEST,
+} from './engine_request.js';
 import {PrefixCacheModel} from './prefix_cache_model.js';
 
-/** A request that an engine runs. */
-export interface EngineRequest {
-  readonly id: string;
-  readonly promptTokens: number;
-  readonly outputTokens: number;
-  /** Parts of the prompt in order; together at most `promptTokens`. */
-  readonly parts: readonly PromptPart[];
-  /** 0 is the most urgent. */
-  readonly priority: number;
-}
-
-/** What an engine has of a request that another engine began. */
-export interface EngineStart {
-  /** Tokens of the output that other engines produced before. */
-  readonly producedTokens: number;
-  /** Whether the memory of the request was moved here, so that it isn't read. */
-  readonly hasImportedCache: boolean;
-}
-
-const NEW_REQUEST: EngineStart = {producedTokens: 0, hasImportedCache: false};
-
-/** A change in the state of a request. */
-export interface EngineEvent<Request extends EngineRequest> {
-  readonly kind: 'first-token' | 'ended';
-  readonly request: Request;
-  /** Virtual time in milliseconds. */
-  readonly time: number;
-  /** Prompt tokens that were read, because they were not cached. */
-  readonly readTokens: number;
-}
-
-interface Run<Request extends EngineRequest> {
-  readonly request: Request;
-  readonly start: EngineStart;
-  readonly order: number;
-  /** Memory that the request may need besides cached prompt parts. */
-  reservedTokens: number;
-  unreadTokens: number;
-  readTokens: number;
-  /** Steps of the engine at the first and last token, once it decodes. */
-  firstTokenStep: number;
-  lastTokenStep: number;
-  hasFirstToken: boolean;
-}
-
 /** Smallest difference of times and steps that counts. */
 const PRECISION = 1e-6;
 
@@ -74,9 +37,9 @@
   private readonly noise: NoisePeriods;
   private readonly reports: LaggingReports;
   /** Waiting and running requests, the most urgent and oldest first. */
-  private queue: Run<Request>[] = [];
-  private reading: Run<Request>[] = [];
-  private decoding: Run<Request>[] = [];
+  private queue: EngineRun<Request>[] = [];
+  private reading: EngineRun<Request>[] = [];
+  private decoding: EngineRun<Request>[] = [];
   private readonly readyAt: number;
   private time: number;
   /** Decoding steps since the start; a fraction within a step. */
@@ -163,7 +126,7 @@
     if (isFull || !this.isReady(now) || !this.canEverHold(request)) {
       return false;
     }
-    const run: Run<Request> = {
+    const run: EngineRun<Request> = {
       request,
       start,
       order: this.submittedCount,
@@ -184,7 +147,7 @@
 
   /** Removes a request at `now`, for example because its client left. */
   cancel(requestId: string, now: number): void {
-    const isOther = ({request}: Run<Request>): boolean =>
+    const isOther = ({request}: EngineRun<Request>): boolean =>
       request.id !== requestId;
     this.queue = this.queue.filter(isOther);
     this.reading = this.reading.filter(isOther);
@@ -238,7 +201,10 @@
 
   /** Applies the changes that are due at `now`; returns whether there are any. */
   private applyChanges(now: number, events: EngineEvent<Request>[]): boolean {
-    const report = (kind: EngineEvent<Request>['kind'], run: Run<Request>) =>
+    const report = (
+      kind: EngineEvent<Request>['kind'],
+      run: EngineRun<Request>,
+    ) =>
       events.push({
         kind,
         request: run.request,
@@ -266,7 +232,7 @@
     return hasChanged || ended.length > 0;
   }
 
-  private startDecoding(run: Run<Request>): void {
+  private startDecoding(run: EngineRun<Request>): void {
     this.reading = this.reading.filter(other => other !== run);
     this.decoding.push(run);
     const remaining = run.request.outputTokens - run.start.producedTokens;
@@ -322,7 +288,7 @@
   }
 
   /** The running prompts of the most urgent rank, which share each chunk. */
-  private currentReaders(): readonly Run<Request>[] {
+  private currentReaders(): readonly EngineRun<Request>[] {
     const [first] = this.reading;
     return this.reading.filter(
       ({request}) => request.priority === first?.request.priority,
@@ -362,7 +328,7 @@
     );
   }
 
-  private hasMemoryFor({request, start}: Run<Request>): boolean {
+  private hasMemoryFor({request, start}: EngineRun<Request>): boolean {
     const needed = this.missingTokens(request, start) + request.outputTokens;
     return this.reservedTokens() + needed <= this.profile.memoryTokens;
   }
@@ -374,7 +340,7 @@
     );
   }
 
-  private runs(): readonly Run<Request>[] {
+  private runs(): readonly EngineRun<Request>[] {
     return [...this.queue, ...this.reading, ...this.decoding];
   }
 
@@ -391,15 +357,6 @@
   }
 }
 
-function byUrgency(
-  left: Run<EngineRequest>,
-  right: Run<EngineRequest>,
-): number {
-  return (
-    left.request.priority - right.request.priority || left.order - right.order
-  );
-}
-
 function sum<Item>(
   items: readonly Item[],
   amountOf: (item: Item) => number,
--- a/packages/measurements/src/orders_model.ts
+++ b/packages/measurements/src/orders_model.ts
@@ -11,7 +11,7 @@
   ServiceLoadCounter,
 } from '@lacewingwinch/decisions';
 
-import type {EngineEvent, EngineRequest} from './engine_model.js';
+import type {EngineEvent, EngineRequest} from './engine_request.js';
 import {EventQueue} from './event_queue.js';
 import {type FleetEngine, OrderedFleet, SERVICE} from './ordered_fleet.js';
 import {OrderingRule, type OrdersPolicy} from './ordering_rule.js';
--- a/packages/measurements/src/orders_requests.ts
+++ b/packages/measurements/src/orders_requests.ts
@@ -1,7 +1,7 @@
 /**
  * The requests of the model of ordered engines: kinds, sizes and arrivals.
  */
-import type {EngineRequest} from './engine_model.js';
+import type {EngineRequest} from './engine_request.js';
 import {TOKENS_PER_MILLISECOND, USUAL_ENGINES} from './ordered_fleet.js';
 
 /** Requests of the same size, objective and deadline. */
--- a/packages/measurements/src/placement_model.ts
+++ b/packages/measurements/src/placement_model.ts
@@ -14,12 +14,9 @@
   type UsableUpstream,
 } from '@lacewingwinch/decisions';
 
-import {
-  type EngineEvent,
-  EngineModel,
-  type EngineRequest,
-} from './engine_model.js';
+import {EngineModel} from './engine_model.js';
 import type {EngineProfile} from './engine_profile.js';
+import type {EngineEvent, EngineRequest} from './engine_request.js';
 import {EventQueue} from './event_queue.js';
 import {
   type LoadKind,
--- a/packages/measurements/src/placement_results.ts
+++ b/packages/measurements/src/placement_results.ts
@@ -3,7 +3,8 @@
  */
 import type {EngineChoice} from '@lacewingwinch/decisions';
 
-import type {EngineModel, EngineRequest} from './engine_model.js';
+import type {EngineModel} from './engine_model.js';
+import type {EngineRequest} from './engine_request.js';
 import {percentile} from './figures.js';
 
 /** Prompt tokens from which on an engine counts as one with a queue. */
--- a/packages/measurements/src/random_numbers.ts
+++ b/packages/measurements/src/random_numbers.ts
@@ -20,3 +20,10 @@
 export function exponential(random: () => number, rate: number): number {
   return -Math.log(1 - random()) / rate;
 }
+
+/** Returns a random factor whose logarithm has `deviation` around zero. */
+export function lognormal(random: () => number, deviation: number): number {
+  const [left, right] = [1 - random(), random()];
+  const normal = Math.sqrt(-2 * Math.log(left)) * Math.cos(2 * Math.PI * right);
+  return Math.exp(normal * deviation);
+}
--- a/packages/measurements/src/rollout_model.ts
+++ b/packages/measurements/src/rollout_model.ts
@@ -16,13 +16,11 @@
   type UsableUpstream,
 } from '@lacewingwinch/decisions';
 
-import {exponential, randomFrom} from './random_numbers.js';
+import {exponential, lognormal, randomFrom} from './random_numbers.js';
 import {engineOf, RolloutEngines} from './rollout_engines.js';
-import {
-  drawTroubles,
-  type RolloutTrouble,
-  type VersionForm,
-} from './rollout_troubles.js';
+import {drawRoute, type RolloutRoute} from './rollout_routes.js';
+import {drawTroubles, RolloutTroubles} from './rollout_troubles.js';
+import {VersionFaults, type VersionForm} from './version_faults.js';
 
 /** The parameters of one case. */
 export interface RolloutCase {
@@ -57,13 +55,6 @@
   rollbackMilliseconds: 5000,
 };
 
-/** Requests by route: part of the traffic, tokens to read and events. */
-const ROUTES = [
-  {name: 'large', part: 0.36, tokens: 3700, events: 30},
-  {name: 'middle', part: 0.24, tokens: 2900, events: 13},
-  {name: 'small', part: 0.4, tokens: 1100, events: 40},
-] as const;
-
 /** Tokens that an engine without a cache reads in addition. */
 const COLD_TOKENS = 9000;
 
@@ -74,9 +65,6 @@
 /** Failures of a sound engine. */
 const NATURAL_FAILURES = 0.005;
 
-/** Time after which engines that have crashed are not listed. */
-const DETECTION_MILLISECONDS = 600;
-
 interface Host {
   readonly steps: RolloutSteps;
   readonly front: RolloutFront;
@@ -96,7 +84,8 @@
 /** One roll-out. */
 export class RolloutModel {
   private readonly random: () => number;
-  private readonly troubles: readonly RolloutTrouble[];
+  private readonly troubles: RolloutTroubles;
+  private readonly faults: VersionFaults;
   private readonly hosts: readonly Host[];
   private readonly hostIds = Array.from(
     {length: HOSTS},
@@ -109,10 +98,6 @@
   private deliveries: Delivery[] = [];
   private readonly requestsPerSecond: number;
   private readonly newEnginesAt: number;
-  private readonly badShare: number;
-  private readonly slowFactor: number;
-  private readonly badFrom: number;
-  private readonly badLoad: number;
   private requests = 0;
   private atNew = 0;
   private badAnswers = 0;
@@ -129,10 +114,10 @@
     const {random} = this;
     this.requestsPerSecond = 120 + random() * 240;
     this.newEnginesAt = 300 + random() * 3700;
-    this.badShare = 0.35 + random() * 0.4;
-    this.slowFactor = 6 + random() * 4;
-    this.badFrom = this.newEnginesAt + 1000 + random() * 2500;
-    this.badLoad = 0.8 + random() * 0.2;
+    this.faults = new VersionFaults(parameters.form, random, {
+      listedAt: this.newEnginesAt,
+      laterLoad: (this.requestsPerSecond * 0.45) / OLD_ENGINES,
+    });
     this.order = {
       orderId: `order-${parameters.seed}`,
       position: 1,
@@ -145,9 +130,10 @@
         engineOf(SERVICE, version, index),
       ),
     );
-    this.troubles = parameters.hasTrouble
-      ? drawTroubles(random, this.upstreams)
-      : [];
+    this.troubles = new RolloutTroubles(
+      parameters.hasTrouble ? drawTroubles(random, this.upstreams) : [],
+      random,
+    );
     this.holder.acceptOrder(this.order);
     this.hosts = this.hostIds.map(hostId => {
       const steps = new RolloutSteps();
@@ -172,7 +158,10 @@
       this.finish(now);
       this.arrive(now);
       this.report(now);
-      if (now % DECISION_MILLISECONDS === 0 && !this.isHolderAway(now)) {
+      if (
+        now % DECISION_MILLISECONDS === 0 &&
+        !this.troubles.isActive('holder-away', now)
+      ) {
         this.decide(now);
       }
       const phase = this.holder.recordOf(SERVICE)?.record.phase;
@@ -196,18 +185,12 @@
     return this.upstreams.filter(
       ({upstreamId, softwareVersion}) =>
         (softwareVersion === 'v1' || now >= this.newEnginesAt) &&
-        !this.troubles.some(
-          trouble =>
-            trouble.kind === 'crash' &&
-            trouble.upstreamIds.has(upstreamId) &&
-            now > trouble.from + DETECTION_MILLISECONDS &&
-            now < trouble.to + DETECTION_MILLISECONDS,
-        ),
+        !this.troubles.isMissing(upstreamId, now),
     );
   }
 
   private arrive(now: number): void {
-    const burst = this.activeTroubles(now).some(({kind}) => kind === 'burst');
+    const burst = this.troubles.isActive('burst', now);
     const rate = (this.requestsPerSecond * (burst ? 2.2 : 1)) / 1000;
     const upstreams = this.listed(now);
     for (
@@ -221,7 +204,7 @@
 
   private send(now: number, upstreams: readonly UsableUpstream[]): void {
     const host = this.hosts[Math.floor(this.random() * HOSTS)];
-    const route = this.drawRoute();
+    const route = drawRoute(this.random);
     if (host === undefined) {
       return;
     }
@@ -246,14 +229,14 @@
 
   private run(
     host: Host,
-    route: (typeof ROUTES)[number],
+    route: RolloutRoute,
     upstream: UsableUpstream,
     now: number,
   ): void {
     const {upstreamId, softwareVersion} = upstream;
     const isNew = softwareVersion === 'v2';
     const load = this.engines.loadOf(upstreamId);
-    const isBad = isNew && this.isBad(route.name, load, now);
+    const isBad = isNew && this.faults.isBad(route.name, load, now);
     if (isNew) {
       this.atNew += 1;
       const late = this.fiftiethAt + BOUNDS.rollbackMilliseconds;
@@ -264,19 +247,22 @@
     const isCold = isNew && this.random() < 0.7;
     const tokensToRead = route.tokens + (isCold ? COLD_TOKENS : 0);
     const slowness =
-      (this.parameters.form === 'slow' && isBad ? this.slowFactor : 1) *
-      this.troubleFactor(upstreamId, now);
+      (this.parameters.form === 'slow' && isBad ? this.faults.slowFactor : 1) *
+      this.troubles.slownessOf(upstreamId, now);
     const start =
       slowness *
       (FIXED_MILLISECONDS + tokensToRead / TOKENS_PER_MILLISECOND) *
-      this.lognormal(0.45) *
+      lognormal(this.random, 0.45) *
       (1 + load * 0.08);
     const gap =
-      slowness * GAP_MILLISECONDS * this.lognormal(0.25) * (1 + load * 0.02);
+      slowness *
+      GAP_MILLISECONDS *
+      lognormal(this.random, 0.25) *
+      (1 + load * 0.02);
     const isFailed =
       (isBad && this.parameters.form !== 'slow') ||
       this.random() < NATURAL_FAILURES ||
-      this.isTroubled(upstreamId, now);
+      this.troubles.isStruck(upstreamId, now);
     const endsAt = now + (isFailed ? start * 0.4 : start + gap * route.events);
     const attempt = {
       service: SERVICE,
@@ -312,28 +298,6 @@
     this.running.push({endsAt, finish});
   }
 
-  private isBad(route: string, load: number, now: number): boolean {
-    const isDrawn = this.random() < this.badShare;
-    switch (this.parameters.form) {
-      case 'good':
-        return false;
-      case 'failing':
-      case 'slow':
-        return isDrawn;
-      case 'late':
-        return isDrawn && now >= this.badFrom;
-      case 'under-load':
-        return isDrawn && load >= this.badLoad * this.laterLoad();
-      case 'one-route':
-        return isDrawn && route === 'middle';
-    }
-  }
-
-  /** Requests in progress at an engine once all traffic has moved. */
-  private laterLoad(): number {
-    return (this.requestsPerSecond * 0.45) / OLD_ENGINES;
-  }
-
   private finish(now: number): void {
     const ended = this.running.filter(({endsAt}) => endsAt <= now);
     this.running = this.running.filter(({endsAt}) => endsAt > now);
@@ -393,44 +357,4 @@
     this.deliveries = this.deliveries.filter(({at}) => at > now);
     due.forEach(({deliver}) => deliver());
   }
-
-  private activeTroubles(now: number): readonly RolloutTrouble[] {
-    return this.troubles.filter(({from, to}) => now >= from && now < to);
-  }
-
-  private isHolderAway(now: number): boolean {
-    return this.activeTroubles(now).some(({kind}) => kind === 'holder-away');
-  }
-
-  private isTroubled(upstreamId: string, now: number): boolean {
-    return this.activeTroubles(now).some(
-      trouble =>
-        trouble.upstreamIds.has(upstreamId) &&
-        this.random() < trouble.failureRate,
-    );
-  }
-
-  private troubleFactor(upstreamId: string, now: number): number {
-    return this.activeTroubles(now)
-      .filter(({upstreamIds}) => upstreamIds.has(upstreamId))
-      .reduce((factor, {slowness}) => factor * slowness, 1);
-  }
-
-  private drawRoute(): (typeof ROUTES)[number] {
-    let left = this.random();
-    for (const route of ROUTES) {
-      left -= route.part;
-      if (left < 0) {
-        return route;
-      }
-    }
-    return ROUTES[0];
-  }
-
-  private lognormal(deviation: number): number {
-    const [left, right] = [1 - this.random(), this.random()];
-    const normal =
-      Math.sqrt(-2 * Math.log(left)) * Math.cos(2 * Math.PI * right);
-    return Math.exp(normal * deviation);
-  }
 }
--- a/packages/measurements/src/rollout_troubles.ts
+++ b/packages/measurements/src/rollout_troubles.ts
@@ -1,13 +1,6 @@
-/**
- * Faults beside a roll-out, which say nothing about its version, and the ways in
- * which a version is bad.
- */
+/** Faults beside a roll-out, which say nothing about its version. */
 import {shuffle, type UsableUpstream} from '@lacewingwinch/decisions';
 
-/** How a version is bad. */
-export type VersionForm =
-  'failing' | 'good' | 'late' | 'one-route' | 'slow' | 'under-load';
-
 /** A fault and the engines that it hits. */
 export interface RolloutTrouble {
   readonly kind:
@@ -39,6 +32,53 @@
 /** Faults that strike during one roll-out. */
 const FAULT_COUNT = 3;
 
+/** Time after which engines that have crashed are not listed. */
+const DETECTION_MILLISECONDS = 600;
+
+/** The faults of one roll-out in the course of time. */
+export class RolloutTroubles {
+  constructor(
+    private readonly troubles: readonly RolloutTrouble[],
+    private readonly random: () => number,
+  ) {}
+
+  /** Returns whether a fault of a kind strikes at `now`. */
+  isActive(kind: RolloutTrouble['kind'], now: number): boolean {
+    return this.activeAt(now).some(trouble => trouble.kind === kind);
+  }
+
+  /** Returns whether an engine is not listed, because it has crashed. */
+  isMissing(upstreamId: string, now: number): boolean {
+    return this.troubles.some(
+      trouble =>
+        trouble.kind === 'crash' &&
+        trouble.upstreamIds.has(upstreamId) &&
+        now > trouble.from + DETECTION_MILLISECONDS &&
+        now < trouble.to + DETECTION_MILLISECONDS,
+    );
+  }
+
+  /** Draws whether a request at an engine fails by a fault. */
+  isStruck(upstreamId: string, now: number): boolean {
+    return this.activeAt(now).some(
+      trouble =>
+        trouble.upstreamIds.has(upstreamId) &&
+        this.random() < trouble.failureRate,
+    );
+  }
+
+  /** Returns how many times as long the work of an engine takes. */
+  slownessOf(upstreamId: string, now: number): number {
+    return this.activeAt(now)
+      .filter(({upstreamIds}) => upstreamIds.has(upstreamId))
+      .reduce((factor, {slowness}) => factor * slowness, 1);
+  }
+
+  private activeAt(now: number): readonly RolloutTrouble[] {
+    return this.troubles.filter(({from, to}) => now >= from && now < to);
+  }
+}
+
 /** Draws the faults of one roll-out. */
 export function drawTroubles(
   random: () => number,
--- a/packages/measurements/src/simulate.ts
+++ b/packages/measurements/src/simulate.ts
@@ -10,7 +10,8 @@
   type Upstream,
 } from '@lacewingwinch/decisions';
 
-import {type EngineEvent, EngineModel} from './engine_model.js';
+import {EngineModel} from './engine_model.js';
+import type {EngineEvent} from './engine_request.js';
 import type {
   AnsweredRequest,
   SimulationOptions,
--- a/packages/measurements/src/workload.ts
+++ b/packages/measurements/src/workload.ts
@@ -3,8 +3,8 @@
  */
 import type {Upstream} from '@lacewingwinch/decisions';
 
-import type {EngineRequest} from './engine_model.js';
 import type {EngineProfile} from './engine_profile.js';
+import type {EngineRequest} from './engine_request.js';
 import {exponential} from './random_numbers.js';
 
 /** The engines of the two operators. */
--- a/packages/measurements/tests/engine_model_test.ts
+++ b/packages/measurements/tests/engine_model_test.ts
@@ -3,12 +3,9 @@
  */
 import {describe, expect, test} from 'vitest';
 
-import {
-  type EngineEvent,
-  EngineModel,
-  type EngineRequest,
-} from '../src/engine_model.js';
+import {EngineModel} from '../src/engine_model.js';
 import type {EngineProfile} from '../src/engine_profile.js';
+import type {EngineEvent, EngineRequest} from '../src/engine_request.js';
 
 const PROFILE: EngineProfile = {
   slots: 4,
--- a/packages/measurements/tests/rollout_model_test.ts
+++ b/packages/measurements/tests/rollout_model_test.ts
@@ -2,7 +2,7 @@
 import {describe, expect, it} from 'vitest';
 
 import {RolloutModel} from '../src/rollout_model.js';
-import type {VersionForm} from '../src/rollout_troubles.js';
+import type {VersionForm} from '../src/version_faults.js';
 
 const SEEDS: readonly number[] = [3, 5, 8];
 
