Use the field's terms in the last comments and drop the list of exceptions

Cause: 33 files were excepted from the rule on terms in comments, and a comment that is not in the list had one of its words (the lint failed at placement_explainer_test.ts).

Change: comments and titles of tests say request, query, report, receive, continue, return or restore instead. The list of files is empty and goes, so that the rule holds for all of packages and platform.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -63,43 +63,6 @@
   }),
 };
 
-// Files whose comments are still to be changed; the list only shrinks.
-const FILES_WITHOUT_FIELD_TERMS = [
-  'packages/decisions/src/admission/admission_terms.ts',
-  'packages/decisions/src/admission/decide_ranked_admission.ts',
-  'packages/decisions/src/admission/rank_arrivals.ts',
-  'packages/decisions/src/admission/refusal_floor.ts',
-  'packages/decisions/src/admission/return_places.ts',
-  'packages/decisions/src/admission/shard_admission.ts',
-  'packages/decisions/src/admission/workspace_shares.ts',
-  'packages/decisions/src/orders/engine_load.ts',
-  'packages/decisions/src/orders/engine_plan.ts',
-  'packages/decisions/src/orders/offered_loads.ts',
-  'packages/decisions/src/orders/service_load_counter.ts',
-  'packages/decisions/src/orders/service_load_report.ts',
-  'packages/decisions/src/placement/decide_load_shedding.ts',
-  'packages/decisions/src/placement/decide_paused_service.ts',
-  'packages/decisions/src/placement/engine_expectation.ts',
-  'packages/decisions/src/placement/spread_table.ts',
-  'packages/decisions/src/placement/version_constraint.ts',
-  'packages/decisions/src/placement/work_speeds.ts',
-  'packages/decisions/src/rollouts/choose_test_upstreams.ts',
-  'packages/decisions/src/rollouts/rollout_front.ts',
-  'packages/decisions/src/rollouts/rollout_order.ts',
-  'packages/entry-process/src/routed_interface/duties/usage_push.ts',
-  'packages/entry-process/src/routed_interface/lifecycle/routed_rollouts.ts',
-  'packages/entry-process/src/routed_interface/placement/placement_result.ts',
-  'packages/entry-process/src/routed_interface/placement/shard_admissions.ts',
-  'packages/entry-process/src/routed_interface/placement/shard_placement.ts',
-  'packages/entry-process/src/routed_interface/requests/routed_attempt.ts',
-  'packages/entry-process/src/routed_interface/requests/stream_continuation.ts',
-  'packages/entry-process/src/routed_interface/requests/stream_relay.ts',
-  'packages/entry-process/src/routed_interface/requests/upstream_request.ts',
-  'packages/entry-process/src/routed_interface/rollouts/rollout_follower.ts',
-  'packages/entry-process/src/tasks/part_watch.ts',
-  'packages/entry-process/tests/rollout_follower_test.ts',
-];
-
 export default tseslint.config(
   {
     ignores: [
@@ -174,7 +137,6 @@
   },
   {
     files: ['packages/**/*.ts', 'platform/**/*.ts'],
-    ignores: FILES_WITHOUT_FIELD_TERMS,
     plugins: {house: {rules: {'field-terms': fieldTerms}}},
     rules: {'house/field-terms': 'error'},
   },
--- a/packages/decisions/src/admission/admission_terms.ts
+++ b/packages/decisions/src/admission/admission_terms.ts
@@ -40,7 +40,7 @@
 /** The load of a shard, as seen by requests of one rank. */
 export interface RankPressure {
   /**
-   * Share of the capacity that more urgent requests ask for; may exceed 1.
+   * Share of the capacity that more urgent requests need; may exceed 1.
    */
   readonly urgentShare: number;
   /** The same with the requests of the rank itself. */
@@ -70,6 +70,6 @@
   readonly errorMilliseconds: number;
   /** Age of the knowledge that the expected start rests on; -1 if unknown. */
   readonly knowledgeAgeMilliseconds: number;
-  /** Share of the capacity that requests up to this rank ask for. */
+  /** Share of the capacity that requests up to this rank need. */
   readonly totalShare: number;
 }
--- a/packages/decisions/src/admission/decide_ranked_admission.ts
+++ b/packages/decisions/src/admission/decide_ranked_admission.ts
@@ -153,7 +153,7 @@
 
 /**
  * Returns the latest first event that is tolerated: the objective where all
- * capacity is asked for, because a late answer takes the place of one that
+ * capacity is needed, because a late answer takes the place of one that
  * would be on time, and more the more capacity is left.
  */
 export function toleratedStart(
--- a/packages/decisions/src/admission/rank_arrivals.ts
+++ b/packages/decisions/src/admission/rank_arrivals.ts
@@ -1,5 +1,5 @@
 /**
- * The work that the requests of each rank ask of a shard. Urgent requests that
+ * The work that requests of each rank offer to a shard. Urgent requests that
  * arrive in the next moment need capacity that less urgent ones would otherwise
  * fill, because an engine finishes the prompts that it has begun to read.
  */
@@ -9,7 +9,7 @@
 /** Time after which an objective counts no more. */
 const OBJECTIVE_LIFETIME_MILLISECONDS = 5000;
 
-/** A request that asks for capacity. */
+/** A request that needs capacity. */
 export interface RankedArrival {
   /** 0 is the most urgent. */
   readonly rank: number;
--- a/packages/decisions/src/admission/refusal_floor.ts
+++ b/packages/decisions/src/admission/refusal_floor.ts
@@ -25,7 +25,7 @@
 export class RefusalFloor {
   /** By class, the one refused longest ago first. */
   private readonly refusals = new Map<string, number>();
-  /** Prompt tokens that displaced requests ask for. */
+  /** Prompt tokens that displaced requests need. */
   private displacedWork: DecayingRate | undefined;
 
   /**
--- a/packages/decisions/src/admission/return_places.ts
+++ b/packages/decisions/src/admission/return_places.ts
@@ -1,10 +1,10 @@
 /**
- * Places in time for clients that are told to retry. Refused requests that
+ * Places in time for clients that retry. Refused requests that
  * return together are refused again, so each gets the next moment at which the
  * shard is expected to have read what was promised before. A request that
  * returns at its place comes before new ones of its rank.
  *
- * It answers bursts whose clients retry as they are told, at once, or never.
+ * It answers bursts whose clients retry as stated, at once, or never.
  */
 
 /** Soonest return after a refusal. */
@@ -29,11 +29,11 @@
 export type ReturnKind =
   /** It returns in the time that it was promised. */
   | 'at-place'
-  /** It returns before the time that it was told. */
+  /** It returns before the time that was stated. */
   | 'early'
   /** No refusal of it is known. */
   | 'new'
-  /** Its place has lapsed, or it returns when told without one. */
+  /** Its place has lapsed, or it returns at the stated time without one. */
   | 'without-place';
 
 /** How a request relates to an earlier refusal that is known. */
@@ -69,7 +69,7 @@
   readonly tokensPerMillisecond: number;
 }
 
-/** The time that a client is told. */
+/** The time that is stated to a client. */
 export interface ReturnTime {
   readonly milliseconds: number;
   /** Whether the request will be served if it returns at that time. */
@@ -108,7 +108,7 @@
   /**
    * Records a refusal, and returns when the client may return: at the next place
    * or, if there is none or it is too late for the client, after `otherwise`
-   * milliseconds. A request that returned early keeps the time that it was told.
+   * milliseconds. A request that returned early keeps the stated time.
    */
   refuse(
     request: RefusedRequest,
--- a/packages/decisions/src/admission/shard_admission.ts
+++ b/packages/decisions/src/admission/shard_admission.ts
@@ -32,7 +32,7 @@
 import {NEW_REQUEST, ReturnPlaces, type ReturnTime} from './return_places.js';
 import {type WorkspaceOffer, WorkspaceShares} from './workspace_shares.js';
 
-/** Shortest delay after which a client is told to retry, before jitter. */
+/** Shortest delay after which a client may retry, before jitter. */
 const MINIMUM_RETRY_AFTER_MILLISECONDS = 200;
 
 /** Least share of the capacity that the workspaces of a rank divide. */
--- a/packages/decisions/src/admission/workspace_shares.ts
+++ b/packages/decisions/src/admission/workspace_shares.ts
@@ -6,7 +6,7 @@
  * It answers the burst of one workspace within its quota. Only admitted work
  * counts against a share, because refused requests take nothing from others; the
  * size of the shares depends on what is offered, because capacity that a
- * workspace does not ask for is divided among the others.
+ * workspace does not need is divided among the others.
  */
 import type {WorkspaceQuota} from '../routing/routing_configuration.js';
 import type {AdmissionTerms} from './admission_terms.js';
--- a/packages/decisions/src/orders/engine_load.ts
+++ b/packages/decisions/src/orders/engine_load.ts
@@ -36,7 +36,7 @@
   readonly cachedRatio: number;
   /** Share of the requests that were refused, or late behind others. */
   readonly strainedShare: number;
-  /** Share of the serving processes that this load was heard from. */
+  /** Share of the serving processes that reported this load. */
   readonly heardShare: number;
   readonly ageMilliseconds: number;
   readonly seenMilliseconds: number;
@@ -77,7 +77,7 @@
 
 /**
  * Returns the load that was observed; undefined while there is too little to
- * tell how fast engines read, or what the hosts that are not heard are asked.
+ * determine how fast engines read, or the load of hosts that do not report.
  */
 export function engineLoadOf(
   observation: LoadObservation,
--- a/packages/decisions/src/orders/engine_plan.ts
+++ b/packages/decisions/src/orders/engine_plan.ts
@@ -13,7 +13,7 @@
   .object({
     /** Highest load in busy engines, which fades with time. */
     peakEngines: z.number().nonnegative(),
-    /** The higher of the peak and of what the load of the moment asks for. */
+    /** The higher of the peak and of what the present load needs. */
     expectedEngines: z.number().nonnegative(),
     calmUtilization: z.number().positive(),
     millisecondsPerToken: z.number().positive(),
@@ -80,10 +80,10 @@
 /** Longest time that one plan makes up for. */
 const MAXIMUM_STEP_MILLISECONDS = 2000;
 
-/** Milliseconds for which requests must be seen before they tell the load. */
+/** Milliseconds for which requests must be seen before they show the load. */
 export const SETTLING_MILLISECONDS = 6000;
 
-/** Share of the hosts that must be heard before a plan may fall. */
+/** Share of the hosts that must report before a plan may fall. */
 const NEEDED_HEARD_SHARE = 0.9;
 
 /**
--- a/packages/decisions/src/orders/offered_loads.ts
+++ b/packages/decisions/src/orders/offered_loads.ts
@@ -16,7 +16,7 @@
 /** Buckets that are kept: a swing of a minute is seen whole. */
 const KEPT_BUCKETS = 60;
 
-/** Milliseconds without a report after which a process counts as not heard. */
+/** Milliseconds without a report after which a process counts as silent. */
 const HEARD_MILLISECONDS = 3000;
 
 /** Whole buckets before the present one over which the present load is summed. */
@@ -31,7 +31,7 @@
   readonly milliseconds: number;
 }
 
-/** What was offered to a service, as far as this host was told. */
+/** What was offered to a service, as far as reports reached this host. */
 export interface LoadObservation {
   /** The last three to four seconds. */
   readonly recent: LoadSpan;
--- a/packages/decisions/src/orders/service_load_counter.ts
+++ b/packages/decisions/src/orders/service_load_counter.ts
@@ -96,8 +96,8 @@
   }
 
   /**
-   * Returns the sums for `services`, also for those for which nothing was asked:
-   * a host without load counts as heard.
+   * Returns the sums for `services`, also for those without requests:
+   * a host without load counts as one that reports.
    */
   reports(services: readonly string[]): readonly ServiceLoadReport[] {
     return services.map(service => {
--- a/packages/decisions/src/orders/service_load_report.ts
+++ b/packages/decisions/src/orders/service_load_report.ts
@@ -44,7 +44,7 @@
   readonly service: string;
 }
 
-/** The sums of a process that was asked for nothing. */
+/** The sums of a process that received no requests. */
 export const NO_LOAD_SUMS: ServiceLoadSums = {
   requests: 0,
   refusals: 0,
--- a/packages/decisions/src/placement/decide_load_shedding.ts
+++ b/packages/decisions/src/placement/decide_load_shedding.ts
@@ -36,7 +36,7 @@
 /** Share of the remaining time that may pass before the first event. */
 const MAXIMUM_SHARE_OF_TIME_LEFT = 0.9;
 
-/** Shortest delay after which a client is told to retry, before jitter. */
+/** Shortest delay after which a client may retry, before jitter. */
 const MINIMUM_RETRY_AFTER_MILLISECONDS = 200;
 
 /** Returns the milliseconds for which a request may wait for its first event. */
--- a/packages/decisions/src/placement/decide_paused_service.ts
+++ b/packages/decisions/src/placement/decide_paused_service.ts
@@ -1,6 +1,6 @@
 /**
- * The decision on a request while every upstream of its service has asked this
- * host to pause. Overloaded engines send their pauses at about the same time.
+ * The decision on a request while every upstream of its service requested a
+ * pause of this host. Overloaded engines send them at about the same time.
  * Requests that can wait for the first engine to accept requests again are
  * kept; the others are refused at once and return spread over the time after
  * the pause, so that they do not overload the engines again together.
--- a/packages/decisions/src/placement/engine_expectation.ts
+++ b/packages/decisions/src/placement/engine_expectation.ts
@@ -41,7 +41,7 @@
 /** Standard deviation of the relative duration of a request. */
 const DURATION_DEVIATION = 0.3;
 
-/** Milliseconds for which another shard is asked for its choice. */
+/** Milliseconds for which a choice of another shard is requested. */
 const OTHER_SHARD_MILLISECONDS = 20;
 
 /** What is known of an engine when a request is placed. */
--- a/packages/decisions/src/placement/version_constraint.ts
+++ b/packages/decisions/src/placement/version_constraint.ts
@@ -1,6 +1,6 @@
 /**
  * The software versions at which a request may run. A stream that has begun
- * goes on at its version only; a request that a roll-out has not assigned to
+ * continues at its version only; a request that a roll-out has not assigned to
  * the new version runs at any other.
  */
 import type {ListedUpstream} from '../upstreams/listed_upstream.js';
--- a/packages/decisions/src/placement/work_speeds.ts
+++ b/packages/decisions/src/placement/work_speeds.ts
@@ -71,7 +71,7 @@
   readonly uncertainty: number;
 }
 
-/** A lasting speed that one host tells another one. */
+/** A lasting speed that one host reports to another one. */
 export type SpeedStatement = Pick<
   WorkSpeed,
   'lastingMilliseconds' | 'uncertainty'
@@ -108,7 +108,7 @@
 const MINIMUM_SPREAD = 0.2;
 
 /**
- * Milliseconds for which a computed speed is kept. A dispatcher asks for the
+ * Milliseconds for which a computed speed is kept. A dispatcher queries the
  * speeds of all engines some hundred times a second.
  */
 const COMPUTED_MILLISECONDS = 25;
--- a/packages/decisions/src/rollouts/choose_test_upstreams.ts
+++ b/packages/decisions/src/rollouts/choose_test_upstreams.ts
@@ -10,7 +10,7 @@
 /** The later load of an engine is exceeded by this factor during the test. */
 const LOAD_FACTOR = 1.2;
 
-/** Fewest engines with which an engine that is bad by itself is told apart. */
+/** Fewest engines among which one that is bad by itself is recognized. */
 const MINIMUM_UPSTREAMS = 3;
 
 /**
--- a/packages/decisions/src/rollouts/rollout_front.ts
+++ b/packages/decisions/src/rollouts/rollout_front.ts
@@ -27,7 +27,7 @@
   readonly service: string;
   /** Whether it was assigned to the new version of a roll-out. */
   readonly isAssigned: boolean;
-  /** Whether it continues a stream, which goes on at its own version. */
+  /** Whether it continues a stream, which continues at its own version. */
   readonly isBound: boolean;
 }
 
--- a/packages/decisions/src/rollouts/rollout_order.ts
+++ b/packages/decisions/src/rollouts/rollout_order.ts
@@ -6,7 +6,7 @@
 /** An order as it was published. */
 export interface RolloutOrder {
   /**
-   * Identity of the order. It stays the same when the store comes back from an
+   * Identity of the order. It stays the same when the store is restored from an
    * older copy that contains the order.
    */
   readonly orderId: string;
--- a/packages/decisions/tests/rollout_front_test.ts
+++ b/packages/decisions/tests/rollout_front_test.ts
@@ -249,19 +249,19 @@
 describe('a request that is bound to its stream', () => {
   it.each([
     {
-      name: 'goes on at the new version during the test',
+      name: 'continues at the new version during the test',
       record: testing(),
       version: 'v2',
       may: true,
     },
     {
-      name: 'goes on at the old version after the move',
+      name: 'continues at the old version after the move',
       record: moving(1),
       version: 'v1',
       may: true,
     },
     {
-      name: 'does not go on at a version that was rolled back',
+      name: 'does not continue at a version that was rolled back',
       record: {...COMMON, phase: 'rolled-back', reason: ''} as const,
       version: 'v2',
       may: false,
--- a/packages/entry-process/src/routed_interface/duties/usage_push.ts
+++ b/packages/entry-process/src/routed_interface/duties/usage_push.ts
@@ -32,7 +32,7 @@
   /** Returns suspension-aware clock readings in milliseconds. */
   readonly clock: () => number;
   readonly loads: ServiceLoadCounter;
-  /** The loads that this host has been told, and its own. */
+  /** The loads that were reported to this host, and its own. */
   readonly offeredLoads: OfferedLoads;
   /** Returns the services whose engines are ordered by load. */
   readonly plannedServices: () => readonly string[];
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_rollouts.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_rollouts.ts
@@ -84,7 +84,7 @@
     };
   }
 
-  /** Tells orders of engines which engines belong to roll-outs. */
+  /** Returns to orders of engines which engines belong to roll-outs. */
   engineCounts(
     list: UpstreamList,
   ): ReturnType<RolloutFollower['engineCounts']> {
--- a/packages/entry-process/src/routed_interface/placement/placement_result.ts
+++ b/packages/entry-process/src/routed_interface/placement/placement_result.ts
@@ -76,7 +76,7 @@
 }
 
 /**
- * Returns the refusal that the client is told: the one that promises a place,
+ * Returns the refusal that the client receives: the one that promises a place,
  * or else the one after which it may return sooner.
  */
 export function soonerOf(
--- a/packages/entry-process/src/routed_interface/placement/shard_admissions.ts
+++ b/packages/entry-process/src/routed_interface/placement/shard_admissions.ts
@@ -77,7 +77,7 @@
     {upstreamIds, ...shard}: PlacedShard,
   ): AdmittingShard {
     const {isDispatcher, hostCount} = this.dependencies;
-    // A client returns to any host; only the dispatcher is asked by all of them.
+    // A client returns to any host; only the dispatcher sees requests of all.
     const keepsPlaces = isDispatcher(shardId);
     const sharers = keepsPlaces ? 1 : Math.max(1, hostCount());
     const tokensPerMillisecond =
--- a/packages/entry-process/src/routed_interface/placement/shard_placement.ts
+++ b/packages/entry-process/src/routed_interface/placement/shard_placement.ts
@@ -165,8 +165,8 @@
   }
 
   /**
-   * Requests a choice of another host. A dispatcher that does not know a limit is
-   * told what this host knows. Returns undefined without a usable answer.
+   * Requests a choice of another host. A dispatcher that does not know a limit
+   * receives what this host knows. Returns undefined without a usable answer.
    */
   private async placeAt(
     dispatcher: Member,
--- a/packages/entry-process/src/routed_interface/requests/routed_attempt.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_attempt.ts
@@ -40,7 +40,7 @@
 
 /** Receiver of a streamed response while it arrives. */
 export interface StreamReceiver {
-  /** Whether an orderly end tells the client that the stream is complete. */
+  /** Whether an orderly end reports the stream as complete to the client. */
   readonly isFramed: boolean;
   onHead(head: AnswerHead, answerHeaders: AnswerHeaders): void;
   /** Returns false to pause the response until `resume` is called. */
--- a/packages/entry-process/src/routed_interface/requests/stream_continuation.ts
+++ b/packages/entry-process/src/routed_interface/requests/stream_continuation.ts
@@ -52,7 +52,7 @@
       lastEventId === undefined ? attemptId : (resumedAttemptId ?? attemptId);
   }
 
-  /** Software version at which the stream goes on; undefined before it began. */
+  /** Software version that continues the stream; undefined before it began. */
   get softwareVersion(): string | undefined {
     return this.boundVersion;
   }
--- a/packages/entry-process/src/routed_interface/requests/stream_relay.ts
+++ b/packages/entry-process/src/routed_interface/requests/stream_relay.ts
@@ -32,7 +32,7 @@
     return this.framing !== undefined;
   }
 
-  /** Whether an orderly end tells the client that the response is complete. */
+  /** Whether an orderly end reports the response as complete to the client. */
   get isFramed(): boolean {
     return this.framing !== undefined && this.framing !== 'connection';
   }
--- a/packages/entry-process/src/routed_interface/requests/upstream_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/upstream_request.ts
@@ -36,7 +36,7 @@
 
 /**
  * Milliseconds after the deadline of a request within which the rest of an
- * answer that nobody waits for is read, so that its connection can be kept.
+ * answer that no client waits for is read, so that its connection can be kept.
  */
 const ANSWER_GRACE_MILLISECONDS = 1000;
 
--- a/packages/entry-process/src/routed_interface/rollouts/rollout_follower.ts
+++ b/packages/entry-process/src/routed_interface/rollouts/rollout_follower.ts
@@ -117,7 +117,7 @@
   }
 
   /**
-   * Tells orders of engines which engines exist for a roll-out that is not
+   * Returns to orders of engines which engines exist for a roll-out that is not
    * completed, or stop because it is. A version that has appeared since the orders
    * were last read, at `ordersReadAt`, may be that of an order.
    */
--- a/packages/entry-process/src/tasks/part_watch.ts
+++ b/packages/entry-process/src/tasks/part_watch.ts
@@ -24,8 +24,8 @@
 const REPORT_DELAY_MILLISECONDS = 10;
 
 /**
- * Longest random wait before a sound run is told to the other hosts. Many hosts
- * know sound runs of a frequent part; the first one spares the others.
+ * Longest random wait before a sound run is reported to the other hosts. Many
+ * hosts know sound runs of a frequent part; the first one spares the others.
  */
 const MAXIMUM_REFUTATION_DELAY_MILLISECONDS = 100;
 
--- a/packages/entry-process/tests/placement_explainer_test.ts
+++ b/packages/entry-process/tests/placement_explainer_test.ts
@@ -42,7 +42,7 @@
   };
 }
 
-/** Nobody answers, and nothing may be sent while a request is explained. */
+/** No host answers, and nothing may be sent while a request is explained. */
 const peers = {
   call: () => Promise.reject(new Error('no answer')),
   notify: () => undefined,
@@ -309,7 +309,7 @@
       excluded: {upstreamId: 'i-0', reason: 'leaving'},
     },
     {
-      name: 'it asked for a pause',
+      name: 'it requested a pause',
       arrange: ({announcements}: RoutedPlacementDependencies) =>
         announcements.record(
           upstream('i-0'),
--- a/packages/entry-process/tests/request_explainer_test.ts
+++ b/packages/entry-process/tests/request_explainer_test.ts
@@ -218,7 +218,7 @@
       error: 'limit-exceeded',
     },
     {
-      name: 'upstreams that all ask for a long pause',
+      name: 'upstreams that all request a long pause',
       arrange: () => {
         for (const upstreamId of ['i-0', 'i-1']) {
           recordPause(tasks, upstreamId, 60);
@@ -354,7 +354,7 @@
   });
 });
 
-describe('a host that is asked by the peer interface', () => {
+describe('a host that is queried over the peer interface', () => {
   it('names the upstream that then gets the request', async () => {
     const installation = await RoutedInstallation.start();
     const peers = createPeerClient();
--- a/packages/entry-process/tests/rollout_follower_test.ts
+++ b/packages/entry-process/tests/rollout_follower_test.ts
@@ -1,4 +1,4 @@
-/** Tests of what a host that follows roll-outs tells orders of engines. */
+/** Tests of what a host that follows roll-outs reports to orders of engines. */
 import {
   type ListedUpstream,
   type RolloutRecord,
--- a/packages/observability/src/events/duty_events.ts
+++ b/packages/observability/src/events/duty_events.ts
@@ -43,9 +43,9 @@
   5008: {
     level: 'warn',
     message:
-      'the store came back from an older copy while entry host {hostId} renewed the duty lease',
+      'the store was restored from an older copy while entry host {hostId} renewed the duty lease',
     advice:
-      'See "When the store comes back from an older copy" in OPERATIONS.md.',
+      'See "When the store is restored from an older copy" in OPERATIONS.md.',
   },
   5009: {
     level: 'info',
