--- a/packages/entry-process/tests/placement_explainer_test.ts
+++ b/packages/entry-process/tests/placement_explainer_test.ts
@@ -309,7 +309,7 @@
       excluded: {upstreamId: 'i-0', reason: 'leaving'},
     },
     {
-      name: 'it asked for a pause',
+      name: 'it requested a pause',
       arrange: ({announcements}: RoutedPlacementDependencies) =>
         announcements.record(
           upstream('i-0'),
