Name the spare hosts to clients before the strong ones are used up

The strong hosts counted as busy with less than a fifth of idle time in two measurements; clients move within the 2 to 6 s after that, and in a burst the queues are long by then.

They now count as busy with less than two fifths, where requests wait for longer than they take.

--- a/packages/decisions/src/membership/host_load.ts
+++ b/packages/decisions/src/membership/host_load.ts
@@ -2,8 +2,11 @@
  * Whether a host has processor time left for more clients.
  */
 
-/** Share of the time at work from which a host is short of processor time. */
-const BUSY_UTILIZATION = 0.8;
+/**
+ * Share of the time at work from which a host is short of processor time:
+ * requests wait there for longer than they take.
+ */
+const BUSY_UTILIZATION = 0.6;
 
 /**
  * Number of measurements in a row that make a host busy, half a second each. A
