Review harness: choose ports that outgoing channels can't take

Cause: the ports of a case came from the range of outgoing channels and were released before the hosts listened. Five runs of case 5 at the same time took each other's ports: two could not run, one met hosts of another run, and two broke the rule.

Change: ports are chosen at random below that range.

--- a/review/lib/harness.jsx
+++ b/review/lib/harness.jsx
@@ -40,23 +40,28 @@
 const startedAt = performance.now();
 export const elapsed = () => Math.round(performance.now() - startedAt);
 
-/** Returns `count` free loopback ports. */
+/** Ports below those that the system gives to outgoing channels. */
+const LOWEST_PORT = 12_000;
+const PORT_COUNT = 20_000;
+
+function canListen(port) {
+  return new Promise(resolve => {
+    const server = net.createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+}
+
+/** Returns `count` free loopback ports, which no outgoing channel takes later. */
 export async function freePorts(count) {
-  const servers = await Promise.all(
-    Array.from(
-      {length: count},
-      () =>
-        new Promise(resolve => {
-          const server = net.createServer();
-          server.listen(0, '127.0.0.1', () => resolve(server));
-        }),
-    ),
-  );
-  const ports = servers.map(server => server.address().port);
-  await Promise.all(
-    servers.map(server => new Promise(resolve => server.close(resolve))),
-  );
-  return ports;
+  const ports = new Set();
+  while (ports.size < count) {
+    const port = LOWEST_PORT + Math.floor(Math.random() * PORT_COUNT);
+    if (!ports.has(port) && (await canListen(port))) {
+      ports.add(port);
+    }
+  }
+  return [...ports];
 }
 
 export async function waitFor(what, isMet, timeoutMilliseconds = 30_000) {
