Review case 2: stop the host instead of killing it

Cause: a host that is killed can do little about the way in which the operating system ends its channels; one that is stopped can reset them, as it does at time limits. The case shows the latter now.

Change: the script sends SIGTERM by default, SIGKILL on request; the claim says so.

--- a/review/2/case.jsx
+++ b/review/2/case.jsx
@@ -1,12 +1,12 @@
 /**
- * Requesters read streams whose engine sends them without a length. Half-way, the
- * process of the system that relays them is killed. With STOP=SIGTERM it is stopped
- * as at planned work instead, and the streams last longer than the grace period.
+ * Requesters read streams whose engine sends them without a length. The host that
+ * relays them is stopped as at planned work, and the streams last longer than its
+ * grace period. With STOP=SIGKILL it is killed half-way instead.
  */
 
 import {delay, runCase, send, TROUBLE} from '../lib/harness.mjs';
 
-const STOP = process.env['STOP'] === 'SIGTERM' ? 'SIGTERM' : 'SIGKILL';
+const STOP = process.env['STOP'] === 'SIGKILL' ? 'SIGKILL' : 'SIGTERM';
 const EVENTS = 30;
 const EVENT_INTERVAL_MS = STOP === 'SIGTERM' ? 350 : 60;
 const STREAMS = 6;
