Don't send an attempt ID over a connection twice

Cause: the ID of an attempt does not identify a sending. After a refusal with Retry-After the host returned to the upstream over the connection that brought the refusal; a late copy of it bears the ID of the request and was taken for the answer to the second sending.

Change: a connection remembers the IDs that it has carried while their requests have time left and isn't used for them again, so that an answer with the ID can only be that to the present sending. Other idle connections are used first; a new one is opened only without them. As the rule is in the pool, it holds for carried attempts and continued streams too. No message between hosts changed.

--- a/packages/entry-process/src/paths/relay_carrier.ts
+++ b/packages/entry-process/src/paths/relay_carrier.ts
@@ -164,6 +164,7 @@
           maximumConnections: order.maximumConnections,
           maximumMilliseconds: order.maximumMilliseconds,
           connectMilliseconds: CONNECT_MILLISECONDS,
+          attemptId: order.requestId,
           ...(order.requiredStart !== undefined && {
             check: createProcessCheck(order.requiredStart),
           }),
--- a/packages/entry-process/src/paths/relay_sender.ts
+++ b/packages/entry-process/src/paths/relay_sender.ts
@@ -64,8 +64,9 @@
     return pool.send(
       {
         ...request,
-        // The carrier makes the check on its own connection to the upstream.
+        // The carrier makes the check, and selects its own connection to the upstream.
         check: undefined,
+        attemptId: undefined,
         address: carrier.addresses.relay ?? '',
         headers: encodeRelayOrder(request.headers, {
           upstreamId,
--- a/packages/entry-process/src/routed_interface/requests/attempt_runner.ts
+++ b/packages/entry-process/src/routed_interface/requests/attempt_runner.ts
@@ -230,6 +230,7 @@
             sharingHostCount: this.dependencies.sharingHostCount(),
             requiredStart,
           }),
+          attemptId,
           ...(paths.hasCarrier(upstreamId) && {
             connectMilliseconds: DIRECT_CONNECT_MILLISECONDS,
           }),
--- a/packages/stand-ins/src/routed_engine_stand_in.ts
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -3,6 +3,7 @@
  * streams events, with faults that tests switch on.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 
 import {
   delay,
@@ -113,6 +114,13 @@
   isLeaving = false;
   /** Value of `server-limit` of each answer; undefined to send none. */
   namedLimit: string | undefined;
+  /**
+   * Whether it sends each refusal a second time, at the next request of the same
+   * connection.
+   */
+  repeatsRefusals = false;
+  /** Refusals that are to be sent once more, by their connection. */
+  private readonly lateCopies = new Map<Socket, string>();
   /** Requests in progress beyond which it turns requests away. */
   room = Infinity;
   /**
@@ -225,6 +233,8 @@
       this.abandonedRequests += response.writableFinished ? 0 : 1;
     });
     const attemptId = String(headers['x-attempt-id']);
+    message.socket.write(this.lateCopies.get(message.socket) ?? '');
+    this.lateCopies.delete(message.socket);
     const signedHeaders = {
       'x-attempt-id': attemptId,
       'x-response-signature': `signed-by-${this.upstreamId}`,
@@ -248,6 +258,9 @@
       if (this.pauseAnnouncement !== undefined) {
         response.setHeader('retry-after', this.pauseAnnouncement);
       }
+      if (this.repeatsRefusals) {
+        this.lateCopies.set(message.socket, refusalOf(attemptId));
+      }
       response.writeHead(503, {'x-not-executed': '1'}).end();
       return;
     }
@@ -388,3 +401,14 @@
       : '';
   }
 }
+
+/** Returns the bytes of a refusal of the attempt `attemptId`. */
+function refusalOf(attemptId: string): string {
+  return [
+    'HTTP/1.1 503 Service Unavailable',
+    `x-attempt-id: ${attemptId}`,
+    'x-not-executed: 1',
+    'content-length: 0',
+    '\r\n',
+  ].join('\r\n');
+}
--- a/packages/upstreams/src/connection_pool.ts
+++ b/packages/upstreams/src/connection_pool.ts
@@ -4,6 +4,7 @@
  */
 import {Client} from 'undici';
 
+import {CarriedAttempts} from './carried_attempts.js';
 import {startCheckedExchange} from './checked_exchange.js';
 import type {
   PooledConnection,
@@ -65,6 +66,9 @@
     }
     const now = this.clock();
     const dueAt = now + request.maximumMilliseconds;
+    if (request.attemptId !== undefined) {
+      connection.carriedAttempts.add(request.attemptId, dueAt, now);
+    }
     const upstream = this.getOrCreateUpstream(request.address);
     const context = {
       connection,
@@ -124,25 +128,34 @@
   }
 
   private takeConnection(request: PooledRequest): PooledConnection | undefined {
-    const {address, maximumConnections, maximumIdleMilliseconds} = request;
+    const {address, maximumConnections} = request;
     const upstream = this.getOrCreateUpstream(address);
     const now = this.clock();
     for (;;) {
-      const connection = upstream.idle.pop();
-      if (connection === undefined) {
+      const newest = upstream.idle.at(-1);
+      if (newest === undefined || isUsable(newest, request, now)) {
         break;
       }
-      if (
-        !connection.isClosed &&
-        now - connection.idleSince < maximumIdleMilliseconds
-      ) {
-        return connection;
-      }
-      endConnection(connection);
+      upstream.idle.pop();
+      endConnection(newest);
     }
-    return upstream.open.size >= maximumConnections
-      ? undefined
-      : this.openConnection(request, upstream);
+    const index = upstream.idle.findLastIndex(
+      connection =>
+        isUsable(connection, request, now) &&
+        !hasCarried(connection, request.attemptId),
+    );
+    if (index >= 0) {
+      return upstream.idle.splice(index, 1)[0];
+    }
+    if (upstream.open.size < maximumConnections) {
+      return this.openConnection(request, upstream);
+    }
+    const replaced = upstream.idle.shift();
+    if (replaced === undefined) {
+      return undefined;
+    }
+    endConnection(replaced);
+    return this.openConnection(request, upstream);
   }
 
   private openConnection(
@@ -168,6 +181,7 @@
       socket: undefined,
       idleSince: this.clock(),
       hasCarriedRequest: false,
+      carriedAttempts: new CarriedAttempts(),
       response: undefined,
       isClosed: false,
       isEndedHere: false,
@@ -208,6 +222,21 @@
   }
 }
 
+function isUsable(
+  {isClosed, idleSince}: PooledConnection,
+  {maximumIdleMilliseconds}: PooledRequest,
+  now: number,
+): boolean {
+  return !isClosed && now - idleSince < maximumIdleMilliseconds;
+}
+
+function hasCarried(
+  {carriedAttempts}: PooledConnection,
+  attemptId: string | undefined,
+): boolean {
+  return attemptId !== undefined && carriedAttempts.has(attemptId);
+}
+
 function endConnection(connection: PooledConnection): void {
   connection.isEndedHere = true;
   void connection.client.destroy();
--- a/packages/upstreams/src/pooled_exchange.ts
+++ b/packages/upstreams/src/pooled_exchange.ts
@@ -5,6 +5,7 @@
 import {type BodyFraming, bodyFramingOf} from '@lacewingwinch/decisions';
 import type {Client, Dispatcher} from 'undici';
 
+import type {CarriedAttempts} from './carried_attempts.js';
 import type {ResponseWatch, WatchedResponse} from './response_watch.js';
 import type {UpstreamSocket} from './upstream_socket.js';
 
@@ -25,6 +26,12 @@
   readonly maximumMilliseconds: number;
   /** Milliseconds allowed to connect; a default applies if absent. */
   readonly connectMilliseconds?: number;
+  /**
+   * ID that the upstream echoes in its answers. A connection carries each ID once,
+   * because a late copy of an answer looks like the answer to a second
+   * sending with the same ID.
+   */
+  readonly attemptId?: string | undefined;
   /** What must hold on the connection before the request is sent over it. */
   readonly check?: ConnectionCheck | undefined;
 }
@@ -82,6 +89,7 @@
   socket: UpstreamSocket | undefined;
   idleSince: number;
   hasCarriedRequest: boolean;
+  readonly carriedAttempts: CarriedAttempts;
   /** The response in progress; undefined while the connection is idle. */
   response: WatchedResponse | undefined;
   isClosed: boolean;
--- a/packages/upstreams/tests/connection_pool_test.ts
+++ b/packages/upstreams/tests/connection_pool_test.ts
@@ -40,7 +40,15 @@
   });
 }
 
-function send(address: string): Promise<Result> {
+interface SendOptions {
+  readonly attemptId?: string;
+  readonly maximumConnections?: number;
+}
+
+function send(
+  address: string,
+  {attemptId, maximumConnections = 2}: SendOptions = {},
+): Promise<Result> {
   return new Promise(resolve => {
     let status: number | undefined;
     let wasSent = false;
@@ -55,8 +63,9 @@
         headers: ['x-test', '1'],
         body: Buffer.from('question'),
         maximumIdleMilliseconds: 5000,
-        maximumConnections: 2,
+        maximumConnections,
         maximumMilliseconds: 2000,
+        attemptId,
       },
       {
         onSend: () => {
@@ -164,6 +173,59 @@
   expect((await send(address)).body).toBe('2');
 });
 
+/**
+ * Guards against a late copy of a refusal being taken for the answer to a second
+ * sending with the same attempt ID, which made a request run twice.
+ */
+describe('an attempt ID that is sent again', () => {
+  /** Answers 1 on the first request of each connection, and a late copy after it. */
+  const repeatFirstAnswer = (): Behavior => {
+    const requests = new Map<Socket, number>();
+    return socket => {
+      const count = (requests.get(socket) ?? 0) + 1;
+      requests.set(socket, count);
+      const isRepeated = count > 1 && sockets.indexOf(socket) === 0;
+      const body = isRepeated ? 1 : sockets.indexOf(socket) + 1;
+      socket.write(`HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n${body}`);
+    };
+  };
+
+  test.each([
+    {
+      name: 'gets a new connection',
+      sent: ['a', 'a'],
+      maximumConnections: 2,
+      bodies: ['1', '2'],
+    },
+    {
+      name: 'gets a new connection at the maximum of connections',
+      sent: ['a', 'a'],
+      maximumConnections: 1,
+      bodies: ['1', '2'],
+    },
+    {
+      name: 'gets a connection that carried another ID',
+      sent: ['a', 'a', 'b', 'b'],
+      maximumConnections: 2,
+      bodies: ['1', '2', '2', '1'],
+    },
+    {
+      name: 'is recognised after other IDs',
+      sent: ['a', 'b', 'c', 'a'],
+      maximumConnections: 2,
+      bodies: ['1', '1', '1', '2'],
+    },
+  ])('$name', async ({sent, maximumConnections, bodies}) => {
+    const address = await listen(repeatFirstAnswer());
+    const answered: string[] = [];
+    for (const attemptId of sent) {
+      const {body} = await send(address, {attemptId, maximumConnections});
+      answered.push(body);
+    }
+    expect(answered).toEqual(bodies);
+  });
+});
+
 test.each([
   {name: 'without a length', head: ''},
   {
