Reset unframed responses when the process ends

Cause: at the end of the grace period the process exited with responses under way. The operating system closes their connections in order, which is the regular end of a response without a length.

Change: when the process ends, it first resets the connections of begun responses that only their end delimits, at the end of its stop and in its exit handler. Responses with a length or chunks show by themselves that they are cut. Hosts that carry attempts always send chunks.

Open: after SIGKILL the kernel closes the connections in order, too.

--- a/packages/callers/src/routed_server.ts
+++ b/packages/callers/src/routed_server.ts
@@ -90,6 +90,12 @@
    * elsewhere.
    */
   startLeaving(): void;
+  /**
+   * Resets the connections of begun responses that only their end delimits. The end
+   * of the process would close these connections in order, and their clients would
+   * take the responses for complete.
+   */
+  abortUnframed(): void;
   /** Stops accepting connections and closes idle ones. */
   close(): void;
 }
@@ -119,6 +125,7 @@
   onUnexpectedError: (error: unknown) => void,
 ): Promise<RoutedServer> {
   const state = {isLeaving: false};
+  const unfinished = new Set<ResponseWriter>();
   const server = createServer(
     {
       maxHeaderSize: PARSER_HEADER_BYTES,
@@ -128,7 +135,10 @@
     (message, response) => {
       response.sendDate = false;
       response.shouldKeepAlive &&= !state.isLeaving;
-      answerMessage(message, response, handler, () => state.isLeaving).catch(
+      const responder = new ResponseWriter(response, () => state.isLeaving);
+      unfinished.add(responder);
+      response.once('close', () => unfinished.delete(responder));
+      answerMessage(message, response, handler, responder).catch(
         (error: unknown) => {
           onUnexpectedError(error);
           response.destroy();
@@ -147,6 +157,11 @@
     startLeaving: () => {
       state.isLeaving = true;
     },
+    abortUnframed: () => {
+      for (const responder of unfinished) {
+        responder.abortIfUnframed();
+      }
+    },
     close: () => {
       server.close();
       server.closeIdleConnections();
@@ -171,9 +186,8 @@
   message: IncomingMessage,
   response: ServerResponse,
   handler: RoutedCallHandler,
-  isLeaving: () => boolean,
+  responder: ResponseWriter,
 ): Promise<void> {
-  const responder = new ResponseWriter(response, isLeaving);
   const headerBytes = message.rawHeaders.reduce(
     (sum, part) => sum + part.length + 2,
     0,
@@ -245,6 +259,9 @@
 }
 
 class ResponseWriter implements RoutedResponder {
+  /** Whether the client takes any orderly end of its connection for complete. */
+  private isUnframed = false;
+
   constructor(
     private readonly response: ServerResponse,
     private readonly isLeaving: () => boolean,
@@ -305,6 +322,8 @@
     }
     this.writeHead(status, headers);
     this.response.flushHeaders();
+    // Clients of HTTP/1.0 get no chunks in any case.
+    this.isUnframed = !this.response.chunkedEncoding;
   }
 
   write(chunk: Buffer): boolean {
@@ -328,6 +347,13 @@
     socket.resetAndDestroy();
   }
 
+  /** Aborts the response if it has no framing and is not written completely. */
+  abortIfUnframed(): void {
+    if (this.isUnframed && !this.response.writableFinished) {
+      this.abort();
+    }
+  }
+
   /** Ends the response, and its connection if the client stops reading. */
   private endResponse(body?: Buffer): void {
     const {response} = this;
--- a/packages/entry-process/src/main.ts
+++ b/packages/entry-process/src/main.ts
@@ -90,6 +90,7 @@
         const {RoutedProcess} =
           await import('./routed_interface/lifecycle/routed_process.js');
         const routedProcess = new RoutedProcess(result.settings, metricsPort);
+        process.on('exit', () => routedProcess.abortUnframed());
         process.on('SIGTERM', () => {
           void routedProcess
             .leave()
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_process.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_process.ts
@@ -163,6 +163,16 @@
     this.tasks.peers.close();
     this.tasks.pool.close();
     await this.tasks.store.close();
+    this.abortUnframed();
+  }
+
+  /**
+   * Resets the connections of responses that would look complete if the process
+   * ended now; to be called whenever it ends.
+   */
+  abortUnframed(): void {
+    this.listeners?.callers.abortUnframed();
+    this.listeners?.relay.abortUnframed();
   }
 
   private listen(): Promise<RoutedListeners> {
--- a/packages/entry-process/tests/routed_fixtures.ts
+++ b/packages/entry-process/tests/routed_fixtures.ts
@@ -127,6 +127,19 @@
     return installation;
   }
 
+  /** Publishes the configuration with other properties of every route. */
+  publish(properties: Readonly<Record<string, unknown>>): void {
+    const routes = CONFIGURATION.routes.map(published => ({
+      ...published,
+      ...properties,
+    }));
+    this.store.put('keyed.op', 'config', {
+      ...CONFIGURATION,
+      version: CONFIGURATION.version + 1,
+      routes,
+    });
+  }
+
   /** Stops every process and stand-in. */
   async stop(): Promise<void> {
     await Promise.all(this.processes.map(started => started.stopNow()));
--- a/packages/stand-ins/src/routed_engine_stand_in.ts
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -70,9 +70,6 @@
 /** A path that contains this requests large events. */
 export const LARGE_STREAM_MARK = '-large-';
 
-/** Milliseconds between two events of a stream. */
-const EVENT_INTERVAL_MILLISECONDS = 10;
-
 /** Milliseconds between the head of an answer and a crash under it. */
 const CRASH_DELAY_MILLISECONDS = 60;
 
@@ -97,6 +94,8 @@
   executionMilliseconds = 0;
   /** Whether the text of an answer contains the id of its attempt. */
   hasAttemptIdInAnswer = false;
+  /** Milliseconds between two events of a stream. */
+  eventIntervalMilliseconds = 10;
   /** Version of the model weights; 0 for an upstream without a model. */
   weightVersion = 0;
   /** Version of its software, which its entries state. */
@@ -365,7 +364,7 @@
         (this.breaksOffFirstAttempts && lastEventId === 0);
       if (breaksOff && id > STREAM_EVENTS / 2) {
         response.write(`id: ${id}\ndata: cut in the mid`);
-        await delay(EVENT_INTERVAL_MILLISECONDS);
+        await delay(this.eventIntervalMilliseconds);
         if (isUnframed) {
           response.end();
           return;
@@ -375,7 +374,7 @@
       }
       const event = `event-${id}${this.attemptSuffixOf(message)}${this.paddingOf(message)}`;
       response.write(`id: ${id}\ndata: ${event}\n\n`);
-      await delay(EVENT_INTERVAL_MILLISECONDS);
+      await delay(this.eventIntervalMilliseconds);
     }
     response.end();
   }
--- a/packages/stand-ins/src/settings_file_stand_in.ts
+++ b/packages/stand-ins/src/settings_file_stand_in.ts
@@ -92,6 +92,7 @@
    */
   readonly revocationMilliseconds?: number;
   readonly usageWindowSeconds?: number;
+  readonly gracePeriodSeconds?: number;
   /** Whether the whole system starts for the first time. */
   readonly isFirstStart?: boolean;
 }
@@ -105,6 +106,7 @@
     seeds = [],
     revocationMilliseconds = 5000,
     usageWindowSeconds = 5,
+    gracePeriodSeconds = 8,
     isFirstStart = true,
   }: SettingsFileOptions = {},
 ): string {
@@ -129,6 +131,7 @@
 leaseMs = 3000
 revocationMs = ${revocationMilliseconds}
 usageWindowS = ${usageWindowSeconds}
+gracePeriodS = ${gracePeriodSeconds}
 [platform]
 address = "${storeAddress}"
 [cloudApi]
