Search each byte of a stream for its events once

Cause: for each chunk the event splitter joined all pending bytes and searched all their line ends again, work that grows with the square of up to 1 MiB.

Change: the splitter keeps the state of its search between chunks, and collects pending bytes in a buffer that doubles, so that each byte is searched once and copied a bounded number of times. Answers that are not streamed are collected the same way.

--- a/packages/decisions/src/answers/event_splitter.ts
+++ b/packages/decisions/src/answers/event_splitter.ts
@@ -1,7 +1,8 @@
 /**
  * Splits a stream of server-sent events into complete events without changing
- * their bytes.
+ * their bytes. The work for a chunk does not depend on what is pending.
  */
+import {ByteAccumulator} from './byte_accumulator.js';
 
 /** A complete server-sent event. */
 export interface SplitEvent {
@@ -11,64 +12,84 @@
   readonly id: string | undefined;
 }
 
+/** What the bytes of the pending event end with. */
+type LineState = 'in-line' | 'after-newline' | 'after-carriage-return';
+
 const NEWLINE = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_LINE = /^id:[ ]?(.*?)\r?$/m;
 
 /** Buffers bytes until they form complete events. */
 export class EventSplitter {
-  private remainder: Buffer = Buffer.alloc(0);
+  private readonly pending = new ByteAccumulator();
+  private lineState: LineState = 'in-line';
 
   /** Number of bytes after the last complete event. */
   get pendingBytes(): number {
-    return this.remainder.length;
+    return this.pending.length;
   }
 
   /** Adds `chunk` and returns the events that it completes. */
   push(chunk: Buffer): readonly SplitEvent[] {
-    const bytes =
-      this.remainder.length === 0
-        ? chunk
-        : Buffer.concat([this.remainder, chunk]);
     const events: SplitEvent[] = [];
     let start = 0;
     for (
-      let end = endOfEvent(bytes, start);
-      end > 0;
-      end = endOfEvent(bytes, start)
+      let end = this.findEnd(chunk, start);
+      end !== undefined;
+      end = this.findEnd(chunk, start)
     ) {
-      const event = bytes.subarray(start, end);
-      events.push({bytes: event, id: idOf(event)});
+      const bytes = this.complete(chunk.subarray(start, end));
+      events.push({bytes, id: idOf(bytes)});
       start = end;
     }
-    this.remainder = bytes.subarray(start);
+    this.pending.append(chunk.subarray(start));
     return events;
   }
 
   /** Removes and returns the bytes after the last complete event. */
   takeRemainder(): Buffer {
-    const remainder = this.remainder;
-    this.remainder = Buffer.alloc(0);
-    return remainder;
+    this.lineState = 'in-line';
+    return this.pending.take();
   }
-}
 
-/** Returns the position after the next blank line, or 0 if there is none. */
-function endOfEvent(bytes: Buffer, start: number): number {
-  for (
-    let newline = bytes.indexOf(NEWLINE, start);
-    newline >= 0;
-    newline = bytes.indexOf(NEWLINE, newline + 1)
-  ) {
-    const next = newline + 1;
-    if (bytes[next] === NEWLINE) {
-      return next + 1;
+  /** Returns the event that ends with `bytes`. */
+  private complete(bytes: Buffer): Buffer {
+    if (this.pending.length === 0) {
+      return bytes;
     }
-    if (bytes[next] === CARRIAGE_RETURN && bytes[next + 1] === NEWLINE) {
-      return next + 2;
+    this.pending.append(bytes);
+    return this.pending.take();
+  }
+
+  /**
+   * Returns the position in `chunk` after the next blank line; undefined without
+   * one. Continues the search of the chunk before.
+   */
+  private findEnd(chunk: Buffer, start: number): number | undefined {
+    let position = start;
+    while (position < chunk.length) {
+      if (this.lineState === 'in-line') {
+        const newline = chunk.indexOf(NEWLINE, position);
+        if (newline < 0) {
+          return undefined;
+        }
+        position = newline + 1;
+        this.lineState = 'after-newline';
+        continue;
+      }
+      const byte = chunk[position];
+      position += 1;
+      if (byte === NEWLINE) {
+        this.lineState = 'in-line';
+        return position;
+      }
+      this.lineState =
+        byte === CARRIAGE_RETURN && this.lineState === 'after-newline'
+          ? 'after-carriage-return'
+          : 'in-line';
     }
+    return undefined;
   }
-  return 0;
 }
 
 function idOf(event: Buffer): string | undefined {
--- a/packages/entry-process/src/routed_interface/requests/routed_attempt.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_attempt.ts
@@ -3,6 +3,7 @@
  */
 import {
   type AnswerEnd,
+  ByteAccumulator,
   EventSplitter,
   findStreamFault,
   judgeAnswerEnd,
@@ -88,8 +89,7 @@
   private head: AnswerHead | undefined;
   private isRelayed = false;
   private readonly splitter = new EventSplitter();
-  private readonly chunks: Buffer[] = [];
-  private bytes = 0;
+  private readonly body = new ByteAccumulator();
   private eventCount = 0;
   /** Time at which the pending event began; undefined without one. */
   private eventBegunAt: number | undefined;
@@ -197,13 +197,12 @@
       this.checkPendingEvent(events.length > 0, this.clock());
       return;
     }
-    this.bytes += chunk.length;
-    if (this.bytes > MAXIMUM_RESPONSE_BYTES) {
+    if (this.body.length + chunk.length > MAXIMUM_RESPONSE_BYTES) {
       const failure = lostAnswer('the answer is too large');
       this.cancel({kind: 'failed', failure});
       return;
     }
-    this.chunks.push(chunk);
+    this.body.append(chunk);
   }
 
   /**
@@ -245,8 +244,7 @@
       this.endStream(end);
       return;
     }
-    const body = Buffer.concat(this.chunks);
-    this.settle({kind: 'whole', head: this.head, body});
+    this.settle({kind: 'whole', head: this.head, body: this.body.take()});
   }
 
   private endStream(end: AnswerEnd): void {
