Gossip and store the verdicts on contents that crash upstreams

Cause: the hosts that count the crashes of a content notify the others once, when the verdict changes. A host that starts later, or misses the message, never gets it.

Change: hosts gossip the verdicts whose last crash is within the time of a quarantine, at most 32, and the counting hosts keep them in the store for the case that all hosts end. The gossip has had a field for them; the build before leaves it empty and ignores it.

--- a/packages/decisions/src/crashes/quarantine.ts
+++ b/packages/decisions/src/crashes/quarantine.ts
@@ -1,6 +1,7 @@
 /**
  * Quarantine of content that crashes the upstreams that run it.
  */
+import {z} from 'zod';
 
 /**
  * Time after the latest crash of content at which all of its crashes stop
@@ -11,23 +12,41 @@
 /** Largest number of crashes kept for the same content, the latest ones. */
 const MAXIMUM_CRASHES_PER_CONTENT = 8;
 
+const CRASH_SCHEMA = z
+  .object({
+    upstreamId: z.string(),
+    /** Whether the upstream ran no other request. */
+    wasAlone: z.boolean(),
+    /** Milliseconds since the epoch. */
+    time: z.number(),
+  })
+  .readonly();
+
+const SUSPICION_SCHEMA = z
+  .object({
+    /** Hash of the workspace and the content. */
+    fingerprint: z.string(),
+    /** The latest crash of each upstream, oldest first. */
+    crashes: z.array(CRASH_SCHEMA).readonly(),
+    /** Time of the last complete run of the content; -1 if there was none. */
+    lastCleared: z.number(),
+  })
+  .readonly();
+
 /** A crash of an upstream while it ran certain content. */
-export interface Crash {
-  readonly upstreamId: string;
-  /** Whether the upstream ran no other request. */
-  readonly wasAlone: boolean;
-  /** Milliseconds since the epoch. */
-  readonly time: number;
-}
+export type Crash = z.infer<typeof CRASH_SCHEMA>;
 
 /** The crashes during runs of the same content, as exchanged by hosts. */
-export interface Suspicion {
-  /** Hash of the workspace and the content. */
-  readonly fingerprint: string;
-  /** The latest crash of each upstream, oldest first. */
-  readonly crashes: readonly Crash[];
-  /** Time of the last complete run of the content; -1 if there was none. */
-  readonly lastCleared: number;
+export type Suspicion = z.infer<typeof SUSPICION_SCHEMA>;
+
+/** Decodes a suspicion from the store; undefined if it is none. */
+export function decodeSuspicion(value: Buffer): Suspicion | undefined {
+  try {
+    const parsed = SUSPICION_SCHEMA.safeParse(JSON.parse(value.toString()));
+    return parsed.success ? parsed.data : undefined;
+  } catch {
+    return undefined;
+  }
 }
 
 /** Value of `lastCleared` for content without a complete run. */
@@ -72,6 +91,11 @@
 
   constructor(private readonly policy: QuarantinePolicy = ALONE_POLICY) {}
 
+  /** Whether no content is suspected. */
+  get isEmpty(): boolean {
+    return this.suspicions.size === 0;
+  }
+
   /** Returns how to treat requests with the content at `now`. */
   verdict(
     fingerprint: string,
@@ -141,9 +165,8 @@
 
   /** Discards the suspicions whose crashes no longer count at `now`. */
   forget(now: number): void {
-    for (const [fingerprint, {crashes}] of this.suspicions) {
-      const lastCrashAt = crashes.at(-1)?.time ?? 0;
-      if (now >= lastCrashAt + CRASH_RETENTION_MILLISECONDS) {
+    for (const [fingerprint, suspicion] of this.suspicions) {
+      if (now >= lastCrashOf(suspicion) + CRASH_RETENTION_MILLISECONDS) {
         this.suspicions.delete(fingerprint);
       }
     }
@@ -154,6 +177,26 @@
     return this.suspicions.get(fingerprint);
   }
 
+  /**
+   * Returns the suspicions of at most `maximum` contents whose crashes are enough
+   * for a quarantine that has not ended at `now`, the latest ones, and whether these
+   * have been cleared since.
+   */
+  decided(
+    maximum: number,
+    quarantineMilliseconds: number,
+    now: number,
+  ): readonly Suspicion[] {
+    return this.list()
+      .filter(
+        suspicion =>
+          this.requiresQuarantine(suspicion.crashes) &&
+          now < lastCrashOf(suspicion) + quarantineMilliseconds,
+      )
+      .sort((left, right) => lastCrashOf(left) - lastCrashOf(right))
+      .slice(-maximum);
+  }
+
   /** Returns all known suspicions. */
   list(): readonly Suspicion[] {
     return [...this.suspicions.values()];
@@ -167,6 +210,10 @@
   }
 }
 
+function lastCrashOf({crashes}: Suspicion): number {
+  return crashes.at(-1)?.time ?? 0;
+}
+
 /** Returns a suspicion that records a single crash. */
 export function suspicionOfCrash(fingerprint: string, crash: Crash): Suspicion {
   return {fingerprint, crashes: [crash], lastCleared: NEVER_CLEARED};
--- a/packages/entry-process/src/routed_interface/evidence/crash_watch.ts
+++ b/packages/entry-process/src/routed_interface/evidence/crash_watch.ts
@@ -1,7 +1,8 @@
 /**
  * Detects content that crashes upstreams, across all entry hosts. Two hosts
  * chosen by rendezvous hashing count the crashes of a content, and they notify
- * every host when they quarantine it.
+ * every host when they quarantine it. Gossip carries the verdict to hosts that
+ * missed it, and the store keeps it for the case that all hosts end.
  */
 import {crc32} from 'node:zlib';
 
@@ -20,6 +21,10 @@
 import type {ConnectionPool} from '@lacewingwinch/upstreams';
 import murmurhash from 'murmurhash';
 
+import {isAborted} from '../../util/is_aborted.js';
+import {pause} from '../../util/pause.js';
+import type {ContentVerdictStore} from './content_verdict_store.js';
+
 /** Milliseconds within which all connections of a crashed upstream end. */
 const CRASH_DETECTION_MILLISECONDS = 100;
 
@@ -41,6 +46,12 @@
  */
 const MAXIMUM_REPORTED_CONTENTS = 1024;
 
+/** Largest number of verdicts in one gossip message. */
+const MAXIMUM_GOSSIPED_VERDICTS = 32;
+
+/** Milliseconds between two rounds of the periodic work. */
+const ROUND_MILLISECONDS = 1000;
+
 /** The properties of a request that identify its content. */
 export interface Content {
   /** Empty for a public rule. */
@@ -70,6 +81,7 @@
   readonly trueTime: () => number;
   /** Returns the serving hosts, including this one. */
   readonly servingHosts: () => readonly Member[];
+  readonly verdicts: Pick<ContentVerdictStore, 'load' | 'remove' | 'save'>;
 }
 
 /** Crash detection of one entry host. */
@@ -81,6 +93,10 @@
    * have not run to completion since.
    */
   private readonly reported = new Set<string>();
+  /** Fingerprints whose verdicts this host has to write to the store. */
+  private readonly unsaved = new Set<string>();
+  /** Fingerprints of which this host knows a verdict in the store. */
+  private readonly saved = new Set<string>();
 
   constructor(private readonly dependencies: CrashWatchDependencies) {}
 
@@ -161,12 +177,74 @@
       this.countingHostIds(fingerprint).includes(hostId)
     ) {
       this.notify(servingHosts(), merged);
+      this.unsaved.add(fingerprint);
     }
     if (isQuarantined && this.answered.has(fingerprint, clock())) {
       this.recordCompletion(fingerprint);
     }
   }
 
+  /** Merges the verdicts that another host gossips. */
+  onGossip(received: readonly Suspicion[]): void {
+    received.forEach(suspicion => this.onSuspicion(suspicion));
+  }
+
+  /** Returns the verdicts to gossip, also those that were lifted. */
+  gossipedVerdicts(): readonly Suspicion[] {
+    return this.quarantine.isEmpty
+      ? []
+      : this.quarantine.decided(
+          MAXIMUM_GOSSIPED_VERDICTS,
+          QUARANTINE_MILLISECONDS,
+          this.dependencies.trueTime(),
+        );
+  }
+
+  /**
+   * Reads the verdicts in the store and keeps them up to date there, until `signal`
+   * aborts.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    let isLoaded = false;
+    while (!isAborted(signal)) {
+      isLoaded ||= await this.load();
+      await this.updateStore();
+      await pause(ROUND_MILLISECONDS, signal);
+    }
+  }
+
+  private async load(): Promise<boolean> {
+    const verdicts = await this.dependencies.verdicts.load();
+    for (const verdict of verdicts ?? []) {
+      this.onSuspicion(verdict);
+      this.unsaved.delete(verdict.fingerprint);
+      this.saved.add(verdict.fingerprint);
+    }
+    return verdicts !== undefined;
+  }
+
+  /** Writes new verdicts to the store, and removes those that have ended. */
+  private async updateStore(): Promise<void> {
+    const {verdicts, trueTime} = this.dependencies;
+    if (this.unsaved.size === 0 && this.saved.size === 0) {
+      return;
+    }
+    this.quarantine.forget(trueTime());
+    for (const fingerprint of this.unsaved) {
+      const suspicion = this.quarantine.find(fingerprint);
+      if (suspicion === undefined || (await verdicts.save(suspicion))) {
+        this.unsaved.delete(fingerprint);
+        this.saved.add(fingerprint);
+      }
+    }
+    for (const fingerprint of this.saved) {
+      const isOver = this.quarantine.find(fingerprint) === undefined;
+      if (isOver && (await verdicts.remove(fingerprint))) {
+        this.saved.delete(fingerprint);
+      }
+    }
+  }
+
   /**
    * Reports a crash to the counting hosts. Other hosts do not store it, so that
    * a later completion clears every copy.
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_process.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_process.ts
@@ -76,6 +76,10 @@
     this.monitor('relay', this.tasks.relay.run(this.stopping.signal));
     this.monitor('placement', this.tasks.placement.run(this.stopping.signal));
     this.monitor('quarantine', this.tasks.parts.run(this.stopping.signal));
+    this.monitor(
+      'quarantine of contents',
+      this.tasks.crashes.run(this.stopping.signal),
+    );
     this.monitor('usage', this.tasks.usagePush.run(this.stopping.signal));
     this.monitor(
       'rollouts',
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -38,6 +38,7 @@
 import {createRoutedDuties} from '../duties/routed_duties.js';
 import {UsagePush} from '../duties/usage_push.js';
 import {AnswerAnnouncements} from '../evidence/answer_announcements.js';
+import {ContentVerdictStore} from '../evidence/content_verdict_store.js';
 import {CrashWatch} from '../evidence/crash_watch.js';
 import {PartVerdictStore} from '../evidence/part_verdict_store.js';
 import {RoutedPlacement} from '../placement/routed_placement.js';
@@ -216,6 +217,7 @@
       events: this.events,
       metrics: this.metrics,
       parts: () => this.parts,
+      crashes: () => this.crashes,
       paths: this.paths,
       trueTime: this.trueTime,
       version: () => this.configuration.current?.value.version ?? -1,
@@ -266,6 +268,10 @@
       clock: clocks.steady,
       trueTime: () => this.readTrueTime(),
       servingHosts: () => this.membership.serving(),
+      verdicts: new ContentVerdictStore({
+        store: this.store,
+        events: this.events,
+      }),
     });
     this.parts = new PartWatch({
       hostId: settings.hostId,
--- a/packages/entry-process/src/routed_interface/state/routed_membership.ts
+++ b/packages/entry-process/src/routed_interface/state/routed_membership.ts
@@ -7,6 +7,7 @@
   capacityOf,
   HostLoad,
   type Member,
+  type Suspicion,
   type TrueTime,
 } from '@lacewingwinch/decisions';
 import type {PeerClient} from '@lacewingwinch/entry-hosts';
@@ -18,6 +19,12 @@
 import type {PartWatch} from '../../tasks/part_watch.js';
 import type {Clocks} from '../../util/clocks.js';
 
+/** The quarantine of whole contents, as far as gossip carries it. */
+export interface ContentQuarantine {
+  gossipedVerdicts(): readonly Suspicion[];
+  onGossip(received: readonly Suspicion[]): void;
+}
+
 /** Dependencies of the membership task. */
 export interface RoutedMembershipDependencies {
   readonly settings: () => PlatformSettings;
@@ -27,6 +34,8 @@
   readonly metrics: Metrics;
   /** Returns the quarantine of prompt parts, which gossips its suspicions. */
   readonly parts: () => PartWatch;
+  /** Returns the quarantine of whole contents, which gossips its verdicts. */
+  readonly crashes: () => ContentQuarantine;
   /** Knows whether this host and others are cut off from the upstreams. */
   readonly paths: UpstreamPaths;
   /** Receives the times of day that other hosts report. */
@@ -48,6 +57,7 @@
     events,
     metrics,
     parts,
+    crashes,
     paths,
     trueTime,
     version,
@@ -87,16 +97,18 @@
     content: () => ({
       configurationReadTo: version(),
       leavingUpstreams: [],
-      suspicions: [],
+      suspicions: crashes().gossipedVerdicts(),
       partSuspicions: parts().openSuspicions(),
       loads: [],
       demands: [],
       timeOfDay: clocks.timeOfDay(),
       ...(paths.isCutOff && {isCutOff: true}),
     }),
-    onDigest: (sender, {timeOfDay, partSuspicions = [], isCutOff = false}) => {
-      paths.recordHostCutOff(sender.hostId, isCutOff);
-      parts().onGossip(partSuspicions);
+    onDigest: (sender, digest) => {
+      const {timeOfDay, suspicions, partSuspicions, isCutOff} = digest;
+      paths.recordHostCutOff(sender.hostId, isCutOff ?? false);
+      crashes().onGossip(suspicions);
+      parts().onGossip(partSuspicions ?? []);
       if (timeOfDay !== undefined) {
         trueTime.recordSample(sender.hostId, timeOfDay, clocks.steady());
       }
--- a/packages/entry-process/tests/crash_watch_test.ts
+++ b/packages/entry-process/tests/crash_watch_test.ts
@@ -55,6 +55,11 @@
         clock: () => Date.now(),
         trueTime: () => Date.now(),
         servingHosts: () => HOSTS.map(servingMember),
+        verdicts: {
+          load: () => Promise.resolve([]),
+          save: () => Promise.resolve(true),
+          remove: () => Promise.resolve(true),
+        },
       }),
     ]),
   );
--- a/packages/stand-ins/src/routed_engine_stand_in.ts
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -141,6 +141,8 @@
   readonly ran: ExecutedRequest[] = [];
   /** Prompt parts under which the process crashes when it begins to answer. */
   crashingParts: ReadonlySet<string> = new Set();
+  /** Body of the requests under which the process crashes. */
+  crashingBody: string | undefined;
   /** Milliseconds from a crash until the process has started again. */
   restartMilliseconds = 300;
   /** Called when the process has started again after a crash. */
@@ -283,6 +285,10 @@
       at: Date.now(),
       softwareVersion: this.softwareVersion,
     });
+    if (body === this.crashingBody) {
+      await this.crash();
+      return;
+    }
     await delay(this.executionMilliseconds);
     switch (this.behavior) {
       case 'answer':
