Don't renew the slack of the retry budget at a restart

Cause: a process that starts again had its host's part of the fixed number of retries once more, though the retries of the process before still count.

Change: a process spends that part from a window after its start on, unless the whole system starts for the first time. The retries in proportion to its own requests are allowed from the start.

Only suspected: retries that a freeze or a queue shifts into another window.

Tests: retry_budget_test.ts, shared_limits_test.ts.

--- a/packages/decisions/src/retries/service_retry_budgets.ts
+++ b/packages/decisions/src/retries/service_retry_budgets.ts
@@ -3,6 +3,7 @@
  */
 import {
   type RetryBudgetBounds,
+  type RetryBudgetStart,
   SharedRetryBudget,
 } from './shared_retry_budget.js';
 
@@ -10,7 +11,10 @@
 export class ServiceRetryBudgets {
   private readonly budgets = new Map<string, SharedRetryBudget>();
 
-  constructor(private readonly bounds: RetryBudgetBounds) {}
+  constructor(
+    private readonly bounds: RetryBudgetBounds,
+    private readonly start: RetryBudgetStart,
+  ) {}
 
   /** Returns the budget of `service`. */
   of(service: string): SharedRetryBudget {
@@ -18,7 +22,7 @@
     if (existing !== undefined) {
       return existing;
     }
-    const created = new SharedRetryBudget(this.bounds);
+    const created = new SharedRetryBudget(this.bounds, this.start);
     this.budgets.set(service, created);
     return created;
   }
--- a/packages/decisions/src/retries/shared_retry_budget.ts
+++ b/packages/decisions/src/retries/shared_retry_budget.ts
@@ -13,6 +13,17 @@
   readonly windowMilliseconds: number;
 }
 
+/**
+ * When a host may spend its part of the fixed number of retries. A process that ended
+ * may have spent the part of its host, and its retries count for a window.
+ */
+export interface RetryBudgetStart {
+  /** Steady clock reading at the start of this process. */
+  readonly startedAt: number;
+  /** Whether no process can have run before this one. */
+  readonly isFirstStart: boolean;
+}
+
 /**
  * Share of the budget that is spent. The rest is a reserve for clocks that
  * differ and for retries that arrive late.
@@ -26,7 +37,17 @@
   /** Times of the retries within the window. */
   private readonly retries: number[] = [];
 
-  constructor(private readonly bounds: RetryBudgetBounds) {}
+  /** Time from which this host spends its part of the fixed number of retries. */
+  private readonly slackFrom: number;
+
+  constructor(
+    private readonly bounds: RetryBudgetBounds,
+    {startedAt, isFirstStart}: RetryBudgetStart,
+  ) {
+    this.slackFrom = isFirstStart
+      ? -Infinity
+      : startedAt + bounds.windowMilliseconds;
+  }
 
   /** Counts a request. */
   addRequest(now: number): void {
@@ -40,7 +61,8 @@
    */
   take(hosts: number, now: number): boolean {
     this.forget(now);
-    const {ratio, slack} = this.bounds;
+    const {ratio} = this.bounds;
+    const slack = now < this.slackFrom ? 0 : this.bounds.slack;
     const allowedRetries =
       USABLE_SHARE *
       (ratio * this.requests.length + slack / Math.max(1, hosts));
--- a/packages/decisions/tests/shared_limits_test.ts
+++ b/packages/decisions/tests/shared_limits_test.ts
@@ -176,11 +176,12 @@
 }
 
 describe('a part of a retry budget', () => {
+  const BOUNDS = {ratio: 0.2, slack: 40, windowMilliseconds: 10_000};
+
   it('stays below its share of the requests and of the slack', () => {
-    const budget = new SharedRetryBudget({
-      ratio: 0.2,
-      slack: 40,
-      windowMilliseconds: 10_000,
+    const budget = new SharedRetryBudget(BOUNDS, {
+      startedAt: 0,
+      isFirstStart: true,
     });
     let taken = 0;
     for (let now = 0; now < 10_000; now += 100) {
@@ -191,6 +192,41 @@
     expect(taken).toBeGreaterThan(20);
     expect(budget.take(HOSTS, 25_000)).toBe(true);
   });
+
+  it.each([
+    {name: 'at the first start', isFirstStart: true, now: 1000, taken: 16},
+    {name: 'after another process', isFirstStart: false, now: 1000, taken: 0},
+    {
+      name: 'until the retries of that process no longer count',
+      isFirstStart: false,
+      now: 10_999,
+      taken: 0,
+    },
+    {
+      name: 'when they no longer count',
+      isFirstStart: false,
+      now: 11_000,
+      taken: 16,
+    },
+  ])('has $taken retries without requests $name', testCase => {
+    const {isFirstStart, now, taken} = testCase;
+    const budget = new SharedRetryBudget(BOUNDS, {
+      startedAt: 1000,
+      isFirstStart,
+    });
+    const retries = Array.from({length: 40}, () => budget.take(2, now));
+    expect(retries.filter(Boolean).length).toBe(taken);
+  });
+
+  it('has retries for the requests of a process that follows another one', () => {
+    const budget = new SharedRetryBudget(BOUNDS, {
+      startedAt: 0,
+      isFirstStart: false,
+    });
+    Array.from({length: 100}, () => budget.addRequest(0));
+    const retries = Array.from({length: 40}, () => budget.take(2, 0));
+    expect(retries.filter(Boolean).length).toBe(16);
+  });
 });
 
 const HISTORY: AttemptHistory = {
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -227,11 +227,14 @@
       this.membership,
       this.startedAt,
     );
-    this.retryBudgets = new ServiceRetryBudgets({
-      ratio: settings.bounds.retryRatio,
-      slack: settings.bounds.retrySlack,
-      windowMilliseconds: settings.bounds.retryWindowMilliseconds,
-    });
+    this.retryBudgets = new ServiceRetryBudgets(
+      {
+        ratio: settings.bounds.retryRatio,
+        slack: settings.bounds.retrySlack,
+        windowMilliseconds: settings.bounds.retryWindowMilliseconds,
+      },
+      {startedAt: this.startedAt, isFirstStart: settings.isFirstStart},
+    );
     this.usage = new UsageWindows(settings.bounds.usageWindowMilliseconds);
     this.quotas = new QuotaExchange({
       peers: this.peers,
--- a/packages/stand-ins/src/routed_engine_stand_in.ts
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -137,6 +137,8 @@
   pauseAnnouncement: string | undefined;
   /** Times at which requests arrived, executed or not. */
   readonly arrivals: number[] = [];
+  /** Attempt ids of the requests that arrived, executed or not. */
+  readonly arrivedAttemptIds: string[] = [];
   /** Executed requests. */
   readonly ran: ExecutedRequest[] = [];
   /** Prompt parts under which the process crashes when it begins to answer. */
@@ -234,6 +236,7 @@
       this.abandonedRequests += response.writableFinished ? 0 : 1;
     });
     const attemptId = String(headers['x-attempt-id']);
+    this.arrivedAttemptIds.push(attemptId);
     message.socket.write(this.lateCopies.get(message.socket) ?? '');
     this.lateCopies.delete(message.socket);
     const signedHeaders = {
