Wait at the start for addresses that are in use

Cause: another process held one of its addresses, for example the one before that was still stopping, and listening was tried once. The port of the metrics ended the process as well, and the reason was not in the log.

Evidence: occupied_ports_test.ts, with real processes, holds each address for 1.5 s: all seven cases failed on the code before and pass now.

Change: a start tries an address in use again for up to 30 s (event 1010), metrics start when their port is free (event 1011), and a process that can't start logs the reason (event 1012) and exits with code 1. The own interface does the same.

Tests: occupied_ports_test.ts.

--- a/packages/entry-process/src/entry_process.ts
+++ b/packages/entry-process/src/entry_process.ts
@@ -20,6 +20,7 @@
 import {createPeerHandlers} from './peer_handlers.js';
 import type {Settings} from './settings.js';
 import {ChangeNotifier} from './util/change_notifier.js';
+import {listenWhenFree} from './util/listen_when_free.js';
 import {messageOf} from './util/message_of.js';
 import {pause} from './util/pause.js';
 
@@ -93,6 +94,12 @@
     return this.leaving;
   }
 
+  /** Logs why the process could not start; it ends because of that. */
+  logFailedStart(error: unknown): void {
+    const {hostId} = this.settings;
+    this.tasks.events.write(1012, {hostId, error: messageOf(error)});
+  }
+
   /** Logs an error that nothing caught; the process leaves because of it. */
   logUncaught(stack: string): void {
     const {hostId} = this.settings;
@@ -118,26 +125,37 @@
     const onUnexpected = (error: unknown): void =>
       events.write(1006, {task: 'callers', error: messageOf(error)});
     const drain = (): void => void this.leave('drain');
-    const peers = await listenForPeers(
-      listenAddress,
-      peerPort,
-      createPeerHandlers(this.tasks),
+    const waiting = {
+      clock: this.tasks.clock,
+      onInUse: (error: string) => events.write(1010, {error}),
+      signal: this.stopping.signal,
+    };
+    const peers = await listenWhenFree(
+      () =>
+        listenForPeers(listenAddress, peerPort, createPeerHandlers(this.tasks)),
+      waiting,
     );
-    const callers = await listenForClients(
-      listenAddress,
-      callerPort,
-      front,
-      onUnexpected,
+    const callers = await listenWhenFree(
+      () => listenForClients(listenAddress, callerPort, front, onUnexpected),
+      waiting,
     );
-    const operators = await listenForOperators(
-      listenAddress,
-      operatorPort,
-      createOperatorHandlers(this.settings.hostId, this.tasks, drain),
+    const operators = await listenWhenFree(
+      () =>
+        listenForOperators(
+          listenAddress,
+          operatorPort,
+          createOperatorHandlers(this.settings.hostId, this.tasks, drain),
+        ),
+      waiting,
     );
-    const relay = await listenForRoutedCalls(
-      `${listenAddress}:${relayPort}`,
-      carrier,
-      onUnexpected,
+    const relay = await listenWhenFree(
+      () =>
+        listenForRoutedCalls(
+          `${listenAddress}:${relayPort}`,
+          carrier,
+          onUnexpected,
+        ),
+      waiting,
     );
     return {callers, peers, operators, relay};
   }
--- a/packages/entry-process/src/main.ts
+++ b/packages/entry-process/src/main.ts
@@ -22,6 +22,9 @@
 /** Exit code for invalid arguments or settings. */
 const EXIT_USAGE = 2;
 
+/** Exit code of a process that could not start. */
+const EXIT_FAILED_START = 1;
+
 /**
  * Milliseconds between two checks of the settings file, which may change
  * without a signal. A shorter period gains little, because the seeds in the
@@ -56,7 +59,7 @@
         leave: () => entryProcess.leave('failure'),
       });
       void entryProcess.whenStopped().then(() => process.exit());
-      await entryProcess.start();
+      await startOrEnd(entryProcess);
     }
   }
 });
@@ -103,7 +106,7 @@
           leave: () => routedProcess.leave(),
         });
         reloadOnChange(path, routedProcess);
-        await routedProcess.start();
+        await startOrEnd(routedProcess);
       }
     }
   });
@@ -149,6 +152,18 @@
   setInterval(reload, SETTINGS_POLL_PERIOD_MILLISECONDS).unref();
 }
 
+/** Starts a process; logs why it can't, and ends, if it can't. */
+async function startOrEnd(
+  starting: Pick<RoutedProcess, 'logFailedStart' | 'start'>,
+): Promise<void> {
+  try {
+    await starting.start();
+  } catch (error) {
+    starting.logFailedStart(error);
+    setTimeout(() => process.exit(EXIT_FAILED_START), LOG_FLUSH_MILLISECONDS);
+  }
+}
+
 function stopOnSignals(entryProcess: EntryProcess): void {
   let signals = 0;
   const onSignal = (): void => {
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_listeners.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_listeners.ts
@@ -18,6 +18,10 @@
 } from '@lacewingwinch/entry-hosts';
 import type {PlatformSettings} from '@lacewingwinch/platform';
 
+import {
+  type ListenOptions,
+  listenWhenFree,
+} from '../../util/listen_when_free.js';
 import {listenForMetrics, type MetricsSources} from './metrics_server.js';
 import {
   createRoutedPeerHandlers,
@@ -39,6 +43,10 @@
   readonly metrics: MetricsSources;
   readonly peers: RoutedPeerDependencies;
   readonly onUnexpected: (error: unknown) => void;
+  /** Called if metrics can't be served; the process runs without them. */
+  readonly onMetricsFailure: (error: unknown) => void;
+  /** How to wait for addresses that are in use. */
+  readonly waiting: ListenOptions;
 }
 
 /** The servers while they are listening. */
@@ -51,7 +59,10 @@
   readonly peers: PeerServer;
 }
 
-/** Starts listening at every address; rejects if one is already in use. */
+/**
+ * Starts listening at every address, as soon as it is free; rejects if one stays in
+ * use. Metrics are served as soon as their address is free, without waiting for it.
+ */
 export async function openListeners({
   addresses,
   metricsPort,
@@ -61,32 +72,39 @@
   metrics,
   peers,
   onUnexpected,
+  onMetricsFailure,
+  waiting,
 }: ListenerDependencies): Promise<RoutedListeners> {
-  const callers = await listenForRoutedCalls(
-    addresses.callers,
-    front,
-    onUnexpected,
-  );
-  const relay = await listenForRoutedCalls(
-    addresses.relay,
-    carrier,
-    onUnexpected,
-  );
+  const listenForCalls = (
+    address: string,
+    handler: RoutedCallHandler,
+  ): Promise<RoutedServer> =>
+    listenWhenFree(
+      () => listenForRoutedCalls(address, handler, onUnexpected),
+      waiting,
+    );
+  const listenForQueries = (address: string): Promise<Server> =>
+    listenWhenFree(
+      () => listenForDirectory(address, directory, onUnexpected),
+      waiting,
+    );
+  const callers = await listenForCalls(addresses.callers, front);
+  const relay = await listenForCalls(addresses.relay, carrier);
   const directoryServers = [
-    await listenForDirectory(addresses.discovery, directory, onUnexpected),
-    await listenForDirectory(addresses.readiness, directory, onUnexpected),
+    await listenForQueries(addresses.discovery),
+    await listenForQueries(addresses.readiness),
   ];
   if (metricsPort !== undefined) {
     const address = `${parseAddress(addresses.callers).host}:${metricsPort}`;
-    directoryServers.push(
-      await listenForMetrics(address, metrics, onUnexpected),
-    );
+    listenWhenFree(
+      () => listenForMetrics(address, metrics, onUnexpected),
+      waiting,
+    ).then(server => directoryServers.push(server), onMetricsFailure);
   }
   const {host, port} = parseAddress(addresses.peers);
-  const peerServer = await listenForPeers(
-    host,
-    port,
-    createRoutedPeerHandlers(peers),
+  const peerServer = await listenWhenFree(
+    () => listenForPeers(host, port, createRoutedPeerHandlers(peers)),
+    waiting,
   );
   return {callers, relay, directoryServers, peers: peerServer};
 }
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_process.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_process.ts
@@ -131,6 +131,12 @@
     return this.leaving;
   }
 
+  /** Logs why the process could not start; it ends because of that. */
+  logFailedStart(error: unknown): void {
+    const {hostId} = this.settings;
+    this.tasks.events.write(1012, {hostId, error: messageOf(error)});
+  }
+
   /** Logs an error that nothing caught; the process leaves because of it. */
   logUncaught(stack: string): void {
     this.tasks.events.write(1009, {hostId: this.settings.hostId, stack});
@@ -192,6 +198,12 @@
       peers: tasks,
       onUnexpected: error =>
         events.write(1006, {task: 'callers', error: messageOf(error)}),
+      onMetricsFailure: error => events.write(1011, {error: messageOf(error)}),
+      waiting: {
+        clock: tasks.clocks.steady,
+        onInUse: error => events.write(1010, {error}),
+        signal: this.stopping.signal,
+      },
     });
   }
 
--- a/packages/observability/src/events/process_events.ts
+++ b/packages/observability/src/events/process_events.ts
@@ -58,4 +58,21 @@
     advice:
       'Report it with the surrounding log lines; see "A host that ends by itself" in OPERATIONS.md.',
   },
+  1010: {
+    level: 'warn',
+    message: 'an address of this entry host is in use; trying again: {error}',
+    advice:
+      'No action needed if event 1002 follows; otherwise find the process that holds the address.',
+  },
+  1011: {
+    level: 'error',
+    message: 'metrics are not served: {error}',
+    advice: 'Free the port or change --metrics-port, then restart the host.',
+  },
+  1012: {
+    level: 'error',
+    message: 'entry host {hostId} ends because it could not start: {error}',
+    advice:
+      'Free the address that the error names; see "A host that ends by itself" in OPERATIONS.md.',
+  },
 } as const satisfies Readonly<Record<number, EventRow>>;
