Confirm the list of versions before a stream is taken up

Cause: a host that knows one version took it for the one that began the stream, though its list was up to 2 s old and no other host answered.

Change: an upstream is listed before it begins a stream. A host that doesn't know the origin of a stream confirms its list with a read of the store that concurrent requests share. Without that its own list proves nothing, and the request is refused as not run. No message changed.

--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -184,6 +184,7 @@
       events: this.events,
       servingHosts: () => this.membership.serving(),
       versions: this.upstreams.list.versions,
+      confirmVersions: time => this.upstreams.confirmSince(time),
       clock: clocks.suspensionAware,
     });
     this.placement = new RoutedPlacement({
--- a/packages/entry-process/src/routed_interface/state/stream_origin_exchange.ts
+++ b/packages/entry-process/src/routed_interface/state/stream_origin_exchange.ts
@@ -16,6 +16,7 @@
 import type {EventLog} from '@lacewingwinch/observability';
 
 import {callPeer} from '../../util/call_peer.js';
+import {pause} from '../../util/pause.js';
 
 /** Number of hosts that keep the origin of a stream besides its own. */
 const KEEPING_HOSTS = 3;
@@ -39,6 +40,11 @@
   readonly events: EventLog;
   readonly servingHosts: () => readonly Member[];
   readonly versions: SoftwareVersions;
+  /**
+   * Resolves with whether this host knows every version that was listed by a time of
+   * `clock`.
+   */
+  readonly confirmVersions: (time: number) => Promise<boolean>;
   /** Returns suspension-aware clock readings in milliseconds. */
   readonly clock: () => number;
 }
@@ -109,12 +115,35 @@
 
   /** Decides at which software version a stream may continue. */
   async locate(query: OriginQuery): Promise<Continuation> {
+    const known = this.answer(query);
+    if (known.origin !== undefined) {
+      return decideContinuation(query.service, [known]);
+    }
+    const [answers, isConfirmed] = await Promise.all([
+      this.queryHosts(query),
+      this.areVersionsConfirmed(),
+    ]);
     const own = this.answer(query);
-    const knowledge =
-      own.origin === undefined
-        ? [own, ...(await this.queryHosts(query))]
-        : [own];
-    return decideContinuation(query.service, knowledge);
+    const seen = {
+      ...own.seen,
+      isComplete: own.seen.isComplete && isConfirmed,
+    };
+    return decideContinuation(query.service, [{...own, seen}, ...answers]);
+  }
+
+  /**
+   * Returns whether this host knows the version that began a stream which a client
+   * takes up now. An upstream is listed before it begins a stream, so that a list of
+   * now holds it; one of before may lack it.
+   */
+  private async areVersionsConfirmed(): Promise<boolean> {
+    const ended = new AbortController();
+    const confirmed = await Promise.race([
+      this.dependencies.confirmVersions(this.dependencies.clock()),
+      pause(ANSWER_TIMEOUT_MILLISECONDS, ended.signal).then(() => false),
+    ]);
+    ended.abort();
+    return confirmed;
   }
 
   /** Queries other hosts until one returns the origin or the timeout expires. */
--- a/packages/entry-process/src/routed_interface/state/upstream_follower.ts
+++ b/packages/entry-process/src/routed_interface/state/upstream_follower.ts
@@ -71,6 +71,9 @@
   private answeredAt = -Infinity;
   private lastConfirmedAt = -Infinity;
   private outageEndedAt = -Infinity;
+  /** The last read that `confirmSince` sent, and when. */
+  private confirming:
+    {readonly sentAt: number; readonly read: Promise<unknown>} | undefined;
   private readonly reachability: StoreReachability;
   private readonly faultyEntries: FaultyEntries;
 
@@ -126,6 +129,28 @@
     this.lastConfirmedAt = Math.max(this.lastConfirmedAt, confirmedAt);
   }
 
+  /**
+   * Resolves with whether the list holds everything that was listed by `time`,
+   * reading the store if it does not yet. Callers share a read that was sent late
+   * enough.
+   */
+  async confirmSince(time: number): Promise<boolean> {
+    if (this.lastConfirmedAt >= time) {
+      return true;
+    }
+    const {clocks, events} = this.dependencies;
+    if (this.confirming === undefined || this.confirming.sentAt < time) {
+      this.confirming = {
+        sentAt: clocks.suspensionAware(),
+        read: this.readOnce().catch((error: unknown) => {
+          events.write(2002, {stream: 'upstreams', error: messageOf(error)});
+        }),
+      };
+    }
+    await this.confirming.read;
+    return this.lastConfirmedAt >= time;
+  }
+
   /** Follows the list until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!isAborted(signal)) {
--- a/packages/entry-process/tests/software_versions_test.ts
+++ b/packages/entry-process/tests/software_versions_test.ts
@@ -1,5 +1,5 @@
 /** Tests of streams that continue while two software versions serve. */
-import {RoutedEngineStandIn} from '@lacewingwinch/stand-ins';
+import {LinkProcess, RoutedEngineStandIn} from '@lacewingwinch/stand-ins';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import {type Answer, RoutedInstallation, waitUntil} from './routed_fixtures.js';
@@ -306,6 +306,37 @@
     expect(Date.now() - startedAt).toBeLessThan(500);
   });
 
+  it.each([{fault: 'hang'}, {fault: 'none'}] as const)(
+    'is not continued at another version by a host out of step: store link $fault',
+    async ({fault}) => {
+      const first = await listEngine('i-2', 'v1');
+      withdraw('i-3');
+      const link = await LinkProcess.start([installation.store.address]);
+      await installation.startProcess();
+      // It knows no other host, and reads the store over a link of its own.
+      await installation.startProcess({
+        storeAddress: link.addresses[0] ?? '',
+      });
+      await settle();
+      if (fault === 'hang') {
+        await link.cut('hang');
+      }
+      const second = await listEngine('i-4', 'v2');
+      second.breaksOffFirstAttempts = true;
+      first.behavior = 'shed';
+      await waitUntil(async () => {
+        await installation.call({path: '/stream/1'});
+        return second.ran.length > 0;
+      });
+      const lastId = await startBrokenStream('stream-1', 0);
+      first.behavior = 'answer';
+      const answer = await takeUp('stream-1', lastId, 1);
+      expect(answer.status).toBe(503);
+      expect(first.executedAttemptIds()).not.toContain('stream-1-again');
+      await link.stop();
+    },
+  );
+
   it('is refused at once if no engine of its version is left', async () => {
     await listEngine('i-2', 'v1');
     await listEngine('i-3', 'v1');
