Answer the requests that the end of the grace period finds

Cause: the end of the grace period ended the process and nothing else. With a grace period below 3.6 s the process waited for late requests beyond its end.

The wait for late requests ends with the grace period, and new requests are taken for at most half of a short one.

--- a/packages/entry-process/src/routed_interface/lifecycle/routed_process.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_process.ts
@@ -16,13 +16,10 @@
 import {openListeners, type RoutedListeners} from './routed_listeners.js';
 import {RoutedTasks} from './routed_tasks.js';
 import {StartGate} from './start_gate.js';
-import {waitUntilDrained} from './wait_until_drained.js';
-
-/**
- * Milliseconds after the stop signal from which new requests are refused as not
- * executed: the grace period may end before they complete.
- */
-const LAST_REQUEST_MILLISECONDS = 2900;
+import {
+  lastRequestMilliseconds,
+  waitUntilDrained,
+} from './wait_until_drained.js';
 
 /** Milliseconds between two checks of a condition. */
 const POLL_PERIOD_MILLISECONDS = 50;
@@ -51,7 +48,7 @@
       settings: () => this.settings,
       isClosing: () =>
         this.tasks.clocks.steady() - this.leavingSince >
-        LAST_REQUEST_MILLISECONDS,
+        lastRequestMilliseconds(this.settings.bounds.gracePeriodMilliseconds),
       onConfigurationChange: configuration =>
         this.onConfigurationChange(configuration),
     });
@@ -157,6 +154,7 @@
       signal: this.stopping.signal,
     });
     const cut = this.tasks.front.runningCount;
+    this.tasks.front.endAll();
     await this.stopNow();
     this.tasks.events.write(1004, {hostId, cut});
   }
--- a/packages/entry-process/src/routed_interface/lifecycle/wait_until_drained.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/wait_until_drained.ts
@@ -15,9 +15,31 @@
  */
 const STOP_MARGIN_MILLISECONDS = 400;
 
+/**
+ * Milliseconds after the stop signal from which new requests are refused as not
+ * executed, if the grace period is long enough.
+ */
+const LAST_REQUEST_MILLISECONDS = 2900;
+
+/** Share of a short grace period for which requests are still taken. */
+const ACCEPTING_SHARE = 0.5;
+
 /** Milliseconds between two checks. */
 const POLL_PERIOD_MILLISECONDS = 50;
 
+/**
+ * Returns the milliseconds after the stop signal from which new requests are refused,
+ * because the grace period may end before they complete.
+ */
+export function lastRequestMilliseconds(
+  gracePeriodMilliseconds: number,
+): number {
+  return Math.min(
+    LAST_REQUEST_MILLISECONDS,
+    ACCEPTING_SHARE * (gracePeriodMilliseconds - STOP_MARGIN_MILLISECONDS),
+  );
+}
+
 /** A leaving process. */
 export interface LeavingProcess {
   /** Returns steady clock readings in milliseconds. */
@@ -42,7 +64,7 @@
   const startedAt = clock();
   const lingerUntil = startedAt + LINGER_MILLISECONDS;
   const stopAt = startedAt + gracePeriodMilliseconds - STOP_MARGIN_MILLISECONDS;
-  while (clock() < lingerUntil || (runningCount() > 0 && clock() < stopAt)) {
+  while (clock() < stopAt && (clock() < lingerUntil || runningCount() > 0)) {
     await pause(POLL_PERIOD_MILLISECONDS, signal);
   }
 }
--- a/packages/entry-process/src/routed_interface/requests/front_admission.ts
+++ b/packages/entry-process/src/routed_interface/requests/front_admission.ts
@@ -26,16 +26,21 @@
   | 'maximumKeyAge'
 >;
 
+/** Returns the refusal of a request whose host stops; it has not run. */
+export function stoppingError(): ServingError {
+  return new ServingError('not-ready', {
+    detail: 'this host is stopping',
+    retryAfterSeconds: RETRY_ELSEWHERE_SECONDS,
+  });
+}
+
 /** Returns the terms on which a request is served; throws its refusal. */
 export function admitAtFront(
   front: AdmittingFront,
   facts: RoutedCallFacts,
 ): RoutedAdmission {
   if (front.isClosing()) {
-    throw new ServingError('not-ready', {
-      detail: 'this host is stopping',
-      retryAfterSeconds: RETRY_ELSEWHERE_SECONDS,
-    });
+    throw stoppingError();
   }
   const verdict = admitRoutedCall(
     facts,
--- a/packages/entry-process/src/routed_interface/requests/routed_front.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_front.ts
@@ -42,6 +42,11 @@
     return this.running.size;
   }
 
+  /** Ends all requests in progress with a final answer, because the host stops. */
+  endAll(): void {
+    this.running.forEach(request => request.endForStop());
+  }
+
   maximumBodyBytes(): number {
     const limits = this.dependencies.configuration()?.value.limits;
     return limits?.bodyBytes ?? DEFAULT_MAXIMUM_BODY_BYTES;
--- a/packages/entry-process/src/routed_interface/requests/routed_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_request.ts
@@ -21,6 +21,7 @@
 import {AttemptPlacement, type NextPlacement} from './attempt_placement.js';
 import {AttemptRunner} from './attempt_runner.js';
 import {CrashEvidence} from './crash_evidence.js';
+import {stoppingError} from './front_admission.js';
 import type {FrontDependencies} from './front_dependencies.js';
 import {RequestLoad} from './request_load.js';
 import {RequestLog} from './request_log.js';
@@ -31,7 +32,7 @@
 import {StreamRelay} from './stream_relay.js';
 import {FIRST_FAILURE_STATUS} from './upstream_result.js';
 
-type Interruption = 'caller-left' | 'timeout';
+type Interruption = 'caller-left' | 'stopping' | 'timeout';
 
 /** Whether a request has ended, or how it makes another attempt. */
 type Settled = 'done' | {readonly drawsOnBudget: boolean};
@@ -370,6 +371,11 @@
     }
   }
 
+  /** Ends the request with a final answer, because its host stops. */
+  endForStop(): void {
+    this.interrupt('stopping');
+  }
+
   private interrupt(interruption: Interruption): void {
     this.interruption ??= interruption;
     this.interrupted.abort();
@@ -377,11 +383,17 @@
   }
 
   private endInterrupted(): void {
-    if (this.interruption === 'caller-left') {
-      this.recordEnd('caller-left');
-      return;
+    switch (this.interruption) {
+      case 'caller-left':
+        this.recordEnd('caller-left');
+        return;
+      case 'stopping':
+        this.refuse(stoppingError());
+        return;
+      case 'timeout':
+      case undefined:
+        this.giveUp('deadline-passed');
     }
-    this.giveUp('deadline-passed');
   }
 
   private giveUp(
