Wait at a stop until answers have been sent

Cause: the drain counted requests whose answers were still to be written, not responses that wait in the process for their clients.

Change: the drain counts the responses that the operating system has not taken completely, at the servers for clients and for carried attempts. What it has taken it delivers after the process has ended. The count of carried attempts had no other use.

Tests: end_of_grace_test.ts.

--- a/packages/callers/src/routed_server.ts
+++ b/packages/callers/src/routed_server.ts
@@ -79,6 +79,11 @@
 
 /** A running server for routed requests. */
 export interface RoutedServer {
+  /**
+   * Number of requests whose responses the operating system has not taken
+   * completely, for example because their clients read slowly.
+   */
+  readonly unfinishedCount: number;
   /** Sets the milliseconds after which an idle client connection is closed. */
   setIdleTimeout(milliseconds: number): void;
   /**
@@ -148,6 +153,9 @@
   );
   await listenAt(server, address);
   return {
+    get unfinishedCount() {
+      return unfinished.size;
+    },
     setIdleTimeout: milliseconds => {
       server.keepAliveTimeout = milliseconds;
     },
--- a/packages/entry-process/src/paths/relay_carrier.ts
+++ b/packages/entry-process/src/paths/relay_carrier.ts
@@ -84,15 +84,11 @@
 
 /** Carries attempts to upstreams. */
 export class RelayCarrier implements RoutedCallHandler {
+  /** Number of attempts in progress. */
   private carried = 0;
 
   constructor(private readonly dependencies: RelayCarrierDependencies) {}
 
-  /** Number of attempts in progress. */
-  get carriedCount(): number {
-    return this.carried;
-  }
-
   maximumBodyBytes(): number {
     return MAXIMUM_BODY_BYTES;
   }
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_process.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_process.ts
@@ -149,8 +149,7 @@
     await waitUntilDrained({
       clock: this.tasks.clocks.steady,
       gracePeriodMilliseconds: bounds.gracePeriodMilliseconds,
-      runningCount: () =>
-        this.tasks.front.runningCount + this.tasks.carrier.carriedCount,
+      unfinishedCount: () => this.unfinishedCount(),
       signal: this.stopping.signal,
     });
     const cut = this.tasks.front.runningCount;
@@ -159,6 +158,15 @@
     this.tasks.events.write(1004, {hostId, cut});
   }
 
+  /** Returns the number of requests whose clients have yet to get their answers. */
+  private unfinishedCount(): number {
+    const servers = [this.listeners?.callers, this.listeners?.relay];
+    return servers.reduce(
+      (sum, server) => sum + (server?.unfinishedCount ?? 0),
+      0,
+    );
+  }
+
   /** Stops at once, without waiting for requests in progress. */
   async stopNow(): Promise<void> {
     this.tasks.membership.declare('gone');
--- a/packages/entry-process/src/routed_interface/lifecycle/wait_until_drained.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/wait_until_drained.ts
@@ -45,8 +45,8 @@
   /** Returns steady clock readings in milliseconds. */
   readonly clock: () => number;
   readonly gracePeriodMilliseconds: number;
-  /** Returns the number of requests in progress. */
-  readonly runningCount: () => number;
+  /** Returns the number of requests whose answers are not sent completely. */
+  readonly unfinishedCount: () => number;
   /** Ends the wait early. */
   readonly signal: AbortSignal;
 }
@@ -58,13 +58,13 @@
 export async function waitUntilDrained({
   clock,
   gracePeriodMilliseconds,
-  runningCount,
+  unfinishedCount,
   signal,
 }: LeavingProcess): Promise<void> {
   const startedAt = clock();
   const lingerUntil = startedAt + LINGER_MILLISECONDS;
   const stopAt = startedAt + gracePeriodMilliseconds - STOP_MARGIN_MILLISECONDS;
-  while (clock() < stopAt && (clock() < lingerUntil || runningCount() > 0)) {
+  while (clock() < stopAt && (clock() < lingerUntil || unfinishedCount() > 0)) {
     await pause(POLL_PERIOD_MILLISECONDS, signal);
   }
 }
--- a/packages/entry-process/tests/end_of_grace_test.ts
+++ b/packages/entry-process/tests/end_of_grace_test.ts
@@ -70,6 +70,45 @@
   });
 });
 
+describe('an answer whose client reads slowly', () => {
+  /** More than the kernel buffers of both ends hold. */
+  const PADDING_BYTES = 7_500_000;
+
+  /** Milliseconds for which the client reads nothing; the stop begins in them. */
+  const PAUSE_MILLISECONDS = 4000;
+
+  it.each(['answer', 'answer-unframed'] as const)(
+    'is whole after a planned stop: %s',
+    async behavior => {
+      const stopping = await startHost(8);
+      installation.engines.forEach(engine => {
+        engine.paddingBytes = PADDING_BYTES;
+        engine.behavior = behavior;
+      });
+      let hasPaused = false;
+      const answering = installation.call(
+        {path: '/once/x', deadline: 12_000},
+        stopping.addresses.callers,
+        request => {
+          request.on('response', response => {
+            response.once('data', () => {
+              hasPaused = true;
+              response.pause();
+              setTimeout(() => response.resume(), PAUSE_MILLISECONDS);
+            });
+          });
+        },
+      );
+      await waitUntil(() => hasPaused);
+      await pause(REQUEST_PERIOD_MILLISECONDS);
+      stopping.signal('SIGTERM');
+      const answer = await answering;
+      expect(answer.isBroken).toBe(false);
+      expect(answer.body.length).toBeGreaterThan(PADDING_BYTES);
+    },
+  );
+});
+
 describe('a request that comes in the grace period', () => {
   it.each([{grace: 8}, {grace: 4}, {grace: 2}])(
     'of $grace s is served or refused as not run, until the process has ended',
--- a/packages/stand-ins/src/routed_engine_stand_in.ts
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -92,6 +92,8 @@
   breaksOffFirstAttempts = false;
   /** Milliseconds that an execution takes before its answer begins. */
   executionMilliseconds = 0;
+  /** Bytes that are appended to an answer that is no stream. */
+  paddingBytes = 0;
   /** Whether the text of an answer contains the id of its attempt. */
   hasAttemptIdInAnswer = false;
   /** Milliseconds between two events of a stream. */
@@ -353,7 +355,8 @@
     }
     if (!this.isStreamed) {
       const text = `answer-of-${this.upstreamId}${this.attemptSuffixOf(message)}`;
-      response.writeHead(200, signedHeaders).end(text);
+      const padding = '.'.repeat(this.paddingBytes);
+      response.writeHead(200, signedHeaders).end(`${text}${padding}`);
       return;
     }
     response.writeHead(200, {
