Bound the memory of all answers together

Cause: each answer was kept up to 8 MiB, and each pending event up to 1 MiB, whatever their number.

Change: collected answers may take a tenth of the memory of the process together. Beyond it those without a stated length are given up first, the largest first. Collected bytes are kept in segments of 64 KiB at most.

--- a/packages/decisions/src/answers/byte_accumulator.ts
+++ b/packages/decisions/src/answers/byte_accumulator.ts
@@ -1,47 +1,60 @@
 /**
- * Bytes that arrive in chunks. Each byte is copied a bounded number of times, and
- * many small chunks occupy no more memory than a few large ones.
+ * Bytes that arrive in chunks. Each byte is copied twice at most, and many small
+ * chunks occupy hardly more memory than their bytes.
  */
 
-/** Bytes for which room is made at first. */
-const MINIMUM_CAPACITY_BYTES = 1024;
+/** Sizes of the segments: each is twice as large as the one before, up to a maximum. */
+const MINIMUM_SEGMENT_BYTES = 1024;
+const MAXIMUM_SEGMENT_BYTES = 65_536;
 
 /** Collects chunks of bytes. */
 export class ByteAccumulator {
-  private buffer: Buffer = Buffer.alloc(0);
+  private readonly full: Buffer[] = [];
+  private segment: Buffer = Buffer.alloc(0);
+  /** Bytes that are used of `segment`. */
   private used = 0;
+  private total = 0;
 
   /** Number of bytes. */
   get length(): number {
-    return this.used;
+    return this.total;
   }
 
   /** Appends a copy of `chunk`. */
   append(chunk: Buffer): void {
-    const needed = this.used + chunk.length;
-    if (needed > this.buffer.length) {
-      this.grow(needed);
+    this.total += chunk.length;
+    let start = 0;
+    while (start < chunk.length) {
+      if (this.used === this.segment.length) {
+        this.addSegment();
+      }
+      const copied = chunk.copy(this.segment, this.used, start);
+      this.used += copied;
+      start += copied;
     }
-    chunk.copy(this.buffer, this.used);
-    this.used = needed;
   }
 
   /** Removes and returns all bytes. */
   take(): Buffer {
-    const bytes = this.buffer.subarray(0, this.used);
-    this.buffer = Buffer.alloc(0);
+    const last = this.segment.subarray(0, this.used);
+    const bytes =
+      this.full.length === 0 ? last : Buffer.concat([...this.full, last]);
+    this.full.length = 0;
+    this.segment = Buffer.alloc(0);
     this.used = 0;
+    this.total = 0;
     return bytes;
   }
 
-  private grow(needed: number): void {
-    const capacity = Math.max(
-      MINIMUM_CAPACITY_BYTES,
-      needed,
-      2 * this.buffer.length,
+  private addSegment(): void {
+    const size = Math.min(
+      MAXIMUM_SEGMENT_BYTES,
+      Math.max(MINIMUM_SEGMENT_BYTES, 2 * this.segment.length),
     );
-    const grown = Buffer.allocUnsafeSlow(capacity);
-    this.buffer.copy(grown, 0, 0, this.used);
-    this.buffer = grown;
+    if (this.used > 0) {
+      this.full.push(this.segment);
+    }
+    this.segment = Buffer.allocUnsafeSlow(size);
+    this.used = 0;
   }
 }
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -2,6 +2,7 @@
  * Construction and wiring of the tasks of an entry process on the platform.
  */
 import {
+  AnswerMemory,
   featuresOf,
   FleetHealth,
   NamedRates,
@@ -272,10 +273,7 @@
       clock: clocks.steady,
       trueTime: () => this.readTrueTime(),
       servingHosts: () => this.membership.serving(),
-      verdicts: new ContentVerdictStore({
-        store: this.store,
-        events: this.events,
-      }),
+      verdicts: new ContentVerdictStore(this),
     });
     this.parts = new PartWatch({
       hostId: settings.hostId,
@@ -385,6 +383,7 @@
       upstreamsConfirmedAt: () => this.upstreams.confirmedAt,
       trueTime: () => this.readTrueTime(),
       retryBudgets: this.retryBudgets,
+      answerMemory: new AnswerMemory(this.dependencies.settings().memoryBytes),
       loads: this.loads,
       rollouts: this.rollouts.front,
       versionContext: service => this.rollouts.versionContext(service),
--- a/packages/entry-process/src/routed_interface/requests/attempt_runner.ts
+++ b/packages/entry-process/src/routed_interface/requests/attempt_runner.ts
@@ -5,6 +5,7 @@
 import type {RoutedCall} from '@lacewingwinch/callers';
 import {
   type AnswerEnd,
+  type AnswerMemory,
   type AttemptHistory,
   eventPatienceMilliseconds,
   NO_WAYS_TRIED,
@@ -49,6 +50,8 @@
   readonly announcements: UpstreamAnnouncements;
   readonly answers: AnswerAnnouncements;
   readonly paths: UpstreamPaths;
+  /** Bounds the memory of the answers that the process collects. */
+  readonly answerMemory: AnswerMemory;
   /** Returns the number of entry hosts that share limits and budgets. */
   readonly sharingHostCount: () => number;
 }
@@ -235,6 +238,7 @@
             connectMilliseconds: DIRECT_CONNECT_MILLISECONDS,
           }),
         },
+        memory: this.dependencies.answerMemory,
         stream: relay,
         isAccepting: () =>
           announcements.accepts(upstream, clocks.suspensionAware()) &&
--- a/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
+++ b/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
@@ -2,6 +2,7 @@
  * What the requests of one entry host share.
  */
 import type {
+  AnswerMemory,
   ConfirmedValue,
   ListedUpstream,
   RolloutFront,
@@ -35,6 +36,7 @@
   readonly announcements: UpstreamAnnouncements;
   readonly answers: AnswerAnnouncements;
   readonly paths: UpstreamPaths;
+  readonly answerMemory: AnswerMemory;
   readonly quotas: QuotaExchange;
   readonly crashes: CrashWatch;
   readonly parts: PartWatch;
--- a/packages/entry-process/src/routed_interface/requests/routed_attempt.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_attempt.ts
@@ -3,7 +3,9 @@
  */
 import {
   type AnswerEnd,
+  type AnswerMemory,
   ByteAccumulator,
+  type CollectedAnswer,
   EventSplitter,
   findStreamFault,
   judgeAnswerEnd,
@@ -59,6 +61,8 @@
   /** Milliseconds within which a begun event of a stream must be complete. */
   readonly eventPatienceMilliseconds: number;
   readonly request: PooledRequest;
+  /** Bounds the memory of all answers of the process. */
+  readonly memory: AnswerMemory;
   readonly stream: StreamReceiver;
   /** Returns whether the upstream accepts requests from this host. */
   readonly isAccepting: () => boolean;
@@ -94,6 +98,8 @@
   /** Time at which the pending event began; undefined without one. */
   private eventBegunAt: number | undefined;
   private isCancelled = false;
+  /** What the answer takes of the memory; undefined before its body. */
+  private collected: CollectedAnswer | undefined;
 
   constructor(
     private readonly pool: ExchangeSender,
@@ -101,7 +107,10 @@
     private readonly clock: () => number,
   ) {
     this.outcome = new Promise(resolve => {
-      this.settle = resolve;
+      this.settle = outcome => {
+        this.releaseMemory();
+        resolve(outcome);
+      };
     });
   }
 
@@ -195,6 +204,7 @@
         }
       }
       this.checkPendingEvent(events.length > 0, this.clock());
+      this.countMemory(this.splitter.pendingBytes);
       return;
     }
     if (this.body.length + chunk.length > MAXIMUM_RESPONSE_BYTES) {
@@ -203,6 +213,29 @@
       return;
     }
     this.body.append(chunk);
+    this.countMemory(this.body.length);
+  }
+
+  /** Counts the bytes that are kept of the answer. */
+  private countMemory(bytes: number): void {
+    if (this.isCancelled) {
+      return;
+    }
+    this.collected ??= {
+      hasLength: this.head?.framing === 'length',
+      giveUp: () =>
+        this.cancel({
+          kind: 'failed',
+          failure: lostAnswer('all answers together take too much memory'),
+        }),
+    };
+    this.plan.memory.update(this.collected, bytes);
+  }
+
+  private releaseMemory(): void {
+    if (this.collected !== undefined) {
+      this.plan.memory.remove(this.collected);
+    }
   }
 
   /**
