--- a/packages/entry-process/tests/retry_budget_test.ts
+++ b/packages/entry-process/tests/retry_budget_test.ts
@@ -108,7 +108,7 @@
     await restarting;
     const arrived = installation.engines
       .slice(0, PLAIN_UPSTREAMS)
-      .flatMap(({arrivedAttemptIds}) => arrivedAttemptIds);
+      .flatMap(engine => engine.arrived.map(({attemptId}) => attemptId));
     const repeats = arrived.length - new Set(arrived).size;
     expect(repeats).toBeGreaterThan(0);
     expect(repeats).toBeLessThanOrEqual(
--- a/packages/soak/src/check_guarantees.ts
+++ b/packages/soak/src/check_guarantees.ts
@@ -3,6 +3,8 @@
  * upstreams and the store observed during a run.
  */
 
+import type {ObservedBudget} from './budget_observer.js';
+
 /**
  * The kinds of calls: idempotent requests (`again`), non-idempotent requests
  * (`once`), streams, and streams that may be resumed.
@@ -59,6 +61,11 @@
   readonly crashing?: {readonly executed: number; readonly tolerated: number};
   /** Ids of the attempts that went on at another software version. */
   readonly mixedAttemptIds?: readonly string[];
+  readonly budgets?: readonly ObservedBudget[];
+  /** Descriptions of processes that ended by themselves. */
+  readonly ownEnds?: readonly string[];
+  /** Descriptions of versions and fencing numbers that went back. */
+  readonly numbersGoingBack?: readonly string[];
 }
 
 /** An upstream that named a limit for a while. */
@@ -73,8 +80,11 @@
 export interface Violation {
   readonly guarantee:
     | 'answer-of-another'
+    | 'budget-exceeded'
     | 'crashing-part-sent'
     | 'limit-exceeded'
+    | 'number-went-back'
+    | 'process-ended'
     | 'two-versions'
     | 'two-reports'
     | 'refused-and-ran'
@@ -107,6 +117,7 @@
     ]),
     ...checkReports(run.reports),
     ...checkUpstreams(run),
+    ...checkHosts(run),
   ];
 }
 
@@ -218,6 +229,26 @@
   ];
 }
 
+function checkHosts({
+  budgets = [],
+  ownEnds = [],
+  numbersGoingBack = [],
+}: ObservedRun): readonly Violation[] {
+  return [
+    ...budgets
+      .filter(({repeats, tolerated}) => repeats > tolerated)
+      .map(({service, repeats, tolerated}) => ({
+        guarantee: 'budget-exceeded' as const,
+        detail: `${service} got ${repeats} repeats, ${tolerated} are tolerated`,
+      })),
+    ...ownEnds.map(detail => ({guarantee: 'process-ended' as const, detail})),
+    ...numbersGoingBack.map(detail => ({
+      guarantee: 'number-went-back' as const,
+      detail,
+    })),
+  ];
+}
+
 function checkReports(
   reports: readonly ObservedReport[],
 ): readonly Violation[] {
--- a/packages/soak/src/run_seed.ts
+++ b/packages/soak/src/run_seed.ts
@@ -13,8 +13,20 @@
   waitFor,
 } from '@lacewingwinch/stand-ins';
 
-import {checkGuarantees, type Violation} from './check_guarantees.js';
+import {observeBudget, type ObservedBudget} from './budget_observer.js';
+import {
+  checkGuarantees,
+  type ObservedCall,
+  type ObservedRun,
+  type SoakCallKind,
+  type Violation,
+} from './check_guarantees.js';
 import {FAULT_WINDOW_MILLISECONDS, planFaults} from './fault_plan.js';
+import {
+  observeFences,
+  observeOwnEnds,
+  observeVersionsGoingBack,
+} from './host_observer.js';
 import {
   type ReadingHabit,
   SOAK_CALL_KINDS,
@@ -42,6 +54,12 @@
 /** Default size of a run, which needs a few dozen processes and sockets. */
 export const DEFAULT_SIZE: RunSize = {hosts: 5, upstreams: 4, clients: 16};
 
+/** The kinds of calls that the streaming service answers. */
+const STREAMED_KINDS: ReadonlySet<SoakCallKind> = new Set([
+  'resumed',
+  'stream',
+]);
+
 /** One in this many clients uses the key that may be revoked. */
 const CLIENTS_PER_REVOKED_KEY_USER = 4;
 
@@ -95,6 +113,7 @@
   const folder = mkdtempSync(join(tmpdir(), `soak-${seed}-`));
   const startedAt = performance.now();
   const clock = (): number => performance.now() - startedAt;
+  const startTime = Date.now();
   const installation = new SoakInstallation(clock);
   const faults = planFaults(seed);
   let clients: readonly SoakClient[] = [];
@@ -137,6 +156,8 @@
       limits: observeLimits(installation.namedLimits),
       crashing: observeCrashing(installation.engines(), faults),
       mixedAttemptIds: observeMixedVersions(installation.engines()),
+      budgets: observeBudgets(installation, calls, startTime),
+      ...observeHosts(installation),
     });
     const hasFailed = violations.length > 0 || !hasRecovered;
     if (!hasFailed) {
@@ -158,6 +179,40 @@
   }
 }
 
+/** Returns the worst window of each service; the kind of a call implies its service. */
+function observeBudgets(
+  installation: SoakInstallation,
+  calls: readonly ObservedCall[],
+  startTime: number,
+): readonly ObservedBudget[] {
+  return [true, false].map(isStreamed => {
+    const engines = installation
+      .engines()
+      .filter(engine => engine.isStreamed === isStreamed);
+    const requestTimes = calls
+      .filter(({kind}) => STREAMED_KINDS.has(kind) === isStreamed)
+      .map(({sentAt}) => startTime + sentAt);
+    const arrived = engines.flatMap(engine => engine.arrived);
+    const service = isStreamed ? 'engines' : 'plain';
+    return observeBudget(service, arrived, requestTimes);
+  });
+}
+
+function observeHosts({
+  hosts,
+  store,
+}: SoakInstallation): Pick<ObservedRun, 'numbersGoingBack' | 'ownEnds'> {
+  return {
+    ownEnds: observeOwnEnds(hosts.flatMap(({ends}) => ends)),
+    numbersGoingBack: [
+      ...hosts.flatMap(host =>
+        observeVersionsGoingBack(host.hostId, host.readLog()),
+      ),
+      ...observeFences(store.duties),
+    ],
+  };
+}
+
 async function runTraffic(
   installation: SoakInstallation,
   clients: readonly SoakClient[],
--- a/packages/soak/src/soak_host.ts
+++ b/packages/soak/src/soak_host.ts
@@ -2,7 +2,7 @@
  * An entry host of a run: its process, its files and its link to the store.
  */
 import {type ChildProcess, spawn} from 'node:child_process';
-import {closeSync, openSync, writeFileSync} from 'node:fs';
+import {closeSync, openSync, readFileSync, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
 
 import {
@@ -14,6 +14,7 @@
 } from '@lacewingwinch/stand-ins';
 
 import {FaultProxy} from './fault_proxy.js';
+import type {ProcessEnd} from './host_observer.js';
 
 /** The bundled entry process, which `scripts/bundle.mjs` builds. */
 const BUNDLED_PROGRAM = new URL(
@@ -52,6 +53,10 @@
   private links: Readonly<Record<string, string>> = {};
   private child: ChildProcess | undefined;
   private hasStarted = false;
+  /** Signals that end a process, sent to the current one. */
+  private sent: NodeJS.Signals[] = [];
+  /** How the processes of this host ended so far. */
+  readonly ends: ProcessEnd[] = [];
   private exitPromise: Promise<void> = Promise.resolve();
 
   constructor(private readonly options: SoakHostOptions) {
@@ -106,8 +111,8 @@
     }
     this.writeSettings(!this.hasStarted);
     this.hasStarted = true;
-    const {folder, preload, hostId} = this.options;
-    const log = openSync(join(folder, `${hostId}.log`), 'a');
+    const {preload, hostId} = this.options;
+    const log = openSync(this.logPath, 'a');
     const child = spawn(
       process.execPath,
       ['--import', preload.href, BUNDLED_PROGRAM.pathname, 'serve-routes'],
@@ -121,8 +126,11 @@
     );
     closeSync(log);
     this.child = child;
+    const sent: NodeJS.Signals[] = [];
+    this.sent = sent;
     this.exitPromise = new Promise(resolve => {
-      child.once('exit', () => {
+      child.once('exit', (code, endSignal) => {
+        this.ends.push({hostId, code, signal: endSignal, sent});
         this.child = undefined;
         resolve();
       });
@@ -133,9 +141,15 @@
 
   /** Sends a signal to the process if it is running. */
   signal(signal: NodeJS.Signals): void {
+    this.sent.push(signal);
     this.child?.kill(signal);
   }
 
+  /** Returns what its processes have logged so far. */
+  readLog(): string {
+    return readFileSync(this.logPath, 'utf8');
+  }
+
   /** Resolves when the current process has exited. */
   waitForExit(): Promise<void> {
     return this.exitPromise;
@@ -179,6 +193,10 @@
     writeFileSync(this.settingsPath, text);
   }
 
+  private get logPath(): string {
+    return join(this.options.folder, `${this.hostId}.log`);
+  }
+
   private get settingsPath(): string {
     return join(this.options.folder, `${this.hostId}.toml`);
   }
--- a/packages/stand-ins/src/routed_engine_stand_in.ts
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -61,6 +61,13 @@
   readonly softwareVersion: string;
 }
 
+/** An attempt that arrived at an upstream. */
+export interface ArrivedAttempt {
+  readonly attemptId: string;
+  /** Milliseconds since the epoch. */
+  readonly at: number;
+}
+
 /** Path at which the process reports on itself. */
 const REPORT_PATH = '/api/report';
 
@@ -139,8 +146,8 @@
   pauseAnnouncement: string | undefined;
   /** Times at which requests arrived, executed or not. */
   readonly arrivals: number[] = [];
-  /** Attempt ids of the requests that arrived, executed or not. */
-  readonly arrivedAttemptIds: string[] = [];
+  /** Attempts that arrived, executed or not. */
+  readonly arrived: ArrivedAttempt[] = [];
   /** Executed requests. */
   readonly ran: ExecutedRequest[] = [];
   /** Prompt parts under which the process crashes when it begins to answer. */
@@ -238,7 +245,7 @@
       this.abandonedRequests += response.writableFinished ? 0 : 1;
     });
     const attemptId = String(headers['x-attempt-id']);
-    this.arrivedAttemptIds.push(attemptId);
+    this.arrived.push({attemptId, at: Date.now()});
     message.socket.write(this.lateCopies.get(message.socket) ?? '');
     this.lateCopies.delete(message.socket);
     const signedHeaders = {
