--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -289,3 +289,18 @@
       return {kind};
   }
 }
+
+/** Returns `faults` with a stop and a new start of each host in turn. */
+export function withReplacements(
+  faults: readonly PlannedFault[],
+  hosts: number,
+): readonly PlannedFault[] {
+  const stops = Array.from({length: hosts}, (_, host): PlannedFault => ({
+    fault: {kind: 'stop', host},
+    startsAtMilliseconds: (host * FAULT_WINDOW_MILLISECONDS) / hosts,
+    durationMilliseconds: 0,
+  }));
+  return [...faults, ...stops].sort(
+    (left, right) => left.startsAtMilliseconds - right.startsAtMilliseconds,
+  );
+}
--- a/packages/soak/src/run_seed.ts
+++ b/packages/soak/src/run_seed.ts
@@ -21,7 +21,11 @@
   type SoakCallKind,
   type Violation,
 } from './check_guarantees.js';
-import {FAULT_WINDOW_MILLISECONDS, planFaults} from './fault_plan.js';
+import {
+  FAULT_WINDOW_MILLISECONDS,
+  planFaults,
+  withReplacements,
+} from './fault_plan.js';
 import {
   observeFences,
   observeOwnEnds,
@@ -49,6 +53,11 @@
   readonly hosts: number;
   readonly upstreams: number;
   readonly clients: number;
+  /**
+   * Path of the program of another build. It runs beside the present one, and all
+   * hosts are replaced in turn.
+   */
+  readonly otherProgram?: string | undefined;
 }
 
 /** Default size of a run, which needs a few dozen processes and sockets. */
@@ -115,7 +124,10 @@
   const clock = (): number => performance.now() - startedAt;
   const startTime = Date.now();
   const installation = new SoakInstallation(clock);
-  const faults = planFaults(seed);
+  const faults =
+    size.otherProgram === undefined
+      ? planFaults(seed)
+      : withReplacements(planFaults(seed), size.hosts);
   let clients: readonly SoakClient[] = [];
   try {
     await installation.open({...size, folder});
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -7,7 +7,7 @@
 import {DEFAULT_SIZE, runSeed, type SeedResult} from './run_seed.js';
 import {readSoakArguments, SOAK_COMMAND} from './soak_arguments.js';
 
-const {first, last, hosts} = settingsOrExit(
+const {first, last, hosts, otherProgram} = settingsOrExit(
   SOAK_COMMAND,
   readSoakArguments(process.argv.slice(2)),
 );
@@ -15,7 +15,7 @@
 const failed: SeedResult[] = [];
 let calls = 0;
 for (let seed = first; seed <= last; seed += 1) {
-  const result = await runSeed(seed, {...DEFAULT_SIZE, hosts});
+  const result = await runSeed(seed, {...DEFAULT_SIZE, hosts, otherProgram});
   calls += result.calls;
   const hasFailed = result.folder !== undefined;
   process.stdout.write(
--- a/packages/soak/src/soak_arguments.ts
+++ b/packages/soak/src/soak_arguments.ts
@@ -19,6 +19,8 @@
   readonly first: number;
   readonly last: number;
   readonly hosts: number;
+  /** Path of the program of another build, which runs beside the present one. */
+  readonly otherProgram?: string;
 }
 
 /** The command line of the soak. */
@@ -31,6 +33,10 @@
       flag: '--hosts <count>',
       help: `Number of entry hosts, by default ${DEFAULT_SIZE.hosts}`,
     },
+    {
+      flag: '--beside <program>',
+      help: 'Program of another build; all hosts change between both in turn',
+    },
   ],
 };
 
@@ -45,6 +51,9 @@
       maximum: MAXIMUM_HOSTS,
       fallback: DEFAULT_SIZE.hosts,
     }),
+    ...(given.options['beside'] !== undefined && {
+      otherProgram: given.options['beside'],
+    }),
   }));
 }
 
--- a/packages/soak/src/soak_host.ts
+++ b/packages/soak/src/soak_host.ts
@@ -17,10 +17,10 @@
 import type {ProcessEnd} from './host_observer.js';
 
 /** The bundled entry process, which `scripts/bundle.mjs` builds. */
-const BUNDLED_PROGRAM = new URL(
+export const BUNDLED_PROGRAM = new URL(
   '../../../target/lacewingwinch.cjs',
   import.meta.url,
-);
+).pathname;
 
 /**
  * Time within which a revocation must take effect at every host. While the
@@ -41,6 +41,11 @@
   readonly folder: string;
   /** Script that is preloaded into the process. */
   readonly preload: URL;
+  /**
+   * Paths of the programs that the processes of this host run in turn, from its first
+   * start on.
+   */
+  readonly programs: readonly string[];
 }
 
 /** An entry host that runs as a process of its own. */
@@ -111,11 +116,15 @@
     }
     this.writeSettings(!this.hasStarted);
     this.hasStarted = true;
-    const {preload, hostId} = this.options;
+    const {preload, hostId, programs} = this.options;
+    const program = programs[this.ends.length % programs.length];
+    if (program === undefined) {
+      throw new Error(`${hostId} has no program`);
+    }
     const log = openSync(this.logPath, 'a');
     const child = spawn(
       process.execPath,
-      ['--import', preload.href, BUNDLED_PROGRAM.pathname, 'serve-routes'],
+      ['--import', preload.href, program, 'serve-routes'],
       {
         stdio: ['ignore', log, log, 'ipc'],
         env: {
--- a/packages/soak/src/soak_installation.ts
+++ b/packages/soak/src/soak_installation.ts
@@ -16,7 +16,7 @@
 import type {Fault, PlannedFault} from './fault_plan.js';
 import {FaultProxy} from './fault_proxy.js';
 import {CRASHING_PART} from './soak_clients.js';
-import {SoakHost} from './soak_host.js';
+import {BUNDLED_PROGRAM, SoakHost} from './soak_host.js';
 import type {NamedLimit} from './upstream_observer.js';
 
 /** The key that is never revoked. */
@@ -73,6 +73,8 @@
   readonly upstreams: number;
   /** Folder for settings files and logs. */
   readonly folder: string;
+  /** Path of the program of another build, which runs beside the present one. */
+  readonly otherProgram?: string | undefined;
 }
 
 /** An installation of entry hosts with its store and upstreams. */
@@ -105,6 +107,7 @@
     hosts,
     upstreams,
     folder,
+    otherProgram,
   }: SoakInstallationOptions): Promise<void> {
     await this.store.listen();
     for (const service of ['plain', 'engines']) {
@@ -125,6 +128,7 @@
         storeAddress: this.store.address,
         folder,
         preload: new URL('../dist/host_preload.js', import.meta.url),
+        programs: programsOf(index, otherProgram),
       });
       this.hosts.push(host);
       await host.open(this.upstreams.map(({link}) => link.address));
@@ -376,3 +380,19 @@
   link.setFault(fault);
   return () => link.setFault(undefined);
 }
+
+/**
+ * Returns the programs of a host in turn: half of the hosts change from the other
+ * build to the present one, half the other way.
+ */
+function programsOf(
+  hostIndex: number,
+  otherProgram: string | undefined,
+): readonly string[] {
+  if (otherProgram === undefined) {
+    return [BUNDLED_PROGRAM];
+  }
+  return hostIndex % 2 === 0
+    ? [otherProgram, BUNDLED_PROGRAM]
+    : [BUNDLED_PROGRAM, otherProgram];
+}
--- a/packages/soak/tests/soak_arguments_test.ts
+++ b/packages/soak/tests/soak_arguments_test.ts
@@ -13,6 +13,15 @@
       argv: ['--seeds', '3..7', '--hosts', '4'],
       settings: {first: 3, last: 7, hosts: 4},
     },
+    {
+      argv: ['--seeds', '3', '--beside', '/other/program.cjs'],
+      settings: {
+        first: 3,
+        last: 3,
+        hosts: DEFAULT_SIZE.hosts,
+        otherProgram: '/other/program.cjs',
+      },
+    },
   ])('runs with $argv', ({argv, settings}) => {
     expect(readSoakArguments(argv)).toEqual({kind: 'run', settings});
   });
