Share one read at a time to confirm the list of versions

While the store hangs, each stream that a client takes up would have sent a read of its own. Callers share the read that is under way and at most one that follows it.

--- a/packages/entry-process/src/routed_interface/state/upstream_follower.ts
+++ b/packages/entry-process/src/routed_interface/state/upstream_follower.ts
@@ -60,6 +60,14 @@
   readonly isFirstStart: boolean;
 }
 
+/** A read of the store that requests await. */
+interface ConfirmingRead {
+  /** Suspension-aware clock reading. */
+  readonly sentAt: number;
+  /** Resolves when the read has ended, whether or not it succeeded. */
+  readonly end: Promise<void>;
+}
+
 /** Follows the list of upstreams. */
 export class UpstreamFollower {
   readonly list: UpstreamList;
@@ -71,9 +79,8 @@
   private answeredAt = -Infinity;
   private lastConfirmedAt = -Infinity;
   private outageEndedAt = -Infinity;
-  /** The last read that `confirmSince` sent, and when. */
-  private confirming:
-    {readonly sentAt: number; readonly read: Promise<unknown>} | undefined;
+  /** The read that `confirmSince` has sent; undefined without one. */
+  private confirming: ConfirmingRead | undefined;
   private readonly reachability: StoreReachability;
   private readonly faultyEntries: FaultyEntries;
 
@@ -131,26 +138,32 @@
 
   /**
    * Resolves with whether the list holds everything that was listed by `time`,
-   * reading the store if it does not yet. Callers share a read that was sent late
-   * enough.
+   * reading the store if it does not yet. Callers share one read at a time.
    */
   async confirmSince(time: number): Promise<boolean> {
-    if (this.lastConfirmedAt >= time) {
-      return true;
+    let isSentLate = false;
+    while (this.lastConfirmedAt < time && !isSentLate) {
+      this.confirming ??= this.startConfirming();
+      const {sentAt, end} = this.confirming;
+      await end;
+      isSentLate = sentAt >= time;
     }
-    const {clocks, events} = this.dependencies;
-    if (this.confirming === undefined || this.confirming.sentAt < time) {
-      this.confirming = {
-        sentAt: clocks.suspensionAware(),
-        read: this.readOnce().catch((error: unknown) => {
-          events.write(2002, {stream: 'upstreams', error: messageOf(error)});
-        }),
-      };
-    }
-    await this.confirming.read;
     return this.lastConfirmedAt >= time;
   }
 
+  private startConfirming(): ConfirmingRead {
+    const read = async (): Promise<void> => {
+      try {
+        await this.readOnce();
+      } catch (error) {
+        this.reachability.recordRead(messageOf(error));
+      }
+      this.confirming = undefined;
+    };
+    const sentAt = this.dependencies.clocks.suspensionAware();
+    return {sentAt, end: read()};
+  }
+
   /** Follows the list until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!isAborted(signal)) {
