--- a/packages/stand-ins/src/child_process_group.ts
+++ b/packages/stand-ins/src/child_process_group.ts
@@ -2,6 +2,7 @@
  * Helpers that start and watch child processes for the demonstration and tests.
  */
 import {type ChildProcess, spawn} from 'node:child_process';
+import {randomInt} from 'node:crypto';
 import {createServer} from 'node:net';
 
 /** A started process. */
@@ -72,25 +73,20 @@
 /** Number of ports to choose from. */
 const PORT_COUNT = 18_000;
 
-/** A prime, so that processes with neighbouring ids start at distant ports. */
-const PORT_STRIDE = 7919;
-
-let nextPort = (process.pid * PORT_STRIDE) % PORT_COUNT;
-
 /**
- * Returns `count` free ports on loopback, below the range that the system uses
- * for outgoing connections.
+ * Returns `count` free ports on loopback, below the range that the system uses for
+ * outgoing connections. They are drawn at random, because a port is free again until
+ * its user listens, and processes that search side by side would find the same ones.
  */
 export async function findFreePorts(count: number): Promise<readonly number[]> {
-  const ports: number[] = [];
-  while (ports.length < count) {
-    const port = FIRST_PORT + nextPort;
-    nextPort = (nextPort + 1) % PORT_COUNT;
+  const ports = new Set<number>();
+  while (ports.size < count) {
+    const port = randomInt(FIRST_PORT, FIRST_PORT + PORT_COUNT);
     if (await isFree(port)) {
-      ports.push(port);
+      ports.add(port);
     }
   }
-  return ports;
+  return [...ports];
 }
 
 function isFree(port: number): Promise<boolean> {
