--- a/packages/entry-process/tests/host_process.ts
+++ b/packages/entry-process/tests/host_process.ts
@@ -25,6 +25,8 @@
   readonly storeAddress: string;
   readonly addresses?: LoopbackAddresses;
   readonly flags?: readonly string[];
+  /** Flags of Node.js. */
+  readonly nodeFlags?: readonly string[];
 }
 
 /** A host that runs as a process of its own. */
@@ -46,6 +48,7 @@
     storeAddress,
     addresses,
     flags = [],
+    nodeFlags = [],
     ...settings
   }: HostProcessOptions): Promise<HostProcess> {
     const used = addresses ?? (await freeLoopbackAddresses());
@@ -55,7 +58,7 @@
     const started = startProcess(
       'host',
       '--import',
-      [THROW_ON_SIGNAL, MAIN, 'serve-routes', ...flags],
+      [THROW_ON_SIGNAL, ...nodeFlags, MAIN, 'serve-routes', ...flags],
       settingsEnvironment(path),
     );
     return new HostProcess(used, started, folder);
--- a/packages/stand-ins/src/settings_file_stand_in.ts
+++ b/packages/stand-ins/src/settings_file_stand_in.ts
@@ -93,6 +93,8 @@
   readonly revocationMilliseconds?: number;
   readonly usageWindowSeconds?: number;
   readonly gracePeriodSeconds?: number;
+  readonly memoryMegabytes?: number;
+  readonly fileDescriptors?: number;
   /** Whether the whole system starts for the first time. */
   readonly isFirstStart?: boolean;
 }
@@ -107,6 +109,8 @@
     revocationMilliseconds = 5000,
     usageWindowSeconds = 5,
     gracePeriodSeconds = 8,
+    memoryMegabytes = 350,
+    fileDescriptors = 4100,
     isFirstStart = true,
   }: SettingsFileOptions = {},
 ): string {
@@ -125,8 +129,8 @@
 directoryService = "${addresses.discovery}"
 [limits]
 cpuFraction = 1.0
-memoryMb = 350
-fileDescriptors = 4100
+memoryMb = ${memoryMegabytes}
+fileDescriptors = ${fileDescriptors}
 [bounds]
 leaseMs = 3000
 revocationMs = ${revocationMilliseconds}
