Connection pool: give back the places of connections that never connected

Callers saw: refusals with no-upstream although upstreams had room, for as long as the process lived.

Cause: a request that is given up while its connection is still being opened destroys the client of undici, which then emits neither disconnect nor connectionError. The connection stayed in the list of open ones and counted against the limit of its upstream.

Change: the connector reports whether a connection was made. A connection is counted until its socket has closed, or until connecting has failed.

Test: connection_pool_test.ts, the new case got no answer within 60 s before (the only place to the upstream was never given back) and passes now.

--- a/packages/upstreams/src/connection_pool.ts
+++ b/packages/upstreams/src/connection_pool.ts
@@ -166,9 +166,18 @@
     upstream: Upstream,
   ): PooledConnection {
     const client = new Client(`http://${address}`, {
-      connect: createUpstreamConnector(connectMilliseconds, socket => {
-        connection.socket = socket;
-        socket.on('readable', () => checkReceivedBytes(connection));
+      connect: createUpstreamConnector(connectMilliseconds, {
+        onConnected: socket => {
+          connection.socket = socket;
+          socket.on('readable', () => checkReceivedBytes(connection));
+          socket.once('close', () => onClosed());
+        },
+        onFailed: () => {
+          // undici reports no failure of a client that was destroyed before.
+          if (connection.isEndedHere) {
+            onClosed();
+          }
+        },
       }),
       headersTimeout: 0,
       bodyTimeout: 0,
--- a/packages/upstreams/src/upstream_socket.ts
+++ b/packages/upstreams/src/upstream_socket.ts
@@ -101,10 +101,16 @@
   }
 }
 
+/** Receiver of what becomes of a connection that is opened. */
+export interface ConnectReceiver {
+  readonly onConnected: (socket: UpstreamSocket) => void;
+  readonly onFailed: () => void;
+}
+
 /** Returns a connector for undici that opens an `UpstreamSocket`. */
 export function createUpstreamConnector(
   timeoutMilliseconds: number,
-  onConnected: (socket: UpstreamSocket) => void = () => undefined,
+  receiver?: ConnectReceiver,
 ): buildConnector.connector {
   return ({hostname, port}, callback) => {
     const socket = new UpstreamSocket();
@@ -114,6 +120,7 @@
     );
     const onError = (error: Error): void => {
       clearTimeout(timer);
+      receiver?.onFailed();
       callback(new ConnectFailedError(error), null);
     };
     socket.once('error', onError);
@@ -121,7 +128,7 @@
     socket.connect({host: hostname, port: Number(port) || DEFAULT_PORT}, () => {
       clearTimeout(timer);
       socket.off('error', onError);
-      onConnected(socket);
+      receiver?.onConnected(socket);
       callback(null, socket);
     });
   };
--- a/packages/upstreams/tests/connection_pool_test.ts
+++ b/packages/upstreams/tests/connection_pool_test.ts
@@ -89,6 +89,35 @@
   setTimeout(action, PAUSE_MILLISECONDS);
 }
 
+test('a connection that is given up while it connects gives its place back', async () => {
+  const address = await listen(socket =>
+    socket.write('HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx'),
+  );
+  const receiver = {
+    onSend: () => true,
+    onHead: () => undefined,
+    onData: () => undefined,
+    onEnd: () => undefined,
+    onError: () => undefined,
+  };
+  const request = {
+    address,
+    method: 'GET',
+    path: '/',
+    headers: [],
+    body: undefined,
+    maximumIdleMilliseconds: 1000,
+    maximumConnections: 1,
+    maximumMilliseconds: 1000,
+  };
+  pool.send(request, receiver)?.cancel();
+  await new Promise(resolve => setTimeout(resolve, 50));
+  expect(await send(address, {maximumConnections: 1})).toMatchObject({
+    status: 200,
+    end: 'complete',
+  });
+});
+
 describe('an answer', () => {
   test.each<{
     readonly name: string;
