Routed server: collect bodies in segments instead of a buffer for each chunk

Cause: readBody kept each chunk as a buffer of its own, some 100 bytes of heap for a body byte, until the body was complete: 400 MB for the largest body.

Change: bodies are collected in segments of up to 64 KiB, as answers of upstreams are.

--- a/packages/callers/src/routed_server.ts
+++ b/packages/callers/src/routed_server.ts
@@ -9,7 +9,11 @@
   type ServerResponse,
 } from 'node:http';
 
-import {type BodyFraming, ServingError} from '@lacewingwinch/decisions';
+import {
+  type BodyFraming,
+  ByteAccumulator,
+  ServingError,
+} from '@lacewingwinch/decisions';
 
 import {omitFraming} from './omit_framing.js';
 
@@ -242,25 +246,18 @@
   maximumBytes: number,
 ): Promise<Buffer | ServingError | 'broken'> {
   return new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const body = new ByteAccumulator();
+    let isTooLarge = false;
     message.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes > maximumBytes) {
-        chunks.length = 0;
+      isTooLarge ||= body.length + chunk.length > maximumBytes;
+      if (isTooLarge) {
+        body.take();
         resolve(new ServingError('request-too-large'));
         return;
       }
-      chunks.push(chunk);
-    });
-    message.on('end', () => {
-      const [first] = chunks;
-      resolve(
-        chunks.length === 1 && first !== undefined
-          ? first
-          : Buffer.concat(chunks),
-      );
+      body.append(chunk);
     });
+    message.on('end', () => resolve(body.take()));
     message.on('error', () => resolve('broken'));
     message.on('close', () => resolve('broken'));
   });
