--- a/packages/decisions/src/answers/byte_accumulator.ts
+++ b/packages/decisions/src/answers/byte_accumulator.ts
@@ -7,10 +7,15 @@
 const MINIMUM_SEGMENT_BYTES = 1024;
 const MAXIMUM_SEGMENT_BYTES = 65_536;
 
+/** Bytes of a chunk that is kept instead of copied. */
+const MINIMUM_KEPT_BYTES = 4096;
+
+const NO_BYTES = Buffer.alloc(0);
+
 /** Collects chunks of bytes. */
 export class ByteAccumulator {
   private readonly full: Buffer[] = [];
-  private segment: Buffer = Buffer.alloc(0);
+  private segment: Buffer = NO_BYTES;
   /** Bytes that are used of `segment`. */
   private used = 0;
   private total = 0;
@@ -34,16 +39,38 @@
     }
   }
 
+  /** Appends `chunk`, which does not change; a large one is not copied. */
+  appendOwned(chunk: Buffer): void {
+    if (chunk.length < MINIMUM_KEPT_BYTES) {
+      this.append(chunk);
+      return;
+    }
+    if (this.used > 0) {
+      this.full.push(this.segment.subarray(0, this.used));
+    }
+    this.full.push(chunk);
+    this.segment = NO_BYTES;
+    this.used = 0;
+    this.total += chunk.length;
+  }
+
   /** Removes and returns all bytes. */
   take(): Buffer {
-    const last = this.segment.subarray(0, this.used);
-    const bytes =
-      this.full.length === 0 ? last : Buffer.concat([...this.full, last]);
+    const parts = this.takeParts();
+    const [first = NO_BYTES] = parts;
+    return parts.length <= 1 ? first : Buffer.concat(parts);
+  }
+
+  /** Removes and returns all bytes in their parts, without copying them. */
+  takeParts(): readonly Buffer[] {
+    const parts = [...this.full, this.segment.subarray(0, this.used)].filter(
+      part => part.length > 0,
+    );
     this.full.length = 0;
-    this.segment = Buffer.alloc(0);
+    this.segment = NO_BYTES;
     this.used = 0;
     this.total = 0;
-    return bytes;
+    return parts;
   }
 
   private addSegment(): void {
--- a/packages/decisions/src/errors/error_kinds.ts
+++ b/packages/decisions/src/errors/error_kinds.ts
@@ -42,6 +42,13 @@
     ran: 'no',
     retry: 'never',
   },
+  'host-full': {
+    status: 503,
+    title: 'This entry host has no memory for the request',
+    ran: 'no',
+    retry: 'another-entry-host',
+    retryAfterSeconds: 1,
+  },
   internal: {
     status: 500,
     title: 'Internal error',
