Connection pool: a maximum for the connections to all upstreams together

Callers would see requests fail without a cause of their own when a process has no free descriptor: the pool bounded the connections to each upstream, and nothing bounded their sum beside those of clients.

Change: the pool can have a maximum for all upstreams. At the maximum, the connection that was idle for longest makes room; if none is idle, the request gets no connection, as at the maximum of one upstream. Nothing sets it yet.

Tests: connection_pool_test.ts, two new cases.

--- a/packages/upstreams/src/connection_pool.ts
+++ b/packages/upstreams/src/connection_pool.ts
@@ -48,7 +48,13 @@
   private readonly upstreams = new Map<string, Upstream>();
   private readonly watch: ResponseWatch;
 
-  constructor(private readonly clock: () => number) {
+  private openCount = 0;
+
+  constructor(
+    private readonly clock: () => number,
+    /** Maximum number of open connections to all upstreams together. */
+    private readonly maximumOpen = Infinity,
+  ) {
     this.watch = new ResponseWatch(clock);
   }
 
@@ -147,10 +153,16 @@
     if (index >= 0) {
       return upstream.idle.splice(index, 1)[0];
     }
-    if (upstream.open.size < maximumConnections) {
+    const hasRoom =
+      upstream.open.size < maximumConnections &&
+      this.openCount < this.maximumOpen;
+    if (hasRoom) {
       return this.openConnection(request, upstream);
     }
-    const replaced = upstream.idle.shift();
+    const replaced =
+      upstream.open.size < maximumConnections
+        ? this.takeLongestIdle()
+        : upstream.idle.shift();
     if (replaced === undefined) {
       return undefined;
     }
@@ -158,6 +170,14 @@
     return this.openConnection(request, upstream);
   }
 
+  /** Removes and returns the connection that has been idle for longest. */
+  private takeLongestIdle(): PooledConnection | undefined {
+    const [longest] = [...this.upstreams.values()]
+      .filter(({idle}) => idle.length > 0)
+      .sort((left, right) => idleSinceOf(left) - idleSinceOf(right));
+    return longest?.idle.shift();
+  }
+
   private openConnection(
     {
       address,
@@ -196,6 +216,7 @@
       isEndedHere: false,
     };
     upstream.open.add(connection);
+    this.openCount += 1;
     const onClosed = (): void => {
       if (connection.isClosed) {
         return;
@@ -205,6 +226,7 @@
         upstream.hasClosedUnannounced = true;
       }
       upstream.open.delete(connection);
+      this.openCount -= 1;
       const index = upstream.idle.indexOf(connection);
       if (index >= 0) {
         upstream.idle.splice(index, 1);
@@ -231,6 +253,11 @@
   }
 }
 
+/** Returns since when the first idle connection of an upstream has been idle. */
+function idleSinceOf({idle}: Upstream): number {
+  return idle[0]?.idleSince ?? Infinity;
+}
+
 function isUsable(
   {isClosed, idleSince}: PooledConnection,
   {maximumIdleMilliseconds}: PooledRequest,
--- a/packages/upstreams/tests/connection_pool_test.ts
+++ b/packages/upstreams/tests/connection_pool_test.ts
@@ -3,7 +3,7 @@
 
 import {afterEach, describe, expect, test} from 'vitest';
 
-import {ConnectionPool} from '../src/index.js';
+import {ConnectionPool, type PooledRequest} from '../src/index.js';
 
 type Behavior = (socket: Socket) => void;
 
@@ -43,11 +43,12 @@
 interface SendOptions {
   readonly attemptId?: string;
   readonly maximumConnections?: number;
+  readonly through?: ConnectionPool;
 }
 
 function send(
   address: string,
-  {attemptId, maximumConnections = 2}: SendOptions = {},
+  {attemptId, maximumConnections = 2, through = pool}: SendOptions = {},
 ): Promise<Result> {
   return new Promise(resolve => {
     let status: number | undefined;
@@ -55,7 +56,7 @@
     const chunks: Buffer[] = [];
     const finish = (end: Result['end']): void =>
       resolve({status, body: Buffer.concat(chunks).toString(), end, wasSent});
-    pool.send(
+    through.send(
       {
         address,
         method: 'POST',
@@ -89,18 +90,16 @@
   setTimeout(action, PAUSE_MILLISECONDS);
 }
 
-test('a connection that is given up while it connects gives its place back', async () => {
-  const address = await listen(socket =>
-    socket.write('HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx'),
-  );
-  const receiver = {
-    onSend: () => true,
-    onHead: () => undefined,
-    onData: () => undefined,
-    onEnd: () => undefined,
-    onError: () => undefined,
-  };
-  const request = {
+const RECEIVER = {
+  onSend: () => true,
+  onHead: () => undefined,
+  onData: () => undefined,
+  onEnd: () => undefined,
+  onError: () => undefined,
+};
+
+function requestTo(address: string): PooledRequest {
+  return {
     address,
     method: 'GET',
     path: '/',
@@ -110,7 +109,34 @@
     maximumConnections: 1,
     maximumMilliseconds: 1000,
   };
-  pool.send(request, receiver)?.cancel();
+}
+
+function answerShortly(socket: Socket): void {
+  socket.write('HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx');
+}
+
+test('an idle connection makes room at the maximum of all upstreams', async () => {
+  const bounded = new ConnectionPool(() => performance.now(), 1);
+  const addresses = [await listen(answerShortly), await listen(answerShortly)];
+  for (const address of [...addresses, ...addresses]) {
+    const result = await send(address, {through: bounded});
+    expect(result).toMatchObject({status: 200, end: 'complete'});
+  }
+  bounded.close();
+});
+
+test('a request gets no connection if all of the maximum are in use', async () => {
+  const bounded = new ConnectionPool(() => performance.now(), 1);
+  const unanswered = send(await listen(() => undefined), {through: bounded});
+  const address = await listen(answerShortly);
+  expect(bounded.send(requestTo(address), RECEIVER)).toBe(undefined);
+  sockets.at(-1)?.destroy();
+  await unanswered;
+});
+
+test('a connection that is given up while it connects gives its place back', async () => {
+  const address = await listen(answerShortly);
+  pool.send(requestTo(address), RECEIVER)?.cancel();
   await new Promise(resolve => setTimeout(resolve, 50));
   expect(await send(address, {maximumConnections: 1})).toMatchObject({
     status: 200,
