Front: at most 50 refusals a second that clients cause are logged one by one

Cause: event 4103 was written for each refused request, whatever the client had sent.

Change: of refusals for what a client sends (no route, malformed, key rejected), 50 a second are logged; the next line comes with the number of those that were left out (event 4116).

--- a/packages/entry-process/src/routed_interface/requests/routed_front.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_front.ts
@@ -9,7 +9,12 @@
   RoutedCallHandler,
   RoutedResponder,
 } from '@lacewingwinch/callers';
-import {type RoutedAdmission, ServingError} from '@lacewingwinch/decisions';
+import {
+  type ErrorKind,
+  type RoutedAdmission,
+  ServingError,
+} from '@lacewingwinch/decisions';
+import {EventThrottle} from '@lacewingwinch/observability';
 import {
   type CallHeaders,
   decodeCallHeaders,
@@ -31,8 +36,21 @@
 /** Maximum number of bytes of the headers before a configuration is known. */
 const DEFAULT_MAXIMUM_HEADER_BYTES = 16 * 1024;
 
+/** Refusals each second that are logged one by one though their clients cause them. */
+const MAXIMUM_LOGGED_CLIENT_ERRORS = 50;
+
+/** Kinds of errors that clients cause by what they send. */
+const CLIENT_ERRORS: ReadonlySet<ErrorKind> = new Set([
+  'path-unknown',
+  'request-malformed',
+  'workspace-key-rejected',
+]);
+
 /** The front of one entry host. */
 export class RoutedFront implements RoutedCallHandler {
+  private readonly clientErrors = new EventThrottle(
+    MAXIMUM_LOGGED_CLIENT_ERRORS,
+  );
   private readonly running = new Set<RoutedRequest>();
 
   constructor(private readonly dependencies: FrontDependencies) {}
@@ -144,6 +162,29 @@
     }
   }
 
+  /** Logs a refusal, but not each one of those that clients can cause at will. */
+  private logRefusal(
+    {kind, message: detail}: ServingError,
+    now: number,
+    request: {
+      readonly requestId: string;
+      readonly version: number;
+      readonly age: number;
+    },
+  ): void {
+    const {events} = this.dependencies;
+    if (CLIENT_ERRORS.has(kind)) {
+      const count = this.clientErrors.admit(now);
+      if (count === undefined) {
+        return;
+      }
+      if (count > 0) {
+        events.write(4116, {count, kind});
+      }
+    }
+    events.write(4103, {...request, kind, detail});
+  }
+
   private answerRefusal(
     headers: CallHeaders,
     error: ServingError,
@@ -151,10 +192,8 @@
   ): void {
     const confirmed = this.dependencies.configuration();
     const now = this.dependencies.clocks.suspensionAware();
-    this.dependencies.events.write(4103, {
+    this.logRefusal(error, now, {
       requestId: headers.attemptId ?? '',
-      kind: error.kind,
-      detail: error.message,
       version: confirmed?.value.version ?? -1,
       age:
         confirmed === undefined ? -1 : Math.round(now - confirmed.confirmedAt),
--- a/packages/observability/src/events/request_events.ts
+++ b/packages/observability/src/events/request_events.ts
@@ -147,4 +147,11 @@
     advice:
       'No action needed; see "From a refused request to its cause" in OPERATIONS.md.',
   },
+  4116: {
+    level: 'warn',
+    message:
+      '{count} requests were refused before this one without an event of their own; this one with {kind}',
+    advice:
+      'Clients send many requests that no configuration allows; see lacewingwinch_requests_total for the kinds.',
+  },
 } as const satisfies Readonly<Record<number, EventRow>>;
