Bound what all clients of a process may take, at every address

Cause: memory was bounded by request and connections not at all. Node.js parses every request of a read before the first is answered, and bytes that are not read count as memory of the process as well. Between collections, garbage outside the heap came on top.

Change: HTTP servers for callers, discovery, readiness, metrics, carried attempts, operators and the own interface are created by createBoundedServer. All of them share one ClientMemory; each has a share of the descriptors and closes the connection that was silent for longest when it is full. The parser is given small slices, at most eight unanswered requests of a connection, and connections take turns. A body is screened by its head once 64 KiB of it have arrived. A request without room gets 503 host-full, as not run, with Retry-After. Event 4123 and lacewingwinch_client_refusals_total say why clients were refused. The own interface has settings for memory and descriptors.

dismiss() of the tests waits until the process has noticed that the crowd left, so that the checks afterwards see nothing that stayed counted.

--- a/packages/callers/src/client_server.ts
+++ b/packages/callers/src/client_server.ts
@@ -1,18 +1,15 @@
 /**
  * The HTTP server for clients.
  */
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 
 import {isServingError, ServingError} from '@lacewingwinch/decisions';
 
+import {type ClientBounds, createBoundedServer} from './client_gate.js';
 import type {CallHandler, ClientAnswer} from './client_messages.js';
+import type {ClientRequest} from './client_request.js';
 import {
-  readBody,
+  MAXIMUM_BODY_BYTES,
   readCompletion,
   readFetch,
   readPlainCall,
@@ -55,14 +52,26 @@
     }
   | {readonly kind: 'request'; readonly requestId: string};
 
+/** A server for clients, and what it needs. */
+export interface ClientServerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly bounds: ClientBounds;
+  readonly handler: CallHandler;
+  readonly onUnexpectedError: (error: unknown) => void;
+}
+
 /** Starts a server for clients. */
-export async function listenForClients(
-  host: string,
-  port: number,
-  handler: CallHandler,
-  onUnexpectedError: (error: unknown) => void,
-): Promise<ClientFacingServer> {
-  const server = createServer(
+export async function listenForClients({
+  host,
+  port,
+  bounds,
+  handler,
+  onUnexpectedError,
+}: ClientServerOptions): Promise<ClientFacingServer> {
+  const server = createBoundedServer(
+    'callers',
+    bounds,
     {
       headersTimeout: HEADERS_TIMEOUT_MILLISECONDS,
       requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
@@ -70,8 +79,10 @@
       maxHeaderSize: MAXIMUM_HEADER_BYTES,
       noDelay: true,
     },
-    (message, response) => {
-      void answerMessage(message, response, handler, onUnexpectedError);
+    request => {
+      void answerRequest(request, handler, onUnexpectedError).finally(() =>
+        request.recordServed(),
+      );
     },
   );
   await listen(server, host, port);
@@ -83,14 +94,14 @@
   };
 }
 
-async function answerMessage(
-  message: IncomingMessage,
-  response: ServerResponse,
+async function answerRequest(
+  request: ClientRequest,
   handler: CallHandler,
   onUnexpectedError: (error: unknown) => void,
 ): Promise<void> {
+  const {message, response} = request;
   try {
-    const answer = await dispatchMessage(message, response, handler);
+    const answer = await dispatchRequest(request, handler);
     if (answer !== undefined) {
       await writeAnswer(response, answer);
     }
@@ -108,41 +119,67 @@
     if (!message.complete) {
       response.setHeader('connection', 'close');
     }
-    writeProblem(response, servingError, undefined);
+    writeProblem(response, servingError, undefined, {}, () =>
+      request.discardRest(() => response.end()),
+    );
   }
 }
 
-async function dispatchMessage(
-  message: IncomingMessage,
-  response: ServerResponse,
+async function dispatchRequest(
+  request: ClientRequest,
   handler: CallHandler,
 ): Promise<ClientAnswer | undefined> {
+  const {message, response} = request;
   const endpoint = parseEndpoint(message.url ?? '/');
   switch (endpoint.kind) {
     case 'completion':
     case 'chat-completion': {
       requireMethod(message, 'POST');
-      const body = await readBody(message);
-      return handler.serve(
-        readCompletion(message, endpoint.kind, endpoint.path, body),
-      );
+      const body = await readBody(request);
+      return body === undefined
+        ? undefined
+        : handler.serve(
+            readCompletion(message, endpoint.kind, endpoint.path, body),
+          );
     }
     case 'plain': {
-      const body = await readBody(message);
-      return handler.serve(
-        readPlainCall(message, endpoint.service, endpoint.path, body),
-      );
+      const body = await readBody(request);
+      return body === undefined
+        ? undefined
+        : handler.serve(
+            readPlainCall(message, endpoint.service, endpoint.path, body),
+          );
     }
     case 'request':
       requireMethod(message, 'GET');
+      message.resume();
       return handler.fetch(readFetch(message, endpoint.requestId));
     case 'entry-hosts':
       requireMethod(message, 'GET');
+      message.resume();
       writeDiscovery(message, response, handler);
       return undefined;
   }
 }
 
+/** Reads a body; undefined if the client left before it was complete. */
+async function readBody(request: ClientRequest): Promise<Buffer | undefined> {
+  const body = await request.readBody({maximumBytes: MAXIMUM_BODY_BYTES});
+  if (body === 'broken') {
+    return undefined;
+  }
+  if (body instanceof ServingError) {
+    throw body.kind === 'request-too-large' ? createTooLargeError() : body;
+  }
+  return body;
+}
+
+function createTooLargeError(): ServingError {
+  return new ServingError('request-too-large', {
+    detail: `a body may have ${MAXIMUM_BODY_BYTES} bytes at most`,
+  });
+}
+
 function parseEndpoint(url: string): Endpoint {
   const path = url.split('?', 1)[0] ?? '/';
   switch (path) {
--- a/packages/callers/src/read_call.ts
+++ b/packages/callers/src/read_call.ts
@@ -10,45 +10,11 @@
 /** Maximum size of a request body, in bytes. */
 export const MAXIMUM_BODY_BYTES = 8 * 1024 * 1024;
 
-/** Bytes of an oversized body that are read before the request is refused. */
-const MAXIMUM_DISCARDED_BYTES = 4 * MAXIMUM_BODY_BYTES;
-
 const DEFAULT_PRIORITY = 5;
 
 /** Maximum length of an idempotency key, in characters. */
 const MAXIMUM_IDEMPOTENCY_KEY_LENGTH = 200;
 
-/**
- * Reads the body of `message`. A body larger than `MAXIMUM_BODY_BYTES` is read
- * and discarded, so that the client receives the error response instead of a
- * connection reset.
- */
-export function readBody(message: IncomingMessage): Promise<Buffer> {
-  return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    message.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes <= MAXIMUM_BODY_BYTES) {
-        chunks.push(chunk);
-        return;
-      }
-      chunks.length = 0;
-      if (bytes > MAXIMUM_DISCARDED_BYTES) {
-        reject(createTooLargeError());
-      }
-    });
-    message.on('error', reject);
-    message.on('end', () => {
-      if (bytes > MAXIMUM_BODY_BYTES) {
-        reject(createTooLargeError());
-        return;
-      }
-      resolve(Buffer.concat(chunks));
-    });
-  });
-}
-
 /** Reads a completion request, whose field `model` names the service. */
 export function readCompletion(
   message: IncomingMessage,
@@ -212,9 +178,3 @@
 function createMalformedError(detail: string): ServingError {
   return new ServingError('request-malformed', {detail});
 }
-
-function createTooLargeError(): ServingError {
-  return new ServingError('request-too-large', {
-    detail: `a body may have ${MAXIMUM_BODY_BYTES} bytes at most`,
-  });
-}
--- a/packages/callers/src/write_answer.ts
+++ b/packages/callers/src/write_answer.ts
@@ -50,12 +50,16 @@
   }
 }
 
-/** Writes an error response with `error` as a problem document. */
+/**
+ * Writes an error response with `error` as a problem document; `end` ends it, at once
+ * by default.
+ */
 export function writeProblem(
   response: ServerResponse,
   error: ServingError,
   requestId: string | undefined,
   headers: Readonly<Record<string, string>> = {},
+  end: () => void = () => response.end(),
 ): void {
   const body = JSON.stringify(error.toProblem(requestId));
   response.writeHead(error.status, {
@@ -67,7 +71,8 @@
     ...headers,
     ...requestIdHeader(requestId),
   });
-  response.end(body);
+  response.write(body);
+  end();
 }
 
 async function writeItems(
--- a/packages/callers/tests/stalled_clients_test.ts
+++ b/packages/callers/tests/stalled_clients_test.ts
@@ -4,6 +4,7 @@
 import {afterEach, expect, it} from 'vitest';
 
 import {listenForRoutedCalls, type RoutedServer} from '../src/index.js';
+import {UNBOUNDED} from './client_bounds_fixture.js';
 
 /** More than the kernel buffers of both ends hold. */
 const BODY = Buffer.alloc(32 * 1024 * 1024, 'x');
@@ -24,19 +25,22 @@
 ])(
   'a client that stops reading a complete response $name',
   async ({stopMilliseconds, isCut}) => {
-    server = await listenForRoutedCalls(
-      `${ADDRESS.host}:${ADDRESS.port}`,
-      {
+    server = await listenForRoutedCalls({
+      name: 'callers',
+      address: `${ADDRESS.host}:${ADDRESS.port}`,
+      bounds: UNBOUNDED,
+      handler: {
         serve: (_call, responder) => {
-          responder.sendComplete(200, [], BODY, 'length');
+          responder.sendComplete(200, [], [BODY], 'length');
           return Promise.resolve();
         },
         refuse: () => ({status: 503, headers: [], body: Buffer.alloc(0)}),
+        screen: () => undefined,
         maximumBodyBytes: () => 1000,
         maximumHeaderBytes: () => 1000,
       },
-      () => undefined,
-    );
+      onUnexpectedError: () => undefined,
+    });
     const socket = connect(ADDRESS);
     client = socket;
     socket.pause();
--- a/packages/entry-process/src/build_tasks.ts
+++ b/packages/entry-process/src/build_tasks.ts
@@ -1,6 +1,7 @@
 /**
  * Construction and wiring of the tasks of an entry process.
  */
+import type {ClientBounds} from '@lacewingwinch/callers';
 import {
   LimitShares,
   type Member,
@@ -54,6 +55,7 @@
 import {PermitClient} from './tasks/permit_client.js';
 import {ShardLoads} from './tasks/shard_loads.js';
 import {UpstreamDirectory} from './tasks/upstream_directory.js';
+import {createClientBounds} from './util/client_bounds.js';
 
 /** Maximum number of suspicions in one gossip digest; the latest are sent. */
 const MAXIMUM_SUSPICIONS_PER_DIGEST = 16;
@@ -64,6 +66,8 @@
  */
 const MAXIMUM_LEAVING_PER_DIGEST = 64;
 
+const BYTES_PER_MEBIBYTE = 1024 * 1024;
+
 /** Milliseconds within which an upstream that lives accepts a connection. */
 const CONNECT_TIMEOUT_MILLISECONDS = 300;
 
@@ -80,6 +84,8 @@
   readonly metrics: Metrics;
   readonly tracing: Tracing;
   readonly clock: () => number;
+  /** Bounds the clients of all servers. */
+  readonly clientBounds: ClientBounds;
   readonly peers: PeerClient;
   readonly connections: UpstreamConnections;
   readonly paths: UpstreamPaths;
@@ -134,7 +140,17 @@
     isAlive: upstream => paths.isAlive(upstream),
   });
   const steadyClock = (): number => performance.now();
-  const pool = new ConnectionPool(steadyClock);
+  const clientBounds = createClientBounds({
+    memoryBytes: settings.memoryMegabytes * BYTES_PER_MEBIBYTE,
+    fileDescriptors: settings.fileDescriptors,
+    clock: steadyClock,
+    events,
+    metrics,
+  });
+  const pool = new ConnectionPool(
+    steadyClock,
+    clientBounds.limits.upstreamConnections,
+  );
   const paths: UpstreamPaths = new UpstreamPaths({
     failureDomain: settings.failureDomain,
     peers,
@@ -312,6 +328,7 @@
     metrics,
     tracing,
     clock,
+    clientBounds,
     peers,
     connections,
     paths,
--- a/packages/entry-process/src/entry_process.ts
+++ b/packages/entry-process/src/entry_process.ts
@@ -121,8 +121,8 @@
   private async listen(): Promise<Servers> {
     const {listenAddress, callerPort, peerPort, relayPort, operatorPort} =
       this.settings;
-    const {events, front, carrier} = this.tasks;
-    const onUnexpected = (error: unknown): void =>
+    const {events, front, carrier, clientBounds: bounds} = this.tasks;
+    const onUnexpectedError = (error: unknown): void =>
       events.write(1006, {task: 'callers', error: messageOf(error)});
     const drain = (): void => void this.leave('drain');
     const waiting = {
@@ -136,25 +136,39 @@
       waiting,
     );
     const callers = await listenWhenFree(
-      () => listenForClients(listenAddress, callerPort, front, onUnexpected),
+      () =>
+        listenForClients({
+          host: listenAddress,
+          port: callerPort,
+          bounds,
+          handler: front,
+          onUnexpectedError,
+        }),
       waiting,
     );
     const operators = await listenWhenFree(
       () =>
-        listenForOperators(
-          listenAddress,
-          operatorPort,
-          createOperatorHandlers(this.settings.hostId, this.tasks, drain),
-        ),
+        listenForOperators({
+          host: listenAddress,
+          port: operatorPort,
+          bounds,
+          handler: createOperatorHandlers(
+            this.settings.hostId,
+            this.tasks,
+            drain,
+          ),
+        }),
       waiting,
     );
     const relay = await listenWhenFree(
       () =>
-        listenForRoutedCalls(
-          `${listenAddress}:${relayPort}`,
-          carrier,
-          onUnexpected,
-        ),
+        listenForRoutedCalls({
+          name: 'relay',
+          address: `${listenAddress}:${relayPort}`,
+          bounds,
+          handler: carrier,
+          onUnexpectedError,
+        }),
       waiting,
     );
     return {callers, peers, operators, relay};
--- a/packages/entry-process/src/paths/relay_carrier.ts
+++ b/packages/entry-process/src/paths/relay_carrier.ts
@@ -9,9 +9,10 @@
   RefusalAnswer,
   RoutedCall,
   RoutedCallHandler,
+  RoutedHead,
   RoutedResponder,
 } from '@lacewingwinch/callers';
-import type {ServingError} from '@lacewingwinch/decisions';
+import {ServingError} from '@lacewingwinch/decisions';
 import {
   carriedHeaders,
   decodeRelayOrder,
@@ -101,6 +102,12 @@
     return this.refusalOf(error.message, false);
   }
 
+  screen({headers}: RoutedHead): ServingError | undefined {
+    return decodeRelayOrder(headers) === undefined
+      ? new ServingError('request-malformed')
+      : undefined;
+  }
+
   async serve(call: RoutedCall, responder: RoutedResponder): Promise<void> {
     const order = decodeRelayOrder(call.headers);
     if (order === undefined) {
@@ -241,7 +248,7 @@
       upstreamId: order?.upstreamId ?? '',
       reason,
     });
-    responder.sendComplete(status, headers, body, 'length');
+    responder.sendComplete(status, headers, [body], 'length');
   }
 
   private refusalOf(reason: string, isUnreachable: boolean): RefusalAnswer {
--- /dev/null
+++ b/packages/entry-process/src/routed_interface/lifecycle/create_crash_watches.ts
@@ -0,0 +1,48 @@
+/**
+ * The watches for contents and prompt parts that crash upstreams.
+ */
+import type {Metrics} from '@lacewingwinch/observability';
+import type {StoreClient} from '@lacewingwinch/platform';
+
+import type {UpstreamPaths} from '../../paths/upstream_paths.js';
+import {PartWatch} from '../../tasks/part_watch.js';
+import type {Clocks} from '../../util/clocks.js';
+import {ContentVerdictStore} from '../evidence/content_verdict_store.js';
+import {
+  CrashWatch,
+  type CrashWatchDependencies,
+} from '../evidence/crash_watch.js';
+import {PartVerdictStore} from '../evidence/part_verdict_store.js';
+
+/** What the watches share with the other tasks of a host. */
+export interface SharedWithWatches extends Pick<
+  CrashWatchDependencies,
+  'events' | 'hostId' | 'peers' | 'pool' | 'servingHosts' | 'trueTime'
+> {
+  readonly clocks: Clocks;
+  readonly metrics: Metrics;
+  readonly paths: UpstreamPaths;
+  readonly store: StoreClient;
+}
+
+/** Creates the watches of a host. */
+export function createCrashWatches(shared: SharedWithWatches): {
+  readonly crashes: CrashWatch;
+  readonly parts: PartWatch;
+} {
+  const {clocks, events, paths, store} = shared;
+  const crashes = new CrashWatch({
+    ...shared,
+    isToBlame: upstream => paths.isUpstreamToBlame(upstream),
+    clock: clocks.steady,
+    verdicts: new ContentVerdictStore({store, events}),
+  });
+  const parts = new PartWatch({
+    ...shared,
+    random: Math.random,
+    verdicts: new PartVerdictStore({store, events}),
+    clock: clocks.steady,
+    isAlive: upstream => paths.isAlive(upstream),
+  });
+  return {crashes, parts};
+}
--- a/packages/entry-process/src/routed_interface/lifecycle/metrics_server.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/metrics_server.ts
@@ -3,7 +3,11 @@
  */
 import type {Server} from 'node:http';
 
-import {type DirectoryAnswer, listenForDirectory} from '@lacewingwinch/callers';
+import {
+  type ClientBounds,
+  type DirectoryAnswer,
+  listenForDirectory,
+} from '@lacewingwinch/callers';
 import type {Metrics} from '@lacewingwinch/observability';
 
 import type {Clocks} from '../../util/clocks.js';
@@ -24,17 +28,20 @@
 /** Starts the metrics server at `address`. */
 export function listenForMetrics(
   address: string,
+  bounds: ClientBounds,
   sources: MetricsSources,
-  onUnexpected: (error: unknown) => void,
+  onUnexpectedError: (error: unknown) => void,
 ): Promise<Server> {
-  return listenForDirectory(
+  return listenForDirectory({
+    name: 'metrics',
     address,
-    (_method, target) =>
+    bounds,
+    handler: (_method, target) =>
       target === METRICS_PATH
         ? renderMetrics(sources)
         : {status: 404, body: '{}'},
-    onUnexpected,
-  );
+    onUnexpectedError,
+  });
 }
 
 async function renderMetrics(
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_listeners.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_listeners.ts
@@ -5,6 +5,7 @@
 import type {Server} from 'node:http';
 
 import {
+  type ClientBounds,
   type DirectoryAnswer,
   listenForDirectory,
   listenForRoutedCalls,
@@ -36,13 +37,15 @@
    * metrics.
    */
   readonly metricsPort: number | undefined;
+  /** Bounds the clients of all servers. */
+  readonly bounds: ClientBounds;
   readonly front: RoutedCallHandler;
   readonly directory: (method: string, target: string) => DirectoryAnswer;
   /** Carries attempts of other entry hosts. */
   readonly carrier: RoutedCallHandler;
   readonly metrics: MetricsSources;
   readonly peers: RoutedPeerDependencies;
-  readonly onUnexpected: (error: unknown) => void;
+  readonly onUnexpectedError: (error: unknown) => void;
   /** Called if metrics can't be served; the process runs without them. */
   readonly onMetricsFailure: (error: unknown) => void;
   /** How to wait for addresses that are in use. */
@@ -66,38 +69,42 @@
 export async function openListeners({
   addresses,
   metricsPort,
+  bounds,
   front,
   carrier,
   directory,
   metrics,
   peers,
-  onUnexpected,
+  onUnexpectedError,
   onMetricsFailure,
   waiting,
 }: ListenerDependencies): Promise<RoutedListeners> {
   const listenForCalls = (
-    address: string,
+    name: 'callers' | 'relay',
     handler: RoutedCallHandler,
-  ): Promise<RoutedServer> =>
-    listenWhenFree(
-      () => listenForRoutedCalls(address, handler, onUnexpected),
-      waiting,
-    );
-  const listenForQueries = (address: string): Promise<Server> =>
-    listenWhenFree(
-      () => listenForDirectory(address, directory, onUnexpected),
-      waiting,
-    );
-  const callers = await listenForCalls(addresses.callers, front);
-  const relay = await listenForCalls(addresses.relay, carrier);
+  ): Promise<RoutedServer> => {
+    const address = addresses[name];
+    const options = {name, address, bounds, handler, onUnexpectedError};
+    return listenWhenFree(() => listenForRoutedCalls(options), waiting);
+  };
+  const listenForQueries = (
+    name: 'discovery' | 'readiness',
+  ): Promise<Server> => {
+    const address = addresses[name];
+    const handler = directory;
+    const options = {name, address, bounds, handler, onUnexpectedError};
+    return listenWhenFree(() => listenForDirectory(options), waiting);
+  };
+  const callers = await listenForCalls('callers', front);
+  const relay = await listenForCalls('relay', carrier);
   const directoryServers = [
-    await listenForQueries(addresses.discovery),
-    await listenForQueries(addresses.readiness),
+    await listenForQueries('discovery'),
+    await listenForQueries('readiness'),
   ];
   if (metricsPort !== undefined) {
     const address = `${parseAddress(addresses.callers).host}:${metricsPort}`;
     listenWhenFree(
-      () => listenForMetrics(address, metrics, onUnexpected),
+      () => listenForMetrics(address, bounds, metrics, onUnexpectedError),
       waiting,
     ).then(server => directoryServers.push(server), onMetricsFailure);
   }
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_process.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_process.ts
@@ -197,12 +197,13 @@
     return openListeners({
       addresses: this.settings.addresses,
       metricsPort: this.metricsPort,
+      bounds: tasks.clientBounds,
       front: this.gate,
       carrier: tasks.carrier,
       directory: (method, target) => this.answerDirectory(method, target),
       metrics: tasks,
       peers: tasks,
-      onUnexpected: error =>
+      onUnexpectedError: error =>
         events.write(1006, {task: 'callers', error: messageOf(error)}),
       onMetricsFailure: error => events.write(1011, {error: messageOf(error)}),
       waiting: {
@@ -231,6 +232,7 @@
   private onConfigurationChange({limits, version}: RoutingConfiguration): void {
     this.listeners?.callers.setIdleTimeout(limits.idleTimeoutMilliseconds);
     this.listeners?.callers.setHeaderTimeout(limits.headerTimeoutMilliseconds);
+    this.tasks.clientBounds.memory.allowBody(limits.bodyBytes);
     this.tasks.metrics.configurationVersion.set(version);
   }
 
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -1,6 +1,7 @@
 /**
  * Construction and wiring of the tasks of an entry process on the platform.
  */
+import type {ClientBounds} from '@lacewingwinch/callers';
 import {
   AnswerMemory,
   featuresOf,
@@ -25,13 +26,14 @@
   type Metrics,
 } from '@lacewingwinch/observability';
 import {type PlatformSettings, StoreClient} from '@lacewingwinch/platform';
-import {canConnect, ConnectionPool} from '@lacewingwinch/upstreams';
+import {ConnectionPool} from '@lacewingwinch/upstreams';
 import {v7 as uuidV7} from 'uuid';
 
 import type {RelayCarrier} from '../../paths/relay_carrier.js';
-import {UpstreamPaths} from '../../paths/upstream_paths.js';
+import type {UpstreamPaths} from '../../paths/upstream_paths.js';
 import type {MembershipTask} from '../../tasks/membership_task.js';
-import {PartWatch} from '../../tasks/part_watch.js';
+import type {PartWatch} from '../../tasks/part_watch.js';
+import {createClientBounds} from '../../util/client_bounds.js';
 import {type Clocks, createProcessClocks} from '../../util/clocks.js';
 import {QuotaExchange} from '../admission/quota_exchange.js';
 import type {DutyTask} from '../duties/duty_task.js';
@@ -39,9 +41,7 @@
 import {createRoutedDuties} from '../duties/routed_duties.js';
 import {UsagePush} from '../duties/usage_push.js';
 import {AnswerAnnouncements} from '../evidence/answer_announcements.js';
-import {ContentVerdictStore} from '../evidence/content_verdict_store.js';
-import {CrashWatch} from '../evidence/crash_watch.js';
-import {PartVerdictStore} from '../evidence/part_verdict_store.js';
+import type {CrashWatch} from '../evidence/crash_watch.js';
 import {RoutedPlacement} from '../placement/routed_placement.js';
 import type {FrontDependencies} from '../requests/front_dependencies.js';
 import type {RequestExplainer} from '../requests/request_explainer.js';
@@ -54,8 +54,10 @@
 import {StreamOriginExchange} from '../state/stream_origin_exchange.js';
 import {UpstreamChangeLog} from '../state/upstream_change_log.js';
 import {UpstreamFollower} from '../state/upstream_follower.js';
+import {createCrashWatches} from './create_crash_watches.js';
 import {createRelayCarrier} from './create_relay_carrier.js';
 import {createRequestExplainer} from './create_request_explainer.js';
+import {createUpstreamPaths} from './create_upstream_paths.js';
 import {RoutedRollouts} from './routed_rollouts.js';
 
 /**
@@ -64,9 +66,6 @@
  */
 const KEY_AGE_SHARE = 0.9;
 
-/** Milliseconds within which an upstream that lives accepts a connection. */
-const CONNECT_TIMEOUT_MILLISECONDS = 300;
-
 /** What the tasks need to know of the process that runs them. */
 export interface RoutedTasksDependencies {
   /** Returns the settings in force. */
@@ -83,6 +82,7 @@
   readonly metrics: Metrics;
   readonly store: StoreClient;
   readonly pool: ConnectionPool;
+  readonly clientBounds: ClientBounds;
   readonly peers: PeerClient = createPeerClient();
   readonly configuration: ConfigurationFollower;
   readonly upstreams: UpstreamFollower;
@@ -133,10 +133,20 @@
     this.events = createEventLog(settings.hostId, 'info');
     this.upstreamChangeLog = new UpstreamChangeLog(this.events);
     this.metrics = createMetrics();
+    this.clientBounds = createClientBounds({
+      memoryBytes: settings.memoryBytes,
+      fileDescriptors: settings.limits?.fileDescriptors ?? 0,
+      clock: clocks.steady,
+      events: this.events,
+      metrics: this.metrics,
+    });
+    this.pool = new ConnectionPool(
+      clocks.steady,
+      this.clientBounds.limits.upstreamConnections,
+    );
     this.store = new StoreClient(settings.storeAddress, (call, end) =>
       this.metrics.storeCalls.inc({call, end: String(end)}),
     );
-    this.pool = new ConnectionPool(clocks.steady);
     this.rollouts = this.createRollouts(settings.hostId);
     this.configuration = new ConfigurationFollower({
       store: this.store,
@@ -168,7 +178,17 @@
       namedRates: this.namedRates,
       trueTime: () => this.readTrueTime(),
     });
-    this.paths = this.createPaths(settings.failureDomain);
+    this.paths = createUpstreamPaths({
+      failureDomain: settings.failureDomain,
+      peers: this.peers,
+      events: this.events,
+      metrics: this.metrics,
+      clocks,
+      pool: this.pool,
+      upstreams: this.upstreams.list,
+      otherHosts: () => this.fleet.otherServingHosts(),
+      onCutOffChange: () => this.membership.broadcast(),
+    });
     this.carrier = createRelayCarrier({
       pool: this.pool,
       events: this.events,
@@ -264,29 +284,20 @@
       upstreams: this.upstreams,
       rollouts: this.rollouts.follower,
     });
-    this.crashes = new CrashWatch({
-      hostId: settings.hostId,
-      peers: this.peers,
-      events: this.events,
-      pool: this.pool,
-      isToBlame: upstream => this.paths.isUpstreamToBlame(upstream),
-      clock: clocks.steady,
-      trueTime: () => this.readTrueTime(),
-      servingHosts: () => this.membership.serving(),
-      verdicts: new ContentVerdictStore(this),
-    });
-    this.parts = new PartWatch({
+    const watches = createCrashWatches({
       hostId: settings.hostId,
       peers: this.peers,
       events: this.events,
       metrics: this.metrics,
-      random: Math.random,
-      verdicts: new PartVerdictStore({store: this.store, events: this.events}),
-      clock: clocks.steady,
+      clocks,
+      pool: this.pool,
+      paths: this.paths,
+      store: this.store,
       trueTime: () => this.readTrueTime(),
       servingHosts: () => this.membership.serving(),
-      isAlive: upstream => this.paths.isAlive(upstream),
     });
+    this.crashes = watches.crashes;
+    this.parts = watches.parts;
     this.duties = createRoutedDuties(settings, {
       processId: this.processId,
       store: this.store,
@@ -322,25 +333,6 @@
     this.explainer = createRequestExplainer(front, this.rollouts, this.fleet);
   }
 
-  private createPaths(failureDomain: string): UpstreamPaths {
-    return new UpstreamPaths({
-      failureDomain,
-      peers: this.peers,
-      events: this.events,
-      metrics: this.metrics,
-      clock: this.clocks.steady,
-      random: Math.random,
-      otherHosts: () => this.fleet.otherServingHosts(),
-      addressOf: upstreamId => this.upstreams.list.find(upstreamId)?.address,
-      canConnect: address => canConnect(address, CONNECT_TIMEOUT_MILLISECONDS),
-      closeIdle: address =>
-        address === undefined
-          ? this.pool.closeAllIdle()
-          : this.pool.closeIdle(address),
-      onCutOffChange: () => this.membership.broadcast(),
-    });
-  }
-
   private createRollouts(hostId: string): RoutedRollouts {
     return new RoutedRollouts({
       processId: this.processId,
--- a/packages/entry-process/src/routed_interface/lifecycle/start_gate.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/start_gate.ts
@@ -9,6 +9,7 @@
   RefusalAnswer,
   RoutedCall,
   RoutedCallHandler,
+  RoutedHead,
   RoutedResponder,
 } from '@lacewingwinch/callers';
 import type {ServingError} from '@lacewingwinch/decisions';
@@ -47,6 +48,10 @@
     return this.front.refuse(headers, error);
   }
 
+  screen(head: RoutedHead): ServingError | undefined {
+    return this.isOpen ? this.front.screen(head) : undefined;
+  }
+
   maximumBodyBytes(): number {
     return this.front.maximumBodyBytes();
   }
--- a/packages/entry-process/src/routed_interface/requests/routed_attempt.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_attempt.ts
@@ -31,7 +31,12 @@
 
 /** Outcome of an attempt. */
 export type AttemptOutcome =
-  | {readonly kind: 'whole'; readonly head: AnswerHead; readonly body: Buffer}
+  | {
+      readonly kind: 'whole';
+      readonly head: AnswerHead;
+      /** The body in parts. */
+      readonly body: readonly Buffer[];
+    }
   /** Every event was passed to the receiver. */
   | {
       readonly kind: 'streamed';
@@ -212,7 +217,7 @@
       this.cancel({kind: 'failed', failure});
       return;
     }
-    this.body.append(chunk);
+    this.body.appendOwned(chunk);
     this.countMemory(this.body.length);
   }
 
@@ -277,7 +282,7 @@
       this.endStream(end);
       return;
     }
-    this.settle({kind: 'whole', head: this.head, body: this.body.take()});
+    this.settle({kind: 'whole', head: this.head, body: this.body.takeParts()});
   }
 
   private endStream(end: AnswerEnd): void {
--- a/packages/entry-process/src/routed_interface/requests/routed_front.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_front.ts
@@ -7,6 +7,7 @@
   RefusalAnswer,
   RoutedCall,
   RoutedCallHandler,
+  RoutedHead,
   RoutedResponder,
 } from '@lacewingwinch/callers';
 import {
@@ -79,10 +80,21 @@
     return refusalOf(error, decodeCallHeaders(headers).attemptId);
   }
 
+  screen(head: RoutedHead): ServingError | undefined {
+    try {
+      this.admit(head, decodeCallHeaders(head.headers), 0);
+      return undefined;
+    } catch (error) {
+      return error instanceof ServingError
+        ? error
+        : new ServingError('internal', {cause: error});
+    }
+  }
+
   async serve(call: RoutedCall, responder: RoutedResponder): Promise<void> {
     const headers = decodeCallHeaders(call.headers);
     try {
-      const admission = this.admit(call, headers);
+      const admission = this.admit(call, headers, call.body.length);
       await this.run(call, headers, admission, responder);
     } catch (error) {
       const servingError =
@@ -93,7 +105,11 @@
     }
   }
 
-  private admit(call: RoutedCall, headers: CallHeaders): RoutedAdmission {
+  private admit(
+    head: RoutedHead,
+    headers: CallHeaders,
+    bodyBytes: number,
+  ): RoutedAdmission {
     if (headers.attemptId === undefined) {
       throw new ServingError('request-malformed', {
         detail: 'the request carries no attempt id',
@@ -102,11 +118,11 @@
     return admitAtFront(this.dependencies, {
       // A stream that is taken up stays at the service that began it.
       attemptId: headers.resumedAttemptId ?? headers.attemptId,
-      host: call.host,
-      path: call.path,
+      host: head.host,
+      path: head.path,
       workspaceKey: headers.workspaceKey,
       deadlineMilliseconds: headers.deadlineMilliseconds,
-      bodyBytes: call.body.length,
+      bodyBytes,
     });
   }
 
@@ -211,7 +227,7 @@
     responder.sendComplete(
       answer.status,
       answer.headers,
-      answer.body,
+      [answer.body],
       'length',
     );
   }
--- a/packages/entry-process/src/routed_interface/requests/routed_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_request.ts
@@ -299,7 +299,7 @@
   private settleComplete(
     upstreamId: string,
     head: AnswerHead,
-    body: Buffer,
+    body: readonly Buffer[],
   ): Settled {
     const {status, framing} = head;
     if (status >= FIRST_FAILURE_STATUS) {
--- a/packages/entry-process/src/settings.ts
+++ b/packages/entry-process/src/settings.ts
@@ -115,6 +115,16 @@
     help: 'On-demand hosts among them, at least',
     schema: z.coerce.number().int().min(0).default(0),
   },
+  memoryMegabytes: {
+    flag: '--memory-megabytes <count>',
+    help: 'MiB of memory that the process may use; clients are refused before it needs more',
+    schema: z.coerce.number().int().min(128).default(350),
+  },
+  fileDescriptors: {
+    flag: '--file-descriptors <count>',
+    help: 'Descriptors that the process may have open; connections are closed before it needs more',
+    schema: z.coerce.number().int().min(300).default(4096),
+  },
   logLevel: {
     flag: '--log-level <level>',
     help: 'Least severity that is logged: error, warn or info',
@@ -148,6 +158,8 @@
     ordersService: SETTINGS.ordersService.schema,
     ordersHosts: SETTINGS.ordersHosts.schema,
     ordersOnDemand: SETTINGS.ordersOnDemand.schema,
+    memoryMegabytes: SETTINGS.memoryMegabytes.schema,
+    fileDescriptors: SETTINGS.fileDescriptors.schema,
     logLevel: SETTINGS.logLevel.schema,
     traceUrl: SETTINGS.traceUrl.schema,
   })
--- a/packages/entry-process/tests/cold_start_test.ts
+++ b/packages/entry-process/tests/cold_start_test.ts
@@ -34,6 +34,7 @@
         return Promise.resolve();
       },
       refuse: () => ({status: 503, headers: [], body: Buffer.of()}),
+      screen: () => undefined,
       maximumBodyBytes: () => 0,
       maximumHeaderBytes: () => 0,
     });
--- a/packages/entry-process/tests/crowds/crowded_host.ts
+++ b/packages/entry-process/tests/crowds/crowded_host.ts
@@ -13,6 +13,7 @@
   type Answer,
   CONFIGURATION,
   RoutedInstallation,
+  waitUntil,
 } from '../routed_fixtures.js';
 import {countDescriptorsOf, peakMegabytesOf} from './process_usage.js';
 
@@ -26,6 +27,12 @@
 export const BODY_BYTES = 4 * 1024 * 1024;
 const HEADER_BYTES = 16 * 1024;
 
+/**
+ * Descriptors that the process may have when no client is connected: its own, and the
+ * connections to upstreams that it keeps for a while.
+ */
+const MAXIMUM_DESCRIPTORS_AFTERWARDS = 100;
+
 const SAMPLE_MILLISECONDS = 20;
 
 /** Milliseconds that an ordinary client waits for its answer. */
@@ -41,11 +48,11 @@
   readonly at?: AddressName;
 }
 
-/** Returns the heap flag of the deploy file. */
-function deployedHeapFlag(): string {
+/** Returns the flags of Node.js in the deploy file. */
+function deployedFlags(): readonly string[] {
   const file = new URL('../../../../deploy/system.toml', import.meta.url);
-  const run = /^run = "node (\S+) /m.exec(readFileSync(file, 'utf8'));
-  return run?.[1] ?? '';
+  const run = /^run = "node ((?:--\S+ )+)/m.exec(readFileSync(file, 'utf8'));
+  return run?.[1]?.trim().split(' ') ?? [];
 }
 
 /** A host process that serves with little memory and few descriptors. */
@@ -89,7 +96,7 @@
       memoryMegabytes: MEMORY_MEGABYTES,
       fileDescriptors: FILE_DESCRIPTORS,
       flags: [`--metrics-port=${metricsPort}`],
-      nodeFlags: [deployedHeapFlag()],
+      nodeFlags: deployedFlags(),
     });
     await host.waitUntilReady();
     return new CrowdedHost(installation, host, metricsPort);
@@ -104,10 +111,12 @@
     await Promise.all(crowds.map(crowd => crowd.settled()));
   }
 
-  /** Makes all crowds leave. */
-  dismiss(): void {
-    this.crowds.forEach(crowd => crowd.close());
-    this.crowds.length = 0;
+  /** Makes all crowds leave, and waits until the process has noticed it. */
+  async dismiss(): Promise<void> {
+    this.closeCrowds();
+    await waitUntil(
+      () => countDescriptorsOf(this.pid) <= MAXIMUM_DESCRIPTORS_AFTERWARDS,
+    );
   }
 
   /** Sends an ordinary request with a body of `bytes`. */
@@ -140,7 +149,7 @@
   async close(): Promise<void> {
     clearInterval(this.sampling);
     await this.host.close();
-    this.dismiss();
+    this.closeCrowds();
     await this.installation.stop();
   }
 
@@ -151,6 +160,11 @@
       : this.host.addresses[name];
   }
 
+  private closeCrowds(): void {
+    this.crowds.forEach(crowd => crowd.close());
+    this.crowds.length = 0;
+  }
+
   private get pid(): number {
     return this.host.started.child.pid ?? 0;
   }
--- a/packages/entry-process/tests/crowds/peer_connections_test.ts
+++ b/packages/entry-process/tests/crowds/peer_connections_test.ts
@@ -42,7 +42,7 @@
     await host.admit(crowd);
     await host.expectToAnswer();
     host.expectWithinLimits();
-    host.dismiss();
+    await host.dismiss();
     await host.expectToAnswer();
     host.expectWithinLimits();
   });
--- a/packages/entry-process/tests/crowds/requests_ahead_test.ts
+++ b/packages/entry-process/tests/crowds/requests_ahead_test.ts
@@ -58,7 +58,7 @@
     await host.admit(crowd);
     await host.expectToAnswer();
     host.expectWithinLimits();
-    host.dismiss();
+    await host.dismiss();
     await host.expectToAnswer();
     host.expectWithinLimits();
   });
@@ -69,7 +69,7 @@
     }
     await host.admit({connections: 40, send: () => requestsAhead(20_000)});
     host.expectWithinLimits();
-    host.dismiss();
+    await host.dismiss();
     for (const engine of host.installation.engines) {
       engine.behavior = 'answer';
     }
@@ -93,7 +93,7 @@
       send: () => requestsAhead(test.requests),
     });
     host.expectWithinLimits();
-    host.dismiss();
+    await host.dismiss();
     await host.expectToAnswer();
     host.expectWithinLimits();
   });
--- a/packages/entry-process/tests/crowds/returning_clients_test.ts
+++ b/packages/entry-process/tests/crowds/returning_clients_test.ts
@@ -72,7 +72,7 @@
     await host.admit(...crowds);
     await host.expectToAnswer();
     host.expectWithinLimits();
-    host.dismiss();
+    await host.dismiss();
     await host.expectToAnswer();
     host.expectWithinLimits();
   });
@@ -81,7 +81,7 @@
     for (let round = 0; round < ROUNDS; round += 1) {
       await host.admit(...MANY_KINDS);
       host.expectWithinLimits();
-      host.dismiss();
+      await host.dismiss();
       await host.expectToAnswer(BODY_BYTES);
     }
     host.expectWithinLimits();
--- a/packages/entry-process/tests/crowds/unfinished_bodies_test.ts
+++ b/packages/entry-process/tests/crowds/unfinished_bodies_test.ts
@@ -83,7 +83,7 @@
     await host.admit(crowd);
     await host.expectToAnswer();
     host.expectWithinLimits();
-    host.dismiss();
+    await host.dismiss();
     await host.expectToAnswer();
     host.expectWithinLimits();
   });
--- a/packages/observability/src/events/request_events.ts
+++ b/packages/observability/src/events/request_events.ts
@@ -154,4 +154,10 @@
     advice:
       'Clients send many requests that no configuration allows; see lacewingwinch_requests_total for the kinds.',
   },
+  4123: {
+    level: 'warn',
+    message:
+      '{count} clients were refused or disconnected at the address for {server}: {reason}',
+    advice: 'See "Why a client was disconnected" in OPERATIONS.md.',
+  },
 } as const satisfies Readonly<Record<number, EventRow>>;
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -45,6 +45,7 @@
   readonly engineOrders: Counter<
     'failure_domain' | 'host_class' | 'result' | 'service'
   >;
+  readonly clientRefusals: Counter<'reason' | 'server'>;
   readonly storeCalls: Counter<'call' | 'end'>;
   readonly rolloutShare: Gauge<'service' | 'version'>;
   readonly versionResults: Counter<'result' | 'service' | 'version'>;
@@ -231,6 +232,12 @@
       labelNames: ['failure_domain', 'host_class', 'result', 'service'],
       registers,
     }),
+    clientRefusals: new Counter({
+      name: 'lacewingwinch_client_refusals_total',
+      help: 'Clients refused or disconnected for the sake of others, by server and reason: `connection-closed`, `connection-refused`, `request-refused`, `request-unfinished`, `requests-ahead` or `response-untaken`.',
+      labelNames: ['reason', 'server'],
+      registers,
+    }),
     storeCalls: new Counter({
       name: 'lacewingwinch_store_calls_total',
       help: 'Calls to the store, by kind and by how they ended.',
--- a/packages/operators/src/operator_server.ts
+++ b/packages/operators/src/operator_server.ts
@@ -1,12 +1,13 @@
 /**
  * Server of the operator HTTP interface of an entry process.
  */
-import {
-  createServer,
-  type IncomingMessage,
-  type ServerResponse,
-} from 'node:http';
+import type {ServerResponse} from 'node:http';
 
+import {
+  type ClientBounds,
+  type ClientRequest,
+  createBoundedServer,
+} from '@lacewingwinch/callers';
 import {ServingError} from '@lacewingwinch/decisions';
 
 import type {OperatorHandler} from './operator_messages.js';
@@ -17,15 +18,38 @@
   close(): Promise<void>;
 }
 
-/** Starts the operator server at `host` and `port`. */
-export async function listenForOperators(
-  host: string,
-  port: number,
-  handler: OperatorHandler,
-): Promise<OperatorServer> {
-  const server = createServer((message, response) => {
-    handleRequest(message, response, handler).catch(() => response.destroy());
-  });
+/** A server for operators, and what it needs. */
+export interface OperatorServerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly bounds: ClientBounds;
+  readonly handler: OperatorHandler;
+}
+
+/** Milliseconds within which a request must arrive. */
+const REQUEST_TIMEOUT_MILLISECONDS = 10_000;
+
+/** Starts the operator server. */
+export async function listenForOperators({
+  host,
+  port,
+  bounds,
+  handler,
+}: OperatorServerOptions): Promise<OperatorServer> {
+  const server = createBoundedServer(
+    'operators',
+    bounds,
+    {
+      headersTimeout: REQUEST_TIMEOUT_MILLISECONDS,
+      requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
+    },
+    request => {
+      request.message.resume();
+      handleRequest(request, handler)
+        .catch(() => request.response.destroy())
+        .finally(() => request.recordServed());
+    },
+  );
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
     server.listen(port, host, resolve);
@@ -42,8 +66,7 @@
 }
 
 async function handleRequest(
-  message: IncomingMessage,
-  response: ServerResponse,
+  {message, response}: ClientRequest,
   handler: OperatorHandler,
 ): Promise<void> {
   const path = (message.url ?? '/').split('?', 1)[0] ?? '/';
