Peers: frames and connections count in the account of all clients

Cause: each connection could hold 16 MiB and nothing bounded all of them; split2 searched the pending line again with each chunk, which is work that grows with its square; a frame of empty lists takes ten times its text.

Change: lines are collected in segments and searched once; split2 is gone. What is pending is given up with what other clients hold; a frame may have a million values. The address has a share of the connections.

--- a/packages/control-command/tests/where_command_test.ts
+++ b/packages/control-command/tests/where_command_test.ts
@@ -5,9 +5,10 @@
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 
-import type {
-  ExplainedRequest,
-  RequestExplanation,
+import {
+  ClientMemory,
+  type ExplainedRequest,
+  type RequestExplanation,
 } from '@lacewingwinch/decisions';
 import {
   type ExplanationAnswer,
@@ -318,10 +319,24 @@
   let asked: ExplainedRequest | undefined;
 
   beforeAll(async () => {
-    server = await listenForPeers('127.0.0.1', 0, {
-      'request.explain': request => {
-        asked = request;
-        return answer;
+    server = await listenForPeers({
+      host: '127.0.0.1',
+      port: 0,
+      bounds: {
+        maximumConnections: Infinity,
+        memory: new ClientMemory({
+          clientBytes: Infinity,
+          largestClientBytes: Infinity,
+          requestBytes: Infinity,
+        }),
+        clock: () => performance.now(),
+        onRefused: () => undefined,
+      },
+      handlers: {
+        'request.explain': request => {
+          asked = request;
+          return answer;
+        },
       },
     });
   });
--- a/packages/entry-hosts/src/frame_codec.ts
+++ b/packages/entry-hosts/src/frame_codec.ts
@@ -3,29 +3,54 @@
  */
 import type {Socket} from 'node:net';
 
-import split from 'split2';
+import {LineSplitter} from './line_splitter.js';
 
 /** Maximum size of a frame, in bytes. */
-export const MAXIMUM_FRAME_BYTES = 16 * 1024 * 1024;
+const MAXIMUM_FRAME_BYTES = 16 * 1024 * 1024;
+
+/** Bytes of a frame that may contain as many values as fit. */
+const UNCOUNTED_FRAME_BYTES = 256 * 1024;
+
+/**
+ * Maximum number of values of a frame. Empty lists take ten times as much memory as
+ * their text; the list of 12,000 upstreams has a fifth of as many values.
+ */
+const MAXIMUM_FRAME_VALUES = 1_000_000;
+
+/** Bytes that each begin a value: a comma, and the start of a list or an object. */
+const VALUE_STARTS: ReadonlySet<number> = new Set([0x2c, 0x5b, 0x7b]);
+
+/** Receiver of the frames of a connection. */
+export interface FrameReceiver {
+  readonly onFrame: (frame: unknown) => void;
+  /** Called with the bytes of the frame that is not complete. */
+  readonly onPending?: (bytes: number) => void;
+}
 
 /**
- * Calls `onFrame` with each document received on `socket`. A line that is too
- * long or not valid JSON closes the socket.
+ * Passes on each document received on `socket`. A line that is too large or not valid
+ * JSON closes the socket.
  */
 export function readFrames(
   socket: Socket,
-  onFrame: (frame: unknown) => void,
+  {onFrame, onPending}: FrameReceiver,
 ): void {
-  const lines = socket.pipe(split({maxLength: MAXIMUM_FRAME_BYTES}));
-  lines.on('data', (line: string) => {
-    const frame = parseFrame(line);
-    if (frame === undefined) {
+  const splitter = new LineSplitter();
+  socket.on('data', (chunk: Buffer) => {
+    for (const line of splitter.push(chunk)) {
+      const frame = parseFrame(line);
+      if (frame === undefined) {
+        socket.destroy();
+        return;
+      }
+      onFrame(frame);
+    }
+    if (splitter.pendingBytes > MAXIMUM_FRAME_BYTES) {
       socket.destroy();
       return;
     }
-    onFrame(frame);
+    onPending?.(splitter.pendingBytes);
   });
-  lines.on('error', () => socket.destroy());
 }
 
 /**
@@ -40,10 +65,24 @@
   socket.write(`${JSON.stringify(frame)}\n`);
 }
 
-function parseFrame(line: string): unknown {
+function parseFrame(line: Buffer): unknown {
+  if (hasTooManyValues(line)) {
+    return undefined;
+  }
   try {
-    return JSON.parse(line);
+    return JSON.parse(line.toString());
   } catch {
     return undefined;
   }
 }
+
+function hasTooManyValues(line: Buffer): boolean {
+  if (line.length <= UNCOUNTED_FRAME_BYTES) {
+    return false;
+  }
+  let count = 0;
+  for (const byte of line) {
+    count += VALUE_STARTS.has(byte) ? 1 : 0;
+  }
+  return count > MAXIMUM_FRAME_VALUES;
+}
--- a/packages/entry-hosts/src/peer_links.ts
+++ b/packages/entry-hosts/src/peer_links.ts
@@ -147,10 +147,12 @@
     }
     writeFrame(socket, frame);
   });
-  readFrames(socket, frame => {
-    if (isJSONRPCResponse(frame)) {
-      rpc.receive(frame);
-    }
+  readFrames(socket, {
+    onFrame: frame => {
+      if (isJSONRPCResponse(frame)) {
+        rpc.receive(frame);
+      }
+    },
   });
   socket.on('error', () => socket.destroy());
   socket.on('close', () => {
--- a/packages/entry-hosts/src/peer_server.ts
+++ b/packages/entry-hosts/src/peer_server.ts
@@ -3,11 +3,33 @@
  */
 import {createServer, type Server, type Socket} from 'node:net';
 
-import {isJSONRPCRequest, JSONRPCServer} from 'json-rpc-2.0';
+import {type ClientMemory, ConnectionTable} from '@lacewingwinch/decisions';
+import {JSONRPCServer} from 'json-rpc-2.0';
 
-import {readFrames, writeFrame} from './frame_codec.js';
+import {PeerConnection} from './peer_connection.js';
 import type {PeerHandlers, PeerMethod} from './peer_methods.js';
 
+/** What bounds the connections that other processes open. */
+export interface PeerBounds {
+  readonly maximumConnections: number;
+  /** Memory that the requests of all clients of the process share. */
+  readonly memory: ClientMemory;
+  /** Returns steady clock readings in milliseconds. */
+  readonly clock: () => number;
+  /** Called when a connection is closed for the sake of others. */
+  readonly onRefused: (
+    refusal: 'connection-closed' | 'request-unfinished' | 'response-untaken',
+  ) => void;
+}
+
+/** A server for the calls of peers, and what it needs. */
+export interface PeerServerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly bounds: PeerBounds;
+  readonly handlers: Partial<PeerHandlers>;
+}
+
 /** A running server for the connections of peers. */
 export interface PeerServer {
   readonly port: number;
@@ -15,18 +37,21 @@
 }
 
 /** Starts a server that handles the calls of other entry processes. */
-export async function listenForPeers(
-  host: string,
-  port: number,
-  handlers: Partial<PeerHandlers>,
-): Promise<PeerServer> {
+export async function listenForPeers({
+  host,
+  port,
+  bounds,
+  handlers,
+}: PeerServerOptions): Promise<PeerServer> {
   const rpc = createRpcServer(handlers);
   const sockets = new Set<Socket>();
+  const table = new ConnectionTable<PeerConnection>(bounds.maximumConnections);
   const server = createServer({noDelay: true}, socket => {
+    table.makeRoom(bounds.clock());
     sockets.add(socket);
     socket.on('close', () => sockets.delete(socket));
     socket.on('error', () => socket.destroy());
-    serveSocket(rpc, socket);
+    new PeerConnection(socket, rpc, table, bounds).serve();
   });
   await listen(server, host, port);
   const address = server.address();
@@ -45,20 +70,6 @@
   return rpc;
 }
 
-function serveSocket(rpc: JSONRPCServer, socket: Socket): void {
-  readFrames(socket, frame => {
-    if (!isJSONRPCRequest(frame)) {
-      socket.destroy();
-      return;
-    }
-    void rpc.receive(frame).then(response => {
-      if (response !== null && !socket.destroyed) {
-        writeFrame(socket, response);
-      }
-    });
-  });
-}
-
 function listen(server: Server, host: string, port: number): Promise<void> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
--- a/packages/entry-process/src/entry_process.ts
+++ b/packages/entry-process/src/entry_process.ts
@@ -20,6 +20,7 @@
 import {createPeerHandlers} from './peer_handlers.js';
 import type {Settings} from './settings.js';
 import {ChangeNotifier} from './util/change_notifier.js';
+import {peerBoundsOf} from './util/client_bounds.js';
 import {listenWhenFree} from './util/listen_when_free.js';
 import {messageOf} from './util/message_of.js';
 import {pause} from './util/pause.js';
@@ -132,7 +133,12 @@
     };
     const peers = await listenWhenFree(
       () =>
-        listenForPeers(listenAddress, peerPort, createPeerHandlers(this.tasks)),
+        listenForPeers({
+          host: listenAddress,
+          port: peerPort,
+          bounds: peerBoundsOf(bounds),
+          handlers: createPeerHandlers(this.tasks),
+        }),
       waiting,
     );
     const callers = await listenWhenFree(
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_listeners.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_listeners.ts
@@ -19,6 +19,7 @@
 } from '@lacewingwinch/entry-hosts';
 import type {PlatformSettings} from '@lacewingwinch/platform';
 
+import {peerBoundsOf} from '../../util/client_bounds.js';
 import {
   type ListenOptions,
   listenWhenFree,
@@ -110,7 +111,13 @@
   }
   const {host, port} = parseAddress(addresses.peers);
   const peerServer = await listenWhenFree(
-    () => listenForPeers(host, port, createRoutedPeerHandlers(peers)),
+    () =>
+      listenForPeers({
+        host,
+        port,
+        bounds: peerBoundsOf(bounds),
+        handlers: createRoutedPeerHandlers(peers),
+      }),
     waiting,
   );
   return {callers, relay, directoryServers, peers: peerServer};
--- a/packages/entry-process/src/util/client_bounds.ts
+++ b/packages/entry-process/src/util/client_bounds.ts
@@ -15,6 +15,7 @@
   type ServerName,
   servingLimitsOf,
 } from '@lacewingwinch/decisions';
+import type {PeerBounds} from '@lacewingwinch/entry-hosts';
 import type {EventLog, Metrics} from '@lacewingwinch/observability';
 
 import {GarbageCollection} from './garbage_collection.js';
@@ -62,6 +63,21 @@
   };
 }
 
+/** Returns the part of the bounds for the connections of other entry hosts. */
+export function peerBoundsOf({
+  limits,
+  memory,
+  clock,
+  onRefused,
+}: ClientBounds): PeerBounds {
+  return {
+    maximumConnections: limits.connections.peers,
+    memory,
+    clock,
+    onRefused: refusal => onRefused('peers', refusal),
+  };
+}
+
 /** Counts refusals, and logs them summed up. */
 class RefusalLog {
   private readonly unlogged = new Map<string, number>();
