Soak: crowds of clients that do not behave

They are drawn from a generator of their own, so that the other faults of a seed stay the same. Entry processes run with the flags of the deploy file, which the tests of crowds and the soak read with one function.

A test holds the figures of PLATFORM.md to servingLimitsOf.

--- a/packages/decisions/tests/serving_limits_test.ts
+++ b/packages/decisions/tests/serving_limits_test.ts
@@ -1,4 +1,6 @@
 /** Tests of how a process divides its memory and its descriptors. */
+import {readFileSync} from 'node:fs';
+
 import {expect, it} from 'vitest';
 
 import {servingLimitsOf} from '../src/index.js';
@@ -49,3 +51,35 @@
   expect(connections.callers).toBe(Infinity);
   expect(upstreamConnections).toBe(Infinity);
 });
+
+it('the page states the parts of a process', () => {
+  const page = readFileSync(
+    new URL('../../../docs/PLATFORM.md', import.meta.url),
+    'utf8',
+  );
+  const stated = page
+    .split('\n')
+    .filter(line => line.startsWith('|'))
+    .map(line => line.split('|')[3]?.trim() ?? '');
+  const resources = {
+    memoryBytes: 350 * MEBIBYTE,
+    heapBytes: HEAP_BYTES,
+    fileDescriptors: 4100,
+  };
+  const limits = servingLimitsOf(resources);
+  const {callers, discovery, metrics, peers, relay} = limits.connections;
+  const unlimited = {...resources, fileDescriptors: 0};
+  const inMemory = servingLimitsOf(unlimited).connections.callers;
+  expect(stated).toEqual(
+    expect.arrayContaining([
+      'with 350 MiB, 4,100 descriptors and a heap of 172 MiB',
+      `${Math.floor(limits.clientBytes / MEBIBYTE)} MiB`,
+      `${Math.floor(limits.requestBytes / MEBIBYTE)} MiB`,
+      `${inMemory.toLocaleString('en-US')} for each address`,
+      callers.toLocaleString('en-US'),
+      [peers, discovery, relay].join(', '),
+      `${metrics} each`,
+      String(limits.upstreamConnections),
+    ]),
+  );
+});
--- a/packages/entry-process/tests/crowds/crowded_host.ts
+++ b/packages/entry-process/tests/crowds/crowded_host.ts
@@ -1,9 +1,8 @@
 /** A host process with little memory and few descriptors, for tests of crowds. */
-import {readFileSync} from 'node:fs';
-
 import {
   type CrowdBehavior,
   CrowdStandIn,
+  deployedNodeFlags,
   findFreePorts,
 } from '@lacewingwinch/stand-ins';
 import {expect} from 'vitest';
@@ -48,13 +47,6 @@
   readonly at?: AddressName;
 }
 
-/** Returns the flags of Node.js in the deploy file. */
-function deployedFlags(): readonly string[] {
-  const file = new URL('../../../../deploy/system.toml', import.meta.url);
-  const run = /^run = "node ((?:--\S+ )+)/m.exec(readFileSync(file, 'utf8'));
-  return run?.[1]?.trim().split(' ') ?? [];
-}
-
 /** A host process that serves with little memory and few descriptors. */
 export class CrowdedHost {
   private peakDescriptors = 0;
@@ -96,7 +88,7 @@
       memoryMegabytes: MEMORY_MEGABYTES,
       fileDescriptors: FILE_DESCRIPTORS,
       flags: [`--metrics-port=${metricsPort}`],
-      nodeFlags: deployedFlags(),
+      nodeFlags: deployedNodeFlags(),
     });
     await host.waitUntilReady();
     return new CrowdedHost(installation, host, metricsPort);
--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -5,6 +5,8 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 
+import {CROWD_KINDS, type CrowdKind} from './soak_crowds.js';
+
 /** The ways in which a network link fails. */
 const LINK_FAULTS = [
   'delay',
@@ -106,6 +108,8 @@
     }
   /** The upstream refuses every request and requests a pause. */
   | {readonly kind: 'engine-pauses'; readonly engine: number}
+  /** Clients that do not behave come to one host. */
+  | {readonly kind: 'crowd'; readonly host: number; readonly crowd: CrowdKind}
   /** A key is revoked permanently. */
   | {readonly kind: 'revoke'};
 
@@ -177,8 +181,12 @@
   'upstream-links',
 ];
 
-/** Distance of the seeds from which the latest kinds are drawn. */
+/** Distances of the seeds from which the latest kinds and crowds are drawn. */
 const LATEST_SEED_OFFSET = 1_000_000;
+const CROWD_SEED_OFFSET = 2_000_000;
+
+/** Maximum number of crowds. */
+const MAXIMUM_CROWDS = 2;
 
 /**
  * Number of target indexes to draw from. They wrap around at the number of
@@ -211,6 +219,12 @@
       minimum: 0,
       maximum: MAXIMUM_LATER_FAULTS,
     }),
+    ...drawFaults(seed + CROWD_SEED_OFFSET, {
+      kinds: ['crowd'],
+      engineFaults: [],
+      minimum: 0,
+      maximum: MAXIMUM_CROWDS,
+    }),
   ].sort(
     (left, right) => left.startsAtMilliseconds - right.startsAtMilliseconds,
   );
@@ -276,6 +290,8 @@
       return {kind, host: target, fault: pick(LINK_FAULTS)};
     case 'upstream-links':
       return {kind, host: target, form: pick(LINK_CUTS)};
+    case 'crowd':
+      return {kind, host: target, crowd: pick(CROWD_KINDS)};
     case 'engine-leaves':
     case 'engine-pauses':
     case 'engine-limits':
--- a/packages/soak/src/soak_host.ts
+++ b/packages/soak/src/soak_host.ts
@@ -6,6 +6,7 @@
 import {join} from 'node:path';
 
 import {
+  deployedNodeFlags,
   isReadyAt,
   LinkProcess,
   type LoopbackAddresses,
@@ -74,9 +75,14 @@
     return this.options.hostId;
   }
 
+  /** The addresses at which the host listens. */
+  get addresses(): LoopbackAddresses {
+    return this.options.addresses;
+  }
+
   /** The address at which the host accepts calls. */
   get clientAddress(): string {
-    return this.options.addresses.callers;
+    return this.addresses.callers;
   }
 
   /** The links of this host to the upstreams. */
@@ -124,7 +130,13 @@
     const log = openSync(this.logPath, 'a');
     const child = spawn(
       process.execPath,
-      ['--import', preload.href, program, 'serve-routes'],
+      [
+        ...deployedNodeFlags(),
+        '--import',
+        preload.href,
+        program,
+        'serve-routes',
+      ],
       {
         stdio: ['ignore', log, log, 'ipc'],
         env: {
--- a/packages/soak/src/soak_installation.ts
+++ b/packages/soak/src/soak_installation.ts
@@ -16,6 +16,7 @@
 import type {Fault, PlannedFault} from './fault_plan.js';
 import {FaultProxy} from './fault_proxy.js';
 import {CRASHING_PART} from './soak_clients.js';
+import {openCrowd} from './soak_crowds.js';
 import {BUNDLED_PROGRAM, SoakHost} from './soak_host.js';
 import type {NamedLimit} from './upstream_observer.js';
 
@@ -298,6 +299,11 @@
           await links.heal();
         };
       }
+      case 'crowd': {
+        const {addresses} = elementAt(this.hosts, fault.host);
+        const crowd = openCrowd(fault.crowd, addresses);
+        return () => crowd.close();
+      }
       case 'store-loses':
         this.store.faults.appendAnswersToLose += fault.count;
         return undefined;
--- a/packages/soak/tests/fault_plan_test.ts
+++ b/packages/soak/tests/fault_plan_test.ts
@@ -36,6 +36,7 @@
     expect([...kinds].sort()).toEqual([
       'clock',
       'crashing-part',
+      'crowd',
       'engine',
       'engine-leaves',
       'engine-limits',
