Peers: a line that is no object closes its connection

Cause: isJSONRPCRequest of json-rpc-2.0 reads a property of its argument; the codec passed on every JSON document. Answers of peers came the same way.

Change: the codec passes on objects and lists only; its type says so.

Numbers, texts, lists and calls with names of inherited properties passed before as well.

--- a/packages/entry-hosts/src/frame_codec.ts
+++ b/packages/entry-hosts/src/frame_codec.ts
@@ -22,14 +22,14 @@
 
 /** Receiver of the frames of a connection. */
 export interface FrameReceiver {
-  readonly onFrame: (frame: unknown) => void;
+  readonly onFrame: (frame: object) => void;
   /** Called with the bytes of the frame that is not complete. */
   readonly onPending?: (bytes: number) => void;
 }
 
 /**
- * Passes on each document received on `socket`. A line that is too large or not valid
- * JSON closes the socket.
+ * Passes on each object or list received on `socket`. A line that is too large or not
+ * valid JSON closes the socket.
  */
 export function readFrames(
   socket: Socket,
@@ -65,12 +65,13 @@
   socket.write(`${JSON.stringify(frame)}\n`);
 }
 
-function parseFrame(line: Buffer): unknown {
+function parseFrame(line: Buffer): object | undefined {
   if (hasTooManyValues(line)) {
     return undefined;
   }
   try {
-    return JSON.parse(line.toString());
+    const frame: unknown = JSON.parse(line.toString());
+    return typeof frame === 'object' && frame !== null ? frame : undefined;
   } catch {
     return undefined;
   }
--- a/packages/entry-hosts/tests/peer_server_test.ts
+++ b/packages/entry-hosts/tests/peer_server_test.ts
@@ -78,6 +78,10 @@
 it.each<{readonly name: string; readonly line: string}>([
   {name: 'that is no document', line: '{"a"\n'},
   {name: 'that is no call', line: '{"a":1}\n'},
+  {name: 'that is null', line: 'null\n'},
+  {name: 'that is a number', line: '1\n'},
+  {name: 'that is a text', line: '"a"\n'},
+  {name: 'that is a list', line: `[${UNKNOWN_CALL}]\n`},
   {name: 'that never ends', line: 'x'.repeat(17 * 1024 * 1024)},
   {
     name: 'with too many values',
@@ -90,6 +94,27 @@
   await waitFor('it is closed', () => client.destroyed);
 });
 
+it.each([
+  'constructor',
+  'hasOwnProperty',
+  'toString',
+  '__proto__',
+  '',
+  1,
+  null,
+])('a call of %j harms nobody', async method => {
+  await start();
+  const caller = open();
+  caller.write(`${JSON.stringify({jsonrpc: '2.0', id: 1, method})}\n`);
+  await waitFor(
+    'it is answered or closed',
+    () => received.includes('\n') || caller.destroyed,
+  );
+  received = '';
+  open().write(`${UNKNOWN_CALL}\n`);
+  await waitFor('another is answered', () => received.includes('\n'));
+});
+
 it('the largest unfinished line is given up for the sake of others', async () => {
   await start(1_000_000);
   const [small, large] = [open(), open()];
--- a/packages/entry-process/tests/crowds/peer_connections_test.ts
+++ b/packages/entry-process/tests/crowds/peer_connections_test.ts
@@ -31,6 +31,12 @@
       connections: 40,
       send: () => repeated(UNKNOWN_CALL, 80_000),
     },
+    {
+      name: 'lines of null',
+      at: 'peers',
+      connections: 40,
+      send: () => repeated('null\n', 100_000),
+    },
     {
       name: 'large documents',
       at: 'peers',
