--- a/packages/callers/src/response_writer.ts
+++ b/packages/callers/src/response_writer.ts
@@ -14,6 +14,7 @@
  * Node.js notices after one to two such periods.
  */
 const STALLED_CLIENT_MILLISECONDS = 5000;
+
 /** Writes one response. */
 export class ResponseWriter implements RoutedResponder {
   /** Whether the client takes any orderly end of its connection for complete. */
