Peers: calls have turns, and short lines are not copied

Cause: all calls of a read (1,500) were handled in one iteration of the event loop, for every connection that was readable, also after its untaken answers had reached their bound. That this was the cause of the 503 is suspected, not traced.

Change: FrameReader takes lines one by one, in turns of their own, and not while answers are untaken; LineSplitter separates a line when it is taken.

Tests: peer_server_test.ts, "calls of one read wait for their turns" (new).

--- a/packages/control-command/tests/where_command_test.ts
+++ b/packages/control-command/tests/where_command_test.ts
@@ -329,6 +329,12 @@
           largestClientBytes: Infinity,
           requestBytes: Infinity,
         }),
+        turns: {
+          isSpent: false,
+          record: () => undefined,
+          add: turn => void setImmediate(turn),
+          remove: () => undefined,
+        },
         clock: () => performance.now(),
         onRefused: () => undefined,
       },
--- a/packages/entry-hosts/src/frame_codec.ts
+++ b/packages/entry-hosts/src/frame_codec.ts
@@ -20,37 +20,110 @@
 /** Bytes that each begin a value: a comma, and the start of a list or an object. */
 const VALUE_STARTS: ReadonlySet<number> = new Set([0x2c, 0x5b, 0x7b]);
 
+/** Work of a frame, beside what its bytes cause. */
+const FRAME_WORK = 16;
+
+/** Bytes of a frame that cause one unit of work. */
+const BYTES_PER_WORK = 64;
+
+/** Bounds the frames that are read in an iteration of the event loop. */
+export interface FrameTurns {
+  /** Whether further frames have to wait. */
+  readonly isSpent: boolean;
+  /** Records work that frames cause. */
+  record(work: number): void;
+  /** Calls `turn` in a later iteration. */
+  add(turn: () => void): void;
+  /** Removes a turn that is not needed any more. */
+  remove(turn: () => void): void;
+}
+
 /** Receiver of the frames of a connection. */
 export interface FrameReceiver {
   readonly onFrame: (frame: object) => void;
-  /** Called with the bytes of the frame that is not complete. */
+  /** Called with the bytes that were received and not passed on. */
   readonly onPending?: (bytes: number) => void;
+  /** If absent, frames are passed on as they arrive. */
+  readonly turns?: FrameTurns;
 }
 
 /**
- * Passes on each object or list received on `socket`. A line that is too large or not
- * valid JSON closes the socket.
+ * Passes on each object or list received over a connection. A line that is too large or
+ * not valid JSON closes it.
  */
-export function readFrames(
-  socket: Socket,
-  {onFrame, onPending}: FrameReceiver,
-): void {
-  const splitter = new LineSplitter();
-  socket.on('data', (chunk: Buffer) => {
-    for (const line of splitter.push(chunk)) {
-      const frame = parseFrame(line);
-      if (frame === undefined) {
-        socket.destroy();
-        return;
+export class FrameReader {
+  private readonly splitter = new LineSplitter();
+  private isHeld = false;
+  private readonly takeTurn = (): void => this.read();
+
+  constructor(
+    private readonly socket: Socket,
+    private readonly receiver: FrameReceiver,
+  ) {
+    socket.on('data', (chunk: Buffer) => {
+      this.splitter.push(chunk);
+      this.read();
+    });
+    socket.on('close', () => receiver.turns?.remove(this.takeTurn));
+  }
+
+  /** Passes on no frame until `release` is called. */
+  hold(): void {
+    this.isHeld = true;
+    this.socket.pause();
+  }
+
+  /** Passes on frames again. */
+  release(): void {
+    if (this.isHeld) {
+      this.isHeld = false;
+      this.read();
+    }
+  }
+
+  private read(): void {
+    const {socket, receiver, splitter} = this;
+    while (splitter.hasUnsearched && this.mayPass()) {
+      const line = splitter.take();
+      if (line !== undefined) {
+        this.pass(line);
       }
-      onFrame(frame);
     }
-    if (splitter.pendingBytes > MAXIMUM_FRAME_BYTES) {
+    if (splitter.heldBytes > MAXIMUM_FRAME_BYTES) {
       socket.destroy();
+    }
+    if (socket.destroyed) {
       return;
     }
-    onPending?.(splitter.pendingBytes);
-  });
+    receiver.onPending?.(splitter.heldBytes);
+    if (this.isHeld || splitter.hasUnsearched) {
+      socket.pause();
+    } else if (socket.isPaused()) {
+      socket.resume();
+    }
+  }
+
+  private mayPass(): boolean {
+    const {turns} = this.receiver;
+    if (this.socket.destroyed || this.isHeld) {
+      return false;
+    }
+    if (turns?.isSpent === true) {
+      turns.add(this.takeTurn);
+      return false;
+    }
+    return true;
+  }
+
+  private pass(line: Buffer): void {
+    this.receiver.turns?.record(FRAME_WORK + line.length / BYTES_PER_WORK);
+    const frame = parseFrame(line);
+    if (frame === undefined) {
+      this.socket.destroy();
+      return;
+    }
+    this.receiver.onFrame(frame);
+  }
 }
 
 /**
--- a/packages/entry-hosts/src/index.ts
+++ b/packages/entry-hosts/src/index.ts
@@ -1,6 +1,7 @@
 /**
  * JSON-RPC connections between entry processes.
  */
+export type {FrameTurns} from './frame_codec.js';
 export * from './messages/backup_messages.js';
 export * from './messages/claim_messages.js';
 export * from './messages/explanation_messages.js';
--- a/packages/entry-hosts/src/line_splitter.ts
+++ b/packages/entry-hosts/src/line_splitter.ts
@@ -1,33 +1,50 @@
 /**
- * Splits bytes into lines. The work for a chunk does not depend on what is pending.
+ * Splits bytes into lines. Each byte is searched once, and lines are not separated
+ * before they are taken.
  */
 import {ByteAccumulator} from '@lacewingwinch/decisions';
 
 const NEWLINE = 0x0a;
+const NO_BYTES = Buffer.alloc(0);
 
 /** Buffers bytes until they form complete lines. */
 export class LineSplitter {
+  /** The start of a line. */
   private readonly pending = new ByteAccumulator();
+  /** What follows it and was not searched. */
+  private unsearched: Buffer = NO_BYTES;
 
-  /** Number of bytes after the last complete line. */
-  get pendingBytes(): number {
-    return this.pending.length;
+  /** Number of bytes that were not taken. */
+  get heldBytes(): number {
+    return this.pending.length + this.unsearched.length;
   }
 
-  /** Adds `chunk` and returns the lines that it completes, without their ends. */
-  push(chunk: Buffer): readonly Buffer[] {
-    const lines: Buffer[] = [];
-    let start = 0;
-    for (
-      let end = chunk.indexOf(NEWLINE);
-      end >= 0;
-      end = chunk.indexOf(NEWLINE, start)
-    ) {
-      this.pending.append(chunk.subarray(start, end));
-      lines.push(this.pending.take());
-      start = end + 1;
+  /** Whether there may be another complete line. */
+  get hasUnsearched(): boolean {
+    return this.unsearched.length > 0;
+  }
+
+  /** Adds `chunk`. */
+  push(chunk: Buffer): void {
+    this.unsearched = this.hasUnsearched
+      ? Buffer.concat([this.unsearched, chunk])
+      : chunk;
+  }
+
+  /** Takes the next line without its end; undefined if none is complete. */
+  take(): Buffer | undefined {
+    const end = this.unsearched.indexOf(NEWLINE);
+    if (end < 0) {
+      this.pending.append(this.unsearched);
+      this.unsearched = NO_BYTES;
+      return undefined;
+    }
+    const line = this.unsearched.subarray(0, end);
+    this.unsearched = this.unsearched.subarray(end + 1);
+    if (this.pending.length === 0) {
+      return line;
     }
-    this.pending.append(chunk.subarray(start));
-    return lines;
+    this.pending.append(line);
+    return this.pending.take();
   }
 }
--- a/packages/entry-hosts/src/peer_connection.ts
+++ b/packages/entry-hosts/src/peer_connection.ts
@@ -10,11 +10,11 @@
 } from '@lacewingwinch/decisions';
 import {isJSONRPCRequest, type JSONRPCServer} from 'json-rpc-2.0';
 
-import {readFrames, writeFrame} from './frame_codec.js';
+import {FrameReader, writeFrame} from './frame_codec.js';
 import type {PeerBounds} from './peer_server.js';
 
 /** Bytes of a frame, or of responses, that are not counted. */
-const FREE_BYTES = 64 * 1024;
+const FREE_BYTES = 16 * 1024;
 
 /** Bytes of responses that wait for their peer beyond which no call is read. */
 const MAXIMUM_UNTAKEN_BYTES = 1024 * 1024;
@@ -23,6 +23,7 @@
 export class PeerConnection implements TabledConnection {
   private readonly incoming: MemoryHolding;
   private readonly outgoing: MemoryHolding;
+  private readonly reader: FrameReader;
 
   constructor(
     private readonly socket: Socket,
@@ -33,19 +34,20 @@
     const {memory} = bounds;
     this.incoming = memory.open(() => this.close('request-unfinished'));
     this.outgoing = memory.open(() => this.close('response-untaken'));
+    this.reader = new FrameReader(socket, {
+      onFrame: frame => this.answer(frame),
+      onPending: bytes => this.recordPending(bytes),
+      turns: bounds.turns,
+    });
   }
 
   /** Answers the calls that arrive until the connection closes. */
   serve(): void {
     const {socket, table, bounds} = this;
     table.add(this, bounds.clock());
-    readFrames(socket, {
-      onFrame: frame => this.answer(frame),
-      onPending: bytes => this.recordPending(bytes),
-    });
     socket.on('drain', () => {
       this.countOutgoing();
-      socket.resume();
+      this.reader.release();
     });
     socket.on('close', () => {
       table.remove(this);
@@ -58,7 +60,7 @@
     this.close('connection-closed');
   }
 
-  private answer(frame: unknown): void {
+  private answer(frame: object): void {
     const {socket, table, bounds} = this;
     if (!isJSONRPCRequest(frame)) {
       socket.destroy();
@@ -74,7 +76,7 @@
         this.countOutgoing();
       }
       if (socket.writableLength > MAXIMUM_UNTAKEN_BYTES) {
-        socket.pause();
+        this.reader.hold();
       }
     });
   }
--- a/packages/entry-hosts/src/peer_links.ts
+++ b/packages/entry-hosts/src/peer_links.ts
@@ -9,7 +9,7 @@
   JSONRPCErrorException,
 } from 'json-rpc-2.0';
 
-import {readFrames, writeFrame} from './frame_codec.js';
+import {FrameReader, writeFrame} from './frame_codec.js';
 import {parseAddress} from './parse_address.js';
 import {PeerError} from './peer_error.js';
 import type {PeerMethod, PeerParams, PeerResult} from './peer_methods.js';
@@ -147,7 +147,7 @@
     }
     writeFrame(socket, frame);
   });
-  readFrames(socket, {
+  new FrameReader(socket, {
     onFrame: frame => {
       if (isJSONRPCResponse(frame)) {
         rpc.receive(frame);
--- a/packages/entry-hosts/src/peer_server.ts
+++ b/packages/entry-hosts/src/peer_server.ts
@@ -6,6 +6,7 @@
 import {type ClientMemory, ConnectionTable} from '@lacewingwinch/decisions';
 import {JSONRPCServer} from 'json-rpc-2.0';
 
+import type {FrameTurns} from './frame_codec.js';
 import {PeerConnection} from './peer_connection.js';
 import type {PeerHandlers, PeerMethod} from './peer_methods.js';
 
@@ -14,6 +15,8 @@
   readonly maximumConnections: number;
   /** Memory that the requests of all clients of the process share. */
   readonly memory: ClientMemory;
+  /** Bounds the calls that are read in an iteration of the event loop. */
+  readonly turns: FrameTurns;
   /** Returns steady clock readings in milliseconds. */
   readonly clock: () => number;
   /** Called when a connection is closed for the sake of others. */
--- a/packages/entry-hosts/tests/peer_server_test.ts
+++ b/packages/entry-hosts/tests/peer_server_test.ts
@@ -8,7 +8,11 @@
 import {waitFor} from '@lacewingwinch/stand-ins';
 import {afterEach, expect, it} from 'vitest';
 
-import {listenForPeers, type PeerServer} from '../src/index.js';
+import {
+  type FrameTurns,
+  listenForPeers,
+  type PeerServer,
+} from '../src/index.js';
 
 const UNKNOWN_CALL = '{"jsonrpc":"2.0","id":1,"method":"unknown"}';
 
@@ -16,6 +20,21 @@
 let clients: Socket[];
 let received: string;
 let refusals: string[];
+/** Frames after which others wait, and the turns that wait. */
+let framesPerTurn: number;
+let waitingTurns: Set<() => void>;
+let frames: number;
+
+const turns: FrameTurns = {
+  get isSpent() {
+    return frames >= framesPerTurn;
+  },
+  record: () => {
+    frames += 1;
+  },
+  add: turn => waitingTurns.add(turn),
+  remove: turn => waitingTurns.delete(turn),
+};
 
 afterEach(async () => {
   clients.forEach(client => client.destroy());
@@ -29,6 +48,9 @@
   clients = [];
   refusals = [];
   received = '';
+  framesPerTurn = Infinity;
+  waitingTurns = new Set();
+  frames = 0;
   server = await listenForPeers({
     host: '127.0.0.1',
     port: 0,
@@ -39,6 +61,7 @@
         largestClientBytes: clientBytes,
         requestBytes: Infinity,
       }),
+      turns,
       clock: () => performance.now(),
       onRefused: refusal => refusals.push(refusal),
     },
@@ -115,6 +138,23 @@
   await waitFor('another is answered', () => received.includes('\n'));
 });
 
+it('calls of one read wait for their turns', async () => {
+  await start();
+  framesPerTurn = 10;
+  open().write(`${UNKNOWN_CALL}\n`.repeat(25));
+  for (const answers of [10, 20, 25]) {
+    await waitFor(
+      `${answers} are answered`,
+      () => received.split('\n').length === answers + 1,
+    );
+    expect(waitingTurns.size).toBe(answers < 25 ? 1 : 0);
+    frames = 0;
+    const [turn] = waitingTurns;
+    waitingTurns.clear();
+    turn?.();
+  }
+});
+
 it('the largest unfinished line is given up for the sake of others', async () => {
   await start(1_000_000);
   const [small, large] = [open(), open()];
--- a/packages/entry-process/src/util/client_bounds.ts
+++ b/packages/entry-process/src/util/client_bounds.ts
@@ -73,6 +73,8 @@
   return {
     maximumConnections: limits.connections.peers,
     memory,
+    // Calls of peers do not wait for the requests of clients.
+    turns: new ParsingTurns(),
     clock,
     onRefused: refusal => onRefused('peers', refusal),
   };
