--- a/packages/upstreams/tests/connection_pool_test.ts
+++ b/packages/upstreams/tests/connection_pool_test.ts
@@ -1,87 +1,25 @@
 /** Tests of the connection pool with complete, broken and missing answers. */
-import {createServer, type Server, type Socket} from 'node:net';
+import type {Socket} from 'node:net';
 
 import {afterEach, describe, expect, test} from 'vitest';
 
-import {ConnectionPool, type PooledRequest} from '../src/index.js';
+import {ConnectionPool} from '../src/index.js';
+import {
+  type Behavior,
+  closeUpstreams,
+  listen,
+  type Result,
+  type SendOptions,
+  sendThrough,
+  sockets,
+} from './pool_fixtures.js';
 
-type Behavior = (socket: Socket) => void;
-
-interface Result {
-  readonly status: number | undefined;
-  readonly body: string;
-  readonly end: 'complete' | 'error';
-  readonly wasSent: boolean;
-}
-
-const servers: Server[] = [];
-const sockets: Socket[] = [];
 const pool = new ConnectionPool(() => performance.now());
 
-afterEach(() => {
-  sockets.splice(0).forEach(socket => socket.destroy());
-  servers.splice(0).forEach(server => server.close());
-});
-
-function listen(behavior: Behavior): Promise<string> {
-  const server = createServer(socket => {
-    sockets.push(socket);
-    socket.on('error', () => undefined);
-    socket.on('data', () => behavior(socket));
-  });
-  servers.push(server);
-  return new Promise(resolve => {
-    server.listen(0, '127.0.0.1', () => {
-      const address = server.address();
-      resolve(
-        `127.0.0.1:${typeof address === 'object' ? (address?.port ?? 0) : 0}`,
-      );
-    });
-  });
-}
-
-interface SendOptions {
-  readonly attemptId?: string;
-  readonly maximumConnections?: number;
-  readonly through?: ConnectionPool;
-}
+afterEach(closeUpstreams);
 
-function send(
-  address: string,
-  {attemptId, maximumConnections = 2, through = pool}: SendOptions = {},
-): Promise<Result> {
-  return new Promise(resolve => {
-    let status: number | undefined;
-    let wasSent = false;
-    const chunks: Buffer[] = [];
-    const finish = (end: Result['end']): void =>
-      resolve({status, body: Buffer.concat(chunks).toString(), end, wasSent});
-    through.send(
-      {
-        address,
-        method: 'POST',
-        path: '/call',
-        headers: ['x-test', '1'],
-        body: Buffer.from('question'),
-        maximumIdleMilliseconds: 5000,
-        maximumConnections,
-        maximumMilliseconds: 2000,
-        attemptId,
-      },
-      {
-        onSend: () => {
-          wasSent = true;
-          return true;
-        },
-        onHead: head => {
-          ({status} = head);
-        },
-        onData: chunk => chunks.push(chunk),
-        onEnd: () => finish('complete'),
-        onError: () => finish('error'),
-      },
-    );
-  });
+function send(address: string, options?: SendOptions): Promise<Result> {
+  return sendThrough(pool, address, options);
 }
 
 const PAUSE_MILLISECONDS = 30;
@@ -90,60 +28,6 @@
   setTimeout(action, PAUSE_MILLISECONDS);
 }
 
-const RECEIVER = {
-  onSend: () => true,
-  onHead: () => undefined,
-  onData: () => undefined,
-  onEnd: () => undefined,
-  onError: () => undefined,
-};
-
-function requestTo(address: string): PooledRequest {
-  return {
-    address,
-    method: 'GET',
-    path: '/',
-    headers: [],
-    body: undefined,
-    maximumIdleMilliseconds: 1000,
-    maximumConnections: 1,
-    maximumMilliseconds: 1000,
-  };
-}
-
-function answerShortly(socket: Socket): void {
-  socket.write('HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx');
-}
-
-test('an idle connection makes room at the maximum of all upstreams', async () => {
-  const bounded = new ConnectionPool(() => performance.now(), 1);
-  const addresses = [await listen(answerShortly), await listen(answerShortly)];
-  for (const address of [...addresses, ...addresses]) {
-    const result = await send(address, {through: bounded});
-    expect(result).toMatchObject({status: 200, end: 'complete'});
-  }
-  bounded.close();
-});
-
-test('a request gets no connection if all of the maximum are in use', async () => {
-  const bounded = new ConnectionPool(() => performance.now(), 1);
-  const unanswered = send(await listen(() => undefined), {through: bounded});
-  const address = await listen(answerShortly);
-  expect(bounded.send(requestTo(address), RECEIVER)).toBe(undefined);
-  sockets.at(-1)?.destroy();
-  await unanswered;
-});
-
-test('a connection that is given up while it connects gives its place back', async () => {
-  const address = await listen(answerShortly);
-  pool.send(requestTo(address), RECEIVER)?.cancel();
-  await new Promise(resolve => setTimeout(resolve, 50));
-  expect(await send(address, {maximumConnections: 1})).toMatchObject({
-    status: 200,
-    end: 'complete',
-  });
-});
-
 describe('an answer', () => {
   test.each<{
     readonly name: string;
@@ -299,7 +183,7 @@
 
 test('a request to an address without a listener is reported as not sent', async () => {
   const address = await listen(() => undefined);
-  servers.splice(0).forEach(server => server.close());
+  closeUpstreams();
   expect(await send(address)).toMatchObject({end: 'error', wasSent: false});
 });
 
