--- a/packages/entry-process/tests/crowds/crowded_host.ts
+++ b/packages/entry-process/tests/crowds/crowded_host.ts
@@ -107,6 +107,21 @@
     await Promise.all(crowds.map(crowd => crowd.settled()));
   }
 
+  /** Checks that the process serves others beside crowds and after them. */
+  async expectToWithstand(...plans: readonly CrowdPlan[]): Promise<void> {
+    await this.admit(...plans);
+    await this.expectToAnswer();
+    this.expectWithinLimits();
+    await this.expectToRecover();
+  }
+
+  /** Checks that the process serves others once all crowds have left. */
+  async expectToRecover(): Promise<void> {
+    await this.dismiss();
+    await this.expectToAnswer();
+    this.expectWithinLimits();
+  }
+
   /** Makes all crowds leave, and waits until the process has noticed it. */
   async dismiss(): Promise<void> {
     this.closeCrowds();
--- a/packages/entry-process/tests/crowds/many_headers_test.ts
+++ b/packages/entry-process/tests/crowds/many_headers_test.ts
@@ -53,12 +53,7 @@
       send: () => requests(headOfManyHeaders(HEAD_BYTES)),
     },
   ])('$name', async crowd => {
-    await host.admit(crowd);
-    await host.expectToAnswer();
-    host.expectWithinLimits();
-    await host.dismiss();
-    await host.expectToAnswer();
-    host.expectWithinLimits();
+    await host.expectToWithstand(crowd);
   });
 
   it('at slow upstreams', async () => {
--- a/packages/entry-process/tests/crowds/peer_connections_test.ts
+++ b/packages/entry-process/tests/crowds/peer_connections_test.ts
@@ -45,11 +45,6 @@
       send: () => repeated(`{"a":[${'[],'.repeat(300_000)}[]]}\n`, 1),
     },
   ])('$name', async crowd => {
-    await host.admit(crowd);
-    await host.expectToAnswer();
-    host.expectWithinLimits();
-    await host.dismiss();
-    await host.expectToAnswer();
-    host.expectWithinLimits();
+    await host.expectToWithstand(crowd);
   });
 });
--- a/packages/entry-process/tests/crowds/requests_ahead_test.ts
+++ b/packages/entry-process/tests/crowds/requests_ahead_test.ts
@@ -55,12 +55,7 @@
       send: () => queriesAhead(80_000, '/'),
     },
   ])('$name', async crowd => {
-    await host.admit(crowd);
-    await host.expectToAnswer();
-    host.expectWithinLimits();
-    await host.dismiss();
-    await host.expectToAnswer();
-    host.expectWithinLimits();
+    await host.expectToWithstand(crowd);
   });
 
   it('proper requests at slow upstreams', async () => {
@@ -93,8 +88,6 @@
       send: () => requestsAhead(test.requests),
     });
     host.expectWithinLimits();
-    await host.dismiss();
-    await host.expectToAnswer();
-    host.expectWithinLimits();
+    await host.expectToRecover();
   });
 });
--- a/packages/entry-process/tests/crowds/returning_clients_test.ts
+++ b/packages/entry-process/tests/crowds/returning_clients_test.ts
@@ -69,12 +69,7 @@
     {name: 'with bodies that are too large', crowds: [TOO_LARGE]},
     {name: 'with crowds of many kinds', crowds: MANY_KINDS},
   ])('while clients return, $name', async ({crowds}) => {
-    await host.admit(...crowds);
-    await host.expectToAnswer();
-    host.expectWithinLimits();
-    await host.dismiss();
-    await host.expectToAnswer();
-    host.expectWithinLimits();
+    await host.expectToWithstand(...crowds);
   });
 
   it('when crowds come again and again', async () => {
--- a/packages/entry-process/tests/crowds/unfinished_bodies_test.ts
+++ b/packages/entry-process/tests/crowds/unfinished_bodies_test.ts
@@ -80,11 +80,6 @@
       send: () => openHead(15_000),
     },
   ])('$name', async crowd => {
-    await host.admit(crowd);
-    await host.expectToAnswer();
-    host.expectWithinLimits();
-    await host.dismiss();
-    await host.expectToAnswer();
-    host.expectWithinLimits();
+    await host.expectToWithstand(crowd);
   });
 });
