--- a/packages/callers/src/client_gate.ts
+++ b/packages/callers/src/client_gate.ts
@@ -58,6 +58,7 @@
     onRead,
     onRefused: (refusal: ClientRefusal) => onRefused(name, refusal),
   };
+  // The table bounds the connections; maxConnections would refuse the newest one.
   const server = createServer(
     {...options, connectionsCheckingInterval: TIMEOUT_CHECK_MILLISECONDS},
     (message: IncomingMessage, response: ServerResponse) =>
--- a/packages/entry-hosts/src/peer_server.ts
+++ b/packages/entry-hosts/src/peer_server.ts
@@ -49,6 +49,7 @@
   const rpc = createRpcServer(handlers);
   const sockets = new Set<Socket>();
   const table = new ConnectionTable<PeerConnection>(bounds.maximumConnections);
+  // The table bounds the connections; maxConnections would refuse the newest one.
   const server = createServer({noDelay: true}, socket => {
     table.makeRoom(bounds.clock());
     sockets.add(socket);
--- a/packages/soak/src/soak_host.ts
+++ b/packages/soak/src/soak_host.ts
@@ -18,7 +18,7 @@
 import type {ProcessEnd} from './host_observer.js';
 
 /** The bundled entry process, which `scripts/bundle.mjs` builds. */
-export const BUNDLED_PROGRAM = new URL(
+const BUNDLED_PROGRAM = new URL(
   '../../../target/lacewingwinch.cjs',
   import.meta.url,
 ).pathname;
@@ -223,6 +223,22 @@
   }
 }
 
+/**
+ * Returns the programs of a host in turn: half of the hosts change from the other
+ * build to the present one, half the other way.
+ */
+export function programsOf(
+  hostIndex: number,
+  otherProgram: string | undefined,
+): readonly string[] {
+  if (otherProgram === undefined) {
+    return [BUNDLED_PROGRAM];
+  }
+  return hostIndex % 2 === 0
+    ? [otherProgram, BUNDLED_PROGRAM]
+    : [BUNDLED_PROGRAM, otherProgram];
+}
+
 /** Returns the ports of `links` by the ports that they lead to. */
 function linkPorts(
   targets: readonly string[],
--- a/packages/soak/src/soak_installation.ts
+++ b/packages/soak/src/soak_installation.ts
@@ -17,7 +17,7 @@
 import {FaultProxy} from './fault_proxy.js';
 import {CRASHING_PART} from './soak_clients.js';
 import {openCrowd} from './soak_crowds.js';
-import {BUNDLED_PROGRAM, SoakHost} from './soak_host.js';
+import {programsOf, SoakHost} from './soak_host.js';
 import type {NamedLimit} from './upstream_observer.js';
 
 /** The key that is never revoked. */
@@ -386,19 +386,3 @@
   link.setFault(fault);
   return () => link.setFault(undefined);
 }
-
-/**
- * Returns the programs of a host in turn: half of the hosts change from the other
- * build to the present one, half the other way.
- */
-function programsOf(
-  hostIndex: number,
-  otherProgram: string | undefined,
-): readonly string[] {
-  if (otherProgram === undefined) {
-    return [BUNDLED_PROGRAM];
-  }
-  return hostIndex % 2 === 0
-    ? [otherProgram, BUNDLED_PROGRAM]
-    : [BUNDLED_PROGRAM, otherProgram];
-}
