--- a/packages/decisions/src/crashes/blame_parts.ts
+++ b/packages/decisions/src/crashes/blame_parts.ts
@@ -19,12 +19,11 @@
   judgePart,
 } from './judge_part.js';
 import {
-  incarnationOf,
   type PartSuspicion,
   type PartVerdict,
-  type UpstreamCrash,
   verdictInForce,
 } from './part_suspicion.js';
+import {groupCrashReports, type UpstreamCrash} from './upstream_crash.js';
 
 /** Range of the costs of parts that are known to be sound. */
 const LEAST_SOUND_COST = 2;
@@ -40,7 +39,13 @@
   readonly suspicion: PartSuspicion;
   readonly cost: number;
   /** Crashes that no part of a higher rank explains. */
-  readonly crashes: readonly UpstreamCrash[];
+  readonly crashes: readonly IdentifiedCrash[];
+}
+
+/** A crash as one part is accused of it. */
+interface IdentifiedCrash extends UpstreamCrash {
+  /** The same for all reports of the crash. */
+  readonly id: number;
 }
 
 /** Returns the verdicts that follow from all suspicions at `now`. */
@@ -49,13 +54,24 @@
   now: number,
 ): ReadonlyMap<PartSuspicion, PartVerdict> {
   const verdicts = new Map<PartSuspicion, PartVerdict>();
-  const explained = crashesOf(
-    suspicions.filter(suspicion => verdictInForce(suspicion) !== undefined),
+  const undecided = suspicions.filter(
+    suspicion => verdictInForce(suspicion) === undefined,
+  );
+  if (!undecided.some(suspicion => mayBeBlamed(suspicion, now))) {
+    return verdicts;
+  }
+  const identify = identifierOf(suspicions.flatMap(({crashes}) => crashes));
+  const explained = new Set(
+    suspicions
+      .filter(suspicion => verdictInForce(suspicion) !== undefined)
+      .flatMap(({crashes}) => identify(crashes).map(({id}) => id)),
+  );
+  let candidates = relevantOf(
+    withoutExplained(
+      undecided.map(suspicion => candidateOf(suspicion, identify, now)),
+      explained,
+    ),
   );
-  let candidates = suspicions
-    .filter(suspicion => verdictInForce(suspicion) === undefined)
-    .map(suspicion => candidateOf(suspicion, now));
-  candidates = relevantOf(withoutExplained(candidates, explained));
   for (;;) {
     const best = mostLikely(candidates);
     if (best === undefined) {
@@ -73,11 +89,19 @@
         }
       }
     }
-    best.crashes.forEach(crash => explained.add(incarnationOf(crash)));
+    best.crashes.forEach(({id}) => explained.add(id));
     candidates = withoutExplained(candidates, explained);
   }
 }
 
+/** Returns whether a part has the crashes that a verdict takes at least. */
+function mayBeBlamed(suspicion: PartSuspicion, now: number): boolean {
+  return (
+    suspicion.crashes.length >= FEWEST_CRASHES_TO_BLAME &&
+    countedCrashes(suspicion, now).length >= FEWEST_CRASHES_TO_BLAME
+  );
+}
+
 /**
  * Number of crashes that a part must explain to be as likely as one that was
  * never sound: the more sound runs are known, the less likely it has turned.
@@ -91,8 +115,25 @@
     : 1;
 }
 
-function candidateOf(suspicion: PartSuspicion, now: number): Candidate {
-  const crashes = countedCrashes(suspicion, now);
+/** Returns a function that identifies crashes of which `reports` are. */
+function identifierOf(
+  reports: readonly UpstreamCrash[],
+): (crashes: readonly UpstreamCrash[]) => readonly IdentifiedCrash[] {
+  const ids = new Map(
+    groupCrashReports(reports).flatMap((group, id) =>
+      group.map(report => [report, id] as const),
+    ),
+  );
+  return crashes =>
+    crashes.map(crash => ({...crash, id: ids.get(crash) ?? -1}));
+}
+
+function candidateOf(
+  suspicion: PartSuspicion,
+  identify: (crashes: readonly UpstreamCrash[]) => readonly IdentifiedCrash[],
+  now: number,
+): Candidate {
+  const crashes = identify(countedCrashes(suspicion, now));
   const isSound = isKnownSound(suspicion, crashes);
   const cost = costOf(isSound, suspicion.soundRuns);
   return {suspicion, cost, crashes};
@@ -106,25 +147,21 @@
   const keys = new Set(
     candidates
       .filter(({crashes}) => crashes.length >= FEWEST_CRASHES_TO_BLAME)
-      .flatMap(({crashes}) => crashes.map(incarnationOf)),
+      .flatMap(({crashes}) => crashes.map(({id}) => id)),
   );
   return keys.size === 0
     ? []
-    : candidates.filter(({crashes}) =>
-        crashes.some(crash => keys.has(incarnationOf(crash))),
-      );
+    : candidates.filter(({crashes}) => crashes.some(({id}) => keys.has(id)));
 }
 
 function withoutExplained(
   candidates: readonly Candidate[],
-  explained: ReadonlySet<string>,
+  explained: ReadonlySet<number>,
 ): Candidate[] {
   return candidates
     .map(candidate => ({
       ...candidate,
-      crashes: candidate.crashes.filter(
-        crash => !explained.has(incarnationOf(crash)),
-      ),
+      crashes: candidate.crashes.filter(({id}) => !explained.has(id)),
     }))
     .filter(({crashes}) => crashes.length > 0);
 }
@@ -140,14 +177,10 @@
 
 /** Returns whether two parts explain exactly the same crashes. */
 function isInseparable(left: Candidate, right: Candidate): boolean {
-  const keys = new Set(left.crashes.map(incarnationOf));
+  const keys = new Set(left.crashes.map(({id}) => id));
   return (
     left.cost === right.cost &&
     keys.size === right.crashes.length &&
-    right.crashes.every(crash => keys.has(incarnationOf(crash)))
+    right.crashes.every(({id}) => keys.has(id))
   );
 }
-
-function crashesOf(suspicions: readonly PartSuspicion[]): Set<string> {
-  return new Set(suspicions.flatMap(({crashes}) => crashes.map(incarnationOf)));
-}
--- a/packages/decisions/src/crashes/judge_part.ts
+++ b/packages/decisions/src/crashes/judge_part.ts
@@ -7,9 +7,9 @@
   type PartSuspicion,
   type PartVerdict,
   unrefutedCrashes,
-  type UpstreamCrash,
   verdictInForce,
 } from './part_suspicion.js';
+import type {UpstreamCrash} from './upstream_crash.js';
 
 /** Time after which a crash no longer counts. */
 export const CRASH_RETENTION_MILLISECONDS = 600_000;
--- a/packages/decisions/src/crashes/part_quarantine.ts
+++ b/packages/decisions/src/crashes/part_quarantine.ts
@@ -10,10 +10,10 @@
   type PartAtService,
   type PartSuspicion,
   partSuspicionOf,
-  type UpstreamCrash,
   verdictInForce,
 } from './part_suspicion.js';
 import {SoundParts} from './sound_parts.js';
+import type {UpstreamCrash} from './upstream_crash.js';
 
 /** Largest number of suspicions that a host keeps. */
 const MAXIMUM_SUSPICIONS = 512;
--- a/packages/decisions/src/crashes/part_suspicion.ts
+++ b/packages/decisions/src/crashes/part_suspicion.ts
@@ -5,15 +5,11 @@
 
 import {z} from 'zod';
 
-const UPSTREAM_CRASH_SCHEMA = z
-  .object({
-    upstreamId: z.string(),
-    /** Start of the incarnation, in milliseconds since the epoch; 0 if unknown. */
-    bornAt: z.number(),
-    /** Milliseconds since the epoch. */
-    time: z.number(),
-  })
-  .readonly();
+import {
+  mergeCrashReports,
+  UPSTREAM_CRASH_SCHEMA,
+  type UpstreamCrash,
+} from './upstream_crash.js';
 
 const PART_VERDICT_SCHEMA = z
   .object({
@@ -44,9 +40,6 @@
   })
   .readonly();
 
-/** The end of one incarnation of an upstream. */
-export type UpstreamCrash = z.infer<typeof UPSTREAM_CRASH_SCHEMA>;
-
 /** The decision that requests with a part are refused. */
 export type PartVerdict = z.infer<typeof PART_VERDICT_SCHEMA>;
 
@@ -74,23 +67,6 @@
 /** Largest number of crashes kept for one part, the latest ones. */
 const MAXIMUM_CRASHES_PER_PART = 32;
 
-/**
- * Time within which crashes count as one if no start is known: that within which
- * all hosts notice a crash.
- */
-const UNKNOWN_START_MILLISECONDS = 100;
-
-/** Returns an id of the incarnation that crashed. */
-export function incarnationOf({
-  upstreamId,
-  bornAt,
-  time,
-}: UpstreamCrash): string {
-  return bornAt > 0
-    ? `${upstreamId}@${bornAt}`
-    : `${upstreamId}@@${Math.floor(time / UNKNOWN_START_MILLISECONDS)}`;
-}
-
 /** Returns a suspicion of a single crash. */
 export function partSuspicionOf(
   {service, partId}: PartAtService,
@@ -114,7 +90,9 @@
   return {
     service: left.service,
     partId: left.partId,
-    crashes: mergeCrashes([...left.crashes, ...right.crashes]),
+    crashes: mergeCrashReports([...left.crashes, ...right.crashes]).slice(
+      -MAXIMUM_CRASHES_PER_PART,
+    ),
     soundAt: Math.max(left.soundAt, right.soundAt),
     soundRuns: Math.max(left.soundRuns, right.soundRuns),
     ...(verdict === undefined ? {} : {verdict}),
@@ -137,29 +115,6 @@
   return verdict !== undefined && verdict.at > soundAt ? verdict : undefined;
 }
 
-/**
- * Returns one crash of each incarnation. Several hosts report the same crash;
- * the earliest report is the closest to it.
- */
-function mergeCrashes(
-  crashes: readonly UpstreamCrash[],
-): readonly UpstreamCrash[] {
-  const byIncarnation = new Map<string, UpstreamCrash>();
-  for (const crash of crashes) {
-    const key = incarnationOf(crash);
-    const existing = byIncarnation.get(key);
-    if (existing === undefined || crash.time < existing.time) {
-      byIncarnation.set(key, crash);
-    }
-  }
-  return [...byIncarnation.values()]
-    .sort(
-      (left, right) =>
-        left.time - right.time || (left.upstreamId < right.upstreamId ? -1 : 1),
-    )
-    .slice(-MAXIMUM_CRASHES_PER_PART);
-}
-
 function laterVerdict(
   left: PartVerdict | undefined,
   right: PartVerdict | undefined,
--- a/packages/decisions/src/crashes/quarantine.ts
+++ b/packages/decisions/src/crashes/quarantine.ts
@@ -3,6 +3,12 @@
  */
 import {z} from 'zod';
 
+import {
+  groupCrashReports,
+  joinCrashReports,
+  UPSTREAM_CRASH_SCHEMA,
+} from './upstream_crash.js';
+
 /**
  * Time after the latest crash of content at which all of its crashes stop
  * counting.
@@ -12,13 +18,11 @@
 /** Largest number of crashes kept for the same content, the latest ones. */
 const MAXIMUM_CRASHES_PER_CONTENT = 8;
 
-const CRASH_SCHEMA = z
-  .object({
-    upstreamId: z.string(),
+const CRASH_SCHEMA = UPSTREAM_CRASH_SCHEMA.unwrap()
+  .partial({bornAt: true})
+  .extend({
     /** Whether the upstream ran no other request. */
     wasAlone: z.boolean(),
-    /** Milliseconds since the epoch. */
-    time: z.number(),
   })
   .readonly();
 
@@ -26,7 +30,7 @@
   .object({
     /** Hash of the workspace and the content. */
     fingerprint: z.string(),
-    /** The latest crash of each upstream, oldest first. */
+    /** The latest crashes, oldest first. */
     crashes: z.array(CRASH_SCHEMA).readonly(),
     /** Time of the last complete run of the content; -1 if there was none. */
     lastCleared: z.number(),
@@ -63,7 +67,7 @@
 
 /** The conditions under which content is put into quarantine. */
 export interface QuarantinePolicy {
-  /** Number of different upstreams that crashed. */
+  /** Number of crashes of upstreams. */
   readonly crashes: number;
   /** Whether one of the upstreams must have run no other request. */
   readonly needsCrashAlone: boolean;
@@ -233,28 +237,18 @@
 }
 
 /**
- * Returns the latest crash of each upstream, oldest first. It counts as alone
- * if any crash of the upstream was.
+ * Returns the crashes of which `reports` are, oldest first. The upstream was alone
+ * if one of them states so.
  */
-function mergeCrashes(crashes: readonly Crash[]): readonly Crash[] {
-  const byUpstream = new Map<string, Crash>();
-  for (const crash of crashes) {
-    const existing = byUpstream.get(crash.upstreamId);
-    byUpstream.set(
-      crash.upstreamId,
-      existing === undefined
-        ? crash
-        : {
-            upstreamId: crash.upstreamId,
-            wasAlone: existing.wasAlone || crash.wasAlone,
-            time: Math.max(existing.time, crash.time),
-          },
-    );
-  }
-  return [...byUpstream.values()]
-    .sort(
-      (left, right) =>
-        left.time - right.time || (left.upstreamId < right.upstreamId ? -1 : 1),
-    )
+function mergeCrashes(reports: readonly Crash[]): readonly Crash[] {
+  return groupCrashReports(reports)
+    .map(([first, ...others]) => others.reduce(joinCrashes, first))
     .slice(-MAXIMUM_CRASHES_PER_CONTENT);
 }
+
+function joinCrashes(left: Crash, right: Crash): Crash {
+  return {
+    ...joinCrashReports(left, right),
+    wasAlone: left.wasAlone || right.wasAlone,
+  };
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -40,6 +40,8 @@
 export * from './crashes/part_quarantine.js';
 export * from './crashes/part_suspicion.js';
 export * from './crashes/quarantine.js';
+export * from './crashes/sound_parts.js';
+export * from './crashes/upstream_crash.js';
 export * from './dispatch/choose_upstream.js';
 export * from './dispatch/dispatch_messages.js';
 export * from './dispatch/dispatcher.js';
--- a/packages/entry-process/src/paths/relay_carrier.ts
+++ b/packages/entry-process/src/paths/relay_carrier.ts
@@ -173,9 +173,9 @@
           }),
         },
         {
-          onSend: isNewConnection => {
+          onSend: ({isNew}) => {
             sentAt = this.dependencies.clock();
-            if (isNewConnection) {
+            if (isNew) {
               paths.recordReached(upstreamId);
             }
             return acceptingUpstream(upstreamId)?.bornAt === upstream.bornAt;
--- a/packages/entry-process/src/paths/relay_sender.ts
+++ b/packages/entry-process/src/paths/relay_sender.ts
@@ -82,7 +82,7 @@
         connectMilliseconds: this.attempt.connectMilliseconds,
       },
       {
-        onSend: isNewConnection => receiver.onSend(isNewConnection),
+        onSend: connection => receiver.onSend(connection),
         onHead: head => {
           refusal = decodeRelayRefusal(head.headers);
           if (refusal === undefined) {
--- a/packages/entry-process/src/routed_interface/evidence/crash_watch.ts
+++ b/packages/entry-process/src/routed_interface/evidence/crash_watch.ts
@@ -15,12 +15,14 @@
   SHARED_POLICY,
   type Suspicion,
   suspicionOfCrash,
+  type UpstreamCrash,
 } from '@lacewingwinch/decisions';
 import type {PeerClient} from '@lacewingwinch/entry-hosts';
 import type {EventLog} from '@lacewingwinch/observability';
 import type {ConnectionPool} from '@lacewingwinch/upstreams';
 import murmurhash from 'murmurhash';
 
+import type {PathTarget} from '../../paths/upstream_paths.js';
 import {isAborted} from '../../util/is_aborted.js';
 import {pause} from '../../util/pause.js';
 import type {ContentVerdictStore} from './content_verdict_store.js';
@@ -65,6 +67,10 @@
 export interface WatchedUpstream {
   readonly upstreamId: string;
   readonly address: string;
+  /** Start of the process, as far as this host knows. */
+  readonly bornAt: number;
+  /** See `UpstreamCrash`; undefined if it is not known. */
+  readonly runningSince: number | undefined;
 }
 
 /** Dependencies of `CrashWatch`. */
@@ -74,7 +80,7 @@
   readonly events: EventLog;
   readonly pool: Pick<ConnectionPool, 'watchConnections'>;
   /** Returns whether the upstream is to blame, and not the links of this host. */
-  readonly isToBlame: (upstream: WatchedUpstream) => Promise<boolean>;
+  readonly isToBlame: (upstream: PathTarget) => Promise<boolean>;
   /** Returns steady clock readings in milliseconds. */
   readonly clock: () => number;
   /** Returns milliseconds since the epoch, the same on all hosts. */
@@ -139,23 +145,25 @@
     upstream: WatchedUpstream,
     onCrash: () => void = () => undefined,
   ): void {
-    const haveAllEnded = this.dependencies.pool.watchConnections(
-      upstream.address,
-    );
+    const {pool, trueTime} = this.dependencies;
+    const {upstreamId, address, bornAt, runningSince} = upstream;
+    const haveAllEnded = pool.watchConnections(address);
+    const crash = {upstreamId, bornAt, runningSince, time: trueTime()};
     setTimeout(() => {
       if (haveAllEnded()) {
-        void this.reportIfToBlame(fingerprint, upstream, onCrash);
+        void this.reportIfToBlame(fingerprint, {crash, address}, onCrash);
       }
     }, CRASH_DETECTION_MILLISECONDS).unref();
   }
 
   private async reportIfToBlame(
     fingerprint: string,
-    upstream: WatchedUpstream,
+    {crash, address}: {readonly crash: UpstreamCrash; readonly address: string},
     onCrash: () => void,
   ): Promise<void> {
-    if (await this.dependencies.isToBlame(upstream)) {
-      this.reportCrash(fingerprint, upstream.upstreamId);
+    const {upstreamId} = crash;
+    if (await this.dependencies.isToBlame({upstreamId, address})) {
+      this.reportCrash(fingerprint, crash);
       onCrash();
     }
   }
@@ -249,15 +257,15 @@
    * Reports a crash to the counting hosts. Other hosts do not store it, so that
    * a later completion clears every copy.
    */
-  private reportCrash(fingerprint: string, upstreamId: string): void {
+  private reportCrash(fingerprint: string, crash: UpstreamCrash): void {
+    const {upstreamId} = crash;
     this.dependencies.events.write(4003, {fingerprint, upstreamId});
     if (this.reported.size >= MAXIMUM_REPORTED_CONTENTS) {
       this.reported.clear();
     }
     this.reported.add(fingerprint);
-    const time = this.dependencies.trueTime();
     this.notifyCountingHosts(
-      suspicionOfCrash(fingerprint, {upstreamId, wasAlone: false, time}),
+      suspicionOfCrash(fingerprint, {...crash, wasAlone: false}),
     );
   }
 
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -143,6 +143,7 @@
     this.pool = new ConnectionPool(
       clocks.steady,
       this.clientBounds.limits.upstreamConnections,
+      clocks.suspensionAware,
     );
     this.store = new StoreClient(settings.storeAddress, (call, end) =>
       this.metrics.storeCalls.inc({call, end: String(end)}),
--- a/packages/entry-process/src/routed_interface/requests/attempt_runner.ts
+++ b/packages/entry-process/src/routed_interface/requests/attempt_runner.ts
@@ -11,28 +11,27 @@
   NO_WAYS_TRIED,
   type RoutedAdmission,
   type UpstreamAnnouncements,
-  type UpstreamResult,
   type UsableUpstream,
   type Way,
   withTriedWay,
 } from '@lacewingwinch/decisions';
 import type {EventLog, Metrics} from '@lacewingwinch/observability';
-import type {ConnectionPool, ExchangeSender} from '@lacewingwinch/upstreams';
+import type {
+  ConnectionPool,
+  ExchangeSender,
+  SendingConnection,
+} from '@lacewingwinch/upstreams';
 
 import {RelaySender} from '../../paths/relay_sender.js';
 import type {UpstreamPaths} from '../../paths/upstream_paths.js';
 import type {Clocks} from '../../util/clocks.js';
 import type {AnswerAnnouncements} from '../evidence/answer_announcements.js';
 import type {Placement} from '../placement/placement_result.js';
-import {
-  canTakeAnotherWay,
-  carrierResultFrom,
-  hasNotRun,
-} from './attempt_ends.js';
+import {canTakeAnotherWay, hasNotRun} from './attempt_ends.js';
+import {healthResultOf, recordWay} from './attempt_ways.js';
 import {type AttemptOutcome, RoutedAttempt} from './routed_attempt.js';
 import type {StreamRelay} from './stream_relay.js';
 import {createUpstreamRequest, requiredStartOf} from './upstream_request.js';
-import {upstreamResultOf} from './upstream_result.js';
 
 /**
  * Milliseconds allowed to connect where another way is left; a connection takes a
@@ -54,6 +53,8 @@
   readonly answerMemory: AnswerMemory;
   /** Returns the number of entry hosts that share limits and budgets. */
   readonly sharingHostCount: () => number;
+  /** Returns true time in milliseconds since the epoch. */
+  readonly trueTime: () => number;
 }
 
 /** The request that is sent to upstreams. */
@@ -93,6 +94,7 @@
   /** Steady clock reading at the first byte of the last attempt. */
   private sentAt = 0;
   private wasSent = false;
+  private runningSince: number | undefined;
 
   constructor(
     private readonly dependencies: AttemptRunnerDependencies,
@@ -129,6 +131,14 @@
       : now - this.answerBegunAt;
   }
 
+  /**
+   * Time since which the process that got the last attempt is known to have run, in
+   * milliseconds since the epoch; undefined if it was not sent.
+   */
+  get upstreamRunningSince(): number | undefined {
+    return this.runningSince;
+  }
+
   /** Steady clock readings of the last attempt. */
   get times(): AttemptTimes {
     return {
@@ -167,6 +177,7 @@
     this.last = upstream;
     this.answerBegunAt = undefined;
     this.wasSent = false;
+    this.runningSince = undefined;
     events.write(4104, {
       requestId: this.request.attemptId,
       upstreamId,
@@ -189,7 +200,7 @@
         break;
       }
     }
-    placement.reportEnded(this.resultOf(upstreamId, outcome));
+    placement.reportEnded(healthResultOf(paths, upstreamId, outcome));
     if (announcements.isLeaving(upstream)) {
       pool.closeIdle(upstream.address);
     }
@@ -257,13 +268,14 @@
             this.triedIds.delete(upstreamId);
           }
         },
-        onSend: isNewConnection => {
+        onSend: connection => {
           this.isSent = true;
           this.wasSent = true;
           this.reachedCount += 1;
           this.sentAt = clocks.steady();
+          this.runningSince = this.runningSinceOver(way, connection);
           if (way.kind === 'direct') {
-            stopWatching = this.watch(attempt, upstreamId, isNewConnection);
+            stopWatching = this.watch(attempt, upstreamId, connection.isNew);
           }
         },
         onBytes: () => this.recordBytes(way, upstreamId),
@@ -286,10 +298,25 @@
     if (this.isSent && hasNotRun(outcome)) {
       this.reachedCount -= 1;
     }
-    this.recordWay(way, upstreamId, outcome);
+    recordWay(this.dependencies, {way, upstreamId, outcome});
     return outcome;
   }
 
+  /**
+   * Returns since when the process at the other end of a connection has run, in
+   * milliseconds since the epoch. Another host's connection is not known: its
+   * upstream runs as the attempt is sent.
+   */
+  private runningSinceOver(way: Way, {openedAt}: SendingConnection): number {
+    const {clocks, trueTime} = this.dependencies;
+    switch (way.kind) {
+      case 'direct':
+        return trueTime() - (clocks.suspensionAware() - openedAt);
+      case 'carried':
+        return trueTime();
+    }
+  }
+
   private senderOf(
     way: Way,
     upstreamId: string,
@@ -352,46 +379,6 @@
     }
   }
 
-  /** Records what an attempt showed of the way that it took. */
-  private recordWay(
-    way: Way,
-    upstreamId: string,
-    outcome: AttemptOutcome,
-  ): void {
-    const {paths, metrics} = this.dependencies;
-    const failure = outcome.kind === 'failed' ? outcome.failure : undefined;
-    switch (way.kind) {
-      case 'direct':
-        if (
-          failure?.kind === 'not-sent' &&
-          failure.cause === 'connect-failed'
-        ) {
-          paths.recordUnreachable(upstreamId, failure.reason);
-        }
-        if (failure?.kind === 'lost' && failure.cause === 'connection') {
-          paths.recordLost(upstreamId);
-        }
-        return;
-      case 'carried': {
-        const result = carrierResultFrom(failure);
-        paths.recordCarried(way.carrier.hostId, upstreamId, result);
-        metrics.relayedAttempts.inc({result});
-      }
-    }
-  }
-
-  /** Returns what the outcome says of the upstream itself. */
-  private resultOf(
-    upstreamId: string,
-    outcome: AttemptOutcome,
-  ): UpstreamResult | undefined {
-    const {paths} = this.dependencies;
-    const result = upstreamResultOf(outcome);
-    return result === 'unreachable' && !paths.isUnreachableForAll(upstreamId)
-      ? undefined
-      : result;
-  }
-
   /** Cancels the current attempt and those that follow. */
   cancel(): void {
     this.isCancelled = true;
--- a/packages/entry-process/src/routed_interface/requests/crash_evidence.ts
+++ b/packages/entry-process/src/routed_interface/requests/crash_evidence.ts
@@ -39,6 +39,11 @@
   /** Milliseconds since the answer began; undefined if it had not begun. */
   readonly millisecondsSinceAnswerBegan: number | undefined;
   readonly eventCount: number;
+  /**
+   * Time since which the process of the upstream is known to have run, in
+   * milliseconds since the epoch; undefined if the attempt was not sent.
+   */
+  readonly upstreamRunningSince: number | undefined;
 }
 
 /** Dependencies of `CrashEvidence`. */
@@ -131,16 +136,18 @@
     const {service, fingerprint, sharedParts} = this.content;
     const {upstreamId, bornAt} = upstream;
     const {millisecondsSinceAnswerBegan = Infinity} = progress;
+    const runningSince = progress.upstreamRunningSince;
     this.log.recordLostConnection({upstreamId, sharedParts, ...progress});
     const lostAt = this.dependencies.clocks.steady();
-    crashes.recordLostConnection(fingerprint, upstream, () => {
+    const lost = {...upstream, runningSince};
+    crashes.recordLostConnection(fingerprint, lost, () => {
       const isAccused =
         sharedParts.length > 0 &&
         millisecondsSinceAnswerBegan <= ACCUSATION_MILLISECONDS &&
         !isEndExpected(upstream);
       if (isAccused) {
         parts.recordCrash(
-          {service, upstreamId, bornAt},
+          {service, upstreamId, bornAt, runningSince},
           sharedParts,
           this.dependencies.clocks.steady() - lostAt,
         );
--- a/packages/entry-process/src/routed_interface/requests/routed_attempt.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_attempt.ts
@@ -25,6 +25,7 @@
   type ExchangeSender,
   type PooledExchange,
   type PooledRequest,
+  type SendingConnection,
 } from '@lacewingwinch/upstreams';
 
 import {carrierResultOf, NotCarriedError} from '../../paths/relay_sender.js';
@@ -72,7 +73,7 @@
   /** Returns whether the upstream accepts requests from this host. */
   readonly isAccepting: () => boolean;
   /** Called just before the first byte is written. */
-  readonly onSend: (isNewConnection: boolean) => void;
+  readonly onSend: (connection: SendingConnection) => void;
   /** Called with each part of a response that arrives. */
   readonly onBytes: () => void;
   /** Called with the head of each response. */
@@ -122,7 +123,7 @@
   /** Sends the request. */
   start(): void {
     this.exchange = this.pool.send(this.plan.request, {
-      onSend: isNewConnection => {
+      onSend: connection => {
         if (this.isCancelled) {
           return false;
         }
@@ -133,7 +134,7 @@
           });
           return false;
         }
-        this.plan.onSend(isNewConnection);
+        this.plan.onSend(connection);
         return true;
       },
       onHead: head => this.onHead(head),
--- a/packages/entry-process/src/routed_interface/requests/routed_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_request.ts
@@ -279,6 +279,7 @@
         this.dependencies.clocks.steady(),
       ),
       eventCount: this.relay.events,
+      upstreamRunningSince: this.runner.upstreamRunningSince,
     });
     switch (outcome.kind) {
       case 'streamed':
--- a/packages/entry-process/src/tasks/part_watch.ts
+++ b/packages/entry-process/src/tasks/part_watch.ts
@@ -45,6 +45,8 @@
 export interface CrashedUpstream {
   readonly upstreamId: string;
   readonly bornAt: number;
+  /** See `UpstreamCrash`; undefined if it is not known. */
+  readonly runningSince?: number | undefined;
   readonly service: string;
 }
 
@@ -140,12 +142,12 @@
 
   /** Records that an upstream crashed as it began to answer. */
   recordCrash(
-    {service, upstreamId, bornAt}: CrashedUpstream,
+    {service, ...incarnation}: CrashedUpstream,
     parts: readonly string[],
     millisecondsAgo: number,
   ): void {
     const now = this.dependencies.trueTime();
-    const crash = {upstreamId, bornAt, time: now - millisecondsAgo};
+    const crash = {...incarnation, time: now - millisecondsAgo};
     const wasRefused = parts.filter(partId =>
       this.isRefused(service, [partId]),
     );
--- a/packages/entry-process/tests/crash_watch_test.ts
+++ b/packages/entry-process/tests/crash_watch_test.ts
@@ -19,6 +19,10 @@
 /** Milliseconds after which a crash has been detected. */
 const DETECTION_WAIT_MILLISECONDS = 200;
 const MINUTE_MILLISECONDS = 60_000;
+/** Start of the upstreams, in milliseconds since the epoch. */
+const STARTED_AT = 900_000;
+/** Milliseconds until a crashed upstream has started again. */
+const RESTART_MILLISECONDS = 2000;
 
 const events = createEventLog('test', 'error');
 let watches: Map<string, CrashWatch>;
@@ -69,10 +73,20 @@
   vi.useRealTimers();
 });
 
-async function loseConnection(host: number, upstreamId: string): Promise<void> {
+/**
+ * Loses the connection to a process that has run since `runningSince`, of which the
+ * host knows an older start.
+ */
+async function loseConnection(
+  host: number,
+  upstreamId: string,
+  runningSince = STARTED_AT,
+): Promise<void> {
   watches.get(HOSTS[host] ?? '')?.recordLostConnection(CONTENT, {
     upstreamId,
     address: `address-of-${upstreamId}`,
+    bornAt: STARTED_AT,
+    runningSince,
   });
   await vi.advanceTimersByTimeAsync(DETECTION_WAIT_MILLISECONDS);
 }
@@ -137,6 +151,21 @@
     expect(refusingCount()).toBe(testCase.refusing);
   });
 
+  it.each([
+    {crashes: 2, refusing: 0},
+    {crashes: 3, refusing: HOSTS.length},
+  ])(
+    // Guards against crashes that counted once for an id, whatever started under it.
+    'that crashed an upstream that keeps its id $crashes times is refused at $refusing hosts',
+    async ({crashes, refusing}) => {
+      for (let crash = 0; crash < crashes; crash += 1) {
+        await loseConnection(crash, 'a', Date.now());
+        await vi.advanceTimersByTimeAsync(RESTART_MILLISECONDS);
+      }
+      expect(refusingCount()).toBe(refusing);
+    },
+  );
+
   it('is not suspected while other connections to its upstream stay open', async () => {
     haveOthersEnded = false;
     await loseConnections(['a', 'b', 'c', 'd']);
--- a/packages/upstreams/src/connection_pool.ts
+++ b/packages/upstreams/src/connection_pool.ts
@@ -54,6 +54,8 @@
     private readonly clock: () => number,
     /** Maximum number of open connections to all upstreams together. */
     private readonly maximumOpen = Infinity,
+    /** Readings that include the time for which the host was suspended. */
+    private readonly ageClock: () => number = clock,
   ) {
     this.watch = new ResponseWatch(clock);
   }
@@ -189,6 +191,7 @@
       connect: createUpstreamConnector(connectMilliseconds, {
         onConnected: socket => {
           connection.socket = socket;
+          connection.openedAt = this.ageClock();
           socket.on('readable', () => checkReceivedBytes(connection));
           socket.once('close', () => onClosed());
         },
@@ -209,6 +212,7 @@
       client,
       socket: undefined,
       idleSince: this.clock(),
+      openedAt: this.ageClock(),
       hasCarriedRequest: false,
       carriedAttempts: new CarriedAttempts(),
       response: undefined,
--- a/packages/upstreams/src/index.ts
+++ b/packages/upstreams/src/index.ts
@@ -13,6 +13,7 @@
   PooledExchange,
   PooledReceiver,
   PooledRequest,
+  SendingConnection,
 } from './pooled_exchange.js';
 export * from './upstream_connections.js';
 export * from './upstream_error.js';
--- a/packages/upstreams/src/pooled_exchange.ts
+++ b/packages/upstreams/src/pooled_exchange.ts
@@ -58,16 +58,21 @@
   readonly framing: BodyFraming;
 }
 
+/** The connection over which a request is about to be sent. */
+export interface SendingConnection {
+  /** Whether the request is the first one on the connection. */
+  readonly isNew: boolean;
+  /** Time at which it was opened, by the age clock of the pool. */
+  readonly openedAt: number;
+}
+
 /**
  * Receiver of the progress of a request. The last call is a single `onEnd` or
  * `onError`.
  */
 export interface PooledReceiver {
-  /**
-   * Called just before the first byte is sent; false cancels the request.
-   * `isNewConnection` says whether it is the first one on its connection.
-   */
-  onSend(isNewConnection: boolean): boolean;
+  /** Called just before the first byte is sent; false cancels the request. */
+  onSend(connection: SendingConnection): boolean;
   onHead(head: AnswerHead): void;
   onData(chunk: Buffer): void;
   onEnd(): void;
@@ -88,6 +93,8 @@
   readonly client: Client;
   socket: UpstreamSocket | undefined;
   idleSince: number;
+  /** By the age clock of the pool. */
+  openedAt: number;
   hasCarriedRequest: boolean;
   readonly carriedAttempts: CarriedAttempts;
   /** The response in progress; undefined while the connection is idle. */
@@ -166,7 +173,10 @@
         if (
           isFinished ||
           wasSent ||
-          !receiver.onSend(!connection.hasCarriedRequest)
+          !receiver.onSend({
+            isNew: !connection.hasCarriedRequest,
+            openedAt: connection.openedAt,
+          })
         ) {
           started.abort(new Error('the request may not be sent'));
           return;
