--- a/packages/decisions/src/crashes/upstream_crash.ts
+++ b/packages/decisions/src/crashes/upstream_crash.ts
@@ -33,7 +33,10 @@
   readonly bornAt?: number | undefined;
 }
 
-/** Most by which the clocks of two hosts differ, in milliseconds. */
+/**
+ * Time between an end and the next start that clocks of two hosts may account for,
+ * if the hosts know of no other start.
+ */
 const CLOCK_ERROR_MILLISECONDS = 500;
 
 /**
@@ -114,13 +117,16 @@
   if (left.bornAt === undefined || right.bornAt === undefined) {
     return difference < WITHOUT_START_MILLISECONDS;
   }
+  const haveStarts = left.bornAt > 0 && right.bornAt > 0;
   if (left.runningSince !== undefined && right.runningSince !== undefined) {
-    return (
-      left.runningSince <= right.time + CLOCK_ERROR_MILLISECONDS &&
-      right.runningSince <= left.time + CLOCK_ERROR_MILLISECONDS
+    const gap = Math.max(
+      left.runningSince - right.time,
+      right.runningSince - left.time,
     );
+    const areDifferentStarts = haveStarts && left.bornAt !== right.bornAt;
+    return gap <= (areDifferentStarts ? 0 : CLOCK_ERROR_MILLISECONDS);
   }
-  return left.bornAt > 0 && right.bornAt > 0
+  return haveStarts
     ? left.bornAt === right.bornAt
     : difference < UNKNOWN_START_MILLISECONDS;
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -88,6 +88,7 @@
 export * from './orders/wanted_hosts.js';
 export * from './paths/carriers.js';
 export * from './paths/choose_way.js';
+export * from './paths/judge_lost_connection.js';
 export * from './paths/judge_silence.js';
 export * from './paths/upstream_reach.js';
 export * from './placement/choose_engine.js';
--- a/packages/decisions/src/paths/upstream_reach.ts
+++ b/packages/decisions/src/paths/upstream_reach.ts
@@ -93,6 +93,11 @@
     return !this.find(upstreamId).isOutOfReach && !this.isCutOff(now);
   }
 
+  /** Returns whether no connection to an upstream has failed since it was reached. */
+  mayBeInReach(upstreamId: string): boolean {
+    return !this.find(upstreamId).isOutOfReach;
+  }
+
   /**
    * Returns whether the loss of a connection to an upstream may be the fault of
    * this host's links: several upstreams failed and none has answered since.
--- a/packages/decisions/tests/upstream_crash_test.ts
+++ b/packages/decisions/tests/upstream_crash_test.ts
@@ -81,6 +81,11 @@
       reports: [report(0, 5000), report(5200, 5300)],
       crashes: 1,
     },
+    {
+      name: 'of two crashes, the second soon after a start that is known',
+      reports: [report(0, 5000), report(5300, 5400, {bornAt: START + 5250})],
+      crashes: 2,
+    },
     {
       name: 'of two upstreams',
       reports: [report(0, 5000), report(0, 5000, {upstreamId: 'j'})],
--- a/packages/entry-process/src/build_tasks.ts
+++ b/packages/entry-process/src/build_tasks.ts
@@ -161,6 +161,8 @@
     otherHosts: () =>
       membership.serving().filter(member => member.hostId !== hostId),
     addressOf: upstreamId => directory.find(upstreamId)?.address,
+    // This list states no starts.
+    listedStarts: () => [],
     canConnect: address => canConnect(address, CONNECT_TIMEOUT_MILLISECONDS),
     closeIdle: address =>
       address === undefined ? pool.closeAllIdle() : pool.closeIdle(address),
--- a/packages/entry-process/src/front/attempt_evidence.ts
+++ b/packages/entry-process/src/front/attempt_evidence.ts
@@ -86,7 +86,8 @@
       membership.broadcast();
     };
     const {address} = slot.upstream;
-    if (await paths.isUpstreamToBlame({upstreamId, address})) {
+    const lost = {upstreamId, address, bornAt: 0, runningSince: undefined};
+    if (await paths.isUpstreamToBlame(lost)) {
       recordCrash();
     }
   }
--- a/packages/entry-process/src/paths/upstream_paths.ts
+++ b/packages/entry-process/src/paths/upstream_paths.ts
@@ -8,18 +8,22 @@
   Carriers,
   chooseWay,
   isCutOffRequest,
+  type ListedStart,
   type Member,
   type OpenRequest,
+  type ReachReport,
   type TriedWays,
   UpstreamReach,
   upstreamsToTry,
   type Way,
   withoutCutOff,
 } from '@lacewingwinch/decisions';
-import type {PeerClient, ReachAnswer} from '@lacewingwinch/entry-hosts';
+import type {PeerClient} from '@lacewingwinch/entry-hosts';
 import type {EventLog, Metrics} from '@lacewingwinch/observability';
 
-import {messageOf} from '../util/message_of.js';
+import {BlameInquiries, type LostConnection} from './blame_inquiries.js';
+import {CutOffTrial} from './cut_off_trial.js';
+import {ReachQueries} from './reach_queries.js';
 
 /** Milliseconds between two looks at silent requests and failed paths. */
 const CHECK_PERIOD_MILLISECONDS = 250;
@@ -27,12 +31,6 @@
 /** Failed paths that are tried at once. */
 const TRIALS_AT_ONCE = 4;
 
-/** Other hosts that are queried whether they reach an upstream. */
-const QUERIED_HOSTS = 2;
-
-/** Milliseconds for another host to connect to an upstream and answer. */
-const QUERY_TIMEOUT_MILLISECONDS = 500;
-
 /** Upstreams to which a host connects for one query of another host. */
 const MAXIMUM_QUERIED_UPSTREAMS = 4;
 
@@ -62,6 +60,8 @@
   readonly otherHosts: () => readonly Member[];
   /** Returns the address of a listed upstream. */
   readonly addressOf: (upstreamId: string) => string | undefined;
+  /** Returns the list of upstreams with the starts of their processes. */
+  readonly listedStarts: () => readonly ListedStart[];
   /** Returns whether an upstream accepts a connection of this host. */
   readonly canConnect: (address: string) => Promise<boolean>;
   /** Closes the idle connections to an address, or to all of them. */
@@ -76,10 +76,30 @@
   private readonly carriers = new Carriers();
   private readonly requests = new Set<WatchedRequest>();
   private readonly triedAt = new Map<string, number>();
+  private readonly queries: ReachQueries;
+  private readonly inquiries: BlameInquiries;
+  private readonly cutOffTrial: CutOffTrial;
   private timer: NodeJS.Timeout | undefined;
   private wasCutOff = false;
 
-  constructor(private readonly dependencies: UpstreamPathsDependencies) {}
+  constructor(private readonly dependencies: UpstreamPathsDependencies) {
+    this.queries = new ReachQueries({
+      ...dependencies,
+      isCutOff: hostId => this.isHostCutOff(hostId),
+      onAnswer: (hostId, isCutOff) => this.recordHostCutOff(hostId, isCutOff),
+    });
+    this.inquiries = new BlameInquiries({
+      ...dependencies,
+      queries: this.queries,
+      listed: dependencies.listedStarts,
+    });
+    this.cutOffTrial = new CutOffTrial({
+      ...dependencies,
+      isCutOff: now => this.reach.isCutOff(now),
+      mayBeInReach: upstreamId => this.reach.mayBeInReach(upstreamId),
+      tryPath: upstreamId => this.tryPath(upstreamId),
+    });
+  }
 
   /** Present time, in milliseconds of the steady clock. */
   get now(): number {
@@ -115,6 +135,7 @@
     }
     this.reach.recordUnreachable(upstreamId, now);
     this.startTimer();
+    this.cutOffTrial.startIfDue(now);
   }
 
   /** Records that an established connection was lost. */
@@ -180,7 +201,7 @@
   async isAlive({upstreamId, address}: PathTarget): Promise<boolean> {
     return (
       (await this.dependencies.canConnect(address)) ||
-      (await this.queryOthers([upstreamId])).reached.has(upstreamId)
+      (await this.queries.query([upstreamId])).find(upstreamId) === 'reached'
     );
   }
 
@@ -197,29 +218,37 @@
 
   /**
    * Returns whether the upstream is to blame for a lost connection, and not the
-   * links of this host. Where they are suspect, the upstream is if this host still
-   * connects to it, or another one does not either.
+   * links of this host.
    */
-  async isUpstreamToBlame({upstreamId, address}: PathTarget): Promise<boolean> {
-    const {canConnect} = this.dependencies;
-    if (!this.isPathSuspect(upstreamId) || (await canConnect(address))) {
-      return true;
-    }
-    const {reached, isConclusive} = await this.queryOthers([upstreamId]);
-    return isConclusive && !reached.has(upstreamId);
+  async isUpstreamToBlame(lost: LostConnection): Promise<boolean> {
+    return (
+      !this.isPathSuspect(lost.upstreamId) || this.inquiries.hasEnded(lost)
+    );
   }
 
   /** Answers another host that does not reach some upstreams. */
-  async answer(upstreamIds: readonly string[]): Promise<ReachAnswer> {
+  async answer(upstreamIds: readonly string[]): Promise<ReachReport> {
     const {addressOf, canConnect} = this.dependencies;
+    const queried = upstreamIds
+      .slice(0, MAXIMUM_QUERIED_UPSTREAMS)
+      .map(upstreamId => ({upstreamId, address: addressOf(upstreamId)}));
+    const trial = this.cutOffTrial.run(this.dependencies.clock());
     const reached = await Promise.all(
-      upstreamIds.slice(0, MAXIMUM_QUERIED_UPSTREAMS).map(async upstreamId => {
-        const address = addressOf(upstreamId);
-        const isReached = address !== undefined && (await canConnect(address));
-        return isReached ? [upstreamId] : [];
-      }),
+      queried.map(async ({upstreamId, address}) =>
+        address !== undefined && (await canConnect(address))
+          ? [upstreamId]
+          : [],
+      ),
     );
-    return {reached: reached.flat(), isCutOff: this.isCutOff};
+    reached.flat().forEach(upstreamId => this.recordReached(upstreamId));
+    await trial;
+    return {
+      reached: reached.flat(),
+      unlisted: queried.flatMap(({upstreamId, address}) =>
+        address === undefined ? [upstreamId] : [],
+      ),
+      isCutOff: this.isCutOff,
+    };
   }
 
   /** Discards what is known of an upstream that left or started again. */
@@ -315,11 +344,11 @@
     if (failed.length === 0) {
       return;
     }
-    const {reached} = await this.queryOthers(failed);
+    const {find} = await this.queries.query(failed);
     const now = this.dependencies.clock();
     for (const request of this.requests) {
       if (
-        reached.has(request.upstreamId) &&
+        find(request.upstreamId) === 'reached' &&
         isCutOffRequest(
           request,
           {reachedAt: upstreamId => this.reach.reachedAt(upstreamId)},
@@ -333,67 +362,22 @@
 
   /** Connects to an upstream without a request; returns whether it worked. */
   private async tryPath(upstreamId: string): Promise<boolean> {
-    const {addressOf, canConnect, clock, events, closeIdle} = this.dependencies;
+    const {addressOf, canConnect, events, closeIdle} = this.dependencies;
     const address = addressOf(upstreamId);
     if (address === undefined) {
       this.forget(upstreamId);
       return true;
     }
-    const wasDirect = this.reach.isDirect(upstreamId, clock());
+    const wasInReach = this.reach.mayBeInReach(upstreamId);
     if (!(await canConnect(address))) {
       this.recordUnreachable(upstreamId, 'a trial connection failed');
       return false;
     }
-    if (!wasDirect) {
+    if (!wasInReach) {
       closeIdle(address);
       events.write(3012, {upstreamId});
     }
     this.recordReached(upstreamId);
     return true;
   }
-
-  /** Queries other hosts which upstreams they reach. */
-  private async queryOthers(upstreamIds: readonly string[]): Promise<{
-    readonly reached: ReadonlySet<string>;
-    readonly isConclusive: boolean;
-  }> {
-    const triedHosts = new Set<string>();
-    const answers: Promise<ReachAnswer | undefined>[] = [];
-    for (let count = 0; count < QUERIED_HOSTS; count += 1) {
-      const host = this.chooseCarrier(upstreamIds[0] ?? '', triedHosts);
-      if (host !== undefined) {
-        triedHosts.add(host.hostId);
-        answers.push(this.query(host, upstreamIds));
-      }
-    }
-    const known = (await Promise.all(answers)).flatMap(answer => answer ?? []);
-    return {
-      reached: new Set(known.flatMap(({reached}) => reached)),
-      isConclusive: known.some(({isCutOff}) => !isCutOff),
-    };
-  }
-
-  private async query(
-    {hostId, addresses}: Member,
-    upstreamIds: readonly string[],
-  ): Promise<ReachAnswer | undefined> {
-    const {peers, events} = this.dependencies;
-    try {
-      const answer = await peers.call(
-        addresses.peers,
-        'reach.query',
-        {upstreamIds},
-        QUERY_TIMEOUT_MILLISECONDS,
-      );
-      this.recordHostCutOff(hostId, answer.isCutOff);
-      return answer;
-    } catch (error) {
-      events.write(3004, {
-        hostId,
-        method: 'reach.query',
-        error: messageOf(error),
-      });
-      return undefined;
-    }
-  }
 }
--- a/packages/entry-process/src/routed_interface/evidence/crash_watch.ts
+++ b/packages/entry-process/src/routed_interface/evidence/crash_watch.ts
@@ -22,7 +22,7 @@
 import type {ConnectionPool} from '@lacewingwinch/upstreams';
 import murmurhash from 'murmurhash';
 
-import type {PathTarget} from '../../paths/upstream_paths.js';
+import type {LostConnection} from '../../paths/blame_inquiries.js';
 import {isAborted} from '../../util/is_aborted.js';
 import {pause} from '../../util/pause.js';
 import type {ContentVerdictStore} from './content_verdict_store.js';
@@ -63,16 +63,6 @@
   readonly body: Buffer;
 }
 
-/** An upstream that may have crashed. */
-export interface WatchedUpstream {
-  readonly upstreamId: string;
-  readonly address: string;
-  /** Start of the process, as far as this host knows. */
-  readonly bornAt: number;
-  /** See `UpstreamCrash`; undefined if it is not known. */
-  readonly runningSince: number | undefined;
-}
-
 /** Dependencies of `CrashWatch`. */
 export interface CrashWatchDependencies {
   readonly hostId: string;
@@ -80,7 +70,7 @@
   readonly events: EventLog;
   readonly pool: Pick<ConnectionPool, 'watchConnections'>;
   /** Returns whether the upstream is to blame, and not the links of this host. */
-  readonly isToBlame: (upstream: PathTarget) => Promise<boolean>;
+  readonly isToBlame: (lost: LostConnection) => Promise<boolean>;
   /** Returns steady clock readings in milliseconds. */
   readonly clock: () => number;
   /** Returns milliseconds since the epoch, the same on all hosts. */
@@ -142,27 +132,25 @@
    */
   recordLostConnection(
     fingerprint: string,
-    upstream: WatchedUpstream,
+    upstream: LostConnection,
     onCrash: () => void = () => undefined,
   ): void {
     const {pool, trueTime} = this.dependencies;
-    const {upstreamId, address, bornAt, runningSince} = upstream;
-    const haveAllEnded = pool.watchConnections(address);
-    const crash = {upstreamId, bornAt, runningSince, time: trueTime()};
+    const haveAllEnded = pool.watchConnections(upstream.address);
+    const time = trueTime();
     setTimeout(() => {
       if (haveAllEnded()) {
-        void this.reportIfToBlame(fingerprint, {crash, address}, onCrash);
+        void this.reportIfToBlame(fingerprint, {...upstream, time}, onCrash);
       }
     }, CRASH_DETECTION_MILLISECONDS).unref();
   }
 
   private async reportIfToBlame(
     fingerprint: string,
-    {crash, address}: {readonly crash: UpstreamCrash; readonly address: string},
+    {address, ...crash}: LostConnection & UpstreamCrash,
     onCrash: () => void,
   ): Promise<void> {
-    const {upstreamId} = crash;
-    if (await this.dependencies.isToBlame({upstreamId, address})) {
+    if (await this.dependencies.isToBlame({address, ...crash})) {
       this.reportCrash(fingerprint, crash);
       onCrash();
     }
--- a/packages/entry-process/src/routed_interface/lifecycle/create_upstream_paths.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/create_upstream_paths.ts
@@ -36,6 +36,7 @@
     clock: clocks.steady,
     random: Math.random,
     addressOf: upstreamId => upstreams.find(upstreamId)?.address,
+    listedStarts: () => upstreams.all(),
     canConnect: address => canConnect(address, CONNECT_TIMEOUT_MILLISECONDS),
     closeIdle: address =>
       address === undefined ? pool.closeAllIdle() : pool.closeIdle(address),
--- a/packages/entry-process/src/routed_interface/requests/crash_evidence.ts
+++ b/packages/entry-process/src/routed_interface/requests/crash_evidence.ts
@@ -134,12 +134,12 @@
     }
     const {crashes, parts, isEndExpected} = this.dependencies;
     const {service, fingerprint, sharedParts} = this.content;
-    const {upstreamId, bornAt} = upstream;
+    const {upstreamId, address, bornAt} = upstream;
     const {millisecondsSinceAnswerBegan = Infinity} = progress;
     const runningSince = progress.upstreamRunningSince;
     this.log.recordLostConnection({upstreamId, sharedParts, ...progress});
     const lostAt = this.dependencies.clocks.steady();
-    const lost = {...upstream, runningSince};
+    const lost = {upstreamId, address, bornAt, runningSince};
     crashes.recordLostConnection(fingerprint, lost, () => {
       const isAccused =
         sharedParts.length > 0 &&
--- a/packages/observability/src/events/fleet_events.ts
+++ b/packages/observability/src/events/fleet_events.ts
@@ -98,6 +98,19 @@
     message: 'upstream {upstreamId} of {service} is not brittle any more',
     advice: 'No action needed.',
   },
+  3017: {
+    level: 'info',
+    message:
+      'all connections to upstream {upstreamId} were lost and this host does not reach it; for other hosts it is {finding}: {queried} were queried, {answered} answered',
+    advice:
+      'With `out-of-reach` the upstream counts as crashed; with `reached` or `unknown` only if it starts again (3018).',
+  },
+  3018: {
+    level: 'info',
+    message:
+      'upstream {upstreamId} had ended when its connections were lost: {startedId} has started in its place',
+    advice: 'No action needed.',
+  },
   3030: {
     level: 'warn',
     message:
