--- a/packages/decisions/src/membership/member.ts
+++ b/packages/decisions/src/membership/member.ts
@@ -24,6 +24,11 @@
   readonly capacity?: number;
   /** Whether the host is short of processor time; absent if it is not. */
   readonly isBusy?: boolean;
+  /**
+   * Whether the host writes the histories of software versions into the store;
+   * absent for one of a build that does not.
+   */
+  readonly keepsVersionHistories?: boolean;
   /** Increased by the host itself each time it announces its status. */
   readonly incarnation: number;
   readonly status: MemberStatus;
--- a/packages/decisions/src/streams/software_versions.ts
+++ b/packages/decisions/src/streams/software_versions.ts
@@ -4,6 +4,7 @@
  * lasts, the version that began any of its streams is known without a record.
  */
 import type {ListedUpstream} from '../upstreams/listed_upstream.js';
+import type {VersionHistory} from './version_history.js';
 
 /** The versions of a service within some time. */
 export interface SeenVersions {
@@ -37,6 +38,9 @@
   private readonly lastListed = new Map<string, Map<string, number>>();
   private lastReadAt = -Infinity;
   private completeSince: number | undefined;
+  /** Time since which a history of the store covers what came before the reads. */
+  private readonly restoredSince = new Map<string, number>();
+  private gaps = 0;
 
   /** `isFirstStart`: whether no upstream was listed before this host started. */
   constructor(private readonly isFirstStart: boolean) {}
@@ -60,6 +64,57 @@
     this.lastListed.set(service, versions);
   }
 
+  /** Number of times at which versions may have come and gone between two reads. */
+  get gapCount(): number {
+    return this.gaps;
+  }
+
+  /**
+   * Adds what the store knows of a service from before the reads of this host.
+   * `toClock` converts milliseconds since the epoch. A version that the history has
+   * as listed, and that is not, may have been until the reads began.
+   */
+  restore(
+    {service, completeSince, versions}: VersionHistory,
+    toClock: (time: number) => number,
+  ): void {
+    const readsBegan = this.completeSince;
+    if (readsBegan === undefined) {
+      return;
+    }
+    const lastListed =
+      this.lastListed.get(service) ?? new Map<string, number>();
+    for (const {softwareVersion, listedUntil} of versions) {
+      const listedAt =
+        listedUntil === undefined ? readsBegan : toClock(listedUntil);
+      const known = lastListed.get(softwareVersion) ?? -Infinity;
+      if (listedAt > known) {
+        lastListed.set(softwareVersion, listedAt);
+      }
+    }
+    this.lastListed.set(service, lastListed);
+    if (completeSince === undefined) {
+      this.restoredSince.delete(service);
+    } else {
+      this.restoredSince.set(service, toClock(completeSince));
+    }
+  }
+
+  /** Returns the time since which no version of `service` is missing, if known. */
+  completeSinceOf(service: string): number | undefined {
+    return this.completeSince === undefined
+      ? undefined
+      : Math.min(
+          this.completeSince,
+          this.restoredSince.get(service) ?? Infinity,
+        );
+  }
+
+  /** Returns the time at which each version of `service` was last listed. */
+  lastListedOf(service: string): ReadonlyMap<string, number> {
+    return this.lastListed.get(service) ?? new Map<string, number>();
+  }
+
   /** Records a read of the list, whose listings have been recorded. */
   recordRead(coverage: ReadCoverage, now: number): void {
     if (this.completeSince === undefined) {
@@ -69,6 +124,8 @@
       now - this.lastReadAt > MAXIMUM_GAP_MILLISECONDS
     ) {
       this.completeSince = now;
+      this.restoredSince.clear();
+      this.gaps += 1;
     }
     this.lastReadAt = now;
   }
@@ -78,9 +135,10 @@
     const versions = [...(this.lastListed.get(service) ?? [])]
       .filter(([, listedAt]) => listedAt >= now - milliseconds)
       .map(([version]) => version);
+    const completeSince = this.completeSinceOf(service);
     const isComplete =
-      this.completeSince !== undefined &&
-      this.completeSince <= now - milliseconds &&
+      completeSince !== undefined &&
+      completeSince <= now - milliseconds &&
       now - this.lastReadAt <= MAXIMUM_AGE_MILLISECONDS;
     return {versions, isComplete};
   }
--- a/packages/entry-hosts/src/messages/stream_messages.ts
+++ b/packages/entry-hosts/src/messages/stream_messages.ts
@@ -10,6 +10,11 @@
   readonly service: string;
   /** Milliseconds for which streams of the rule may be taken up. */
   readonly lifetimeMilliseconds: number;
+  /**
+   * Whether the host looks for the origin in the store as well; builds before do
+   * not.
+   */
+  readonly readsStore?: boolean;
 }
 
 /** Parameters and result of each of these methods. */
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_peer_handlers.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_peer_handlers.ts
@@ -91,7 +91,7 @@
       streams.keep(origins);
       return null;
     },
-    'stream.locate': query => streams.answer(query),
+    'stream.locate': query => streams.answerHost(query),
     'request.explain': request => explainer.explain(request),
     'quota.request': ({workspace, amount}) => ({
       given: quotas.give(workspace, quotaOf(workspace), amount),
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_process.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_process.ts
@@ -69,6 +69,7 @@
       this.tasks.configuration.run(this.stopping.signal),
     );
     this.monitor('upstreams', this.tasks.upstreams.run(this.stopping.signal));
+    this.monitor('versions', this.tasks.versions.run(this.stopping.signal));
     this.monitor('membership', this.tasks.membership.run(this.stopping.signal));
     this.monitor('relay', this.tasks.relay.run(this.stopping.signal));
     this.monitor('placement', this.tasks.placement.run(this.stopping.signal));
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -51,12 +51,14 @@
 import {RequiredState} from '../state/required_state.js';
 import {createRoutedMembership} from '../state/routed_membership.js';
 import {StateRelay} from '../state/state_relay.js';
-import {StreamOriginExchange} from '../state/stream_origin_exchange.js';
+import type {StreamOriginExchange} from '../state/stream_origin_exchange.js';
 import {UpstreamChangeLog} from '../state/upstream_change_log.js';
 import {UpstreamFollower} from '../state/upstream_follower.js';
+import type {VersionRecorder} from '../state/version_recorder.js';
 import {createCrashWatches} from './create_crash_watches.js';
 import {createRelayCarrier} from './create_relay_carrier.js';
 import {createRequestExplainer} from './create_request_explainer.js';
+import {createStreamOrigins} from './create_stream_origins.js';
 import {createUpstreamPaths} from './create_upstream_paths.js';
 import {RoutedRollouts} from './routed_rollouts.js';
 
@@ -100,6 +102,7 @@
   readonly crashes: CrashWatch;
   readonly parts: PartWatch;
   readonly streams: StreamOriginExchange;
+  readonly versions: VersionRecorder;
   readonly state: RequiredState;
   readonly paths: UpstreamPaths;
   readonly carrier: RelayCarrier;
@@ -200,15 +203,18 @@
       announcements: this.announcements,
       answers: this.answers,
     });
-    this.streams = new StreamOriginExchange({
+    const origins = createStreamOrigins({
       hostId: settings.hostId,
       peers: this.peers,
       events: this.events,
-      servingHosts: () => this.membership.serving(),
-      versions: this.upstreams.list.versions,
-      confirmVersions: time => this.upstreams.confirmSince(time),
-      clock: clocks.suspensionAware,
+      clocks,
+      store: this.store,
+      upstreams: this.upstreams,
+      fleet: () => this.fleet,
+      trueTime: () => this.readTrueTime(),
     });
+    this.streams = origins.streams;
+    this.versions = origins.versions;
     this.placement = new RoutedPlacement({
       hostId: settings.hostId,
       peers: this.peers,
@@ -407,6 +413,7 @@
   private onUpstreamChanges(changes: readonly UpstreamChange[]): void {
     this.placement.onUpstreamChanges(changes);
     this.streams.publishAmbiguous();
+    this.versions.onListChange();
     this.upstreamChangeLog.write(changes);
     this.rollouts.onUpstreamChanges(changes, this.upstreams.list);
     for (const change of changes) {
--- a/packages/entry-process/src/routed_interface/state/fleet_view.ts
+++ b/packages/entry-process/src/routed_interface/state/fleet_view.ts
@@ -24,9 +24,14 @@
     private readonly startedAt: number,
   ) {}
 
-  /** Returns the ids of the serving hosts, including this one if it serves. */
+  /** Returns the serving hosts, including this one if it serves. */
+  servingHosts(): readonly Member[] {
+    return this.membership.serving();
+  }
+
+  /** Returns the ids of the serving hosts. */
   servingIds(): readonly string[] {
-    return this.membership.serving().map(({hostId}) => hostId);
+    return this.servingHosts().map(({hostId}) => hostId);
   }
 
   /** Returns the other serving hosts. */
@@ -74,6 +79,16 @@
     );
   }
 
+  /**
+   * Returns whether all hosts that serve, or did until lately, write the histories of
+   * software versions.
+   */
+  areVersionHistoriesKept(): boolean {
+    return this.membership
+      .sharingHosts()
+      .every(({keepsVersionHistories}) => keepsVersionHistories === true);
+  }
+
   /** Returns the ids of the hosts that read the store. */
   storeReaders(): readonly string[] {
     return storeReaders(this.servingIds(), this.strongServingIds());
--- a/packages/entry-process/src/routed_interface/state/routed_membership.ts
+++ b/packages/entry-process/src/routed_interface/state/routed_membership.ts
@@ -73,6 +73,7 @@
       relay: addresses.relay,
     },
     ...(limits !== undefined && {capacity: capacityOf(limits)}),
+    keepsVersionHistories: true,
     incarnation: clocks.timeOfDay(),
     status: 'joining',
   };
--- a/packages/entry-process/src/routed_interface/state/stream_origin_exchange.ts
+++ b/packages/entry-process/src/routed_interface/state/stream_origin_exchange.ts
@@ -17,6 +17,7 @@
 
 import {callPeer} from '../../util/call_peer.js';
 import {pause} from '../../util/pause.js';
+import type {StreamOriginStore} from './stream_origin_store.js';
 
 /** Number of hosts that keep the origin of a stream besides its own. */
 const KEEPING_HOSTS = 3;
@@ -33,6 +34,12 @@
  */
 const ANSWER_TIMEOUT_MILLISECONDS = 150;
 
+/** Store readers that a host queries which does not read the store itself. */
+const QUERIED_READERS = 2;
+
+/** Milliseconds to wait for these, which read the store first. */
+const STORE_ANSWER_TIMEOUT_MILLISECONDS = 500;
+
 /** Dependencies of `StreamOriginExchange`. */
 export interface StreamOriginExchangeDependencies {
   readonly hostId: string;
@@ -40,6 +47,10 @@
   readonly events: EventLog;
   readonly servingHosts: () => readonly Member[];
   readonly versions: SoftwareVersions;
+  /** Origins that outlive all hosts. */
+  readonly stored: Pick<StreamOriginStore, 'add' | 'find' | 'forget'>;
+  /** Returns the ids of the hosts that read the store. */
+  readonly storeReaders: () => readonly string[];
   /**
    * Resolves with whether this host knows every version that was listed by a time of
    * `clock`.
@@ -76,6 +87,7 @@
   /** Records that a stream is complete and will not be taken up. */
   recordComplete(attemptId: string): void {
     this.unpublished.forget(attemptId);
+    this.dependencies.stored.forget(attemptId);
   }
 
   /**
@@ -98,6 +110,16 @@
     origins.forEach(origin => this.origins.record(origin, now));
   }
 
+  /** Returns what this host knows, for another host. */
+  async answerHost(query: OriginQuery): Promise<OriginKnowledge> {
+    const known = this.answer(query);
+    if (known.origin !== undefined || query.readsStore !== true) {
+      return known;
+    }
+    const origin = await this.dependencies.stored.find(query.attemptId);
+    return origin === undefined ? known : {...known, origin};
+  }
+
   /** Returns what this host knows of the origin of a stream. */
   answer({
     attemptId,
@@ -120,7 +142,7 @@
       return decideContinuation(query.service, [known]);
     }
     const [answers, isConfirmed] = await Promise.all([
-      this.queryHosts(query),
+      this.queryHosts(query, this.hostsOf(query.attemptId, QUERIED_HOSTS)),
       this.areVersionsConfirmed(),
     ]);
     const own = this.answer(query);
@@ -128,7 +150,49 @@
       ...own.seen,
       isComplete: own.seen.isComplete && isConfirmed,
     };
-    return decideContinuation(query.service, [{...own, seen}, ...answers]);
+    const continuation = decideContinuation(query.service, [
+      {...own, seen},
+      ...answers,
+    ]);
+    switch (continuation.kind) {
+      case 'at-version':
+        return continuation;
+      case 'unknown':
+        return this.locateInStore(query, seen);
+    }
+  }
+
+  /** Decides by the origin in the store, which outlives all hosts. */
+  private async locateInStore(
+    query: OriginQuery,
+    seen: OriginKnowledge['seen'],
+  ): Promise<Continuation> {
+    const origin =
+      query.attemptId === '' ? undefined : await this.findStored(query);
+    return origin === undefined
+      ? {kind: 'unknown'}
+      : decideContinuation(query.service, [{origin, seen}]);
+  }
+
+  private async findStored(
+    query: OriginQuery,
+  ): Promise<StreamOrigin | undefined> {
+    const {hostId, servingHosts, storeReaders, stored} = this.dependencies;
+    const readers = storeReaders();
+    if (readers.includes(hostId)) {
+      return stored.find(query.attemptId);
+    }
+    const queried = rendezvousOrder(
+      `stream/${query.attemptId}`,
+      readers,
+      QUERIED_READERS,
+    );
+    const answers = await this.queryHosts(
+      {...query, readsStore: true},
+      servingHosts().filter(member => queried.includes(member.hostId)),
+      STORE_ANSWER_TIMEOUT_MILLISECONDS,
+    );
+    return answers.find(({origin}) => origin !== undefined)?.origin;
   }
 
   /**
@@ -147,8 +211,11 @@
   }
 
   /** Queries other hosts until one returns the origin or the timeout expires. */
-  private queryHosts(query: OriginQuery): Promise<readonly OriginKnowledge[]> {
-    const queried = this.hostsOf(query.attemptId, QUERIED_HOSTS);
+  private queryHosts(
+    query: OriginQuery,
+    queried: readonly Member[],
+    timeoutMilliseconds = ANSWER_TIMEOUT_MILLISECONDS,
+  ): Promise<readonly OriginKnowledge[]> {
     const answers: OriginKnowledge[] = [];
     return new Promise(resolve => {
       let unanswered = queried.length;
@@ -156,7 +223,7 @@
         clearTimeout(timer);
         resolve(answers);
       };
-      const timer = setTimeout(finish, ANSWER_TIMEOUT_MILLISECONDS);
+      const timer = setTimeout(finish, timeoutMilliseconds);
       const onAnswer = (answer: OriginKnowledge | undefined): void => {
         answers.push(...(answer === undefined ? [] : [answer]));
         unanswered -= 1;
@@ -173,7 +240,7 @@
           member,
           'stream.locate',
           query,
-          ANSWER_TIMEOUT_MILLISECONDS,
+          timeoutMilliseconds,
         ).then(onAnswer);
       }
     });
@@ -189,6 +256,7 @@
   }
 
   private publish(origin: StreamOrigin): void {
+    this.dependencies.stored.add(origin);
     for (const {hostId} of this.hostsOf(origin.attemptId, KEEPING_HOSTS)) {
       const collected = this.outgoing.get(hostId) ?? [];
       collected.push(origin);
--- a/packages/entry-process/tests/software_versions_test.ts
+++ b/packages/entry-process/tests/software_versions_test.ts
@@ -1,8 +1,10 @@
 /** Tests of streams that continue while two software versions serve. */
-import {LinkProcess, RoutedEngineStandIn} from '@lacewingwinch/stand-ins';
+import type {RoutedEngineStandIn} from '@lacewingwinch/stand-ins';
+import {LinkProcess} from '@lacewingwinch/stand-ins';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import {type Answer, RoutedInstallation, waitUntil} from './routed_fixtures.js';
+import {VersionedStreams, withSingleAttempts} from './stream_fixtures.js';
 
 const STREAMS = 12;
 
@@ -10,40 +12,15 @@
 const SETTLE_MILLISECONDS = 700;
 
 let installation: RoutedInstallation;
-/** Software version by upstream. */
-let versions: Map<string, string>;
+let streams: VersionedStreams;
 
 beforeEach(async () => {
   installation = await RoutedInstallation.start();
-  versions = new Map();
+  streams = new VersionedStreams(installation);
 });
 
 afterEach(() => installation.stop());
 
-/** Lists an engine of the streaming service. */
-async function listEngine(
-  upstreamId: string,
-  version: string,
-): Promise<RoutedEngineStandIn> {
-  const existing = installation.engines.find(
-    engine => engine.upstreamId === upstreamId,
-  );
-  const engine = existing ?? new RoutedEngineStandIn(upstreamId);
-  if (existing === undefined) {
-    engine.isStreamed = true;
-    await engine.listen();
-    installation.engines.push(engine);
-  }
-  versions.set(upstreamId, version);
-  const entry = engine.entry('engines', {version});
-  installation.store.put('keyed.servers', upstreamId, entry);
-  return engine;
-}
-
-function withdraw(upstreamId: string): void {
-  installation.store.put('keyed.servers', upstreamId, undefined);
-}
-
 async function startHosts(count: number): Promise<void> {
   for (let index = 0; index < count; index += 1) {
     await installation.startProcess({
@@ -57,73 +34,27 @@
   return new Promise(resolve => setTimeout(resolve, SETTLE_MILLISECONDS));
 }
 
-/** Returns the software versions of the engines that ran `attemptId`. */
-function versionsThatRan(attemptId: string): readonly string[] {
-  return installation.engines
-    .filter(engine => engine.executedAttemptIds().includes(attemptId))
-    .map(({upstreamId}) => versions.get(upstreamId) ?? '');
-}
-
-/** Breaks off the first attempt at each engine; a continuation is answered. */
-function breakOffFirstAttempts(): void {
-  for (const engine of installation.engines) {
-    engine.breaksOffFirstAttempts = true;
-  }
-}
-
-function lastIdOf({body}: Answer): string {
-  return [...body.matchAll(/^id: (\d+)$/gm)].at(-1)?.[1] ?? '0';
-}
-
-/** Starts a stream that breaks off, at host `host`; returns its last id. */
-async function startBrokenStream(
-  attemptId: string,
-  host: number,
-): Promise<string> {
-  const answer = await installation.call(
-    {path: `/resumed/${attemptId}`, attemptId},
-    installation.callers[host],
-  );
-  expect(answer.isBroken).toBe(true);
-  return lastIdOf(answer);
-}
-
-function takeUp(
-  attemptId: string,
-  lastEventId: string,
-  host: number,
-): Promise<Answer> {
-  return installation.call(
-    {
-      path: `/resumed/${attemptId}`,
-      attemptId: `${attemptId}-again`,
-      headers: {'last-event-id': lastEventId, resumes: attemptId},
-    },
-    installation.callers[host],
-  );
-}
-
 describe('a stream that breaks off within one answer', () => {
   it('is not continued by an engine of another software version', async () => {
-    await listEngine('i-2', 'v1');
-    await listEngine('i-3', 'v2');
-    breakOffFirstAttempts();
+    await streams.listEngine('i-2', 'v1');
+    await streams.listEngine('i-3', 'v2');
+    streams.breakOffFirstAttempts();
     await startHosts(1);
     for (let index = 0; index < STREAMS; index += 1) {
       const attemptId = `stream-${index}`;
       const path = `/resumed/${index}`;
       const answer = await installation.call({path, attemptId});
       expect(answer.isBroken).toBe(true);
-      expect(versionsThatRan(attemptId)).toHaveLength(1);
+      expect(streams.versionsThatRan(attemptId)).toHaveLength(1);
     }
   });
 
   it('is continued by another engine of its software version', async () => {
-    await listEngine('i-2', 'v1');
-    await listEngine('i-3', 'v2');
-    await listEngine('i-4', 'v1');
-    await listEngine('i-5', 'v2');
-    breakOffFirstAttempts();
+    await streams.listEngine('i-2', 'v1');
+    await streams.listEngine('i-3', 'v2');
+    await streams.listEngine('i-4', 'v1');
+    await streams.listEngine('i-5', 'v2');
+    streams.breakOffFirstAttempts();
     await startHosts(2);
     for (let index = 0; index < STREAMS; index += 1) {
       const attemptId = `stream-${index}`;
@@ -132,7 +63,7 @@
         installation.callers[index % 2],
       );
       expect(answer.isBroken).toBe(false);
-      const ran = versionsThatRan(attemptId);
+      const ran = streams.versionsThatRan(attemptId);
       expect(ran).toHaveLength(2);
       expect(new Set(ran).size).toBe(1);
     }
@@ -141,13 +72,13 @@
 
 describe('a stream that begins at a process which has just replaced another one', () => {
   it('is not continued at the software version listed before', async () => {
-    await listEngine('i-2', 'v1');
+    await streams.listEngine('i-2', 'v1');
     const replaced: RoutedEngineStandIn[] = [];
     for (const upstreamId of ['i-3', 'i-4', 'i-5', 'i-6']) {
-      replaced.push(await listEngine(upstreamId, 'v1'));
+      replaced.push(await streams.listEngine(upstreamId, 'v1'));
     }
     await startHosts(1);
-    breakOffFirstAttempts();
+    streams.breakOffFirstAttempts();
     for (const engine of replaced) {
       engine.softwareVersion = 'v2';
       engine.restart();
@@ -183,62 +114,62 @@
   });
 
   it('is continued at its software version after its host has died', async () => {
-    await listEngine('i-2', 'v1');
-    await listEngine('i-3', 'v2');
-    await listEngine('i-4', 'v1');
-    await listEngine('i-5', 'v2');
+    await streams.listEngine('i-2', 'v1');
+    await streams.listEngine('i-3', 'v2');
+    await streams.listEngine('i-4', 'v1');
+    await streams.listEngine('i-5', 'v2');
     await startHosts(4);
-    breakOffFirstAttempts();
+    streams.breakOffFirstAttempts();
     const lastIds = new Map<string, string>();
     for (let index = 0; index < STREAMS; index += 1) {
       const attemptId = `stream-${index}`;
-      lastIds.set(attemptId, await startBrokenStream(attemptId, 0));
+      lastIds.set(attemptId, await streams.startBrokenStream(attemptId, 0));
     }
     await settle();
     await installation.processes[0]?.stopNow();
     for (const [attemptId, lastId] of lastIds) {
-      const answer = await takeUp(attemptId, lastId, 1);
+      const answer = await streams.takeUp(attemptId, lastId, 1);
       expect(answer.status).toBe(200);
       expect(answer.isBroken).toBe(false);
-      expect(versionsThatRan(`${attemptId}-again`)).toEqual(
-        versionsThatRan(attemptId),
+      expect(streams.versionsThatRan(`${attemptId}-again`)).toEqual(
+        streams.versionsThatRan(attemptId),
       );
     }
   });
 
   it('is not continued by a process that another one has replaced under its id', async () => {
-    await listEngine('i-2', 'v1');
-    const other = await listEngine('i-3', 'v1');
+    await streams.listEngine('i-2', 'v1');
+    const other = await streams.listEngine('i-3', 'v1');
     await startHosts(2);
     const [begun] = installation.engines.filter(
       ({upstreamId}) => upstreamId === 'i-2',
     );
-    breakOffFirstAttempts();
+    streams.breakOffFirstAttempts();
     const attemptIds = Array.from(
       {length: STREAMS},
       (_, index) => `stream-${index}`,
     );
     for (const attemptId of attemptIds) {
-      await startBrokenStream(attemptId, 0);
+      await streams.startBrokenStream(attemptId, 0);
     }
     const begunThere = attemptIds.filter(attemptId =>
       begun?.executedAttemptIds().includes(attemptId),
     );
     expect(begunThere.length).toBeGreaterThan(0);
-    withdraw('i-2');
+    streams.withdraw('i-2');
     await settle();
     other.softwareVersion = 'v2';
     other.restart();
     for (const attemptId of begunThere) {
-      const answer = await takeUp(attemptId, '3', 1);
+      const answer = await streams.takeUp(attemptId, '3', 1);
       expect(answer.status).toBe(503);
       expect(other.executedAttemptIds()).not.toContain(`${attemptId}-again`);
     }
   });
 
   it('does not begin at a process that another one has replaced under its id', async () => {
-    await listEngine('i-2', 'v1');
-    const other = await listEngine('i-3', 'v1');
+    await streams.listEngine('i-2', 'v1');
+    const other = await streams.listEngine('i-3', 'v1');
     await startHosts(1);
     const begin = (attemptId: string): Promise<Answer> =>
       installation.call({path: '/resumed/1', attemptId});
@@ -254,43 +185,43 @@
       expect(other.executedAttemptIds()).not.toContain(`after-${index}`);
     }
     installation.store.put('keyed.servers', 'i-3', other.entry('engines'));
-    withdraw('i-2');
+    streams.withdraw('i-2');
     await settle();
     expect((await begin('listed')).status).toBe(200);
     expect(other.executedAttemptIds()).toContain('listed');
   });
 
   it('is continued if its host notified no host while one version served', async () => {
-    await listEngine('i-2', 'v1');
-    await listEngine('i-3', 'v1');
+    await streams.listEngine('i-2', 'v1');
+    await streams.listEngine('i-3', 'v1');
     await startHosts(3);
-    breakOffFirstAttempts();
-    const lastId = await startBrokenStream('stream-1', 0);
+    streams.breakOffFirstAttempts();
+    const lastId = await streams.startBrokenStream('stream-1', 0);
     await installation.processes[0]?.stopNow();
-    const answer = await takeUp('stream-1', lastId, 1);
+    const answer = await streams.takeUp('stream-1', lastId, 1);
     expect(answer).toMatchObject({status: 200, isBroken: false});
   });
 
   it('is continued if another version has come since it broke off', async () => {
-    await listEngine('i-2', 'v1');
+    await streams.listEngine('i-2', 'v1');
     await startHosts(3);
-    withdraw('i-3');
-    breakOffFirstAttempts();
+    streams.withdraw('i-3');
+    streams.breakOffFirstAttempts();
     await settle();
-    const lastId = await startBrokenStream('stream-1', 0);
-    await listEngine('i-3', 'v2');
+    const lastId = await streams.startBrokenStream('stream-1', 0);
+    await streams.listEngine('i-3', 'v2');
     await settle();
-    const answer = await takeUp('stream-1', lastId, 1);
+    const answer = await streams.takeUp('stream-1', lastId, 1);
     expect(answer).toMatchObject({status: 200, isBroken: false});
-    expect(versionsThatRan('stream-1-again')).toEqual(['v1']);
+    expect(streams.versionsThatRan('stream-1-again')).toEqual(['v1']);
   });
 
   it.each([
     {name: 'is refused if no host knows where it began', resumes: 'unknown'},
     {name: 'is refused if its client names no attempt', resumes: undefined},
   ])('$name and two versions serve', async ({resumes}) => {
-    await listEngine('i-2', 'v1');
-    await listEngine('i-3', 'v2');
+    await streams.listEngine('i-2', 'v1');
+    await streams.listEngine('i-3', 'v2');
     await startHosts(2);
     const startedAt = Date.now();
     const answer = await installation.call({
@@ -302,15 +233,15 @@
       },
     });
     expect(answer.status).toBe(503);
-    expect(versionsThatRan('again')).toEqual([]);
+    expect(streams.versionsThatRan('again')).toEqual([]);
     expect(Date.now() - startedAt).toBeLessThan(500);
   });
 
   it.each([{fault: 'hang'}, {fault: 'none'}] as const)(
     'is not continued at another version by a host out of step: store link $fault',
     async ({fault}) => {
-      const first = await listEngine('i-2', 'v1');
-      withdraw('i-3');
+      const first = await streams.listEngine('i-2', 'v1');
+      streams.withdraw('i-3');
       const link = await LinkProcess.start([installation.store.address]);
       await installation.startProcess();
       // It knows no other host, and reads the store over a link of its own.
@@ -321,16 +252,16 @@
       if (fault === 'hang') {
         await link.cut('hang');
       }
-      const second = await listEngine('i-4', 'v2');
+      const second = await streams.listEngine('i-4', 'v2');
       second.breaksOffFirstAttempts = true;
       first.behavior = 'shed';
       await waitUntil(async () => {
         await installation.call({path: '/stream/1'});
         return second.ran.length > 0;
       });
-      const lastId = await startBrokenStream('stream-1', 0);
+      const lastId = await streams.startBrokenStream('stream-1', 0);
       first.behavior = 'answer';
-      const answer = await takeUp('stream-1', lastId, 1);
+      const answer = await streams.takeUp('stream-1', lastId, 1);
       expect(answer.status).toBe(503);
       expect(first.executedAttemptIds()).not.toContain('stream-1-again');
       await link.stop();
@@ -338,14 +269,14 @@
   );
 
   it('is refused at once if no engine of its version is left', async () => {
-    await listEngine('i-2', 'v1');
-    await listEngine('i-3', 'v1');
+    await streams.listEngine('i-2', 'v1');
+    await streams.listEngine('i-3', 'v1');
     await startHosts(2);
-    breakOffFirstAttempts();
-    const lastId = await startBrokenStream('stream-1', 0);
-    withdraw('i-2');
-    withdraw('i-3');
-    await listEngine('i-4', 'v2');
+    streams.breakOffFirstAttempts();
+    const lastId = await streams.startBrokenStream('stream-1', 0);
+    streams.withdraw('i-2');
+    streams.withdraw('i-3');
+    await streams.listEngine('i-4', 'v2');
     await waitUntil(async () => {
       const answer = await installation.call({
         path: '/stream/1',
@@ -354,35 +285,8 @@
       return answer.status === 200;
     });
     await settle();
-    const answer = await takeUp('stream-1', lastId, 1);
+    const answer = await streams.takeUp('stream-1', lastId, 1);
     expect(answer.status).toBe(503);
-    expect(versionsThatRan('stream-1-again')).toEqual([]);
+    expect(streams.versionsThatRan('stream-1-again')).toEqual([]);
   });
 });
-
-/** Makes an attempt that breaks off end the answer. */
-function withSingleAttempts(): object {
-  return {
-    version: 4,
-    routes: ['resumed', 'stream'].map(name => ({
-      name,
-      host: 'host.example',
-      pathPrefix: `/${name}/`,
-      kind: 'streaming',
-      service: 'engines',
-      timeoutMs: 2000,
-      targetLatencyMs: 200,
-      priority: 1,
-      maxAttempts: 1,
-      streamResumption: name === 'resumed',
-    })),
-    services: [{name: 'engines', connectionLimit: 500}],
-    limits: {
-      maxHeaderBytes: 4096,
-      maxBodyBytes: 1000,
-      headerTimeoutMs: 3000,
-      idleTimeoutMs: 15_000,
-    },
-    tenants: [{name: 'tenant', apiKeys: ['key-1']}],
-  };
-}
--- a/packages/observability/src/events/fleet_events.ts
+++ b/packages/observability/src/events/fleet_events.ts
@@ -111,6 +111,13 @@
       'upstream {upstreamId} had ended when its connections were lost: {startedId} has started in its place',
     advice: 'No action needed.',
   },
+  3019: {
+    level: 'info',
+    message:
+      'the store has the software versions of {service} that may have begun streams: {versions}',
+    advice:
+      'No action needed; while there are several, the origins of streams are kept in the store.',
+  },
   3030: {
     level: 'warn',
     message:
