Reject answers whose status is none

What callers saw: an upstream in trouble answers with status 600 or 999, and the client gets it as an answer.

Cause: the HTTP parser lets any three digits from 100 on pass. Statuses end at 599 (RFC 9110, section 15).

Change: such an answer counts as lost, in the attempts of routed requests and in the calls of the own interface.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -17,6 +17,7 @@
 export * from './admission/workspace_shares.js';
 export * from './answers/answer_buffer.js';
 export * from './answers/answer_memory.js';
+export * from './answers/answer_status.js';
 export * from './answers/body_framing.js';
 export * from './answers/byte_accumulator.js';
 export * from './answers/choose_resumption.js';
--- a/packages/entry-process/src/routed_interface/requests/routed_attempt.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_attempt.ts
@@ -8,6 +8,7 @@
   type CollectedAnswer,
   EventSplitter,
   findStreamFault,
+  isFinalStatus,
   judgeAnswerEnd,
   MAXIMUM_RESPONSE_BYTES,
   type RoutedAttemptFailure,
@@ -324,6 +325,9 @@
   if (isForeign(answerHeaders, attemptId)) {
     return lostAnswer('the answer belongs to another attempt');
   }
+  if (!isFinalStatus(status)) {
+    return lostAnswer(`status ${status} is none of an answer`);
+  }
   if (answerHeaders.isNotExecuted || status === MISDIRECTED_REQUEST_STATUS) {
     return {kind: 'not-executed', status};
   }
--- a/packages/entry-process/tests/broken_off_answers_test.ts
+++ b/packages/entry-process/tests/broken_off_answers_test.ts
@@ -270,6 +270,30 @@
     }
   });
 
+  // Guards against statuses that are none, which clients got as answers.
+  it.each([
+    '000',
+    '007',
+    '099',
+    '100',
+    '101',
+    '600',
+    '999',
+    '1000',
+    '2e2',
+    '-20',
+  ])('with status %s is no answer', async status => {
+    behaviors = [
+      (socket, head) =>
+        socket.end(
+          `${head.replace('200 OK', status)}Content-Length: 5\r\n\r\nwhole`,
+        ),
+    ];
+    const answer = await installation.call({path: '/once/1'});
+    expect(answer.status).toBe(502);
+    expect(answer.body).not.toContain('whole');
+  });
+
   it('without a length leaves a usable host behind', async () => {
     behaviors = [
       endWithConnection('first'),
--- a/packages/upstreams/src/model_engine.ts
+++ b/packages/upstreams/src/model_engine.ts
@@ -4,6 +4,7 @@
  */
 import {
   type BodyFraming,
+  isFinalStatus,
   MAXIMUM_EVENT_BYTES,
   promisesNotRun,
 } from '@lacewingwinch/decisions';
@@ -98,10 +99,10 @@
     },
   );
   const {status} = progress;
-  if (promisesNotRun(status)) {
+  if (promisesNotRun(status) || !isFinalStatus(status)) {
     throw new UpstreamError(
       {kind: 'refused-by-upstream'},
-      'the engine is busy',
+      `the engine answered ${status}`,
       true,
     );
   }
--- a/packages/upstreams/src/plain_service.ts
+++ b/packages/upstreams/src/plain_service.ts
@@ -3,6 +3,7 @@
  */
 import {
   type BodyFraming,
+  isFinalStatus,
   MAXIMUM_RESPONSE_BYTES,
   promisesNotRun,
 } from '@lacewingwinch/decisions';
@@ -43,14 +44,14 @@
     const answer = await collectAnswer(call, receiver =>
       exchange(connections.persistent, origin, call.request, receiver),
     );
-    return rejectPromise(answer);
+    return rejectUnusable(answer);
   }
   const client = connections.openSingleUse(origin);
   try {
     const answer = await collectAnswer(call, receiver =>
       exchange(client, origin, call.request, receiver),
     );
-    return rejectPromise(answer);
+    return rejectUnusable(answer);
   } finally {
     void client.destroy();
   }
@@ -83,11 +84,11 @@
 }
 
 /**
- * Rejects an answer whose status would promise the client that the call has not run
- * and never will, which only this host can promise.
+ * Rejects an answer whose status is none, or would promise the client that the call
+ * has not run and never will, which only this host can promise.
  */
-function rejectPromise(answer: PlainAnswer): PlainAnswer {
-  if (promisesNotRun(answer.status)) {
+function rejectUnusable(answer: PlainAnswer): PlainAnswer {
+  if (promisesNotRun(answer.status) || !isFinalStatus(answer.status)) {
     throw new UpstreamError(
       {kind: 'refused-by-upstream'},
       `the upstream answered ${answer.status}`,
--- a/packages/upstreams/tests/plain_service_test.ts
+++ b/packages/upstreams/tests/plain_service_test.ts
@@ -92,6 +92,14 @@
         ),
       expected: {result: 'refused-by-upstream', sendChecks: 1},
     })),
+    ...[600, 999].map(status => ({
+      name: `an answer with ${status}, which is no status`,
+      onConnection: (socket: Socket) =>
+        socket.on('data', () =>
+          socket.end(`HTTP/1.1 ${status} No\r\ncontent-length: 0\r\n\r\n`),
+        ),
+      expected: {result: 'refused-by-upstream', sendChecks: 1},
+    })),
     ...[500, 504].map(status => ({
       name: `an answer with ${status}`,
       onConnection: (socket: Socket) =>
