Attribute a refusal without an id only on a fresh connection

What callers saw: a faulty upstream writes an earlier refusal once more on a kept connection, without an attempt id.

Cause: an answer without an id counted as that of the request which was waiting.

Change: it counts only if no other request went over its connection before, and the connection is closed after it. A host that carries an attempt states whether its answer was the first one on the connection to the upstream.

Messages: one header between hosts, which builds before neither send nor read; without it an answer without an id counts as lost.

Evidence: both cases without an id of late_copies_test, direct and carried, failed before and pass.

--- a/packages/entry-hosts/src/relay_messages.ts
+++ b/packages/entry-hosts/src/relay_messages.ts
@@ -50,6 +50,7 @@
 const UNREACHABLE = `${PREFIX}unreachable`;
 const CUT_OFF = `${PREFIX}cut-off`;
 const FRAMING = `${PREFIX}framing`;
+const FIRST_ANSWER = `${PREFIX}first-answer`;
 
 const FRAMINGS: readonly BodyFraming[] = ['chunks', 'connection', 'length'];
 
@@ -160,6 +161,22 @@
   return FRAMINGS.find(known => known === framing);
 }
 
+/**
+ * Returns the header that states whether an answer is the first one on its connection
+ * to the upstream.
+ */
+export function encodeIsFirstAnswer(isFirst: boolean): string[] {
+  return isFirst ? [FIRST_ANSWER, '1'] : [];
+}
+
+/**
+ * Returns whether an answer is the first one on its connection to the upstream; false
+ * if the carrier is of a build that does not state it.
+ */
+export function decodeIsFirstAnswer(headers: HeaderValues): boolean {
+  return valueOf(headers, FIRST_ANSWER) === '1';
+}
+
 /** Returns headers without those of this module and those that `drops` names. */
 export function withoutRelayHeaders(
   rawHeaders: RawHeaders,
--- a/packages/entry-process/src/build_tasks.ts
+++ b/packages/entry-process/src/build_tasks.ts
@@ -180,7 +180,7 @@
         ? undefined
         : {...upstream, upstreamId, bornAt: 0};
     },
-    onHead: () => undefined,
+    onHead: () => true,
   });
   const limits = new LimitShares();
   const backups = new BackupStore();
--- a/packages/entry-process/src/paths/relay_carrier.ts
+++ b/packages/entry-process/src/paths/relay_carrier.ts
@@ -17,6 +17,7 @@
   carriedHeaders,
   decodeRelayOrder,
   encodeAnswerFraming,
+  encodeIsFirstAnswer,
   encodeRelayRefusal,
   type RelayOrder,
   type RelayRefusal,
@@ -73,14 +74,15 @@
   readonly clock: () => number;
   /**
    * Called with the head of each answer of an upstream and the steady clock reading
-   * at the first byte of the attempt.
+   * at the first byte of the attempt. Returns whether the answer bears the id of an
+   * attempt, without which its connection is not used again.
    */
   readonly onHead: (
     upstream: CarriedUpstream,
     order: RelayOrder,
     head: AnswerHead,
     sentAt: number,
-  ) => void;
+  ) => boolean;
 }
 
 /** Carries attempts to upstreams. */
@@ -182,7 +184,9 @@
           },
           onHead: head => {
             paths.recordReached(upstreamId);
-            onHead(upstream, order, head, sentAt);
+            if (!onHead(upstream, order, head, sentAt)) {
+              exchange?.retire();
+            }
             hasBegun = true;
             responder.begin(head.status, answerHeaders(head), 'chunks');
           },
@@ -274,7 +278,15 @@
   }
 }
 
-/** Returns the headers of an answer with its framing at the upstream. */
-function answerHeaders({rawHeaders, framing}: AnswerHead): string[] {
-  return [...carriedHeaders(rawHeaders), ...encodeAnswerFraming(framing)];
+/** Returns the headers of an answer with what they lack of the upstream's connection. */
+function answerHeaders({
+  rawHeaders,
+  framing,
+  isFirstOnConnection,
+}: AnswerHead): string[] {
+  return [
+    ...carriedHeaders(rawHeaders),
+    ...encodeAnswerFraming(framing),
+    ...encodeIsFirstAnswer(isFirstOnConnection),
+  ];
 }
--- a/packages/entry-process/src/paths/relay_sender.ts
+++ b/packages/entry-process/src/paths/relay_sender.ts
@@ -4,6 +4,7 @@
 import type {CarrierResult, Member} from '@lacewingwinch/decisions';
 import {
   decodeAnswerFraming,
+  decodeIsFirstAnswer,
   decodeRelayRefusal,
   encodeRelayOrder,
   type RelayRefusal,
@@ -124,5 +125,6 @@
     ...head,
     rawHeaders: withoutRelayHeaders(head.rawHeaders),
     framing: decodeAnswerFraming(head.headers) ?? head.framing,
+    isFirstOnConnection: decodeIsFirstAnswer(head.headers),
   };
 }
--- a/packages/entry-process/src/routed_interface/lifecycle/create_relay_carrier.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/create_relay_carrier.ts
@@ -45,6 +45,7 @@
         headers.attemptId === undefined || headers.attemptId === requestId;
       const {status} = head;
       answers.record(upstream, {status, headers, isOwn, sentAt});
+      return headers.attemptId !== undefined;
     },
   });
 }
--- a/packages/entry-process/src/routed_interface/requests/routed_attempt.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_attempt.ts
@@ -173,7 +173,14 @@
     const isOwn = !isForeign(answerHeaders, this.plan.attemptId);
     this.plan.onBytes();
     this.plan.onHead(status, answerHeaders, isOwn);
-    const failure = failureOfHead(status, answerHeaders, this.plan.attemptId);
+    if (answerHeaders.attemptId === undefined) {
+      // A late copy of this answer could not be distinguished from the next one.
+      this.exchange?.retire();
+    }
+    const failure = failureOfHead(status, answerHeaders, {
+      attemptId: this.plan.attemptId,
+      isFirstOnConnection: head.isFirstOnConnection,
+    });
     if (failure !== undefined) {
       this.cancelUnlessReusable(failure);
       return;
@@ -317,14 +324,24 @@
   }
 }
 
+/** The attempt whose answer is expected on a connection. */
+interface ExpectedAnswer {
+  readonly attemptId: string;
+  /** Otherwise an answer without an id may be a late copy of an earlier one. */
+  readonly isFirstOnConnection: boolean;
+}
+
 function failureOfHead(
   status: number,
   answerHeaders: AnswerHeaders,
-  attemptId: string,
+  {attemptId, isFirstOnConnection}: ExpectedAnswer,
 ): RoutedAttemptFailure | undefined {
   if (isForeign(answerHeaders, attemptId)) {
     return lostAnswer('the answer belongs to another attempt');
   }
+  if (answerHeaders.attemptId === undefined && !isFirstOnConnection) {
+    return lostAnswer('the answer may belong to an earlier attempt');
+  }
   if (!isFinalStatus(status)) {
     return lostAnswer(`status ${status} is none of an answer`);
   }
--- a/packages/entry-process/tests/late_copies_test.ts
+++ b/packages/entry-process/tests/late_copies_test.ts
@@ -87,7 +87,12 @@
 }
 
 describe.each(CASES)('late copies of refusals, $path', ({start}) => {
-  it('make no at-most-once request run twice, or after a promise', async () => {
+  it.each([
+    {copies: 'with the id of their attempt', omitsIds: false},
+    // Guards against a copy that was taken for the refusal of the next request.
+    {copies: 'without an id', omitsIds: true},
+  ])('$copies make no request run twice or after a promise', async testCase => {
+    const {omitsIds} = testCase;
     const setup = await start();
     ({stop} = setup);
     const {installation} = setup;
@@ -97,6 +102,7 @@
     });
     plainEngines(installation).forEach(engine => {
       engine.repeatsRefusals = true;
+      engine.omitsIdsInRefusals = omitsIds;
       engine.pauseAnnouncement = PAUSE_SECONDS;
     });
     let served = 0;
--- a/packages/stand-ins/src/routed_engine_stand_in.ts
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -127,6 +127,8 @@
    * connection.
    */
   repeatsRefusals = false;
+  /** Whether refusals, and their copies, lack the id of their attempt. */
+  omitsIdsInRefusals = false;
   /** Refusals that are to be sent once more, by their connection. */
   private readonly lateCopies = new Map<Socket, string>();
   /** Requests in progress beyond which it turns requests away. */
@@ -255,6 +257,9 @@
         'x-weight-versions': String(this.weightVersion),
       }),
     };
+    if (!this.omitsIdsInRefusals) {
+      response.setHeader('x-attempt-id', attemptId);
+    }
     if (headers['x-expected-instance'] !== this.upstreamId) {
       response.writeHead(421, {'x-instance-id': this.upstreamId}).end();
       return;
@@ -272,7 +277,10 @@
         response.setHeader('retry-after', this.pauseAnnouncement);
       }
       if (this.repeatsRefusals) {
-        this.lateCopies.set(message.socket, refusalOf(attemptId));
+        this.lateCopies.set(
+          message.socket,
+          refusalOf(this.omitsIdsInRefusals ? undefined : attemptId),
+        );
       }
       response.writeHead(503, {'x-not-executed': '1'}).end();
       return;
@@ -420,11 +428,11 @@
   }
 }
 
-/** Returns the bytes of a refusal of the attempt `attemptId`. */
-function refusalOf(attemptId: string): string {
+/** Returns the bytes of a refusal, with the id of its attempt if it has one. */
+function refusalOf(attemptId: string | undefined): string {
   return [
     'HTTP/1.1 503 Service Unavailable',
-    `x-attempt-id: ${attemptId}`,
+    ...(attemptId === undefined ? [] : [`x-attempt-id: ${attemptId}`]),
     'x-not-executed: 1',
     'content-length: 0',
     '\r\n',
--- a/packages/upstreams/src/checked_exchange.ts
+++ b/packages/upstreams/src/checked_exchange.ts
@@ -99,5 +99,6 @@
     },
     pause: () => current?.pause(),
     resume: () => current?.resume(),
+    retire: () => current?.retire(),
   };
 }
--- a/packages/upstreams/src/pooled_exchange.ts
+++ b/packages/upstreams/src/pooled_exchange.ts
@@ -56,6 +56,8 @@
   /** Alternating names and values, as sent by the upstream. */
   readonly rawHeaders: readonly string[];
   readonly framing: BodyFraming;
+  /** Whether no other request went over the connection before. */
+  readonly isFirstOnConnection: boolean;
 }
 
 /** The connection over which a request is about to be sent. */
@@ -86,6 +88,8 @@
   /** Pauses reading until `resume` is called. */
   pause(): void;
   resume(): void;
+  /** Lets the answer end and closes the connection then. */
+  retire(): void;
 }
 
 /** A connection to an upstream, which carries one request at a time. */
@@ -131,8 +135,10 @@
   let wasSent = false;
   let isFinished = false;
   let isReusable = false;
+  let isRetired = false;
   let bodyBytes = 0;
   let parsedBytesBefore = 0;
+  const isFirstOnConnection = !connection.hasCarriedRequest;
   const watched: WatchedResponse = {
     dueAt,
     parsedBytes: () => parsedBytesOf(connection) - parsedBytesBefore,
@@ -174,7 +180,7 @@
           isFinished ||
           wasSent ||
           !receiver.onSend({
-            isNew: !connection.hasCarriedRequest,
+            isNew: isFirstOnConnection,
             openedAt: connection.openedAt,
           })
         ) {
@@ -194,7 +200,13 @@
         const framing = bodyFramingOf(headers);
         isReusable = framing !== 'connection' && !saysClose(headers);
         const rawHeaders = rawHeadersOf(started);
-        receiver.onHead({status, headers, rawHeaders, framing});
+        receiver.onHead({
+          status,
+          headers,
+          rawHeaders,
+          framing,
+          isFirstOnConnection,
+        });
       },
       onResponseData: (_controller, chunk) => {
         if (!isFinished) {
@@ -202,7 +214,8 @@
           receiver.onData(chunk);
         }
       },
-      onResponseEnd: () => finish(isReusable, () => receiver.onEnd()),
+      onResponseEnd: () =>
+        finish(isReusable && !isRetired, () => receiver.onEnd()),
       onResponseError: (_controller, error) => fail(error),
     },
   );
@@ -226,6 +239,9 @@
         connection.socket?.resumeReading();
       }
     },
+    retire: () => {
+      isRetired = true;
+    },
   };
 }
 
--- a/packages/upstreams/tests/connection_places_test.ts
+++ b/packages/upstreams/tests/connection_places_test.ts
@@ -64,3 +64,20 @@
     end: 'complete',
   });
 });
+
+test.each([
+  {isRetired: false, connections: 1},
+  {isRetired: true, connections: 3},
+])(
+  'three answers take $connections connections if each is retired: $isRetired',
+  async ({isRetired, connections}) => {
+    const pool = new ConnectionPool(() => performance.now());
+    const address = await listen(answerShortly);
+    for (let count = 0; count < 3; count += 1) {
+      const result = await sendThrough(pool, address, {isRetired});
+      expect(result).toMatchObject({status: 200, end: 'complete'});
+    }
+    expect(sockets).toHaveLength(connections);
+    pool.close();
+  },
+);
--- a/packages/upstreams/tests/pool_fixtures.ts
+++ b/packages/upstreams/tests/pool_fixtures.ts
@@ -46,13 +46,15 @@
 export interface SendOptions {
   readonly attemptId?: string;
   readonly maximumConnections?: number;
+  /** Whether the connection is not to be used again. */
+  readonly isRetired?: boolean;
 }
 
 /** Sends a request through `pool` and returns what became of it. */
 export function sendThrough(
   pool: ConnectionPool,
   address: string,
-  {attemptId, maximumConnections = 2}: SendOptions = {},
+  {attemptId, maximumConnections = 2, isRetired = false}: SendOptions = {},
 ): Promise<Result> {
   return new Promise(resolve => {
     let status: number | undefined;
@@ -60,7 +62,7 @@
     const chunks: Buffer[] = [];
     const finish = (end: Result['end']): void =>
       resolve({status, body: Buffer.concat(chunks).toString(), end, wasSent});
-    pool.send(
+    const exchange = pool.send(
       {
         address,
         method: 'POST',
@@ -79,6 +81,9 @@
         },
         onHead: head => {
           ({status} = head);
+          if (isRetired) {
+            exchange?.retire();
+          }
         },
         onData: chunk => chunks.push(chunk),
         onEnd: () => finish('complete'),
