Judge the end of a stream by its events

What callers saw: a stream breaks off, and the next upstream answers 200 with text, an error as JSON, half an event, no event or events from a later one on. The client finds that in its stream, or a gap, and the stream ends as complete. A first answer with a length that ends inside an event or has a second head in its body did as well.

Cause: the end was judged by its framing. A length confirmed whatever it counted, and a continuation had no precondition but its status.

Change: another type than that of events is no answer on a streaming route; a stream that ends inside an event was broken off, with a length too; bytes up to a blank line that are no event end it; a continuation must begin right after the last event, brings at least one, and text without an id before it is skipped. A stream whose events have no ids does not continue.

Tests that asked for the opposite: answer_end_test had a row by which a length makes a stream complete that ends inside an event.

--- a/packages/decisions/src/answers/event_splitter.ts
+++ b/packages/decisions/src/answers/event_splitter.ts
@@ -10,6 +10,8 @@
   readonly bytes: Buffer;
   /** The value of its `id` field, if it has one. */
   readonly id: string | undefined;
+  /** Whether the bytes have the form of an event. */
+  readonly isWellFormed: boolean;
 }
 
 /** What the bytes of the pending event end with. */
@@ -19,6 +21,14 @@
 const CARRIAGE_RETURN = 0x0d;
 const ID_LINE = /^id:[ ]?(.*?)\r?$/m;
 
+/** A field or a comment. */
+const FIRST_LINE = /^(?:[\w-]*:|[\w-]+\r?$|\r?$)/m;
+
+/** A line that makes up an event or a comment. */
+const EVENT_LINE = /^(?:(?:id|data|event|retry)(?::|\r?$)|:)/m;
+
+const BLANK_LINES = /^[\r\n]*$/;
+
 /** Buffers bytes until they form complete events. */
 export class EventSplitter {
   private readonly pending = new ByteAccumulator();
@@ -39,7 +49,7 @@
       end = this.findEnd(chunk, start)
     ) {
       const bytes = this.complete(chunk.subarray(start, end));
-      events.push({bytes, id: idOf(bytes)});
+      events.push(readEvent(bytes));
       start = end;
     }
     this.pending.append(chunk.subarray(start));
@@ -92,6 +102,13 @@
   }
 }
 
-function idOf(event: Buffer): string | undefined {
-  return ID_LINE.exec(event.toString('latin1'))?.[1];
+function readEvent(bytes: Buffer): SplitEvent {
+  const text = bytes.toString('latin1');
+  return {
+    bytes,
+    id: ID_LINE.exec(text)?.[1],
+    isWellFormed:
+      BLANK_LINES.test(text) ||
+      (FIRST_LINE.exec(text)?.index === 0 && EVENT_LINE.test(text)),
+  };
 }
--- a/packages/decisions/src/answers/judge_answer_end.ts
+++ b/packages/decisions/src/answers/judge_answer_end.ts
@@ -10,10 +10,12 @@
   readonly framing: BodyFraming;
   /** Bytes of a stream after its last complete event. */
   readonly pendingBytes: number;
-  /** Complete events of a stream in this answer. */
+  /** Events that this answer added to its stream. */
   readonly events: number;
   /** Whether the answer continues a stream, so that no event may be left. */
   readonly isContinuation: boolean;
+  /** Whether it continues one of which the same client has events in this answer. */
+  readonly isJoined: boolean;
 }
 
 /** What the end of an answer says about its completeness. */
@@ -24,24 +26,27 @@
   | 'unconfirmed';
 
 /**
- * Judges the end of an answer. A stream that ends inside an event was broken
- * off, unless it has a length, which counts the bytes of a complete body. One
- * that ends with its connection before its first event was broken off as well.
+ * Judges the end of an answer by its events, and by its framing as far as that
+ * confirms anything. A stream that ends inside an event was broken off, whatever its
+ * length states. So was one that ends with its connection before its first event. A
+ * continuation that is joined to other events and brings none confirms no end:
+ * upstreams in trouble answer with nothing as well.
  */
 export function judgeAnswerEnd({
   framing,
   pendingBytes,
   events,
   isContinuation,
+  isJoined,
 }: AnswerEnd): AnswerEndVerdict {
+  if (pendingBytes > 0 || (isJoined && events === 0)) {
+    return 'broken-off';
+  }
   switch (framing) {
     case 'length':
-      return 'complete';
     case 'chunks':
-      return pendingBytes === 0 ? 'complete' : 'broken-off';
+      return 'complete';
     case 'connection':
-      return pendingBytes === 0 && (events > 0 || isContinuation)
-        ? 'unconfirmed'
-        : 'broken-off';
+      return events > 0 || isContinuation ? 'unconfirmed' : 'broken-off';
   }
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -135,6 +135,7 @@
 export * from './rules/match_rule.js';
 export * from './store/store_position.js';
 export * from './streams/decide_continuation.js';
+export * from './streams/event_order.js';
 export * from './streams/judge_origin_process.js';
 export * from './streams/software_versions.js';
 export * from './streams/stored_origins.js';
--- a/packages/decisions/src/retries/decide_next_attempt.ts
+++ b/packages/decisions/src/retries/decide_next_attempt.ts
@@ -51,6 +51,8 @@
   readonly maximumAttempts: number;
   /** Whether the client has received any byte of the answer. */
   readonly hasAnswerBegun: boolean;
+  /** Whether a stream can continue after what the client has received. */
+  readonly canContinue: boolean;
   readonly millisecondsLeft: number;
 }
 
@@ -118,6 +120,6 @@
     case 'repeatable':
       return !history.hasAnswerBegun;
     case 'resumable':
-      return true;
+      return history.canContinue;
   }
 }
--- a/packages/decisions/tests/answer_end_test.ts
+++ b/packages/decisions/tests/answer_end_test.ts
@@ -53,9 +53,11 @@
 });
 
 describe('the end of an answer', () => {
-  const AFTER_EVENTS = {events: 3, isContinuation: false};
-  const BEFORE_EVENTS = {events: 0, isContinuation: false};
-  const NOTHING_LEFT = {events: 0, isContinuation: true};
+  const AFTER_EVENTS = {events: 3, isContinuation: false, isJoined: false};
+  const BEFORE_EVENTS = {events: 0, isContinuation: false, isJoined: false};
+  const NOTHING_LEFT = {events: 0, isContinuation: true, isJoined: false};
+  const NOTHING_JOINED = {events: 0, isContinuation: true, isJoined: true};
+  const EVENTS_JOINED = {events: 2, isContinuation: true, isJoined: true};
 
   it.each<AnswerEnd & {readonly verdict: AnswerEndVerdict}>([
     {
@@ -64,7 +66,30 @@
       ...BEFORE_EVENTS,
       verdict: 'complete',
     },
-    {framing: 'length', pendingBytes: 5, ...AFTER_EVENTS, verdict: 'complete'},
+    {
+      framing: 'length',
+      pendingBytes: 5,
+      ...AFTER_EVENTS,
+      verdict: 'broken-off',
+    },
+    ...(['length', 'chunks', 'connection'] as const).map(framing => ({
+      framing,
+      pendingBytes: 0,
+      ...NOTHING_JOINED,
+      verdict: 'broken-off' as const,
+    })),
+    {
+      framing: 'length',
+      pendingBytes: 0,
+      ...EVENTS_JOINED,
+      verdict: 'complete',
+    },
+    {
+      framing: 'connection',
+      pendingBytes: 0,
+      ...EVENTS_JOINED,
+      verdict: 'unconfirmed',
+    },
     {
       framing: 'chunks',
       pendingBytes: 0,
--- a/packages/decisions/tests/refusal_promises_test.ts
+++ b/packages/decisions/tests/refusal_promises_test.ts
@@ -71,6 +71,7 @@
     attempts: 1,
     maximumAttempts: 3,
     hasAnswerBegun: false,
+    canContinue: true,
     millisecondsLeft: 1000,
   };
 
--- a/packages/decisions/tests/shared_limits_test.ts
+++ b/packages/decisions/tests/shared_limits_test.ts
@@ -235,6 +235,7 @@
   attempts: 1,
   maximumAttempts: 2,
   hasAnswerBegun: false,
+  canContinue: true,
   millisecondsLeft: 1000,
 };
 const LOST: RoutedAttemptFailure = {
@@ -304,6 +305,16 @@
       history: {execution: 'resumable', hasAnswerBegun: true},
       next: 'attempt',
     },
+    {
+      name: 'a resumable stream whose events have no ids does not continue',
+      failure: LOST,
+      history: {
+        execution: 'resumable',
+        hasAnswerBegun: true,
+        canContinue: false,
+      },
+      next: 'outcome-unknown',
+    },
     {
       name: 'any other answer does not continue after it has begun',
       failure: LOST,
--- a/packages/entry-process/src/routed_interface/requests/attempt_runner.ts
+++ b/packages/entry-process/src/routed_interface/requests/attempt_runner.ts
@@ -156,6 +156,7 @@
       attempts: this.attemptCount,
       maximumAttempts: admission.rule.maximumAttempts,
       hasAnswerBegun: relay.hasBegun,
+      canContinue: relay.canContinue,
       millisecondsLeft,
     };
   }
--- a/packages/entry-process/src/routed_interface/requests/routed_attempt.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_attempt.ts
@@ -48,15 +48,22 @@
   | {readonly kind: 'failed'; readonly failure: RoutedAttemptFailure}
   | {readonly kind: 'cancelled'};
 
+/** What a receiver makes of events. */
+export type EventsResult =
+  | {readonly kind: 'continue'}
+  /** The response pauses until `resume` is called. */
+  | {readonly kind: 'paused'}
+  /** They are not those of the stream. */
+  | {readonly kind: 'faulty'; readonly reason: string};
+
 /** Receiver of a streamed response while it arrives. */
 export interface StreamReceiver {
   /** Whether an orderly end reports the stream as complete to the client. */
   readonly isFramed: boolean;
+  /** Number of events that the client has got. */
+  readonly events: number;
   onHead(head: AnswerHead, answerHeaders: AnswerHeaders): void;
-  /** Returns false to pause the response until `resume` is called. */
-  onEvents(events: readonly SplitEvent[], resume: () => void): boolean;
-  /** Receives the bytes after the last complete event of a complete stream. */
-  onTail(tail: Buffer): void;
+  onEvents(events: readonly SplitEvent[], resume: () => void): EventsResult;
 }
 
 /** Inputs and callbacks of an attempt. */
@@ -101,7 +108,8 @@
   private isRelayed = false;
   private readonly splitter = new EventSplitter();
   private readonly body = new ByteAccumulator();
-  private eventCount = 0;
+  /** Events that the client had got from earlier attempts. */
+  private earlierEvents = 0;
   /** Time at which the pending event began; undefined without one. */
   private eventBegunAt: number | undefined;
   private isCancelled = false;
@@ -177,7 +185,9 @@
       // A late copy of this answer could not be distinguished from the next one.
       this.exchange?.retire();
     }
+    const isStream = this.plan.isStreamed && status === 200;
     const failure = failureOfHead(status, answerHeaders, {
+      isStream,
       attemptId: this.plan.attemptId,
       isFirstOnConnection: head.isFirstOnConnection,
     });
@@ -186,8 +196,9 @@
       return;
     }
     this.plan.onFirstAnswerByte();
-    if (this.plan.isStreamed && head.status === 200) {
+    if (isStream) {
       this.isRelayed = true;
+      this.earlierEvents = this.plan.stream.events;
       this.plan.stream.onHead(head, answerHeaders);
     }
   }
@@ -208,14 +219,8 @@
     this.plan.onBytes();
     if (this.isRelayed) {
       const events = this.splitter.push(chunk);
-      this.eventCount += events.length;
       if (events.length > 0) {
-        const canContinue = this.plan.stream.onEvents(events, () =>
-          this.exchange?.resume(),
-        );
-        if (!canContinue) {
-          this.exchange?.pause();
-        }
+        this.relayEvents(events);
       }
       this.checkPendingEvent(events.length > 0, this.clock());
       this.countMemory(this.splitter.pendingBytes);
@@ -230,6 +235,21 @@
     this.countMemory(this.body.length);
   }
 
+  private relayEvents(events: readonly SplitEvent[]): void {
+    const result = this.plan.stream.onEvents(events, () =>
+      this.exchange?.resume(),
+    );
+    switch (result.kind) {
+      case 'continue':
+        return;
+      case 'paused':
+        this.exchange?.pause();
+        return;
+      case 'faulty':
+        this.cancel({kind: 'failed', failure: lostAnswer(result.reason)});
+    }
+  }
+
   /** Counts the bytes that are kept of the answer. */
   private countMemory(bytes: number): void {
     if (this.isCancelled) {
@@ -283,8 +303,9 @@
     const end = {
       framing,
       pendingBytes: this.splitter.pendingBytes,
-      events: this.eventCount,
+      events: this.plan.stream.events - this.earlierEvents,
       isContinuation: this.plan.isContinuation,
+      isJoined: this.earlierEvents > 0,
     };
     this.plan.onAnswerEnd(end);
     if (this.isRelayed) {
@@ -303,7 +324,7 @@
             end,
             end.pendingBytes > 0
               ? 'the stream ended inside an event'
-              : 'the stream ended before its first event',
+              : 'the stream ended without an event',
           ),
         );
         return;
@@ -315,7 +336,6 @@
         break;
       case 'complete':
     }
-    this.plan.stream.onTail(this.splitter.takeRemainder());
     this.settle({kind: 'streamed', isConfirmed: verdict === 'complete'});
   }
 
@@ -326,6 +346,8 @@
 
 /** The attempt whose answer is expected on a connection. */
 interface ExpectedAnswer {
+  /** Whether the body is a stream of events. */
+  readonly isStream: boolean;
   readonly attemptId: string;
   /** Otherwise an answer without an id may be a late copy of an earlier one. */
   readonly isFirstOnConnection: boolean;
@@ -334,7 +356,7 @@
 function failureOfHead(
   status: number,
   answerHeaders: AnswerHeaders,
-  {attemptId, isFirstOnConnection}: ExpectedAnswer,
+  {isStream, attemptId, isFirstOnConnection}: ExpectedAnswer,
 ): RoutedAttemptFailure | undefined {
   if (isForeign(answerHeaders, attemptId)) {
     return lostAnswer('the answer belongs to another attempt');
@@ -361,6 +383,9 @@
   if (answerHeaders.isEncoded) {
     return lostAnswer('the body is encoded');
   }
+  if (isStream && answerHeaders.isOtherThanEvents) {
+    return lostAnswer('the body is no stream of events');
+  }
   return undefined;
 }
 
--- a/packages/entry-process/src/routed_interface/requests/routed_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_request.ts
@@ -61,7 +61,11 @@
     private readonly admission: RoutedAdmission,
     private readonly responder: RoutedResponder,
   ) {
-    this.relay = new StreamRelay(responder, () => this.recordFirstEvent());
+    this.relay = new StreamRelay(
+      responder,
+      () => this.recordFirstEvent(),
+      headers.lastEventId,
+    );
     const fingerprint = fingerprintOf({
       workspace: admission.workspace?.name ?? '',
       target: call.target,
--- a/packages/entry-process/src/routed_interface/requests/stream_relay.ts
+++ b/packages/entry-process/src/routed_interface/requests/stream_relay.ts
@@ -2,7 +2,11 @@
  * The streamed response to one request, across all its attempts.
  */
 import type {RoutedResponder} from '@lacewingwinch/callers';
-import type {BodyFraming, SplitEvent} from '@lacewingwinch/decisions';
+import {
+  type BodyFraming,
+  EventOrder,
+  type SplitEvent,
+} from '@lacewingwinch/decisions';
 import {
   type AnswerHeaders,
   encodeAnswerHeaders,
@@ -10,13 +14,12 @@
 } from '@lacewingwinch/platform';
 import type {AnswerHead} from '@lacewingwinch/upstreams';
 
-import type {StreamReceiver} from './routed_attempt.js';
+import type {EventsResult, StreamReceiver} from './routed_attempt.js';
 
 /** Relays complete events, each one once and in the order of their ids. */
 export class StreamRelay implements StreamReceiver {
   private framing: BodyFraming | undefined;
-  private lastId: string | undefined;
-  private count = 0;
+  private readonly order: EventOrder;
   private version: number | undefined;
   /** Resumes the attempt that waits for the client; undefined if none does. */
   private resumeAttempt: (() => void) | undefined;
@@ -25,7 +28,11 @@
     private readonly responder: RoutedResponder,
     /** Called before the first event is relayed. */
     private readonly onFirstEvent: () => void,
-  ) {}
+    /** Id of the event after which the client takes the stream up. */
+    takenUpAfter?: string,
+  ) {
+    this.order = new EventOrder(takenUpAfter);
+  }
 
   /** Whether the head of the response has been sent to the client. */
   get hasBegun(): boolean {
@@ -39,12 +46,17 @@
 
   /** Id of the last relayed event. */
   get lastEventId(): string | undefined {
-    return this.lastId;
+    return this.order.lastId;
   }
 
   /** Number of relayed events. */
   get events(): number {
-    return this.count;
+    return this.order.count;
+  }
+
+  /** Whether another attempt can continue after the last relayed event. */
+  get canContinue(): boolean {
+    return this.order.canContinue;
   }
 
   /** Version of the weights that produced the last relayed event, if known. */
@@ -57,6 +69,7 @@
    * used.
    */
   onHead(head: AnswerHead, {weightVersion}: AnswerHeaders): void {
+    this.order.beginAttempt();
     if (this.framing === undefined) {
       const {status, rawHeaders, framing} = head;
       this.framing = framing;
@@ -65,26 +78,57 @@
     }
   }
 
-  onEvents(events: readonly SplitEvent[], resume: () => void): boolean {
-    const newEvents = events.filter(event => this.isNew(event));
-    if (newEvents.length === 0) {
+  onEvents(events: readonly SplitEvent[], resume: () => void): EventsResult {
+    const isFirst = this.order.count === 0;
+    const relayed: SplitEvent[] = [];
+    let fault: string | undefined;
+    for (const event of events) {
+      fault = this.faultOf(event, relayed);
+      if (fault !== undefined) {
+        break;
+      }
+    }
+    const canContinue = this.write(relayed, isFirst);
+    if (fault !== undefined) {
+      return {kind: 'faulty', reason: fault};
+    }
+    if (!canContinue) {
+      this.waitForClient(resume);
+    }
+    return {kind: canContinue ? 'continue' : 'paused'};
+  }
+
+  /** Adds `event` to those to relay; returns why the answer is not the stream. */
+  private faultOf(
+    event: SplitEvent,
+    relayed: SplitEvent[],
+  ): string | undefined {
+    if (!event.isWellFormed) {
+      return 'the stream has bytes that are no event';
+    }
+    switch (this.order.place(event.id)) {
+      case 'next':
+        relayed.push(event);
+        return undefined;
+      case 'skipped':
+        return undefined;
+      case 'after-gap':
+        return 'events are missing in the continuation';
+    }
+  }
+
+  /** Returns whether the client takes more. */
+  private write(events: readonly SplitEvent[], isFirst: boolean): boolean {
+    if (events.length === 0) {
       return true;
     }
-    if (this.count === 0) {
+    if (isFirst) {
       this.onFirstEvent();
     }
-    this.count += newEvents.length;
-    this.lastId = newEvents.at(-1)?.id ?? this.lastId;
-    for (const {bytes} of newEvents) {
+    for (const {bytes} of events) {
       this.version = weightVersionOfEvent(bytes) ?? this.version;
     }
-    const canContinue = this.responder.write(
-      Buffer.concat(newEvents.map(({bytes}) => bytes)),
-    );
-    if (!canContinue) {
-      this.waitForClient(resume);
-    }
-    return canContinue;
+    return this.responder.write(Buffer.concat(events.map(({bytes}) => bytes)));
   }
 
   /** Resumes the attempt that paused last as soon as the client has read on. */
@@ -100,22 +144,4 @@
       resumeLast?.();
     });
   }
-
-  onTail(tail: Buffer): void {
-    if (tail.length > 0) {
-      this.responder.write(tail);
-    }
-  }
-
-  /**
-   * Returns whether an event has not been relayed yet. An event whose id is at
-   * or before the last one has been relayed already.
-   */
-  private isNew({id}: SplitEvent): boolean {
-    if (id === undefined || this.lastId === undefined) {
-      return true;
-    }
-    const [next, last] = [Number(id), Number(this.lastId)];
-    return !Number.isFinite(next) || !Number.isFinite(last) || next > last;
-  }
 }
--- a/packages/entry-process/tests/broken_off_answers_test.ts
+++ b/packages/entry-process/tests/broken_off_answers_test.ts
@@ -235,6 +235,144 @@
   });
 });
 
+/** Sends a complete answer with a length. */
+function sendWithLength(body: string, header = ''): Behavior {
+  return (socket, head) =>
+    socket.write(
+      `${head}${header}Content-Length: ${body.length}\r\n\r\n${body}`,
+    );
+}
+
+/** Sends a complete answer in chunks. */
+function sendInWholeChunks(body: string, header = ''): Behavior {
+  return (socket, head) =>
+    socket.write(
+      `${head}${header}${CHUNKED}${body === '' ? '' : chunkOf(body)}0\r\n\r\n`,
+    );
+}
+
+const ERROR_TEXT = 'service unavailable';
+const ERROR_EVENT = 'event: error\ndata: unavailable\n\n';
+const SECOND_HEAD = `HTTP/1.1 503 Service Unavailable\r\nContent-Length: ${ERROR_TEXT.length}\r\n\r\n`;
+const AFTER_GAP = 'id: 9\ndata: ninth\n\n';
+
+// Guards against ends that were judged by their framing: the text of an upstream in
+// trouble stood in the middle of a stream, which ended as if it were complete.
+describe('a stream whose continuation is not its rest', () => {
+  beforeEach(() => startProcessWith('engines'));
+
+  const CONTINUATIONS: readonly {
+    readonly name: string;
+    readonly body: string;
+    readonly header?: string;
+  }[] = [
+    {
+      name: 'is text',
+      body: ERROR_TEXT,
+      header: 'Content-Type: text/plain\r\n',
+    },
+    {
+      name: 'is text that looks like an event',
+      body: LAST_EVENT,
+      header: 'Content-Type: text/plain\r\n',
+    },
+    {name: 'has no event', body: ''},
+    {name: 'has an error as JSON', body: '{"error":"unavailable"}'},
+    {name: 'has an error as JSON with a blank line', body: '{"error":1}\n\n'},
+    {name: 'has an error as an event without an id', body: ERROR_EVENT},
+    {name: 'ends inside an event', body: CUT_EVENT},
+    {name: 'ends inside its second event', body: `${LAST_EVENT}id: 4\nda`},
+    {name: 'lacks events', body: AFTER_GAP},
+    {name: 'has a second head', body: `${SECOND_HEAD}${ERROR_TEXT}`},
+    {
+      name: 'has a second head after an event',
+      body: `${LAST_EVENT}${SECOND_HEAD}`,
+    },
+    {name: 'repeats what was sent, and no more', body: EVENTS},
+  ];
+
+  describe.each([
+    {framing: 'with a length', send: sendWithLength},
+    {framing: 'in chunks', send: sendInWholeChunks},
+  ])('$framing', ({send}) => {
+    it.each(CONTINUATIONS)(
+      'is broken off if it $name',
+      async ({body, header}) => {
+        behaviors = [
+          sendInChunks(EVENTS, socket => socket.resetAndDestroy()),
+          send(body, header),
+        ];
+        const answer = await installation.call({path: '/resumed/1'});
+        expect(requests).toHaveLength(2);
+        expect(clientEndOf(answer)).toBe('broken-off');
+        expect([EVENTS, `${EVENTS}${LAST_EVENT}`]).toContain(answer.body);
+      },
+    );
+  });
+
+  it('goes on with its rest after other text without an id', async () => {
+    behaviors = [
+      sendInChunks(EVENTS, socket => socket.resetAndDestroy()),
+      sendWithLength(`: comment\n\n${LAST_EVENT}`),
+    ];
+    const answer = await installation.call({path: '/resumed/1'});
+    expect(clientEndOf(answer)).toBe('framed-as-complete');
+    expect(answer.body).toBe(`${EVENTS}${LAST_EVENT}`);
+  });
+});
+
+describe('a first answer that is not a stream', () => {
+  beforeEach(() => startProcessWith('engines'));
+
+  it.each<{
+    readonly name: string;
+    readonly behavior: Behavior;
+    readonly status: number;
+  }>([
+    {
+      name: 'ends inside an event, with a length',
+      behavior: sendWithLength(`${EVENTS}${CUT_EVENT}`),
+      status: 200,
+    },
+    {
+      name: 'has a second head, with a length',
+      behavior: sendWithLength(`${EVENTS}${SECOND_HEAD}`),
+      status: 200,
+    },
+    {
+      name: 'has a second head, in chunks',
+      behavior: sendInWholeChunks(`${EVENTS}${SECOND_HEAD}`),
+      status: 200,
+    },
+    {
+      name: 'is text',
+      behavior: sendWithLength(ERROR_TEXT, 'Content-Type: text/plain\r\n'),
+      status: 502,
+    },
+  ])('does not look complete if it $name', async ({behavior, status}) => {
+    behaviors = [behavior];
+    const answer = await installation.call({path: '/stream/1'});
+    expect(answer.status).toBe(status);
+    expect(answer.body).not.toContain(ERROR_TEXT);
+    if (status === 200) {
+      expect(clientEndOf(answer)).toBe('broken-off');
+      expect(EVENTS).toContain(answer.body);
+    }
+  });
+
+  it('is a stream if its type has parameters', async () => {
+    behaviors = [
+      sendWithLength(
+        EVENTS,
+        'Content-Type: text/event-stream; charset=utf-8\r\n',
+      ),
+    ];
+    const answer = await installation.call({path: '/stream/1'});
+    expect(answer.body).toBe(EVENTS);
+    expect(clientEndOf(answer)).toBe('framed-as-complete');
+  });
+});
+
 describe('an answer that is not streamed', () => {
   beforeEach(() => startProcessWith('plain'));
 
--- a/packages/entry-process/tests/endless_answers_test.ts
+++ b/packages/entry-process/tests/endless_answers_test.ts
@@ -120,9 +120,9 @@
       4 * MAXIMUM_SENT_BYTES,
     );
     behavior = (socket, head) =>
-      socket.end(`${head}Content-Length: 5\r\n\r\nsound`);
+      socket.end(`${head}Content-Length: ${EVENT.length}\r\n\r\n${EVENT}`);
     const next = await installation.call({path: path.replace('1', '2')});
-    expect(next).toMatchObject({status: 200, body: 'sound', isBroken: false});
+    expect(next).toMatchObject({status: 200, body: EVENT, isBroken: false});
   });
 
   it('does not keep the connection of a refusal', async () => {
