Guard against odd records and odd words of upstreams

Other operators reported hosts that ended again and again, or stopped following the list, beside one odd entry.

--- a/packages/decisions/src/streams/software_versions.ts
+++ b/packages/decisions/src/streams/software_versions.ts
@@ -84,7 +84,10 @@
     }
     const lastListed =
       this.lastListed.get(service) ?? new Map<string, number>();
-    for (const {softwareVersion, listedUntil} of versions) {
+    for (const {softwareVersion, listedUntil} of versions.slice(
+      0,
+      MAXIMUM_VERSIONS,
+    )) {
       const listedAt =
         listedUntil === undefined ? readsBegan : toClock(listedUntil);
       const known = lastListed.get(softwareVersion) ?? -Infinity;
--- a/packages/entry-process/src/routed_interface/state/stream_origin_store.ts
+++ b/packages/entry-process/src/routed_interface/state/stream_origin_store.ts
@@ -140,7 +140,7 @@
   private async restoreOwn(): Promise<void> {
     const records = await this.readRecords();
     const former = records.get(this.dependencies.hostId) ?? [];
-    for (const dated of former) {
+    for (const dated of former.slice(-MAXIMUM_ORIGINS)) {
       const {attemptId} = dated.origin;
       if (!this.own.has(attemptId)) {
         this.own.set(attemptId, dated);
--- a/packages/stand-ins/src/routed_engine_stand_in.ts
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -131,6 +131,10 @@
   omitsIdsInRefusals = false;
   /** Refusals that are to be sent once more, by their connection. */
   private readonly lateCopies = new Map<Socket, string>();
+  /** Headers that every answer bears in place of its own. */
+  readonly extraHeaders = new Map<string, string>();
+  /** What it reports on itself; undefined for a sound report. */
+  report: Buffer | undefined;
   /** Requests in progress beyond which it turns requests away. */
   room = Infinity;
   /**
@@ -230,7 +234,7 @@
     const body = await readText(message);
     const {headers} = message;
     if (message.url === REPORT_PATH) {
-      response.end(JSON.stringify({born: this.bornAt}));
+      response.end(this.report ?? JSON.stringify({born: this.bornAt}));
       return;
     }
     this.arrivals.push(Date.now());
@@ -256,6 +260,7 @@
       ...(this.weightVersion > 0 && {
         'x-weight-versions': String(this.weightVersion),
       }),
+      ...Object.fromEntries(this.extraHeaders),
     };
     if (!this.omitsIdsInRefusals) {
       response.setHeader('x-attempt-id', attemptId);
