--- a/packages/decisions/src/crashes/judge_part.ts
+++ b/packages/decisions/src/crashes/judge_part.ts
@@ -9,6 +9,7 @@
   unrefutedCrashes,
   verdictInForce,
 } from './part_suspicion.js';
+import {VERDICT_RETENTION_MILLISECONDS} from './trial_schedule.js';
 import type {UpstreamCrash} from './upstream_crash.js';
 
 /** Time after which a crash no longer counts. */
@@ -56,24 +57,6 @@
   trialMilliseconds: 2000,
 };
 
-/** Factor by which each crash after the verdict delays the next trial. */
-const TRIAL_BACKOFF = 4;
-
-/** Longest time between two trials. */
-const MAXIMUM_TRIAL_MILLISECONDS = 3_600_000;
-
-/**
- * Time after the verdict within which crashes come from requests that were under
- * way, and not from trials.
- */
-const UNDER_WAY_MILLISECONDS = 1500;
-
-/**
- * Time after the last crash at which a verdict lapses: its requests have stopped
- * coming, or trials would have ended upstreams.
- */
-const VERDICT_RETENTION_MILLISECONDS = 86_400_000;
-
 /**
  * Returns the verdict on a part to which `crashes` are attributed; undefined if
  * they are not enough.
@@ -124,19 +107,6 @@
   return now - lastAt >= VERDICT_RETENTION_MILLISECONDS;
 }
 
-/** Returns the time from which one request with a blamed part may be tried. */
-export function nextTrialAt(
-  {crashes}: PartSuspicion,
-  {at, trialMilliseconds}: PartVerdict,
-): number {
-  const trials = crashes.filter(
-    ({time}) => time > at + Math.min(trialMilliseconds, UNDER_WAY_MILLISECONDS),
-  );
-  const delay = trialMilliseconds * TRIAL_BACKOFF ** trials.length;
-  const since = trials.at(-1)?.time ?? at;
-  return since + Math.min(delay, MAXIMUM_TRIAL_MILLISECONDS);
-}
-
 /** Returns the number of moments at which upstreams crashed. */
 function countMoments(crashes: readonly UpstreamCrash[]): number {
   let moments = 0;
--- a/packages/decisions/src/crashes/part_quarantine.ts
+++ b/packages/decisions/src/crashes/part_quarantine.ts
@@ -3,7 +3,7 @@
  * all of them, so that none has to be queried and none can be lost alone.
  */
 import {blameParts} from './blame_parts.js';
-import {countedCrashes, isLapsed, nextTrialAt} from './judge_part.js';
+import {countedCrashes, isLapsed} from './judge_part.js';
 import {
   mergePartSuspicions,
   NEVER_SOUND,
@@ -13,6 +13,7 @@
   verdictInForce,
 } from './part_suspicion.js';
 import {SoundParts} from './sound_parts.js';
+import {nextTrialAt} from './trial_schedule.js';
 import type {UpstreamCrash} from './upstream_crash.js';
 
 /** Largest number of suspicions that a host keeps. */
@@ -34,8 +35,6 @@
   readonly suspicion: PartSuspicion;
   /** Latest sound run that this host has sent or received. */
   readonly reportedSoundAt: number;
-  /** Time of this host's last trial; undefined without one. */
-  readonly triedAt?: number;
 }
 
 /** The prompt parts under suspicion at one host. */
@@ -149,32 +148,26 @@
   }
 
   /**
-   * Returns whether one request with a refused part may be tried at `now`, and
-   * counts it as tried. Only one host calls this for a part.
+   * Counts a request with a refused part as tried if one may be at `now`. Returns the
+   * suspicion to report before it is sent; undefined if none may be tried. Only one
+   * host calls this for a part.
    */
-  takeTrial(refused: PartAtService, now: number): boolean {
+  takeTrial(refused: PartAtService, now: number): PartSuspicion | undefined {
     const key = keyOf(refused);
     const entry = this.entries.get(key);
-    const isDue = this.isTrialDue(refused, now);
-    if (isDue && entry !== undefined) {
-      this.entries.set(key, {...entry, triedAt: now});
+    if (entry === undefined || !this.isTrialDue(refused, now)) {
+      return undefined;
     }
-    return isDue;
+    const suspicion = {...entry.suspicion, triedAt: now};
+    this.entries.set(key, {...entry, suspicion});
+    return suspicion;
   }
 
-  /** Returns what `takeTrial` would return, and counts nothing as tried. */
+  /** Returns whether `takeTrial` would count a request as tried. */
   isTrialDue(refused: PartAtService, now: number): boolean {
-    const entry = this.entries.get(keyOf(refused));
-    const verdict =
-      entry === undefined ? undefined : verdictInForce(entry.suspicion);
-    if (entry === undefined || verdict === undefined) {
-      return false;
-    }
-    const {suspicion, triedAt = -Infinity} = entry;
-    return (
-      now >= nextTrialAt(suspicion, verdict) &&
-      now - triedAt >= verdict.trialMilliseconds
-    );
+    const suspicion = this.find(refused);
+    const refusal = suspicion === undefined ? undefined : refusalBy(suspicion);
+    return refusal !== undefined && now >= refusal.until;
   }
 
   /** Returns whether a crash counts against one of `parts` at `now`. */
--- a/packages/decisions/src/crashes/part_suspicion.ts
+++ b/packages/decisions/src/crashes/part_suspicion.ts
@@ -37,6 +37,8 @@
     /** Most sound runs in about the last minute that one host knows of. */
     soundRuns: z.number(),
     verdict: PART_VERDICT_SCHEMA.optional(),
+    /** See `TrialHistory`. */
+    triedAt: z.number().optional(),
   })
   .readonly();
 
@@ -87,6 +89,10 @@
   right: PartSuspicion,
 ): PartSuspicion {
   const verdict = laterVerdict(left.verdict, right.verdict);
+  const triedAt = Math.max(
+    left.triedAt ?? -Infinity,
+    right.triedAt ?? -Infinity,
+  );
   return {
     service: left.service,
     partId: left.partId,
@@ -96,6 +102,7 @@
     soundAt: Math.max(left.soundAt, right.soundAt),
     soundRuns: Math.max(left.soundRuns, right.soundRuns),
     ...(verdict === undefined ? {} : {verdict}),
+    ...(Number.isFinite(triedAt) && {triedAt}),
   };
 }
 
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -42,6 +42,7 @@
 export * from './crashes/part_suspicion.js';
 export * from './crashes/quarantine.js';
 export * from './crashes/sound_parts.js';
+export * from './crashes/trial_schedule.js';
 export * from './crashes/upstream_crash.js';
 export * from './dispatch/choose_upstream.js';
 export * from './dispatch/dispatch_messages.js';
--- a/packages/decisions/tests/part_quarantine_test.ts
+++ b/packages/decisions/tests/part_quarantine_test.ts
@@ -122,9 +122,15 @@
     );
     const part = {service: SERVICE, partId: PART};
     const due = START + 1400 + 2000;
-    expect(quarantine.takeTrial(part, due - 1)).toBe(false);
-    expect(quarantine.takeTrial(part, due)).toBe(true);
-    expect(quarantine.takeTrial(part, due + 1)).toBe(false);
+    expect(quarantine.takeTrial(part, due - 1)).toBe(undefined);
+    const tried = quarantine.takeTrial(part, due);
+    expect(tried?.triedAt).toBe(due);
+    expect(quarantine.takeTrial(part, due + 1)).toBe(undefined);
+    // A host that takes the trials over knows of it, whatever became of it.
+    const other = new PartQuarantine();
+    other.merge(tried === undefined ? [] : [tried], due);
+    expect(other.takeTrial(part, due + 1999)).toBe(undefined);
+    expect(other.takeTrial(part, due + 2000)).toBeDefined();
   });
 
   it('keeps a verdict in a flood of accused parts', () => {
--- a/packages/entry-process/src/routed_interface/admission/attempt_gate.ts
+++ b/packages/entry-process/src/routed_interface/admission/attempt_gate.ts
@@ -68,7 +68,7 @@
 
 /** The checks before each attempt of one request. */
 export class AttemptGate {
-  /** Whether this request tries a part that other requests may not use. */
+  /** Whether this request tries what other requests may not use. */
   private isTrial = false;
 
   constructor(
@@ -81,6 +81,11 @@
     return this.request.fingerprint;
   }
 
+  /** Number of upstreams that may run the request; a trial runs at one. */
+  maximumAttempts(ruleMaximum: number): number {
+    return this.isTrial ? 1 : ruleMaximum;
+  }
+
   /**
    * Returns the refusal of content that has crashed too many upstreams, as a
    * whole or by a part of its prompt.
--- a/packages/entry-process/src/routed_interface/requests/attempt_runner.ts
+++ b/packages/entry-process/src/routed_interface/requests/attempt_runner.ts
@@ -67,6 +67,8 @@
   readonly admission: RoutedAdmission;
   /** The part of the response that the client has received so far. */
   readonly relay: StreamRelay;
+  /** Returns the number of upstreams that may run it. */
+  readonly maximumAttempts: () => number;
   /** Returns whether it may be sent to `upstream` just before its first byte. */
   readonly mayBeSent: (upstream: UsableUpstream) => boolean;
   /** Called at the first sign that an upstream is working on the request. */
@@ -154,7 +156,7 @@
       execution: admission.rule.execution,
       upstreamsReached: this.reachedCount,
       attempts: this.attemptCount,
-      maximumAttempts: admission.rule.maximumAttempts,
+      maximumAttempts: this.request.maximumAttempts(),
       hasAnswerBegun: relay.hasBegun,
       canContinue: relay.canContinue,
       millisecondsLeft,
--- a/packages/entry-process/src/routed_interface/requests/routed_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_request.ts
@@ -109,6 +109,8 @@
       call,
       admission,
       relay: this.relay,
+      maximumAttempts: () =>
+        this.gate.maximumAttempts(admission.rule.maximumAttempts),
       mayBeSent: upstream =>
         this.gate.mayBeSent() &&
         this.versions.mayBeSent(upstream, this.continuation.softwareVersion),
--- a/packages/entry-process/src/tasks/part_watch.ts
+++ b/packages/entry-process/src/tasks/part_watch.ts
@@ -115,7 +115,7 @@
   decide(service: string, parts: readonly string[]): PartDecision {
     const decision = this.peekDecision(service, parts);
     if (decision.kind === 'trial') {
-      this.quarantine.takeTrial(decision.part, this.dependencies.trueTime());
+      this.takeTrial(decision.part);
     }
     return decision;
   }
@@ -257,6 +257,16 @@
         );
   }
 
+  /** Counts a trial at all hosts and in the store before it is sent. */
+  private takeTrial(part: PartAtService): void {
+    const now = this.dependencies.trueTime();
+    const suspicion = this.quarantine.takeTrial(part, now);
+    if (suspicion !== undefined) {
+      this.send([suspicion]);
+      this.unsaved.set(keyOf(part), part);
+    }
+  }
+
   private isIsolated(): boolean {
     const age = this.dependencies.clock() - this.gossipReceivedAt;
     return age > ISOLATION_MILLISECONDS;
--- a/packages/entry-process/tests/prompt_part_crashes_test.ts
+++ b/packages/entry-process/tests/prompt_part_crashes_test.ts
@@ -22,6 +22,12 @@
 /** Milliseconds for which requests are counted after that. */
 const OBSERVATION_MILLISECONDS = 3000;
 
+/**
+ * Milliseconds for which trials are observed: the second one is due ten seconds after
+ * the verdict.
+ */
+const TRIALS_MILLISECONDS = 9000;
+
 /** Requests with a crashing part that may reach upstreams after that. */
 const TOLERATED_REQUESTS = 3;
 
@@ -208,6 +214,24 @@
   );
 });
 
+describe('a trial of a prompt part', () => {
+  // Guards against a second attempt of a request that was let through as a trial.
+  it('reaches one upstream, whatever the attempts of its rule', async () => {
+    await startHosts();
+    void sendSoundRequests();
+    void sendCrashingRequests(['bad1']);
+    await pause(1000);
+    crashUnder(['bad1']);
+    const fifth = await waitForCrashes(CRASHES_TO_NOTICE);
+    const since = fifth + REACTION_MILLISECONDS;
+    await pause(since + TRIALS_MILLISECONDS - Date.now());
+    sending.abort();
+    const tried = crashingReachedSince(since);
+    expect(tried.length).toBeGreaterThan(0);
+    expect(tried.length).toBe(new Set(tried).size);
+  });
+});
+
 describe('a verdict on a prompt part', () => {
   /** Lets the hosts blame the part, then stops all traffic. */
   async function blamePart(): Promise<void> {
