--- a/packages/decisions/src/crashes/quarantine.ts
+++ b/packages/decisions/src/crashes/quarantine.ts
@@ -3,6 +3,7 @@
  */
 import {z} from 'zod';
 
+import {nextTrialAt, VERDICT_RETENTION_MILLISECONDS} from './trial_schedule.js';
 import {
   groupCrashReports,
   joinCrashReports,
@@ -34,6 +35,8 @@
     crashes: z.array(CRASH_SCHEMA).readonly(),
     /** Time of the last complete run of the content; -1 if there was none. */
     lastCleared: z.number(),
+    /** See `TrialHistory`. */
+    triedAt: z.number().optional(),
   })
   .readonly();
 
@@ -71,22 +74,26 @@
   readonly crashes: number;
   /** Whether one of the upstreams must have run no other request. */
   readonly needsCrashAlone: boolean;
+  /** Milliseconds after the last crash at which enough crashes stop counting. */
+  readonly retentionMilliseconds: number;
 }
 
 /** The policy for requests that can be made to run alone. */
 export const ALONE_POLICY: QuarantinePolicy = {
   crashes: 2,
   needsCrashAlone: true,
+  retentionMilliseconds: CRASH_RETENTION_MILLISECONDS,
 };
 
 /**
  * The policy for requests that share their upstreams with others. Content is
  * refused after its third crash, the last one that a host may attribute to
- * chance.
+ * chance, until a trial shows that it is sound.
  */
 export const SHARED_POLICY: QuarantinePolicy = {
   crashes: 3,
   needsCrashAlone: false,
+  retentionMilliseconds: VERDICT_RETENTION_MILLISECONDS,
 };
 
 /** The suspicions known to a host, and the decisions based on them. */
@@ -142,6 +149,10 @@
   merge(received: Suspicion): Suspicion {
     const {fingerprint} = received;
     const existing = this.suspicions.get(fingerprint);
+    const triedAt = Math.max(
+      existing?.triedAt ?? -Infinity,
+      received.triedAt ?? -Infinity,
+    );
     const merged: Suspicion = {
       fingerprint,
       crashes: mergeCrashes([
@@ -152,6 +163,7 @@
         existing?.lastCleared ?? NEVER_CLEARED,
         received.lastCleared,
       ),
+      ...(Number.isFinite(triedAt) && {triedAt}),
     };
     this.suspicions.set(fingerprint, merged);
     return merged;
@@ -167,10 +179,50 @@
       : undefined;
   }
 
+  /**
+   * Returns the time from which one request with refused content may be tried;
+   * undefined if the content is not refused at `now`.
+   */
+  refusedUntil(
+    fingerprint: string,
+    trialMilliseconds: number,
+    now: number,
+  ): number | undefined {
+    const suspicion = this.suspicions.get(fingerprint);
+    if (suspicion === undefined || !this.isInForce(suspicion, now)) {
+      return undefined;
+    }
+    const crashes = crashesSinceCleared(suspicion);
+    const at = crashes[this.policy.crashes - 1]?.time ?? 0;
+    const {triedAt} = suspicion;
+    return nextTrialAt({crashes, triedAt}, {at, trialMilliseconds});
+  }
+
+  /**
+   * Counts a request with refused content as tried if one may be at `now`. Returns the
+   * suspicion to report before it is sent; undefined if none may be tried. Only one
+   * host calls this for a content.
+   */
+  takeTrial(
+    fingerprint: string,
+    trialMilliseconds: number,
+    now: number,
+  ): Suspicion | undefined {
+    const until = this.refusedUntil(fingerprint, trialMilliseconds, now);
+    return until === undefined || now < until
+      ? undefined
+      : this.merge({
+          ...clearedSuspicion(fingerprint, NEVER_CLEARED),
+          triedAt: now,
+        });
+  }
+
   /** Discards the suspicions whose crashes no longer count at `now`. */
   forget(now: number): void {
     for (const [fingerprint, suspicion] of this.suspicions) {
-      if (now >= lastCrashOf(suspicion) + CRASH_RETENTION_MILLISECONDS) {
+      const hasEnded =
+        now >= lastCrashOf(suspicion) + CRASH_RETENTION_MILLISECONDS;
+      if (hasEnded && !this.isInForce(suspicion, now)) {
         this.suspicions.delete(fingerprint);
       }
     }
@@ -182,9 +234,8 @@
   }
 
   /**
-   * Returns the suspicions of at most `maximum` contents whose crashes are enough
-   * for a quarantine that has not ended at `now`, the latest ones, and whether these
-   * have been cleared since.
+   * Returns the suspicions of at most `maximum` contents that are refused at `now`, or
+   * have been until lately and were cleared, the latest ones.
    */
   decided(
     maximum: number,
@@ -194,8 +245,9 @@
     return this.list()
       .filter(
         suspicion =>
-          this.requiresQuarantine(suspicion.crashes) &&
-          now < lastCrashOf(suspicion) + quarantineMilliseconds,
+          this.isInForce(suspicion, now) ||
+          (this.requiresQuarantine(suspicion.crashes) &&
+            now < lastCrashOf(suspicion) + quarantineMilliseconds),
       )
       .sort((left, right) => lastCrashOf(left) - lastCrashOf(right))
       .slice(-maximum);
@@ -206,6 +258,14 @@
     return [...this.suspicions.values()];
   }
 
+  /** Returns whether content is refused at `now` until a trial shows it sound. */
+  private isInForce(suspicion: Suspicion, now: number): boolean {
+    return (
+      this.requiresQuarantine(crashesSinceCleared(suspicion)) &&
+      now < lastCrashOf(suspicion) + this.policy.retentionMilliseconds
+    );
+  }
+
   private requiresQuarantine(crashes: readonly Crash[]): boolean {
     return (
       crashes.length >= this.policy.crashes &&
--- a/packages/decisions/tests/suspicion_records_test.ts
+++ b/packages/decisions/tests/suspicion_records_test.ts
@@ -70,6 +70,16 @@
       value: encode({...CONTENT, later: 1}),
       content: CONTENT,
     },
+    {
+      name: 'a content with the time of a trial',
+      value: encode({...CONTENT, triedAt: 5}),
+      content: {...CONTENT, triedAt: 5},
+    },
+    {
+      name: 'a part with the time of a trial',
+      value: encode({...PART, triedAt: 5}),
+      part: {...PART, triedAt: 5},
+    },
     {
       name: 'a content with the running times of upstreams',
       value: encode(CONTENT_OF_START),
@@ -158,6 +168,20 @@
     const decided = quarantine.decided(maximum, QUARANTINE_MILLISECONDS, 2000);
     expect(decided.map(({fingerprint}) => fingerprint)).toEqual(sent);
     const later = 2000 + QUARANTINE_MILLISECONDS;
+    const stillDecided = quarantine.decided(
+      maximum,
+      QUARANTINE_MILLISECONDS,
+      later,
+    );
+    expect(stillDecided.map(({fingerprint}) => fingerprint)).toEqual(sent);
+    quarantine
+      .list()
+      .forEach(({fingerprint}) => quarantine.clear(fingerprint, 1999));
+    expect(
+      quarantine
+        .decided(maximum, QUARANTINE_MILLISECONDS, 2000)
+        .map(({fingerprint}) => fingerprint),
+    ).toEqual(sent);
     expect(quarantine.decided(maximum, QUARANTINE_MILLISECONDS, later)).toEqual(
       [],
     );
--- a/packages/entry-hosts/src/messages/suspicion_messages.ts
+++ b/packages/entry-hosts/src/messages/suspicion_messages.ts
@@ -10,6 +10,14 @@
     readonly params: Suspicion;
     readonly result: null;
   };
+  /**
+   * Requests to try one request with a refused content. Builds before do not know the
+   * method, so that the request stays refused.
+   */
+  readonly 'suspicion.trial': {
+    readonly params: {readonly fingerprint: string};
+    readonly result: {readonly isGranted: boolean};
+  };
   /** Reports prompt parts under which upstreams crashed or ran soundly. */
   readonly 'suspicion.parts': {
     readonly params: {readonly suspicions: readonly PartSuspicion[]};
--- a/packages/entry-process/src/routed_interface/admission/attempt_gate.ts
+++ b/packages/entry-process/src/routed_interface/admission/attempt_gate.ts
@@ -19,13 +19,13 @@
 
 import type {PartWatch} from '../../tasks/part_watch.js';
 import {pause} from '../../util/pause.js';
-import type {CrashWatch} from '../evidence/crash_watch.js';
+import type {ContentDecision, CrashWatch} from '../evidence/crash_watch.js';
 import type {PlacementCandidates} from '../placement/placement_candidates.js';
 import type {Placement} from '../placement/placement_result.js';
 
 /**
- * Least wait that the refusal of a prompt states, while the trial of another
- * request shows whether its part still crashes upstreams.
+ * Least wait that a refusal states while the trial of another request shows whether
+ * its content or a part of its prompt still crashes upstreams.
  */
 const MINIMUM_TRIAL_WAIT_MILLISECONDS = 1000;
 
@@ -51,7 +51,7 @@
 export interface AttemptGateDependencies {
   readonly events: Pick<EventLog, 'write'>;
   readonly metrics: GateMetrics;
-  readonly crashes: Pick<CrashWatch, 'quarantineMillisecondsLeft'>;
+  readonly crashes: Pick<CrashWatch, 'decide' | 'isRefused' | 'peekDecision'>;
   readonly parts: Pick<PartWatch, 'decide' | 'isRefused'>;
   readonly candidates: Pick<PlacementCandidates, 'pauseMillisecondsLeft'>;
   readonly random: () => number;
@@ -90,20 +90,44 @@
    * Returns the refusal of content that has crashed too many upstreams, as a
    * whole or by a part of its prompt.
    */
-  refusalIfQuarantined(): ServingError | undefined {
-    return this.refusalOfContent() ?? this.refusalOfPromptPart();
+  async refusalIfQuarantined(): Promise<ServingError | undefined> {
+    const {crashes} = this.dependencies;
+    const {fingerprint} = this.request;
+    if (this.isTrial) {
+      return undefined;
+    }
+    const refusal = crashes.isRefused(fingerprint)
+      ? this.refusalOfContent(await crashes.decide(fingerprint))
+      : undefined;
+    return refusal ?? this.refusalOfPromptPart();
   }
 
-  private refusalOfContent(): ServingError | undefined {
-    const {fingerprint} = this.request;
-    const milliseconds =
-      this.dependencies.crashes.quarantineMillisecondsLeft(fingerprint);
-    return milliseconds <= 0
-      ? undefined
-      : new ServingError('quarantined', {
+  /** Returns what `refusalIfQuarantined` would if a trial were granted. */
+  peekRefusal(): ServingError | undefined {
+    const {crashes} = this.dependencies;
+    const decision = crashes.peekDecision(this.request.fingerprint);
+    return this.refusalOfContent(decision) ?? this.refusalOfPromptPart();
+  }
+
+  private refusalOfContent(
+    decision: ContentDecision,
+  ): ServingError | undefined {
+    const {requestId, fingerprint} = this.request;
+    switch (decision.kind) {
+      case 'clear':
+        return undefined;
+      case 'trial':
+        this.isTrial = true;
+        this.dependencies.events.write(4124, {requestId, fingerprint});
+        return undefined;
+      case 'refused':
+        return new ServingError('quarantined', {
           detail: `content ${fingerprint}`,
-          retryAfterSeconds: milliseconds / 1000,
+          retryAfterSeconds:
+            Math.max(MINIMUM_TRIAL_WAIT_MILLISECONDS, decision.milliseconds) /
+            1000,
         });
+    }
   }
 
   private refusalOfPromptPart(): ServingError | undefined {
@@ -134,9 +158,11 @@
 
   /** Returns whether the request may still be sent just before its first byte. */
   mayBeSent(): boolean {
-    const {service, sharedParts} = this.request;
+    const {crashes, parts} = this.dependencies;
+    const {service, fingerprint, sharedParts} = this.request;
     return (
-      this.isTrial || !this.dependencies.parts.isRefused(service, sharedParts)
+      this.isTrial ||
+      !(crashes.isRefused(fingerprint) || parts.isRefused(service, sharedParts))
     );
   }
 
--- a/packages/entry-process/src/routed_interface/evidence/crash_watch.ts
+++ b/packages/entry-process/src/routed_interface/evidence/crash_watch.ts
@@ -23,6 +23,7 @@
 import murmurhash from 'murmurhash';
 
 import type {LostConnection} from '../../paths/blame_inquiries.js';
+import {callPeer} from '../../util/call_peer.js';
 import {isAborted} from '../../util/is_aborted.js';
 import {pause} from '../../util/pause.js';
 import type {ContentVerdictStore} from './content_verdict_store.js';
@@ -31,10 +32,14 @@
 const CRASH_DETECTION_MILLISECONDS = 100;
 
 /**
- * Milliseconds for which quarantined content is refused. After that, one more
- * upstream shows whether the content still crashes upstreams.
+ * Milliseconds from the verdict on a content to its first trial, which shows whether
+ * the content still crashes upstreams. A verdict that was lifted is gossiped for as
+ * long.
  */
-const QUARANTINE_MILLISECONDS = 60_000;
+const TRIAL_MILLISECONDS = 60_000;
+
+/** Milliseconds for the host that grants the trials of a content to answer. */
+const GRANT_TIMEOUT_MILLISECONDS = 200;
 
 /**
  * Number of hosts that count the crashes of one content; two, so that one of
@@ -63,6 +68,14 @@
   readonly body: Buffer;
 }
 
+/** How a request with certain content is treated. */
+export type ContentDecision =
+  | {readonly kind: 'clear'}
+  /** `milliseconds`: until one request may be tried; 0 if another one is. */
+  | {readonly kind: 'refused'; readonly milliseconds: number}
+  /** It may run, to see whether the content still crashes upstreams. */
+  | {readonly kind: 'trial'};
+
 /** Dependencies of `CrashWatch`. */
 export interface CrashWatchDependencies {
   readonly hostId: string;
@@ -97,22 +110,86 @@
   constructor(private readonly dependencies: CrashWatchDependencies) {}
 
   /**
-   * Returns the milliseconds for which `fingerprint` stays quarantined; 0 if it
-   * is not quarantined.
+   * Decides how a request with this content is treated now. One host grants the
+   * trials of a content to all of them.
    */
-  quarantineMillisecondsLeft(fingerprint: string): number {
+  async decide(fingerprint: string): Promise<ContentDecision> {
+    const decision = this.peekDecision(fingerprint);
+    if (decision.kind !== 'trial') {
+      return decision;
+    }
+    return (await this.requestTrial(fingerprint))
+      ? decision
+      : {kind: 'refused', milliseconds: 0};
+  }
+
+  /** Returns what `decide` would return if the trial were granted. */
+  peekDecision(fingerprint: string): ContentDecision {
     // Hardly any content has ever caused a crash, and reading true time
     // consults the clock of every host.
     if (this.quarantine.find(fingerprint) === undefined) {
-      return 0;
+      return {kind: 'clear'};
     }
     const now = this.dependencies.trueTime();
-    const verdict = this.quarantine.verdict(
+    const until = this.quarantine.refusedUntil(
       fingerprint,
-      QUARANTINE_MILLISECONDS,
+      TRIAL_MILLISECONDS,
       now,
     );
-    return verdict.kind === 'quarantined' ? verdict.until - now : 0;
+    if (until === undefined) {
+      return {kind: 'clear'};
+    }
+    return now < until
+      ? {kind: 'refused', milliseconds: until - now}
+      : {kind: 'trial'};
+  }
+
+  /** Returns whether requests with this content are refused now. */
+  isRefused(fingerprint: string): boolean {
+    return this.peekDecision(fingerprint).kind !== 'clear';
+  }
+
+  /**
+   * Grants a trial to a host, at most one at a time; returns whether it may send its
+   * request. The trial counts at all hosts and in the store before that.
+   */
+  grantTrial(fingerprint: string): boolean {
+    const {trueTime, servingHosts} = this.dependencies;
+    const suspicion = this.quarantine.takeTrial(
+      fingerprint,
+      TRIAL_MILLISECONDS,
+      trueTime(),
+    );
+    if (suspicion === undefined) {
+      return false;
+    }
+    this.notify(servingHosts(), suspicion);
+    this.unsaved.add(fingerprint);
+    return true;
+  }
+
+  private async requestTrial(fingerprint: string): Promise<boolean> {
+    const {hostId, servingHosts, peers, events} = this.dependencies;
+    const hosts = servingHosts();
+    const [granting] = rendezvousOrder(
+      `trial/${fingerprint}`,
+      hosts.map(host => host.hostId),
+      1,
+    );
+    if (granting === hostId) {
+      return this.grantTrial(fingerprint);
+    }
+    const host = hosts.find(member => member.hostId === granting);
+    const answer =
+      host &&
+      (await callPeer(
+        {peers, events},
+        host,
+        'suspicion.trial',
+        {fingerprint},
+        GRANT_TIMEOUT_MILLISECONDS,
+      ));
+    return answer?.isGranted ?? false;
   }
 
   /** Records that a request with this content ran to completion. */
@@ -163,23 +240,31 @@
    */
   onSuspicion(received: Suspicion): void {
     const {fingerprint} = received;
-    const wasQuarantined = this.quarantineMillisecondsLeft(fingerprint) > 0;
+    const {hostId, servingHosts, clock, trueTime} = this.dependencies;
+    const before = this.refusedUntil(fingerprint);
     const merged = this.quarantine.merge(received);
-    this.quarantine.forget(this.dependencies.trueTime());
-    const isQuarantined = this.quarantineMillisecondsLeft(fingerprint) > 0;
-    const {hostId, servingHosts, clock} = this.dependencies;
+    this.quarantine.forget(trueTime());
+    const after = this.refusedUntil(fingerprint);
     if (
-      isQuarantined !== wasQuarantined &&
+      before !== after &&
       this.countingHostIds(fingerprint).includes(hostId)
     ) {
       this.notify(servingHosts(), merged);
       this.unsaved.add(fingerprint);
     }
-    if (isQuarantined && this.answered.has(fingerprint, clock())) {
+    if (after !== undefined && this.answered.has(fingerprint, clock())) {
       this.recordCompletion(fingerprint);
     }
   }
 
+  private refusedUntil(fingerprint: string): number | undefined {
+    return this.quarantine.refusedUntil(
+      fingerprint,
+      TRIAL_MILLISECONDS,
+      this.dependencies.trueTime(),
+    );
+  }
+
   /** Merges the verdicts that another host gossips. */
   onGossip(received: readonly Suspicion[]): void {
     received.forEach(suspicion => this.onSuspicion(suspicion));
@@ -191,7 +276,7 @@
       ? []
       : this.quarantine.decided(
           MAXIMUM_GOSSIPED_VERDICTS,
-          QUARANTINE_MILLISECONDS,
+          TRIAL_MILLISECONDS,
           this.dependencies.trueTime(),
         );
   }
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_peer_handlers.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_peer_handlers.ts
@@ -83,6 +83,9 @@
       crashes.onSuspicion(suspicion);
       return null;
     },
+    'suspicion.trial': ({fingerprint}) => ({
+      isGranted: crashes.grantTrial(fingerprint),
+    }),
     'suspicion.parts': ({suspicions}) => {
       parts.onSuspicions(suspicions);
       return null;
--- a/packages/entry-process/src/routed_interface/requests/attempt_placement.ts
+++ b/packages/entry-process/src/routed_interface/requests/attempt_placement.ts
@@ -88,7 +88,7 @@
     const {gate, runner, demand, latencyBounds, interrupted} =
       this.dependencies;
     return (
-      gate.refusalIfQuarantined() ??
+      (await gate.refusalIfQuarantined()) ??
       (await gate.waitWhilePaused(
         demand(),
         runner.tried,
--- a/packages/entry-process/src/routed_interface/requests/request_explainer.ts
+++ b/packages/entry-process/src/routed_interface/requests/request_explainer.ts
@@ -168,7 +168,7 @@
       return {...quotaField, outcome: refusedBy(refusal)};
     }
     const call = this.admittedCall(request, admission, jitter);
-    const refusal = call.gate.refusalIfQuarantined();
+    const refusal = call.gate.peekRefusal();
     if (refusal !== undefined) {
       return {...quotaField, outcome: refusedBy(refusal)};
     }
--- a/packages/entry-process/tests/attempt_gate_test.ts
+++ b/packages/entry-process/tests/attempt_gate_test.ts
@@ -36,7 +36,11 @@
       {
         events: createEventLog('host-0', 'error'),
         metrics: createMetrics(),
-        crashes: {quarantineMillisecondsLeft: () => 0},
+        crashes: {
+          decide: () => Promise.resolve({kind: 'clear'}),
+          isRefused: () => false,
+          peekDecision: () => ({kind: 'clear'}),
+        },
         parts: {decide: () => ({kind: 'clear'}), isRefused: () => false},
         candidates: {pauseMillisecondsLeft: () => pauses.shift() ?? 0},
         random: () => 0,
--- a/packages/entry-process/tests/crash_watch_test.ts
+++ b/packages/entry-process/tests/crash_watch_test.ts
@@ -16,6 +16,8 @@
   target: '/path',
   body: Buffer.from('body'),
 });
+/** The host that grants the trials of the content. */
+const GRANTING = rendezvousOrder(`trial/${CONTENT}`, HOSTS, 1)[0] ?? '';
 /** Milliseconds after which a crash has been detected. */
 const DETECTION_WAIT_MILLISECONDS = 200;
 const MINUTE_MILLISECONDS = 60_000;
@@ -32,15 +34,22 @@
 /** Whether the upstream is at fault, and not the links of the host. */
 let isUpstreamToBlame: boolean;
 
-const peers: PeerClient = {
-  call: () => Promise.reject(new Error('no call is expected')),
-  notify: (address, _method, params) => {
+const peers = {
+  call: (address: string, method: string) => {
+    const watch = watches.get(address);
+    return method === 'suspicion.trial' &&
+      watch !== undefined &&
+      !unreachableHosts.has(address)
+      ? Promise.resolve({isGranted: watch.grantTrial(CONTENT)})
+      : Promise.reject(new Error('no answer'));
+  },
+  notify: (address: string, _method: string, params: unknown) => {
     if (!unreachableHosts.has(address)) {
       watches.get(address)?.onSuspicion(params as Suspicion);
     }
   },
   close: () => undefined,
-};
+} as unknown as PeerClient;
 
 beforeEach(() => {
   vi.useFakeTimers({now: 1_000_000});
@@ -98,9 +107,7 @@
 }
 
 function refusingCount(): number {
-  return [...watches.values()].filter(
-    watch => watch.quarantineMillisecondsLeft(CONTENT) > 0,
-  ).length;
+  return [...watches.values()].filter(watch => watch.isRefused(CONTENT)).length;
 }
 
 describe('content', () => {
@@ -202,12 +209,67 @@
     expect(refusingCount()).toBe(HOSTS.length);
   });
 
-  it('is tried again after a minute and refused after one more crash', async () => {
+  /** Decides at all hosts at once; returns the hosts that may try the content. */
+  async function hostsThatTry(): Promise<readonly number[]> {
+    const decisions = await Promise.all(
+      [...watches.values()].map(watch => watch.decide(CONTENT)),
+    );
+    expect(decisions.some(({kind}) => kind === 'clear')).toBe(false);
+    return decisions.flatMap((decision, host) =>
+      decision.kind === 'trial' ? [host] : [],
+    );
+  }
+
+  // Guards against a verdict that ended at all hosts at once.
+  it('is tried by one host at a time, each time after a longer wait', async () => {
+    await loseConnections(['a', 'b', 'c']);
+    for (const minutes of [1, 8, 60, 60]) {
+      expect(await hostsThatTry()).toEqual([]);
+      vi.advanceTimersByTime(minutes * MINUTE_MILLISECONDS - 1000);
+      expect(await hostsThatTry()).toEqual([]);
+      vi.advanceTimersByTime(1000);
+      const [host = -1, ...others] = await hostsThatTry();
+      expect(others).toEqual([]);
+      expect(await hostsThatTry()).toEqual([]);
+      await loseConnection(host, `d-${minutes}`, Date.now());
+    }
+  });
+
+  it('is tried again after a trial of which nothing became known', async () => {
+    await loseConnections(['a', 'b', 'c']);
+    vi.advanceTimersByTime(MINUTE_MILLISECONDS);
+    expect(await hostsThatTry()).toHaveLength(1);
+    vi.advanceTimersByTime(MINUTE_MILLISECONDS - 1);
+    expect(await hostsThatTry()).toEqual([]);
+    vi.advanceTimersByTime(1);
+    expect(await hostsThatTry()).toHaveLength(1);
+  });
+
+  it('is served by all hosts after a trial that ran to completion', async () => {
     await loseConnections(['a', 'b', 'c']);
     vi.advanceTimersByTime(MINUTE_MILLISECONDS);
+    const [host = -1] = await hostsThatTry();
+    watches.get(HOSTS[host] ?? '')?.recordCompletion(CONTENT);
     expect(refusingCount()).toBe(0);
-    await loseConnection(7, 'd');
-    expect(refusingCount()).toBe(HOSTS.length);
+  });
+
+  it('is not tried while the host that grants trials is unreachable', async () => {
+    await loseConnections(['a', 'b', 'c']);
+    vi.advanceTimersByTime(MINUTE_MILLISECONDS);
+    unreachableHosts = new Set(HOSTS);
+    const [host, ...others] = await hostsThatTry();
+    expect(others).toEqual([]);
+    expect([undefined, HOSTS.indexOf(GRANTING)]).toContain(host);
+  });
+
+  it('is not tried again at once by a host that takes the trials over', async () => {
+    await loseConnections(['a', 'b', 'c']);
+    vi.advanceTimersByTime(MINUTE_MILLISECONDS);
+    expect(await hostsThatTry()).toHaveLength(1);
+    watches.delete(GRANTING);
+    for (const watch of watches.values()) {
+      expect(watch.grantTrial(CONTENT)).toBe(false);
+    }
   });
 });
 
--- a/packages/observability/src/events/request_events.ts
+++ b/packages/observability/src/events/request_events.ts
@@ -20,7 +20,7 @@
     level: 'warn',
     message: 'request content {fingerprint} crashed upstream {upstreamId}',
     advice:
-      'After two crashes (on the platform after three) this content is refused for a while.',
+      'After two crashes (on the platform after three) this content is refused until a trial shows that it is sound.',
   },
   4004: {
     level: 'info',
@@ -160,4 +160,11 @@
       '{count} clients were refused or disconnected at the address for {server}: {reason}',
     advice: 'See "Why a client was disconnected" in OPERATIONS.md.',
   },
+  4124: {
+    level: 'info',
+    message:
+      'request {requestId} tries whether content {fingerprint} still crashes upstreams',
+    advice:
+      'No action needed; one request is tried, each time eight times later than before.',
+  },
 } as const satisfies Readonly<Record<number, EventRow>>;
