Confirm a run by the process that ran it

A run whose answer ends with its connection counts as sound if its upstream begins another answer half a second later. The next process under its id could give that sign before its entry was read, so that the crash under the run was refuted, and those before it.

--- a/packages/entry-process/src/routed_interface/requests/crash_evidence.ts
+++ b/packages/entry-process/src/routed_interface/requests/crash_evidence.ts
@@ -65,11 +65,14 @@
     private readonly content: SharedContent,
   ) {}
 
-  /** Records that an upstream began to answer. */
-  recordBegan(upstream: UsableUpstream): void {
+  /**
+   * Records that an upstream began to answer, whose process has run for
+   * `millisecondsRunning` or longer.
+   */
+  recordBegan(upstream: UsableUpstream, millisecondsRunning: number): void {
     const {parts} = this.dependencies;
     const {service, sharedParts} = this.content;
-    parts.recordSignOfLife(upstream);
+    parts.recordSignOfLife(upstream, millisecondsRunning);
     if (sharedParts.length === 0) {
       return;
     }
--- a/packages/entry-process/src/routed_interface/requests/routed_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_request.ts
@@ -115,7 +115,9 @@
         this.gate.mayBeSent() &&
         this.versions.mayBeSent(upstream, this.continuation.softwareVersion),
       onFirstAnswerByte: upstream => {
-        this.evidence.recordBegan(upstream);
+        const now = dependencies.trueTime();
+        const {upstreamRunningSince = now} = this.runner;
+        this.evidence.recordBegan(upstream, now - upstreamRunningSince);
         this.recordStart();
       },
     });
--- a/packages/entry-process/src/tasks/part_watch.ts
+++ b/packages/entry-process/src/tasks/part_watch.ts
@@ -192,16 +192,20 @@
       return;
     }
     const {clock, trueTime} = this.dependencies;
-    const soundFrom = clock() + milliseconds;
+    const endedAt = clock();
+    const soundFrom = endedAt + milliseconds;
     this.unconfirmedRuns.add(
-      {service, upstreamId, bornAt, address, parts, soundFrom},
+      {service, upstreamId, bornAt, address, parts, endedAt, soundFrom},
       this.quarantine.isAnyAccused(service, parts, trueTime()),
     );
   }
 
-  /** Records that an upstream began an answer, and so lives. */
-  recordSignOfLife(upstream: UpstreamOfRun): void {
-    this.unconfirmedRuns.recordSignOfLife(upstream);
+  /**
+   * Records that an upstream began an answer; its process has run for `milliseconds`
+   * or longer.
+   */
+  recordSignOfLife(upstream: UpstreamOfRun, milliseconds: number): void {
+    this.unconfirmedRuns.recordSignOfLife(upstream, milliseconds);
   }
 
   /** Merges suspicions that another host or the store knows. */
--- a/packages/entry-process/src/tasks/unconfirmed_runs.ts
+++ b/packages/entry-process/src/tasks/unconfirmed_runs.ts
@@ -15,6 +15,8 @@
 /** A run that ended. */
 export interface UnconfirmedRun extends UpstreamOfRun {
   readonly parts: readonly string[];
+  /** Clock reading at its end. */
+  readonly endedAt: number;
   /** Clock reading from which a sign of life shows that the run was sound. */
   readonly soundFrom: number;
 }
@@ -55,20 +57,35 @@
     }
   }
 
-  /** Records that an upstream lives. */
-  recordSignOfLife({
-    upstreamId,
-    bornAt,
-  }: Pick<UpstreamOfRun, 'bornAt' | 'upstreamId'>): void {
+  /**
+   * Records that an upstream lives, whose process has run for `milliseconds` or
+   * longer. Another process may have started under its id since a run ended, which
+   * the list does not show yet.
+   */
+  recordSignOfLife(
+    {upstreamId, bornAt}: Pick<UpstreamOfRun, 'bornAt' | 'upstreamId'>,
+    milliseconds: number,
+  ): void {
+    const now = this.dependencies.clock();
+    this.confirm(
+      run =>
+        run.upstreamId === upstreamId &&
+        run.bornAt === bornAt &&
+        now - milliseconds <= run.endedAt,
+      now,
+    );
+  }
+
+  private confirm(
+    isOfLivingProcess: (run: UnconfirmedRun) => boolean,
+    now: number,
+  ): void {
     if (this.runs.length === 0) {
       return;
     }
-    const {clock, onSound} = this.dependencies;
-    const now = clock();
+    const {onSound} = this.dependencies;
     const isSound = (run: UnconfirmedRun): boolean =>
-      run.upstreamId === upstreamId &&
-      run.bornAt === bornAt &&
-      now >= run.soundFrom;
+      now >= run.soundFrom && isOfLivingProcess(run);
     const soundRuns = this.runs.filter(isSound);
     this.runs = this.runs.filter(
       run => !isSound(run) && now - run.soundFrom < PATIENCE_MILLISECONDS,
@@ -88,7 +105,12 @@
     const isAlive = await this.dependencies.isAlive(run);
     this.isConnecting = false;
     if (isAlive) {
-      this.recordSignOfLife(run);
+      const {upstreamId, bornAt} = run;
+      // An upstream that crashed is not back so soon.
+      this.confirm(
+        other => other.upstreamId === upstreamId && other.bornAt === bornAt,
+        this.dependencies.clock(),
+      );
     }
   }
 }
