Check that sound contents are served beside crashes

The test of crashes beside traffic shares twenty contents among its sound requests and asks that none of them is refused.

--- a/packages/entry-process/tests/crashes_beside_traffic_test.ts
+++ b/packages/entry-process/tests/crashes_beside_traffic_test.ts
@@ -20,6 +20,9 @@
 const SOUND_PERIOD_MILLISECONDS = 30;
 const EXECUTION_MILLISECONDS = 43;
 
+/** Contents that sound requests share, which run beside the crashes. */
+const CONTENTS = 20;
+
 const RESTART_MILLISECONDS = 2000;
 
 /** Crashes after which the hosts have the time below to react. */
@@ -31,10 +34,13 @@
 
 let installation: RoutedInstallation;
 let sending: AbortController;
+/** Statuses of the sound requests. */
+let soundStatuses: number[];
 
 beforeEach(async () => {
   installation = await RoutedInstallation.start();
   sending = new AbortController();
+  soundStatuses = [];
 });
 
 afterEach(async () => {
@@ -70,7 +76,8 @@
   for (let count = 0; !sending.signal.aborted; count += 1) {
     const address = callers[count % callers.length];
     installation
-      .call({path: '/again/x', body: `sound ${count}`}, address)
+      .call({path: '/again/x', body: `sound ${count % CONTENTS}`}, address)
+      .then(({status}) => soundStatuses.push(status))
       .catch(() => undefined);
     await pause(SOUND_PERIOD_MILLISECONDS);
   }
@@ -110,5 +117,7 @@
     expect(third).toBeDefined();
     expect(late.length).toBeLessThanOrEqual(TOLERATED_REQUESTS);
     expect(statuses.at(-1)).toBe(422);
+    expect(soundStatuses).toContain(200);
+    expect(soundStatuses).not.toContain(422);
   },
 );
