Give the parser of the own interface complete events only

A stream of short lines without end took 2.9 s of processor time for the 1 MiB that may be pending, because the parser creates an error for each line that is no field.

The event splitter finds the events, and lines that are none of one are left out before the parser sees them. Three of seven cases of model_engine_test failed before (2.0 to 3.2 s where 1.5 s are allowed) and pass with 0.4 s for all seven.

--- a/packages/upstreams/src/model_engine.ts
+++ b/packages/upstreams/src/model_engine.ts
@@ -4,6 +4,7 @@
  */
 import {
   type BodyFraming,
+  EventSplitter,
   isFinalStatus,
   MAXIMUM_EVENT_BYTES,
   promisesNotRun,
@@ -49,6 +50,10 @@
 /** Data of the event that ends a completion. */
 export const END_OF_STREAM = '[DONE]';
 
+/** Lines that are neither fields nor comments of an event, nor blank. */
+const OTHER_LINES =
+  /^(?!(?:(?:id|data|event|retry)(?::|\r?$)|:|\r?$)).*\r?\n/gm;
+
 const EXPORT_TIMEOUT_MILLISECONDS = 1000;
 
 const EXPORT_SCHEMA = z.object({handle: z.string()});
@@ -62,13 +67,13 @@
   connections: UpstreamConnections,
   call: EngineCall,
 ): Promise<void> {
-  const progress = {status: 0, hasEnded: false, pendingBytes: 0};
+  const progress = {status: 0, hasEnded: false};
   let framing: BodyFraming = 'connection';
   const errorBody: Buffer[] = [];
-  const decoder = new TextDecoder();
+  let errorBytes = 0;
+  const splitter = new EventSplitter();
   const parser = createParser({
     onEvent: ({id, data}) => {
-      progress.pendingBytes = 0;
       if (data === END_OF_STREAM) {
         progress.hasEnded = true;
         return;
@@ -86,15 +91,17 @@
         framing = answerFraming;
       },
       onData: chunk => {
-        progress.pendingBytes += chunk.length;
-        if (progress.pendingBytes > MAXIMUM_EVENT_BYTES) {
-          throw new Error(`the engine at ${call.address} sent too many bytes`);
-        }
         if (progress.status !== 200) {
+          errorBytes += chunk.length;
+          requireFewBytes(errorBytes, call);
           errorBody.push(chunk);
           return;
         }
-        parser.feed(decoder.decode(chunk, {stream: true}));
+        // The parser creates an error for each line that is none of an event.
+        for (const {bytes} of splitter.push(chunk)) {
+          parser.feed(bytes.toString().replace(OTHER_LINES, ''));
+        }
+        requireFewBytes(splitter.pendingBytes, call);
       },
     },
   );
@@ -118,6 +125,13 @@
   }
 }
 
+/** Throws if an event or an error body has more bytes than are kept. */
+function requireFewBytes(bytes: number, {address}: EngineCall): void {
+  if (bytes > MAXIMUM_EVENT_BYTES) {
+    throw new Error(`the engine at ${address} sent too many bytes`);
+  }
+}
+
 /** Error of a call that the engine understood and rejected for good. */
 export class EngineRefusal extends Error {
   override readonly name = 'EngineRefusal';
