--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -6,6 +6,7 @@
 export * from './command_line.js';
 export * from './crowd_stand_in.js';
 export * from './deployed_node_flags.js';
+export * from './engine_behavior.js';
 export * from './engine_stand_in.js';
 export * from './fleet.js';
 export * from './fleet_calls.js';
