Reserve the ports of tests

A start waits that long for an address in use, so one of its ports was taken. Its log was not kept, and who took the port is not known.

Cause, as far as it can be shown: a port is free until its user listens, and findFreePorts could return it again meanwhile, in the same process as well: CrowdedHost draws the port for metrics and those of the host separately.

--- a/packages/stand-ins/src/child_process_group.ts
+++ b/packages/stand-ins/src/child_process_group.ts
@@ -2,8 +2,6 @@
  * Helpers that start and watch child processes for the demonstration and tests.
  */
 import {type ChildProcess, spawn} from 'node:child_process';
-import {randomInt} from 'node:crypto';
-import {createServer} from 'node:net';
 
 /** A started process. */
 export interface StartedProcess {
@@ -67,38 +65,6 @@
   });
 }
 
-/** Lowest port to try; `fetch` blocks some of the lower ports. */
-const FIRST_PORT = 12_000;
-
-/** Number of ports to choose from. */
-const PORT_COUNT = 18_000;
-
-/**
- * Returns `count` free ports on loopback, below the range that the system uses for
- * outgoing connections. They are drawn at random, because a port is free again until
- * its user listens, and processes that search side by side would find the same ones.
- */
-export async function findFreePorts(count: number): Promise<readonly number[]> {
-  const ports = new Set<number>();
-  while (ports.size < count) {
-    const port = randomInt(FIRST_PORT, FIRST_PORT + PORT_COUNT);
-    if (await isFree(port)) {
-      ports.add(port);
-    }
-  }
-  return [...ports];
-}
-
-function isFree(port: number): Promise<boolean> {
-  return new Promise(resolve => {
-    const server = createServer();
-    server.once('error', () => resolve(false));
-    server.listen(port, '127.0.0.1', () => {
-      server.close(() => resolve(true));
-    });
-  });
-}
-
 /**
  * Waits until `condition` is true; rejects after `milliseconds` with `what` and
  * the last error of `condition`.
--- a/packages/stand-ins/src/demo.ts
+++ b/packages/stand-ins/src/demo.ts
@@ -15,12 +15,12 @@
 import {v7 as uuidV7} from 'uuid';
 
 import {
-  findFreePorts,
   firstLine,
   type StartedProcess,
   startProcess,
   waitFor,
 } from './child_process_group.js';
+import {findFreePorts} from './free_ports.js';
 
 const ENTRY_MAIN = pathOf('../../entry-process/dist/main.js');
 const CONTROL_MAIN = pathOf('../../control-command/dist/main.js');
--- a/packages/stand-ins/src/fleet.ts
+++ b/packages/stand-ins/src/fleet.ts
@@ -5,7 +5,6 @@
 import {fileURLToPath} from 'node:url';
 
 import {
-  findFreePorts,
   type StartedProcess,
   startProcess,
   waitFor,
@@ -13,6 +12,7 @@
 import {type EngineOptions, EngineStandIn} from './engine_stand_in.js';
 import {callCompletion, callPlain} from './fleet_calls.js';
 import {DEFAULT_OBJECTS, type FleetObject, KEY_ONE} from './fleet_objects.js';
+import {findFreePorts} from './free_ports.js';
 import {LinkProcess} from './link_process.js';
 import {PlainServiceStandIn} from './plain_service_stand_in.js';
 import {PlatformStandIn, type StandInHost} from './platform_stand_in.js';
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -11,6 +11,7 @@
 export * from './fleet.js';
 export * from './fleet_calls.js';
 export * from './fleet_objects.js';
+export * from './free_ports.js';
 export * from './http_stand_in.js';
 export * from './link_process.js';
 export * from './link_stand_in.js';
