Log what locates a stream that a client takes up

Events 4107 and 4104 name the streams and the version at which one goes on, but not why: a record of its origin, the history of versions, or neither.

Continuation carries its basis or the cause why it is unknown; event 4125 writes it, one line for each stream that is taken up.

--- a/packages/decisions/src/streams/decide_continuation.ts
+++ b/packages/decisions/src/streams/decide_continuation.ts
@@ -12,11 +12,25 @@
   readonly seen: SeenVersions;
 }
 
+/** Why the software version that began a stream is not known. */
+export type UnknownCause =
+  /** Records of its origin contradict each other, or name another service. */
+  | 'contradictory-records'
+  /** Versions may have been listed that no host knows. */
+  | 'incomplete-history'
+  /** Each of several versions may have begun it, or none is known. */
+  | 'ambiguous-history';
+
 /** At which software version a stream may go on. */
 export type Continuation =
-  | {readonly kind: 'at-version'; readonly softwareVersion: string}
+  | {
+      readonly kind: 'at-version';
+      readonly softwareVersion: string;
+      /** What shows it: a record of its origin, or the history of versions. */
+      readonly basis: 'history' | 'record';
+    }
   /** The version is not known, and it is not guessed. */
-  | {readonly kind: 'unknown'};
+  | {readonly kind: 'unknown'; readonly cause: UnknownCause};
 
 /** Clients take up a stream within the time for which its rule keeps them. */
 const LIFETIME_TIMEOUTS = 2;
@@ -35,18 +49,25 @@
 ): Continuation {
   const origins = knowledge.flatMap(({origin}) => origin ?? []);
   if (origins.length > 0) {
-    return origins.every(origin => origin.service === service)
-      ? onlyVersionOf(origins.map(({softwareVersion}) => softwareVersion))
-      : {kind: 'unknown'};
+    const recorded = onlyOf(
+      origins.map(({softwareVersion}) => softwareVersion),
+    );
+    return recorded !== undefined &&
+      origins.every(origin => origin.service === service)
+      ? {kind: 'at-version', softwareVersion: recorded, basis: 'record'}
+      : {kind: 'unknown', cause: 'contradictory-records'};
+  }
+  if (!knowledge.some(({seen}) => seen.isComplete)) {
+    return {kind: 'unknown', cause: 'incomplete-history'};
   }
-  return knowledge.some(({seen}) => seen.isComplete)
-    ? onlyVersionOf(knowledge.flatMap(({seen}) => seen.versions))
-    : {kind: 'unknown'};
+  const listed = onlyOf(knowledge.flatMap(({seen}) => seen.versions));
+  return listed === undefined
+    ? {kind: 'unknown', cause: 'ambiguous-history'}
+    : {kind: 'at-version', softwareVersion: listed, basis: 'history'};
 }
 
-function onlyVersionOf(versions: readonly string[]): Continuation {
-  const [softwareVersion, ...others] = new Set(versions);
-  return softwareVersion === undefined || others.length > 0
-    ? {kind: 'unknown'}
-    : {kind: 'at-version', softwareVersion};
+/** Returns the only one of `versions`; undefined if there are others or none. */
+function onlyOf(versions: readonly string[]): string | undefined {
+  const [version, ...others] = new Set(versions);
+  return others.length === 0 ? version : undefined;
 }
--- a/packages/decisions/tests/streams_test.ts
+++ b/packages/decisions/tests/streams_test.ts
@@ -34,37 +34,45 @@
   it.each<{
     readonly name: string;
     readonly knowledge: readonly OriginKnowledge[];
-    readonly continuation: Continuation | undefined;
+    readonly continuation: Continuation;
   }>([
     {
       name: 'at the version of its origin',
       knowledge: [{seen: COMPLETE_V1}, {origin: originAt('v2'), seen: NONE}],
-      continuation: {kind: 'at-version', softwareVersion: 'v2'},
+      continuation: {
+        kind: 'at-version',
+        softwareVersion: 'v2',
+        basis: 'record',
+      },
     },
     {
       name: 'at the only version of a complete history',
       knowledge: [{seen: PARTIAL_V1}, {seen: COMPLETE_V1}],
-      continuation: {kind: 'at-version', softwareVersion: 'v1'},
+      continuation: {
+        kind: 'at-version',
+        softwareVersion: 'v1',
+        basis: 'history',
+      },
     },
     {
       name: 'nowhere if no history is complete',
       knowledge: [{seen: PARTIAL_V1}, {seen: PARTIAL_V1}],
-      continuation: undefined,
+      continuation: {kind: 'unknown', cause: 'incomplete-history'},
     },
     {
       name: 'nowhere if another host has seen another version',
       knowledge: [{seen: COMPLETE_V1}, {seen: PARTIAL_V2}],
-      continuation: undefined,
+      continuation: {kind: 'unknown', cause: 'ambiguous-history'},
     },
     {
       name: 'nowhere if no version was listed',
       knowledge: [{seen: NONE}],
-      continuation: undefined,
+      continuation: {kind: 'unknown', cause: 'ambiguous-history'},
     },
     {
       name: 'nowhere if it began at another service',
       knowledge: [{origin: originAt('v1', 'others'), seen: COMPLETE_V1}],
-      continuation: undefined,
+      continuation: {kind: 'unknown', cause: 'contradictory-records'},
     },
     {
       name: 'nowhere if two hosts disagree on its origin',
@@ -72,12 +80,10 @@
         {origin: originAt('v1'), seen: NONE},
         {origin: originAt('v2'), seen: NONE},
       ],
-      continuation: undefined,
+      continuation: {kind: 'unknown', cause: 'contradictory-records'},
     },
   ])('$name', ({knowledge, continuation}) => {
-    expect(decideContinuation('engines', knowledge)).toEqual(
-      continuation ?? {kind: 'unknown'},
-    );
+    expect(decideContinuation('engines', knowledge)).toEqual(continuation);
   });
 });
 
--- a/packages/entry-process/src/routed_interface/requests/stream_continuation.ts
+++ b/packages/entry-process/src/routed_interface/requests/stream_continuation.ts
@@ -4,6 +4,7 @@
  * attempt.
  */
 import {
+  type Continuation,
   judgeOriginProcess,
   mustAwaitList,
   type RoutedAdmission,
@@ -23,7 +24,12 @@
 /** What the streams of one entry host share. */
 export type StreamContinuationDependencies = Pick<
   FrontDependencies,
-  'clocks' | 'listedUpstream' | 'streams' | 'trueTime' | 'upstreamsConfirmedAt'
+  | 'clocks'
+  | 'events'
+  | 'listedUpstream'
+  | 'streams'
+  | 'trueTime'
+  | 'upstreamsConfirmedAt'
 >;
 
 /** The stream of one request, across the attempts of its client. */
@@ -63,15 +69,16 @@
    */
   async findOrigin(): Promise<ServingError | undefined> {
     const {rule, service} = this.admission;
-    const {lastEventId, resumedAttemptId} = this.headers;
+    const {lastEventId, resumedAttemptId = ''} = this.headers;
     if (lastEventId === undefined || rule.execution !== 'resumable') {
       return undefined;
     }
     const continuation = await this.dependencies.streams.locate({
-      attemptId: resumedAttemptId ?? '',
+      attemptId: resumedAttemptId,
       service: service.name,
       lifetimeMilliseconds: streamLifetimeMilliseconds(rule),
     });
+    this.recordLocated(continuation, resumedAttemptId);
     switch (continuation.kind) {
       case 'at-version':
         this.boundVersion = continuation.softwareVersion;
@@ -81,6 +88,19 @@
     }
   }
 
+  private recordLocated(
+    continuation: Continuation,
+    resumedAttemptId: string,
+  ): void {
+    const isKnown = continuation.kind === 'at-version';
+    this.dependencies.events.write(4125, {
+      requestId: this.headers.attemptId ?? '',
+      resumedAttemptId,
+      softwareVersion: isKnown ? continuation.softwareVersion : '',
+      basis: isKnown ? continuation.basis : continuation.cause,
+    });
+  }
+
   /**
    * Binds the stream to the upstream that brings its first event, and records it
    * for the time in which the client may take the stream up.
--- a/packages/entry-process/src/routed_interface/state/stream_origin_exchange.ts
+++ b/packages/entry-process/src/routed_interface/state/stream_origin_exchange.ts
@@ -157,23 +157,16 @@
     switch (continuation.kind) {
       case 'at-version':
         return continuation;
-      case 'unknown':
-        return this.locateInStore(query, seen);
+      case 'unknown': {
+        const origin =
+          query.attemptId === '' ? undefined : await this.findStored(query);
+        return origin === undefined
+          ? continuation
+          : decideContinuation(query.service, [{origin, seen}]);
+      }
     }
   }
 
-  /** Decides by the origin in the store, which outlives all hosts. */
-  private async locateInStore(
-    query: OriginQuery,
-    seen: OriginKnowledge['seen'],
-  ): Promise<Continuation> {
-    const origin =
-      query.attemptId === '' ? undefined : await this.findStored(query);
-    return origin === undefined
-      ? {kind: 'unknown'}
-      : decideContinuation(query.service, [{origin, seen}]);
-  }
-
   private async findStored(
     query: OriginQuery,
   ): Promise<StreamOrigin | undefined> {
--- a/packages/observability/src/events/request_events.ts
+++ b/packages/observability/src/events/request_events.ts
@@ -167,4 +167,11 @@
     advice:
       'No action needed; one request is tried, each time eight times later than before.',
   },
+  4125: {
+    level: 'info',
+    message:
+      'request {requestId} locates the stream of {resumedAttemptId} by {basis}: software version {softwareVersion} (empty if it is not known)',
+    advice:
+      'If many streams are not known, look for event 3005 of the upstreams of their service and for event 2002; "incomplete-history" is expected after the store came back from an older copy.',
+  },
 } as const satisfies Readonly<Record<number, EventRow>>;
