Bind streams to the process that answers on their connection

Cause: the origin of a stream was recorded with the version in the list at the time of the placement. Whether another process had replaced the listed one was checked only after a connection was seen to close, and a record was never corrected.

A connection ends with its process. Each connection is checked once, before the first stream that may be taken up is sent over it, and the start that is reported there must be the one in the list. So a record states the version of a process that is certain, or it is not written; no record is corrected and no clock compared. If another process answers, the list is read at once and the request placed again. A process that does not report its start gets the stream all the same and is judged by a list of after the first event.

--- a/packages/decisions/src/retries/decide_next_attempt.ts
+++ b/packages/decisions/src/retries/decide_next_attempt.ts
@@ -24,6 +24,8 @@
   | {readonly kind: 'no-connection'; readonly reason: string}
   /** No byte was sent because the upstream had stopped accepting requests. */
   | {readonly kind: 'withheld'; readonly reason: string}
+  /** No byte was sent because another process answers for the upstream. */
+  | {readonly kind: 'replaced'; readonly reason: string}
   /** The upstream reported that it did not and will not run the request. */
   | {readonly kind: 'not-executed'; readonly status: number}
   /** The upstream ran the request and answered with an error status. */
@@ -81,6 +83,7 @@
     case 'not-carried':
     case 'no-connection':
     case 'withheld':
+    case 'replaced':
     case 'not-executed': {
       const canTryAgain =
         hasTime &&
--- a/packages/decisions/src/streams/judge_origin_process.ts
+++ b/packages/decisions/src/streams/judge_origin_process.ts
@@ -1,19 +1,13 @@
 /**
- * Which process of an upstream began a stream. Another process may have replaced
- * the listed one under its id shortly before, and its first entry is read later
- * than its first answer.
+ * Which process of an upstream began a stream if it did not report its start on the
+ * connection. Another process may have replaced the listed one under its id shortly
+ * before, and its first entry is read later than its first answer.
  */
 import type {ListedUpstream} from '../upstreams/listed_upstream.js';
 
 /** Largest difference between the clock of an upstream and true time. */
 const CLOCK_DIFFERENCE_MILLISECONDS = 250;
 
-/**
- * Age of the list of upstreams above which no newer one is expected soon, because
- * the store is out of reach.
- */
-const STALE_LIST_MILLISECONDS = 1000;
-
 /** Start of a process that did not report one. */
 const UNKNOWN_START = 0;
 
@@ -33,7 +27,8 @@
   | {readonly kind: 'unknown'};
 
 /**
- * Decides by the present entry of the upstream. A connection ends with its
+ * Decides by the entry of the upstream in a list that was confirmed after the first
+ * event; undefined if that list has none. A connection ends with its
  * process, so that a process which started after the first event began nothing.
  */
 export function judgeOriginProcess(
@@ -53,24 +48,3 @@
     ? {kind: 'replacement', softwareVersion: present.softwareVersion}
     : {kind: 'unknown'};
 }
-
-/** When a host first saw a stream, and when its list of upstreams was valid. */
-export interface OriginEvidence {
-  readonly firstEventAt: number;
-  /** Time at which the list was last confirmed as the newest. */
-  readonly listConfirmedAt: number;
-}
-
-/**
- * Returns whether the list may still lack the process that began a stream, and is
- * likely to be confirmed again soon.
- */
-export function mustAwaitList(
-  {firstEventAt, listConfirmedAt}: OriginEvidence,
-  now: number,
-): boolean {
-  return (
-    listConfirmedAt < firstEventAt &&
-    now - listConfirmedAt <= STALE_LIST_MILLISECONDS
-  );
-}
--- a/packages/decisions/tests/refusal_promises_test.ts
+++ b/packages/decisions/tests/refusal_promises_test.ts
@@ -55,6 +55,7 @@
   [{kind: 'not-carried', result: 'declined', reason: ''}, false],
   [{kind: 'no-connection', reason: ''}, false],
   [{kind: 'withheld', reason: ''}, false],
+  [{kind: 'replaced', reason: ''}, false],
   [{kind: 'not-executed', status: 503}, false],
   [{kind: 'failed-after-run', status: 500}, true],
   [{kind: 'failed-after-run', status: 504}, true],
--- a/packages/decisions/tests/streams_test.ts
+++ b/packages/decisions/tests/streams_test.ts
@@ -5,7 +5,6 @@
   type Continuation,
   decideContinuation,
   judgeOriginProcess,
-  mustAwaitList,
   type OriginKnowledge,
   type OriginProcess,
   type SeenVersions,
@@ -251,16 +250,3 @@
     expect(judgeOriginProcess(beginning, present).kind).toBe(origin);
   });
 });
-
-describe('the list of upstreams', () => {
-  it.each([
-    {name: 'of before the first event', listConfirmedAt: NOW - 90, is: true},
-    {name: 'of after it', listConfirmedAt: NOW - 20, is: false},
-    {name: 'of the same time', listConfirmedAt: NOW - 50, is: false},
-    {name: 'that is stale', listConfirmedAt: NOW - 1001, is: false},
-    {name: 'that was never read', listConfirmedAt: -Infinity, is: false},
-  ])('$name is awaited: $is', ({listConfirmedAt, is}) => {
-    const evidence = {firstEventAt: NOW - 50, listConfirmedAt};
-    expect(mustAwaitList(evidence, NOW)).toBe(is);
-  });
-});
--- a/packages/entry-hosts/src/relay_messages.ts
+++ b/packages/entry-hosts/src/relay_messages.ts
@@ -15,6 +15,11 @@
    * milliseconds since the epoch; undefined if any may run it.
    */
   readonly requiredStart?: number | undefined;
+  /**
+   * Whether a process that does not report its start gets the attempt as well;
+   * carriers of builds before send it to none.
+   */
+  readonly isReportOptional?: boolean;
   /** Milliseconds after which an incomplete answer is ended. */
   readonly maximumMilliseconds: number;
   /** Connections that were idle for this long or longer are not used. */
@@ -46,6 +51,8 @@
 const MAXIMUM_IDLE = `${PREFIX}idle-milliseconds`;
 const CONNECTIONS = `${PREFIX}connections`;
 const REQUIRED_START = `${PREFIX}required-start`;
+const REPORT_OPTIONAL = `${PREFIX}report-optional`;
+const REPORTED_START = `${PREFIX}reported-start`;
 const REFUSAL = `${PREFIX}refusal`;
 const UNREACHABLE = `${PREFIX}unreachable`;
 const CUT_OFF = `${PREFIX}cut-off`;
@@ -84,6 +91,7 @@
     ...(order.requiredStart === undefined
       ? []
       : [REQUIRED_START, String(order.requiredStart)]),
+    ...(order.isReportOptional === true ? [REPORT_OPTIONAL, '1'] : []),
   ];
 }
 
@@ -116,6 +124,9 @@
         ...(requiredStart !== undefined && {
           requiredStart: Number(requiredStart),
         }),
+        ...(valueOf(headers, REPORT_OPTIONAL) === '1' && {
+          isReportOptional: true,
+        }),
       };
 }
 
@@ -177,6 +188,20 @@
   return valueOf(headers, FIRST_ANSWER) === '1';
 }
 
+/** Returns the header that states the start which the upstream has reported. */
+export function encodeReportedStart(start: number | undefined): string[] {
+  return start === undefined ? [] : [REPORTED_START, String(start)];
+}
+
+/**
+ * Returns the start that the upstream has reported to the carrier; undefined if it has
+ * not, or if the carrier is of a build that does not state it.
+ */
+export function decodeReportedStart(headers: HeaderValues): number | undefined {
+  const start = Number(valueOf(headers, REPORTED_START));
+  return Number.isInteger(start) ? start : undefined;
+}
+
 /** Returns headers without those of this module and those that `drops` names. */
 export function withoutRelayHeaders(
   rawHeaders: RawHeaders,
--- a/packages/entry-process/src/paths/process_check.ts
+++ b/packages/entry-process/src/paths/process_check.ts
@@ -13,13 +13,25 @@
 
 const SUCCESS_STATUS = 200;
 
-/** Returns the check for the process that started at `bornAt`. */
-export function createProcessCheck(bornAt: number): ConnectionCheck {
+/** The process of an upstream to which a request may be sent. */
+export interface RequiredProcess {
+  /** Start of the process, in milliseconds since the epoch. */
+  readonly start: number;
+  /** Whether a process that does not report its start gets the request as well. */
+  readonly isReportOptional: boolean;
+}
+
+/** Returns the check for a process. */
+export function createProcessCheck({
+  start,
+  isReportOptional,
+}: RequiredProcess): ConnectionCheck {
   return {
     path: UPSTREAM_REPORT_PATH,
     maximumMilliseconds: REPORT_MILLISECONDS,
-    isMet: ({status}, body) =>
-      status === SUCCESS_STATUS && decodeReportedStart(body) === bornAt,
-    failure: `the process that started at ${bornAt} does not answer`,
+    readStart: ({status}, body) =>
+      status === SUCCESS_STATUS ? decodeReportedStart(body) : undefined,
+    requiredStart: start,
+    isOptional: isReportOptional,
   };
 }
--- a/packages/entry-process/src/paths/relay_carrier.ts
+++ b/packages/entry-process/src/paths/relay_carrier.ts
@@ -19,6 +19,7 @@
   encodeAnswerFraming,
   encodeIsFirstAnswer,
   encodeRelayRefusal,
+  encodeReportedStart,
   type RelayOrder,
   type RelayRefusal,
 } from '@lacewingwinch/entry-hosts';
@@ -171,7 +172,10 @@
           connectMilliseconds: CONNECT_MILLISECONDS,
           attemptId: order.requestId,
           ...(order.requiredStart !== undefined && {
-            check: createProcessCheck(order.requiredStart),
+            check: createProcessCheck({
+              start: order.requiredStart,
+              isReportOptional: order.isReportOptional === true,
+            }),
           }),
         },
         {
@@ -283,10 +287,12 @@
   rawHeaders,
   framing,
   isFirstOnConnection,
+  reportedStart,
 }: AnswerHead): string[] {
   return [
     ...carriedHeaders(rawHeaders),
     ...encodeAnswerFraming(framing),
     ...encodeIsFirstAnswer(isFirstOnConnection),
+    ...encodeReportedStart(reportedStart),
   ];
 }
--- a/packages/entry-process/src/paths/relay_sender.ts
+++ b/packages/entry-process/src/paths/relay_sender.ts
@@ -6,6 +6,7 @@
   decodeAnswerFraming,
   decodeIsFirstAnswer,
   decodeRelayRefusal,
+  decodeReportedStart,
   encodeRelayOrder,
   type RelayRefusal,
   withoutRelayHeaders,
@@ -18,6 +19,8 @@
   PooledRequest,
 } from '@lacewingwinch/upstreams';
 
+import type {RequiredProcess} from './process_check.js';
+
 /** Connections that this host opens to one carrier at the most. */
 const MAXIMUM_CARRIER_CONNECTIONS = 256;
 
@@ -45,8 +48,8 @@
   readonly front: string;
   readonly upstreamId: string;
   readonly requestId: string;
-  /** Start of the only process to which the attempt may be sent, if it matters. */
-  readonly requiredStart: number | undefined;
+  /** The only process to which the attempt may be sent, if it matters. */
+  readonly requiredProcess: RequiredProcess | undefined;
   /** Milliseconds allowed to connect to the carrier. */
   readonly connectMilliseconds: number;
 }
@@ -59,7 +62,7 @@
     request: PooledRequest,
     receiver: PooledReceiver,
   ): PooledExchange | undefined {
-    const {pool, carrier, front, upstreamId, requestId, requiredStart} =
+    const {pool, carrier, front, upstreamId, requestId, requiredProcess} =
       this.attempt;
     let refusal: RelayRefusal | undefined;
     return pool.send(
@@ -73,7 +76,10 @@
           upstreamId,
           front,
           requestId,
-          requiredStart,
+          ...(requiredProcess !== undefined && {
+            requiredStart: requiredProcess.start,
+            isReportOptional: requiredProcess.isReportOptional,
+          }),
           maximumMilliseconds: request.maximumMilliseconds,
           maximumIdleMilliseconds: request.maximumIdleMilliseconds,
           maximumConnections: request.maximumConnections,
@@ -126,5 +132,6 @@
     rawHeaders: withoutRelayHeaders(head.rawHeaders),
     framing: decodeAnswerFraming(head.headers) ?? head.framing,
     isFirstOnConnection: decodeIsFirstAnswer(head.headers),
+    reportedStart: decodeReportedStart(head.headers),
   };
 }
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -379,7 +379,7 @@
         this.upstreams.list.find(upstream.upstreamId)?.isLeaving !== false,
       streams: this.streams,
       listedUpstream: upstreamId => this.upstreams.list.find(upstreamId),
-      upstreamsConfirmedAt: () => this.upstreams.confirmedAt,
+      confirmUpstreams: time => this.upstreams.confirmSince(time),
       trueTime: () => this.readTrueTime(),
       retryBudgets: this.retryBudgets,
       answerMemory: new AnswerMemory(this.dependencies.settings().memoryBytes),
--- a/packages/entry-process/src/routed_interface/requests/attempt_faults.ts
+++ b/packages/entry-process/src/routed_interface/requests/attempt_faults.ts
@@ -10,7 +10,11 @@
   type AnswerHeaders,
   MISDIRECTED_REQUEST_STATUS,
 } from '@lacewingwinch/platform';
-import {CheckNotMetError, ConnectFailedError} from '@lacewingwinch/upstreams';
+import {
+  CheckNotMetError,
+  ConnectFailedError,
+  OtherProcessError,
+} from '@lacewingwinch/upstreams';
 
 import {carrierResultOf, NotCarriedError} from '../../paths/relay_sender.js';
 
@@ -84,6 +88,9 @@
   if (error instanceof CheckNotMetError) {
     return {kind: 'withheld', reason};
   }
+  if (error instanceof OtherProcessError) {
+    return {kind: 'replaced', reason};
+  }
   const cause =
     error instanceof ConnectFailedError ? 'connect-failed' : 'closed';
   return {kind: 'not-sent', cause, reason};
--- a/packages/entry-process/src/routed_interface/requests/attempt_runner.ts
+++ b/packages/entry-process/src/routed_interface/requests/attempt_runner.ts
@@ -2,36 +2,32 @@
  * Runs the attempts of one request at upstreams, one after the other, and keeps
  * count of them.
  */
-import type {RoutedCall} from '@lacewingwinch/callers';
 import {
   type AnswerEnd,
   type AnswerMemory,
   type AttemptHistory,
   eventPatienceMilliseconds,
   NO_WAYS_TRIED,
-  type RoutedAdmission,
   type UpstreamAnnouncements,
   type UsableUpstream,
   type Way,
   withTriedWay,
 } from '@lacewingwinch/decisions';
 import type {EventLog, Metrics} from '@lacewingwinch/observability';
-import type {
-  ConnectionPool,
-  ExchangeSender,
-  SendingConnection,
-} from '@lacewingwinch/upstreams';
+import type {ConnectionPool, SendingConnection} from '@lacewingwinch/upstreams';
 
-import {RelaySender} from '../../paths/relay_sender.js';
 import type {UpstreamPaths} from '../../paths/upstream_paths.js';
 import type {Clocks} from '../../util/clocks.js';
 import type {AnswerAnnouncements} from '../evidence/answer_announcements.js';
 import type {Placement} from '../placement/placement_result.js';
 import {canTakeAnotherWay, hasNotRun} from './attempt_ends.js';
+import {createSender} from './attempt_sender.js';
 import {healthResultOf, recordWay} from './attempt_ways.js';
+import type {AttemptedRequest, AttemptTimes} from './attempted_request.js';
+import type {FrontDependencies} from './front_dependencies.js';
+import {isReplacementListed} from './replaced_upstream.js';
 import {type AttemptOutcome, RoutedAttempt} from './routed_attempt.js';
-import type {StreamRelay} from './stream_relay.js';
-import {createUpstreamRequest, requiredStartOf} from './upstream_request.js';
+import {createUpstreamRequest, requiredProcessOf} from './upstream_request.js';
 
 /**
  * Milliseconds allowed to connect where another way is left; a connection takes a
@@ -55,30 +51,9 @@
   readonly sharingHostCount: () => number;
   /** Returns true time in milliseconds since the epoch. */
   readonly trueTime: () => number;
-}
-
-/** The request that is sent to upstreams. */
-export interface AttemptedRequest {
-  readonly attemptId: string;
-  readonly promptTokens: number;
-  /** Whether the client takes a stream up after one of its events. */
-  readonly isContinuation: boolean;
-  readonly call: RoutedCall;
-  readonly admission: RoutedAdmission;
-  /** The part of the response that the client has received so far. */
-  readonly relay: StreamRelay;
-  /** Returns the number of upstreams that may run it. */
-  readonly maximumAttempts: () => number;
-  /** Returns whether it may be sent to `upstream` just before its first byte. */
-  readonly mayBeSent: (upstream: UsableUpstream) => boolean;
-  /** Called at the first sign that an upstream is working on the request. */
-  readonly onFirstAnswerByte: (upstream: UsableUpstream) => void;
-}
-
-/** Steady clock readings of an attempt; undefined for what did not happen. */
-export interface AttemptTimes {
-  readonly sentAt: number | undefined;
-  readonly answerBegunAt: number | undefined;
+  /** See `FrontDependencies`. */
+  readonly confirmUpstreams: FrontDependencies['confirmUpstreams'];
+  readonly listedUpstream: FrontDependencies['listedUpstream'];
 }
 
 /** Runs the attempts of one request. */
@@ -97,6 +72,7 @@
   private sentAt = 0;
   private wasSent = false;
   private runningSince: number | undefined;
+  private reportedStart: number | undefined;
 
   constructor(
     private readonly dependencies: AttemptRunnerDependencies,
@@ -141,6 +117,14 @@
     return this.runningSince;
   }
 
+  /**
+   * Start that the process which answers the last attempt has reported on its
+   * connection; undefined if it has not.
+   */
+  get answeringProcessStart(): number | undefined {
+    return this.reportedStart;
+  }
+
   /** Steady clock readings of the last attempt. */
   get times(): AttemptTimes {
     return {
@@ -181,6 +165,7 @@
     this.answerBegunAt = undefined;
     this.wasSent = false;
     this.runningSince = undefined;
+    this.reportedStart = undefined;
     events.write(4104, {
       requestId: this.request.attemptId,
       upstreamId,
@@ -204,6 +189,12 @@
       }
     }
     placement.reportEnded(healthResultOf(paths, upstreamId, outcome));
+    const now = this.dependencies.clocks.suspensionAware();
+    if (
+      await isReplacementListed(this.dependencies, {upstream, outcome}, now)
+    ) {
+      this.triedIds.delete(upstreamId);
+    }
     if (announcements.isLeaving(upstream)) {
       pool.closeIdle(upstream.address);
     }
@@ -216,21 +207,26 @@
     placement: Placement,
     millisecondsLeft: number,
   ): Promise<AttemptOutcome> {
-    const {announcements, clocks, paths, answers, pool} = this.dependencies;
+    const {announcements, clocks, paths, answers} = this.dependencies;
     const {attemptId, call, admission, relay} = this.request;
     const {choice} = placement;
     const {upstream} = choice;
     const {upstreamId} = upstream;
     const isContinuation =
       this.request.isContinuation || relay.lastEventId !== undefined;
-    const requiredStart = requiredStartOf(
+    const requiredProcess = requiredProcessOf(
       upstream,
       admission.rule,
-      isContinuation || pool.mayBeReplaced(upstream.address),
+      isContinuation,
     );
     let stopWatching: () => void = () => undefined;
     const attempt = new RoutedAttempt(
-      this.senderOf(way, upstreamId, requiredStart),
+      createSender(this.dependencies, way, {
+        upstreamId,
+        requestId: attemptId,
+        requiredProcess,
+        connectMilliseconds: DIRECT_CONNECT_MILLISECONDS,
+      }),
       {
         attemptId,
         isStreamed: admission.rule.isStreamed,
@@ -245,7 +241,7 @@
             relay,
             millisecondsLeft,
             sharingHostCount: this.dependencies.sharingHostCount(),
-            requiredStart,
+            requiredProcess,
           }),
           attemptId,
           ...(paths.hasCarrier(upstreamId) && {
@@ -258,7 +254,8 @@
           announcements.accepts(upstream, clocks.suspensionAware()) &&
           placement.isSendable() &&
           this.request.mayBeSent(upstream),
-        onHead: (status, headers, isOwn) => {
+        onHead: ({status, reportedStart}, headers, isOwn) => {
+          this.reportedStart = reportedStart;
           const said = answers.record(upstream, {
             status,
             headers,
@@ -320,32 +317,6 @@
     }
   }
 
-  private senderOf(
-    way: Way,
-    upstreamId: string,
-    requiredStart: number | undefined,
-  ): ExchangeSender {
-    const {pool, hostId, events} = this.dependencies;
-    switch (way.kind) {
-      case 'direct':
-        return pool;
-      case 'carried': {
-        const {carrier} = way;
-        const requestId = this.request.attemptId;
-        events.write(4113, {requestId, upstreamId, hostId: carrier.hostId});
-        return new RelaySender({
-          pool,
-          carrier,
-          front: hostId,
-          upstreamId,
-          requestId,
-          requiredStart,
-          connectMilliseconds: DIRECT_CONNECT_MILLISECONDS,
-        });
-      }
-    }
-  }
-
   /**
    * Watches a request that was sent over the link of this host, and gives it up if
    * the link is cut and the request may be repeated.
--- a/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
+++ b/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
@@ -45,8 +45,11 @@
   readonly streams: StreamOriginExchange;
   /** Returns the present entry of an upstream. */
   readonly listedUpstream: (upstreamId: string) => ListedUpstream | undefined;
-  /** Returns the time at which the list of upstreams was last confirmed. */
-  readonly upstreamsConfirmedAt: () => number;
+  /**
+   * Resolves with whether the list holds everything that was listed by a time of the
+   * suspension-aware clock, reading the store if it does not yet.
+   */
+  readonly confirmUpstreams: (time: number) => Promise<boolean>;
   /** Returns true time in milliseconds since the epoch. */
   readonly trueTime: () => number;
   readonly retryBudgets: ServiceRetryBudgets;
--- a/packages/entry-process/src/routed_interface/requests/request_versions.ts
+++ b/packages/entry-process/src/routed_interface/requests/request_versions.ts
@@ -12,7 +12,7 @@
 import type {Metrics} from '@lacewingwinch/observability';
 
 import type {Clocks} from '../../util/clocks.js';
-import type {AttemptTimes} from './attempt_runner.js';
+import type {AttemptTimes} from './attempted_request.js';
 import type {AttemptOutcome} from './routed_attempt.js';
 import {versionOutcomeOf} from './upstream_result.js';
 
--- a/packages/entry-process/src/routed_interface/requests/routed_attempt.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_attempt.ts
@@ -85,7 +85,7 @@
   readonly onBytes: () => void;
   /** Called with the head of each response. */
   readonly onHead: (
-    status: number,
+    head: AnswerHead,
     headers: AnswerHeaders,
     isOwn: boolean,
   ) => void;
@@ -176,7 +176,7 @@
     const {status} = head;
     const isOwn = !isForeign(answerHeaders, this.plan.attemptId);
     this.plan.onBytes();
-    this.plan.onHead(status, answerHeaders, isOwn);
+    this.plan.onHead(head, answerHeaders, isOwn);
     if (answerHeaders.attemptId === undefined) {
       // A late copy of this answer could not be distinguished from the next one.
       this.exchange?.retire();
--- a/packages/entry-process/src/routed_interface/requests/routed_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_request.ts
@@ -182,7 +182,10 @@
     this.versions.recordFirstEvent(this.runner.times);
     const upstream = this.runner.lastUpstream;
     if (upstream !== undefined) {
-      this.continuation.recordFirstEvent(upstream);
+      this.continuation.recordFirstEvent(
+        upstream,
+        this.runner.answeringProcessStart,
+      );
     }
   }
 
@@ -356,8 +359,7 @@
       this.runner.history(this.time.millisecondsLeft()),
     );
     const mayContinue =
-      decided.kind !== 'attempt' ||
-      (await this.continuation.isOriginKnown(this.interrupted.signal));
+      decided.kind !== 'attempt' || (await this.continuation.isOriginKnown());
     if (this.interruption !== undefined) {
       this.endInterrupted();
       return 'done';
--- a/packages/entry-process/src/routed_interface/requests/stream_continuation.ts
+++ b/packages/entry-process/src/routed_interface/requests/stream_continuation.ts
@@ -6,7 +6,7 @@
 import {
   type Continuation,
   judgeOriginProcess,
-  mustAwaitList,
+  type OriginProcess,
   type RoutedAdmission,
   ServingError,
   type StreamBeginning,
@@ -15,21 +15,18 @@
 } from '@lacewingwinch/decisions';
 import type {CallHeaders} from '@lacewingwinch/platform';
 
-import {pause} from '../../util/pause.js';
 import type {FrontDependencies} from './front_dependencies.js';
-
-/** Milliseconds between two looks at the time of the list of upstreams. */
-const LIST_CHECK_PERIOD_MILLISECONDS = 20;
+import {isAnsweringProcess} from './upstream_request.js';
 
 /** What the streams of one entry host share. */
 export type StreamContinuationDependencies = Pick<
   FrontDependencies,
   | 'clocks'
+  | 'confirmUpstreams'
   | 'events'
   | 'listedUpstream'
   | 'streams'
   | 'trueTime'
-  | 'upstreamsConfirmedAt'
 >;
 
 /** The stream of one request, across the attempts of its client. */
@@ -39,14 +36,8 @@
   private readonly originAttemptId: string;
   /** Time at which the last attempt was placed. */
   private sentAt = -Infinity;
-  /** The beginning of a stream that this request began, and its upstream. */
-  private begun:
-    | (StreamBeginning & {
-        readonly upstreamId: string;
-        /** Suspension-aware clock reading at the first event. */
-        readonly seenAt: number;
-      })
-    | undefined;
+  /** Resolves when a process that did not report its start has been judged. */
+  private judgement: Promise<void> | undefined;
 
   constructor(
     private readonly dependencies: StreamContinuationDependencies,
@@ -68,23 +59,30 @@
    * Returns a refusal if that version is not known.
    */
   async findOrigin(): Promise<ServingError | undefined> {
-    const {rule, service} = this.admission;
+    const {rule} = this.admission;
     const {lastEventId, resumedAttemptId = ''} = this.headers;
     if (lastEventId === undefined || rule.execution !== 'resumable') {
       return undefined;
     }
+    const isKnown = await this.locate(resumedAttemptId);
+    return isKnown ? undefined : new ServingError('stream-unknown');
+  }
+
+  /** Binds the stream to the version that began it; returns whether it is known. */
+  private async locate(attemptId: string): Promise<boolean> {
+    const {rule, service} = this.admission;
     const continuation = await this.dependencies.streams.locate({
-      attemptId: resumedAttemptId,
+      attemptId,
       service: service.name,
       lifetimeMilliseconds: streamLifetimeMilliseconds(rule),
     });
-    this.recordLocated(continuation, resumedAttemptId);
+    this.recordLocated(continuation, attemptId);
     switch (continuation.kind) {
       case 'at-version':
         this.boundVersion = continuation.softwareVersion;
-        return undefined;
+        return true;
       case 'unknown':
-        return new ServingError('stream-unknown');
+        return false;
     }
   }
 
@@ -102,28 +100,52 @@
   }
 
   /**
-   * Binds the stream to the upstream that brings its first event, and records it
-   * for the time in which the client may take the stream up.
+   * Binds the stream to the process that brings its first event, and records it for
+   * the time in which the client may take the stream up. A process that did not
+   * report its start is judged by the list of upstreams first.
    */
-  recordFirstEvent({
-    upstreamId,
-    softwareVersion,
-    bornAt,
-  }: UsableUpstream): void {
-    const {rule, service} = this.admission;
+  recordFirstEvent(
+    upstream: UsableUpstream,
+    answeringProcessStart: number | undefined,
+  ): void {
+    const {rule} = this.admission;
     if (rule.execution !== 'resumable') {
       return;
     }
-    const {sentAt} = this;
-    const firstEventAt = this.dependencies.trueTime();
-    const seenAt = this.dependencies.clocks.suspensionAware();
-    this.begun ??= {
-      upstreamId,
-      listedStart: bornAt,
-      sentAt,
-      firstEventAt,
-      seenAt,
+    if (this.boundVersion !== undefined) {
+      this.recordOrigin(this.boundVersion);
+      return;
+    }
+    if (isAnsweringProcess(upstream, answeringProcessStart)) {
+      this.recordOrigin(upstream.softwareVersion);
+      return;
+    }
+    const {trueTime, clocks} = this.dependencies;
+    const beginning = {
+      listedStart: upstream.bornAt,
+      sentAt: this.sentAt,
+      firstEventAt: trueTime(),
     };
+    this.judgement = this.judge(upstream, beginning, clocks.suspensionAware());
+  }
+
+  /** Records that an attempt is made. */
+  recordAttempt(): void {
+    this.sentAt = this.dependencies.trueTime();
+  }
+
+  /** Returns whether the version that began the stream is known. */
+  async isOriginKnown(): Promise<boolean> {
+    await this.judgement;
+    return (
+      this.judgement === undefined ||
+      this.boundVersion !== undefined ||
+      (await this.locate(this.originAttemptId))
+    );
+  }
+
+  private recordOrigin(softwareVersion: string): void {
+    const {rule, service} = this.admission;
     this.boundVersion = softwareVersion;
     this.dependencies.streams.recordBegun({
       attemptId: this.originAttemptId,
@@ -133,47 +155,30 @@
     });
   }
 
-  /** Records that an attempt is made. */
-  recordAttempt(): void {
-    this.sentAt = this.dependencies.trueTime();
-  }
-
-  /**
-   * Returns whether it is known which process began the stream, and corrects the
-   * version to which it is bound by what has become known of its upstream. A
-   * process lists itself when it starts; the list that shows it may not have been
-   * read yet.
-   */
-  async isOriginKnown(signal: AbortSignal): Promise<boolean> {
-    if (this.begun === undefined) {
-      return true;
-    }
-    await this.awaitList(this.begun.seenAt, signal);
-    const present = this.dependencies.listedUpstream(this.begun.upstreamId);
-    const origin = judgeOriginProcess(this.begun, present);
+  /** Judges by a list of after the first event which process brought it. */
+  private async judge(
+    {upstreamId, softwareVersion}: UsableUpstream,
+    beginning: StreamBeginning,
+    firstEventAt: number,
+  ): Promise<void> {
+    const {confirmUpstreams, listedUpstream, events} = this.dependencies;
+    const isConfirmed = await confirmUpstreams(firstEventAt);
+    const origin: OriginProcess = isConfirmed
+      ? judgeOriginProcess(beginning, listedUpstream(upstreamId))
+      : {kind: 'unknown'};
+    events.write(4126, {
+      requestId: this.headers.attemptId ?? '',
+      upstreamId,
+      judgement: origin.kind,
+    });
     switch (origin.kind) {
       case 'as-listed':
-        return true;
+        this.recordOrigin(softwareVersion);
+        return;
       case 'replacement':
-        this.boundVersion = origin.softwareVersion;
-        return true;
+        this.recordOrigin(origin.softwareVersion);
+        return;
       case 'unknown':
-        return false;
-    }
-  }
-
-  private async awaitList(
-    firstEventAt: number,
-    signal: AbortSignal,
-  ): Promise<void> {
-    const {clocks, upstreamsConfirmedAt} = this.dependencies;
-    const isLacking = (): boolean =>
-      mustAwaitList(
-        {firstEventAt, listConfirmedAt: upstreamsConfirmedAt()},
-        clocks.suspensionAware(),
-      );
-    while (!signal.aborted && isLacking()) {
-      await pause(LIST_CHECK_PERIOD_MILLISECONDS, signal);
     }
   }
 
--- a/packages/entry-process/src/routed_interface/requests/upstream_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/upstream_request.ts
@@ -10,7 +10,10 @@
 import {encodeUpstreamHeaders} from '@lacewingwinch/platform';
 import type {PooledRequest} from '@lacewingwinch/upstreams';
 
-import {createProcessCheck} from '../../paths/process_check.js';
+import {
+  createProcessCheck,
+  type RequiredProcess,
+} from '../../paths/process_check.js';
 import type {StreamRelay} from './stream_relay.js';
 
 /** Highest priority value that an engine accepts; 0 is the most urgent. */
@@ -55,26 +58,37 @@
   readonly millisecondsLeft: number;
   /** Number of entry hosts that share the connections of an upstream. */
   readonly sharingHostCount: number;
-  /** Start of the only process to which the request may be sent, if it matters. */
-  readonly requiredStart: number | undefined;
+  /** The only process to which the request may be sent, if it matters. */
+  readonly requiredProcess: RequiredProcess | undefined;
 }
 
 /**
- * Returns the start of the process that an attempt requires. A stream that
- * continues requires the process whose software version the upstream listed, and
- * so does one that begins where another process may have replaced it, because it
- * continues at that version.
+ * Returns the process that an attempt requires. A stream that may be taken up is
+ * bound to the software version that the listed process states, and continues only
+ * at a process that is certain. An upstream that reports no start gets a new id with
+ * each of them.
  */
-export function requiredStartOf(
+export function requiredProcessOf(
   {bornAt}: UsableUpstream,
   {execution}: RoutedAdmission['rule'],
-  mustBeKnown: boolean,
-): number | undefined {
-  return mustBeKnown && execution === 'resumable' && bornAt !== UNKNOWN_START
-    ? bornAt
+  isContinuation: boolean,
+): RequiredProcess | undefined {
+  return execution === 'resumable' && bornAt !== UNKNOWN_START
+    ? {start: bornAt, isReportOptional: !isContinuation}
     : undefined;
 }
 
+/**
+ * Returns whether the process that answers is certain to be the listed one. It has
+ * reported `answeringProcessStart` on its connection, undefined if it has not.
+ */
+export function isAnsweringProcess(
+  {bornAt}: UsableUpstream,
+  answeringProcessStart: number | undefined,
+): boolean {
+  return bornAt === UNKNOWN_START || bornAt === answeringProcessStart;
+}
+
 /** Creates the request for the chosen upstream. */
 export function createUpstreamRequest({
   call,
@@ -84,7 +98,7 @@
   relay,
   millisecondsLeft,
   sharingHostCount,
-  requiredStart,
+  requiredProcess,
 }: UpstreamRequestOptions): PooledRequest {
   const {upstreamId, address} = choice.upstream;
   const isAtMostOnce = rule.execution === 'at-most-once';
@@ -111,8 +125,8 @@
       : REPEATABLE_IDLE_MILLISECONDS,
     maximumMilliseconds: millisecondsLeft + ANSWER_GRACE_MILLISECONDS,
     maximumConnections: Math.max(MINIMUM_CONNECTIONS, Math.floor(share)),
-    ...(requiredStart !== undefined && {
-      check: createProcessCheck(requiredStart),
+    ...(requiredProcess !== undefined && {
+      check: createProcessCheck(requiredProcess),
     }),
   };
 }
--- a/packages/entry-process/src/routed_interface/requests/upstream_result.ts
+++ b/packages/entry-process/src/routed_interface/requests/upstream_result.ts
@@ -44,6 +44,7 @@
             : undefined;
         case 'no-connection':
         case 'withheld':
+        case 'replaced':
           return undefined;
       }
   }
--- a/packages/entry-process/tests/continued_streams_test.ts
+++ b/packages/entry-process/tests/continued_streams_test.ts
@@ -55,7 +55,8 @@
     expect(clientEndOf(answer)).toBe(end);
     expect(upstream.requests).toHaveLength(2);
     expect(upstream.requests[1]).toMatch(/last-event-id: 2/i);
-    expect(upstream.reports).toBe(1);
+    // Each of the two connections is checked before its first stream.
+    expect(upstream.reports).toBe(2);
     expect(answer.body).toBe(`${EVENTS}${LAST_EVENT}`);
   });
 });
--- a/packages/observability/src/events/request_events.ts
+++ b/packages/observability/src/events/request_events.ts
@@ -174,4 +174,11 @@
     advice:
       'If many streams are not known, look for event 3005 of the upstreams of their service and for event 2002; "incomplete-history" is expected after the store came back from an older copy.',
   },
+  4126: {
+    level: 'info',
+    message:
+      'upstream {upstreamId} did not report its start to request {requestId}, whose stream it began; by the list its process is {judgement}',
+    advice:
+      'No action needed unless it happens often: then the upstream does not answer reports, and its streams may be refused with stream-unknown when they are taken up.',
+  },
 } as const satisfies Readonly<Record<number, EventRow>>;
--- a/packages/upstreams/src/connection_pool.ts
+++ b/packages/upstreams/src/connection_pool.ts
@@ -5,7 +5,11 @@
 import {Client} from 'undici';
 
 import {CarriedAttempts} from './carried_attempts.js';
-import {startCheckedExchange} from './checked_exchange.js';
+import {
+  type CheckState,
+  checkStateOf,
+  startCheckedExchange,
+} from './checked_exchange.js';
 import type {
   PooledConnection,
   PooledExchange,
@@ -27,11 +31,6 @@
 interface Upstream {
   readonly idle: PooledConnection[];
   readonly open: Set<PooledConnection>;
-  /**
-   * Whether the upstream closed a connection unannounced since a check on one of
-   * its connections was met.
-   */
-  hasClosedUnannounced: boolean;
 }
 
 /** Sends requests to upstreams. */
@@ -82,10 +81,7 @@
       connection,
       watch: this.watch,
       dueAt,
-      now,
-      onCheckMet: () => {
-        upstream.hasClosedUnannounced = false;
-      },
+      sendUnchecked: () => this.send({...request, check: undefined}, receiver),
     };
     return startCheckedExchange(context, request, receiver, isReusable => {
       if (isReusable && !connection.isClosed) {
@@ -102,15 +98,6 @@
     [...(this.upstreams.get(address)?.idle ?? [])].forEach(endConnection);
   }
 
-  /**
-   * Returns whether another process may have replaced the one at `address`: the
-   * upstream closed a connection unannounced, as the end of a process does, and
-   * no check has been met since.
-   */
-  mayBeReplaced(address: string): boolean {
-    return this.upstreams.get(address)?.hasClosedUnannounced === true;
-  }
-
   /**
    * Returns a function that returns whether all connections to `address` that are
    * open now have closed by the time it is called. A crash of the upstream
@@ -147,10 +134,15 @@
       upstream.idle.pop();
       endConnection(newest);
     }
-    const index = upstream.idle.findLastIndex(
-      connection =>
-        isUsable(connection, request, now) &&
-        !hasCarried(connection, request.attemptId),
+    const isCandidate = (connection: PooledConnection): boolean =>
+      isUsable(connection, request, now) &&
+      !hasCarried(connection, request.attemptId);
+    const index = bestIndexOf(
+      upstream.idle.map(connection =>
+        isCandidate(connection)
+          ? checkStateOf(connection, request.check)
+          : 'failed',
+      ),
     );
     if (index >= 0) {
       return upstream.idle.splice(index, 1)[0];
@@ -213,6 +205,8 @@
       socket: undefined,
       idleSince: this.clock(),
       openedAt: this.ageClock(),
+      isChecked: false,
+      reportedStart: undefined,
       hasCarriedRequest: false,
       carriedAttempts: new CarriedAttempts(),
       response: undefined,
@@ -226,9 +220,6 @@
         return;
       }
       connection.isClosed = true;
-      if (!connection.isEndedHere && connection.socket !== undefined) {
-        upstream.hasClosedUnannounced = true;
-      }
       upstream.open.delete(connection);
       this.openCount -= 1;
       const index = upstream.idle.indexOf(connection);
@@ -247,11 +238,7 @@
     if (existing !== undefined) {
       return existing;
     }
-    const created: Upstream = {
-      idle: [],
-      open: new Set(),
-      hasClosedUnannounced: false,
-    };
+    const created: Upstream = {idle: [], open: new Set()};
     this.upstreams.set(address, created);
     return created;
   }
@@ -270,6 +257,12 @@
   return !isClosed && now - idleSince < maximumIdleMilliseconds;
 }
 
+/** Returns the last index of a connection that may be used, one with a check first. */
+function bestIndexOf(states: readonly CheckState[]): number {
+  const met = states.lastIndexOf('met');
+  return met >= 0 ? met : states.lastIndexOf('open');
+}
+
 function hasCarried(
   {carriedAttempts}: PooledConnection,
   attemptId: string | undefined,
--- a/packages/upstreams/src/index.ts
+++ b/packages/upstreams/src/index.ts
@@ -2,7 +2,7 @@
  * Connections and calls to model engines and plain services.
  */
 export * from './can_connect.js';
-export {CheckNotMetError} from './checked_exchange.js';
+export {CheckNotMetError, OtherProcessError} from './checked_exchange.js';
 export * from './connection_pool.js';
 export * from './engine_events.js';
 export * from './model_engine.js';
--- a/packages/upstreams/src/pooled_exchange.ts
+++ b/packages/upstreams/src/pooled_exchange.ts
@@ -39,14 +39,22 @@
 /** The part of a request that is written to its connection. */
 type SentRequest = Pick<PooledRequest, 'body' | 'headers' | 'method' | 'path'>;
 
-/** A call that shows which process is at the other end of a connection. */
+/**
+ * A call that shows which process is at the other end of a connection. It is made
+ * once on each connection, which ends with its process.
+ */
 export interface ConnectionCheck {
   readonly path: string;
   readonly maximumMilliseconds: number;
-  /** Returns whether the request may be sent after this answer. */
-  readonly isMet: (head: AnswerHead, body: Buffer) => boolean;
-  /** Reason of the failure of a request whose check is not met. */
-  readonly failure: string;
+  /**
+   * Returns the start that the process reports, in milliseconds since the epoch;
+   * undefined if the answer states none.
+   */
+  readonly readStart: (head: AnswerHead, body: Buffer) => number | undefined;
+  /** Start of the only process to which the request may be sent. */
+  readonly requiredStart: number;
+  /** Whether the request is sent also if the process reports no start. */
+  readonly isOptional: boolean;
 }
 
 /** Status and headers of an answer. */
@@ -58,11 +66,13 @@
   readonly framing: BodyFraming;
   /** Whether no other request went over the connection before. */
   readonly isFirstOnConnection: boolean;
+  /** Start that the process has reported on the connection; undefined if none. */
+  readonly reportedStart: number | undefined;
 }
 
 /** The connection over which a request is about to be sent. */
 export interface SendingConnection {
-  /** Whether the request is the first one on the connection. */
+  /** Whether no request but a check went over the connection before. */
   readonly isNew: boolean;
   /** Time at which it was opened, by the age clock of the pool. */
   readonly openedAt: number;
@@ -99,6 +109,10 @@
   idleSince: number;
   /** By the age clock of the pool. */
   openedAt: number;
+  /** Whether the process at its other end was requested to report its start. */
+  isChecked: boolean;
+  /** Start that this process has reported; undefined if it has not. */
+  reportedStart: number | undefined;
   hasCarriedRequest: boolean;
   readonly carriedAttempts: CarriedAttempts;
   /** The response in progress; undefined while the connection is idle. */
@@ -206,6 +220,7 @@
           rawHeaders,
           framing,
           isFirstOnConnection,
+          reportedStart: connection.reportedStart,
         });
       },
       onResponseData: (_controller, chunk) => {
