--- a/packages/entry-process/src/routed_interface/requests/routed_request.ts
+++ b/packages/entry-process/src/routed_interface/requests/routed_request.ts
@@ -11,25 +11,23 @@
   type RoutedAdmission,
   type RoutedAttemptFailure,
   ServingError,
-  sharedPartIds,
 } from '@lacewingwinch/decisions';
 import {type CallHeaders, encodeAnswerHeaders} from '@lacewingwinch/platform';
 import type {AnswerHead} from '@lacewingwinch/upstreams';
 
-import {AttemptGate} from '../admission/attempt_gate.js';
-import {fingerprintOf} from '../evidence/crash_watch.js';
-import {AttemptPlacement, type NextPlacement} from './attempt_placement.js';
-import {AttemptRunner} from './attempt_runner.js';
-import {CrashEvidence} from './crash_evidence.js';
+import type {AttemptPlacement, NextPlacement} from './attempt_placement.js';
+import type {AttemptRunner} from './attempt_runner.js';
+import type {CrashEvidence} from './crash_evidence.js';
 import {stoppingError} from './front_admission.js';
 import type {FrontDependencies} from './front_dependencies.js';
-import {RequestLoad} from './request_load.js';
-import {RequestLog} from './request_log.js';
-import {RequestTime} from './request_time.js';
-import {RequestVersions} from './request_versions.js';
+import type {RequestLoad} from './request_load.js';
+import type {RequestLog} from './request_log.js';
+import {createRequestParts} from './request_parts.js';
+import type {RequestTime} from './request_time.js';
+import type {RequestVersions} from './request_versions.js';
 import type {AttemptOutcome} from './routed_attempt.js';
-import {StreamContinuation} from './stream_continuation.js';
-import {StreamRelay} from './stream_relay.js';
+import type {StreamContinuation} from './stream_continuation.js';
+import type {StreamRelay} from './stream_relay.js';
 import {FIRST_FAILURE_STATUS} from './upstream_result.js';
 
 type Interruption = 'caller-left' | 'stopping' | 'timeout';
@@ -40,19 +38,19 @@
 /** One admitted request. */
 export class RoutedRequest {
   private readonly relay: StreamRelay;
-  private readonly initialDemand: PlacementDemand;
   private readonly continuation: StreamContinuation;
   private readonly time: RequestTime;
   private hasBegunToRun = false;
   private interruption: Interruption | undefined;
   private readonly interrupted = new AbortController();
   private readonly evidence: CrashEvidence;
-  private readonly gate: AttemptGate;
   private readonly placing: AttemptPlacement;
   private readonly runner: AttemptRunner;
   private readonly log: RequestLog;
   private readonly versions: RequestVersions;
   private readonly load: RequestLoad;
+  /** Returns what the next attempt demands of its upstream. */
+  private readonly demand: () => PlacementDemand;
 
   constructor(
     private readonly dependencies: FrontDependencies,
@@ -61,89 +59,25 @@
     private readonly admission: RoutedAdmission,
     private readonly responder: RoutedResponder,
   ) {
-    this.relay = new StreamRelay(
-      responder,
-      () => this.recordFirstEvent(),
-      headers.lastEventId,
-    );
-    const fingerprint = fingerprintOf({
-      workspace: admission.workspace?.name ?? '',
-      target: call.target,
-      body: call.body,
-    });
-    this.time = new RequestTime(dependencies, admission, fingerprint);
-    const requestId = headers.attemptId ?? '';
-    this.log = new RequestLog(dependencies, requestId, admission);
-    this.log.recordContinuation(headers);
-    this.load = new RequestLoad(
-      dependencies.loads,
-      admission,
-      headers.promptTokens,
-      this.time.startedAt,
-    );
-    const sharedParts = sharedPartIds(headers.promptParts);
-    const service = admission.service.name;
-    this.versions = new RequestVersions(dependencies, {
-      service,
-      route: admission.rule.name,
-      attemptId: requestId,
-      objectiveMilliseconds: admission.rule.objectiveMilliseconds,
-    });
-    this.evidence = new CrashEvidence(dependencies, this.log, {
-      service,
-      fingerprint,
-      sharedParts,
-    });
-    this.gate = new AttemptGate(
+    const parts = createRequestParts(
+      dependencies,
+      {call, headers, admission, responder},
       {
-        ...dependencies,
-        candidates: dependencies.placement.candidates,
-        random: Math.random,
-      },
-      {requestId, service, fingerprint, sharedParts},
-    );
-    this.runner = new AttemptRunner(dependencies, {
-      attemptId: requestId,
-      promptTokens: headers.promptTokens,
-      isContinuation: headers.lastEventId !== undefined,
-      call,
-      admission,
-      relay: this.relay,
-      maximumAttempts: () =>
-        this.gate.maximumAttempts(admission.rule.maximumAttempts),
-      mayBeSent: upstream =>
-        this.gate.mayBeSent() &&
-        this.versions.mayBeSent(upstream, this.continuation.softwareVersion),
-      onFirstAnswerByte: upstream => {
-        const now = dependencies.trueTime();
-        const {upstreamRunningSince = now} = this.runner;
-        this.evidence.recordBegan(upstream, now - upstreamRunningSince);
-        this.recordStart();
+        onFirstEvent: () => this.recordFirstEvent(),
+        onStart: () => this.recordStart(),
+        interrupted: this.interrupted.signal,
       },
-    });
-    this.placing = new AttemptPlacement({
-      placement: dependencies.placement,
-      gate: this.gate,
-      runner: this.runner,
-      service,
-      demand: () => this.demand(),
-      latencyBounds: () => this.time.latencyBounds(),
-      admissionTerms: () => this.time.admissionTerms(),
-      takeRetryBudget: () => this.takeRetryBudget(),
-      hasAnswerBegun: () => this.relay.hasBegun,
-      interrupted: this.interrupted.signal,
-    });
-    this.continuation = new StreamContinuation(
-      dependencies,
-      headers,
-      admission,
     );
-    this.initialDemand = {
-      attemptId: requestId,
-      parts: headers.promptParts,
-      promptTokens: headers.promptTokens,
-      priority: admission.priority,
-    };
+    this.relay = parts.relay;
+    this.time = parts.time;
+    this.log = parts.log;
+    this.load = parts.load;
+    this.versions = parts.versions;
+    this.evidence = parts.evidence;
+    this.runner = parts.runner;
+    this.placing = parts.placing;
+    this.continuation = parts.continuation;
+    this.demand = parts.demand;
   }
 
   /** Whether an upstream may have run the request. */
@@ -189,16 +123,6 @@
     }
   }
 
-  /** Returns what the next attempt demands of its upstream. */
-  private demand(): PlacementDemand {
-    const versions = this.versions.constraint(
-      this.continuation.softwareVersion,
-    );
-    return versions === undefined
-      ? this.initialDemand
-      : {...this.initialDemand, versions};
-  }
-
   private async runAttempts(): Promise<void> {
     let drawsOnBudget = false;
     for (;;) {
@@ -260,13 +184,6 @@
     throw refusal;
   }
 
-  private takeRetryBudget(): boolean {
-    const {retryBudgets, sharingHostCount, clocks} = this.dependencies;
-    return retryBudgets
-      .of(this.admission.service.name)
-      .take(sharingHostCount(), clocks.steady());
-  }
-
   private recordStart(): void {
     const {onRunStarted, clocks} = this.dependencies;
     this.load.recordBegan(clocks.steady());
