Store the origins of streams while the history of versions has a gap

Cause: after a drill the history of versions proves nothing for two timeouts of the rule, and origins were kept elsewhere only while several versions were listed.

A gap in the history counts as several versions: the store keeps the origins, those of streams that began before the gap as well. It costs nothing without a gap.

--- a/packages/decisions/src/streams/software_versions.ts
+++ b/packages/decisions/src/streams/software_versions.ts
@@ -133,15 +133,19 @@
     this.lastReadAt = now;
   }
 
+  /** Returns whether versions may be missing that were listed within `milliseconds`. */
+  hasGapWithin(service: string, milliseconds: number, now: number): boolean {
+    const completeSince = this.completeSinceOf(service);
+    return completeSince === undefined || completeSince > now - milliseconds;
+  }
+
   /** Returns the versions of `service` that were listed within `milliseconds`. */
   seenWithin(service: string, milliseconds: number, now: number): SeenVersions {
     const versions = [...(this.lastListed.get(service) ?? [])]
       .filter(([, listedAt]) => listedAt >= now - milliseconds)
       .map(([version]) => version);
-    const completeSince = this.completeSinceOf(service);
     const isComplete =
-      completeSince !== undefined &&
-      completeSince <= now - milliseconds &&
+      !this.hasGapWithin(service, milliseconds, now) &&
       now - this.lastReadAt <= MAXIMUM_AGE_MILLISECONDS;
     return {versions, isComplete};
   }
--- a/packages/entry-process/src/routed_interface/state/stream_origin_exchange.ts
+++ b/packages/entry-process/src/routed_interface/state/stream_origin_exchange.ts
@@ -79,7 +79,7 @@
     const now = this.dependencies.clock();
     this.origins.record(origin, now);
     this.publish(origin);
-    if (this.hasSeveralVersions(origin, now)) {
+    if (this.isAmbiguous(origin, now)) {
       this.dependencies.stored.add(origin);
       return;
     }
@@ -93,13 +93,13 @@
   }
 
   /**
-   * Stores the origins of streams that began while their service had one version, if
-   * another version has been listed since.
+   * Stores the origins of streams that have become ambiguous since they began,
+   * because another version has been listed or the history has a gap now.
    */
   storeAmbiguous(): void {
     const now = this.dependencies.clock();
     for (const origin of this.unstored.all(now)) {
-      if (this.hasSeveralVersions(origin, now)) {
+      if (this.isAmbiguous(origin, now)) {
         this.unstored.forget(origin.attemptId);
         this.dependencies.stored.add(origin);
       }
@@ -255,13 +255,20 @@
     });
   }
 
-  private hasSeveralVersions(
+  /**
+   * Returns whether the history of versions does not tell the origin of a stream that
+   * begins at `now`.
+   */
+  private isAmbiguous(
     {service, lifetimeMilliseconds}: StreamOrigin,
     now: number,
   ): boolean {
     const {versions} = this.dependencies;
     const seen = versions.seenWithin(service, lifetimeMilliseconds, now);
-    return seen.versions.length > 1;
+    return (
+      seen.versions.length > 1 ||
+      versions.hasGapWithin(service, lifetimeMilliseconds, now)
+    );
   }
 
   private publish(origin: StreamOrigin): void {
--- a/packages/entry-process/src/routed_interface/state/stream_origin_store.ts
+++ b/packages/entry-process/src/routed_interface/state/stream_origin_store.ts
@@ -1,8 +1,8 @@
 /**
- * Keeps the origins of this host's streams in the store while several software
- * versions serve, for the case that all hosts that know them end. Each host has one
- * record, which it replaces when streams have begun; nothing is written while a
- * service has one version.
+ * Keeps the origins of this host's streams in the store while the history of software
+ * versions does not tell them, for the case that all hosts that know them end. Each
+ * host has one record, which it replaces when streams have begun; nothing is written
+ * while a service has one version and its history has no gap.
  */
 import {
   type DatedOrigin,
--- a/packages/entry-process/tests/stream_keepers_test.ts
+++ b/packages/entry-process/tests/stream_keepers_test.ts
@@ -1,6 +1,6 @@
 /**
  * Tests that the origin of a stream is known after its host is lost, whatever has
- * become of the versions since it began.
+ * become of the versions and of the store since it began.
  */
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
@@ -13,6 +13,12 @@
 /** Milliseconds for which the hosts read the list and talk to each other. */
 const SETTLE_MILLISECONDS = 700;
 
+/** Milliseconds of an outage of the store in which listings may have been missed. */
+const OUTAGE_MILLISECONDS = 3000;
+
+/** Age of the copy from which the store comes back. */
+const COPY_AGE_MILLISECONDS = 500;
+
 let installation: RoutedInstallation;
 let streams: VersionedStreams;
 
@@ -118,3 +124,55 @@
     expect(await takeUp(lastIds, hosts - 1)).toBe(STREAMS);
   });
 });
+
+describe('a stream that begins after the store came back from an older copy', () => {
+  async function drillStore(): Promise<void> {
+    const {store} = installation;
+    const copy = store.copy();
+    await pause(COPY_AGE_MILLISECONDS);
+    store.faults.isDown = true;
+    await pause(OUTAGE_MILLISECONDS);
+    store.restore(copy);
+    store.faults.isDown = false;
+    await pause(SETTLE_MILLISECONDS);
+  }
+
+  // Guards against origins that only the lost host keeps while the history of
+  // versions has a gap (review/15).
+  it.each<{
+    readonly name: string;
+    readonly lost: readonly number[];
+    readonly hasTwoVersions: boolean;
+  }>([
+    {name: 'its host is lost', lost: [0], hasTwoVersions: false},
+    {name: 'two hosts are lost', lost: [0, 1], hasTwoVersions: false},
+    {name: 'all hosts are lost', lost: [0, 1, 2, 3], hasTwoVersions: false},
+    {
+      name: 'its host is lost, two versions serve',
+      lost: [0],
+      hasTwoVersions: true,
+    },
+    {
+      name: 'all hosts are lost, two versions serve',
+      lost: [0, 1, 2, 3],
+      hasTwoVersions: true,
+    },
+  ])('continues at its version: $name', async ({lost, hasTwoVersions}) => {
+    if (hasTwoVersions) {
+      await streams.listEngine('i-4', 'v2');
+      await streams.listEngine('i-5', 'v2');
+    }
+    await startHosts(4);
+    await drillStore();
+    const lastIds = await beginStreams();
+    for (const host of lost) {
+      await stopHost(host);
+    }
+    if (lost.length === 4) {
+      await startHosts(4, false);
+    }
+    expect(await takeUp(lastIds, installation.processes.length - 1)).toBe(
+      STREAMS,
+    );
+  });
+});
