Write the origins of streams again when the store comes back older

VersionRecorder reports the era that it reads to StreamOriginStore, which writes again if its last write was in an earlier one.

--- a/packages/entry-process/src/routed_interface/lifecycle/create_stream_origins.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/create_stream_origins.ts
@@ -53,7 +53,10 @@
     listed: () => (upstreams.isKnown ? upstreams.list.all() : undefined),
     listReadTo: () => upstreams.readTo,
     isKeptByAllHosts: () => fleet().areVersionHistoriesKept(),
-    onRestored: () => streams.storeAmbiguous(),
+    onRestored: era => {
+      streams.storeAmbiguous();
+      stored.onEra(era);
+    },
   });
   return {streams, versions};
 }
--- a/packages/entry-process/src/routed_interface/state/stream_origin_store.ts
+++ b/packages/entry-process/src/routed_interface/state/stream_origin_store.ts
@@ -8,6 +8,7 @@
   type DatedOrigin,
   decodeOrigins,
   encodeOrigins,
+  eraOf,
   type StreamOrigin,
 } from '@lacewingwinch/decisions';
 import type {EventLog} from '@lacewingwinch/observability';
@@ -52,6 +53,8 @@
 export class StreamOriginStore {
   /** Streams that this host has begun, the oldest first. */
   private readonly own = new Map<string, DatedOrigin>();
+  /** Era of the store at the last write; undefined before the first one. */
+  private writtenEra: number | undefined;
   /** Whether `own` has what an earlier process of this host has written. */
   private hasOwnOfBefore = false;
   private timer: NodeJS.Timeout | undefined;
@@ -73,6 +76,16 @@
     this.scheduleWrite(this.collectionMilliseconds());
   }
 
+  /**
+   * Writes the origins again if the store has come back from an older copy since,
+   * which may lack them.
+   */
+  onEra(era: number): void {
+    if (this.own.size > 0 && era > (this.writtenEra ?? Infinity)) {
+      this.scheduleWrite(this.collectionMilliseconds());
+    }
+  }
+
   /** Leaves out a stream that is complete when origins are written next. */
   forget(attemptId: string): void {
     this.own.delete(attemptId);
@@ -128,12 +141,15 @@
         this.own.delete(attemptId);
       }
     }
-    await store.appendKeyed(
+    const result = await store.appendKeyed(
       'streams',
       hostId,
       encodeOrigins([...this.own.values()]),
       {timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS},
     );
+    if (result.kind === 'appended') {
+      this.writtenEra = eraOf(result.position);
+    }
   }
 
   /** Adds the origins that an earlier process of this host has written. */
--- a/packages/entry-process/src/routed_interface/state/version_recorder.ts
+++ b/packages/entry-process/src/routed_interface/state/version_recorder.ts
@@ -51,8 +51,11 @@
   readonly storeReaders: () => readonly string[];
   /** Returns whether every known host writes histories. */
   readonly isKeptByAllHosts: () => boolean;
-  /** Called when versions of before the start of this host may be known. */
-  readonly onRestored: () => void;
+  /**
+   * Called when versions of before the start of this host may be known, with the era
+   * of the store.
+   */
+  readonly onRestored: (era: number) => void;
 }
 
 /** The histories as last read, and up to where. */
@@ -152,7 +155,7 @@
       histories.map(history => [history.service, history]),
     );
     this.read = {byService, end, basis};
-    this.dependencies.onRestored();
+    this.dependencies.onRestored(eraOf(end));
     return this.read;
   }
 
