--- a/packages/entry-process/src/routed_interface/state/stream_origin_exchange.ts
+++ b/packages/entry-process/src/routed_interface/state/stream_origin_exchange.ts
@@ -256,8 +256,8 @@
   }
 
   /**
-   * Returns whether the history of versions does not tell the origin of a stream that
-   * begins at `now`.
+   * Returns whether the history of versions does not determine the origin of a stream
+   * that begins at `now`.
    */
   private isAmbiguous(
     {service, lifetimeMilliseconds}: StreamOrigin,
--- a/packages/entry-process/src/routed_interface/state/stream_origin_store.ts
+++ b/packages/entry-process/src/routed_interface/state/stream_origin_store.ts
@@ -1,6 +1,6 @@
 /**
  * Keeps the origins of this host's streams in the store while the history of software
- * versions does not tell them, for the case that all hosts that know them end. Each
+ * versions does not determine them, for the case that all hosts that know them end. Each
  * host has one record, which it replaces when streams have begun; nothing is written
  * while a service has one version and its history has no gap.
  */
--- a/packages/entry-process/tests/stream_keepers_test.ts
+++ b/packages/entry-process/tests/stream_keepers_test.ts
@@ -23,7 +23,7 @@
 /** Milliseconds within which hosts act on what the store has become. */
 const CONTACT_MILLISECONDS = 3000;
 
-/** Age of the copy from which the store comes back. */
+/** Age of the copy from which the store is restored. */
 const COPY_AGE_MILLISECONDS = 500;
 
 let installation: RoutedInstallation;
@@ -149,7 +149,7 @@
     readonly name: string;
     readonly lost: readonly number[];
     readonly hasTwoVersions: boolean;
-    /** Whether the streams begin before the store comes back. */
+    /** Whether the streams begin before the store is restored. */
     readonly isBegunBefore?: boolean;
   }>([
     {name: 'its host is lost', lost: [0], hasTwoVersions: false},
