Detect crashes that end an answer without a framing in order

Cause: an end with the connection between two events looks like that of a sound answer, and counted neither for nor against its content. The logs have neither event 4108 nor 4003 for these requests.

UnconfirmedEnds asks for the process 100 ms later if no connection to it is left: if it answers, the run was sound and frees its content; if another one answers, or nothing listens and the host's links are not to blame, it was a crash, of the content and of the prompt parts that began shortly before.

--- a/packages/entry-process/src/routed_interface/evidence/crash_watch.ts
+++ b/packages/entry-process/src/routed_interface/evidence/crash_watch.ts
@@ -76,6 +76,9 @@
   /** It may run, to see whether the content still crashes upstreams. */
   | {readonly kind: 'trial'};
 
+/** An upstream whose connections have ended, and when. */
+export type EndedUpstream = LostConnection & UpstreamCrash;
+
 /** Dependencies of `CrashWatch`. */
 export interface CrashWatchDependencies {
   readonly hostId: string;
@@ -222,13 +225,17 @@
     }, CRASH_DETECTION_MILLISECONDS).unref();
   }
 
-  private async reportIfToBlame(
+  /**
+   * Records a crash of an upstream whose connections have all ended, unless the links
+   * of this host have failed; `onCrash` is called then.
+   */
+  async reportIfToBlame(
     fingerprint: string,
-    {address, ...crash}: LostConnection & UpstreamCrash,
+    lost: EndedUpstream,
     onCrash: () => void,
   ): Promise<void> {
-    if (await this.dependencies.isToBlame({address, ...crash})) {
-      this.reportCrash(fingerprint, crash);
+    if (await this.dependencies.isToBlame(lost)) {
+      this.reportCrash(fingerprint, lost);
       onCrash();
     }
   }
@@ -330,8 +337,11 @@
    * Reports a crash to the counting hosts. Other hosts do not store it, so that
    * a later completion clears every copy.
    */
-  private reportCrash(fingerprint: string, crash: UpstreamCrash): void {
-    const {upstreamId} = crash;
+  reportCrash(
+    fingerprint: string,
+    {upstreamId, bornAt, runningSince, time}: EndedUpstream,
+  ): void {
+    const crash = {upstreamId, bornAt, runningSince, time};
     this.dependencies.events.write(4003, {fingerprint, upstreamId});
     if (this.reported.size >= MAXIMUM_REPORTED_CONTENTS) {
       this.reported.clear();
--- a/packages/entry-process/src/routed_interface/lifecycle/create_crash_watches.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/create_crash_watches.ts
@@ -3,7 +3,9 @@
  */
 import type {Metrics} from '@lacewingwinch/observability';
 import type {StoreClient} from '@lacewingwinch/platform';
+import type {ConnectionPool} from '@lacewingwinch/upstreams';
 
+import {probeProcess} from '../../paths/process_probe.js';
 import type {UpstreamPaths} from '../../paths/upstream_paths.js';
 import {PartWatch} from '../../tasks/part_watch.js';
 import type {Clocks} from '../../util/clocks.js';
@@ -13,24 +15,27 @@
   type CrashWatchDependencies,
 } from '../evidence/crash_watch.js';
 import {PartVerdictStore} from '../evidence/part_verdict_store.js';
+import {UnconfirmedEnds} from '../evidence/unconfirmed_ends.js';
 
 /** What the watches share with the other tasks of a host. */
 export interface SharedWithWatches extends Pick<
   CrashWatchDependencies,
-  'events' | 'hostId' | 'peers' | 'pool' | 'servingHosts' | 'trueTime'
+  'events' | 'hostId' | 'peers' | 'servingHosts' | 'trueTime'
 > {
   readonly clocks: Clocks;
   readonly metrics: Metrics;
   readonly paths: UpstreamPaths;
   readonly store: StoreClient;
+  readonly pool: ConnectionPool;
 }
 
 /** Creates the watches of a host. */
 export function createCrashWatches(shared: SharedWithWatches): {
   readonly crashes: CrashWatch;
   readonly parts: PartWatch;
+  readonly unconfirmedEnds: UnconfirmedEnds;
 } {
-  const {clocks, events, paths, store} = shared;
+  const {clocks, events, paths, pool, store} = shared;
   const crashes = new CrashWatch({
     ...shared,
     isToBlame: upstream => paths.isUpstreamToBlame(upstream),
@@ -44,5 +49,10 @@
     clock: clocks.steady,
     isAlive: upstream => paths.isAlive(upstream),
   });
-  return {crashes, parts};
+  const unconfirmedEnds = new UnconfirmedEnds({
+    ...shared,
+    crashes,
+    probe: process => probeProcess(pool, process),
+  });
+  return {crashes, parts, unconfirmedEnds};
 }
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -42,6 +42,7 @@
 import {UsagePush} from '../duties/usage_push.js';
 import {AnswerAnnouncements} from '../evidence/answer_announcements.js';
 import type {CrashWatch} from '../evidence/crash_watch.js';
+import type {UnconfirmedEnds} from '../evidence/unconfirmed_ends.js';
 import {RoutedPlacement} from '../placement/routed_placement.js';
 import type {FrontDependencies} from '../requests/front_dependencies.js';
 import type {RequestExplainer} from '../requests/request_explainer.js';
@@ -106,6 +107,7 @@
   readonly state: RequiredState;
   readonly paths: UpstreamPaths;
   readonly carrier: RelayCarrier;
+  private readonly unconfirmedEnds: UnconfirmedEnds;
   private readonly answers: AnswerAnnouncements;
   private readonly health = new UpstreamHealth();
   private readonly fleetHealth = new FleetHealth();
@@ -151,19 +153,25 @@
     this.store = new StoreClient(settings.storeAddress, (call, end) =>
       this.metrics.storeCalls.inc({call, end: String(end)}),
     );
-    this.rollouts = this.createRollouts(settings.hostId);
-    this.configuration = new ConfigurationFollower({
-      store: this.store,
+    const shared = {
+      hostId: settings.hostId,
+      peers: this.peers,
       events: this.events,
+      metrics: this.metrics,
       clocks,
+      store: this.store,
+      pool: this.pool,
+      trueTime: () => this.readTrueTime(),
+    };
+    this.rollouts = this.createRollouts(settings.hostId);
+    this.configuration = new ConfigurationFollower({
+      ...shared,
       isStoreReader: () => this.fleet.isStoreReader(),
       onChange: dependencies.onConfigurationChange,
       onOtherRecord: record => this.rollouts.follower.onOperatorRecord(record),
     });
     this.upstreams = new UpstreamFollower({
-      store: this.store,
-      events: this.events,
-      clocks,
+      ...shared,
       isStoreReader: () => this.fleet.isStoreReader(),
       onChanges: changes => this.onUpstreamChanges(changes),
       isFirstStart: settings.isFirstStart,
@@ -175,50 +183,33 @@
       isFirstStart: settings.isFirstStart,
     });
     this.answers = new AnswerAnnouncements({
-      clocks,
-      events: this.events,
-      metrics: this.metrics,
+      ...shared,
       announcements: this.announcements,
       namedRates: this.namedRates,
-      trueTime: () => this.readTrueTime(),
     });
     this.paths = createUpstreamPaths({
+      ...shared,
       failureDomain: settings.failureDomain,
-      peers: this.peers,
-      events: this.events,
-      metrics: this.metrics,
-      clocks,
-      pool: this.pool,
       upstreams: this.upstreams.list,
       otherHosts: () => this.fleet.otherServingHosts(),
       onCutOffChange: () => this.membership.broadcast(),
     });
     this.carrier = createRelayCarrier({
-      pool: this.pool,
-      events: this.events,
-      metrics: this.metrics,
+      ...shared,
       paths: this.paths,
-      clocks,
       upstreams: this.upstreams.list,
       announcements: this.announcements,
       answers: this.answers,
     });
     const origins = createStreamOrigins({
-      hostId: settings.hostId,
-      peers: this.peers,
-      events: this.events,
-      clocks,
-      store: this.store,
+      ...shared,
       upstreams: this.upstreams,
       fleet: () => this.fleet,
-      trueTime: () => this.readTrueTime(),
     });
     this.streams = origins.streams;
     this.versions = origins.versions;
     this.placement = new RoutedPlacement({
-      hostId: settings.hostId,
-      peers: this.peers,
-      events: this.events,
+      ...shared,
       servingHosts: () => this.membership.serving(),
       dispatchingHosts: () => this.fleet.strongServingHosts(),
       clock: clocks.suspensionAware,
@@ -237,14 +228,10 @@
       cacheRetentionMilliseconds: settings.bounds.reuseWindowMilliseconds * 2,
       random: Math.random,
       hasSpreadPlacement: name => this.hasSpreadPlacement(name),
-      metrics: this.metrics,
     });
     this.membership = createRoutedMembership({
+      ...shared,
       settings: dependencies.settings,
-      clocks,
-      peers: this.peers,
-      events: this.events,
-      metrics: this.metrics,
       parts: () => this.parts,
       crashes: () => this.crashes,
       paths: this.paths,
@@ -266,12 +253,10 @@
     );
     this.usage = new UsageWindows(settings.bounds.usageWindowMilliseconds);
     this.quotas = new QuotaExchange({
-      peers: this.peers,
-      events: this.events,
+      ...shared,
       clock: clocks.steady,
       random: Math.random,
       otherHosts: () => this.fleet.otherServingHosts(),
-      hostId: settings.hostId,
       startedAt: this.startedAt,
       sharingHostIds: () => this.membership.sharingHostIds(),
       holderCandidates: () => this.fleet.quotaHolderCandidates(),
@@ -279,11 +264,8 @@
       isFirstStart: settings.isFirstStart,
     });
     this.relay = new StateRelay({
-      peers: this.peers,
-      events: this.events,
-      clocks,
+      ...shared,
       random: Math.random,
-      hostId: settings.hostId,
       storeReaders: () => this.fleet.storeReaders(),
       otherHosts: () => this.fleet.otherServingHosts(),
       isStoreReader: () => this.fleet.isStoreReader(),
@@ -292,18 +274,12 @@
       rollouts: this.rollouts.follower,
     });
     const watches = createCrashWatches({
-      hostId: settings.hostId,
-      peers: this.peers,
-      events: this.events,
-      metrics: this.metrics,
-      clocks,
-      pool: this.pool,
+      ...shared,
       paths: this.paths,
-      store: this.store,
-      trueTime: () => this.readTrueTime(),
       servingHosts: () => this.membership.serving(),
     });
     this.crashes = watches.crashes;
+    this.unconfirmedEnds = watches.unconfirmedEnds;
     this.parts = watches.parts;
     this.duties = createRoutedDuties(settings, {
       processId: this.processId,
@@ -320,11 +296,10 @@
       ...this.rollouts.engineCounts(this.upstreams.list),
     });
     this.usagePush = new UsagePush({
+      ...shared,
       processId: this.processId,
       usage: this.usage,
-      peers: this.peers,
       candidates: () => this.fleet.othersOf(this.duties?.candidates() ?? []),
-      trueTime: () => this.readTrueTime(),
       clock: clocks.suspensionAware,
       loads: this.loads,
       offeredLoads: this.offeredLoads,
@@ -373,6 +348,7 @@
       paths: this.paths,
       quotas: this.quotas,
       crashes: this.crashes,
+      unconfirmedEnds: this.unconfirmedEnds,
       parts: this.parts,
       isEndExpected: upstream =>
         this.announcements.isLeaving(upstream) ||
--- a/packages/entry-process/src/routed_interface/requests/crash_evidence.ts
+++ b/packages/entry-process/src/routed_interface/requests/crash_evidence.ts
@@ -7,9 +7,11 @@
   UsableUpstream,
 } from '@lacewingwinch/decisions';
 
+import type {LostConnection} from '../../paths/blame_inquiries.js';
 import type {PartWatch} from '../../tasks/part_watch.js';
 import type {Clocks} from '../../util/clocks.js';
 import type {CrashWatch} from '../evidence/crash_watch.js';
+import type {UnconfirmedEnds} from '../evidence/unconfirmed_ends.js';
 import type {RequestLog} from './request_log.js';
 import type {AttemptOutcome} from './routed_attempt.js';
 
@@ -50,6 +52,7 @@
 export interface CrashEvidenceDependencies {
   readonly clocks: Clocks;
   readonly crashes: CrashWatch;
+  readonly unconfirmedEnds: UnconfirmedEnds;
   readonly parts: PartWatch;
   /** Returns whether an upstream ends because it leaves or is reclaimed. */
   readonly isEndExpected: (upstream: UsableUpstream) => boolean;
@@ -111,9 +114,9 @@
   private recordAnswered(
     upstream: UsableUpstream,
     isConfirmed: boolean,
-    {millisecondsSinceAnswerBegan = 0}: AnswerProgress,
+    progress: AnswerProgress,
   ): void {
-    const {crashes, parts} = this.dependencies;
+    const {crashes, parts, isEndExpected, unconfirmedEnds} = this.dependencies;
     const {service, fingerprint, sharedParts} = this.content;
     if (isConfirmed) {
       crashes.recordCompletion(fingerprint);
@@ -123,8 +126,15 @@
     parts.awaitSignOfLife(
       upstream,
       sharedParts,
-      SOUND_RUN_MILLISECONDS - millisecondsSinceAnswerBegan,
+      SOUND_RUN_MILLISECONDS - (progress.millisecondsSinceAnswerBegan ?? 0),
     );
+    if (!isEndExpected(upstream)) {
+      unconfirmedEnds.record(
+        fingerprint,
+        lostConnectionOf(upstream, progress),
+        this.accusation(upstream, progress),
+      );
+    }
   }
 
   private recordFailure(
@@ -135,15 +145,29 @@
     if (failure.kind !== 'lost' || failure.cause !== 'connection') {
       return;
     }
-    const {crashes, parts, isEndExpected} = this.dependencies;
-    const {service, fingerprint, sharedParts} = this.content;
-    const {upstreamId, address, bornAt} = upstream;
-    const {millisecondsSinceAnswerBegan = Infinity} = progress;
-    const runningSince = progress.upstreamRunningSince;
+    const {fingerprint, sharedParts} = this.content;
+    const {upstreamId} = upstream;
     this.log.recordLostConnection({upstreamId, sharedParts, ...progress});
-    const lostAt = this.dependencies.clocks.steady();
-    const lost = {upstreamId, address, bornAt, runningSince};
-    crashes.recordLostConnection(fingerprint, lost, () => {
+    this.dependencies.crashes.recordLostConnection(
+      fingerprint,
+      lostConnectionOf(upstream, progress),
+      this.accusation(upstream, progress),
+    );
+  }
+
+  /** Returns what accuses the prompt parts once the upstream is known to have ended. */
+  private accusation(
+    upstream: UsableUpstream,
+    {
+      millisecondsSinceAnswerBegan = Infinity,
+      upstreamRunningSince: runningSince,
+    }: AnswerProgress,
+  ): () => void {
+    const {clocks, parts, isEndExpected} = this.dependencies;
+    const {service, sharedParts} = this.content;
+    const {upstreamId, bornAt} = upstream;
+    const lostAt = clocks.steady();
+    return () => {
       const isAccused =
         sharedParts.length > 0 &&
         millisecondsSinceAnswerBegan <= ACCUSATION_MILLISECONDS &&
@@ -152,9 +176,16 @@
         parts.recordCrash(
           {service, upstreamId, bornAt, runningSince},
           sharedParts,
-          this.dependencies.clocks.steady() - lostAt,
+          clocks.steady() - lostAt,
         );
       }
-    });
+    };
   }
 }
+
+function lostConnectionOf(
+  {upstreamId, address, bornAt}: UsableUpstream,
+  {upstreamRunningSince}: AnswerProgress,
+): LostConnection {
+  return {upstreamId, address, bornAt, runningSince: upstreamRunningSince};
+}
--- a/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
+++ b/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
@@ -22,6 +22,7 @@
 import type {QuotaExchange} from '../admission/quota_exchange.js';
 import type {AnswerAnnouncements} from '../evidence/answer_announcements.js';
 import type {CrashWatch} from '../evidence/crash_watch.js';
+import type {UnconfirmedEnds} from '../evidence/unconfirmed_ends.js';
 import type {RoutedPlacement} from '../placement/routed_placement.js';
 import type {StreamOriginExchange} from '../state/stream_origin_exchange.js';
 
@@ -39,6 +40,7 @@
   readonly answerMemory: AnswerMemory;
   readonly quotas: QuotaExchange;
   readonly crashes: CrashWatch;
+  readonly unconfirmedEnds: UnconfirmedEnds;
   readonly parts: PartWatch;
   /** Returns whether an upstream ends because it leaves or is reclaimed. */
   readonly isEndExpected: (upstream: UsableUpstream) => boolean;
--- a/packages/stand-ins/src/routed_engine_stand_in.ts
+++ b/packages/stand-ins/src/routed_engine_stand_in.ts
@@ -126,6 +126,8 @@
   crashingParts: ReadonlySet<string> = new Set();
   /** Body of the requests under which the process crashes. */
   crashingBody: string | undefined;
+  /** Events of a stream after which the process crashes under a body or a part. */
+  crashAfterEvents = 0;
   /** Milliseconds from a crash until the process has started again. */
   restartMilliseconds = 300;
   /** Called when the process has started again after a crash. */
@@ -276,7 +278,8 @@
       at: Date.now(),
       softwareVersion: this.softwareVersion,
     });
-    if (body === this.crashingBody) {
+    const isCrashing = body === this.crashingBody || this.crashesUnder(message);
+    if (body === this.crashingBody && this.crashAfterEvents === 0) {
       await this.crash();
       return;
     }
@@ -286,7 +289,7 @@
       case 'break-off':
       case 'answer-unframed':
       case 'break-off-unframed':
-        await this.answer(message, response, signedHeaders);
+        await this.answer(message, response, signedHeaders, isCrashing);
         return;
       case 'fail':
         response.writeHead(this.failureStatus, signedHeaders).end('failed');
@@ -333,6 +336,7 @@
     message: IncomingMessage,
     response: ServerResponse,
     signedHeaders: Readonly<Record<string, string>>,
+    isCrashing: boolean,
   ): Promise<void> {
     const isUnframed = this.behavior.endsWith('unframed');
     if (isUnframed) {
@@ -349,7 +353,7 @@
       ...signedHeaders,
       'content-type': 'text/event-stream',
     });
-    if (this.crashesUnder(message)) {
+    if (isCrashing && this.crashAfterEvents === 0) {
       response.flushHeaders();
       await delay(CRASH_DELAY_MILLISECONDS);
       await this.crash();
@@ -373,6 +377,10 @@
       const event = `event-${id}${this.attemptSuffixOf(message)}${this.paddingOf(message)}`;
       response.write(`id: ${id}\ndata: ${event}\n\n`);
       await delay(this.eventIntervalMilliseconds);
+      if (isCrashing && id === this.crashAfterEvents) {
+        await this.crash();
+        return;
+      }
     }
     response.end();
   }
--- a/packages/upstreams/src/connection_pool.ts
+++ b/packages/upstreams/src/connection_pool.ts
@@ -109,6 +109,13 @@
     return () => openConnections.every(({isClosed}) => isClosed);
   }
 
+  /** Returns whether a connection to `address` is open. */
+  hasOpenConnection(address: string): boolean {
+    return [...(this.upstreams.get(address)?.open ?? [])].some(
+      ({socket, isClosed}) => socket !== undefined && !isClosed,
+    );
+  }
+
   /** Closes the idle connections to all upstreams. */
   closeAllIdle(): void {
     for (const address of this.upstreams.keys()) {
