Try requests that separate parts which were blamed together

Cause: both parts explain exactly the same crashes and are blamed together. What spoke for the shared one is forgotten after a minute without use, so that the verdict is that of an unknown part, with its first trial after 600 s; meanwhile no sound request can refute it. Event 4109 names both parts with wasSound false, and no event 4111 was written.

A request that holds some of the parts blamed together and lacks others is tried 2 s after the verdict: its run shows which are sound. The host that grants the trials of a part grants them to all hosts, by a method that builds before don't know and so refuse.

--- a/packages/decisions/src/crashes/part_quarantine.ts
+++ b/packages/decisions/src/crashes/part_quarantine.ts
@@ -3,6 +3,7 @@
  * all of them, so that none has to be queried and none can be lost alone.
  */
 import {blameParts} from './blame_parts.js';
+import {trialOf, trialTimeOf} from './blamed_group.js';
 import {countedCrashes, isLapsed} from './judge_part.js';
 import {
   mergePartSuspicions,
@@ -13,7 +14,6 @@
   verdictInForce,
 } from './part_suspicion.js';
 import {SoundParts} from './sound_parts.js';
-import {nextTrialAt} from './trial_schedule.js';
 import type {UpstreamCrash} from './upstream_crash.js';
 
 /** Largest number of suspicions that a host keeps. */
@@ -29,6 +29,8 @@
 export interface PartRefusal extends PartAtService {
   /** Time of the next trial, in milliseconds since the epoch. */
   readonly until: number;
+  /** See `PartTrial`. */
+  readonly isSeparating: boolean;
 }
 
 interface Entry {
@@ -138,13 +140,19 @@
     if (this.isEmpty) {
       return undefined;
     }
-    for (const partId of parts) {
-      const refusal = this.refusalFor({service, partId}, now);
-      if (refusal !== undefined) {
-        return refusal;
-      }
+    const [first, ...others] = parts.flatMap(
+      partId => this.refusedSuspicionOf({service, partId}, now) ?? [],
+    );
+    if (first === undefined) {
+      return undefined;
     }
-    return undefined;
+    const trial = trialOf(parts, [first, ...others], this.verdicts());
+    return {
+      service: first.service,
+      partId: first.partId,
+      until: trial.at,
+      isSeparating: trial.isSeparating,
+    };
   }
 
   /**
@@ -152,10 +160,17 @@
    * suspicion to report before it is sent; undefined if none may be tried. Only one
    * host calls this for a part.
    */
-  takeTrial(refused: PartAtService, now: number): PartSuspicion | undefined {
+  takeTrial(
+    refused: PartAtService,
+    now: number,
+    isSeparating = false,
+  ): PartSuspicion | undefined {
     const key = keyOf(refused);
     const entry = this.entries.get(key);
-    if (entry === undefined || !this.isTrialDue(refused, now)) {
+    if (
+      entry === undefined ||
+      now < trialTimeOf(entry.suspicion, isSeparating)
+    ) {
       return undefined;
     }
     const suspicion = {...entry.suspicion, triedAt: now};
@@ -163,13 +178,6 @@
     return suspicion;
   }
 
-  /** Returns whether `takeTrial` would count a request as tried. */
-  isTrialDue(refused: PartAtService, now: number): boolean {
-    const suspicion = this.find(refused);
-    const refusal = suspicion === undefined ? undefined : refusalBy(suspicion);
-    return refusal !== undefined && now >= refusal.until;
-  }
-
   /** Returns whether a crash counts against one of `parts` at `now`. */
   isAnyAccused(
     service: string,
@@ -225,22 +233,26 @@
     return [...this.entries.values()].map(({suspicion}) => suspicion);
   }
 
-  private refusalFor(
+  /** Returns the suspicion by which a part is refused; undefined if it is not. */
+  private refusedSuspicionOf(
     part: PartAtService,
     now: number,
-  ): PartRefusal | undefined {
+  ): PartSuspicion | undefined {
     const own = this.find(part);
     if (own !== undefined) {
-      return refusalBy(own);
+      return verdictInForce(own) === undefined ? undefined : own;
     }
     if (this.soundParts.find(keyOf(part)) !== undefined) {
       return undefined;
     }
     for (const service of this.servicesByPart.get(part.partId) ?? []) {
       const other = this.find({service, partId: part.partId});
-      const refusal = other === undefined ? undefined : refusalBy(other);
-      if (refusal !== undefined && refusal.until > now) {
-        return refusal;
+      const isRefused =
+        other !== undefined &&
+        verdictInForce(other) !== undefined &&
+        trialTimeOf(other, false) > now;
+      if (isRefused) {
+        return other;
       }
     }
     return undefined;
@@ -330,15 +342,6 @@
   return `${partId}@${service}`;
 }
 
-function refusalBy(suspicion: PartSuspicion): PartRefusal | undefined {
-  const verdict = verdictInForce(suspicion);
-  if (verdict === undefined) {
-    return undefined;
-  }
-  const {service, partId} = suspicion;
-  return {service, partId, until: nextTrialAt(suspicion, verdict)};
-}
-
 /** Returns whether the others would judge without this host's sound runs. */
 function isNews({suspicion, reportedSoundAt}: Entry, now: number): boolean {
   if (suspicion.soundAt <= reportedSoundAt) {
--- a/packages/decisions/tests/part_quarantine_test.ts
+++ b/packages/decisions/tests/part_quarantine_test.ts
@@ -133,6 +133,85 @@
     expect(other.takeTrial(part, due + 2000)).toBeDefined();
   });
 
+  // Guards against parts that stay refused with one that crashes upstreams (review/14).
+  it.each<{
+    readonly name: string;
+    readonly parts: readonly string[];
+    /** Milliseconds from the verdict to the trial. */
+    readonly trialAfter: number;
+    readonly isSeparating: boolean;
+  }>([
+    {
+      name: 'with one of them',
+      parts: ['shared', 'own'],
+      trialAfter: 2000,
+      isSeparating: true,
+    },
+    {
+      name: 'with two of them',
+      parts: ['shared', 'other'],
+      trialAfter: 2000,
+      isSeparating: true,
+    },
+    {
+      name: 'with all of them',
+      parts: ['shared', 'other', 'bad'],
+      trialAfter: 600_000,
+      isSeparating: false,
+    },
+    {
+      name: 'with one of them and a part that was blamed before',
+      parts: ['shared', 'blamed'],
+      trialAfter: 600_000,
+      isSeparating: false,
+    },
+  ])(
+    'tries a request $name of several parts that were blamed together',
+    ({parts, trialAfter, isSeparating}) => {
+      const quarantine = new PartQuarantine();
+      accuse(
+        quarantine,
+        [-3000, -2700, -2300].map(after => crash(after)),
+        ['blamed'],
+      );
+      const together = [0, 300, 700, 1000, 1400];
+      accuse(
+        quarantine,
+        together.map(after => crash(after)),
+        ['shared', 'other', 'bad'],
+      );
+      const refusal = quarantine.findRefusal(SERVICE, parts, START + 1500);
+      expect(refusal).toEqual({
+        service: SERVICE,
+        partId: 'shared',
+        until: START + 1400 + trialAfter,
+        isSeparating,
+      });
+    },
+  );
+
+  it('frees the parts of a separating trial that was sound, and no other', () => {
+    const quarantine = new PartQuarantine();
+    accuse(
+      quarantine,
+      [0, 300, 700, 1000, 1400].map(after => crash(after)),
+      ['shared', 'bad'],
+    );
+    const part = {service: SERVICE, partId: 'shared'};
+    const due = START + 1400 + 2000;
+    expect(quarantine.takeTrial(part, due, false)).toBe(undefined);
+    expect(quarantine.takeTrial(part, due, true)?.triedAt).toBe(due);
+    expect(quarantine.takeTrial(part, due + 1, true)).toBe(undefined);
+    quarantine.recordSound(SERVICE, ['shared'], due + 500);
+    expect(isRefused(quarantine, due - START + 600, ['shared'])).toBe(false);
+    const refusal = quarantine.findRefusal(SERVICE, ['shared', 'bad'], due);
+    expect(refusal).toMatchObject({
+      partId: 'bad',
+      until: START + 1400 + 600_000,
+      isSeparating: false,
+    });
+  });
+
   it('keeps a verdict in a flood of accused parts', () => {
     const quarantine = new PartQuarantine();
     accuse(quarantine, BLAMING);
--- a/packages/entry-hosts/src/messages/suspicion_messages.ts
+++ b/packages/entry-hosts/src/messages/suspicion_messages.ts
@@ -1,7 +1,11 @@
 /**
  * Messages about requests and prompt parts that crash upstreams.
  */
-import type {PartSuspicion, Suspicion} from '@lacewingwinch/decisions';
+import type {
+  PartAtService,
+  PartSuspicion,
+  Suspicion,
+} from '@lacewingwinch/decisions';
 
 /** Parameters and result of each of these methods. */
 export interface SuspicionMethods {
@@ -18,6 +22,14 @@
     readonly params: {readonly fingerprint: string};
     readonly result: {readonly isGranted: boolean};
   };
+  /**
+   * Requests to try one request with a refused prompt part. Builds before do not know
+   * the method, so that the request stays refused.
+   */
+  readonly 'suspicion.part-trial': {
+    readonly params: PartAtService & {readonly isSeparating: boolean};
+    readonly result: {readonly isGranted: boolean};
+  };
   /** Reports prompt parts under which upstreams crashed or ran soundly. */
   readonly 'suspicion.parts': {
     readonly params: {readonly suspicions: readonly PartSuspicion[]};
--- a/packages/entry-process/src/routed_interface/admission/attempt_gate.ts
+++ b/packages/entry-process/src/routed_interface/admission/attempt_gate.ts
@@ -17,6 +17,8 @@
 } from '@lacewingwinch/decisions';
 import type {EventLog} from '@lacewingwinch/observability';
 
+import type {PartDecision} from '../../tasks/part_decision.js';
+import type {PartTrials} from '../../tasks/part_trials.js';
 import type {PartWatch} from '../../tasks/part_watch.js';
 import {pause} from '../../util/pause.js';
 import type {ContentDecision, CrashWatch} from '../evidence/crash_watch.js';
@@ -52,7 +54,8 @@
   readonly events: Pick<EventLog, 'write'>;
   readonly metrics: GateMetrics;
   readonly crashes: Pick<CrashWatch, 'decide' | 'isRefused' | 'peekDecision'>;
-  readonly parts: Pick<PartWatch, 'decide' | 'isRefused'>;
+  readonly parts: Pick<PartWatch, 'isRefused' | 'peekDecision'>;
+  readonly partTrials: Pick<PartTrials, 'decide'>;
   readonly candidates: Pick<PlacementCandidates, 'pauseMillisecondsLeft'>;
   readonly random: () => number;
 }
@@ -96,17 +99,26 @@
     if (this.isTrial) {
       return undefined;
     }
-    const refusal = crashes.isRefused(fingerprint)
-      ? this.refusalOfContent(await crashes.decide(fingerprint))
-      : undefined;
-    return refusal ?? this.refusalOfPromptPart();
+    const content: ContentDecision = crashes.isRefused(fingerprint)
+      ? await crashes.decide(fingerprint)
+      : {kind: 'clear'};
+    if (content.kind !== 'clear') {
+      return this.refusalOfContent(content);
+    }
+    const {partTrials} = this.dependencies;
+    const {service, sharedParts} = this.request;
+    const decision = await partTrials.decide(service, sharedParts);
+    return this.refusalOfPromptPart(decision);
   }
 
   /** Returns what `refusalIfQuarantined` would if a trial were granted. */
   peekRefusal(): ServingError | undefined {
-    const {crashes} = this.dependencies;
+    const {crashes, parts} = this.dependencies;
     const decision = crashes.peekDecision(this.request.fingerprint);
-    return this.refusalOfContent(decision) ?? this.refusalOfPromptPart();
+    const {service, sharedParts} = this.request;
+    return decision.kind === 'clear'
+      ? this.refusalOfPromptPart(parts.peekDecision(service, sharedParts))
+      : this.refusalOfContent(decision);
   }
 
   private refusalOfContent(
@@ -130,20 +142,21 @@
     }
   }
 
-  private refusalOfPromptPart(): ServingError | undefined {
-    const {parts, events} = this.dependencies;
-    const {requestId, service, sharedParts} = this.request;
-    if (this.isTrial) {
-      return undefined;
-    }
-    const decision = parts.decide(service, sharedParts);
+  private refusalOfPromptPart(
+    decision: PartDecision,
+  ): ServingError | undefined {
+    const {requestId, service} = this.request;
     switch (decision.kind) {
       case 'clear':
         return undefined;
       case 'trial': {
         const {partId} = decision.part;
         this.isTrial = true;
-        events.write(4111, {requestId, part: partId, service});
+        this.dependencies.events.write(4111, {
+          requestId,
+          part: partId,
+          service,
+        });
         return undefined;
       }
       case 'refused':
--- a/packages/entry-process/src/routed_interface/lifecycle/create_crash_watches.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/create_crash_watches.ts
@@ -7,6 +7,7 @@
 
 import {probeProcess} from '../../paths/process_probe.js';
 import type {UpstreamPaths} from '../../paths/upstream_paths.js';
+import {PartTrials} from '../../tasks/part_trials.js';
 import {PartWatch} from '../../tasks/part_watch.js';
 import type {Clocks} from '../../util/clocks.js';
 import {ContentVerdictStore} from '../evidence/content_verdict_store.js';
@@ -29,12 +30,16 @@
   readonly pool: ConnectionPool;
 }
 
-/** Creates the watches of a host. */
-export function createCrashWatches(shared: SharedWithWatches): {
+/** The watches of a host. */
+export interface CrashWatches {
   readonly crashes: CrashWatch;
   readonly parts: PartWatch;
+  readonly partTrials: PartTrials;
   readonly unconfirmedEnds: UnconfirmedEnds;
-} {
+}
+
+/** Creates the watches of a host. */
+export function createCrashWatches(shared: SharedWithWatches): CrashWatches {
   const {clocks, events, paths, pool, store} = shared;
   const crashes = new CrashWatch({
     ...shared,
@@ -54,5 +59,6 @@
     crashes,
     probe: process => probeProcess(pool, process),
   });
-  return {crashes, parts, unconfirmedEnds};
+  const partTrials = new PartTrials({...shared, parts});
+  return {crashes, parts, partTrials, unconfirmedEnds};
 }
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_peer_handlers.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_peer_handlers.ts
@@ -86,6 +86,9 @@
     'suspicion.trial': ({fingerprint}) => ({
       isGranted: crashes.grantTrial(fingerprint),
     }),
+    'suspicion.part-trial': ({service, partId, isSeparating}) => ({
+      isGranted: parts.grantTrial({service, partId}, isSeparating),
+    }),
     'suspicion.parts': ({suspicions}) => {
       parts.onSuspicions(suspicions);
       return null;
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -42,7 +42,6 @@
 import {UsagePush} from '../duties/usage_push.js';
 import {AnswerAnnouncements} from '../evidence/answer_announcements.js';
 import type {CrashWatch} from '../evidence/crash_watch.js';
-import type {UnconfirmedEnds} from '../evidence/unconfirmed_ends.js';
 import {RoutedPlacement} from '../placement/routed_placement.js';
 import type {FrontDependencies} from '../requests/front_dependencies.js';
 import type {RequestExplainer} from '../requests/request_explainer.js';
@@ -56,7 +55,7 @@
 import {UpstreamChangeLog} from '../state/upstream_change_log.js';
 import {UpstreamFollower} from '../state/upstream_follower.js';
 import type {VersionRecorder} from '../state/version_recorder.js';
-import {createCrashWatches} from './create_crash_watches.js';
+import {type CrashWatches, createCrashWatches} from './create_crash_watches.js';
 import {createRelayCarrier} from './create_relay_carrier.js';
 import {createRequestExplainer} from './create_request_explainer.js';
 import {createStreamOrigins} from './create_stream_origins.js';
@@ -107,7 +106,7 @@
   readonly state: RequiredState;
   readonly paths: UpstreamPaths;
   readonly carrier: RelayCarrier;
-  private readonly unconfirmedEnds: UnconfirmedEnds;
+  private readonly watches: CrashWatches;
   private readonly answers: AnswerAnnouncements;
   private readonly health = new UpstreamHealth();
   private readonly fleetHealth = new FleetHealth();
@@ -279,7 +278,7 @@
       servingHosts: () => this.membership.serving(),
     });
     this.crashes = watches.crashes;
-    this.unconfirmedEnds = watches.unconfirmedEnds;
+    this.watches = watches;
     this.parts = watches.parts;
     this.duties = createRoutedDuties(settings, {
       processId: this.processId,
@@ -347,9 +346,7 @@
       answers: this.answers,
       paths: this.paths,
       quotas: this.quotas,
-      crashes: this.crashes,
-      unconfirmedEnds: this.unconfirmedEnds,
-      parts: this.parts,
+      ...this.watches,
       isEndExpected: upstream =>
         this.announcements.isLeaving(upstream) ||
         this.upstreams.list.find(upstream.upstreamId)?.isLeaving !== false,
--- a/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
+++ b/packages/entry-process/src/routed_interface/requests/front_dependencies.ts
@@ -17,6 +17,7 @@
 import type {ConnectionPool} from '@lacewingwinch/upstreams';
 
 import type {UpstreamPaths} from '../../paths/upstream_paths.js';
+import type {PartTrials} from '../../tasks/part_trials.js';
 import type {PartWatch} from '../../tasks/part_watch.js';
 import type {Clocks} from '../../util/clocks.js';
 import type {QuotaExchange} from '../admission/quota_exchange.js';
@@ -42,6 +43,7 @@
   readonly crashes: CrashWatch;
   readonly unconfirmedEnds: UnconfirmedEnds;
   readonly parts: PartWatch;
+  readonly partTrials: PartTrials;
   /** Returns whether an upstream ends because it leaves or is reclaimed. */
   readonly isEndExpected: (upstream: UsableUpstream) => boolean;
   readonly streams: StreamOriginExchange;
--- a/packages/entry-process/src/routed_interface/requests/request_explainer.ts
+++ b/packages/entry-process/src/routed_interface/requests/request_explainer.ts
@@ -201,9 +201,10 @@
         events: NO_EVENTS,
         metrics: NO_METRICS,
         crashes,
-        parts: {
-          decide: (service, partIds) => parts.peekDecision(service, partIds),
-          isRefused: (service, partIds) => parts.isRefused(service, partIds),
+        parts,
+        partTrials: {
+          decide: (service, partIds) =>
+            Promise.resolve(parts.peekDecision(service, partIds)),
         },
         candidates: placement.explainer.candidates,
         random: () => jitter,
--- a/packages/entry-process/src/tasks/part_watch.ts
+++ b/packages/entry-process/src/tasks/part_watch.ts
@@ -18,6 +18,7 @@
 
 import {isAborted} from '../util/is_aborted.js';
 import {pause} from '../util/pause.js';
+import type {PartDecision} from './part_decision.js';
 import {UnconfirmedRuns, type UpstreamOfRun} from './unconfirmed_runs.js';
 
 /** Milliseconds for which reports of crashes are collected before sending. */
@@ -60,18 +61,6 @@
   remove(part: PartAtService): Promise<boolean>;
 }
 
-/** How a request with certain prompt parts is treated. */
-export type PartDecision =
-  | {readonly kind: 'clear'}
-  | {
-      readonly kind: 'refused';
-      readonly part: PartAtService;
-      /** Milliseconds until one request is tried; 0 if a trial is due. */
-      readonly milliseconds: number;
-    }
-  /** It may run, to see whether the part still crashes upstreams. */
-  | {readonly kind: 'trial'; readonly part: PartAtService};
-
 /** Dependencies of `PartWatch`. */
 export interface PartWatchDependencies {
   readonly hostId: string;
@@ -115,24 +104,51 @@
   decide(service: string, parts: readonly string[]): PartDecision {
     const decision = this.peekDecision(service, parts);
     if (decision.kind === 'trial') {
-      this.takeTrial(decision.part);
+      this.grantTrial(decision.part, decision.isSeparating);
     }
     return decision;
   }
 
+  /**
+   * Grants a trial, at most one at a time; returns whether a request may be sent. The
+   * trial counts at all hosts and in the store before that.
+   */
+  grantTrial(part: PartAtService, isSeparating: boolean): boolean {
+    const now = this.dependencies.trueTime();
+    const suspicion = this.quarantine.takeTrial(part, now, isSeparating);
+    if (suspicion === undefined) {
+      return false;
+    }
+    this.send([suspicion]);
+    this.unsaved.set(keyOf(part), part);
+    return true;
+  }
+
+  /** Returns the host that grants the trials of a part; undefined without one. */
+  trialHostOf({service, partId}: PartAtService): Member | undefined {
+    const hosts = this.dependencies.servingHosts();
+    const [winner] = rendezvousOrder(
+      `${partId}@${service}`,
+      hosts.map(member => member.hostId),
+      1,
+    );
+    return hosts.find(({hostId}) => hostId === winner);
+  }
+
   /** Returns what `decide` would return, and counts no trial. */
   peekDecision(service: string, parts: readonly string[]): PartDecision {
     const refusal = this.findRefusal(service, parts);
     if (refusal === undefined) {
       return {kind: 'clear'};
     }
-    const {partId, until} = refusal;
+    const {partId, until, isSeparating} = refusal;
     const part = {service: refusal.service, partId};
     const now = this.dependencies.trueTime();
-    if (this.isTrialHost(part) && this.quarantine.isTrialDue(part, now)) {
-      return {kind: 'trial', part};
+    if (this.isTrialHost(part) && now >= until) {
+      return {kind: 'trial', part, isSeparating};
     }
-    return {kind: 'refused', part, milliseconds: Math.max(0, until - now)};
+    const milliseconds = Math.max(0, until - now);
+    return {kind: 'refused', part, milliseconds, isSeparating};
   }
 
   /** Returns whether a request of `service` with `parts` is refused now. */
@@ -261,16 +277,6 @@
         );
   }
 
-  /** Counts a trial at all hosts and in the store before it is sent. */
-  private takeTrial(part: PartAtService): void {
-    const now = this.dependencies.trueTime();
-    const suspicion = this.quarantine.takeTrial(part, now);
-    if (suspicion !== undefined) {
-      this.send([suspicion]);
-      this.unsaved.set(keyOf(part), part);
-    }
-  }
-
   private isIsolated(): boolean {
     const age = this.dependencies.clock() - this.gossipReceivedAt;
     return age > ISOLATION_MILLISECONDS;
@@ -303,10 +309,8 @@
    * Returns whether this host lets requests with a refused part through at the
    * times of the trials.
    */
-  private isTrialHost({service, partId}: PartAtService): boolean {
-    const {hostId, servingHosts} = this.dependencies;
-    const ids = servingHosts().map(member => member.hostId);
-    return rendezvousOrder(`${partId}@${service}`, ids, 1)[0] === hostId;
+  private isTrialHost(part: PartAtService): boolean {
+    return this.trialHostOf(part)?.hostId === this.dependencies.hostId;
   }
 
   private afterChange(): void {
--- a/packages/entry-process/tests/attempt_gate_test.ts
+++ b/packages/entry-process/tests/attempt_gate_test.ts
@@ -41,7 +41,11 @@
           isRefused: () => false,
           peekDecision: () => ({kind: 'clear'}),
         },
-        parts: {decide: () => ({kind: 'clear'}), isRefused: () => false},
+        parts: {
+          peekDecision: () => ({kind: 'clear'}),
+          isRefused: () => false,
+        },
+        partTrials: {decide: () => Promise.resolve({kind: 'clear'})},
         candidates: {pauseMillisecondsLeft: () => pauses.shift() ?? 0},
         random: () => 0,
       },
--- a/packages/entry-process/tests/prompt_part_crashes_test.ts
+++ b/packages/entry-process/tests/prompt_part_crashes_test.ts
@@ -301,3 +301,46 @@
     expect(soundShareSince(since)).toBeGreaterThan(0.95);
   });
 });
+
+describe('a part that every request of a route shares', () => {
+  const REQUESTS = 30;
+
+  // Guards against a route that is shut by what crashes under another part (review/14).
+  it.each([{hosts: 1}, {hosts: 3}, {hosts: 8}])(
+    'is served although only requests with a crashing part came before, at $hosts hosts',
+    async ({hosts}) => {
+      crashUnder(['bad']);
+      for (let host = 0; host < hosts; host += 1) {
+        await installation.startProcess({
+          seeds: installation.peers.slice(0, 1),
+        });
+      }
+      await pause(500);
+      const crashes = (): number =>
+        streamingEngines().flatMap(engine => engine.crashes).length;
+      const bad = (async () => {
+        for (; !sending.signal.aborted; count += 1) {
+          void send(`crashing-${count}`, ['aa', 'bad']);
+          await pause(CRASHING_PERIOD_MILLISECONDS);
+        }
+      })();
+      await waitUntil(() => crashes() >= CRASHES_TO_NOTICE);
+      await pause(2 * REACTION_MILLISECONDS);
+      let begun = 0;
+      for (let index = 0; index < REQUESTS; index += 1) {
+        count += 1;
+        void send(`sound-${count}`, ['aa', `5${index}`]).then(answer => {
+          begun += answer?.status === 200 ? 1 : 0;
+        });
+        await pause(CRASHING_PERIOD_MILLISECONDS);
+      }
+      await pause(OBSERVATION_MILLISECONDS);
+      sending.abort();
+      await bad;
+      expect(begun).toBeGreaterThanOrEqual(REQUESTS / 2);
+      expect(crashes()).toBeLessThanOrEqual(
+        CRASHES_TO_NOTICE + ENGINES + TOLERATED_REQUESTS,
+      );
+    },
+  );
+});
