Count crashing requests also where fewer crashes stop them

Cause: the test waited 55 s for a fifth crash. Where crashes come slower than usual, as beside a loaded machine, the hosts refuse the part after three or four, and the next trial comes after ten minutes: the wait ended without a fifth.

Change: the reaction is counted from the crash that was waited for, or from the last one if none came for the time in which the hosts have to react. The number of tolerated requests and the share of sound ones stay.

--- a/packages/entry-process/tests/prompt_part_crashes_test.ts
+++ b/packages/entry-process/tests/prompt_part_crashes_test.ts
@@ -16,7 +16,7 @@
 /** Crashes after which the hosts have the time below to react. */
 const CRASHES_TO_NOTICE = 5;
 
-/** Milliseconds from the fifth crash until requests with the part count. */
+/** Milliseconds from the crash above until requests with the part count. */
 const REACTION_MILLISECONDS = 3000;
 
 /** Milliseconds for which requests are counted after that. */
@@ -154,6 +154,20 @@
   return crashTimes()[number - 1] ?? 0;
 }
 
+/**
+ * Returns the time of the crash after which the hosts have to react: the given one, or
+ * the last one if the hosts stopped the crashes before that.
+ */
+async function waitForNoticedCrash(number: number): Promise<number> {
+  await waitUntil(() => {
+    const last = crashTimes().at(-1) ?? Infinity;
+    return (
+      crashTimes().length >= number || Date.now() - last > REACTION_MILLISECONDS
+    );
+  });
+  return crashTimes()[number - 1] ?? crashTimes().at(-1) ?? 0;
+}
+
 /** Crashing requests sent after `since` that reached an upstream. */
 function crashingReachedSince(since: number): readonly string[] {
   return installation.engines
@@ -199,8 +213,10 @@
       if (!wereSound) {
         void sendCrashingRequests(parts);
       }
-      const fifth = await waitForCrashes(CRASHES_TO_NOTICE * parts.length);
-      const since = fifth + REACTION_MILLISECONDS;
+      const noticed = await waitForNoticedCrash(
+        CRASHES_TO_NOTICE * parts.length,
+      );
+      const since = noticed + REACTION_MILLISECONDS;
       await pause(since + OBSERVATION_MILLISECONDS - Date.now());
       const reached = crashingReachedSince(since);
       expect(reached.length).toBeLessThanOrEqual(
