Count no crash of upstreams whose processes live on

Cause: a lost connection counted as a crash if all connections of the host to the upstream had ended and its own links were sound. Nobody asked the process. On a quiet host the connection that was reset is the only one. Ruled out: a wrong verdict on the links; other hosts have no connection either.

Change: the process is asked for its start first; if it is the listed one, nothing crashed (event 4127). Requests that lose their connections together share one report. `ContentDecision` has its own file.

Why it works: a process that reports the same start has not ended. One that states none is judged as before.

Tests: 'is none if their processes live on' for four rules failed on (422 beside 502). "reaches three of them" used resets at processes that live as crashes; it now ends the processes, and asks for three runs exactly.

--- a/packages/entry-process/src/paths/process_probe.ts
+++ b/packages/entry-process/src/paths/process_probe.ts
@@ -49,11 +49,40 @@
 /** Start of a process that states none. */
 const UNKNOWN_START = 0;
 
+/** The probes of one host; those of the same process at the same time are one. */
+export class ProcessProbes {
+  /** By address and start. */
+  private readonly current = new Map<string, Promise<ProbedProcess>>();
+
+  constructor(private readonly pool: ExchangeSender) {}
+
+  /** Returns what answers at the address of a process. */
+  probe(process: ProcessAddress): Promise<ProbedProcess> {
+    const key = `${process.address} ${process.bornAt}`;
+    const existing = this.current.get(key);
+    if (existing !== undefined) {
+      return existing;
+    }
+    const probe = probeProcess(this.pool, process).finally(() =>
+      this.current.delete(key),
+    );
+    this.current.set(key, probe);
+    return probe;
+  }
+
+  /** Returns whether a process is known to live on, by the start that it reports. */
+  async isRunning(process: ProcessAddress): Promise<boolean> {
+    return (
+      process.bornAt !== UNKNOWN_START && (await this.probe(process)) === 'same'
+    );
+  }
+}
+
 /**
  * Returns what answers at an address: by the report of the process if the list states
  * its start, else by a connection.
  */
-export async function probeProcess(
+async function probeProcess(
   pool: ExchangeSender,
   {address, bornAt}: ProcessAddress,
 ): Promise<ProbedProcess> {
--- a/packages/entry-process/src/routed_interface/admission/attempt_gate.ts
+++ b/packages/entry-process/src/routed_interface/admission/attempt_gate.ts
@@ -21,7 +21,8 @@
 import type {PartTrials} from '../../tasks/part_trials.js';
 import type {PartWatch} from '../../tasks/part_watch.js';
 import {pause} from '../../util/pause.js';
-import type {ContentDecision, CrashWatch} from '../evidence/crash_watch.js';
+import type {ContentDecision} from '../evidence/content_decision.js';
+import type {CrashWatch} from '../evidence/crash_watch.js';
 import type {PlacementCandidates} from '../placement/placement_candidates.js';
 import type {Placement} from '../placement/placement_result.js';
 
--- a/packages/entry-process/src/routed_interface/evidence/crash_watch.ts
+++ b/packages/entry-process/src/routed_interface/evidence/crash_watch.ts
@@ -23,9 +23,11 @@
 import murmurhash from 'murmurhash';
 
 import type {LostConnection} from '../../paths/blame_inquiries.js';
+import type {ProcessAddress} from '../../paths/process_probe.js';
 import {callPeer} from '../../util/call_peer.js';
 import {isAborted} from '../../util/is_aborted.js';
 import {pause} from '../../util/pause.js';
+import type {ContentDecision} from './content_decision.js';
 import type {ContentVerdictStore} from './content_verdict_store.js';
 
 /** Milliseconds within which all connections of a crashed upstream end. */
@@ -68,14 +70,6 @@
   readonly body: Buffer;
 }
 
-/** How a request with certain content is treated. */
-export type ContentDecision =
-  | {readonly kind: 'clear'}
-  /** `milliseconds`: until one request may be tried; 0 if another one is. */
-  | {readonly kind: 'refused'; readonly milliseconds: number}
-  /** It may run, to see whether the content still crashes upstreams. */
-  | {readonly kind: 'trial'};
-
 /** An upstream whose connections have ended, and when. */
 export type EndedUpstream = LostConnection & UpstreamCrash;
 
@@ -87,6 +81,8 @@
   readonly pool: Pick<ConnectionPool, 'watchConnections'>;
   /** Returns whether the upstream is to blame, and not the links of this host. */
   readonly isToBlame: (lost: LostConnection) => Promise<boolean>;
+  /** Returns whether a process is known to live on. */
+  readonly isRunning: (process: ProcessAddress) => Promise<boolean>;
   /** Returns steady clock readings in milliseconds. */
   readonly clock: () => number;
   /** Returns milliseconds since the epoch, the same on all hosts. */
@@ -206,9 +202,9 @@
   }
 
   /**
-   * Records that the connection of a running request ended. It counts as a
-   * crash if all other connections to the upstream end as well, and if it is not
-   * the links of this host that failed; `onCrash` is called then.
+   * Records that the connection of a running request ended. It counts as a crash if all
+   * others to the upstream end as well, its process does not live on, and the links of
+   * this host have not failed; `onCrash` is called then.
    */
   recordLostConnection(
     fingerprint: string,
@@ -220,11 +216,24 @@
     const time = trueTime();
     setTimeout(() => {
       if (haveAllEnded()) {
-        void this.reportIfToBlame(fingerprint, {...upstream, time}, onCrash);
+        void this.reportIfEnded(fingerprint, {...upstream, time}, onCrash);
       }
     }, CRASH_DETECTION_MILLISECONDS).unref();
   }
 
+  private async reportIfEnded(
+    fingerprint: string,
+    lost: EndedUpstream,
+    onCrash: () => void,
+  ): Promise<void> {
+    const {isRunning, events} = this.dependencies;
+    if (await isRunning(lost)) {
+      events.write(4127, {upstreamId: lost.upstreamId, fingerprint});
+      return;
+    }
+    await this.reportIfToBlame(fingerprint, lost, onCrash);
+  }
+
   /**
    * Records a crash of an upstream whose connections have all ended, unless the links
    * of this host have failed; `onCrash` is called then.
@@ -241,9 +250,8 @@
   }
 
   /**
-   * Merges a suspicion reported by another host. If a request with the same
-   * content ran to completion on this host, the crashes have another cause and
-   * the suspicion is cleared.
+   * Merges a suspicion reported by another host. If a request with the same content ran
+   * to completion here, the crashes have another cause and the suspicion is cleared.
    */
   onSuspicion(received: Suspicion): void {
     const {fingerprint} = received;
--- a/packages/entry-process/src/routed_interface/lifecycle/create_crash_watches.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/create_crash_watches.ts
@@ -5,7 +5,7 @@
 import type {StoreClient} from '@lacewingwinch/platform';
 import type {ConnectionPool} from '@lacewingwinch/upstreams';
 
-import {probeProcess} from '../../paths/process_probe.js';
+import {ProcessProbes} from '../../paths/process_probe.js';
 import type {UpstreamPaths} from '../../paths/upstream_paths.js';
 import {PartTrials} from '../../tasks/part_trials.js';
 import {PartWatch} from '../../tasks/part_watch.js';
@@ -41,9 +41,11 @@
 /** Creates the watches of a host. */
 export function createCrashWatches(shared: SharedWithWatches): CrashWatches {
   const {clocks, events, paths, pool, store} = shared;
+  const probes = new ProcessProbes(pool);
   const crashes = new CrashWatch({
     ...shared,
     isToBlame: upstream => paths.isUpstreamToBlame(upstream),
+    isRunning: process => probes.isRunning(process),
     clock: clocks.steady,
     verdicts: new ContentVerdictStore({store, events}),
   });
@@ -57,7 +59,7 @@
   const unconfirmedEnds = new UnconfirmedEnds({
     ...shared,
     crashes,
-    probe: process => probeProcess(pool, process),
+    probe: process => probes.probe(process),
   });
   const partTrials = new PartTrials({...shared, parts});
   return {crashes, parts, partTrials, unconfirmedEnds};
--- a/packages/entry-process/tests/crash_watch_test.ts
+++ b/packages/entry-process/tests/crash_watch_test.ts
@@ -31,6 +31,8 @@
 let unreachableHosts: Set<string>;
 /** Whether the other connections to the upstream ended as well. */
 let haveOthersEnded: boolean;
+/** Whether the process of the upstream reports that it lives on. */
+let isProcessRunning: boolean;
 /** Whether the upstream is at fault, and not the links of the host. */
 let isUpstreamToBlame: boolean;
 
@@ -55,6 +57,7 @@
   vi.useFakeTimers({now: 1_000_000});
   haveOthersEnded = true;
   isUpstreamToBlame = true;
+  isProcessRunning = false;
   unreachableHosts = new Set();
   watches = new Map(
     HOSTS.map(hostId => [
@@ -65,6 +68,7 @@
         events,
         pool: {watchConnections: () => () => haveOthersEnded},
         isToBlame: () => Promise.resolve(isUpstreamToBlame),
+        isRunning: () => Promise.resolve(isProcessRunning),
         clock: () => Date.now(),
         trueTime: () => Date.now(),
         servingHosts: () => HOSTS.map(servingMember),
@@ -179,6 +183,13 @@
     expect(refusingCount()).toBe(0);
   });
 
+  // Guards against contents that were refused because sound upstreams reset them.
+  it('is not suspected while the processes of its upstreams live on', async () => {
+    isProcessRunning = true;
+    await loseConnections(['a', 'b', 'c', 'd']);
+    expect(refusingCount()).toBe(0);
+  });
+
   it('is not suspected while other hosts reach its upstream', async () => {
     isUpstreamToBlame = false;
     await loseConnections(['a', 'b', 'c', 'd']);
--- a/packages/entry-process/tests/routed_process_test.ts
+++ b/packages/entry-process/tests/routed_process_test.ts
@@ -279,7 +279,13 @@
     engines.push(third);
     store.put('keyed.servers', third.upstreamId, third.entry('plain'));
     await startProcess();
-    setBehavior('lose');
+    for (const engine of engines.filter(({isStreamed}) => !isStreamed)) {
+      engine.crashingBody = 'poison';
+      engine.onRestarted = () => {
+        const entry = engine.entry('plain');
+        store.put('keyed.servers', engine.upstreamId, entry);
+      };
+    }
     const path = '/once/poison';
     const statuses: number[] = [];
     await waitUntil(async () => {
@@ -287,13 +293,30 @@
       return statuses.at(-1) === 422;
     });
     const runs = runCount(path);
-    setBehavior('answer');
+    expect(runs).toBe(3);
     const refused = await call({path, body: 'poison'});
     expect(refused.status).toBe(422);
     expect(Number(refused.headers['retry-after'])).toBeGreaterThan(0);
     expect(runCount(path)).toBe(runs);
-    expect((await call({path, body: 'other'})).status).toBe(200);
+    await waitUntil(
+      async () => (await call({path, body: 'other'})).status === 200,
+    );
   });
+
+  // Guards against contents that were refused because sound upstreams reset them.
+  it.each(['/once/sound', '/again/sound', '/stream/sound', '/resumed/sound'])(
+    'is none if their processes live on: %s',
+    async path => {
+      await startProcess();
+      setBehavior('lose');
+      const statuses = new Set<number>();
+      for (let coming = 0; coming < 8; coming += 1) {
+        statuses.add((await call({path, body: 'sound'})).status);
+        await new Promise(resolve => setTimeout(resolve, 250));
+      }
+      expect([...statuses]).toEqual([502]);
+    },
+  );
 });
 
 describe('the duties', () => {
--- a/packages/observability/src/events/request_events.ts
+++ b/packages/observability/src/events/request_events.ts
@@ -181,4 +181,11 @@
     advice:
       'No action needed unless it happens often: then the upstream does not answer reports, and its streams may be refused with stream-unknown when they are taken up.',
   },
+  4127: {
+    level: 'info',
+    message:
+      'upstream {upstreamId} closed all connections of this host while it ran content {fingerprint}, and its process lives on',
+    advice:
+      'It does not count as a crash. No action needed unless it happens often at one upstream.',
+  },
 } as const satisfies Readonly<Record<number, EventRow>>;
