Give contents, verdict stores and task dependencies files of their own

Change: `fingerprintOf` and `Content`, `VerdictStore` and `RoutedTasksDependencies` have files of their own; nothing else changes.

--- a/packages/entry-process/src/build_tasks.ts
+++ b/packages/entry-process/src/build_tasks.ts
@@ -51,10 +51,11 @@
 import {DispatcherTask} from './tasks/dispatcher_task.js';
 import {MembershipTask} from './tasks/membership_task.js';
 import {OrdersTask} from './tasks/orders_task.js';
-import {PartWatch, type VerdictStore} from './tasks/part_watch.js';
+import {PartWatch} from './tasks/part_watch.js';
 import {PermitClient} from './tasks/permit_client.js';
 import {ShardLoads} from './tasks/shard_loads.js';
 import {UpstreamDirectory} from './tasks/upstream_directory.js';
+import type {VerdictStore} from './tasks/verdict_store.js';
 import {createClientBounds} from './util/client_bounds.js';
 
 /** Maximum number of suspicions in one gossip digest; the latest are sent. */
--- a/packages/entry-process/src/routed_interface/evidence/crash_watch.ts
+++ b/packages/entry-process/src/routed_interface/evidence/crash_watch.ts
@@ -4,7 +4,6 @@
  * every host when they quarantine it. Gossip carries the verdict to hosts that
  * missed it, and the store keeps it for the case that all hosts end.
  */
-import {crc32} from 'node:zlib';
 
 import {
   AnsweredContents,
@@ -20,7 +19,6 @@
 import type {PeerClient} from '@lacewingwinch/entry-hosts';
 import type {EventLog} from '@lacewingwinch/observability';
 import type {ConnectionPool} from '@lacewingwinch/upstreams';
-import murmurhash from 'murmurhash';
 
 import type {LostConnection} from '../../paths/blame_inquiries.js';
 import type {ProcessAddress} from '../../paths/process_probe.js';
@@ -61,15 +59,6 @@
 /** Milliseconds between two rounds of the periodic work. */
 const ROUND_MILLISECONDS = 1000;
 
-/** The properties of a request that identify its content. */
-export interface Content {
-  /** Empty for a public rule. */
-  readonly workspace: string;
-  /** Path including the query. */
-  readonly target: string;
-  readonly body: Buffer;
-}
-
 /** An upstream whose connections have ended, and when. */
 export type EndedUpstream = LostConnection & UpstreamCrash;
 
@@ -392,9 +381,3 @@
     }
   }
 }
-
-/** Returns an identifier of the content that reveals nothing of its text. */
-export function fingerprintOf({workspace, target, body}: Content): string {
-  const targetHash = murmurhash.v3(`${workspace}\n${target}`);
-  return `${targetHash.toString(16)}-${crc32(body).toString(16)}-${body.length}`;
-}
--- a/packages/entry-process/src/routed_interface/evidence/part_verdict_store.ts
+++ b/packages/entry-process/src/routed_interface/evidence/part_verdict_store.ts
@@ -12,7 +12,7 @@
 import type {EventLog} from '@lacewingwinch/observability';
 import type {StoreClient} from '@lacewingwinch/platform';
 
-import type {VerdictStore} from '../../tasks/part_watch.js';
+import type {VerdictStore} from '../../tasks/verdict_store.js';
 import {messageOf} from '../../util/message_of.js';
 
 /** Milliseconds within which the store must answer. */
--- a/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
+++ b/packages/entry-process/src/routed_interface/lifecycle/routed_tasks.ts
@@ -8,7 +8,6 @@
   FleetHealth,
   NamedRates,
   OfferedLoads,
-  type RoutingConfiguration,
   ServiceLoadCounter,
   ServiceRetryBudgets,
   TrueTime,
@@ -25,7 +24,7 @@
   type EventLog,
   type Metrics,
 } from '@lacewingwinch/observability';
-import {type PlatformSettings, StoreClient} from '@lacewingwinch/platform';
+import {StoreClient} from '@lacewingwinch/platform';
 import {ConnectionPool} from '@lacewingwinch/upstreams';
 import {v7 as uuidV7} from 'uuid';
 
@@ -61,6 +60,7 @@
 import {createStreamOrigins} from './create_stream_origins.js';
 import {createUpstreamPaths} from './create_upstream_paths.js';
 import {RoutedRollouts} from './routed_rollouts.js';
+import type {RoutedTasksDependencies} from './routed_tasks_dependencies.js';
 
 /**
  * Maximum age of the keys, as a share of the time within which a revocation
@@ -68,15 +68,6 @@
  */
 const KEY_AGE_SHARE = 0.9;
 
-/** What the tasks need to know of the process that runs them. */
-export interface RoutedTasksDependencies {
-  /** Returns the settings in force. */
-  readonly settings: () => PlatformSettings;
-  /** Returns whether this process accepts no new requests any more. */
-  readonly isClosing: () => boolean;
-  readonly onConfigurationChange: (configuration: RoutingConfiguration) => void;
-}
-
 /** The tasks of one entry process, with the services that they share. */
 export class RoutedTasks {
   readonly clocks: Clocks = createProcessClocks();
--- a/packages/entry-process/src/routed_interface/requests/request_explainer.ts
+++ b/packages/entry-process/src/routed_interface/requests/request_explainer.ts
@@ -19,7 +19,7 @@
 import type {ExplanationAnswer} from '@lacewingwinch/entry-hosts';
 
 import {AttemptGate, type GateMetrics} from '../admission/attempt_gate.js';
-import {fingerprintOf} from '../evidence/crash_watch.js';
+import {fingerprintOf} from '../evidence/content_fingerprint.js';
 import {
   findKey,
   refusedBy,
--- a/packages/entry-process/src/routed_interface/requests/request_parts.ts
+++ b/packages/entry-process/src/routed_interface/requests/request_parts.ts
@@ -10,7 +10,7 @@
 import type {CallHeaders} from '@lacewingwinch/platform';
 
 import {AttemptGate} from '../admission/attempt_gate.js';
-import {fingerprintOf} from '../evidence/crash_watch.js';
+import {fingerprintOf} from '../evidence/content_fingerprint.js';
 import {AttemptPlacement} from './attempt_placement.js';
 import {AttemptRunner} from './attempt_runner.js';
 import {CrashEvidence} from './crash_evidence.js';
--- a/packages/entry-process/src/tasks/part_watch.ts
+++ b/packages/entry-process/src/tasks/part_watch.ts
@@ -20,6 +20,7 @@
 import {pause} from '../util/pause.js';
 import type {PartDecision} from './part_decision.js';
 import {UnconfirmedRuns, type UpstreamOfRun} from './unconfirmed_runs.js';
+import type {VerdictStore} from './verdict_store.js';
 
 /** Milliseconds for which reports of crashes are collected before sending. */
 const REPORT_DELAY_MILLISECONDS = 10;
@@ -51,16 +52,6 @@
   readonly service: string;
 }
 
-/** Where verdicts outlive a restart of every entry host. */
-export interface VerdictStore {
-  /** Returns the verdicts in the store; undefined if it does not answer. */
-  load(): Promise<readonly PartSuspicion[] | undefined>;
-  /** Writes a verdict; returns whether the store has it. */
-  save(suspicion: PartSuspicion): Promise<boolean>;
-  /** Removes a verdict; returns whether the store has done so. */
-  remove(part: PartAtService): Promise<boolean>;
-}
-
 /** Dependencies of `PartWatch`. */
 export interface PartWatchDependencies {
   readonly hostId: string;
--- a/packages/entry-process/tests/crash_watch_test.ts
+++ b/packages/entry-process/tests/crash_watch_test.ts
@@ -4,10 +4,8 @@
 import {createEventLog} from '@lacewingwinch/observability';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
-import {
-  CrashWatch,
-  fingerprintOf,
-} from '../src/routed_interface/evidence/crash_watch.js';
+import {fingerprintOf} from '../src/routed_interface/evidence/content_fingerprint.js';
+import {CrashWatch} from '../src/routed_interface/evidence/crash_watch.js';
 import {servingMember} from './host_fixtures.js';
 
 const HOSTS = Array.from({length: 20}, (_, index) => `host-${index}`);
