Inquire into the loss of each process, not of each upstream id

Callers could see: 422 for a sound content or part. Losses of one upstream id shared an inquiry while hosts were queried (up to 2 s). If the upstream came back under its id and a cut link lost it again in that time, the second loss took the finding on the first: "ended", for a process that lives.

Cause: the inquiries under way were keyed by the id alone.

Change: two losses share an inquiry if they are of one id and address, and neither connection was opened after the other was lost. `EndedUpstream` moves to blame_inquiries.ts, which judges by its time now.

Why it works: a connection ends with its process, so one that was opened after a loss is to another process, or the loss was no end.

Tests: two of four new cases failed before (one inquiry where two are due).

--- a/packages/entry-process/src/front/attempt_evidence.ts
+++ b/packages/entry-process/src/front/attempt_evidence.ts
@@ -86,7 +86,13 @@
       membership.broadcast();
     };
     const {address} = slot.upstream;
-    const lost = {upstreamId, address, bornAt: 0, runningSince: undefined};
+    const lost = {
+      upstreamId,
+      address,
+      bornAt: 0,
+      runningSince: undefined,
+      time: clock(),
+    };
     if (await paths.isUpstreamToBlame(lost)) {
       recordCrash();
     }
--- a/packages/entry-process/src/paths/blame_inquiries.ts
+++ b/packages/entry-process/src/paths/blame_inquiries.ts
@@ -41,6 +41,12 @@
   readonly runningSince: number | undefined;
 }
 
+/** The loss of the last connection to an upstream. */
+export interface EndedUpstream extends LostConnection {
+  /** Time of the loss, in milliseconds since the epoch, the same on all hosts. */
+  readonly time: number;
+}
+
 interface AwaitedStart {
   readonly lost: LostProcess;
   readonly until: number;
@@ -49,17 +55,22 @@
 
 type Finding = ReachFinding | 'reached-here';
 
+interface Inquiry {
+  readonly lost: EndedUpstream;
+  readonly finding: Promise<Finding>;
+}
+
 /** The inquiries of one host. */
 export class BlameInquiries {
-  /** By upstream; the requests that were lost with it share an inquiry. */
-  private readonly current = new Map<string, Promise<Finding>>();
+  /** Those under way; the requests that were lost with a process share one. */
+  private readonly current = new Set<Inquiry>();
   private readonly awaited = new Set<AwaitedStart>();
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly dependencies: BlameInquiriesDependencies) {}
 
   /** Returns whether the upstream has ended, and not the link to it. */
-  async hasEnded(lost: LostConnection): Promise<boolean> {
+  async hasEnded(lost: EndedUpstream): Promise<boolean> {
     const finding = await this.inquireOnce(lost);
     switch (finding) {
       case 'reached-here':
@@ -71,17 +82,18 @@
     }
   }
 
-  private inquireOnce(lost: LostConnection): Promise<Finding> {
-    const {upstreamId} = lost;
-    const existing = this.current.get(upstreamId);
-    if (existing !== undefined) {
-      return existing;
+  private inquireOnce(lost: EndedUpstream): Promise<Finding> {
+    for (const inquiry of this.current) {
+      if (mayBeOfSameProcess(inquiry.lost, lost)) {
+        return inquiry.finding;
+      }
     }
-    const inquiry = this.inquire(lost).finally(() =>
-      this.current.delete(upstreamId),
+    const finding = this.inquire(lost).finally(() =>
+      this.current.delete(inquiry),
     );
-    this.current.set(upstreamId, inquiry);
-    return inquiry;
+    const inquiry: Inquiry = {lost, finding};
+    this.current.add(inquiry);
+    return finding;
   }
 
   private async inquire({
@@ -150,3 +162,19 @@
     }
   }
 }
+
+/**
+ * Returns whether two losses may be of one process. They are not if the connection of
+ * one was opened after that of the other had been lost.
+ */
+function mayBeOfSameProcess(
+  left: EndedUpstream,
+  right: EndedUpstream,
+): boolean {
+  return (
+    left.upstreamId === right.upstreamId &&
+    left.address === right.address &&
+    (left.runningSince ?? -Infinity) <= right.time &&
+    (right.runningSince ?? -Infinity) <= left.time
+  );
+}
--- a/packages/entry-process/src/paths/upstream_paths.ts
+++ b/packages/entry-process/src/paths/upstream_paths.ts
@@ -21,7 +21,7 @@
 import type {PeerClient} from '@lacewingwinch/entry-hosts';
 import type {EventLog, Metrics} from '@lacewingwinch/observability';
 
-import {BlameInquiries, type LostConnection} from './blame_inquiries.js';
+import {BlameInquiries, type EndedUpstream} from './blame_inquiries.js';
 import {CutOffTrial} from './cut_off_trial.js';
 import {ReachQueries} from './reach_queries.js';
 
@@ -220,7 +220,7 @@
    * Returns whether the upstream is to blame for a lost connection, and not the
    * links of this host.
    */
-  async isUpstreamToBlame(lost: LostConnection): Promise<boolean> {
+  async isUpstreamToBlame(lost: EndedUpstream): Promise<boolean> {
     return (
       !this.isPathSuspect(lost.upstreamId) || this.inquiries.hasEnded(lost)
     );
--- a/packages/entry-process/src/routed_interface/evidence/crash_watch.ts
+++ b/packages/entry-process/src/routed_interface/evidence/crash_watch.ts
@@ -14,13 +14,15 @@
   SHARED_POLICY,
   type Suspicion,
   suspicionOfCrash,
-  type UpstreamCrash,
 } from '@lacewingwinch/decisions';
 import type {PeerClient} from '@lacewingwinch/entry-hosts';
 import type {EventLog} from '@lacewingwinch/observability';
 import type {ConnectionPool} from '@lacewingwinch/upstreams';
 
-import type {LostConnection} from '../../paths/blame_inquiries.js';
+import type {
+  EndedUpstream,
+  LostConnection,
+} from '../../paths/blame_inquiries.js';
 import type {ProcessAddress} from '../../paths/process_probe.js';
 import {callPeer} from '../../util/call_peer.js';
 import {isAborted} from '../../util/is_aborted.js';
@@ -59,9 +61,6 @@
 /** Milliseconds between two rounds of the periodic work. */
 const ROUND_MILLISECONDS = 1000;
 
-/** An upstream whose connections have ended, and when. */
-export type EndedUpstream = LostConnection & UpstreamCrash;
-
 /** Dependencies of `CrashWatch`. */
 export interface CrashWatchDependencies {
   readonly hostId: string;
@@ -69,7 +68,7 @@
   readonly events: EventLog;
   readonly pool: Pick<ConnectionPool, 'watchConnections'>;
   /** Returns whether the upstream is to blame, and not the links of this host. */
-  readonly isToBlame: (lost: LostConnection) => Promise<boolean>;
+  readonly isToBlame: (lost: EndedUpstream) => Promise<boolean>;
   /** Returns whether a process is known to live on. */
   readonly isRunning: (process: ProcessAddress) => Promise<boolean>;
   /** Returns steady clock readings in milliseconds. */
--- a/packages/entry-process/src/routed_interface/evidence/unconfirmed_ends.ts
+++ b/packages/entry-process/src/routed_interface/evidence/unconfirmed_ends.ts
@@ -4,9 +4,12 @@
  */
 import type {ConnectionPool} from '@lacewingwinch/upstreams';
 
-import type {LostConnection} from '../../paths/blame_inquiries.js';
+import type {
+  EndedUpstream,
+  LostConnection,
+} from '../../paths/blame_inquiries.js';
 import type {ProbedProcess, ProcessAddress} from '../../paths/process_probe.js';
-import type {CrashWatch, EndedUpstream} from './crash_watch.js';
+import type {CrashWatch} from './crash_watch.js';
 
 /** Milliseconds within which all connections of a crashed upstream end. */
 const CRASH_DETECTION_MILLISECONDS = 100;
--- a/packages/entry-process/tests/blame_inquiries_test.ts
+++ b/packages/entry-process/tests/blame_inquiries_test.ts
@@ -27,6 +27,7 @@
   address: ADDRESS,
   bornAt: 1000,
   runningSince: 2000,
+  time: 3000,
 };
 
 let queried: string[];
@@ -160,6 +161,38 @@
     expect(await hasEnded).toBe(testCase.hasEnded);
   });
 
+  // Guards against the loss of a process that was judged by that of the one before.
+  it.each<{
+    readonly name: string;
+    readonly second: typeof LOST | undefined;
+    readonly inquiries: number;
+  }>([
+    {name: 'alone', second: undefined, inquiries: 1},
+    {
+      name: 'and again over a connection that was opened before',
+      second: {...LOST, runningSince: 2900, time: 3050},
+      inquiries: 1,
+    },
+    {
+      name: 'and again over one that was opened since',
+      second: {...LOST, runningSince: 3010, time: 3050},
+      inquiries: 2,
+    },
+    {
+      name: 'and then at another address',
+      second: {...LOST, address: '10.0.0.1:81'},
+      inquiries: 2,
+    },
+  ])('$name takes $inquiries inquiries', async ({second, inquiries: count}) => {
+    const inquiries = createInquiries({a: undefined});
+    void inquiries.hasEnded(LOST);
+    if (second !== undefined) {
+      void inquiries.hasEnded(second);
+    }
+    await vi.advanceTimersByTimeAsync(100);
+    expect(queried).toHaveLength(count);
+  });
+
   it('is inquired into once for all requests that were lost with it', async () => {
     const inquiries = createInquiries({a: DOWN, b: DOWN, c: DOWN});
     const results = Promise.all(
