Send requests with two crashing parts in turn

Cause of the red case 'two parts': the part was chosen by the number of all requests, sound ones included. Three sound ones come between two crashing ones, so that the number stays odd or even for seconds and only one part is sent; the other one follows once the timers drift. Its first crashes then counted as requests after the reaction to the first part: in a traced run bad2 was refused after four crashes, bad1 came 3.5 s later and was refused after five. Each part was stopped as the rule asks.

Change: the part is chosen by the number of crashing requests. Bounds and times stay, and both parts are under way from the beginning.

--- a/packages/entry-process/tests/prompt_part_crashes_test.ts
+++ b/packages/entry-process/tests/prompt_part_crashes_test.ts
@@ -135,7 +135,7 @@
   while (!signal.aborted) {
     count += 1;
     const attemptId = `crashing-${count}`;
-    const part = parts[count % parts.length] ?? '';
+    const part = parts[crashingSent.size % parts.length] ?? '';
     crashingSent.set(attemptId, Date.now());
     void send(attemptId, ['aa', part, `5${count % SUBJECTS}`]);
     await pause(CRASHING_PERIOD_MILLISECONDS);
