Links of tests: refuse at ports that nobody else gets

Cause: a link of the stand-ins gives up its port for as long as it refuses connections. Its port was one that the system had chosen, so another process could get it in that time; listening failed with EADDRINUSE then, the process of the links ended, and heal() waited for its answer for ever. That is how the listed case of cut_off_hosts_test.ts ended in its timeout beside a process that takes listeners all the time.

Change: links listen at reserved ports below the range from which the system chooses, as the hosts of tests do (findFreePorts). An order rejects with the error output of the process if that ends.

No check was changed.

--- a/packages/stand-ins/src/link_process.ts
+++ b/packages/stand-ins/src/link_process.ts
@@ -81,7 +81,10 @@
     }
   }
 
-  /** Sends an order over the process's input and waits until it is done. */
+  /**
+   * Sends an order over the process's input and waits until it is done; rejects if the
+   * process ends before.
+   */
   private async order(order: RefusingLinkFault | 'heal'): Promise<void> {
     const {stdin, stdout} = this.started.child;
     if (stdin === null || stdout === null) {
@@ -89,6 +92,11 @@
     }
     const done = once(stdout, 'data');
     stdin.write(`${order}\n`);
-    await done;
+    await Promise.race([done, this.rejectOnEnd()]);
+  }
+
+  private async rejectOnEnd(): Promise<never> {
+    await this.started.exited;
+    throw new Error(`the links ended: ${this.started.errorOutput()}`);
   }
 }
--- a/packages/stand-ins/src/link_stand_in.ts
+++ b/packages/stand-ins/src/link_stand_in.ts
@@ -3,13 +3,9 @@
  * run in a process of their own, because only a stopped process makes new
  * connections hang.
  */
-import {
-  type AddressInfo,
-  connect,
-  createServer,
-  type Server,
-  type Socket,
-} from 'node:net';
+import {connect, createServer, type Server, type Socket} from 'node:net';
+
+import {findFreePorts} from './free_ports.js';
 
 /** How the links of a host can fail while its other links work. */
 export type RefusingLinkFault =
@@ -28,9 +24,12 @@
 class Link {
   private server: Server | undefined;
   private readonly sockets = new Set<Socket>();
-  private port = 0;
 
-  constructor(private readonly target: string) {}
+  constructor(
+    private readonly target: string,
+    /** A reserved port, which stays free while new connections are refused. */
+    private readonly port: number,
+  ) {}
 
   /** IP address and port at which the host reaches the upstream. */
   get address(): string {
@@ -43,10 +42,7 @@
     this.server = server;
     return new Promise((resolve, reject) => {
       server.once('error', reject);
-      server.listen(this.port, '127.0.0.1', LINK_BACKLOG, () => {
-        this.port = (server.address() as AddressInfo).port;
-        resolve();
-      });
+      server.listen(this.port, '127.0.0.1', LINK_BACKLOG, resolve);
     });
   }
 
@@ -88,11 +84,9 @@
 
 /** The links from one host to several upstreams. */
 export class LinkStandIn {
-  private readonly links: readonly Link[];
+  private links: readonly Link[] = [];
 
-  constructor(targets: readonly string[]) {
-    this.links = targets.map(target => new Link(target));
-  }
+  constructor(private readonly targets: readonly string[]) {}
 
   /** Addresses of the upstreams from the host's point of view. */
   get addresses(): readonly string[] {
@@ -101,6 +95,11 @@
 
   /** Starts listening. */
   async listen(): Promise<void> {
+    const ports = await findFreePorts(this.targets.length);
+    this.links = this.targets.flatMap((target, index) => {
+      const port = ports[index];
+      return port === undefined ? [] : [new Link(target, port)];
+    });
     await Promise.all(this.links.map(link => link.listen()));
   }
 
