Crowds: name the kinds of memory when a process exceeds its limit

What was found: the peak holds the pages of the node binary.

Change: the message of the check has the anonymous memory and that of files. The check and its bound are as they were.

--- a/packages/entry-process/tests/crowds/crowded_host.ts
+++ b/packages/entry-process/tests/crowds/crowded_host.ts
@@ -14,7 +14,11 @@
   RoutedInstallation,
   waitUntil,
 } from '../routed_fixtures.js';
-import {countDescriptorsOf, peakMegabytesOf} from './process_usage.js';
+import {
+  countDescriptorsOf,
+  peakMegabytesOf,
+  residentMemoryText,
+} from './process_usage.js';
 
 /** Memory of the smallest machine that the users' pages name, in MiB. */
 export const MEMORY_MEGABYTES = 210;
@@ -145,7 +149,10 @@
   /** Checks that the process lives within its memory and its descriptors. */
   expectWithinLimits(): void {
     expect(this.host.hasEnded).toBe(false);
-    expect(peakMegabytesOf(this.pid)).toBeLessThan(MEMORY_MEGABYTES);
+    expect(
+      peakMegabytesOf(this.pid),
+      residentMemoryText(this.pid),
+    ).toBeLessThan(MEMORY_MEGABYTES);
     expect(this.peakDescriptors).toBeLessThan(this.fileDescriptors);
   }
 
--- a/packages/entry-process/tests/crowds/own_interface_test.ts
+++ b/packages/entry-process/tests/crowds/own_interface_test.ts
@@ -13,7 +13,7 @@
   openChunkedBody,
   queriesAhead,
 } from './crowd_requests.js';
-import {peakMegabytesOf} from './process_usage.js';
+import {peakMegabytesOf, residentMemoryText} from './process_usage.js';
 
 /** Memory of the process by its default settings, in MiB. */
 const MEMORY_MEGABYTES = 350;
@@ -94,6 +94,9 @@
     const {child} = entry.process;
     expect(child.exitCode).toBeNull();
     expect(child.signalCode).toBeNull();
-    expect(peakMegabytesOf(child.pid ?? 0)).toBeLessThan(MEMORY_MEGABYTES);
+    const pid = child.pid ?? 0;
+    expect(peakMegabytesOf(pid), residentMemoryText(pid)).toBeLessThan(
+      MEMORY_MEGABYTES,
+    );
   });
 });
--- a/packages/entry-process/tests/crowds/process_usage.ts
+++ b/packages/entry-process/tests/crowds/process_usage.ts
@@ -5,8 +5,27 @@
 
 /** Returns the largest resident memory that a process has had, in MiB. */
 export function peakMegabytesOf(pid: number): number {
+  return megabytesOf(pid, 'VmHWM');
+}
+
+/**
+ * Returns the resident memory of a process by kind, for the message of a failed check.
+ * Pages of files depend on how the kernel has read the files, not on the process alone.
+ */
+export function residentMemoryText(pid: number): string {
+  const anonymous = megabytesOf(pid, 'RssAnon').toFixed(1);
+  const files = megabytesOf(pid, 'RssFile').toFixed(1);
+  return `resident now: ${anonymous} MiB anonymous, ${files} MiB of files`;
+}
+
+function megabytesOf(
+  pid: number,
+  field: 'RssAnon' | 'RssFile' | 'VmHWM',
+): number {
   const status = readFileSync(`/proc/${pid}/status`, 'utf8');
-  const kibibytes = Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1]);
+  const kibibytes = Number(
+    new RegExp(`^${field}:\\s+(\\d+) kB$`, 'm').exec(status)?.[1],
+  );
   return kibibytes / KIBIBYTES_PER_MEBIBYTE;
 }
 
