--- a/packages/measurements/src/measure_slopes.ts
+++ b/packages/measurements/src/measure_slopes.ts
@@ -12,6 +12,8 @@
   type LogRecord,
   rendezvousOrder,
   snapshotOf,
+  type StreamOrigin,
+  StreamOrigins,
   type Upstream,
 } from '@lacewingwinch/decisions';
 
@@ -52,6 +54,9 @@
     ...[1000, 10_000, 50_000].map(size =>
       measureRole('backup copy', size, runBackup),
     ),
+    ...[1000, 5000, 20_000].map(size =>
+      measureRole('stream origin', size, runStreamOrigins),
+    ),
   ];
   for (const {role, size, microseconds, bytes} of figures) {
     process.stdout.write(
@@ -225,3 +230,22 @@
   );
   return {operations, items: operations, state: parsed};
 }
+
+/** Milliseconds for which the measured streams may be taken up. */
+const STREAM_LIFETIME_MILLISECONDS = 60_000;
+
+/** Receives and keeps origins, each in a message of its own. */
+function runStreamOrigins(size: number): MeasuredRun {
+  const origins = new StreamOrigins();
+  for (let index = 0; index < size; index += 1) {
+    const sent: StreamOrigin = {
+      attemptId: `01a23da9-94f1-751c-8086-${index}`,
+      service: 'service-1',
+      softwareVersion: 'v1',
+      lifetimeMilliseconds: STREAM_LIFETIME_MILLISECONDS,
+    };
+    const received = JSON.parse(JSON.stringify(sent)) as StreamOrigin;
+    origins.record(received, index);
+  }
+  return {operations: size, items: size, state: origins};
+}
